--- /dev/null
+++ b/crates/shallotwing-cli/src/command/config.rs
@@ -0,0 +1,108 @@
+//! `check` and `diff`, and reading of configuration files.
+
+use std::io::Read as _;
+
+use clap::Args;
+use serde::Serialize;
+use serde_json::json;
+use sw_conf::{Change, Fleet, diff};
+
+use crate::command::store::{StoreArgs, current};
+use crate::failure::Failure;
+use crate::output::print;
+
+/// Check a fleet configuration.
+#[derive(Debug, Args)]
+#[command(after_help = "Examples:\n  shallotwing check fleet.ini\n  python3 fleet.py | shallotwing check -")]
+pub(crate) struct Check {
+    /// The file; `-` for standard input.
+    file: String,
+}
+
+/// Show what a configuration would change.
+///
+/// Exits with 0 if nothing would change, and with 1 if something would.
+#[derive(Debug, Args)]
+#[command(after_help = "Example:\n  shallotwing diff --store 127.0.0.1:2379 fleet.ini")]
+pub(crate) struct Diff {
+    #[command(flatten)]
+    store: StoreArgs,
+    /// The file; `-` for standard input.
+    file: String,
+}
+
+/// A change, for output.
+#[derive(Debug, Serialize)]
+pub(crate) struct ChangeRow {
+    change: String,
+    section: String,
+}
+
+impl Check {
+    pub(crate) fn run(self, json: bool) -> Result<(), Failure> {
+        let fleet =
+            Fleet::parse(&self.file, &read(&self.file)?).map_err(|faults| Failure::Input(faults.to_string()))?;
+        let summary = json!({
+            "regions": fleet.regions.len(),
+            "domains": fleet.domains.len(),
+            "endpoints": fleet.endpoints.len(),
+            "models": fleet.models.len(),
+            "routes": fleet.routes.len(),
+            "workspaces": fleet.workspaces.len(),
+        });
+        print(json, &summary, |summary| format!("{}: good {summary}", self.file));
+        Ok(())
+    }
+}
+
+impl Diff {
+    pub(crate) async fn run(self, json: bool) -> Result<(), Failure> {
+        let text = read_checked(&self.file)?;
+        let in_force = current(&self.store.connect())
+            .await?
+            .map_or(String::new(), |(_, text)| text);
+        let rows = rows(&diff(&in_force, &text));
+        print(json, &rows, |rows| lines(rows));
+        if rows.is_empty() {
+            Ok(())
+        } else {
+            Err(Failure::No(format!("{} sections differ", rows.len())))
+        }
+    }
+}
+
+/// Reads a file, or standard input for `-`.
+pub(crate) fn read(file: &str) -> Result<String, Failure> {
+    let read = if file == "-" {
+        let mut text = String::new();
+        std::io::stdin().read_to_string(&mut text).map(|_| text)
+    } else {
+        std::fs::read_to_string(file)
+    };
+    read.map_err(|error| Failure::Input(format!("cannot read {file}: {error}")))
+}
+
+/// Reads and checks a fleet configuration.
+pub(crate) fn read_checked(file: &str) -> Result<String, Failure> {
+    let text = read(file)?;
+    Fleet::parse(file, &text).map_err(|faults| Failure::Input(faults.to_string()))?;
+    Ok(text)
+}
+
+/// Changes, for output.
+pub(crate) fn rows(changes: &[Change]) -> Vec<ChangeRow> {
+    let row = |change: &Change| ChangeRow {
+        change: change.kind.to_string(),
+        section: change.section.clone(),
+    };
+    changes.iter().map(row).collect()
+}
+
+/// Changes as text.
+pub(crate) fn lines(rows: &[ChangeRow]) -> String {
+    let lines: Vec<_> = rows
+        .iter()
+        .map(|row| format!("{} [{}]", row.change, row.section))
+        .collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/shallotwing-cli/src/command/store.rs
@@ -0,0 +1,87 @@
+//! Commands that read the key-value service.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use clap::Args;
+use sw_store::{Etcd, Root, fetch, history, read_root};
+use sw_unit::{Rate, Version};
+
+use crate::failure::Failure;
+use crate::output::print;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+const CALLS: Rate = Rate(100.0);
+
+/// Where the key-value service is.
+#[derive(Debug, Args)]
+pub(crate) struct StoreArgs {
+    /// Address of the key-value service.
+    #[arg(long, env = "SHALLOTWING_STORE")]
+    store: SocketAddr,
+}
+
+/// Print the configuration in the key-value service.
+#[derive(Debug, Args)]
+#[command(after_help = "Example:\n  shallotwing show --store 127.0.0.1:2379 > fleet.ini")]
+pub(crate) struct Show {
+    #[command(flatten)]
+    store: StoreArgs,
+}
+
+/// List accepted configurations, newest first.
+#[derive(Debug, Args)]
+#[command(after_help = "Example:\n  shallotwing history --store 127.0.0.1:2379 --limit 5")]
+pub(crate) struct HistoryArgs {
+    #[command(flatten)]
+    store: StoreArgs,
+    /// How many to list.
+    #[arg(long, default_value_t = 20)]
+    limit: u64,
+}
+
+impl StoreArgs {
+    /// A client of the service.
+    pub(crate) fn connect(&self) -> Etcd {
+        Etcd::new(self.store, TIMEOUT, CALLS)
+    }
+}
+
+/// The root and text of the configuration in the service, if there is one.
+pub(crate) async fn current(store: &Etcd) -> Result<Option<(Root, String)>, Failure> {
+    let unreachable = |error| Failure::unreachable("the key-value service", error);
+    let (root, _) = read_root(store).await.map_err(unreachable)?;
+    let Some(root) = root else {
+        return Ok(None);
+    };
+    let text = fetch(store, &root).await.map_err(unreachable)?;
+    Ok(Some((root, text)))
+}
+
+impl Show {
+    pub(crate) async fn run(self, json: bool) -> Result<(), Failure> {
+        let current = current(&self.store.connect()).await?;
+        let (root, text) = current.ok_or_else(|| Failure::No("no configuration was applied yet".to_owned()))?;
+        let value = serde_json::json!({ "root": root, "text": text });
+        print(json, &value, |_| text.trim_end().to_owned());
+        Ok(())
+    }
+}
+
+impl HistoryArgs {
+    pub(crate) async fn run(self, json: bool) -> Result<(), Failure> {
+        let store = self.store.connect();
+        let unreachable = |error| Failure::unreachable("the key-value service", error);
+        let (root, _) = read_root(&store).await.map_err(unreachable)?;
+        let newest = root.map_or(0, |root| root.number.0);
+        let mut lines: Vec<Root> = Vec::new();
+        for number in (1..=newest).rev().take(self.limit as usize) {
+            lines.extend(history(&store, Version(number)).await.map_err(unreachable)?);
+        }
+        print(json, &lines, |lines| {
+            let line = |line: &Root| format!("{}  {}  {}  {}", line.number, line.at, line.author, line.digest);
+            lines.iter().map(line).collect::<Vec<_>>().join("\n")
+        });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/shallotwing-cli/src/command/vm.rs
@@ -0,0 +1,159 @@
+//! Commands that ask a VM.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use clap::Args;
+use http_body_util::Full;
+use hyper::header::{AUTHORIZATION, HOST};
+use hyper::{Method, Request};
+use serde_json::Value;
+use sw_http::{Caller, Connector, Reuse, read_body};
+
+use crate::failure::Failure;
+use crate::output::print;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+const MAX_ANSWER: u64 = 1 << 20;
+
+/// Show how a VM sees the system.
+#[derive(Debug, Args)]
+#[command(after_help = "Example:\n  shallotwing status --vm 127.0.0.1:7301")]
+pub(crate) struct Status {
+    /// Operators' address of the VM.
+    #[arg(long)]
+    vm: SocketAddr,
+}
+
+/// Ask a VM which entry VMs to use.
+#[derive(Debug, Args)]
+#[command(after_help = "Example:\n  shallotwing entries --vm 127.0.0.1:7101 --key KEY --route question")]
+pub(crate) struct Entries {
+    /// Callers' address of the VM.
+    #[arg(long)]
+    vm: SocketAddr,
+    /// The bearer key of a workspace.
+    #[arg(long, env = "SHALLOTWING_KEY", hide_env_values = true)]
+    key: String,
+    /// The route.
+    #[arg(long, default_value = "")]
+    route: String,
+}
+
+/// Stop a VM without cutting a request.
+#[derive(Debug, Args)]
+#[command(after_help = "Example:\n  shallotwing drain --vm 127.0.0.1:7301")]
+pub(crate) struct Drain {
+    /// Operators' address of the VM.
+    #[arg(long)]
+    vm: SocketAddr,
+}
+
+impl Status {
+    pub(crate) async fn run(self, json: bool) -> Result<(), Failure> {
+        let status: Value = Caller::new(TIMEOUT)
+            .get(self.vm, "/status")
+            .await
+            .map_err(|error| unreachable(self.vm, error))?;
+        print(json, &status, text);
+        Ok(())
+    }
+}
+
+impl Entries {
+    pub(crate) async fn run(self, json: bool) -> Result<(), Failure> {
+        let request = Request::get(format!("/v1/entries?route={}", self.route))
+            .header(HOST, self.vm.to_string())
+            .header(AUTHORIZATION, format!("Bearer {}", self.key))
+            .body(Full::new(Bytes::new()));
+        let request = request.map_err(|error| Failure::Input(error.to_string()))?;
+        let connection = Connector::new(TIMEOUT).connect(self.vm, Reuse::Never).await;
+        let mut connection = connection.map_err(|error| unreachable(self.vm, error))?;
+        let response = connection
+            .send(request, TIMEOUT)
+            .await
+            .map_err(|error| unreachable(self.vm, error))?;
+        let status = response.status();
+        let body = read_body(response.into_body(), MAX_ANSWER, TIMEOUT).await;
+        let body = body.map_err(|_broken| Failure::unreachable(&self.vm.to_string(), "the answer broke off"))?;
+        let answer: Value = serde_json::from_slice(&body).unwrap_or_default();
+        if !status.is_success() {
+            return Err(Failure::No(
+                answer["error"]["message"].as_str().unwrap_or("refused").to_owned(),
+            ));
+        }
+        print(json, &answer, |answer| {
+            let row = |row: &Value| {
+                format!(
+                    "{}  {}  {}",
+                    field(row, "address"),
+                    field(row, "region"),
+                    field(row, "vm")
+                )
+            };
+            answer["entries"]
+                .as_array()
+                .into_iter()
+                .flatten()
+                .map(row)
+                .collect::<Vec<_>>()
+                .join("\n")
+        });
+        Ok(())
+    }
+}
+
+impl Drain {
+    pub(crate) async fn run(self, json: bool) -> Result<(), Failure> {
+        let answer = Caller::new(TIMEOUT)
+            .call::<Value>(self.vm, Method::POST, "/drain", Bytes::new())
+            .await;
+        let answer = answer.map_err(|error| unreachable(self.vm, error))?;
+        print(json, &answer, |_| format!("{} is stopping", self.vm));
+        Ok(())
+    }
+}
+
+fn unreachable(vm: SocketAddr, error: impl std::fmt::Display) -> Failure {
+    Failure::unreachable(&vm.to_string(), error)
+}
+
+fn field<'a>(row: &'a Value, name: &str) -> &'a str {
+    row[name].as_str().unwrap_or_default()
+}
+
+fn text(status: &Value) -> String {
+    let mut lines = vec![format!(
+        "{} in {} ({}), version {}{}",
+        field(status, "vm"),
+        field(status, "domain"),
+        field(status, "region"),
+        status["version"],
+        if status["leaving"] == true { ", stopping" } else { "" },
+    )];
+    for row in status["members"].as_array().into_iter().flatten() {
+        lines.push(format!(
+            "  VM {} in {}: {}, version {}",
+            field(row, "vm"),
+            field(row, "domain"),
+            field(row, "state"),
+            row["version"]
+        ));
+    }
+    for row in status["endpoints"].as_array().into_iter().flatten() {
+        let state = match (row["leaving"] == true, row["paused"] == true, row["reported"] == true) {
+            (true, _, _) => "leaving",
+            (_, true, _) => "unreachable",
+            (_, _, true) => "reporting",
+            _ => "silent",
+        };
+        lines.push(format!(
+            "  endpoint {}: {state}, load {} of {} slots",
+            field(row, "endpoint"),
+            row["load"],
+            row["slots"]
+        ));
+    }
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/shallotwing-daemon/src/main.rs
@@ -0,0 +1,68 @@
+//! `shallotwingd`: the gateway process of an entry VM.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use eyre::{Context as _, eyre};
+use shallotwing_daemon::{Daemon, logging};
+use spdlog::prelude::*;
+use sw_conf::Settings;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// The gateway process of an entry VM.
+///
+/// It serves callers until it gets SIGTERM, and then stops without cutting a request.
+#[derive(Debug, Parser)]
+#[command(version, after_help = "Example: shallotwingd --config /etc/shallotwing/lahore-1.ini")]
+struct Args {
+    /// The settings file, in INI.
+    #[arg(long)]
+    config: PathBuf,
+    /// Check the settings and exit: 0 if they are good, 2 if not.
+    #[arg(long)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("shallotwingd: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(args: &Args) -> eyre::Result<()> {
+    let file = args.config.display().to_string();
+    let text = std::fs::read_to_string(&args.config).wrap_err_with(|| format!("cannot read {file}"))?;
+    let settings = Settings::parse(&file, &text).map_err(|faults| eyre!("the settings are faulty\n{faults}"))?;
+    if args.check {
+        println!("{file}: good");
+        return Ok(());
+    }
+    logging::start(settings.log_format)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let daemon = Daemon::start(settings).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        () = daemon.drained() => {}
+    }
+    // Further signals are received and ignored, because the handlers above stay installed.
+    daemon.stop().await;
+    info!("stopped");
+    logging::flush();
+    Ok(())
+}
--- /dev/null
+++ b/crates/shallotwing-daemon/src/process/daemon.rs
@@ -0,0 +1,189 @@
+//! Start and planned stop of the process.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use eyre::Context as _;
+use metrics_exporter_prometheus::PrometheusHandle;
+use spdlog::prelude::*;
+use sw_conf::Settings;
+use sw_gate::{Gate, Options};
+use sw_http::{Caller, Connector};
+use sw_member::VmRow;
+use sw_peer::Peers;
+use sw_route::Weighted;
+use sw_store::{Claimer, Etcd};
+use sw_time::{Clock as _, SystemClock, TimerService};
+use sw_unit::{Incarnation, Millis, Rate, Version};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use super::Core;
+use super::telemetry;
+use crate::connection::{self, Listener};
+use crate::request::Forwards;
+use crate::version;
+
+/// Calls to the key-value service that one process may make.
+const STORE_CALLS: Rate = Rate(50.0);
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(1);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(750);
+const TICK_PERIOD: Millis = Millis(100);
+/// Longest time that a stop waits for requests: the longest deadline.
+const MAX_DRAIN: Duration = Duration::from_mins(10);
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// What every part of the process shares.
+#[derive(Debug)]
+pub(crate) struct Gateway {
+    pub(crate) settings: Settings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) core: Core,
+    pub(crate) peers: Peers,
+    pub(crate) connector: Connector,
+    pub(crate) control: Caller,
+    pub(crate) store: Etcd,
+    pub(crate) claimer: Claimer,
+    pub(crate) timers: TimerService<SystemClock>,
+    pub(crate) forwards: Forwards,
+    pub(crate) metrics: PrometheusHandle,
+    pub(crate) drain: watch::Sender<bool>,
+    next_request: AtomicU64,
+}
+
+impl Gateway {
+    /// A new request id.
+    pub(crate) fn request_id(&self) -> String {
+        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
+        format!("{}.{:x}.{number:x}", self.settings.vm, self.incarnation.0)
+    }
+}
+
+/// A running gateway process.
+#[derive(Debug)]
+pub struct Daemon {
+    gateway: Arc<Gateway>,
+    listener: Listener,
+}
+
+impl Daemon {
+    /// Starts the gateway.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if one of its addresses cannot be bound.
+    pub async fn start(settings: Settings) -> eyre::Result<Self> {
+        let clock = SystemClock::default();
+        let incarnation = Incarnation(clock.wall().0);
+        let bind = async |address| {
+            TcpListener::bind(address)
+                .await
+                .wrap_err_with(|| format!("cannot listen on {address}"))
+        };
+        let callers = bind(settings.listen).await?;
+        let operators = bind(settings.operator_listen).await?;
+        let core = Core::start(gate(&settings, incarnation), clock);
+        let store = Etcd::new(settings.platform.store, STORE_TIMEOUT, STORE_CALLS);
+        let forwards = Forwards::default();
+        let peers = sw_peer::start(settings.peer_listen, forwards.handler(core.clone()));
+        let peers = peers.wrap_err_with(|| format!("cannot listen on {}", settings.peer_listen))?;
+        let gateway = Arc::new(Gateway {
+            incarnation,
+            core,
+            peers,
+            connector: Connector::new(CONNECT_TIMEOUT),
+            control: Caller::new(PLATFORM_TIMEOUT),
+            claimer: Claimer::start(store.clone(), settings.limits.retention),
+            store,
+            timers: TimerService::new(clock),
+            forwards,
+            metrics: telemetry::recorder(),
+            drain: watch::channel(false).0,
+            next_request: AtomicU64::new(0),
+            settings,
+        });
+        gateway.forwards.attach(&gateway);
+        spawn_parts(&gateway, operators);
+        let listener = connection::listen(callers, Arc::clone(&gateway));
+        let settings = &gateway.settings;
+        info!("started", kv: {
+            vm = settings.vm.as_str(),
+            domain = settings.domain.as_str(),
+            region = settings.region.as_str(),
+            incarnation = incarnation.0,
+        });
+        Ok(Self { gateway, listener })
+    }
+
+    /// Waits until an operator asks this VM to stop.
+    pub async fn drained(&self) {
+        let mut drain = self.gateway.drain.subscribe();
+        let _ended = drain.wait_for(|drain| *drain).await;
+    }
+
+    /// Stops without cutting a request: leaves all lists, serves until they have run out, then finishes what is left.
+    pub async fn stop(self) {
+        info!("stopping");
+        let Self { gateway, listener } = self;
+        gateway.drain.send_replace(true);
+        let _stopped = gateway.core.run(|gate, _| gate.leave()).await;
+        super::directory::leave(&gateway).await;
+        super::exchange::greet_all(&gateway).await;
+        tokio::time::sleep(Duration::from_millis(gateway.settings.limits.entry_ttl.0)).await;
+        let finish = async {
+            listener.finish().await;
+            while gateway.forwards.active() > 0 {
+                tokio::time::sleep(DRAIN_POLL).await;
+            }
+        };
+        if tokio::time::timeout(MAX_DRAIN, finish).await.is_err() {
+            warn!("requests outlasted the longest deadline");
+        }
+    }
+}
+
+fn gate(settings: &Settings, incarnation: Incarnation) -> Gate {
+    let own = VmRow {
+        vm: settings.vm.clone(),
+        incarnation,
+        domain: settings.domain.clone(),
+        region: settings.region.clone(),
+        listen: settings.listen,
+        peer_listen: settings.peer_advertise.unwrap_or(settings.peer_listen),
+        leaving: false,
+        version: Version(0),
+    };
+    let once = sw_once::Options {
+        retention: settings.limits.retention,
+        answers: settings.limits.kept_answers,
+        ..sw_once::Options::default()
+    };
+    Gate::new(
+        own,
+        Weighted,
+        Options {
+            once,
+            seed: incarnation.0,
+            ..Options::default()
+        },
+    )
+}
+
+fn spawn_parts(gateway: &Arc<Gateway>, operators: TcpListener) {
+    tokio::spawn(tick(Arc::clone(gateway)));
+    tokio::spawn(super::exchange::run(Arc::clone(gateway)));
+    tokio::spawn(super::poll::run(Arc::clone(gateway)));
+    tokio::spawn(super::directory::run(Arc::clone(gateway)));
+    tokio::spawn(super::operator::run(operators, Arc::clone(gateway)));
+    tokio::spawn(version::run(Arc::clone(gateway)));
+}
+
+async fn tick(gateway: Arc<Gateway>) {
+    let mut ticks = gateway.timers.subscribe(TICK_PERIOD);
+    loop {
+        ticks.tick().await;
+        gateway.core.post(sw_gate::Gate::tick);
+    }
+}
--- /dev/null
+++ b/crates/shallotwing-daemon/src/process/directory.rs
@@ -0,0 +1,103 @@
+//! The platform's directory for clients and its list of VMs.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::Method;
+use serde::Deserialize;
+use serde::de::IgnoredAny;
+use serde_json::json;
+use sw_member::EndpointLife;
+use sw_unit::{EndpointId, Incarnation, Millis};
+
+use super::{Gateway, exchange};
+
+const PERIOD: Millis = Millis(3_000);
+
+#[derive(Debug, Deserialize)]
+struct List {
+    vms: Vec<ListedVm>,
+    leaving_endpoints: Vec<ListedEndpoint>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ListedVm {
+    peer_listen: SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+struct ListedEndpoint {
+    endpoint: EndpointId,
+    incarnation: u64,
+}
+
+/// Keeps this VM in the directory, and reads the list of VMs.
+pub(crate) async fn run(gateway: Arc<Gateway>) {
+    let mut ticks = gateway.timers.subscribe(PERIOD);
+    loop {
+        ticks.tick().await;
+        register(&gateway).await;
+        read_list(&gateway).await;
+    }
+}
+
+/// Takes this VM out of the directory.
+pub(crate) async fn leave(gateway: &Gateway) {
+    if let Some(address) = gateway.settings.platform.directory {
+        let path = format!("/entries/{}", gateway.settings.vm);
+        // The entry runs out by itself if the directory is away.
+        let _left = gateway
+            .control
+            .call::<IgnoredAny>(address, Method::DELETE, &path, Bytes::new())
+            .await;
+    }
+}
+
+async fn register(gateway: &Gateway) {
+    let settings = &gateway.settings;
+    let Some(address) = settings.platform.directory else {
+        return;
+    };
+    let ready = gateway
+        .core
+        .run(|gate, _| gate.version().is_some() && !gate.members().own().leaving)
+        .await;
+    if ready != Ok(true) {
+        return;
+    }
+    let path = format!("/entries/{}", settings.vm);
+    let entry =
+        json!({ "address": settings.listen.to_string(), "region": settings.region.as_str(), "ttl_ms": 3 * PERIOD.0 });
+    // It is tried again with the next tick.
+    let _registered = gateway
+        .control
+        .call::<IgnoredAny>(address, Method::PUT, &path, Bytes::from(entry.to_string()))
+        .await;
+}
+
+async fn read_list(gateway: &Gateway) {
+    let Some(address) = gateway.settings.platform.vm_list else {
+        return;
+    };
+    let Ok(list) = gateway.control.get::<List>(address, "/vms").await else {
+        return;
+    };
+    for listed in list.leaving_endpoints {
+        let life = EndpointLife {
+            endpoint: listed.endpoint,
+            incarnation: Incarnation(listed.incarnation),
+        };
+        gateway.core.post(move |gate, _| {
+            gate.endpoint_leaving(&life);
+        });
+    }
+    let addresses: Vec<_> = list.vms.into_iter().map(|vm| vm.peer_listen).collect();
+    let unknown = gateway
+        .core
+        .run(move |gate, _| gate.members().unknown(&addresses).collect::<Vec<_>>())
+        .await;
+    for address in unknown.unwrap_or_default() {
+        exchange::greet(gateway, address, None).await;
+    }
+}
--- /dev/null
+++ b/crates/shallotwing-daemon/src/process/exchange.rs
@@ -0,0 +1,62 @@
+//! Heartbeats to other VMs.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures::future::join_all;
+use spdlog::prelude::*;
+use sw_member::VmRow;
+use sw_unit::Millis;
+
+use super::Gateway;
+
+const PERIOD: Millis = Millis(1_000);
+
+/// Greets other VMs each second.
+pub(crate) async fn run(gateway: Arc<Gateway>) {
+    let mut ticks = gateway.timers.subscribe(PERIOD);
+    loop {
+        ticks.tick().await;
+        let gateway = Arc::clone(&gateway);
+        // A VM that does not answer must not delay the others.
+        tokio::spawn(async move { greet_all(&gateway).await });
+    }
+}
+
+/// Greets all VMs that are due, and waits for their answers.
+pub(crate) async fn greet_all(gateway: &Gateway) {
+    let seeds = gateway.settings.seeds.clone();
+    let due = gateway.core.run(move |gate, now| {
+        let unknown: Vec<_> = gate.members().unknown(&seeds).collect();
+        (gate.greets(now), unknown)
+    });
+    let Ok((rows, unknown)) = due.await else {
+        return;
+    };
+    let known = rows.into_iter().map(|row| greet(gateway, row.peer_listen, Some(row)));
+    let unknown = unknown.into_iter().map(|address| greet(gateway, address, None));
+    join_all(known.chain(unknown)).await;
+}
+
+/// Greets one VM; `row` is `None` if it is not known yet.
+pub(crate) async fn greet(gateway: &Gateway, address: SocketAddr, row: Option<VmRow>) {
+    let to = row.clone();
+    let heartbeat = gateway
+        .core
+        .run(move |gate, now| (gate.heartbeat(to.as_ref(), now), gate.leaving_rev()));
+    let Ok((heartbeat, rev)) = heartbeat.await else {
+        return;
+    };
+    match gateway.peers.greet(address, heartbeat).await {
+        Ok(reply) => {
+            gateway.core.post(move |gate, now| {
+                let by = reply.from.clone();
+                gate.heard(reply, now);
+                if row.is_some() {
+                    gate.acknowledged(&by, rev);
+                }
+            });
+        }
+        Err(_silent) => debug!("no answer to a heartbeat", kv: { address = address.to_string().as_str() }),
+    }
+}
--- /dev/null
+++ b/crates/shallotwing-daemon/src/process/mod.rs
@@ -0,0 +1,15 @@
+//! What lives as long as the process.
+
+mod core;
+mod daemon;
+mod directory;
+mod exchange;
+pub mod logging;
+mod operator;
+mod poll;
+mod telemetry;
+
+pub(crate) use self::core::Core;
+pub use self::daemon::Daemon;
+pub(crate) use self::daemon::Gateway;
+pub(crate) use self::telemetry::{count_decision, count_end};
--- /dev/null
+++ b/crates/shallotwing-daemon/src/process/operator.rs
@@ -0,0 +1,95 @@
+//! The operators' address.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use sw_gate::Gate;
+use sw_http::{ResponseBody, json_answer};
+use sw_member::VmState;
+use sw_unit::Time;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::Gateway;
+
+/// Serves the operators' address.
+pub(crate) async fn run(listener: TcpListener, gateway: Arc<Gateway>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(serve(stream, Arc::clone(&gateway)));
+    }
+}
+
+async fn serve(stream: TcpStream, gateway: Arc<Gateway>) {
+    let service = service_fn(|req| {
+        let gateway = Arc::clone(&gateway);
+        async move { Ok::<_, Infallible>(answer(&gateway, &req).await) }
+    });
+    // An operator's connection that breaks concerns only that operator.
+    let _ended = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn answer(gateway: &Gateway, req: &Request<Incoming>) -> Response<ResponseBody> {
+    match (req.method(), req.uri().path()) {
+        (&Method::GET, "/livez") => json_answer(200, &json!({ "live": true })),
+        (&Method::GET, "/readyz") => {
+            let step = |gate: &mut Gate, _: Time| gate.version().is_some() && !gate.members().own().leaving;
+            let ready = gateway.core.run(step).await == Ok(true);
+            json_answer(if ready { 200 } else { 503 }, &json!({ "ready": ready }))
+        }
+        (&Method::GET, "/metrics") => Response::new(ResponseBody::from(Bytes::from(gateway.metrics.render()))),
+        (&Method::GET, "/status") => {
+            let status = gateway.core.run(|gate, now| status(gate, now)).await;
+            json_answer(200, &status.unwrap_or_default())
+        }
+        (&Method::POST, "/drain") => {
+            gateway.drain.send_replace(true);
+            json_answer(202, &json!({ "draining": true }))
+        }
+        _ => json_answer(
+            404,
+            &json!({ "error": "allowed are /livez, /readyz, /metrics, /status and POST /drain" }),
+        ),
+    }
+}
+
+fn status(gate: &Gate, now: Time) -> Value {
+    let own = gate.members().own();
+    let members = gate.members().others().map(|row| {
+        let state = match gate.members().state(&row.vm, now) {
+            Some(VmState::Live) => "live",
+            Some(VmState::Leaving) => "leaving",
+            Some(VmState::Suspect) | None => "suspect",
+        };
+        json!({ "vm": row.vm.as_str(), "domain": row.domain.as_str(), "state": state, "version": row.version.0 })
+    });
+    let endpoints = gate.endpoint_status(now).into_iter().map(|endpoint| {
+        json!({
+            "endpoint": endpoint.id.as_str(),
+            "load": endpoint.load,
+            "slots": endpoint.slots,
+            "reported": endpoint.reported,
+            "paused": endpoint.paused,
+            "leaving": endpoint.leaving,
+        })
+    });
+    json!({
+        "vm": own.vm.as_str(),
+        "domain": own.domain.as_str(),
+        "region": own.region.as_str(),
+        "incarnation": own.incarnation.0,
+        "leaving": own.leaving,
+        "version": own.version.0,
+        "digest": gate.version().map(|version| version.digest.to_string()),
+        "members": members.collect::<Vec<_>>(),
+        "endpoints": endpoints.collect::<Vec<_>>(),
+        "records": gate.record_count(),
+    })
+}
--- /dev/null
+++ b/crates/shallotwing-daemon/src/process/telemetry.rs
@@ -0,0 +1,59 @@
+//! Counters and decision lines.
+
+use std::sync::OnceLock;
+
+use metrics::counter;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use spdlog::prelude::*;
+use sw_error::Refusal;
+use sw_gate::{Admitted, Plan};
+
+/// Logs and counts a routing decision.
+pub(crate) fn count_decision(request: &str, admitted: &Admitted, plan: &Plan) {
+    let candidate = &plan.candidate;
+    let via = plan.vm.as_ref().map_or("", |row| row.vm.as_str());
+    info!("routed", kv: {
+        request,
+        workspace = admitted.workspace.as_str(),
+        route = admitted.route.as_str(),
+        version = admitted.version.number.0,
+        target = candidate.target.to_string().as_str(),
+        via,
+        considered = plan.considered,
+        reason = plan.reason.to_string().as_str(),
+        wait_ms = candidate.wait.0,
+        first_ms = candidate.first.0,
+        end_ms = candidate.end.0,
+        price = candidate.price,
+        remote = candidate.remote,
+    });
+    let remote = if candidate.remote { "yes" } else { "no" };
+    counter!("shallotwing_decisions_total", "route" => admitted.route.to_string(), "remote" => remote).increment(1);
+}
+
+/// Logs and counts how a request ended.
+pub(crate) fn count_end(request: &str, route: &str, end: Result<(), Refusal>) {
+    let kind: &'static str = match end {
+        Ok(()) => "answered",
+        Err(refusal) => refusal.kind.into(),
+    };
+    if let Err(refusal) = end {
+        let answer = refusal.kind.answer();
+        let retry_after_ms = refusal.retry_after.unwrap_or_default().0;
+        info!("refused", kv: { request, route, kind, ran = answer.ran.to_string().as_str(), retry_after_ms });
+    }
+    counter!("shallotwing_requests_total", "end" => kind).increment(1);
+}
+
+/// The process's metrics recorder; the first call installs it.
+pub(crate) fn recorder() -> PrometheusHandle {
+    static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+    let install = || {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        // Fails only if another recorder is installed, in a process that embeds the gateway.
+        let _installed = metrics::set_global_recorder(recorder);
+        handle
+    };
+    HANDLE.get_or_init(install).clone()
+}
--- /dev/null
+++ b/crates/shallotwing-daemon/src/request/attempt.rs
@@ -0,0 +1,74 @@
+//! One attempt at a target.
+
+use std::sync::Arc;
+
+use sw_error::{Kind, Refusal};
+use sw_gate::{Finish, Plan};
+use sw_route::Target;
+use sw_unit::{Millis, Time};
+
+use super::job::Job;
+use crate::process::{Core, Gateway};
+
+/// How an attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AttemptError {
+    /// Nothing of the request has reached an endpoint.
+    NotRun(Refusal),
+    /// Some of it may have.
+    MayHaveRun(Refusal),
+}
+
+impl AttemptError {
+    /// A failure after the hand-over.
+    pub(crate) fn after_hand_over(kind: Kind) -> Self {
+        Self::MayHaveRun(kind.into())
+    }
+}
+
+/// Counts a request at its target until it is dropped.
+#[derive(Debug)]
+pub(crate) struct InFlight {
+    core: Core,
+    target: Target,
+    finish: Finish,
+}
+
+impl InFlight {
+    /// Records that the whole answer came.
+    pub(crate) fn answered(mut self) {
+        self.finish = Finish::Answered;
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let (target, finish) = (self.target.clone(), self.finish);
+        self.core.post(move |gate, now| gate.finish(&target, finish, now));
+    }
+}
+
+/// Checks the request a last time; the next step has to be to send it.
+pub(crate) async fn hand_over(gateway: &Gateway, job: &Arc<Job>, plan: &Plan) -> Result<InFlight, AttemptError> {
+    let (checked, with) = (Arc::clone(job), plan.clone());
+    let step =
+        move |gate: &mut sw_gate::Gate, now| gate.hand_over(&checked.admitted, &with, &checked.plan_request(&[]), now);
+    let handed_over = gateway.core.run(step).await.and_then(|checked| checked);
+    handed_over.map_err(AttemptError::NotRun)?;
+    Ok(InFlight {
+        core: gateway.core.clone(),
+        target: plan.candidate.target.clone(),
+        finish: Finish::Broken,
+    })
+}
+
+/// The time.
+pub(crate) fn now(gateway: &Gateway) -> Time {
+    use sw_time::Clock as _;
+    gateway.timers.clock().now()
+}
+
+/// Time until a request's deadline.
+pub(crate) fn left(gateway: &Gateway, job: &Job) -> Millis {
+    job.admitted.deadline.since(now(gateway))
+}
--- /dev/null
+++ b/crates/shallotwing-daemon/src/request/endpoint.rs
@@ -0,0 +1,194 @@
+//! Attempts at an endpoint of the own domain.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{BufMut as _, Bytes, BytesMut};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::{Request, Response};
+use sw_conf::{Endpoint, EndpointKind};
+use sw_error::{Kind, Refusal};
+use sw_gate::Plan;
+use sw_http::{CallError, Exchange, REQUEST_ID_HEADER, Reuse, read_body};
+use sw_once::KeptAnswer;
+use sw_route::Target;
+use sw_unit::{EndpointId, Millis};
+
+use super::attempt::{self, AttemptError, InFlight};
+use super::job::{Job, Reply};
+use super::stream;
+use crate::process::Gateway;
+
+/// Longest answer that is held whole.
+const MAX_WHOLE_ANSWER: u64 = 8 << 20;
+/// Shortest wait for the first byte of an answer that is not bound by a deadline.
+const MIN_FIRST_WAIT: Millis = Millis(3_000);
+/// The first byte may take this many times as long as expected.
+const FIRST_WAIT_FACTOR: u64 = 4;
+const EVENT_STREAM: &str = "text/event-stream";
+const VM_HEADER: &str = "shallotwing-vm";
+const DEADLINE_HEADER: &str = "shallotwing-deadline-ms";
+/// Asks an engine to go on from a place in the answer to a request that it knows.
+const RESUME_HEADER: &str = "shallotwing-resume-offset";
+
+/// An answer that has begun.
+#[derive(Debug)]
+pub(crate) struct Begun {
+    pub(crate) response: Response<Incoming>,
+    pub(crate) exchange: Exchange,
+    pub(crate) in_flight: InFlight,
+}
+
+/// Sends a request to the plan's endpoint.
+pub(crate) async fn attempt(gateway: &Arc<Gateway>, job: &Arc<Job>, plan: &Plan) -> Result<Reply, AttemptError> {
+    let begun = begin(gateway, job, plan, 0).await?;
+    let content_type = content_type(&begun.response);
+    let is_stream = content_type.starts_with(EVENT_STREAM);
+    if is_stream && job.admitted.idempotent {
+        let status = begun.response.status().as_u16();
+        let body = stream::relay(Arc::clone(gateway), Arc::clone(job), plan.clone(), begun);
+        return Ok(Reply::Stream {
+            status,
+            content_type,
+            body,
+        });
+    }
+    let Begun {
+        response,
+        exchange,
+        in_flight,
+    } = begun;
+    let status = response.status().as_u16();
+    let timeout = Duration::from_millis(attempt::left(gateway, job).0);
+    let body = read_body(response.into_body(), MAX_WHOLE_ANSWER, timeout).await;
+    let body = body.map_err(|_incomplete| AttemptError::after_hand_over(Kind::OutcomeUnknown))?;
+    if is_stream && !stream::is_whole(&job.call.id, &body) {
+        return Err(AttemptError::after_hand_over(Kind::OutcomeUnknown));
+    }
+    in_flight.answered();
+    exchange.give_back();
+    Ok(Reply::Whole(KeptAnswer {
+        status,
+        content_type,
+        body,
+    }))
+}
+
+/// Connects to the plan's endpoint, hands the request over and waits for the answer to begin.
+///
+/// An `offset` above zero asks for the rest of an answer of which that many events were received.
+pub(crate) async fn begin(gateway: &Gateway, job: &Arc<Job>, plan: &Plan, offset: u64) -> Result<Begun, AttemptError> {
+    let Target::Endpoint(id) = &plan.candidate.target else {
+        return Err(AttemptError::NotRun(Kind::NoEndpoint.into()));
+    };
+    let fleet = &job.admitted.version.fleet;
+    let endpoint = fleet
+        .endpoints
+        .get(id)
+        .ok_or(AttemptError::NotRun(Kind::NoEndpoint.into()))?;
+    let reuse = if job.admitted.idempotent && offset == 0 {
+        Reuse::Allowed
+    } else {
+        Reuse::Never
+    };
+    let mut exchange = connect(gateway, id, endpoint, reuse).await?;
+    let req = request(gateway, job, endpoint, offset).ok_or(AttemptError::NotRun(Kind::BadRequest.into()))?;
+    let in_flight = attempt::hand_over(gateway, job, plan).await?;
+    let timeout = Duration::from_millis(first_wait(gateway, job, plan).0);
+    let response = exchange.send(req, timeout).await.map_err(|error| failure(job, error))?;
+    let echoed = response
+        .headers()
+        .get(REQUEST_ID_HEADER)
+        .map(|id| id.as_bytes() == job.call.id.as_bytes());
+    if echoed == Some(false) {
+        return Err(AttemptError::after_hand_over(Kind::OutcomeUnknown));
+    }
+    Ok(Begun {
+        response,
+        exchange,
+        in_flight,
+    })
+}
+
+async fn connect(
+    gateway: &Gateway,
+    id: &EndpointId,
+    endpoint: &Endpoint,
+    reuse: Reuse,
+) -> Result<Exchange, AttemptError> {
+    gateway
+        .connector
+        .connect(endpoint.address, reuse)
+        .await
+        .map_err(|_unreachable| {
+            let id = id.clone();
+            gateway.core.post(move |gate, now| gate.unreachable(&id, now));
+            AttemptError::NotRun(Refusal::new(Kind::EndpointUnreachable))
+        })
+}
+
+fn failure(job: &Job, error: CallError) -> AttemptError {
+    match error {
+        CallError::Connect => AttemptError::NotRun(Kind::EndpointUnreachable.into()),
+        CallError::Broken | CallError::Timeout if job.admitted.idempotent => {
+            AttemptError::after_hand_over(Kind::AnswerIncomplete)
+        }
+        CallError::Broken | CallError::Timeout => AttemptError::after_hand_over(Kind::OutcomeUnknown),
+    }
+}
+
+/// How long the answer may take to begin.
+fn first_wait(gateway: &Gateway, job: &Job, plan: &Plan) -> Millis {
+    let left = attempt::left(gateway, job);
+    if !job.admitted.idempotent {
+        return left;
+    }
+    // An answer that is not streamed begins with its end.
+    let expected = Millis(plan.candidate.end.0 * FIRST_WAIT_FACTOR);
+    left.min(expected.max(MIN_FIRST_WAIT))
+}
+
+fn request(gateway: &Gateway, job: &Job, endpoint: &Endpoint, offset: u64) -> Option<Request<Full<Bytes>>> {
+    let call = &job.call;
+    let mut builder = Request::builder()
+        .method(call.method.as_str())
+        .uri(call.path.as_str())
+        .header(HOST, endpoint.address.to_string())
+        .header(CONTENT_TYPE, call.content_type.as_str())
+        .header(REQUEST_ID_HEADER, call.id.as_str())
+        .header(VM_HEADER, gateway.settings.vm.as_str())
+        .header(DEADLINE_HEADER, attempt::left(gateway, job).to_string());
+    if offset > 0 {
+        builder = builder.header(RESUME_HEADER, offset.to_string());
+    }
+    builder.body(Full::new(body(job, endpoint))).ok()
+}
+
+/// The body, with the endpoint's model put in where the caller named none.
+fn body(job: &Job, endpoint: &Endpoint) -> Bytes {
+    let body = &job.call.body;
+    let allowed = &job.admitted.route().models;
+    let model = endpoint.models.iter().find(|model| allowed.contains(*model));
+    let (Some(model), None, EndpointKind::Engine) = (model, &job.call.model, endpoint.kind) else {
+        return body.clone();
+    };
+    let Some(start) = body.iter().position(|byte| *byte == b'{') else {
+        return body.clone();
+    };
+    let rest = body[start + 1..].trim_ascii_start();
+    let comma = if rest.starts_with(b"}") { "" } else { "," };
+    let mut with_model = BytesMut::with_capacity(body.len() + 80);
+    with_model.put_slice(format!("{{\"model\":\"{model}\"{comma}").as_bytes());
+    with_model.put_slice(rest);
+    with_model.freeze()
+}
+
+fn content_type(response: &Response<Incoming>) -> String {
+    let value = response
+        .headers()
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok());
+    value.unwrap_or("application/octet-stream").to_owned()
+}
--- /dev/null
+++ b/crates/shallotwing-daemon/src/request/forward.rs
@@ -0,0 +1,186 @@
+//! Attempts through a VM of another failure domain, and requests for the VM that owns their ticket.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use sw_error::{Kind, Ran, Refusal};
+use sw_gate::{Envelope, Plan, Purpose};
+use sw_http::channel;
+use sw_member::{VmRow, VmState};
+use sw_once::{KeptAnswer, Ticket};
+use sw_peer::{Event, Forward};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
+
+use super::attempt::{self, AttemptError, InFlight};
+use super::job::{Job, Reply};
+use super::stream::{self, BodySender};
+use crate::process::Gateway;
+
+/// Time between two looks at whether the other VM is still heard.
+const LIVENESS_PERIOD: Duration = Duration::from_millis(250);
+/// Longest silence within a streamed answer.
+const MAX_SILENCE: Duration = Duration::from_secs(5);
+/// Longest answer that is held whole.
+const MAX_WHOLE_ANSWER: usize = 8 << 20;
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Forwards a request to a VM of the plan's domain.
+pub(crate) async fn attempt(
+    gateway: &Arc<Gateway>,
+    job: &Arc<Job>,
+    plan: &Plan,
+    row: &VmRow,
+    ticket: Option<&Ticket>,
+) -> Result<Reply, AttemptError> {
+    let in_flight = attempt::hand_over(gateway, job, plan).await?;
+    let rx = send(gateway, job, row, Purpose::Run, ticket);
+    receive(gateway, job, row, rx, Some(in_flight)).await
+}
+
+/// Passes a request on to the VM that owns its ticket.
+pub(crate) async fn to_owner(
+    gateway: &Arc<Gateway>,
+    job: &Arc<Job>,
+    row: &VmRow,
+    ticket: &Ticket,
+) -> Result<Reply, AttemptError> {
+    let admitted = &job.admitted;
+    if !admitted
+        .version
+        .fleet
+        .permits(admitted.route(), admitted.workspace(), &row.region)
+    {
+        return Err(AttemptError::NotRun(Kind::WrongRegion.into()));
+    }
+    let rx = send(gateway, job, row, Purpose::Owned, Some(ticket));
+    receive(gateway, job, row, rx, None).await
+}
+
+fn send(gateway: &Gateway, job: &Job, row: &VmRow, purpose: Purpose, ticket: Option<&Ticket>) -> mpsc::Receiver<Event> {
+    let (admitted, call) = (&job.admitted, &job.call);
+    let envelope = Envelope {
+        request: call.id.clone(),
+        workspace: admitted.workspace.clone(),
+        route: admitted.route.clone(),
+        version: admitted.version.number,
+        left: attempt::left(gateway, job),
+        hops: 1,
+        purpose,
+        ticket: ticket.cloned(),
+    };
+    let forward = Forward {
+        envelope,
+        method: call.method.clone(),
+        path: call.path.clone(),
+        content_type: call.content_type.clone(),
+        body: call.body.clone(),
+    };
+    gateway.peers.forward(row.peer_listen, forward, !admitted.idempotent)
+}
+
+async fn receive(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    row: &VmRow,
+    mut rx: mpsc::Receiver<Event>,
+    in_flight: Option<InFlight>,
+) -> Result<Reply, AttemptError> {
+    let deadline = Instant::now() + Duration::from_millis(attempt::left(gateway, job).0);
+    let lost = if job.admitted.idempotent {
+        Kind::AnswerIncomplete
+    } else {
+        Kind::OutcomeUnknown
+    };
+    match first_event(gateway, row, &mut rx, deadline).await {
+        Some(Event::Head { status, content_type }) => {
+            if content_type.starts_with(EVENT_STREAM) && job.admitted.idempotent {
+                let (tx, body) = channel();
+                tokio::spawn(async move {
+                    relay(rx, &tx).await;
+                    drop(in_flight);
+                });
+                return Ok(Reply::Stream {
+                    status,
+                    content_type,
+                    body,
+                });
+            }
+            let body = collect(&mut rx, deadline).await;
+            let body = body.ok_or(AttemptError::after_hand_over(lost))?;
+            if let Some(in_flight) = in_flight {
+                in_flight.answered();
+            }
+            Ok(Reply::Whole(KeptAnswer {
+                status,
+                content_type,
+                body: body.freeze(),
+            }))
+        }
+        Some(Event::End(Err(refusal))) => Err(refused(refusal)),
+        Some(Event::NotSent) => Err(AttemptError::NotRun(Kind::EndpointUnreachable.into())),
+        Some(Event::Chunk(_) | Event::End(Ok(()))) | None => Err(AttemptError::after_hand_over(lost)),
+    }
+}
+
+/// A refusal by the other VM, which says itself whether the request ran.
+fn refused(refusal: Refusal) -> AttemptError {
+    match refusal.kind.answer().ran {
+        Ran::No => AttemptError::NotRun(refusal),
+        Ran::Yes | Ran::Unknown => AttemptError::MayHaveRun(refusal),
+    }
+}
+
+/// Waits for the first event as long as the other VM is heard and the deadline has not passed.
+async fn first_event(
+    gateway: &Gateway,
+    row: &VmRow,
+    rx: &mut mpsc::Receiver<Event>,
+    deadline: Instant,
+) -> Option<Event> {
+    loop {
+        let look = deadline.min(Instant::now() + LIVENESS_PERIOD);
+        if let Ok(event) = timeout_at(look, rx.recv()).await {
+            return event;
+        }
+        let (vm, incarnation) = (row.vm.clone(), row.incarnation);
+        let is_gone = move |gate: &mut sw_gate::Gate, now| {
+            let members = gate.members();
+            members.outlived(&vm, incarnation) || members.state(&vm, now) == Some(VmState::Suspect)
+        };
+        if Instant::now() >= deadline || gateway.core.run(is_gone).await != Ok(false) {
+            return None;
+        }
+    }
+}
+
+async fn collect(rx: &mut mpsc::Receiver<Event>, deadline: Instant) -> Option<BytesMut> {
+    let mut body = BytesMut::new();
+    loop {
+        match timeout_at(deadline, rx.recv()).await.ok()?? {
+            Event::Chunk(data) if body.len() + data.len() <= MAX_WHOLE_ANSWER => body.extend_from_slice(&data),
+            Event::End(Ok(())) => return Some(body),
+            _ => return None,
+        }
+    }
+}
+
+/// Passes a streamed answer on to the caller.
+async fn relay(mut rx: mpsc::Receiver<Event>, tx: &BodySender) {
+    loop {
+        let event = tokio::select! {
+            event = tokio::time::timeout(MAX_SILENCE, rx.recv()) => event,
+            () = tx.closed() => return,
+        };
+        match event {
+            Ok(Some(Event::Chunk(data))) => {
+                if tx.send(Ok(data)).await.is_err() {
+                    return;
+                }
+            }
+            Ok(Some(Event::End(Ok(())))) => return,
+            _ => return stream::break_off(tx).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotwing-daemon/src/request/head.rs
@@ -0,0 +1,208 @@
+//! The headers of a caller's request, and its body.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, CONTENT_TYPE, HeaderName};
+use serde::Deserialize;
+use sw_error::{Kind, Refusal};
+use sw_gate::{Admitted, Head};
+use sw_http::{ReadBodyError, read_body};
+use sw_load::prefix_hashes;
+use sw_once::Ticket;
+use sw_unit::{Millis, ModelId};
+
+use super::job::Call;
+use super::{destination, no_such_path};
+use crate::process::Gateway;
+
+const ROUTE_HEADER: &str = "shallotwing-route";
+const DEADLINE_HEADER: &str = "shallotwing-deadline-ms";
+const TICKET_HEADER: &str = "shallotwing-ticket";
+const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+/// Longest idempotency key.
+const MAX_KEY_LEN: usize = 128;
+
+/// Where a path leads.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Destination {
+    /// To a model engine.
+    Engine,
+    /// To a plain service.
+    Service {
+        /// The route in the path.
+        route: String,
+    },
+}
+
+/// How a caller identifies a request that may not be repeated.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Identity {
+    /// Not at all.
+    None,
+    /// By a ticket that a VM issued.
+    Ticket(Ticket),
+    /// By a key of its own.
+    Key(String),
+}
+
+/// What the headers say.
+#[derive(Debug)]
+pub(crate) struct ParsedHead {
+    key: Option<String>,
+    pub(crate) route: Option<String>,
+    deadline: Option<Millis>,
+    pub(crate) identity: Identity,
+    destination: Destination,
+}
+
+/// What of a body for an engine matters here.
+#[derive(Debug, Deserialize)]
+struct EngineBody {
+    model: Option<String>,
+}
+
+impl ParsedHead {
+    /// Reads the headers.
+    pub(crate) fn new(req: &Request<Incoming>) -> Result<Self, Refusal> {
+        let destination = destination(req.uri().path()).ok_or_else(no_such_path)?;
+        let route = match &destination {
+            Destination::Engine => text(req, ROUTE_HEADER)?,
+            Destination::Service { route } => Some(route.clone()),
+        };
+        let deadline = match text(req, DEADLINE_HEADER)? {
+            None => None,
+            Some(value) => Some(value.parse().map_err(|_not_a_number| Kind::BadRequest)?),
+        };
+        Ok(Self {
+            key: bearer_key(req),
+            route,
+            deadline,
+            identity: identity(req)?,
+            destination,
+        })
+    }
+
+    /// Has the gate admit the request.
+    pub(crate) async fn admit(&self, gateway: &Gateway) -> Result<Admitted, Refusal> {
+        let (key, route, deadline) = (self.key.clone(), self.route.clone(), self.deadline);
+        let step = move |gate: &mut sw_gate::Gate, now| {
+            gate.admit(
+                &Head {
+                    key: key.as_deref(),
+                    route: route.as_deref(),
+                    deadline,
+                },
+                now,
+            )
+        };
+        gateway.core.run(step).await?
+    }
+
+    /// Reads the body, which is left unread until the request is admitted.
+    pub(crate) async fn read(
+        &self,
+        gateway: &Gateway,
+        admitted: &Admitted,
+        id: String,
+        req: Request<Incoming>,
+    ) -> Result<Call, Refusal> {
+        let limits = &gateway.settings.limits;
+        let announced = req
+            .headers()
+            .get(CONTENT_LENGTH)
+            .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+        if announced.is_some_and(|len| len > limits.body.0) {
+            return Err(Kind::BodyTooLarge.into());
+        }
+        let path = self.endpoint_path(&req);
+        let method = req.method().to_string();
+        let content_type = text(&req, CONTENT_TYPE.as_str())?.unwrap_or_else(|| "application/json".to_owned());
+        let timeout = Duration::from_millis(limits.body_timeout.0);
+        let body = read_body(req.into_body(), limits.body.0, timeout)
+            .await
+            .map_err(body_refusal)?;
+        let (model, prefixes) = match self.destination {
+            Destination::Engine => (model(&body, admitted)?, prefix_hashes(&body)),
+            Destination::Service { .. } => (None, Vec::new()),
+        };
+        Ok(Call {
+            id,
+            method,
+            path,
+            content_type,
+            body,
+            model,
+            prefixes,
+        })
+    }
+
+    fn endpoint_path(&self, req: &Request<Incoming>) -> String {
+        let full = req.uri().path_and_query().map_or("/", |path| path.as_str());
+        let path = match &self.destination {
+            Destination::Engine => full,
+            Destination::Service { route } => full.strip_prefix("/svc/").map_or(full, |rest| &rest[route.len()..]),
+        };
+        if path.starts_with('/') {
+            path.to_owned()
+        } else {
+            format!("/{path}")
+        }
+    }
+}
+
+/// The bearer key of a request.
+pub(crate) fn bearer_key(req: &Request<Incoming>) -> Option<String> {
+    let value = req.headers().get(AUTHORIZATION)?.to_str().ok()?;
+    value.strip_prefix("Bearer ").map(str::to_owned)
+}
+
+/// The model that a body names, which must be one of the route's.
+pub(crate) fn model(body: &Bytes, admitted: &Admitted) -> Result<Option<ModelId>, Refusal> {
+    let parsed: EngineBody = serde_json::from_slice(body).map_err(|_not_json| Kind::BadRequest)?;
+    let Some(model) = parsed.model else {
+        return Ok(None);
+    };
+    let model: ModelId = model.parse().map_err(|_not_an_id| Kind::BadRequest)?;
+    if !admitted.route().models.contains(&model) {
+        return Err(Kind::BadRequest.into());
+    }
+    Ok(Some(model))
+}
+
+fn identity(req: &Request<Incoming>) -> Result<Identity, Refusal> {
+    let ticket = text(req, TICKET_HEADER)?;
+    let key = text(req, IDEMPOTENCY_KEY_HEADER)?;
+    match (ticket, key) {
+        (None, None) => Ok(Identity::None),
+        (Some(ticket), None) => {
+            let ticket = ticket.parse().map_err(|_not_a_ticket| Kind::TicketInvalid)?;
+            Ok(Identity::Ticket(ticket))
+        }
+        (None, Some(key)) if is_key(&key) => Ok(Identity::Key(key)),
+        _ => Err(Kind::BadRequest.into()),
+    }
+}
+
+fn is_key(key: &str) -> bool {
+    !key.is_empty() && key.len() <= MAX_KEY_LEN && key.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
+fn text(req: &Request<Incoming>, name: &str) -> Result<Option<String>, Refusal> {
+    let name: HeaderName = name.parse().map_err(|_not_a_name| Kind::BadRequest)?;
+    match req.headers().get(name).map(|value| value.to_str()) {
+        None => Ok(None),
+        Some(Ok(value)) => Ok(Some(value.to_owned())),
+        Some(Err(_not_text)) => Err(Kind::BadRequest.into()),
+    }
+}
+
+fn body_refusal(error: ReadBodyError) -> Refusal {
+    match error {
+        ReadBodyError::TooLarge => Kind::BodyTooLarge.into(),
+        ReadBodyError::Timeout => Kind::ClientTimeout.into(),
+        ReadBodyError::Broken => Kind::BadRequest.into(),
+    }
+}
--- /dev/null
+++ b/crates/shallotwing-daemon/src/request/lists.rs
@@ -0,0 +1,126 @@
+//! What callers may ask about the system: entry VMs, tickets, and what became of a request.
+
+use std::collections::HashMap;
+
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use serde_json::json;
+use sw_error::{Kind, Refusal};
+use sw_gate::Owner;
+use sw_http::{EntryRow, ResponseBody, error_answer, json_answer};
+use sw_once::{Standing, Ticket};
+use sw_unit::WorkspaceId;
+
+use super::head::bearer_key;
+use crate::process::Gateway;
+
+/// The path of what became of a request, before its id.
+pub(crate) const REQUESTS_PREFIX: &str = "/v1/requests/";
+/// Tickets that are issued at a time.
+const MAX_TICKETS: u32 = 100;
+
+/// Answers with the entry VMs to use for a route, best first.
+pub(crate) async fn entries(gateway: &Gateway, req: &Request<Incoming>) -> Response<ResponseBody> {
+    let route = query(req).remove("route").unwrap_or_default();
+    let workspace = match authenticate(gateway, req).await {
+        Ok(workspace) => workspace,
+        Err(refusal) => return error_answer(refusal, "", &[]),
+    };
+    let rows = entry_rows(gateway, route, workspace.to_string()).await;
+    json_answer(
+        200,
+        &json!({ "entries": rows, "ttl_ms": gateway.settings.limits.entry_ttl.0 }),
+    )
+}
+
+/// The entry VMs that a refusal points to.
+pub(crate) async fn entries_for_refusal(gateway: &Gateway, refusal: Refusal, route: &str) -> Vec<EntryRow> {
+    if refusal.kind.answer().retry != sw_error::Retry::Elsewhere {
+        return Vec::new();
+    }
+    entry_rows(gateway, route.to_owned(), route.to_owned()).await
+}
+
+/// Issues tickets.
+pub(crate) async fn tickets(gateway: &Gateway, req: &Request<Incoming>) -> Response<ResponseBody> {
+    let count = query(req).remove("n").map_or(Ok(1), |n| n.parse::<u32>());
+    let Some(count) = count.ok().filter(|count| (1..=MAX_TICKETS).contains(count)) else {
+        return error_answer(Kind::BadRequest.into(), "", &[]);
+    };
+    if let Err(refusal) = authenticate(gateway, req).await {
+        return error_answer(refusal, "", &[]);
+    }
+    match gateway.core.run(move |gate, now| gate.issue(count, now)).await {
+        Ok(tickets) => {
+            let tickets: Vec<_> = tickets.iter().map(Ticket::to_string).collect();
+            json_answer(
+                200,
+                &json!({ "tickets": tickets, "ttl_ms": gateway.settings.limits.retention.0 }),
+            )
+        }
+        Err(refusal) => error_answer(refusal, "", &[]),
+    }
+}
+
+/// Answers with what is known of a request by its ticket.
+pub(crate) async fn standing(gateway: &Gateway, req: &Request<Incoming>) -> Response<ResponseBody> {
+    let id = req.uri().path().strip_prefix(REQUESTS_PREFIX).unwrap_or_default();
+    let Ok(ticket) = id.parse::<Ticket>() else {
+        return error_answer(Kind::TicketInvalid.into(), id, &[]);
+    };
+    let workspace = match authenticate(gateway, req).await {
+        Ok(workspace) => workspace,
+        Err(refusal) => return error_answer(refusal, id, &[]),
+    };
+    let standing = look_up(gateway, workspace, ticket).await;
+    json_answer(200, &json!({ "id": id, "standing": standing.to_string() }))
+}
+
+/// What is known of a request, here or at the VM that owns its ticket.
+async fn look_up(gateway: &Gateway, workspace: WorkspaceId, ticket: Ticket) -> Standing {
+    let (key, asked) = (workspace.clone(), ticket.clone());
+    let step = move |gate: &mut sw_gate::Gate, _| match gate.owner(&asked) {
+        Owner::Own => Ok(gate.look_up(&key, &asked)),
+        Owner::Other(row) => Err(row.peer_listen),
+        Owner::Gone => Ok(Standing::OwnerGone),
+    };
+    match gateway.core.run(step).await {
+        Ok(Ok(standing)) => standing,
+        Ok(Err(address)) => {
+            let known = gateway.peers.look_up(address, workspace, ticket).await;
+            known.ok().flatten().unwrap_or(Standing::Unknown)
+        }
+        Err(_stopping) => Standing::Unknown,
+    }
+}
+
+async fn authenticate(gateway: &Gateway, req: &Request<Incoming>) -> Result<WorkspaceId, Refusal> {
+    let key = bearer_key(req);
+    gateway
+        .core
+        .run(move |gate, _| gate.authenticate(key.as_deref()))
+        .await?
+}
+
+async fn entry_rows(gateway: &Gateway, route: String, key: String) -> Vec<EntryRow> {
+    let step = move |gate: &mut sw_gate::Gate, now| {
+        let rows = gate.entries(&route, &key, now);
+        let row = |row: &sw_member::VmRow| EntryRow {
+            vm: row.vm.to_string(),
+            region: row.region.to_string(),
+            address: row.listen.to_string(),
+        };
+        rows.into_iter().map(row).collect()
+    };
+    gateway.core.run(step).await.unwrap_or_default()
+}
+
+fn query(req: &Request<Incoming>) -> HashMap<String, String> {
+    let pairs = req
+        .uri()
+        .query()
+        .unwrap_or_default()
+        .split('&')
+        .filter_map(|pair| pair.split_once('='));
+    pairs.map(|(key, value)| (key.to_owned(), value.to_owned())).collect()
+}
--- /dev/null
+++ b/crates/shallotwing-daemon/src/request/mod.rs
@@ -0,0 +1,115 @@
+//! What lives as long as one request.
+//!
+//! [`serve`] decides by path what a caller wants. A request to run becomes a [`Job`]; [`run`] plans it and makes
+//! attempts until one gives a [`Reply`], each attempt at an endpoint of the own domain ([`endpoint`]) or through a VM
+//! of another domain ([`forward`]). Requests that may not be repeated go through [`once`] first. Requests from other
+//! VMs come in through [`received`].
+
+mod attempt;
+mod endpoint;
+mod forward;
+mod head;
+mod job;
+mod lists;
+mod once;
+mod received;
+mod run;
+mod stream;
+
+use std::sync::Arc;
+
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use sw_error::{Kind, Refusal};
+use sw_http::{REQUEST_ID_HEADER, ResponseBody, error_answer};
+
+use self::head::{Destination, ParsedHead};
+use self::job::{Job, Reply};
+use crate::process::{Gateway, count_end};
+
+pub(crate) use self::received::Forwards;
+
+/// Answers a caller's request.
+pub(crate) async fn serve(gateway: Arc<Gateway>, req: Request<Incoming>) -> Response<ResponseBody> {
+    let path = req.uri().path();
+    match (req.method(), path) {
+        (&Method::GET, "/v1/entries") => return lists::entries(&gateway, &req).await,
+        (&Method::POST, "/v1/tickets") => return lists::tickets(&gateway, &req).await,
+        (&Method::GET, _) if path.starts_with(lists::REQUESTS_PREFIX) => return lists::standing(&gateway, &req).await,
+        _ => {}
+    }
+    let id = gateway.request_id();
+    let head = ParsedHead::new(&req);
+    let route = head
+        .as_ref()
+        .ok()
+        .and_then(|head| head.route.clone())
+        .unwrap_or_default();
+    let reply = match head {
+        Ok(head) => handle(&gateway, id.clone(), head, req).await,
+        Err(refusal) => Reply::Refused(refusal),
+    };
+    count_end(&id, &route, reply.end());
+    let mut response = match reply {
+        Reply::Refused(refusal) => {
+            let entries = lists::entries_for_refusal(&gateway, refusal, &route).await;
+            error_answer(refusal, &id, &entries)
+        }
+        Reply::Whole(answer) => respond(answer.status, &answer.content_type, ResponseBody::from(answer.body)),
+        Reply::Stream {
+            status,
+            content_type,
+            body,
+        } => respond(status, &content_type, body),
+    };
+    if let Ok(id) = HeaderValue::from_str(&id) {
+        response.headers_mut().entry(REQUEST_ID_HEADER).or_insert(id);
+    }
+    response
+}
+
+async fn handle(gateway: &Arc<Gateway>, id: String, head: ParsedHead, req: Request<Incoming>) -> Reply {
+    let admitted = match head.admit(gateway).await {
+        Ok(admitted) => admitted,
+        Err(refusal) => return Reply::Refused(refusal),
+    };
+    let call = match head.read(gateway, &admitted, id, req).await {
+        Ok(call) => call,
+        Err(refusal) => return Reply::Refused(refusal),
+    };
+    let job = Arc::new(Job { admitted, call });
+    if job.admitted.idempotent {
+        run::run(gateway, &job, None).await
+    } else {
+        once::run(gateway, job, head.identity).await
+    }
+}
+
+fn respond(status: u16, content_type: &str, body: ResponseBody) -> Response<ResponseBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    if let Ok(value) = HeaderValue::from_str(content_type) {
+        response.headers_mut().insert(CONTENT_TYPE, value);
+    }
+    response
+}
+
+/// The refusal of a path that leads nowhere.
+fn no_such_path() -> Refusal {
+    Kind::UnknownRoute.into()
+}
+
+/// Whether a path leads to an engine, to a plain service, or nowhere.
+fn destination(path: &str) -> Option<Destination> {
+    match path {
+        "/v1/chat/completions" | "/v1/completions" => Some(Destination::Engine),
+        _ => {
+            let rest = path.strip_prefix("/svc/")?;
+            let route = rest.split('/').next()?;
+            Some(Destination::Service {
+                route: route.to_owned(),
+            })
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotwing-daemon/src/request/received.rs
@@ -0,0 +1,196 @@
+//! Calls from other VMs.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock, Weak};
+
+use futures::StreamExt as _;
+use http_body_util::BodyStream;
+use sw_error::{Kind, Refusal};
+use sw_gate::{Heartbeat, Offer, Purpose};
+use sw_load::prefix_hashes;
+use sw_once::{KeptAnswer, Standing, Ticket};
+use sw_peer::{Event, Forward, Handler};
+use sw_unit::WorkspaceId;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+
+use super::head;
+use super::job::{Call, Job, Reply};
+use super::{once, run};
+use crate::process::{Core, Gateway, count_end};
+
+/// Forwarded requests that this VM is serving.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Forwards {
+    active: Arc<AtomicUsize>,
+    gateway: Arc<OnceLock<Weak<Gateway>>>,
+}
+
+/// One forwarded request; it is counted until dropped.
+struct Active {
+    count: Arc<AtomicUsize>,
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Forwards {
+    /// Forwarded requests that are being served.
+    pub(crate) fn active(&self) -> usize {
+        self.active.load(Ordering::Acquire)
+    }
+
+    /// Ties the handler to the gateway, which is made after it.
+    pub(crate) fn attach(&self, gateway: &Arc<Gateway>) {
+        // A second call would tie it to the same gateway.
+        let _attached = self.gateway.set(Arc::downgrade(gateway));
+    }
+
+    /// The handler of calls from other VMs, for the peer thread.
+    pub(crate) fn handler(&self, core: Core) -> PeerHandler {
+        PeerHandler {
+            core,
+            forwards: self.clone(),
+            runtime: Handle::current(),
+        }
+    }
+
+    fn begin(&self) -> Active {
+        self.active.fetch_add(1, Ordering::AcqRel);
+        Active {
+            count: Arc::clone(&self.active),
+        }
+    }
+}
+
+/// Answers calls from other VMs.
+#[derive(Debug, Clone)]
+pub(crate) struct PeerHandler {
+    core: Core,
+    forwards: Forwards,
+    runtime: Handle,
+}
+
+impl Handler for PeerHandler {
+    async fn greet(&self, heartbeat: Heartbeat) -> Option<Heartbeat> {
+        let step = |gate: &mut sw_gate::Gate, now| {
+            let from = heartbeat.from.clone();
+            gate.heard(heartbeat, now);
+            gate.heartbeat(Some(&from), now)
+        };
+        self.core.run(step).await.ok()
+    }
+
+    async fn configuration(&self) -> Option<Offer> {
+        let version = self.core.run(|gate, _| gate.version().cloned()).await.ok()??;
+        Some(Offer {
+            number: version.number,
+            digest: version.digest,
+            text: version.text.clone(),
+        })
+    }
+
+    async fn forward(&self, forward: Forward, events: mpsc::Sender<Event>) {
+        let active = self.forwards.begin();
+        let gateway = self.forwards.gateway.get().and_then(Weak::upgrade);
+        self.runtime.spawn(async move {
+            let reply = match gateway {
+                Some(gateway) => serve(&gateway, forward).await,
+                None => Reply::Refused(Kind::Stopping.into()),
+            };
+            // The other VM may be gone; then nobody is left to tell.
+            let _gone = pipe(reply, &events).await;
+            drop(active);
+        });
+    }
+
+    async fn look_up(&self, workspace: WorkspaceId, ticket: Ticket) -> Option<Standing> {
+        let step = move |gate: &mut sw_gate::Gate, _| match gate.owner(&ticket) {
+            sw_gate::Owner::Own => Some(gate.look_up(&workspace, &ticket)),
+            _ => None,
+        };
+        self.core.run(step).await.ok()?
+    }
+}
+
+async fn serve(gateway: &Arc<Gateway>, forward: Forward) -> Reply {
+    let id = forward.envelope.request.clone();
+    let route = forward.envelope.route.clone();
+    let reply = match job(gateway, forward).await {
+        Ok((job, None)) => run::run(gateway, &job, None).await,
+        Ok((job, Some(ticket))) => once::run_owned(gateway, job, ticket).await,
+        Err(refusal) => Reply::Refused(refusal),
+    };
+    count_end(&id, route.as_str(), reply.end());
+    reply
+}
+
+/// Admits a forwarded request; the ticket is given if this VM has to answer for it.
+async fn job(gateway: &Gateway, forward: Forward) -> Result<(Arc<Job>, Option<Ticket>), Refusal> {
+    let envelope = forward.envelope.clone();
+    let admitted = gateway
+        .core
+        .run(move |gate, now| gate.receive(&envelope, now))
+        .await??;
+    let ticket = match forward.envelope.purpose {
+        Purpose::Run => None,
+        Purpose::Owned => Some(forward.envelope.ticket.ok_or(Kind::TicketInvalid)?),
+    };
+    let is_engine = !admitted.route().models.is_empty();
+    let model = if is_engine {
+        head::model(&forward.body, &admitted)?
+    } else {
+        None
+    };
+    let prefixes = if is_engine {
+        prefix_hashes(&forward.body)
+    } else {
+        Vec::new()
+    };
+    let call = Call {
+        id: forward.envelope.request,
+        method: forward.method,
+        path: forward.path,
+        content_type: forward.content_type,
+        body: forward.body,
+        model,
+        prefixes,
+    };
+    Ok((Arc::new(Job { admitted, call }), ticket))
+}
+
+/// Sends a reply to the other VM.
+async fn pipe(reply: Reply, events: &mpsc::Sender<Event>) -> Result<(), mpsc::error::SendError<Event>> {
+    match reply {
+        Reply::Refused(refusal) => events.send(Event::End(Err(refusal))).await,
+        Reply::Whole(KeptAnswer {
+            status,
+            content_type,
+            body,
+        }) => {
+            events.send(Event::Head { status, content_type }).await?;
+            events.send(Event::Chunk(body)).await?;
+            events.send(Event::End(Ok(()))).await
+        }
+        Reply::Stream {
+            status,
+            content_type,
+            body,
+        } => {
+            events.send(Event::Head { status, content_type }).await?;
+            let mut frames = BodyStream::new(body);
+            while let Some(frame) = frames.next().await {
+                let Ok(frame) = frame else {
+                    return events.send(Event::End(Err(Kind::AnswerIncomplete.into()))).await;
+                };
+                if let Ok(data) = frame.into_data() {
+                    events.send(Event::Chunk(data)).await?;
+                }
+            }
+            events.send(Event::End(Ok(()))).await
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotwing-daemon/src/request/run.rs
@@ -0,0 +1,59 @@
+//! Plans and attempts.
+
+use std::sync::Arc;
+
+use sw_error::{Phase, Refusal};
+use sw_gate::Plan;
+use sw_once::Ticket;
+use sw_route::Target;
+
+use super::attempt::AttemptError;
+use super::job::{Job, Reply};
+use super::{endpoint, forward};
+use crate::process::{Gateway, count_decision};
+
+/// Plans a request and makes attempts until one succeeds.
+///
+/// An attempt of which nothing reached an endpoint is followed by one at another target. An attempt that may have
+/// reached one is followed by another only if the request is idempotent and the retry budget allows it.
+pub(crate) async fn run(gateway: &Arc<Gateway>, job: &Arc<Job>, ticket: Option<&Ticket>) -> Reply {
+    let mut tried = Vec::new();
+    let mut phase = Phase::Admitted;
+    loop {
+        let plan = match plan(gateway, job, &tried).await {
+            Ok(plan) => plan,
+            Err(refusal) => return Reply::Refused(refusal.in_phase(phase)),
+        };
+        count_decision(&job.call.id, &job.admitted, &plan);
+        let attempt = match &plan.vm {
+            None => endpoint::attempt(gateway, job, &plan).await,
+            Some(row) => forward::attempt(gateway, job, &plan, row, ticket).await,
+        };
+        tried.push(plan.candidate.target);
+        match attempt {
+            Ok(reply) => return reply,
+            Err(AttemptError::NotRun(_)) => {}
+            Err(AttemptError::MayHaveRun(refusal)) => {
+                phase = Phase::HandedOver;
+                if !job.admitted.idempotent || !may_retry(gateway, job).await {
+                    return Reply::Refused(refusal);
+                }
+            }
+        }
+    }
+}
+
+async fn plan(gateway: &Gateway, job: &Arc<Job>, tried: &[Target]) -> Result<Plan, Refusal> {
+    let (job, tried) = (Arc::clone(job), tried.to_vec());
+    let step = move |gate: &mut sw_gate::Gate, now| gate.plan(&job.admitted, &job.plan_request(&tried), now);
+    gateway.core.run(step).await?
+}
+
+async fn may_retry(gateway: &Gateway, job: &Arc<Job>) -> bool {
+    let job = Arc::clone(job);
+    gateway
+        .core
+        .run(move |gate, now| gate.may_retry(&job.admitted, now))
+        .await
+        == Ok(true)
+}
--- /dev/null
+++ b/crates/shallotwing-daemon/src/request/stream.rs
@@ -0,0 +1,114 @@
+//! Streamed answers of engines.
+//!
+//! Only whole events are passed on. A stream that breaks or falls silent is resumed on a new connection from the
+//! event after the last one that was passed on; if that fails too, the caller's stream gets an error event and is
+//! closed without its end mark.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use serde_json::json;
+use sw_error::Kind;
+use sw_gate::Plan;
+use sw_http::{BodyError, ResponseBody, SseReader, channel};
+use tokio::sync::mpsc;
+
+use super::attempt;
+use super::endpoint::{self, Begun};
+use super::job::Job;
+use crate::process::Gateway;
+
+/// Longest silence within a stream.
+const MAX_SILENCE: Duration = Duration::from_secs(3);
+/// Times that a stream is resumed.
+const MAX_RESUMES: u32 = 3;
+
+/// The sender of a streamed body.
+pub(crate) type BodySender = mpsc::Sender<Result<Bytes, BodyError>>;
+
+/// How a connection's part of a stream ended.
+enum PartEnd {
+    Whole,
+    CallerGone,
+    Broken,
+}
+
+/// Passes a stream on, resuming it where needed, and returns the caller's body.
+pub(crate) fn relay(gateway: Arc<Gateway>, job: Arc<Job>, plan: Plan, begun: Begun) -> ResponseBody {
+    let (tx, body) = channel();
+    tokio::spawn(async move {
+        if !pass(&gateway, &job, &plan, begun, &tx).await {
+            break_off(&tx).await;
+        }
+    });
+    body
+}
+
+/// Ends a stream such that its reader cannot take what it has for the whole.
+pub(crate) async fn break_off(tx: &BodySender) {
+    let answer = Kind::AnswerIncomplete.answer();
+    let code: &str = Kind::AnswerIncomplete.into();
+    let error = json!({ "message": answer.message, "type": answer.category, "param": null, "code": code });
+    let event = format!("data: {}\n\n", json!({ "error": error }));
+    // The caller may be gone, and then needs neither.
+    let _gone = tx.send(Ok(Bytes::from(event))).await;
+    let _gone = tx.send(Err(BodyError)).await;
+}
+
+/// Whether a body is a whole stream that answers the request `id`.
+pub(crate) fn is_whole(id: &str, body: &[u8]) -> bool {
+    let mut reader = SseReader::new(id, 0);
+    reader.feed(body).is_ok() && reader.ended()
+}
+
+async fn pass(gateway: &Gateway, job: &Arc<Job>, plan: &Plan, begun: Begun, tx: &BodySender) -> bool {
+    let mut reader = SseReader::new(&job.call.id, 0);
+    let mut part = Some(begun);
+    for _ in 0..=MAX_RESUMES {
+        if let Some(Begun {
+            response,
+            exchange,
+            in_flight,
+        }) = part
+        {
+            match pass_part(response.into_body(), &mut reader, tx).await {
+                PartEnd::Whole => {
+                    in_flight.answered();
+                    exchange.give_back();
+                    return true;
+                }
+                PartEnd::CallerGone => return true,
+                PartEnd::Broken => {}
+            }
+        }
+        if attempt::left(gateway, job).0 == 0 {
+            return false;
+        }
+        reader.drop_partial();
+        part = endpoint::begin(gateway, job, plan, reader.events()).await.ok();
+    }
+    false
+}
+
+async fn pass_part(mut body: Incoming, reader: &mut SseReader, tx: &BodySender) -> PartEnd {
+    loop {
+        let frame = tokio::select! {
+            frame = tokio::time::timeout(MAX_SILENCE, body.frame()) => frame,
+            () = tx.closed() => return PartEnd::CallerGone,
+        };
+        let data = match frame {
+            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            Ok(None) if reader.ended() => return PartEnd::Whole,
+            Ok(None | Some(Err(_))) | Err(_) => return PartEnd::Broken,
+        };
+        let Ok(events) = reader.feed(&data) else {
+            return PartEnd::Broken;
+        };
+        if !events.is_empty() && tx.send(Ok(events)).await.is_err() {
+            return PartEnd::CallerGone;
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotwing-daemon/src/version/mod.rs
@@ -0,0 +1,169 @@
+//! Learning of configurations.
+//!
+//! Two VMs of a failure domain watch the root in the key-value service and also read it now and then, because a
+//! watch may end silently or miss events. The others see in heartbeats that a neighbour runs a newer version and
+//! fetch it there. A version is only ever replaced by a higher one. A service that comes back with an older root gets
+//! the newer one written back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use spdlog::prelude::*;
+use sw_gate::{FleetVersion, Offer};
+use sw_store::{Published, Root, StoreError, WatchStream, fetch, read_root, republish};
+use sw_time::Clock as _;
+use sw_unit::{Millis, Version};
+
+use crate::process::Gateway;
+
+const PERIOD: Millis = Millis(500);
+/// Time between two reads of the root while a watch is held.
+const READ_PERIOD: Duration = Duration::from_secs(5);
+/// Time between two reads of the root before there is any configuration.
+const FIRST_READ_PERIOD: Duration = Duration::from_secs(1);
+/// VMs of a failure domain that watch the root.
+const WATCHERS: usize = 2;
+/// Reads in a row that have to find an older root before it is replaced.
+const OLDER_READS: u32 = 2;
+const ROOT_KEY: &str = "shallotwing/config/root";
+
+/// Learns configurations until the process ends.
+pub(crate) async fn run(gateway: Arc<Gateway>) {
+    let mut learner = Learner {
+        gateway,
+        watch: None,
+        older_reads: 0,
+        next_read: tokio::time::Instant::now(),
+    };
+    let mut ticks = learner.gateway.timers.subscribe(PERIOD);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = changed(&mut learner.watch) => learner.next_read = tokio::time::Instant::now(),
+        }
+        learner.learn_from_store().await;
+        learner.learn_from_neighbours().await;
+    }
+}
+
+/// Waits for an event of the watch; without a watch, for ever.
+async fn changed(watch: &mut Option<WatchStream>) {
+    match watch {
+        None => std::future::pending().await,
+        Some(stream) => {
+            if !stream.changed().await {
+                *watch = None;
+            }
+        }
+    }
+}
+
+struct Learner {
+    gateway: Arc<Gateway>,
+    watch: Option<WatchStream>,
+    older_reads: u32,
+    next_read: tokio::time::Instant,
+}
+
+impl Learner {
+    async fn learn_from_store(&mut self) {
+        let step = |gate: &mut sw_gate::Gate, now| (gate.is_chosen("config", WATCHERS, now), gate.version_number());
+        let Ok((chosen, own)) = self.gateway.core.run(step).await else {
+            return;
+        };
+        if !chosen {
+            self.watch = None;
+            return;
+        }
+        if tokio::time::Instant::now() < self.next_read {
+            return;
+        }
+        let period = if own == Version(0) {
+            FIRST_READ_PERIOD
+        } else {
+            READ_PERIOD
+        };
+        self.next_read = tokio::time::Instant::now() + period;
+        if self.watch.is_none() {
+            self.watch = self.gateway.store.watch(ROOT_KEY).await.ok();
+        }
+        match read_root(&self.gateway.store).await {
+            Ok((Some(root), _)) if root.number > own => self.fetch(&root).await,
+            Ok((root, _)) if own > Version(0) && root.as_ref().is_none_or(|root| root.number < own) => {
+                self.restore().await;
+            }
+            Ok(_) => self.older_reads = 0,
+            Err(error) => debug!("the configuration was not read", kv: { error = error.to_string().as_str() }),
+        }
+    }
+
+    async fn fetch(&mut self, root: &Root) {
+        self.older_reads = 0;
+        match fetch(&self.gateway.store, root).await {
+            Ok(text) => {
+                adopt(
+                    &self.gateway,
+                    Offer {
+                        number: root.number,
+                        digest: root.digest,
+                        text,
+                    },
+                    "store",
+                )
+                .await;
+            }
+            Err(error) => warn!("a configuration was not fetched", kv: { error = error.to_string().as_str() }),
+        }
+    }
+
+    /// Writes the version in force back to a service that has lost it.
+    async fn restore(&mut self) {
+        self.older_reads += 1;
+        if self.older_reads < OLDER_READS {
+            return;
+        }
+        self.older_reads = 0;
+        let Ok(Some(version)) = self.gateway.core.run(|gate, _| gate.version().cloned()).await else {
+            return;
+        };
+        let at = self.gateway.timers.clock().wall();
+        let author = self.gateway.settings.vm.as_str();
+        let result = republish(&self.gateway.store, &version.text, version.number, author, at).await;
+        let result = match result {
+            Ok(Published::Accepted(_)) => "restored",
+            Ok(Published::Lost { .. } | Published::Unchanged(_)) => "overtaken",
+            Err(StoreError::Corrupt(_)) => "corrupt",
+            Err(_) => "failed",
+        };
+        warn!("the service held an older configuration", kv: { version = version.number.0, result });
+    }
+
+    async fn learn_from_neighbours(&self) {
+        let Ok(Some(ahead)) = self.gateway.core.run(sw_gate::Gate::ahead).await else {
+            return;
+        };
+        if let Ok(Some(offer)) = self.gateway.peers.configuration(ahead.peer_listen).await {
+            adopt(&self.gateway, offer, ahead.vm.as_str()).await;
+        }
+    }
+}
+
+/// Checks an offer away from the gate's actor, and puts it in force if it is newer.
+async fn adopt(gateway: &Gateway, offer: Offer, source: &str) {
+    let number = offer.number;
+    let domain = gateway.settings.domain.clone();
+    let check = move || FleetVersion::new(offer.number, offer.digest, offer.text, &domain);
+    let checked = tokio::task::spawn_blocking(check).await;
+    match checked {
+        Ok(Ok(version)) => {
+            let installed = gateway.core.run(move |gate, _| gate.install(Arc::new(version))).await;
+            if installed == Ok(true) {
+                info!("configuration in force", kv: { version = number.0, source });
+            }
+        }
+        Ok(Err(error)) => {
+            error!("a configuration was rejected", kv: { version = number.0, error = error.to_string().as_str() });
+        }
+        Err(_panicked) => error!("a configuration could not be checked", kv: { version = number.0 }),
+    }
+}
--- /dev/null
+++ b/crates/sw-admit/src/budget.rs
@@ -0,0 +1,34 @@
+//! The retry budget.
+
+/// Share of first attempts that may be followed by a retry.
+const RETRY_SHARE: f64 = 0.1;
+/// Retries that may be saved up.
+const MAX_SAVED: f64 = 10.0;
+
+/// Limits retries to a share of the first attempts, so that they cannot multiply the load of a failing group.
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    saved: f64,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self { saved: 1.0 }
+    }
+}
+
+impl RetryBudget {
+    /// Records a first attempt.
+    pub fn attempted(&mut self) {
+        self.saved = (self.saved + RETRY_SHARE).min(MAX_SAVED);
+    }
+
+    /// Takes a retry out of the budget, and returns whether there was one.
+    pub fn take(&mut self) -> bool {
+        let allowed = self.saved >= 1.0;
+        if allowed {
+            self.saved -= 1.0;
+        }
+        allowed
+    }
+}
--- /dev/null
+++ b/crates/sw-error/src/kind.rs
@@ -0,0 +1,147 @@
+//! Error kinds and the table from kind to answer.
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+/// Whether a request was run by an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumString, IntoStaticStr, Serialize, Deserialize)]
+#[strum(serialize_all = "lowercase")]
+#[serde(rename_all = "lowercase")]
+pub enum Ran {
+    /// No endpoint received any of it.
+    No,
+    /// An endpoint ran it.
+    Yes,
+    /// An endpoint may have received it.
+    Unknown,
+}
+
+/// When a caller should send the request again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumString)]
+#[strum(serialize_all = "lowercase")]
+pub enum Retry {
+    /// A repeat gets the same answer.
+    Never,
+    /// After the time that the refusal carries.
+    Later,
+    /// At once, at another entry VM.
+    Elsewhere,
+}
+
+/// What a caller is told for a kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status code.
+    pub status: u16,
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// When to send it again.
+    pub retry: Retry,
+    /// The `type` member of the OpenAI error body.
+    pub category: &'static str,
+    /// A sentence for people.
+    pub message: &'static str,
+}
+
+/// A reason for which a request is not answered with its result.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumIter, EnumString, IntoStaticStr, Serialize, Deserialize,
+)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// The request is malformed.
+    BadRequest,
+    /// The bearer key belongs to no workspace.
+    UnknownKey,
+    /// The route does not exist.
+    UnknownRoute,
+    /// The route is not open to the workspace.
+    RouteForbidden,
+    /// This VM's region is outside the route's permitted regions.
+    WrongRegion,
+    /// The body is longer than allowed.
+    BodyTooLarge,
+    /// The headers are longer than allowed.
+    HeadersTooLarge,
+    /// The client sent the request too slowly.
+    ClientTimeout,
+    /// The workspace has used up its quota.
+    QuotaExceeded,
+    /// There is more work than capacity.
+    Overloaded,
+    /// The request cannot be answered before its deadline.
+    DeadlineUnreachable,
+    /// No live endpoint in the permitted regions serves the request.
+    NoEndpoint,
+    /// The endpoint could not be reached, and nothing was sent to it.
+    EndpointUnreachable,
+    /// This VM has not learned a configuration yet.
+    NoConfiguration,
+    /// The receiving VM has an older configuration than the sender.
+    OlderConfiguration,
+    /// A forwarded request arrived that had already been forwarded.
+    ForwardLoop,
+    /// This VM is stopping.
+    Stopping,
+    /// The key-value service did not take the claim of an idempotency key.
+    StoreUnavailable,
+    /// The ticket is older than the retention of its outcome.
+    TicketExpired,
+    /// The ticket was never issued or is malformed.
+    TicketInvalid,
+    /// The VM that owns the ticket is gone.
+    TicketOwnerGone,
+    /// The same id is being run now.
+    AlreadyRunning,
+    /// The same id was given with another request.
+    IdReused,
+    /// The request ran, and its answer is no longer kept.
+    AnswerDropped,
+    /// The request was sent and its outcome is not known.
+    OutcomeUnknown,
+    /// The answer broke off before its end.
+    AnswerIncomplete,
+}
+
+const INVALID: &str = "invalid_request_error";
+const SERVER: &str = "server_error";
+const LIMIT: &str = "rate_limit_error";
+
+impl Kind {
+    /// The answer for this kind.
+    #[rustfmt::skip]
+    pub fn answer(self) -> Answer {
+        use Ran::{No, Unknown, Yes};
+        use Retry::{Elsewhere, Later, Never};
+        let (status, ran, retry, category, message) = match self {
+            Self::BadRequest          => (400, No, Never, INVALID, "The request is malformed."),
+            Self::UnknownKey          => (401, No, Never, "authentication_error", "The key belongs to no workspace."),
+            Self::UnknownRoute        => (404, No, Never, INVALID, "There is no such route."),
+            Self::RouteForbidden      => (403, No, Never, "permission_error", "The route is not open to this workspace."),
+            Self::WrongRegion         => (421, No, Elsewhere, INVALID, "The route does not permit this region; use one of the listed entry VMs."),
+            Self::BodyTooLarge        => (413, No, Never, INVALID, "The body is too large."),
+            Self::HeadersTooLarge     => (431, No, Never, INVALID, "The headers are too large."),
+            Self::ClientTimeout       => (408, No, Later, INVALID, "The request was sent too slowly."),
+            Self::QuotaExceeded       => (429, No, Later, LIMIT, "The workspace has used up its quota."),
+            Self::Overloaded          => (503, No, Later, LIMIT, "There is more work than capacity."),
+            Self::DeadlineUnreachable => (503, No, Later, LIMIT, "The request cannot be answered before its deadline."),
+            Self::NoEndpoint          => (503, No, Later, SERVER, "No live endpoint in the permitted regions serves the request."),
+            Self::EndpointUnreachable => (503, No, Later, SERVER, "The endpoint could not be reached."),
+            Self::NoConfiguration     => (503, No, Elsewhere, SERVER, "This VM has no configuration yet."),
+            Self::OlderConfiguration  => (503, No, Elsewhere, SERVER, "The receiving VM has an older configuration."),
+            Self::ForwardLoop         => (508, No, Never, SERVER, "A forwarded request may not be forwarded again."),
+            Self::Stopping            => (503, No, Elsewhere, SERVER, "This VM is stopping."),
+            Self::StoreUnavailable    => (503, No, Later, SERVER, "The idempotency key could not be claimed."),
+            Self::TicketExpired       => (409, Unknown, Never, INVALID, "The ticket is too old; ask for its outcome."),
+            Self::TicketInvalid       => (400, No, Never, INVALID, "The ticket is not valid."),
+            Self::TicketOwnerGone     => (409, Unknown, Never, SERVER, "The VM that issued the ticket is gone."),
+            Self::AlreadyRunning      => (409, Unknown, Later, INVALID, "A request with this id is being run."),
+            Self::IdReused            => (422, No, Never, INVALID, "This id was used with another request."),
+            Self::AnswerDropped       => (409, Yes, Never, SERVER, "The request ran; its answer is no longer kept."),
+            Self::OutcomeUnknown      => (502, Unknown, Never, SERVER, "The request was sent and its outcome is not known."),
+            Self::AnswerIncomplete    => (502, Unknown, Never, SERVER, "The answer broke off before its end."),
+        };
+        Answer { status, ran, retry, category, message }
+    }
+}
--- /dev/null
+++ b/crates/sw-gate/src/gate.rs
@@ -0,0 +1,224 @@
+//! The state of the gate.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use sw_admit::{Quotas, RetryBudget, Shedder};
+use sw_error::{Kind, Refusal};
+use sw_load::{Loads, Prefixes, Report};
+use sw_member::{EndpointLife, Leaving, Members, VmRow, top};
+use sw_once::Registry;
+use sw_route::{Candidate, Links, Policy, Weighted};
+use sw_unit::{DomainId, EndpointId, Millis, Time, Version, VmId};
+
+use crate::exchange::PeerState;
+use crate::{AdoptError, FleetVersion};
+
+/// Bounds and seeds of a [`Gate`].
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// Bounds of membership.
+    pub members: sw_member::Options,
+    /// Bounds of load estimates.
+    pub loads: sw_load::Options,
+    /// Bounds of the records of non-idempotent requests.
+    pub once: sw_once::Options,
+    /// Prompt blocks that are remembered for each endpoint.
+    pub prefix_blocks: usize,
+    /// The seed of random choices.
+    pub seed: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            members: sw_member::Options::default(),
+            loads: sw_load::Options::default(),
+            once: sw_once::Options::default(),
+            prefix_blocks: 4_096,
+            seed: 0,
+        }
+    }
+}
+
+/// The decision core of one entry VM.
+#[derive(Debug)]
+pub struct Gate<P = Weighted> {
+    pub(crate) policy: P,
+    pub(crate) version: Option<Arc<FleetVersion>>,
+    pub(crate) members: Members,
+    pub(crate) leaving: Leaving,
+    pub(crate) loads: Loads,
+    pub(crate) prefixes: Prefixes,
+    pub(crate) links: Links,
+    pub(crate) quotas: Quotas,
+    pub(crate) shedder: Shedder,
+    pub(crate) budget: RetryBudget,
+    pub(crate) once: Registry,
+    pub(crate) peers: IndexMap<VmId, PeerState>,
+    pub(crate) polled: IndexMap<EndpointId, Time>,
+    pub(crate) direct: IndexMap<DomainId, Time>,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) scratch: Vec<Candidate>,
+    pub(crate) last_tick: Option<Time>,
+}
+
+impl<P: Policy> Gate<P> {
+    /// The gate of the VM of `own`.
+    pub fn new(own: VmRow, policy: P, options: Options) -> Self {
+        Self {
+            policy,
+            version: None,
+            once: Registry::new(own.vm.clone(), own.incarnation, options.once),
+            members: Members::new(own, options.members),
+            leaving: Leaving::default(),
+            loads: Loads::new(options.loads),
+            prefixes: Prefixes::new(options.prefix_blocks),
+            links: Links::default(),
+            quotas: Quotas::default(),
+            shedder: Shedder::default(),
+            budget: RetryBudget::default(),
+            peers: IndexMap::new(),
+            polled: IndexMap::new(),
+            direct: IndexMap::new(),
+            rng: fastrand::Rng::with_seed(options.seed),
+            scratch: Vec::new(),
+            last_tick: None,
+        }
+    }
+
+    /// The VMs that are known.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// The configuration in force.
+    pub fn version(&self) -> Option<&Arc<FleetVersion>> {
+        self.version.as_ref()
+    }
+
+    /// The number of the configuration in force.
+    pub fn version_number(&self) -> Version {
+        self.version.as_ref().map_or(Version(0), |version| version.number)
+    }
+
+    /// The configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with [`Kind::NoConfiguration`] if there is none yet.
+    pub(crate) fn fleet(&self) -> Result<&Arc<FleetVersion>, Refusal> {
+        self.version.as_ref().ok_or(Refusal::new(Kind::NoConfiguration))
+    }
+
+    /// Puts a configuration in force if it is newer than the one that is, and returns whether it was.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AdoptError`] if the configuration is not what its digest says, or is faulty; the one in force stays.
+    pub fn adopt(&mut self, offer: Offer) -> Result<bool, AdoptError> {
+        if offer.number <= self.version_number() {
+            return Ok(false);
+        }
+        let domain = &self.members.own().domain;
+        let version = FleetVersion::new(offer.number, offer.digest, offer.text, domain)?;
+        self.install(Arc::new(version));
+        Ok(true)
+    }
+
+    /// Puts a checked configuration in force if it is newer than the one that is, and returns whether it was.
+    pub fn install(&mut self, version: Arc<FleetVersion>) -> bool {
+        let newer = version.number > self.version_number();
+        if newer {
+            self.members.set_version(version.number);
+            self.version = Some(version);
+        }
+        newer
+    }
+
+    /// Records the passing of time; it is to be called several times a second.
+    pub fn tick(&mut self, now: Time) {
+        self.last_tick = Some(now);
+        self.once.prune(now);
+        self.members.prune(now);
+    }
+
+    /// How much later than the last tick it is than it should be: the time for which this process was held up.
+    pub(crate) fn stall(&self, now: Time) -> Millis {
+        let silent = self.last_tick.map_or(Millis(0), |tick| now.since(tick));
+        if silent > MAX_TICK_GAP { silent } else { Millis(0) }
+    }
+
+    /// Takes in a report that this VM fetched itself.
+    pub fn polled(&mut self, report: Report, now: Time) {
+        self.polled.insert(report.endpoint.clone(), now);
+        self.reported(report, now);
+    }
+
+    pub(crate) fn reported(&mut self, report: Report, now: Time) {
+        if report.leaving {
+            let life = EndpointLife {
+                endpoint: report.endpoint.clone(),
+                incarnation: report.incarnation,
+            };
+            self.leaving.mark(&life);
+        }
+        let endpoint = report.endpoint.clone();
+        if self.loads.reported(report, now) {
+            self.prefixes.cleared(&endpoint);
+        }
+    }
+
+    /// Records a sign that a life of an endpoint is leaving, and returns whether it was news.
+    pub fn endpoint_leaving(&mut self, life: &EndpointLife) -> bool {
+        self.leaving.mark(life)
+    }
+
+    /// The endpoints of the own domain that this VM polls.
+    pub fn polls(&self, now: Time) -> Vec<(EndpointId, std::net::SocketAddr)> {
+        let Some(version) = &self.version else {
+            return Vec::new();
+        };
+        let domain = &self.members.own().domain;
+        let own = version
+            .fleet
+            .endpoints
+            .iter()
+            .filter(|(_, endpoint)| endpoint.domain == *domain);
+        let polled = own.filter(|(id, _)| self.members.polls(id, now));
+        polled.map(|(id, endpoint)| (id.clone(), endpoint.address)).collect()
+    }
+
+    /// Whether this VM is one of `count` live VMs of its domain that do a task.
+    pub fn is_chosen(&self, task: &str, count: usize, now: Time) -> bool {
+        let own = self.members.own();
+        let live = self.members.live(&own.domain, now).map(|row| &row.vm);
+        top(task, live, count).contains(&&own.vm)
+    }
+
+    /// Records cache blocks that an endpoint dropped.
+    pub fn evicted(&mut self, endpoint: &EndpointId, hashes: &[u64]) {
+        for hash in hashes {
+            self.prefixes.evicted(endpoint, *hash);
+        }
+    }
+
+    /// Announces that this VM is stopping.
+    pub fn leave(&mut self) {
+        self.members.leave();
+    }
+}
+
+/// Longest regular time between two ticks.
+const MAX_TICK_GAP: Millis = Millis(500);
+
+/// A configuration that the store or another VM offers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Offer {
+    /// Its number.
+    pub number: Version,
+    /// The digest of its text.
+    pub digest: sw_unit::Digest,
+    /// Its text.
+    pub text: String,
+}
--- /dev/null
+++ b/crates/sw-gate/src/plan.rs
@@ -0,0 +1,152 @@
+//! Plans, hand-overs and ends of requests.
+
+use sw_admit::retry_after;
+use sw_error::{Kind, Refusal};
+use sw_route::{Ask, Candidate, Policy, Target, View, candidates};
+use sw_unit::{Bytes, EndpointId, Millis, RegionId, Time};
+
+use crate::{Admitted, Finish, Gate, Plan, PlanRequest};
+
+/// Time to come back when nothing is known about when capacity returns.
+const NO_ENDPOINT_RETRY: Millis = Millis(1_000);
+
+impl<P: Policy> Gate<P> {
+    /// Chooses a target.
+    ///
+    /// # Errors
+    ///
+    /// Refuses, truthfully not run, if there is no target or none is worth the wait; the refusal has a time to come
+    /// back.
+    pub fn plan(&mut self, admitted: &Admitted, request: &PlanRequest<'_>, now: Time) -> Result<Plan, Refusal> {
+        let ask = Ask {
+            fleet: &admitted.version.fleet,
+            route: admitted.route(),
+            index: admitted.index(),
+            workspace: admitted.workspace(),
+            model: request.model,
+            len: request.len,
+            prefixes: request.prefixes,
+            tried: request.tried,
+            may_forward: !admitted.forwarded,
+            left: admitted.deadline.since(now),
+        };
+        let view = View {
+            members: &self.members,
+            loads: &self.loads,
+            prefixes: &self.prefixes,
+            leaving: &self.leaving,
+            links: &self.links,
+            now,
+        };
+        candidates(&ask, &view, &mut self.scratch);
+        let considered = self.scratch.len();
+        let Some((index, reason)) = self.policy.choose(&ask, &self.scratch, &mut self.rng) else {
+            return Err(Refusal::after(
+                Kind::NoEndpoint,
+                retry_after(NO_ENDPOINT_RETRY, self.rng.f64()),
+            ));
+        };
+        let candidate = self.scratch[index].clone();
+        let service = candidate.end.saturating_sub(candidate.wait);
+        if let Err(refusal) = self.shedder.admit(ask.route.worth, candidate.wait, service, ask.left) {
+            return Err(self.with_spread(refusal));
+        }
+        let vm = self.vm_for(&candidate, now)?;
+        Ok(Plan {
+            candidate,
+            reason,
+            considered,
+            vm,
+        })
+    }
+
+    /// Checks a request again right before its first byte leaves this VM, and counts it as sent.
+    ///
+    /// # Errors
+    ///
+    /// Refuses, truthfully not run, if its deadline has passed, the configuration now in force does not permit the
+    /// target, or the target is leaving.
+    pub fn hand_over(
+        &mut self,
+        admitted: &Admitted,
+        plan: &Plan,
+        request: &PlanRequest<'_>,
+        now: Time,
+    ) -> Result<(), Refusal> {
+        if now >= admitted.deadline {
+            return Err(Kind::DeadlineUnreachable.into());
+        }
+        match &plan.candidate.target {
+            Target::Endpoint(id) => {
+                let domain = self.members.own().domain.clone();
+                self.fleet()?.permits_domain(admitted, &domain)?;
+                if self.leaving.contains(id, self.loads.incarnation(id)) {
+                    return Err(Kind::NoEndpoint.into());
+                }
+                self.loads.sent(id, now);
+                self.prefixes.sent(id, request.prefixes);
+            }
+            Target::Domain(domain) => {
+                self.fleet()?.permits_domain(admitted, domain)?;
+                self.loads.forwarded(domain, now);
+                if let Some(vm) = &plan.vm {
+                    self.count_transfer(admitted, &vm.region, request.len, now);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Records how a request that was handed over ended.
+    pub fn finish(&mut self, target: &Target, finish: Finish, now: Time) {
+        let Target::Endpoint(id) = target else {
+            return;
+        };
+        self.loads.ended(id);
+        if finish == Finish::Answered {
+            self.loads.succeeded(id, now);
+        }
+    }
+
+    /// Records that a new connection to an endpoint could not be made.
+    pub fn unreachable(&mut self, endpoint: &EndpointId, now: Time) {
+        self.loads.failed(endpoint, now);
+    }
+
+    /// Takes a retry out of the budget, and returns whether there was one.
+    pub fn may_retry(&mut self, admitted: &Admitted, now: Time) -> bool {
+        now < admitted.deadline && self.budget.take()
+    }
+
+    fn vm_for(&mut self, candidate: &Candidate, now: Time) -> Result<Option<sw_member::VmRow>, Refusal> {
+        let Target::Domain(domain) = &candidate.target else {
+            return Ok(None);
+        };
+        let live = self.members.live(domain, now);
+        let count = live.clone().count();
+        if count == 0 {
+            return Err(Refusal::after(
+                Kind::NoEndpoint,
+                retry_after(NO_ENDPOINT_RETRY, self.rng.f64()),
+            ));
+        }
+        let index = self.rng.usize(..count);
+        Ok(self.members.live(domain, now).nth(index).cloned())
+    }
+
+    fn count_transfer(&mut self, admitted: &Admitted, region: &RegionId, len: Bytes, now: Time) {
+        let own = &self.members.own().region;
+        if let Some(link) = admitted.version.fleet.link(own, region) {
+            let vms = self.members.live_count(now);
+            self.links.sent(region, len, link.bandwidth_mbps.0, vms, now);
+        }
+    }
+
+    fn with_spread(&mut self, refusal: Refusal) -> Refusal {
+        let random = self.rng.f64();
+        Refusal {
+            retry_after: refusal.retry_after.map(|base| retry_after(base, random)),
+            ..refusal
+        }
+    }
+}
--- /dev/null
+++ b/crates/sw-gate/src/status.rs
@@ -0,0 +1,56 @@
+//! What operators are shown.
+
+use sw_route::Policy;
+use sw_unit::{EndpointId, Time};
+
+use crate::Gate;
+
+/// How an endpoint of the own domain is seen.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EndpointStatus {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// Requests running or queued, as estimated.
+    pub load: f64,
+    /// Slots that may be used now.
+    pub slots: f64,
+    /// Whether a fresh report is behind it.
+    pub reported: bool,
+    /// Whether it is left alone after failures to connect.
+    pub paused: bool,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
+impl<P: Policy> Gate<P> {
+    /// How the endpoints of the own domain are seen.
+    pub fn endpoint_status(&self, now: Time) -> Vec<EndpointStatus> {
+        let Some(version) = &self.version else {
+            return Vec::new();
+        };
+        let domain = &self.members.own().domain;
+        let vms = self.members.live_count(now);
+        let own = version
+            .fleet
+            .endpoints
+            .iter()
+            .filter(|(_, endpoint)| endpoint.domain == *domain);
+        let status = own.map(|(id, endpoint)| {
+            let estimate = self.loads.estimate(id, endpoint.slots, vms, now);
+            EndpointStatus {
+                id: id.clone(),
+                load: estimate.load,
+                slots: estimate.slots,
+                reported: estimate.reported,
+                paused: self.loads.is_paused(id, now),
+                leaving: self.leaving.contains(id, self.loads.incarnation(id)),
+            }
+        });
+        status.collect()
+    }
+
+    /// Records of non-idempotent requests that are kept.
+    pub fn record_count(&self) -> usize {
+        self.once.len()
+    }
+}
--- /dev/null
+++ b/crates/sw-gate/src/ticket.rs
@@ -0,0 +1,47 @@
+//! Tickets of non-idempotent requests.
+
+use sw_once::{Begin, Outcome, RequestDigest, RequestKey, Standing, Ticket};
+use sw_route::Policy;
+use sw_unit::{Time, WorkspaceId};
+
+use crate::{Gate, Owner};
+
+impl<P: Policy> Gate<P> {
+    /// Issues tickets.
+    pub fn issue(&mut self, count: u32, now: Time) -> Vec<Ticket> {
+        self.once.issue(count, now)
+    }
+
+    /// Who may run a request with this ticket.
+    pub fn owner(&self, ticket: &Ticket) -> Owner {
+        if self.once.owns(ticket) {
+            return Owner::Own;
+        }
+        match self.members.life(&ticket.vm, ticket.incarnation) {
+            Some(row) if row.vm != self.members.own().vm => Owner::Other(row.clone()),
+            _ => Owner::Gone,
+        }
+    }
+
+    /// Begins a request whose ticket this VM owns.
+    pub fn begin(&mut self, workspace: &WorkspaceId, ticket: &Ticket, digest: RequestDigest, now: Time) -> Begin {
+        self.once.begin(key(workspace, ticket), digest, now)
+    }
+
+    /// Records how a request that was begun ended.
+    pub fn settle(&mut self, workspace: &WorkspaceId, ticket: &Ticket, outcome: Outcome) {
+        self.once.settle(&key(workspace, ticket), outcome);
+    }
+
+    /// What is known of a request whose ticket this VM owns.
+    pub fn look_up(&self, workspace: &WorkspaceId, ticket: &Ticket) -> Standing {
+        self.once.look_up(&key(workspace, ticket))
+    }
+}
+
+fn key(workspace: &WorkspaceId, ticket: &Ticket) -> RequestKey {
+    RequestKey {
+        workspace: workspace.clone(),
+        sequence: ticket.sequence,
+    }
+}
--- /dev/null
+++ b/crates/sw-gate/src/types.rs
@@ -0,0 +1,152 @@
+//! Messages to and from the gate.
+
+use std::sync::Arc;
+
+use strum::{Display, EnumString};
+use sw_conf::{Route, Workspace};
+use sw_load::{DomainSummary, PrefixHash, Report};
+use sw_member::{EndpointLife, VmRow};
+use sw_once::Ticket;
+use sw_route::{Candidate, Reason, RouteIndex, Target};
+use sw_unit::{Bytes, Millis, ModelId, RouteId, Time, Version, WorkspaceId};
+
+use crate::FleetVersion;
+
+/// What a caller's headers say.
+#[derive(Debug, Clone, Default)]
+pub struct Head<'a> {
+    /// The bearer key.
+    pub key: Option<&'a str>,
+    /// The route.
+    pub route: Option<&'a str>,
+    /// The deadline that the caller sets.
+    pub deadline: Option<Millis>,
+}
+
+/// A request that may run.
+#[derive(Debug, Clone)]
+pub struct Admitted {
+    /// The workspace.
+    pub workspace: WorkspaceId,
+    /// The route.
+    pub route: RouteId,
+    /// The configuration that it began with.
+    pub version: Arc<FleetVersion>,
+    /// When its answer is due.
+    pub deadline: Time,
+    /// Whether running it twice does no harm.
+    pub idempotent: bool,
+    /// Whether this VM received it from another one.
+    pub forwarded: bool,
+}
+
+impl Admitted {
+    /// The route's configuration.
+    pub fn route(&self) -> &Route {
+        &self.version.fleet.routes[&self.route]
+    }
+
+    /// The workspace's configuration.
+    pub fn workspace(&self) -> &Workspace {
+        &self.version.fleet.workspaces[&self.workspace]
+    }
+
+    /// What the route may use.
+    pub fn index(&self) -> &RouteIndex {
+        self.version.index.route(&self.route).expect("each route has an index")
+    }
+}
+
+/// What a plan is asked for.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PlanRequest<'a> {
+    /// The model that the caller names.
+    pub model: Option<&'a ModelId>,
+    /// The length of the body.
+    pub len: Bytes,
+    /// Hashes of the prompt's beginnings.
+    pub prefixes: &'a [PrefixHash],
+    /// Targets that were tried already.
+    pub tried: &'a [Target],
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// The choice.
+    pub candidate: Candidate,
+    /// Why.
+    pub reason: Reason,
+    /// How many candidates there were.
+    pub considered: usize,
+    /// The VM to forward it to, if the target is another domain.
+    pub vm: Option<VmRow>,
+}
+
+/// How a request that was handed over ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finish {
+    /// With its whole answer.
+    Answered,
+    /// Without it.
+    Broken,
+}
+
+/// Why a request is forwarded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Purpose {
+    /// To run at an endpoint of the receiver's domain.
+    Run,
+    /// Because the receiver owns its ticket.
+    Owned,
+}
+
+/// What travels with a forwarded request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Envelope {
+    /// Its id, for logs and answers.
+    pub request: String,
+    /// The workspace.
+    pub workspace: WorkspaceId,
+    /// The route.
+    pub route: RouteId,
+    /// The configuration of the sender.
+    pub version: Version,
+    /// Time until the deadline.
+    pub left: Millis,
+    /// How often it was forwarded, this time included.
+    pub hops: u32,
+    /// Why.
+    pub purpose: Purpose,
+    /// Its ticket.
+    pub ticket: Option<Ticket>,
+}
+
+/// Who may run a request with a ticket.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Owner {
+    /// This VM.
+    Own,
+    /// Another VM.
+    Other(VmRow),
+    /// A life of a VM that is over or was never heard of.
+    Gone,
+}
+
+/// What VMs tell each other each second.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// The sender.
+    pub from: VmRow,
+    /// A digest of the VMs of its domain that the sender knows.
+    pub members_digest: u64,
+    /// Those VMs, if the receiver's digest differs.
+    pub members: Vec<VmRow>,
+    /// Leaving endpoints, if the receiver may not know them.
+    pub leaving: Vec<EndpointLife>,
+    /// Reports that the sender itself fetched.
+    pub reports: Vec<Report>,
+    /// Summaries of domains.
+    pub summaries: Vec<DomainSummary>,
+}
--- /dev/null
+++ b/crates/sw-http/src/answer.rs
@@ -0,0 +1,85 @@
+//! Answers that the gateway gives itself.
+
+use bytes::Bytes;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+use sw_error::{Ran, Refusal, Retry};
+
+use crate::ResponseBody;
+
+/// Says whether a request ran.
+pub const RAN_HEADER: &str = "shallotwing-ran";
+/// The id of a request.
+pub const REQUEST_ID_HEADER: &str = "shallotwing-request-id";
+const RETRY_AFTER_MS_HEADER: &str = "retry-after-ms";
+const MILLIS_PER_SECOND: u64 = 1_000;
+
+/// An entry VM to use.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct EntryRow {
+    /// The VM.
+    pub vm: String,
+    /// Its region.
+    pub region: String,
+    /// Where it listens.
+    pub address: String,
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorMember<'a>,
+    #[serde(skip_serializing_if = "<[_]>::is_empty")]
+    entries: &'a [EntryRow],
+}
+
+#[derive(Serialize)]
+struct ErrorMember<'a> {
+    message: &'a str,
+    r#type: &'a str,
+    param: Option<&'a str>,
+    code: &'a str,
+    ran: Ran,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+/// The answer for a refusal, with an error body in the OpenAI form.
+pub fn error_answer(refusal: Refusal, request_id: &str, entries: &[EntryRow]) -> Response<ResponseBody> {
+    let answer = refusal.kind.answer();
+    let after = match answer.retry {
+        Retry::Never => None,
+        Retry::Elsewhere => Some(refusal.retry_after.map_or(0, |after| after.0)),
+        Retry::Later => Some(refusal.retry_after.map_or(MILLIS_PER_SECOND, |after| after.0)),
+    };
+    let member = ErrorMember {
+        message: answer.message,
+        r#type: answer.category,
+        param: None,
+        code: refusal.kind.into(),
+        ran: answer.ran,
+        retry_after_ms: after,
+    };
+    let mut response = json_answer(answer.status, &ErrorBody { error: member, entries });
+    let headers = response.headers_mut();
+    headers.insert(RAN_HEADER, HeaderValue::from_static(answer.ran.into()));
+    if let Ok(id) = HeaderValue::from_str(request_id) {
+        headers.insert(REQUEST_ID_HEADER, id);
+    }
+    if let Some(after) = after {
+        headers.insert(RETRY_AFTER, HeaderValue::from(after.div_ceil(MILLIS_PER_SECOND)));
+        headers.insert(RETRY_AFTER_MS_HEADER, HeaderValue::from(after));
+    }
+    response
+}
+
+/// A JSON answer.
+pub fn json_answer(status: u16, value: &impl Serialize) -> Response<ResponseBody> {
+    let body = serde_json::to_vec(value).expect("answers have text keys and serialize");
+    let mut response = Response::new(ResponseBody::from(Bytes::from(body)));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
--- /dev/null
+++ b/crates/sw-load/src/loads.rs
@@ -0,0 +1,247 @@
+//! Estimated load of endpoints and of other failure domains.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+use sw_unit::{DomainId, EndpointId, Incarnation, Millis, ModelId, Time};
+
+use crate::{DomainSummary, ModelLoad, Report};
+
+/// Share of its slots that an endpoint gets when it returns.
+const RAMP_START: f64 = 0.25;
+/// Longest pause after failures to connect.
+const MAX_PAUSE: Millis = Millis(8_000);
+
+/// Bounds of [`Loads`].
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// A report older than this is not used.
+    pub stale_after: Millis,
+    /// Time in which a returned endpoint comes up to all its slots.
+    pub ramp: Millis,
+    /// Pause after the first failure to connect; it doubles with each further one.
+    pub pause: Millis,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            stale_after: Millis(5_000),
+            ramp: Millis(5_000),
+            pause: Millis(500),
+        }
+    }
+}
+
+/// The load of an endpoint, as far as it can be told.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Estimate {
+    /// Requests running or queued.
+    pub load: f64,
+    /// Slots that may be used now.
+    pub slots: f64,
+    /// Whether a fresh report is behind it.
+    pub reported: bool,
+}
+
+impl Estimate {
+    /// Requests that wait ahead of a new one, per slot.
+    pub fn turns(self) -> f64 {
+        ((self.load + 1.0 - self.slots) / self.slots.max(1.0)).max(0.0)
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+struct Row {
+    report: Option<(Report, Time)>,
+    in_flight: u32,
+    sends: VecDeque<Time>,
+    failures: u32,
+    paused_until: Time,
+    ramp_from: Option<Time>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Remote {
+    models: IndexMap<ModelId, ModelLoad>,
+    at: Time,
+    sends: VecDeque<Time>,
+}
+
+/// What is known of the load of endpoints and domains.
+#[derive(Debug, Clone, Default)]
+pub struct Loads {
+    options: Options,
+    rows: IndexMap<EndpointId, Row>,
+    remotes: IndexMap<DomainId, Remote>,
+}
+
+impl Loads {
+    /// An empty table.
+    pub fn new(options: Options) -> Self {
+        Self {
+            options,
+            ..Self::default()
+        }
+    }
+
+    /// Takes in a report; an older one than that which is held is ignored.
+    ///
+    /// Returns whether the endpoint began a new life.
+    pub fn reported(&mut self, report: Report, now: Time) -> bool {
+        let at = now - report.age;
+        let row = self.rows.entry(report.endpoint.clone()).or_default();
+        let restarted = match &row.report {
+            Some((known, _)) if known.incarnation > report.incarnation => return false,
+            Some((known, known_at)) if known.incarnation == report.incarnation && *known_at > at => return false,
+            Some((known, _)) => known.incarnation < report.incarnation,
+            None => false,
+        };
+        if restarted {
+            row.ramp_from = Some(now);
+        }
+        while row.sends.front().is_some_and(|sent| *sent <= at) {
+            row.sends.pop_front();
+        }
+        row.report = Some((report, at));
+        restarted
+    }
+
+    /// The life that an endpoint last reported.
+    pub fn incarnation(&self, endpoint: &EndpointId) -> Incarnation {
+        let report = self.rows.get(endpoint).and_then(|row| row.report.as_ref());
+        report.map_or(Incarnation(0), |(report, _)| report.incarnation)
+    }
+
+    /// Records that a request is handed over to an endpoint.
+    pub fn sent(&mut self, endpoint: &EndpointId, now: Time) {
+        let row = self.rows.entry(endpoint.clone()).or_default();
+        row.in_flight += 1;
+        row.sends.push_back(now);
+        let stale = now - self.options.stale_after;
+        while row.sends.front().is_some_and(|sent| *sent < stale) {
+            row.sends.pop_front();
+        }
+    }
+
+    /// Records that a request at an endpoint has ended.
+    pub fn ended(&mut self, endpoint: &EndpointId) {
+        if let Some(row) = self.rows.get_mut(endpoint) {
+            row.in_flight = row.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Records that a connection to an endpoint was made and used.
+    pub fn succeeded(&mut self, endpoint: &EndpointId, now: Time) {
+        if let Some(row) = self.rows.get_mut(endpoint)
+            && row.failures > 0
+        {
+            row.failures = 0;
+            row.paused_until = now;
+            row.ramp_from = Some(now);
+        }
+    }
+
+    /// Records that a new connection to an endpoint failed.
+    pub fn failed(&mut self, endpoint: &EndpointId, now: Time) {
+        let row = self.rows.entry(endpoint.clone()).or_default();
+        let pause = self.options.pause.0 << row.failures.min(8);
+        row.failures += 1;
+        row.paused_until = now + Millis(pause.min(MAX_PAUSE.0));
+    }
+
+    /// Whether an endpoint is left alone after failures to connect.
+    pub fn is_paused(&self, endpoint: &EndpointId, now: Time) -> bool {
+        self.rows.get(endpoint).is_some_and(|row| row.paused_until > now)
+    }
+
+    /// The estimated load of an endpoint that has `slots`, where `vms` VMs send to it.
+    pub fn estimate(&self, endpoint: &EndpointId, slots: u32, vms: usize, now: Time) -> Estimate {
+        let Some(row) = self.rows.get(endpoint) else {
+            return Estimate {
+                load: 0.0,
+                slots: f64::from(slots),
+                reported: false,
+            };
+        };
+        let fresh = row
+            .report
+            .as_ref()
+            .filter(|(_, at)| now.since(*at) < self.options.stale_after);
+        let own = f64::from(row.in_flight);
+        let load = match fresh {
+            Some((report, _)) => (f64::from(report.running + report.queued) + row.sends.len() as f64).max(own),
+            None => own * vms as f64,
+        };
+        Estimate {
+            load,
+            slots: f64::from(slots) * self.ramp(row, now),
+            reported: fresh.is_some(),
+        }
+    }
+
+    /// Takes in another domain's summary; an older one than that which is held is ignored.
+    pub fn summarised(&mut self, summary: &DomainSummary, now: Time) {
+        let at = now - summary.age;
+        let remote = self.remotes.entry(summary.domain.clone()).or_default();
+        if remote.at > at {
+            return;
+        }
+        remote.at = at;
+        remote.models = summary
+            .models
+            .iter()
+            .map(|load| (load.model.clone(), load.clone()))
+            .collect();
+        while remote.sends.front().is_some_and(|sent| *sent <= at) {
+            remote.sends.pop_front();
+        }
+    }
+
+    /// Records that a request is forwarded to another domain.
+    pub fn forwarded(&mut self, domain: &DomainId, now: Time) {
+        if let Some(remote) = self.remotes.get_mut(domain) {
+            remote.sends.push_back(now);
+        }
+    }
+
+    /// The estimated load of the endpoints of another domain that serve `model`; `None` without a fresh summary.
+    pub fn estimate_remote(&self, domain: &DomainId, model: &ModelId, now: Time) -> Option<Estimate> {
+        let remote = self.remotes.get(domain)?;
+        if now.since(remote.at) >= self.options.stale_after {
+            return None;
+        }
+        let row = remote.models.get(model).filter(|row| row.slots > 0)?;
+        let load = f64::from(row.load) + remote.sends.len() as f64;
+        Some(Estimate {
+            load,
+            slots: f64::from(row.slots),
+            reported: true,
+        })
+    }
+
+    /// Summaries that are held, with their age.
+    pub fn summaries(&self, now: Time) -> impl Iterator<Item = (&DomainId, Millis, Vec<ModelLoad>)> {
+        let fresh = move |(_, remote): &(&DomainId, &Remote)| now.since(remote.at) < self.options.stale_after;
+        let rows = self.remotes.iter().filter(fresh);
+        rows.map(move |(domain, remote)| (domain, now.since(remote.at), remote.models.values().cloned().collect()))
+    }
+
+    /// Fresh reports that are held, with their age.
+    pub fn reports(&self, now: Time) -> impl Iterator<Item = Report> {
+        let rows = self.rows.values().filter_map(|row| row.report.as_ref());
+        let fresh = rows.filter(move |(_, at)| now.since(*at) < self.options.stale_after);
+        fresh.map(move |(report, at)| Report {
+            age: now.since(*at),
+            ..report.clone()
+        })
+    }
+
+    fn ramp(&self, row: &Row, now: Time) -> f64 {
+        let Some(from) = row.ramp_from else {
+            return 1.0;
+        };
+        let elapsed = now.since(from).0 as f64 / self.options.ramp.0.max(1) as f64;
+        (RAMP_START + (1.0 - RAMP_START) * elapsed).min(1.0)
+    }
+}
--- /dev/null
+++ b/crates/sw-load/src/types.rs
@@ -0,0 +1,45 @@
+//! Rows that endpoints and VMs report.
+
+use sw_member::VmRow;
+use sw_unit::{DomainId, EndpointId, Incarnation, Millis, ModelId};
+
+/// An endpoint's report of its load.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait in it.
+    pub queued: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// How old the figures were when they were received.
+    pub age: Millis,
+}
+
+/// The load of all endpoints of a failure domain that serve a model.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ModelLoad {
+    /// The model, or the name of a plain service.
+    pub model: ModelId,
+    /// Requests that the endpoints run at a time, less those of endpoints that take none.
+    pub slots: u32,
+    /// Requests running or queued.
+    pub load: u32,
+}
+
+/// What a failure domain tells the others about itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DomainSummary {
+    /// The domain.
+    pub domain: DomainId,
+    /// Its load by model.
+    pub models: Vec<ModelLoad>,
+    /// Some of its live VMs.
+    pub vms: Vec<VmRow>,
+    /// How old the figures were when they were received.
+    pub age: Millis,
+}
--- /dev/null
+++ b/crates/sw-member/src/lib.rs
@@ -0,0 +1,16 @@
+//! Which VMs and endpoints there are, and which of them are leaving.
+//!
+//! [`Members`] is a decision core: it is told what was heard and when, and derives from it who is live, who polls an
+//! endpoint, which VMs speak for a failure domain and which entry VMs a caller should use. Sets are chosen by
+//! rendezvous hashing over the VMs that are heard, so VMs that hear the same neighbours choose alike without
+//! agreement, and a VM that hears nobody chooses itself.
+
+mod leaving;
+mod members;
+mod rendezvous;
+mod types;
+
+pub use leaving::Leaving;
+pub use members::{Members, Options};
+pub use rendezvous::{score, top};
+pub use types::{EndpointLife, VmRow, VmState};
--- /dev/null
+++ b/crates/sw-member/src/types.rs
@@ -0,0 +1,46 @@
+//! Rows that VMs exchange.
+
+use std::net::SocketAddr;
+
+use sw_unit::{DomainId, EndpointId, Incarnation, RegionId, Version, VmId};
+
+/// What a VM says about itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VmRow {
+    /// The VM.
+    pub vm: VmId,
+    /// Its life; a restart has a higher number.
+    pub incarnation: Incarnation,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Its region.
+    pub region: RegionId,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where other VMs connect.
+    pub peer_listen: SocketAddr,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// The configuration that it runs.
+    pub version: Version,
+}
+
+/// How a VM is seen from here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum VmState {
+    /// Heard lately.
+    Live,
+    /// Not heard lately; no new work goes there.
+    Suspect,
+    /// Stopping.
+    Leaving,
+}
+
+/// One life of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct EndpointLife {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its life; a restart has a higher number.
+    pub incarnation: Incarnation,
+}
--- /dev/null
+++ b/crates/sw-peer/schema/peer.capnp
@@ -0,0 +1,87 @@
+@0xd3b1f0c2a6e94871;
+# Remote calls between the VMs of one fleet.
+
+struct VmRow {
+  vm @0 :Text;
+  incarnation @1 :UInt64;
+  domain @2 :Text;
+  region @3 :Text;
+  listen @4 :Text;
+  peerListen @5 :Text;
+  leaving @6 :Bool;
+  version @7 :UInt64;
+}
+
+struct EndpointLife {
+  endpoint @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct Report {
+  endpoint @0 :Text;
+  incarnation @1 :UInt64;
+  running @2 :UInt32;
+  queued @3 :UInt32;
+  leaving @4 :Bool;
+  ageMs @5 :UInt64;
+}
+
+struct ModelLoad {
+  model @0 :Text;
+  slots @1 :UInt32;
+  load @2 :UInt32;
+}
+
+struct DomainSummary {
+  domain @0 :Text;
+  models @1 :List(ModelLoad);
+  vms @2 :List(VmRow);
+  ageMs @3 :UInt64;
+}
+
+struct Heartbeat {
+  from @0 :VmRow;
+  membersDigest @1 :UInt64;
+  members @2 :List(VmRow);
+  leaving @3 :List(EndpointLife);
+  reports @4 :List(Report);
+  summaries @5 :List(DomainSummary);
+}
+
+struct Envelope {
+  request @0 :Text;
+  workspace @1 :Text;
+  route @2 :Text;
+  version @3 :UInt64;
+  leftMs @4 :UInt64;
+  hops @5 :UInt32;
+  purpose @6 :Text;
+  ticket @7 :Text;
+  method @8 :Text;
+  path @9 :Text;
+  contentType @10 :Text;
+}
+
+struct Refusal {
+  kind @0 :Text;
+  retryAfterMs @1 :UInt64;
+  hasRetryAfter @2 :Bool;
+}
+
+struct Configuration {
+  version @0 :UInt64;
+  digest @1 :Data;
+  text @2 :Text;
+}
+
+interface Sink {
+  head @0 (status :UInt16, contentType :Text) -> ();
+  chunk @1 (data :Data) -> ();
+}
+
+interface Peer {
+  greet @0 (heartbeat :Heartbeat) -> (heartbeat :Heartbeat);
+  configuration @1 () -> (configuration :Configuration);
+  forward @2 (envelope :Envelope, body :Data, sink :Sink) -> (length :UInt64, refused :Bool, refusal :Refusal);
+  lookUp @3 (workspace :Text, ticket :Text) -> (known :Bool, begin :Text);
+}
--- /dev/null
+++ b/crates/sw-peer/src/client.rs
@@ -0,0 +1,216 @@
+//! Outgoing calls.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use capnp::capability::Rc;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+use crate::peer_capnp::{peer, sink};
+use crate::{Event, Forward, PeerError, convert};
+use sw_gate::{Heartbeat, Offer};
+use sw_once::{Standing, Ticket};
+use sw_unit::WorkspaceId;
+
+/// Time for a connection to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for a short call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// A connection that answered this lately is taken to work.
+const PROVEN: Duration = Duration::from_millis(1_500);
+
+struct Link {
+    client: peer::Client,
+    answered: Cell<Instant>,
+}
+
+/// Connections to other VMs; a connection with a call that failed or timed out is never used again.
+#[derive(Clone, Default)]
+pub(crate) struct Client {
+    links: Rc<RefCell<HashMap<SocketAddr, Rc<Link>>>>,
+}
+
+impl Client {
+    /// Sends a heartbeat and returns the other VM's.
+    pub(crate) async fn greet(&self, address: SocketAddr, heartbeat: Heartbeat) -> Result<Heartbeat, PeerError> {
+        let call = async |link: &Link| {
+            let mut request = link.client.greet_request();
+            convert::set_heartbeat(request.get().init_heartbeat(), &heartbeat);
+            let response = request.send().promise.await?;
+            convert::heartbeat(response.get()?.get_heartbeat()?)
+        };
+        self.call(address, call).await
+    }
+
+    /// The configuration in force at another VM.
+    pub(crate) async fn configuration(&self, address: SocketAddr) -> Result<Option<Offer>, PeerError> {
+        let call = async |link: &Link| {
+            let response = link.client.configuration_request().send().promise.await?;
+            convert::offer(response.get()?.get_configuration()?)
+        };
+        self.call(address, call).await
+    }
+
+    /// What another VM knows of a request.
+    pub(crate) async fn look_up(
+        &self,
+        address: SocketAddr,
+        workspace: WorkspaceId,
+        ticket: Ticket,
+    ) -> Result<Option<Standing>, PeerError> {
+        let call = async |link: &Link| {
+            let mut request = link.client.look_up_request();
+            request.get().set_workspace(workspace.as_str());
+            request.get().set_ticket(ticket.to_string().as_str());
+            let response = request.send().promise.await?;
+            let results = response.get()?;
+            if results.get_known() {
+                convert::parse(results.get_begin()).map(Some)
+            } else {
+                Ok(None)
+            }
+        };
+        self.call(address, call).await
+    }
+
+    /// Forwards a request; its answer goes to `events`, and it is given up when they are closed.
+    ///
+    /// A connection is reused only if it answered lately; `fresh` asks for a new one in any case.
+    pub(crate) async fn forward(
+        &self,
+        address: SocketAddr,
+        forward: Forward,
+        fresh: bool,
+        events: mpsc::Sender<Event>,
+    ) {
+        let proven = self
+            .link(address)
+            .filter(|link| !fresh && link.answered.get().elapsed() < PROVEN);
+        let link = match proven {
+            Some(link) => Ok(link),
+            None => connect(address).await,
+        };
+        let Ok(link) = link else {
+            self.links.borrow_mut().remove(&address);
+            let _closed = events.send(Event::NotSent).await;
+            return;
+        };
+        let received = Rc::new(Cell::new(0));
+        let sink = Sink {
+            events: events.clone(),
+            received: Rc::clone(&received),
+        };
+        let mut request = link.client.forward_request();
+        convert::set_envelope(request.get().init_envelope(), &forward);
+        request.get().set_body(&forward.body);
+        request.get().set_sink(capnp_rpc::new_client(sink));
+        let response = tokio::select! {
+            response = request.send().promise => response,
+            () = events.closed() => return,
+        };
+        let end = response.and_then(|response| {
+            let results = response.get()?;
+            if results.get_refused() {
+                return Ok(Err(convert::refusal(results.get_refusal()?)?));
+            }
+            if results.get_length() != received.get() {
+                return Err(capnp::Error::failed("parts of the answer are missing".to_owned()));
+            }
+            Ok(Ok(()))
+        });
+        match end {
+            Ok(end) => {
+                link.answered.set(Instant::now());
+                let _closed = events.send(Event::End(end)).await;
+            }
+            Err(_broken) => self.forget(address, &link),
+        }
+    }
+
+    fn link(&self, address: SocketAddr) -> Option<Rc<Link>> {
+        self.links.borrow().get(&address).cloned()
+    }
+
+    fn forget(&self, address: SocketAddr, link: &Rc<Link>) {
+        let mut links = self.links.borrow_mut();
+        if links.get(&address).is_some_and(|known| Rc::ptr_eq(known, link)) {
+            links.remove(&address);
+        }
+    }
+
+    async fn call<T>(
+        &self,
+        address: SocketAddr,
+        call: impl AsyncFnOnce(&Link) -> Result<T, capnp::Error>,
+    ) -> Result<T, PeerError> {
+        let link = match self.link(address) {
+            Some(link) => link,
+            None => self.open(address).await?,
+        };
+        if let Ok(Ok(answer)) = tokio::time::timeout(CALL_TIMEOUT, call(&link)).await {
+            link.answered.set(Instant::now());
+            return Ok(answer);
+        }
+        self.forget(address, &link);
+        Err(PeerError)
+    }
+
+    async fn open(&self, address: SocketAddr) -> Result<Rc<Link>, PeerError> {
+        let link = connect(address).await?;
+        self.links.borrow_mut().insert(address, Rc::clone(&link));
+        Ok(link)
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Rc<Link>, PeerError> {
+    let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let stream = connect
+        .await
+        .map_err(|_elapsed| PeerError)?
+        .map_err(|_refused| PeerError)?;
+    stream.set_nodelay(true).map_err(|_closed| PeerError)?;
+    let mut system = RpcSystem::new(Box::new(crate::server::network(stream, Side::Client)), None);
+    let client = system.bootstrap(Side::Server);
+    tokio::task::spawn_local(system);
+    Ok(Rc::new(Link {
+        client,
+        answered: Cell::new(Instant::now()),
+    }))
+}
+
+/// Receives the parts of an answer.
+struct Sink {
+    events: mpsc::Sender<Event>,
+    received: Rc<Cell<u64>>,
+}
+
+impl sink::Server for Sink {
+    async fn head(self: Rc<Self>, params: sink::HeadParams, _: sink::HeadResults) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let content_type = convert::parse(params.get_content_type())?;
+        self.pass(Event::Head {
+            status: params.get_status(),
+            content_type,
+        })
+        .await
+    }
+
+    async fn chunk(self: Rc<Self>, params: sink::ChunkParams, _: sink::ChunkResults) -> Result<(), capnp::Error> {
+        let data = Bytes::copy_from_slice(params.get()?.get_data()?);
+        self.received.set(self.received.get() + data.len() as u64);
+        self.pass(Event::Chunk(data)).await
+    }
+}
+
+impl Sink {
+    async fn pass(&self, event: Event) -> Result<(), capnp::Error> {
+        let sent = self.events.send(event).await;
+        sent.map_err(|_closed| capnp::Error::failed("the request was given up".to_owned()))
+    }
+}
--- /dev/null
+++ b/crates/sw-peer/src/convert.rs
@@ -0,0 +1,232 @@
+//! Conversion between the wire's structs and the project's types.
+
+use std::fmt::Display;
+use std::str::FromStr;
+
+use capnp::text;
+use sw_error::Refusal;
+use sw_gate::{Envelope, Heartbeat, Offer};
+use sw_load::{DomainSummary, ModelLoad, Report};
+use sw_member::{EndpointLife, VmRow};
+use sw_unit::{Digest, Incarnation, Millis, Version};
+
+use crate::Forward;
+use crate::peer_capnp as wire;
+
+type Result<T> = std::result::Result<T, capnp::Error>;
+
+/// Parses a text field.
+pub(crate) fn parse<T: FromStr<Err: Display>>(text: Result<text::Reader<'_>>) -> Result<T> {
+    let text = text?.to_str()?;
+    text.parse()
+        .map_err(|error: T::Err| capnp::Error::failed(error.to_string()))
+}
+
+fn text(text: Result<text::Reader<'_>>) -> Result<String> {
+    Ok(text?.to_str()?.to_owned())
+}
+
+fn len<T>(items: &[T]) -> u32 {
+    u32::try_from(items.len()).unwrap_or(u32::MAX)
+}
+
+fn set_vm_row(mut to: wire::vm_row::Builder<'_>, row: &VmRow) {
+    to.set_vm(row.vm.as_str());
+    to.set_incarnation(row.incarnation.0);
+    to.set_domain(row.domain.as_str());
+    to.set_region(row.region.as_str());
+    to.set_listen(row.listen.to_string().as_str());
+    to.set_peer_listen(row.peer_listen.to_string().as_str());
+    to.set_leaving(row.leaving);
+    to.set_version(row.version.0);
+}
+
+fn vm_row(from: wire::vm_row::Reader<'_>) -> Result<VmRow> {
+    Ok(VmRow {
+        vm: parse(from.get_vm())?,
+        incarnation: Incarnation(from.get_incarnation()),
+        domain: parse(from.get_domain())?,
+        region: parse(from.get_region())?,
+        listen: parse(from.get_listen())?,
+        peer_listen: parse(from.get_peer_listen())?,
+        leaving: from.get_leaving(),
+        version: Version(from.get_version()),
+    })
+}
+
+fn set_report(mut to: wire::report::Builder<'_>, report: &Report) {
+    to.set_endpoint(report.endpoint.as_str());
+    to.set_incarnation(report.incarnation.0);
+    to.set_running(report.running);
+    to.set_queued(report.queued);
+    to.set_leaving(report.leaving);
+    to.set_age_ms(report.age.0);
+}
+
+fn report(from: wire::report::Reader<'_>) -> Result<Report> {
+    Ok(Report {
+        endpoint: parse(from.get_endpoint())?,
+        incarnation: Incarnation(from.get_incarnation()),
+        running: from.get_running(),
+        queued: from.get_queued(),
+        leaving: from.get_leaving(),
+        age: Millis(from.get_age_ms()),
+    })
+}
+
+fn set_summary(mut to: wire::domain_summary::Builder<'_>, summary: &DomainSummary) {
+    to.set_domain(summary.domain.as_str());
+    to.set_age_ms(summary.age.0);
+    let mut models = to.reborrow().init_models(len(&summary.models));
+    for (index, load) in (0..).zip(&summary.models) {
+        let mut row = models.reborrow().get(index);
+        row.set_model(load.model.as_str());
+        row.set_slots(load.slots);
+        row.set_load(load.load);
+    }
+    let mut vms = to.init_vms(len(&summary.vms));
+    for (index, row) in (0..).zip(&summary.vms) {
+        set_vm_row(vms.reborrow().get(index), row);
+    }
+}
+
+fn summary(from: wire::domain_summary::Reader<'_>) -> Result<DomainSummary> {
+    let model = |row: wire::model_load::Reader<'_>| {
+        Ok(ModelLoad {
+            model: parse(row.get_model())?,
+            slots: row.get_slots(),
+            load: row.get_load(),
+        })
+    };
+    Ok(DomainSummary {
+        domain: parse(from.get_domain())?,
+        models: from.get_models()?.iter().map(model).collect::<Result<_>>()?,
+        vms: from.get_vms()?.iter().map(vm_row).collect::<Result<_>>()?,
+        age: Millis(from.get_age_ms()),
+    })
+}
+
+/// Writes a heartbeat.
+pub(crate) fn set_heartbeat(mut to: wire::heartbeat::Builder<'_>, heartbeat: &Heartbeat) {
+    set_vm_row(to.reborrow().init_from(), &heartbeat.from);
+    to.set_members_digest(heartbeat.members_digest);
+    let mut members = to.reborrow().init_members(len(&heartbeat.members));
+    for (index, row) in (0..).zip(&heartbeat.members) {
+        set_vm_row(members.reborrow().get(index), row);
+    }
+    let mut leaving = to.reborrow().init_leaving(len(&heartbeat.leaving));
+    for (index, life) in (0..).zip(&heartbeat.leaving) {
+        let mut row = leaving.reborrow().get(index);
+        row.set_endpoint(life.endpoint.as_str());
+        row.set_incarnation(life.incarnation.0);
+    }
+    let mut reports = to.reborrow().init_reports(len(&heartbeat.reports));
+    for (index, report) in (0..).zip(&heartbeat.reports) {
+        set_report(reports.reborrow().get(index), report);
+    }
+    let mut summaries = to.init_summaries(len(&heartbeat.summaries));
+    for (index, summary) in (0..).zip(&heartbeat.summaries) {
+        set_summary(summaries.reborrow().get(index), summary);
+    }
+}
+
+/// Reads a heartbeat.
+pub(crate) fn heartbeat(from: wire::heartbeat::Reader<'_>) -> Result<Heartbeat> {
+    let life = |row: wire::endpoint_life::Reader<'_>| {
+        Ok(EndpointLife {
+            endpoint: parse(row.get_endpoint())?,
+            incarnation: Incarnation(row.get_incarnation()),
+        })
+    };
+    Ok(Heartbeat {
+        from: vm_row(from.get_from()?)?,
+        members_digest: from.get_members_digest(),
+        members: from.get_members()?.iter().map(vm_row).collect::<Result<_>>()?,
+        leaving: from.get_leaving()?.iter().map(life).collect::<Result<_>>()?,
+        reports: from.get_reports()?.iter().map(report).collect::<Result<_>>()?,
+        summaries: from.get_summaries()?.iter().map(summary).collect::<Result<_>>()?,
+    })
+}
+
+/// Writes the envelope of a forwarded request.
+pub(crate) fn set_envelope(mut to: wire::envelope::Builder<'_>, forward: &Forward) {
+    let envelope = &forward.envelope;
+    to.set_request(envelope.request.as_str());
+    to.set_workspace(envelope.workspace.as_str());
+    to.set_route(envelope.route.as_str());
+    to.set_version(envelope.version.0);
+    to.set_left_ms(envelope.left.0);
+    to.set_hops(envelope.hops);
+    to.set_purpose(envelope.purpose.to_string().as_str());
+    if let Some(ticket) = &envelope.ticket {
+        to.set_ticket(ticket.to_string().as_str());
+    }
+    to.set_method(forward.method.as_str());
+    to.set_path(forward.path.as_str());
+    to.set_content_type(forward.content_type.as_str());
+}
+
+/// Reads a forwarded request without its body.
+pub(crate) fn forward(from: wire::envelope::Reader<'_>) -> Result<Forward> {
+    let ticket = if from.has_ticket() {
+        Some(parse(from.get_ticket())?)
+    } else {
+        None
+    };
+    let envelope = Envelope {
+        request: text(from.get_request())?,
+        workspace: parse(from.get_workspace())?,
+        route: parse(from.get_route())?,
+        version: Version(from.get_version()),
+        left: Millis(from.get_left_ms()),
+        hops: from.get_hops(),
+        purpose: parse(from.get_purpose())?,
+        ticket,
+    };
+    Ok(Forward {
+        envelope,
+        method: text(from.get_method())?,
+        path: text(from.get_path())?,
+        content_type: text(from.get_content_type())?,
+        body: bytes::Bytes::new(),
+    })
+}
+
+/// Writes a refusal.
+pub(crate) fn set_refusal(mut to: wire::refusal::Builder<'_>, refusal: Refusal) {
+    let kind: &str = refusal.kind.into();
+    to.set_kind(kind);
+    to.set_has_retry_after(refusal.retry_after.is_some());
+    to.set_retry_after_ms(refusal.retry_after.unwrap_or_default().0);
+}
+
+/// Reads a refusal.
+pub(crate) fn refusal(from: wire::refusal::Reader<'_>) -> Result<Refusal> {
+    let retry_after = from.get_has_retry_after().then(|| Millis(from.get_retry_after_ms()));
+    Ok(Refusal {
+        kind: parse(from.get_kind())?,
+        retry_after,
+    })
+}
+
+/// Writes a configuration.
+pub(crate) fn set_offer(mut to: wire::configuration::Builder<'_>, offer: &Offer) {
+    to.set_version(offer.number.0);
+    to.set_digest(&offer.digest.0);
+    to.set_text(offer.text.as_str());
+}
+
+/// Reads a configuration; `None` if the other VM has none.
+pub(crate) fn offer(from: wire::configuration::Reader<'_>) -> Result<Option<Offer>> {
+    let number = Version(from.get_version());
+    if number == Version(0) {
+        return Ok(None);
+    }
+    let digest = from.get_digest()?.try_into();
+    let digest = digest.map_err(|_wrong_length| capnp::Error::failed("the digest has a wrong length".to_owned()))?;
+    Ok(Some(Offer {
+        number,
+        digest: Digest(digest),
+        text: text(from.get_text())?,
+    }))
+}
--- /dev/null
+++ b/crates/sw-peer/src/lib.rs
@@ -0,0 +1,27 @@
+//! Remote calls between VMs over capnp-rpc.
+//!
+//! capnp-rpc is single-threaded, so all calls run on one thread of their own, which [`start`] spawns. The rest of the
+//! process talks to it through [`Peers`], whose methods may be called from any thread, and answers incoming calls
+//! through a [`Handler`]. `src/peer_capnp.rs` is generated from `schema/peer.capnp` and committed.
+
+mod client;
+mod convert;
+#[allow(
+    missing_docs,
+    missing_debug_implementations,
+    unused_lifetimes,
+    redundant_lifetimes,
+    unused_qualifications,
+    clippy::all,
+    clippy::allow_attributes_without_reason,
+    clippy::pedantic,
+    reason = "generated code"
+)]
+#[rustfmt::skip]
+mod peer_capnp;
+mod server;
+mod service;
+mod types;
+
+pub use service::{Peers, start};
+pub use types::{Event, Forward, Handler, PeerError};
--- /dev/null
+++ b/crates/sw-peer/src/types.rs
@@ -0,0 +1,70 @@
+//! Messages between the peer thread and the rest of the process.
+
+use std::fmt;
+
+use bytes::Bytes;
+use sw_error::Refusal;
+use sw_gate::{Envelope, Heartbeat, Offer};
+use sw_once::{Standing, Ticket};
+use sw_unit::WorkspaceId;
+use tokio::sync::mpsc;
+
+/// A request that is forwarded to another VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Forward {
+    /// What the gate has to know.
+    pub envelope: Envelope,
+    /// The HTTP method.
+    pub method: String,
+    /// The path and query.
+    pub path: String,
+    /// The value of `Content-Type`.
+    pub content_type: String,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A part of the answer to a forwarded request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// The first: status and content type.
+    Head {
+        /// HTTP status.
+        status: u16,
+        /// The value of `Content-Type`.
+        content_type: String,
+    },
+    /// The next part of the body.
+    Chunk(Bytes),
+    /// The last: the answer is whole, or the request is refused.
+    End(Result<(), Refusal>),
+    /// No connection was made, so nothing was sent.
+    NotSent,
+}
+
+/// A call to another VM failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerError;
+
+impl fmt::Display for PeerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the call to the other VM failed")
+    }
+}
+
+impl std::error::Error for PeerError {}
+
+/// Answers calls from other VMs.
+pub trait Handler: Clone + Send + 'static {
+    /// Takes in a heartbeat and returns the own one.
+    fn greet(&self, heartbeat: Heartbeat) -> impl Future<Output = Option<Heartbeat>> + Send;
+
+    /// The configuration in force.
+    fn configuration(&self) -> impl Future<Output = Option<Offer>> + Send;
+
+    /// Begins a forwarded request; its answer goes to `events`, and it is given up when they are closed.
+    fn forward(&self, forward: Forward, events: mpsc::Sender<Event>) -> impl Future<Output = ()> + Send;
+
+    /// What is known of a request.
+    fn look_up(&self, workspace: WorkspaceId, ticket: Ticket) -> impl Future<Output = Option<Standing>> + Send;
+}
--- /dev/null
+++ b/crates/sw-route/src/candidate.rs
@@ -0,0 +1,140 @@
+//! Hard filters and estimates.
+
+use sw_conf::{Fleet, Route, Workspace};
+use sw_load::{Estimate, Loads, PrefixHash, Prefixes};
+use sw_member::{Leaving, Members};
+use sw_unit::{Bytes, Millis, ModelId, RegionId, Time};
+
+use crate::index::Figures;
+use crate::{Candidate, Links, LocalEndpoint, RemoteGroup, RouteIndex, Target};
+
+/// Bytes of a prompt that make a token.
+const BYTES_PER_TOKEN: f64 = 4.0;
+/// Growth of the time between tokens from an empty endpoint to a full one.
+const BATCH_SLOWDOWN: f64 = 1.0;
+const BYTES_PER_GB: f64 = 1e9;
+
+/// What is asked for.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// The configuration.
+    pub fleet: &'a Fleet,
+    /// The route.
+    pub route: &'a Route,
+    /// What the route may use.
+    pub index: &'a RouteIndex,
+    /// The workspace.
+    pub workspace: &'a Workspace,
+    /// The model that the caller names, if it names one.
+    pub model: Option<&'a ModelId>,
+    /// The length of the body.
+    pub len: Bytes,
+    /// Hashes of the prompt's beginnings.
+    pub prefixes: &'a [PrefixHash],
+    /// Targets that were tried already.
+    pub tried: &'a [Target],
+    /// Whether another domain may be chosen.
+    pub may_forward: bool,
+    /// Time until the deadline.
+    pub left: Millis,
+}
+
+/// What is known when the choice is made.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// VMs.
+    pub members: &'a Members,
+    /// Loads.
+    pub loads: &'a Loads,
+    /// Prefix hints.
+    pub prefixes: &'a Prefixes,
+    /// Leaving endpoints.
+    pub leaving: &'a Leaving,
+    /// Links between regions.
+    pub links: &'a Links,
+    /// The time.
+    pub now: Time,
+}
+
+/// Writes to `out` the targets that may be chosen; those that cannot meet the deadline are among them.
+pub fn candidates(ask: &Ask<'_>, view: &View<'_>, out: &mut Vec<Candidate>) {
+    out.clear();
+    let own = &view.members.own().region;
+    let permitted = |region: &RegionId| ask.fleet.permits(ask.route, ask.workspace, region);
+    let vms = view.members.live_count(view.now);
+    let local = ask.index.local.iter().filter(|endpoint| {
+        permitted(&endpoint.region) && ask.model.is_none_or(|model| endpoint.models.contains(model))
+    });
+    out.extend(local.filter(|endpoint| is_usable(endpoint, view)).map(|endpoint| {
+        let estimate = view.loads.estimate(&endpoint.id, endpoint.figures.slots, vms, view.now);
+        local_candidate(ask, view, endpoint, estimate)
+    }));
+    if ask.may_forward {
+        let remote = ask.index.remote.iter().filter(|group| {
+            permitted(own) && permitted(&group.region) && ask.model.is_none_or(|model| group.model == *model)
+        });
+        out.extend(remote.filter_map(|group| remote_candidate(ask, view, group)));
+    }
+    out.retain(|candidate| !ask.tried.contains(&candidate.target));
+}
+
+fn is_usable(endpoint: &LocalEndpoint, view: &View<'_>) -> bool {
+    let life = view.loads.incarnation(&endpoint.id);
+    !view.leaving.contains(&endpoint.id, life) && !view.loads.is_paused(&endpoint.id, view.now)
+}
+
+fn local_candidate(ask: &Ask<'_>, view: &View<'_>, endpoint: &LocalEndpoint, estimate: Estimate) -> Candidate {
+    let held = view.prefixes.held_len(&endpoint.id, ask.prefixes) as u64;
+    let uncached = ask.len.saturating_sub(Bytes(held));
+    let times = times(&endpoint.figures, estimate, uncached);
+    Candidate {
+        target: Target::Endpoint(endpoint.id.clone()),
+        wait: Millis(times.wait as u64),
+        first: Millis((times.wait + times.prefill) as u64),
+        end: Millis((times.wait + times.prefill + times.answer) as u64),
+        price: endpoint.figures.price,
+        remote: false,
+        load: estimate.load / estimate.slots.max(1.0),
+    }
+}
+
+fn remote_candidate(ask: &Ask<'_>, view: &View<'_>, group: &RemoteGroup) -> Option<Candidate> {
+    view.members.live(&group.domain, view.now).next()?;
+    let estimate = view.loads.estimate_remote(&group.domain, &group.model, view.now)?;
+    let own = &view.members.own().region;
+    let link = ask.fleet.link(own, &group.region);
+    let vms = view.members.live_count(view.now);
+    let transfer = link.map_or(Millis(0), |link| {
+        let delay = view
+            .links
+            .delay(&group.region, ask.len, link.bandwidth_mbps.0, vms, view.now);
+        delay + Millis(2 * link.latency.0)
+    });
+    let link_price = link.map_or(0.0, |link| link.price_per_gb.units() * ask.len.0 as f64 / BYTES_PER_GB);
+    let times = times(&group.figures, estimate, ask.len);
+    let wait = times.wait + transfer.0 as f64;
+    Some(Candidate {
+        target: Target::Domain(group.domain.clone()),
+        wait: Millis(wait as u64),
+        first: Millis((wait + times.prefill) as u64),
+        end: Millis((wait + times.prefill + times.answer) as u64),
+        price: group.figures.price + link_price,
+        remote: group.region != *own,
+        load: estimate.load / estimate.slots.max(1.0),
+    })
+}
+
+/// Estimated times in milliseconds.
+struct Times {
+    wait: f64,
+    prefill: f64,
+    answer: f64,
+}
+
+fn times(figures: &Figures, estimate: Estimate, uncached: Bytes) -> Times {
+    let prefill = uncached.0 as f64 / BYTES_PER_TOKEN * figures.prefill_ms;
+    let fullness = (estimate.load / estimate.slots.max(1.0)).min(1.0);
+    let answer = figures.answer_ms * (1.0 + BATCH_SLOWDOWN * fullness);
+    let wait = estimate.turns() * (prefill + answer);
+    Times { wait, prefill, answer }
+}
--- /dev/null
+++ b/crates/sw-route/src/lib.rs
@@ -0,0 +1,18 @@
+//! The choice of an endpoint, or of another failure domain, for a request.
+//!
+//! [`Index`] holds, for one version of the configuration, which endpoints and domains a route may use at all.
+//! [`candidates`] applies the hard filters (regions, leaving, paused, deadline) and estimates for each one that is
+//! left the wait, the time to the first token and to the end, and the price. A [`Policy`] picks one of them:
+//! [`Weighted`] is the one that the daemon uses, the others are baselines to measure it against.
+
+mod candidate;
+mod index;
+mod link;
+mod policy;
+mod types;
+
+pub use candidate::{Ask, View, candidates};
+pub use index::{Figures, Index, LocalEndpoint, RemoteGroup, RouteIndex, summary_keys};
+pub use link::Links;
+pub use policy::{LeastLoad, LocalOnly, Policy, RoundRobin, Weighted};
+pub use types::{Candidate, Reason, Target};
--- /dev/null
+++ b/crates/sw-standin/src/deployment.rs
@@ -0,0 +1,278 @@
+//! A whole small deployment on loopback, but for the VMs of the system themselves.
+//!
+//! It starts the stand-ins and writes the fleet configuration and the settings of each VM, for whoever starts the
+//! VMs: `shallotwing try` within its own process, tests as processes.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::time::Duration;
+
+use sw_conf::{Builder, EndpointOptions, RouteOptions, WorkspaceOptions};
+use sw_engine::Options;
+
+use crate::{EngineOptions, Ledger, Link, StandinEngine, StandinPlatform, StandinService, StandinStore};
+
+/// The bearer key of the deployment's workspace `registry`.
+pub const KEY: &str = "registry-key";
+const REGIONS: [&str; 3] = ["lahore", "multan", "hyderabad"];
+const MODEL: &str = "registry-7b";
+
+/// What a deployment is like.
+#[derive(Debug, Clone, Copy)]
+pub struct DeploymentOptions {
+    /// Regions, of one failure domain each; up to three.
+    pub regions: usize,
+    /// Entry VMs in each failure domain.
+    pub vms: usize,
+    /// Model engines in each failure domain.
+    pub engines: usize,
+    /// The capacity of a model engine.
+    pub engine: Options,
+    /// Delay of each way between VMs; `None` connects them without links.
+    pub link_delay: Option<Duration>,
+}
+
+impl Default for DeploymentOptions {
+    fn default() -> Self {
+        Self {
+            regions: 3,
+            vms: 1,
+            engines: 1,
+            engine: Options::default(),
+            link_delay: None,
+        }
+    }
+}
+
+/// A VM to be started.
+#[derive(Debug)]
+pub struct VmPlan {
+    /// Its id.
+    pub vm: String,
+    /// Its region, which is also its failure domain.
+    pub region: String,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where operators connect.
+    pub operator_listen: SocketAddr,
+    /// Its settings, in INI.
+    pub settings: String,
+    /// The link that other VMs reach it through, if there are links.
+    pub link: Option<Link>,
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Deployment {
+    /// The key-value service.
+    pub store: StandinStore,
+    /// The directory and VM list.
+    pub platform: StandinPlatform,
+    /// The link that VMs reach the key-value service through.
+    pub store_link: Link,
+    /// Model engines, by region.
+    pub engines: Vec<StandinEngine>,
+    /// Plain services, one in each region.
+    pub services: Vec<StandinService>,
+    /// What all endpoints ran.
+    pub ledger: Ledger,
+    /// The fleet configuration, in INI.
+    pub fleet: String,
+    /// The VMs to be started, by region.
+    pub vms: Vec<VmPlan>,
+}
+
+/// A loopback address with a port that was free a moment ago.
+///
+/// # Errors
+///
+/// Returns an error if there is none.
+pub fn free_address() -> std::io::Result<SocketAddr> {
+    TcpListener::bind(any_port())?.local_addr()
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+impl Deployment {
+    /// Starts the stand-ins and plans the VMs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound.
+    pub async fn start(options: DeploymentOptions) -> std::io::Result<Self> {
+        let regions = &REGIONS[..options.regions.clamp(1, REGIONS.len())];
+        let ledger = Ledger::default();
+        let store = StandinStore::start(any_port()).await?;
+        let platform = StandinPlatform::start(any_port()).await?;
+        let store_link = Link::start(any_port(), store.address(), Duration::ZERO).await?;
+        let mut engines = Vec::new();
+        let mut services = Vec::new();
+        for region in regions {
+            for number in 1..=options.engines {
+                let name = format!("engine-{region}-{number}");
+                let engine = EngineOptions {
+                    model: options.engine,
+                    incarnation: 1,
+                };
+                engines.push(StandinEngine::start(any_port(), &name, region, engine, ledger.clone()).await?);
+            }
+            let name = format!("ledger-{region}");
+            services.push(StandinService::start(any_port(), &name, region, 1, ledger.clone()).await?);
+        }
+        let fleet = fleet(regions, &options, &engines, &services);
+        let vms = plan_vms(regions, &options, store_link.address(), platform.address()).await?;
+        Ok(Self {
+            store,
+            platform,
+            store_link,
+            engines,
+            services,
+            ledger,
+            fleet,
+            vms,
+        })
+    }
+}
+
+fn fleet(
+    regions: &[&str],
+    options: &DeploymentOptions,
+    engines: &[StandinEngine],
+    services: &[StandinService],
+) -> String {
+    let mut builder = Builder::new();
+    builder.objective("2", "1", "0.05").model(MODEL, 14_000_000_000);
+    for region in regions {
+        builder.region(region).domain(region, region);
+    }
+    for (index, a) in regions.iter().enumerate() {
+        for b in &regions[index + 1..] {
+            builder.link([a, b], 2_000, 15, "0.02");
+        }
+    }
+    let engine_options = EndpointOptions {
+        models: &[MODEL],
+        slots: Some(options.engine.slots),
+        token_ms: Some(options.engine.token_time.0 as u32),
+        price: Some("0.4"),
+        ..EndpointOptions::default()
+    };
+    for (index, engine) in engines.iter().enumerate() {
+        let region = regions[index / options.engines.max(1)];
+        let id = format!("engine-{region}-{}", index % options.engines.max(1) + 1);
+        builder.endpoint(&id, region, &engine.address().to_string(), &engine_options);
+    }
+    let service_options = EndpointOptions {
+        kind: "service",
+        slots: Some(64),
+        token_ms: Some(20),
+        ..EndpointOptions::default()
+    };
+    for (region, service) in regions.iter().zip(services) {
+        builder.endpoint(
+            &format!("ledger-{region}"),
+            region,
+            &service.address().to_string(),
+            &service_options,
+        );
+    }
+    add_routes(&mut builder, regions);
+    builder.to_string()
+}
+
+fn add_routes(builder: &mut Builder, regions: &[&str]) {
+    let services: Vec<String> = regions.iter().map(|region| format!("ledger-{region}")).collect();
+    let services: Vec<&str> = services.iter().map(String::as_str).collect();
+    builder.class("question", "1", 16).class("payment", "3", 1);
+    let question = RouteOptions {
+        class: "question",
+        models: &[MODEL],
+        regions,
+        worth: Some("1"),
+        deadline_ms: 10_000,
+        idempotent: true,
+        ..RouteOptions::default()
+    };
+    let payment = RouteOptions {
+        class: "payment",
+        services: &services,
+        regions,
+        worth: Some("5"),
+        deadline_ms: 8_000,
+        ..RouteOptions::default()
+    };
+    builder.route("question", &question).route("payment", &payment);
+    builder.route(
+        "question-home",
+        &RouteOptions {
+            regions: &regions[..1],
+            ..question.clone()
+        },
+    );
+    builder.route(
+        "payment-home",
+        &RouteOptions {
+            regions: &regions[..1],
+            services: &services[..1],
+            ..payment
+        },
+    );
+    let routes = ["question", "payment", "question-home", "payment-home"];
+    builder.workspace(
+        "registry",
+        &WorkspaceOptions {
+            key: KEY,
+            quota_per_s: 5_000,
+            home: None,
+            routes: &routes,
+        },
+    );
+    let other = WorkspaceOptions {
+        key: "other-key",
+        quota_per_s: 1,
+        home: None,
+        routes: &routes[..1],
+    };
+    builder.workspace("other", &other);
+}
+
+async fn plan_vms(
+    regions: &[&str],
+    options: &DeploymentOptions,
+    store: SocketAddr,
+    platform: SocketAddr,
+) -> std::io::Result<Vec<VmPlan>> {
+    let mut vms = Vec::new();
+    let mut seeds: Vec<SocketAddr> = Vec::new();
+    for region in regions {
+        for number in 1..=options.vms {
+            let peer_listen = free_address()?;
+            let link = match options.link_delay {
+                None => None,
+                Some(delay) => Some(Link::start(any_port(), peer_listen, delay).await?),
+            };
+            let advertised = link.as_ref().map_or(peer_listen, Link::address);
+            let (listen, operator_listen) = (free_address()?, free_address()?);
+            let vm = format!("{region}-{number}");
+            let known: Vec<_> = seeds.iter().map(SocketAddr::to_string).collect();
+            let settings = format!(
+                "[vm]\nid = {vm}\ndomain = {region}\nregion = {region}\nlisten = {listen}\n\
+                 peer_listen = {peer_listen}\npeer_advertise = {advertised}\noperator_listen = {operator_listen}\n\
+                 seeds = {}\n\n[platform]\nstore = {store}\ndirectory = {platform}\nvm_list = {platform}\n\n\
+                 [limits]\nentry_ttl_ms = 500\n",
+                known.join(", "),
+            );
+            seeds.push(advertised);
+            vms.push(VmPlan {
+                vm,
+                region: (*region).to_owned(),
+                listen,
+                operator_listen,
+                settings,
+                link,
+            });
+        }
+    }
+    Ok(vms)
+}
--- /dev/null
+++ b/crates/sw-standin/src/engine.rs
@@ -0,0 +1,361 @@
+//! A model engine over HTTP, in the OpenAI format.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Request, Response};
+use serde_json::{Value, json};
+use sw_engine::{Emission, Engine, Job, JobId, LoadReport, Options};
+use sw_http::{REQUEST_ID_HEADER, channel, json_answer, read_body};
+use sw_unit::{Time, Tokens};
+use tokio::sync::mpsc;
+
+use crate::Server;
+use crate::ledger::{Ledger, Run};
+use crate::server::{Handle, Reply};
+
+const MAX_BODY: u64 = 16 << 20;
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+const DRIVE_PERIOD: Duration = Duration::from_millis(2);
+const BYTES_PER_TOKEN: u64 = 4;
+const BLOCK_BYTES: usize = 1_024;
+const DEFAULT_TOKENS: u64 = 16;
+const PERIOD_OF_LOAD: Duration = Duration::from_millis(200);
+
+/// What an engine is like.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct EngineOptions {
+    /// Its capacity.
+    pub model: Options,
+    /// Its life.
+    pub incarnation: u64,
+}
+
+/// Faults of an engine.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct EngineFaults {
+    /// Streams are cut, without their end, after this many tokens.
+    pub cut_after: Option<u64>,
+    /// Streams fall silent after this many tokens.
+    pub silent_after: Option<u64>,
+    /// Answers carry the id of another request.
+    pub crossed_ids: bool,
+    /// Whether it reports that it is leaving.
+    pub leaving: bool,
+    /// Whether load reports are refused.
+    pub no_reports: bool,
+}
+
+#[derive(Debug)]
+struct State {
+    name: String,
+    region: String,
+    ledger: Ledger,
+    options: EngineOptions,
+    faults: Mutex<EngineFaults>,
+    engine: Mutex<Core>,
+    start: Instant,
+}
+
+#[derive(Debug)]
+struct Core {
+    engine: Engine,
+    next_job: u64,
+    readers: HashMap<JobId, mpsc::UnboundedSender<Emission>>,
+    report: (LoadReport, Instant),
+}
+
+/// A model engine.
+#[derive(Debug)]
+pub struct StandinEngine {
+    state: Arc<State>,
+    server: Server,
+}
+
+/// The tokens of the answer to a prompt; they follow from the body alone, so a reader can check them.
+pub fn answer_tokens(body: &[u8], count: u64) -> Vec<String> {
+    let seed = body.iter().fold(17_u64, |hash, byte| {
+        hash.wrapping_mul(31).wrapping_add(u64::from(*byte))
+    });
+    (0..count)
+        .map(|index| format!("w{}", seed.wrapping_add(index) % 10_007))
+        .collect()
+}
+
+impl StandinEngine {
+    /// Starts it on `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn start(
+        address: SocketAddr,
+        name: &str,
+        region: &str,
+        options: EngineOptions,
+        ledger: Ledger,
+    ) -> std::io::Result<Self> {
+        let report = LoadReport {
+            incarnation: options.incarnation,
+            running: 0,
+            queued: 0,
+            leaving: false,
+            age_ms: 0,
+        };
+        let core = Core {
+            engine: Engine::new(options.model),
+            next_job: 0,
+            readers: HashMap::new(),
+            report: (report, Instant::now()),
+        };
+        let state = Arc::new(State {
+            name: name.to_owned(),
+            region: region.to_owned(),
+            ledger,
+            options,
+            faults: Mutex::default(),
+            engine: Mutex::new(core),
+            start: Instant::now(),
+        });
+        let server = Server::start(address, Arc::clone(&state)).await?;
+        tokio::spawn(drive(Arc::downgrade(&state)));
+        Ok(Self { state, server })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Changes its faults.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        *self.state.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
+    }
+
+    /// Requests that run and that wait.
+    pub fn load(&self) -> (u32, u32) {
+        self.state.core().engine.load()
+    }
+}
+
+/// Advances the engine by the real clock until it is dropped.
+async fn drive(state: std::sync::Weak<State>) {
+    let mut emissions = Vec::new();
+    loop {
+        tokio::time::sleep(DRIVE_PERIOD).await;
+        let Some(state) = state.upgrade() else {
+            return;
+        };
+        let now = state.now();
+        let mut core = state.core();
+        core.engine.advance(now, &mut emissions);
+        for emission in emissions.drain(..) {
+            let gone = core
+                .readers
+                .get(&emission.job)
+                .is_none_or(|reader| reader.send(emission).is_err());
+            if gone || emission.last {
+                core.readers.remove(&emission.job);
+                core.engine.cancel(emission.job);
+            }
+        }
+        if core.report.1.elapsed() >= PERIOD_OF_LOAD {
+            let (running, queued) = core.engine.load();
+            core.report = (
+                LoadReport {
+                    running,
+                    queued,
+                    ..core.report.0
+                },
+                Instant::now(),
+            );
+        }
+    }
+}
+
+impl State {
+    fn core(&self) -> MutexGuard<'_, Core> {
+        self.engine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn faults(&self) -> EngineFaults {
+        *self.faults.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self) -> Time {
+        Time(self.start.elapsed().as_millis() as u64)
+    }
+
+    fn load_report(&self) -> Reply {
+        let faults = self.faults();
+        if faults.no_reports {
+            return Reply::Close;
+        }
+        let (report, at) = self.core().report;
+        let age_ms = at.elapsed().as_millis() as u64;
+        Reply::Answer(json_answer(
+            200,
+            &LoadReport {
+                leaving: faults.leaving,
+                age_ms,
+                ..report
+            },
+        ))
+    }
+
+    fn submit(&self, body: &[u8], tokens: u64) -> mpsc::UnboundedReceiver<Emission> {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let now = self.now();
+        let mut core = self.core();
+        let id = JobId(core.next_job);
+        core.next_job += 1;
+        core.readers.insert(id, tx);
+        let job = Job {
+            id,
+            blocks: block_hashes(body),
+            prompt: Tokens(body.len() as u64 / BYTES_PER_TOKEN),
+            answer: Tokens(tokens),
+            priority: 0,
+        };
+        core.engine.submit(job, now);
+        rx
+    }
+
+    async fn complete(&self, req: Request<Incoming>) -> Reply {
+        let mut request = header(&req, REQUEST_ID_HEADER);
+        let offset = header(&req, "shallotwing-resume-offset").parse().unwrap_or(0);
+        let vm = header(&req, "shallotwing-vm");
+        let Ok(body) = read_body(req.into_body(), MAX_BODY, BODY_TIMEOUT).await else {
+            return Reply::Close;
+        };
+        let value: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let tokens = value["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS);
+        let words = answer_tokens(&body, tokens);
+        let (endpoint, region) = (self.name.clone(), self.region.clone());
+        self.ledger.record(Run {
+            endpoint,
+            region,
+            request: request.clone(),
+            vm,
+            body: body.to_vec(),
+        });
+        let faults = self.faults();
+        if faults.crossed_ids {
+            request.push_str("-other");
+        }
+        let emissions = self.submit(&body, tokens.saturating_sub(offset));
+        let streamed = value["stream"].as_bool().unwrap_or(false);
+        let answer = Answer {
+            request: request.clone(),
+            words,
+            offset,
+            faults,
+        };
+        let mut response = if streamed {
+            answer.stream(emissions)
+        } else {
+            answer.whole(emissions).await
+        };
+        if let (Ok(id), Reply::Answer(response)) = (HeaderValue::from_str(&request), &mut response) {
+            response.headers_mut().insert(REQUEST_ID_HEADER, id);
+        }
+        response
+    }
+}
+
+impl Handle for State {
+    async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Reply {
+        match req.uri().path() {
+            "/load" => self.load_report(),
+            "/v1/chat/completions" | "/v1/completions" => self.complete(req).await,
+            _ => Reply::Answer(json_answer(404, &json!({ "incarnation": self.options.incarnation }))),
+        }
+    }
+}
+
+/// An answer that is being made.
+struct Answer {
+    request: String,
+    words: Vec<String>,
+    offset: u64,
+    faults: EngineFaults,
+}
+
+impl Answer {
+    /// Makes the whole answer, then sends it.
+    async fn whole(self, mut emissions: mpsc::UnboundedReceiver<Emission>) -> Reply {
+        while let Some(emission) = emissions.recv().await {
+            let made = emission.index + 1;
+            if self.faults.cut_after.is_some_and(|limit| made >= limit) {
+                return Reply::Close;
+            }
+            if self.faults.silent_after.is_some_and(|limit| made >= limit) {
+                std::future::pending::<()>().await;
+            }
+        }
+        let message = json!({ "role": "assistant", "content": self.words.join(" ") });
+        let choice = json!({ "index": 0, "message": message, "finish_reason": "stop" });
+        let body = json!({ "id": self.request, "object": "chat.completion", "choices": [choice] });
+        Reply::Answer(json_answer(200, &body))
+    }
+
+    /// Sends each token as it is made.
+    fn stream(self, mut emissions: mpsc::UnboundedReceiver<Emission>) -> Reply {
+        let (tx, body) = channel();
+        tokio::spawn(async move {
+            while let Some(emission) = emissions.recv().await {
+                if self.faults.cut_after.is_some_and(|limit| emission.index >= limit) {
+                    return;
+                }
+                if self.faults.silent_after.is_some_and(|limit| emission.index >= limit) {
+                    tx.closed().await;
+                    return;
+                }
+                if tx.send(Ok(self.event(emission.index + self.offset))).await.is_err() {
+                    return;
+                }
+                if emission.last {
+                    let _gone = tx.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
+                }
+            }
+        });
+        let mut response = Response::new(body);
+        response
+            .headers_mut()
+            .insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        Reply::Answer(response)
+    }
+
+    fn event(&self, index: u64) -> Bytes {
+        let word = self.words.get(index as usize).map_or("", String::as_str);
+        let delta = json!({ "content": word });
+        let choice = json!({ "index": 0, "delta": delta });
+        let chunk = json!({ "id": self.request, "object": "chat.completion.chunk", "choices": [choice] });
+        Bytes::from(format!("data: {chunk}\n\n"))
+    }
+}
+
+/// The value of a header, or the empty text.
+pub(crate) fn header(req: &Request<Incoming>, name: &str) -> String {
+    req.headers()
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .to_owned()
+}
+
+fn block_hashes(body: &[u8]) -> Vec<u64> {
+    let mut hash = 17_u64;
+    let blocks = body.chunks_exact(BLOCK_BYTES).map(|block| {
+        hash = block
+            .iter()
+            .fold(hash, |hash, byte| hash.wrapping_mul(31).wrapping_add(u64::from(*byte)));
+        hash
+    });
+    blocks.collect()
+}
--- /dev/null
+++ b/crates/sw-standin/src/lib.rs
@@ -0,0 +1,23 @@
+//! Small stand-ins for what surrounds the gateway, for tests, `shallotwing try` and measurements.
+//!
+//! Each is a server on loopback that stops when its handle is dropped: a key-value service with outages and lost
+//! answers, a directory and VM list, a model engine, a plain service, and a link that delays, cuts or silences TCP
+//! connections. Endpoints keep a [`Ledger`] of who ran what, which is independent of the gateway's own records.
+
+mod deployment;
+mod engine;
+mod ledger;
+mod link;
+mod platform;
+mod server;
+mod service;
+mod store;
+
+pub use deployment::{Deployment, DeploymentOptions, KEY, VmPlan, free_address};
+pub use engine::{EngineFaults, EngineOptions, StandinEngine, answer_tokens};
+pub use ledger::{Ledger, Run};
+pub use link::{Link, LinkState};
+pub use platform::{ListedEndpoint, ListedVm, StandinPlatform};
+pub use server::Server;
+pub use service::{ServiceFaults, StandinService};
+pub use store::{Snapshot, StandinStore, StoreFaults};
--- /dev/null
+++ b/crates/sw-standin/src/server.rs
@@ -0,0 +1,87 @@
+//! An HTTP server that stops when dropped.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use sw_http::{BodyError, ResponseBody};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// What a handler does with a request.
+#[derive(Debug)]
+pub enum Reply {
+    /// Answer it.
+    Answer(Response<ResponseBody>),
+    /// Close the connection without an answer.
+    Close,
+}
+
+/// Handles requests.
+pub trait Handle: Send + Sync + 'static {
+    /// Handles a request.
+    fn handle(self: Arc<Self>, req: Request<Incoming>) -> impl Future<Output = Reply> + Send;
+}
+
+/// A server on loopback; it and all its connections end when it is dropped.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    _stop: watch::Sender<()>,
+}
+
+impl Server {
+    /// Starts a server on `address`; port 0 takes any free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn start<H: Handle>(address: SocketAddr, handler: Arc<H>) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let (stop, stopped) = watch::channel(());
+        tokio::spawn(accept(listener, handler, stopped));
+        Ok(Self { address, _stop: stop })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+async fn accept<H: Handle>(listener: TcpListener, handler: Arc<H>, mut stopped: watch::Receiver<()>) {
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                tokio::spawn(serve(stream, Arc::clone(&handler), stopped.clone()));
+            }
+            _ = stopped.changed() => return,
+        }
+    }
+}
+
+async fn serve<H: Handle>(stream: TcpStream, handler: Arc<H>, mut stopped: watch::Receiver<()>) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let service = service_fn(|req| {
+        let handler = Arc::clone(&handler);
+        async move {
+            match handler.handle(req).await {
+                Reply::Answer(response) => Ok(response),
+                Reply::Close => Err(BodyError),
+            }
+        }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        _ended = connection => {}
+        _ = stopped.changed() => {}
+    }
+}
--- /dev/null
+++ b/crates/sw-standin/src/service.rs
@@ -0,0 +1,123 @@
+//! A plain service whose calls may not be repeated.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::body::Incoming;
+use serde_json::json;
+use sw_engine::LoadReport;
+use sw_http::{REQUEST_ID_HEADER, json_answer, read_body};
+
+use crate::ledger::{Ledger, Run};
+use crate::server::{Handle, Reply};
+use crate::{Server, engine::header};
+
+const MAX_BODY: u64 = 16 << 20;
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Faults of a plain service.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ServiceFaults {
+    /// Time before a call runs.
+    pub delay: Duration,
+    /// Whether it closes the connection after a call has run, without an answer.
+    pub lose_answers: bool,
+    /// Whether it reports that it is leaving.
+    pub leaving: bool,
+}
+
+#[derive(Debug)]
+struct State {
+    name: String,
+    region: String,
+    ledger: Ledger,
+    incarnation: u64,
+    faults: Mutex<ServiceFaults>,
+}
+
+/// A plain service.
+#[derive(Debug)]
+pub struct StandinService {
+    state: Arc<State>,
+    server: Server,
+}
+
+impl StandinService {
+    /// Starts it on `address`; `incarnation` tells its lives apart.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn start(
+        address: SocketAddr,
+        name: &str,
+        region: &str,
+        incarnation: u64,
+        ledger: Ledger,
+    ) -> std::io::Result<Self> {
+        let faults = Mutex::default();
+        let state = State {
+            name: name.to_owned(),
+            region: region.to_owned(),
+            ledger,
+            incarnation,
+            faults,
+        };
+        let state = Arc::new(state);
+        let server = Server::start(address, Arc::clone(&state)).await?;
+        Ok(Self { state, server })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Changes its faults.
+    pub fn set_faults(&self, faults: ServiceFaults) {
+        *self.state.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
+    }
+}
+
+impl Handle for State {
+    async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Reply {
+        let faults = *self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        if req.uri().path() == "/load" {
+            let report = LoadReport {
+                incarnation: self.incarnation,
+                running: 0,
+                queued: 0,
+                leaving: faults.leaving,
+                age_ms: 0,
+            };
+            return Reply::Answer(json_answer(200, &report));
+        }
+        let request = header(&req, REQUEST_ID_HEADER);
+        let vm = header(&req, "shallotwing-vm");
+        let path = req.uri().path().to_owned();
+        let Ok(body) = read_body(req.into_body(), MAX_BODY, BODY_TIMEOUT).await else {
+            return Reply::Close;
+        };
+        tokio::time::sleep(faults.delay).await;
+        let echo = String::from_utf8_lossy(&body).into_owned();
+        let (endpoint, region) = (self.name.clone(), self.region.clone());
+        self.ledger.record(Run {
+            endpoint,
+            region,
+            request: request.clone(),
+            vm,
+            body: body.to_vec(),
+        });
+        if faults.lose_answers {
+            return Reply::Close;
+        }
+        let answer = json!({ "endpoint": self.name, "path": path, "request": request, "echo": echo });
+        let mut response = json_answer(200, &answer);
+        if let Ok(id) = request.parse() {
+            response.headers_mut().insert(REQUEST_ID_HEADER, id);
+        }
+        Reply::Answer(response)
+    }
+}
--- /dev/null
+++ b/crates/sw-standin/src/store.rs
@@ -0,0 +1,304 @@
+//! A key-value service with etcd's v3 JSON gateway, as far as the gateway uses it.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use indexmap::IndexMap;
+use serde_json::{Value, json};
+use sw_http::{channel, json_answer, read_body};
+use tokio::sync::watch;
+
+use crate::Server;
+use crate::server::{Handle, Reply};
+
+const MAX_BODY: u64 = 8 << 20;
+const MAX_VALUE: usize = 1 << 20;
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Faults of the service.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StoreFaults {
+    /// Whether it closes connections without taking a call in.
+    pub down: bool,
+    /// Time before a call takes effect.
+    pub delay: Duration,
+    /// Answers to writes that are lost after the write took effect.
+    pub lose_answers: u32,
+    /// Whether watches get no events.
+    pub deaf_watches: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Item {
+    value: String,
+    revision: i64,
+    lease: Option<String>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Data {
+    items: IndexMap<String, Item>,
+    revision: i64,
+    leases: IndexMap<String, Instant>,
+    next_lease: i64,
+}
+
+#[derive(Debug)]
+struct State {
+    data: Mutex<Data>,
+    faults: Mutex<StoreFaults>,
+    changed: watch::Sender<i64>,
+    calls: Mutex<IndexMap<String, u64>>,
+}
+
+/// A key-value service.
+#[derive(Debug)]
+pub struct StandinStore {
+    state: Arc<State>,
+    server: Server,
+}
+
+/// The state of the service at one time.
+#[derive(Debug, Clone)]
+pub struct Snapshot(Data);
+
+impl StandinStore {
+    /// Starts it on `address`, empty.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn start(address: SocketAddr) -> std::io::Result<Self> {
+        let state = Arc::new(State {
+            data: Mutex::default(),
+            faults: Mutex::default(),
+            changed: watch::channel(0).0,
+            calls: Mutex::default(),
+        });
+        let server = Server::start(address, Arc::clone(&state)).await?;
+        Ok(Self { state, server })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Changes its faults.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        *self.state.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
+    }
+
+    /// Its state now.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot(self.state.data().clone())
+    }
+
+    /// Takes it back to an earlier state.
+    pub fn restore(&self, snapshot: Snapshot) {
+        *self.state.data() = snapshot.0;
+    }
+
+    /// Calls so far, by path.
+    pub fn calls(&self) -> IndexMap<String, u64> {
+        self.state.calls.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+impl Data {
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let leases = &self.leases;
+        let live = |lease: &Option<String>| {
+            lease
+                .as_ref()
+                .is_none_or(|id| leases.get(id).is_some_and(|end| *end > now))
+        };
+        self.items.retain(|_, item| live(&item.lease));
+    }
+
+    fn range(&self, request: &Value) -> Value {
+        let key = text(&request["key"]);
+        let kvs: Vec<_> = self.items.get(key).map(|item| kv(key, item)).into_iter().collect();
+        json!({ "header": self.header(), "count": kvs.len().to_string(), "kvs": kvs })
+    }
+
+    fn put(&mut self, request: &Value) -> Result<Value, &'static str> {
+        let (key, value) = (text(&request["key"]), text(&request["value"]));
+        if STANDARD.decode(value).is_ok_and(|value| value.len() > MAX_VALUE) {
+            return Err("the value is too large");
+        }
+        let lease = request["lease"].as_str().map(str::to_owned);
+        if lease.as_ref().is_some_and(|lease| !self.leases.contains_key(lease)) {
+            return Err("requested lease not found");
+        }
+        self.items.insert(
+            key.to_owned(),
+            Item {
+                value: value.to_owned(),
+                revision: self.revision + 1,
+                lease,
+            },
+        );
+        Ok(json!({ "header": self.header() }))
+    }
+
+    fn compare(&self, compare: &Value) -> bool {
+        let revision = self.items.get(text(&compare["key"])).map_or(0, |item| item.revision);
+        text(&compare["mod_revision"]).parse() == Ok(revision)
+    }
+
+    /// Runs a transaction at the next revision, which its caller makes the current one.
+    fn txn(&mut self, request: &Value) -> Result<Value, &'static str> {
+        let list = |key: &str| request[key].as_array().cloned().unwrap_or_default();
+        let succeeded = list("compare").iter().all(|compare| self.compare(compare));
+        let mut responses = Vec::new();
+        for operation in list(if succeeded { "success" } else { "failure" }) {
+            responses.push(self.operation(&operation)?);
+        }
+        Ok(json!({ "header": self.header(), "succeeded": succeeded, "responses": responses }))
+    }
+
+    fn operation(&mut self, operation: &Value) -> Result<Value, &'static str> {
+        if let Some(request) = operation.get("request_put") {
+            return Ok(json!({ "response_put": self.put(request)? }));
+        }
+        if let Some(request) = operation.get("request_range") {
+            return Ok(json!({ "response_range": self.range(request) }));
+        }
+        if let Some(request) = operation.get("request_txn") {
+            return Ok(json!({ "response_txn": self.txn(request)? }));
+        }
+        Err("unknown operation")
+    }
+
+    fn grant(&mut self, request: &Value) -> Value {
+        let seconds = text(&request["TTL"]).parse().unwrap_or(1);
+        self.next_lease += 1;
+        let id = (7_000 + self.next_lease).to_string();
+        self.leases
+            .insert(id.clone(), Instant::now() + Duration::from_secs(seconds));
+        json!({ "header": self.header(), "ID": id, "TTL": seconds.to_string() })
+    }
+
+    fn header(&self) -> Value {
+        json!({ "revision": self.revision.to_string() })
+    }
+}
+
+impl State {
+    fn data(&self) -> MutexGuard<'_, Data> {
+        self.data.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn faults(&self) -> MutexGuard<'_, StoreFaults> {
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn run(&self, path: &str, request: &Value) -> Result<(Value, bool), &'static str> {
+        let mut data = self.data();
+        data.expire();
+        match path {
+            "/v3/kv/range" => Ok((data.range(request), false)),
+            "/v3/lease/grant" => Ok((data.grant(request), true)),
+            "/v3/kv/txn" | "/v3/kv/put" => {
+                let mut next = data.clone();
+                let answer = if path.ends_with("txn") {
+                    next.txn(request)?
+                } else {
+                    next.put(request)?
+                };
+                next.revision += 1;
+                *data = next;
+                self.changed.send_replace(data.revision);
+                Ok((answer, true))
+            }
+            _ => Err("unknown call"),
+        }
+    }
+
+    fn watch(self: &Arc<Self>, key: String) -> Reply {
+        let (tx, body) = channel();
+        let state = Arc::clone(self);
+        tokio::spawn(async move {
+            let mut changed = state.changed.subscribe();
+            let created = json!({ "result": { "created": true } });
+            if tx.send(Ok(line(&created))).await.is_err() {
+                return;
+            }
+            loop {
+                tokio::select! {
+                    event = changed.changed() => if event.is_err() { return },
+                    () = tx.closed() => return,
+                }
+                let revision = *changed.borrow_and_update();
+                let item = state.data().items.get(&key).cloned();
+                let deaf = state.faults().deaf_watches;
+                let Some(item) = item.filter(|item| item.revision == revision && !deaf) else {
+                    continue;
+                };
+                let event = json!({ "result": { "events": [{ "kv": kv(&key, &item) }] } });
+                if tx.send(Ok(line(&event))).await.is_err() {
+                    return;
+                }
+            }
+        });
+        Reply::Answer(Response::new(body))
+    }
+}
+
+impl Handle for State {
+    async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Reply {
+        let path = req.uri().path().to_owned();
+        *self
+            .calls
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .entry(path.clone())
+            .or_default() += 1;
+        let Ok(body) = read_body(req.into_body(), MAX_BODY, BODY_TIMEOUT).await else {
+            return Reply::Close;
+        };
+        let faults = *self.faults();
+        if faults.down {
+            return Reply::Close;
+        }
+        tokio::time::sleep(faults.delay).await;
+        let request: Value = serde_json::from_slice(&body).unwrap_or_default();
+        if path == "/v3/watch" {
+            return self.watch(text(&request["create_request"]["key"]).to_owned());
+        }
+        match self.run(&path, &request) {
+            Ok((_, true)) if self.take_lost_answer() => Reply::Close,
+            Ok((answer, _)) => Reply::Answer(json_answer(200, &answer)),
+            Err(message) => Reply::Answer(json_answer(400, &json!({ "error": message }))),
+        }
+    }
+}
+
+impl State {
+    fn take_lost_answer(&self) -> bool {
+        let mut faults = self.faults();
+        let lost = faults.lose_answers > 0;
+        faults.lose_answers = faults.lose_answers.saturating_sub(1);
+        lost
+    }
+}
+
+fn kv(key: &str, item: &Item) -> Value {
+    json!({ "key": key, "value": item.value, "mod_revision": item.revision.to_string() })
+}
+
+fn line(value: &Value) -> Bytes {
+    Bytes::from(format!("{value}\n"))
+}
+
+fn text(value: &Value) -> &str {
+    value.as_str().unwrap_or_default()
+}
