--- /dev/null
+++ b/crates/sw-store/src/etcd.rs
@@ -0,0 +1,108 @@
+//! A key-value service over etcd's v3 JSON gateway.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Serialize;
+use serde::de::{DeserializeOwned, IgnoredAny};
+use sw_http::{Caller, JsonError, JsonLines};
+use sw_unit::{Millis, Rate};
+
+use crate::wire::{GrantRequest, GrantResponse, RangeRequest, RangeResponse, TxnRequest, TxnResponse, WatchRequest};
+use crate::{CallBudget, Created, Entry, Lease, Store, StoreError, Swap};
+
+const MILLIS_PER_SECOND: u64 = 1_000;
+
+/// A key-value service over etcd's v3 JSON gateway.
+#[derive(Debug, Clone)]
+pub struct Etcd {
+    address: SocketAddr,
+    caller: Caller,
+    budget: CallBudget,
+}
+
+impl Etcd {
+    /// The service at `address`, with up to `rate` calls a second, each given up after `timeout`.
+    pub fn new(address: SocketAddr, timeout: Duration, rate: Rate) -> Self {
+        Self {
+            address,
+            caller: Caller::new(timeout),
+            budget: CallBudget::new(rate),
+        }
+    }
+
+    /// Watches a key.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] if the watch cannot be begun.
+    pub async fn watch(&self, key: &str) -> Result<WatchStream, StoreError> {
+        if !self.budget.take() {
+            return Err(StoreError::Budget);
+        }
+        let lines = self
+            .caller
+            .stream(self.address, "/v3/watch", &WatchRequest::new(key))
+            .await;
+        lines
+            .map(|lines| WatchStream { lines })
+            .map_err(|_failed| StoreError::NotRun)
+    }
+
+    async fn post<T: DeserializeOwned>(&self, path: &str, body: &impl Serialize) -> Result<T, StoreError> {
+        if !self.budget.take() {
+            return Err(StoreError::Budget);
+        }
+        let answer = self.caller.post(self.address, path, body).await;
+        answer.map_err(|error: JsonError| {
+            if error.may_have_run() {
+                StoreError::Unknown
+            } else {
+                StoreError::NotRun
+            }
+        })
+    }
+}
+
+impl Store for Etcd {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
+        let response: RangeResponse = self.post("/v3/kv/range", &RangeRequest::new(key)).await?;
+        response.entry()
+    }
+
+    async fn create_all(&self, pairs: &[(String, Vec<u8>)], lease: Option<Lease>) -> Result<Vec<Created>, StoreError> {
+        let response: TxnResponse = self.post("/v3/kv/txn", &TxnRequest::create_all(pairs, lease)).await?;
+        let created = response.created()?;
+        if created.len() != pairs.len() {
+            return Err(StoreError::Unknown);
+        }
+        Ok(created
+            .into_iter()
+            .map(|existing| existing.map_or(Created::New, Created::Existing))
+            .collect())
+    }
+
+    async fn swap(&self, swap: &Swap<'_>) -> Result<bool, StoreError> {
+        let response: TxnResponse = self.post("/v3/kv/txn", &TxnRequest::swap(swap)).await?;
+        Ok(response.succeeded)
+    }
+
+    async fn grant(&self, ttl: Millis) -> Result<Lease, StoreError> {
+        let ttl = ttl.0.div_ceil(MILLIS_PER_SECOND).to_string();
+        let response: GrantResponse = self.post("/v3/lease/grant", &GrantRequest { ttl }).await?;
+        response.lease()
+    }
+}
+
+/// Events of a watched key.
+#[derive(Debug)]
+pub struct WatchStream {
+    lines: JsonLines,
+}
+
+impl WatchStream {
+    /// Waits for an event, and returns whether there was one; `false` means that the watch has ended.
+    pub async fn changed(&mut self) -> bool {
+        self.lines.next::<IgnoredAny>().await.is_some()
+    }
+}
--- /dev/null
+++ b/crates/sw-store/src/publish.rs
@@ -0,0 +1,216 @@
+//! The fleet configuration in the key-value service.
+//!
+//! A configuration's text is cut into chunks that are stored under their digest, so a chunk that did not change is
+//! not written again. One compare-and-swap of the root then makes the version, together with its line of history.
+//! Versions only grow. If the answer to the swap is lost, the root and the history tell whether it took effect.
+
+use serde::{Deserialize, Serialize};
+use sw_unit::{Digest, Version, WallTime};
+
+use crate::{Entry, Revision, Store, StoreError, Swap};
+
+const ROOT_KEY: &str = "shallotwing/config/root";
+const CHUNK_PREFIX: &str = "shallotwing/config/chunk/";
+const HISTORY_PREFIX: &str = "shallotwing/config/history/";
+/// Longest chunk, under the service's limit for a value.
+const CHUNK_LEN: usize = 512 << 10;
+/// Attempts to settle a write whose answer was lost.
+const RESOLVE_ATTEMPTS: u32 = 3;
+
+/// The root of a configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Root {
+    /// The version.
+    pub number: Version,
+    /// The digest of the text.
+    pub digest: Digest,
+    /// The digests of its chunks, in order.
+    pub chunks: Vec<Digest>,
+    /// Tells this change from any other.
+    pub change: String,
+    /// Who made it.
+    pub author: String,
+    /// When, by the author's clock.
+    pub at: WallTime,
+}
+
+/// A line of history.
+pub type History = Root;
+
+/// What became of a change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Published {
+    /// It is accepted as this version.
+    Accepted(Version),
+    /// Another change was accepted first.
+    Lost {
+        /// The winner.
+        winner: Root,
+    },
+    /// The text is the one that is in force.
+    Unchanged(Version),
+}
+
+/// Reads the root with its revision; the revision is zero if there is none.
+///
+/// # Errors
+///
+/// Returns [`StoreError`].
+pub async fn read_root(store: &impl Store) -> Result<(Option<Root>, Revision), StoreError> {
+    match store.get(ROOT_KEY).await? {
+        None => Ok((None, Revision(0))),
+        Some(entry) => Ok((Some(parse(&entry)?), entry.revision)),
+    }
+}
+
+/// Reads the text of a configuration and checks its digest.
+///
+/// # Errors
+///
+/// Returns [`StoreError`]; [`StoreError::Corrupt`] if a chunk is missing or the digest does not match.
+pub async fn fetch(store: &impl Store, root: &Root) -> Result<String, StoreError> {
+    let mut text = Vec::new();
+    for chunk in &root.chunks {
+        let entry = store.get(&chunk_key(chunk)).await?;
+        text.extend(
+            entry
+                .ok_or_else(|| StoreError::Corrupt(format!("no chunk {chunk}")))?
+                .value,
+        );
+    }
+    if sw_conf::digest(&text) != root.digest {
+        return Err(StoreError::Corrupt(format!(
+            "chunks that do not make version {}",
+            root.number
+        )));
+    }
+    String::from_utf8(text).map_err(|_not_utf8| StoreError::Corrupt("a text that is not UTF-8".to_owned()))
+}
+
+/// Reads a line of history.
+///
+/// # Errors
+///
+/// Returns [`StoreError`].
+pub async fn history(store: &impl Store, number: Version) -> Result<Option<History>, StoreError> {
+    let entry = store.get(&history_key(number)).await?;
+    entry.map(|entry| parse(&entry)).transpose()
+}
+
+/// Makes `text` the version after `base`, unless the root has moved on from there.
+///
+/// # Errors
+///
+/// Returns [`StoreError`]; after [`StoreError::Unknown`] the change may have been accepted.
+pub async fn publish(
+    store: &impl Store,
+    text: &str,
+    base: Version,
+    author: &str,
+    at: WallTime,
+) -> Result<Published, StoreError> {
+    let (current, revision) = read_root(store).await?;
+    let current_number = current.as_ref().map_or(Version(0), |root| root.number);
+    let digest = sw_conf::digest(text.as_bytes());
+    if let Some(winner) = current.filter(|root| root.number != base || root.digest == digest) {
+        if winner.digest == digest {
+            return Ok(Published::Unchanged(winner.number));
+        }
+        return Ok(Published::Lost { winner });
+    }
+    let root = Root {
+        number: Version(current_number.0.max(base.0) + 1),
+        digest,
+        chunks: write_chunks(store, text).await?,
+        change: format!("{:016x}", fastrand::u64(..)),
+        author: author.to_owned(),
+        at,
+    };
+    swap_root(store, &root, revision).await
+}
+
+/// Writes a configuration back that is in force on VMs but missing from a service that lost its latest state.
+///
+/// # Errors
+///
+/// Returns [`StoreError`].
+pub async fn republish(
+    store: &impl Store,
+    text: &str,
+    number: Version,
+    author: &str,
+    at: WallTime,
+) -> Result<Published, StoreError> {
+    let (current, revision) = read_root(store).await?;
+    if let Some(winner) = current.filter(|root| root.number >= number) {
+        return Ok(Published::Lost { winner });
+    }
+    let root = Root {
+        number,
+        digest: sw_conf::digest(text.as_bytes()),
+        chunks: write_chunks(store, text).await?,
+        change: format!("restored-{number}"),
+        author: author.to_owned(),
+        at,
+    };
+    swap_root(store, &root, revision).await
+}
+
+async fn write_chunks(store: &impl Store, text: &str) -> Result<Vec<Digest>, StoreError> {
+    let mut digests = Vec::new();
+    for chunk in text.as_bytes().chunks(CHUNK_LEN) {
+        let digest = sw_conf::digest(chunk);
+        let pair = (chunk_key(&digest), chunk.to_vec());
+        // The key is the digest of the value, so a chunk that exists already, or whose answer was lost, is the same.
+        let created = store.create_all(std::slice::from_ref(&pair), None).await;
+        if created == Err(StoreError::Unknown) {
+            store.create_all(&[pair], None).await?;
+        } else {
+            created?;
+        }
+        digests.push(digest);
+    }
+    Ok(digests)
+}
+
+async fn swap_root(store: &impl Store, root: &Root, expected: Revision) -> Result<Published, StoreError> {
+    let value = serde_json::to_vec(root).expect("a root has text keys and serializes");
+    let puts = vec![(ROOT_KEY.to_owned(), value.clone()), (history_key(root.number), value)];
+    let swap = Swap {
+        key: ROOT_KEY,
+        expected,
+        puts,
+    };
+    let mut last = store.swap(&swap).await;
+    for _ in 0..RESOLVE_ATTEMPTS {
+        match last {
+            Ok(true) => return Ok(Published::Accepted(root.number)),
+            Ok(false) | Err(StoreError::Unknown) => {}
+            Err(error) => return Err(error),
+        }
+        // The swap may have taken effect although its answer, or that of an earlier attempt, was lost.
+        if let Ok(Some(line)) = history(store, root.number).await
+            && line.change == root.change
+        {
+            return Ok(Published::Accepted(root.number));
+        }
+        match read_root(store).await {
+            Ok((Some(winner), revision)) if revision != expected => return Ok(Published::Lost { winner }),
+            Ok((_, revision)) if revision == expected => last = store.swap(&swap).await,
+            _ => last = Err(StoreError::Unknown),
+        }
+    }
+    Err(StoreError::Unknown)
+}
+
+fn parse(entry: &Entry) -> Result<Root, StoreError> {
+    serde_json::from_slice(&entry.value).map_err(|error| StoreError::Corrupt(format!("a faulty root ({error})")))
+}
+
+fn chunk_key(digest: &Digest) -> String {
+    format!("{CHUNK_PREFIX}{digest}")
+}
+
+fn history_key(number: Version) -> String {
+    format!("{HISTORY_PREFIX}{:010}", number.0)
+}
--- /dev/null
+++ b/crates/sw-store/src/wire.rs
@@ -0,0 +1,216 @@
+//! The JSON forms of etcd's v3 gateway; 64-bit numbers travel as text, bytes as base64.
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use serde::{Deserialize, Serialize};
+
+use crate::{Entry, Lease, Revision, StoreError, Swap};
+
+#[derive(Debug, Serialize)]
+pub(crate) struct RangeRequest {
+    key: String,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct RangeResponse {
+    kvs: Vec<KeyValue>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct KeyValue {
+    value: String,
+    mod_revision: String,
+}
+
+#[derive(Debug, Serialize)]
+struct PutRequest {
+    key: String,
+    value: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    lease: Option<String>,
+}
+
+#[derive(Debug, Serialize)]
+struct Compare {
+    key: String,
+    target: &'static str,
+    result: &'static str,
+    mod_revision: String,
+}
+
+#[derive(Debug, Serialize)]
+enum Operation {
+    #[serde(rename = "request_range")]
+    Range(RangeRequest),
+    #[serde(rename = "request_put")]
+    Put(PutRequest),
+    #[serde(rename = "request_txn")]
+    Txn(TxnRequest),
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct TxnRequest {
+    compare: Vec<Compare>,
+    success: Vec<Operation>,
+    failure: Vec<Operation>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct TxnResponse {
+    pub(crate) succeeded: bool,
+    responses: Vec<OperationResponse>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct OperationResponse {
+    response_range: Option<RangeResponse>,
+    response_txn: Option<TxnResponse>,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct GrantRequest {
+    #[serde(rename = "TTL")]
+    pub(crate) ttl: String,
+}
+
+#[derive(Debug, Deserialize)]
+pub(crate) struct GrantResponse {
+    #[serde(rename = "ID")]
+    id: String,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct WatchRequest {
+    create_request: RangeRequest,
+}
+
+impl RangeRequest {
+    pub(crate) fn new(key: &str) -> Self {
+        Self {
+            key: STANDARD.encode(key),
+        }
+    }
+}
+
+impl WatchRequest {
+    pub(crate) fn new(key: &str) -> Self {
+        Self {
+            create_request: RangeRequest::new(key),
+        }
+    }
+}
+
+impl RangeResponse {
+    pub(crate) fn entry(self) -> Result<Option<Entry>, StoreError> {
+        let Some(kv) = self.kvs.into_iter().next() else {
+            return Ok(None);
+        };
+        let value = STANDARD
+            .decode(kv.value)
+            .map_err(|_not_base64| corrupt("a value that is not base64"))?;
+        let revision = kv
+            .mod_revision
+            .parse()
+            .map_err(|_not_a_number| corrupt("a revision that is no number"))?;
+        Ok(Some(Entry {
+            value,
+            revision: Revision(revision),
+        }))
+    }
+}
+
+impl TxnRequest {
+    /// Makes the writes of a swap if its comparison holds.
+    pub(crate) fn swap(swap: &Swap<'_>) -> Self {
+        let puts = swap
+            .puts
+            .iter()
+            .map(|(key, value)| Operation::Put(PutRequest::new(key, value, None)));
+        Self {
+            compare: vec![Compare::revision(swap.key, swap.expected)],
+            success: puts.collect(),
+            failure: Vec::new(),
+        }
+    }
+
+    /// Creates each key that is absent, and reads each that exists.
+    pub(crate) fn create_all(pairs: &[(String, Vec<u8>)], lease: Option<Lease>) -> Self {
+        let create = |(key, value): &(String, Vec<u8>)| {
+            Operation::Txn(Self {
+                compare: vec![Compare::revision(key, Revision(0))],
+                success: vec![Operation::Put(PutRequest::new(key, value, lease))],
+                failure: vec![Operation::Range(RangeRequest::new(key))],
+            })
+        };
+        Self {
+            compare: Vec::new(),
+            success: pairs.iter().map(create).collect(),
+            failure: Vec::new(),
+        }
+    }
+}
+
+impl TxnResponse {
+    /// The answers of nested transactions: `None` for a key that was created, else what it holds.
+    pub(crate) fn created(self) -> Result<Vec<Option<Vec<u8>>>, StoreError> {
+        let nested = |response: OperationResponse| {
+            let txn = response
+                .response_txn
+                .ok_or_else(|| corrupt("an answer without its transaction"))?;
+            if txn.succeeded {
+                return Ok(None);
+            }
+            let range = txn
+                .responses
+                .into_iter()
+                .next()
+                .and_then(|response| response.response_range);
+            let entry = range.ok_or_else(|| corrupt("an answer without its range"))?.entry()?;
+            Ok(Some(
+                entry.ok_or_else(|| corrupt("neither a key nor its absence"))?.value,
+            ))
+        };
+        self.responses.into_iter().map(nested).collect()
+    }
+}
+
+impl GrantResponse {
+    pub(crate) fn lease(&self) -> Result<Lease, StoreError> {
+        let id = self
+            .id
+            .parse()
+            .map_err(|_not_a_number| corrupt("a lease that is no number"))?;
+        Ok(Lease(id))
+    }
+}
+
+impl PutRequest {
+    fn new(key: &str, value: &[u8], lease: Option<Lease>) -> Self {
+        let lease = lease.map(|lease| lease.0.to_string());
+        Self {
+            key: STANDARD.encode(key),
+            value: STANDARD.encode(value),
+            lease,
+        }
+    }
+}
+
+impl Compare {
+    fn revision(key: &str, revision: Revision) -> Self {
+        let mod_revision = revision.0.to_string();
+        Self {
+            key: STANDARD.encode(key),
+            target: "MOD",
+            result: "EQUAL",
+            mod_revision,
+        }
+    }
+}
+
+fn corrupt(what: &str) -> StoreError {
+    StoreError::Corrupt(what.to_owned())
+}
--- /dev/null
+++ b/crates/sw-time/src/timer.rs
@@ -0,0 +1,62 @@
+//! Periodic ticks.
+
+use std::time::Duration;
+
+use sw_unit::{Millis, Time};
+use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
+
+use crate::Clock;
+
+/// Hands out subscriptions to periodic ticks of one clock.
+#[derive(Debug, Clone)]
+pub struct TimerService<C> {
+    clock: C,
+}
+
+impl<C: Clock> TimerService<C> {
+    /// A service on `clock`.
+    pub fn new(clock: C) -> Self {
+        Self { clock }
+    }
+
+    /// The clock.
+    pub fn clock(&self) -> &C {
+        &self.clock
+    }
+
+    /// Ticks every `period` until the subscription is dropped.
+    ///
+    /// A subscriber that is late gets one tick for all that it missed.
+    pub fn subscribe(&self, period: Millis) -> Subscription {
+        let (tx, rx) = watch::channel(self.clock.now());
+        let clock = self.clock.clone();
+        tokio::spawn(async move {
+            let mut interval = tokio::time::interval(Duration::from_millis(period.0.max(1)));
+            interval.set_missed_tick_behavior(MissedTickBehavior::Skip);
+            loop {
+                interval.tick().await;
+                if tx.send(clock.now()).is_err() {
+                    return;
+                }
+            }
+        });
+        Subscription { rx }
+    }
+}
+
+/// A stream of ticks; dropping it ends them.
+#[derive(Debug)]
+pub struct Subscription {
+    rx: watch::Receiver<Time>,
+}
+
+impl Subscription {
+    /// Waits for the next tick and returns its time.
+    pub async fn tick(&mut self) -> Time {
+        if self.rx.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+        *self.rx.borrow_and_update()
+    }
+}
--- /dev/null
+++ b/crates/sw-unit/src/lib.rs
@@ -0,0 +1,12 @@
+//! Newtypes for the ids, sizes, rates and amounts of money that the other crates exchange.
+//!
+//! Every type has `Display` and `FromStr`, and the two are inverse to each other, so a value that was printed into
+//! a log line or an INI file can be read back. Ids are reference-counted strings: cloning one does not allocate.
+
+mod id;
+mod quantity;
+mod types;
+
+pub use id::{ClassId, DomainId, EndpointId, ModelId, ParseIdError, RegionId, RouteId, VmId, WorkspaceId};
+pub use quantity::{Bytes, Fence, Incarnation, Millis, Money, ParseQuantityError, Rate, Tokens, Version, Weight};
+pub use types::{Digest, ParseDigestError, Time, WallTime};
--- /dev/null
+++ b/crates/sw-unit/src/types.rs
@@ -0,0 +1,121 @@
+//! Points in time and content digests.
+
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::str::FromStr;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use crate::Millis;
+
+/// A reading of a monotonic clock, in milliseconds from an arbitrary start; comparable within one process only.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// The time since `earlier`, or zero if it is later.
+    pub fn since(self, earlier: Self) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Millis> for Time {
+    type Output = Self;
+
+    fn add(self, span: Millis) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<Millis> for Time {
+    type Output = Self;
+
+    fn sub(self, span: Millis) -> Self {
+        Self(self.0.saturating_sub(span.0))
+    }
+}
+
+impl fmt::Display for Time {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for Time {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// Milliseconds since the Unix epoch by the local wall clock, which may differ between VMs by seconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct WallTime(pub u64);
+
+impl fmt::Display for WallTime {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for WallTime {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// A SHA-256 digest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
+pub struct Digest(pub [u8; 32]);
+
+/// A text that is not 64 hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ParseDigestError;
+
+impl fmt::Display for ParseDigestError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a SHA-256 digest of 64 hexadecimal digits is expected")
+    }
+}
+
+impl std::error::Error for ParseDigestError {}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl FromStr for Digest {
+    type Err = ParseDigestError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let bytes = text.as_bytes();
+        if bytes.len() != 64 || !bytes.is_ascii() {
+            return Err(ParseDigestError);
+        }
+        let mut digest = [0; 32];
+        for (byte, pair) in digest.iter_mut().zip(bytes.chunks_exact(2)) {
+            let pair = std::str::from_utf8(pair).unwrap_or_default();
+            *byte = u8::from_str_radix(pair, 16).map_err(|_not_hex| ParseDigestError)?;
+        }
+        Ok(Self(digest))
+    }
+}
+
+impl Serialize for Digest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for Digest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
