--- a/crates/shallotwing-daemon/src/process/operator.rs
+++ b/crates/shallotwing-daemon/src/process/operator.rs
@@ -80,6 +80,8 @@
             "leaving": endpoint.leaving,
         })
     });
+    let domains = gate.domain_status(now).into_iter();
+    let domains = domains.map(|(domain, models)| json!({ "domain": domain.as_str(), "models": models }));
     json!({
         "vm": own.vm.as_str(),
         "domain": own.domain.as_str(),
@@ -89,6 +91,7 @@
         "version": own.version.0,
         "digest": gate.version().map(|version| version.digest.to_string()),
         "members": members.collect::<Vec<_>>(),
+        "domains": domains.collect::<Vec<_>>(),
         "endpoints": endpoints.collect::<Vec<_>>(),
         "records": gate.record_count(),
     })
--- a/crates/shallotwing-daemon/src/request/head.rs
+++ b/crates/shallotwing-daemon/src/request/head.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::BodyExt as _;
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, CONTENT_TYPE, HeaderName};
@@ -22,6 +23,10 @@
 const DEADLINE_HEADER: &str = "shallotwing-deadline-ms";
 const TICKET_HEADER: &str = "shallotwing-ticket";
 const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+/// Bytes of a refused request that are read and dropped.
+const MAX_DISCARD: usize = 8 << 20;
+/// Time in which a refused request is read and dropped.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest idempotency key.
 const MAX_KEY_LEN: usize = 128;
 
@@ -74,7 +79,13 @@
         };
         let deadline = match text(req, DEADLINE_HEADER)? {
             None => None,
-            Some(value) => Some(value.parse().map_err(|_not_a_number| Kind::BadRequest)?),
+            Some(value) => Some(
+                value
+                    .parse()
+                    .ok()
+                    .filter(|span| *span > Millis(0))
+                    .ok_or(Kind::BadRequest)?,
+            ),
         };
         Ok(Self {
             key: bearer_key(req),
@@ -115,6 +126,7 @@
             .get(CONTENT_LENGTH)
             .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
         if announced.is_some_and(|len| len > limits.body.0) {
+            discard(req.into_body());
             return Err(Kind::BodyTooLarge.into());
         }
         let path = self.endpoint_path(&req);
@@ -153,6 +165,25 @@
     }
 }
 
+/// Reads on past a refusal for a while, so that a caller who is still sending gets to read the refusal.
+///
+/// Without it the connection would be reset under the caller's hands.
+pub(crate) fn discard(mut body: Incoming) {
+    tokio::spawn(async move {
+        let mut left = MAX_DISCARD;
+        let read = async {
+            while let Some(Ok(frame)) = body.frame().await {
+                left = left.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
+                if left == 0 {
+                    return;
+                }
+            }
+        };
+        // A caller who sends more, or more slowly, sees the connection close.
+        let _elapsed = tokio::time::timeout(DISCARD_TIMEOUT, read).await;
+    });
+}
+
 /// The bearer key of a request.
 pub(crate) fn bearer_key(req: &Request<Incoming>) -> Option<String> {
     let value = req.headers().get(AUTHORIZATION)?.to_str().ok()?;
--- a/crates/shallotwing-daemon/src/request/mod.rs
+++ b/crates/shallotwing-daemon/src/request/mod.rs
@@ -72,7 +72,13 @@
 async fn handle(gateway: &Arc<Gateway>, id: String, head: ParsedHead, req: Request<Incoming>) -> Reply {
     let admitted = match head.admit(gateway).await {
         Ok(admitted) => admitted,
-        Err(refusal) => return Reply::Refused(refusal),
+        Err(refusal) => {
+            // Data that may not enter this region is left unread.
+            if refusal.kind != Kind::WrongRegion {
+                head::discard(req.into_body());
+            }
+            return Reply::Refused(refusal);
+        }
     };
     let call = match head.read(gateway, &admitted, id, req).await {
         Ok(call) => call,
--- a/crates/shallotwing-daemon/src/request/stream.rs
+++ b/crates/shallotwing-daemon/src/request/stream.rs
@@ -23,6 +23,8 @@
 
 /// Longest silence within a stream.
 const MAX_SILENCE: Duration = Duration::from_secs(3);
+/// Time for the error event to be written out.
+const ERROR_EVENT_FLUSH: Duration = Duration::from_millis(50);
 /// Times that a stream is resumed.
 const MAX_RESUMES: u32 = 3;
 
@@ -55,6 +57,8 @@
     let event = format!("data: {}\n\n", json!({ "error": error }));
     // The caller may be gone, and then needs neither.
     let _gone = tx.send(Ok(Bytes::from(event))).await;
+    // An error that follows at once would make the connection drop the event unsent.
+    tokio::time::sleep(ERROR_EVENT_FLUSH).await;
     let _gone = tx.send(Err(BodyError)).await;
 }
 
--- a/crates/shallotwing-daemon/src/version/mod.rs
+++ b/crates/shallotwing-daemon/src/version/mod.rs
@@ -18,7 +18,7 @@
 
 const PERIOD: Millis = Millis(500);
 /// Time between two reads of the root while a watch is held.
-const READ_PERIOD: Duration = Duration::from_secs(5);
+const READ_PERIOD: Duration = Duration::from_secs(3);
 /// Time between two reads of the root before there is any configuration.
 const FIRST_READ_PERIOD: Duration = Duration::from_secs(1);
 /// VMs of a failure domain that watch the root.
--- a/crates/shallotwing-daemon/tests/common/mod.rs
+++ b/crates/shallotwing-daemon/tests/common/mod.rs
@@ -172,12 +172,16 @@
     /// Waits until every VM sees every other one as live and has reports of its endpoints.
     pub async fn acquainted(&self) {
         let others = self.processes.len() - 1;
+        let mut regions = self.regions();
+        regions.dedup();
+        let other_domains = regions.len() - 1;
         for vm in 0..self.processes.len() {
             eventually("acquainted", async || {
                 let status = self.status(vm).await;
                 let live = count(&status["members"], |row| row["state"] == "live");
                 let silent = count(&status["endpoints"], |row| row["reported"] == false);
-                live == others && silent == 0
+                let domains = count(&status["domains"], |row| row["models"].as_u64() > Some(0));
+                live == others && silent == 0 && domains == other_domains
             })
             .await;
         }
--- /dev/null
+++ b/crates/shallotwing-daemon/tests/leaving.rs
@@ -0,0 +1,85 @@
+//! A leaving endpoint receives no new work after a few seconds.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fleet, Sending, eventually};
+use sw_standin::{DeploymentOptions, EngineFaults, EngineOptions, ListedEndpoint, StandinEngine};
+
+/// Time from the first sign at any VM after which nothing new may arrive.
+const BOUND: Duration = Duration::from_secs(3);
+
+fn two_engines() -> DeploymentOptions {
+    DeploymentOptions {
+        regions: 1,
+        vms: 3,
+        engines: 2,
+        ..DeploymentOptions::default()
+    }
+}
+
+/// Sends questions to all VMs, and returns how many each engine ran.
+async fn spread(fleet: &Fleet, marker: &str) -> [usize; 2] {
+    for index in 0..30 {
+        let sending = Sending::question(&format!("{marker}-{index};"), 1, false);
+        assert_eq!(sending.send(fleet.vm(index % 3).listen).await.unwrap().status, 200);
+    }
+    let runs = fleet.deployment.ledger.runs_with(marker);
+    ["engine-lahore-1", "engine-lahore-2"].map(|name| runs.iter().filter(|run| run.endpoint == name).count())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn its_own_report_is_enough_and_is_sticky() {
+    let mut fleet = Fleet::start(two_engines()).await;
+    let before = spread(&fleet, "m-before").await;
+    assert!(before[0] > 0 && before[1] > 0, "{before:?}");
+    fleet.deployment.engines[0].set_faults(EngineFaults {
+        leaving: true,
+        ..EngineFaults::default()
+    });
+    tokio::time::sleep(BOUND).await;
+    assert_eq!(spread(&fleet, "m-after").await, [0, 30]);
+    fleet.deployment.engines[0].set_faults(EngineFaults::default());
+    tokio::time::sleep(BOUND).await;
+    assert_eq!(spread(&fleet, "m-sticky").await, [0, 30], "it stays out for this life");
+    let address = fleet.deployment.engines[0].address();
+    drop(fleet.deployment.engines.remove(0));
+    eventually("closed", async || common::connect(address).await.is_none()).await;
+    let options = EngineOptions {
+        incarnation: 2,
+        ..EngineOptions::default()
+    };
+    let ledger = fleet.deployment.ledger.clone();
+    let engine = StandinEngine::start(address, "engine-lahore-1", "lahore", options, ledger)
+        .await
+        .unwrap();
+    fleet.deployment.engines.insert(0, engine);
+    let mut round = 0;
+    eventually("its next life works", async || {
+        round += 1;
+        spread(&fleet, &format!("m-next-{round}")).await[0] > 0
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_platforms_list_is_enough() {
+    let fleet = Fleet::start(two_engines()).await;
+    let leaving = ListedEndpoint {
+        endpoint: "engine-lahore-2".to_owned(),
+        incarnation: 1,
+    };
+    fleet.deployment.platform.endpoint_leaves(leaving);
+    let id = "engine-lahore-2";
+    for vm in 0..3 {
+        eventually("leaving", async || {
+            let status = fleet.status(vm).await;
+            common::count(&status["endpoints"], |row| {
+                row["endpoint"] == id && row["leaving"] == true
+            }) == 1
+        })
+        .await;
+    }
+    assert_eq!(spread(&fleet, "m-listed").await, [30, 0]);
+}
--- /dev/null
+++ b/crates/shallotwing-daemon/tests/regions.rs
@@ -0,0 +1,163 @@
+//! No request or its data is processed outside its regions, and none is forwarded in a loop.
+
+mod common;
+
+use bytes::Bytes;
+use common::{ANSWER_TIMEOUT, Fleet, Sending, connect};
+use sw_error::{Kind, Refusal};
+use sw_gate::{Envelope, Heartbeat, Offer, Purpose};
+use sw_once::{Standing, Ticket};
+use sw_peer::{Event, Forward, Handler, Peers};
+use sw_standin::{Asked, DeploymentOptions, EngineFaults, free_address};
+use sw_unit::{Millis, Version, WorkspaceId};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::sync::mpsc;
+
+/// A VM that answers nothing.
+#[derive(Debug, Clone)]
+struct Mute;
+
+impl Handler for Mute {
+    async fn greet(&self, _: Heartbeat) -> Option<Heartbeat> {
+        None
+    }
+
+    async fn configuration(&self) -> Option<Offer> {
+        None
+    }
+
+    async fn forward(&self, _: Forward, _: mpsc::Sender<Event>) {}
+
+    async fn look_up(&self, _: WorkspaceId, _: Ticket) -> Option<Standing> {
+        None
+    }
+}
+
+fn forward(route: &str, marker: &str, version: u64, hops: u32) -> Forward {
+    let sending = Sending::question(marker, 2, false);
+    Forward {
+        envelope: Envelope {
+            request: format!("r-{marker}"),
+            workspace: "registry".parse().unwrap(),
+            route: route.parse().unwrap(),
+            version: Version(version),
+            left: Millis(5_000),
+            hops,
+            purpose: Purpose::Run,
+            ticket: None,
+        },
+        method: "POST".to_owned(),
+        path: sending.path,
+        content_type: "application/json".to_owned(),
+        body: Bytes::from(sending.body),
+    }
+}
+
+/// The end of a forwarded request, with the status of its answer if there was one.
+async fn end(peers: &Peers, fleet: &Fleet, vm: usize, forward: Forward) -> Result<(), Refusal> {
+    let settings = sw_conf::Settings::parse("vm", &fleet.vm(vm).settings).unwrap();
+    let mut events = peers.forward(settings.peer_listen, forward, true);
+    loop {
+        match tokio::time::timeout(ANSWER_TIMEOUT, events.recv()).await.unwrap() {
+            Some(Event::End(end)) => return end,
+            Some(_) => {}
+            None => panic!("the forward broke off"),
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_wrong_region_is_refused_with_entries_before_the_body_is_read() {
+    let fleet = Fleet::start(DeploymentOptions::default()).await;
+    let to = fleet.vm(1).listen;
+    let mut stream = tokio::net::TcpStream::connect(to).await.unwrap();
+    let head = "POST /v1/completions HTTP/1.1\r\nhost: vm\r\nauthorization: Bearer registry-key\r\n\
+                shallotwing-route: question-home\r\ncontent-length: 100\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut buf = vec![0; 4_096];
+    let len = tokio::time::timeout(ANSWER_TIMEOUT, stream.read(&mut buf))
+        .await
+        .unwrap()
+        .unwrap();
+    let answer = String::from_utf8_lossy(&buf[..len]).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 421"), "{answer}");
+    assert!(answer.contains("shallotwing-ran: no"), "{answer}");
+    assert!(
+        answer.contains(r#""region":"lahore""#) && !answer.contains(r#""region":"multan""#),
+        "{answer}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_stay_in_their_regions_when_endpoints_fail() {
+    let mut fleet = Fleet::start(DeploymentOptions::default()).await;
+    let mut asked = Vec::new();
+    for round in 0..3 {
+        if round == 1 {
+            fleet.deployment.engines.remove(0);
+        }
+        if round == 2 {
+            fleet.deployment.engines[0].set_faults(EngineFaults {
+                cut_after: Some(1),
+                ..EngineFaults::default()
+            });
+        }
+        for (index, route) in ["question", "question-home"].into_iter().cycle().take(12).enumerate() {
+            let marker = format!("m-{round}-{index};");
+            let sending = Sending::question(&marker, 3, index % 3 == 0).with("shallotwing-route", route);
+            let answer = sending.send(fleet.vm(index % 3).listen).await;
+            let regions = if route == "question" {
+                fleet.regions()
+            } else {
+                vec!["lahore".to_owned()]
+            };
+            asked.push(Asked {
+                marker,
+                regions,
+                idempotent: true,
+                heard: vec![sending.heard(answer.as_ref())],
+            });
+        }
+    }
+    fleet.assert_kept(&asked);
+    let elsewhere = fleet
+        .deployment
+        .ledger
+        .runs()
+        .iter()
+        .filter(|run| run.region != "lahore")
+        .count();
+    assert!(elsewhere > 0, "some were forwarded or ran in other regions");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn forwards_are_checked_by_the_receiver() {
+    let mut fleet = Fleet::start(DeploymentOptions::default()).await;
+    let peers = sw_peer::start(free_address().unwrap(), Mute).unwrap();
+    assert_eq!(
+        end(&peers, &fleet, 1, forward("question", "m-good;", 1, 1)).await,
+        Ok(())
+    );
+    let refused = |kind| Err(Refusal::new(kind));
+    assert_eq!(
+        end(&peers, &fleet, 1, forward("question", "m-loop;", 1, 2)).await,
+        refused(Kind::ForwardLoop)
+    );
+    assert_eq!(
+        end(&peers, &fleet, 1, forward("question-home", "m-home;", 1, 1)).await,
+        refused(Kind::WrongRegion)
+    );
+    assert_eq!(
+        end(&peers, &fleet, 1, forward("question", "m-new;", 9, 1)).await,
+        refused(Kind::OlderConfiguration)
+    );
+    drop(fleet.deployment.engines.remove(1));
+    let refusal = end(&peers, &fleet, 1, forward("question", "m-no-engine;", 1, 1))
+        .await
+        .unwrap_err();
+    assert_eq!(refusal.kind, Kind::NoEndpoint, "a forward is not forwarded again");
+    for marker in ["m-loop;", "m-home;", "m-new;", "m-no-engine;"] {
+        assert_eq!(fleet.runs_of(marker), 0, "{marker}");
+    }
+    assert!(connect(fleet.vm(1).listen).await.is_some());
+}
--- /dev/null
+++ b/crates/shallotwing-daemon/tests/stop.rs
@@ -0,0 +1,85 @@
+//! Every planned stop cuts no request.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fleet, Sending, call, connect, eventually, get};
+use rustix::process::Signal;
+use sw_standin::{DeploymentOptions, ServiceFaults};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_in_progress_finish_and_later_ones_are_served_elsewhere() {
+    let mut fleet = Fleet::start(DeploymentOptions {
+        regions: 2,
+        ..DeploymentOptions::default()
+    })
+    .await;
+    let slow = ServiceFaults {
+        delay: Duration::from_secs(2),
+        ..ServiceFaults::default()
+    };
+    fleet
+        .deployment
+        .services
+        .iter()
+        .for_each(|service| service.set_faults(slow));
+    let to = fleet.vm(0).listen;
+    let sendings: Vec<_> = (0..6)
+        .map(|index| Sending::question(&format!("m-{index};"), 100, index % 2 == 0))
+        .chain((0..3).map(|index| Sending::payment(&format!("p-{index};"))))
+        .collect();
+    let tasks: Vec<_> = sendings
+        .iter()
+        .cloned()
+        .map(|sending| tokio::spawn(async move { sending.send(to).await }))
+        .collect();
+    eventually("running", async || fleet.deployment.engines[0].load().0 >= 6).await;
+    fleet.processes[0].signal(Signal::TERM);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fleet.processes[0].signal(Signal::TERM);
+    let late = Sending::question("m-late;", 2, false);
+    let answer = late
+        .send(to)
+        .await
+        .expect("a stopping VM serves until entry lists have run out");
+    assert!(answer.status == 200 && late.is_right(&answer), "{answer:?}");
+    for (sending, task) in sendings.iter().zip(tasks) {
+        let answer = task.await.unwrap().expect("no request is cut");
+        assert!(
+            answer.whole && answer.status == 200 && sending.is_right(&answer),
+            "{answer:?}"
+        );
+    }
+    assert!(fleet.processes[0].ended().await, "it exits with 0");
+    assert!(connect(to).await.is_none());
+    let entries = get(fleet.vm(1).listen, "/v1/entries?route=question").await.json();
+    assert_eq!(
+        common::count(&entries["entries"], |row| row["region"] == "lahore"),
+        0,
+        "{entries}"
+    );
+    eventually("out of the directory", async || {
+        fleet.deployment.platform.directory() == ["multan-1"]
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn forwarded_requests_finish_too() {
+    let mut fleet = Fleet::start(DeploymentOptions {
+        regions: 2,
+        ..DeploymentOptions::default()
+    })
+    .await;
+    drop(fleet.deployment.engines.remove(0));
+    let sending = Sending::question("m-forwarded;", 120, true);
+    let (entry, to) = (sending.clone(), fleet.vm(0).listen);
+    let task = tokio::spawn(async move { entry.send(to).await });
+    eventually("running", async || fleet.runs_of("m-forwarded;") > 0).await;
+    let drained = call("POST", fleet.vm(1).operator_listen, "/drain").await;
+    assert_eq!(drained.status, 202);
+    let answer = task.await.unwrap().unwrap();
+    assert!(answer.whole && sending.is_right(&answer), "{answer:?}");
+    assert!(fleet.processes[1].ended().await);
+}
--- a/crates/sw-gate/src/exchange.rs
+++ b/crates/sw-gate/src/exchange.rs
@@ -52,6 +52,7 @@
         };
         let Some(to) = to else {
             heartbeat.members = self.domain_rows();
+            heartbeat.summaries = vec![self.summary(now)];
             return heartbeat;
         };
         if to.domain != own.domain {
--- a/crates/sw-gate/src/status.rs
+++ b/crates/sw-gate/src/status.rs
@@ -1,7 +1,7 @@
 //! What operators are shown.
 
 use sw_route::Policy;
-use sw_unit::{EndpointId, Time};
+use sw_unit::{DomainId, EndpointId, Time};
 
 use crate::Gate;
 
@@ -49,6 +49,14 @@
         status.collect()
     }
 
+    /// Other domains with a fresh summary, and how many models it has.
+    pub fn domain_status(&self, now: Time) -> Vec<(DomainId, usize)> {
+        self.loads
+            .summaries(now)
+            .map(|(domain, _, models)| (domain.clone(), models.len()))
+            .collect()
+    }
+
     /// Records of non-idempotent requests that are kept.
     pub fn record_count(&self) -> usize {
         self.once.len()
