test: stateful fuzz of the decision cores against simple oracles

Found and mended: - sw-once: a request that ran for longer than the retention was reported as expired while it ran, and its record was kept for ever after. Records now go before age, and what ends after its retention leaves no record. - sw-store: an operator whose change was accepted could be told that it had lost to itself, if the answer to the swap and the next read were both lost: the root was compared by revision only. The history of that version decides now, and what cannot be read is unknown.

--- /dev/null
+++ b/crates/sw-gate/tests/regions_fuzz.rs
@@ -0,0 +1,335 @@
+//! Stateful fuzz of regions, loops, versions and leaving endpoints: the cores of VMs in three regions.
+//!
+//! Configurations that tighten and widen a route reach VMs in any order, and lower ones come again; requests wait
+//! between admission, plan and hand-over; endpoints begin to leave and return. The oracle knows each version's
+//! permitted regions and which lives it has told a VM are leaving.
+
+mod support;
+
+use std::collections::{HashMap, HashSet};
+
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use sw_gate::{Admitted, Envelope, Gate, Head, Plan, PlanRequest, Purpose};
+use sw_load::Report;
+use sw_member::EndpointLife;
+use sw_route::Target;
+use sw_unit::{EndpointId, Incarnation, Millis, Time, Version};
+
+use support::REGIONS;
+
+const VMS: usize = 6;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Accept { mask: u8 },
+    Adopt { vm: usize, number: usize },
+    Admit { vm: usize, narrow: bool },
+    Plan { waiting: usize },
+    HandOver { planned: usize },
+    Leave { vm: usize, endpoint: usize },
+    Report { vm: usize, endpoint: usize, restart: bool },
+    Greet { from: usize, to: usize },
+    Pass { ms: u64 },
+}
+
+#[derive(Debug)]
+struct Steps;
+
+impl ReferenceStateMachine for Steps {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        let vm = || 0..VMS;
+        prop_oneof![
+            2 => (0..8_u8).prop_map(|mask| Step::Accept { mask }),
+            6 => (vm(), 0..20_usize).prop_map(|(vm, number)| Step::Adopt { vm, number }),
+            6 => (vm(), any::<bool>()).prop_map(|(vm, narrow)| Step::Admit { vm, narrow }),
+            6 => (0..8_usize).prop_map(|waiting| Step::Plan { waiting }),
+            6 => (0..8_usize).prop_map(|planned| Step::HandOver { planned }),
+            1 => (vm(), 0..2_usize).prop_map(|(vm, endpoint)| Step::Leave { vm, endpoint }),
+            3 => (vm(), 0..2_usize, any::<bool>()).prop_map(|(vm, endpoint, restart)| Step::Report { vm, endpoint, restart }),
+            8 => (vm(), vm()).prop_map(|(from, to)| Step::Greet { from, to }),
+            2 => (1..1_500_u64).prop_map(|ms| Step::Pass { ms }),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+#[derive(Debug)]
+struct Waiting {
+    vm: usize,
+    admitted: Admitted,
+    hops: u32,
+}
+
+#[derive(Debug)]
+struct World {
+    gates: Vec<Gate>,
+    masks: Vec<u8>,
+    highest: Vec<u64>,
+    waiting: Vec<Waiting>,
+    planned: Vec<(Waiting, Plan)>,
+    lives: HashMap<EndpointId, u64>,
+    told: HashSet<(usize, EndpointId, u64)>,
+    reported: HashMap<(usize, EndpointId), u64>,
+    now: Time,
+}
+
+fn endpoint(vm: usize, number: usize) -> EndpointId {
+    format!("e-{}-{number}", REGIONS[vm % REGIONS.len()]).parse().unwrap()
+}
+
+fn region_index(id: &str) -> usize {
+    REGIONS.iter().position(|region| *region == id).unwrap()
+}
+
+impl World {
+    fn new() -> Self {
+        let gates = (0..VMS)
+            .map(|vm| support::gate(vm, 1, sw_once::Options::default()))
+            .collect();
+        let mut world = Self {
+            gates,
+            masks: vec![7],
+            highest: vec![0; VMS],
+            waiting: Vec::new(),
+            planned: Vec::new(),
+            lives: HashMap::new(),
+            told: HashSet::new(),
+            reported: HashMap::new(),
+            now: Time(1_000_000),
+        };
+        for vm in 0..VMS {
+            world.adopt(vm, 0);
+        }
+        for (from, to) in (0..VMS).flat_map(|from| (0..VMS).map(move |to| (from, to))) {
+            world.greet(from, to);
+        }
+        world
+    }
+
+    /// Whether a version permits a route in a region.
+    fn permits(&self, version: Version, route: &str, region: usize) -> bool {
+        route == "all" || self.masks[version.0 as usize - 1] & (1 << region) != 0
+    }
+
+    fn adopt(&mut self, vm: usize, index: usize) {
+        let number = index as u64 + 1;
+        let newer = number > self.highest[vm];
+        let version = support::version(number, self.masks[index], REGIONS[vm % REGIONS.len()]);
+        assert_eq!(
+            self.gates[vm].install(version),
+            newer,
+            "only a higher version is put in force"
+        );
+        self.highest[vm] = self.highest[vm].max(number);
+    }
+
+    fn admit(&mut self, vm: usize, narrow: bool) {
+        let route = if narrow { "r" } else { "all" };
+        let head = Head {
+            key: Some(support::KEY),
+            route: Some(route),
+            deadline: None,
+        };
+        if let Ok(admitted) = self.gates[vm].admit(&head, self.now) {
+            assert!(
+                self.permits(admitted.version.number, route, vm % REGIONS.len()),
+                "admitted in a permitted region"
+            );
+            self.waiting.push(Waiting { vm, admitted, hops: 0 });
+        }
+    }
+
+    fn plan(&mut self, index: usize) {
+        let waiting = self.waiting.remove(index);
+        let plan = self.gates[waiting.vm].plan(&waiting.admitted, &PlanRequest::default(), self.now);
+        if let Ok(plan) = plan {
+            assert!(
+                waiting.hops == 0 || plan.vm.is_none(),
+                "a forward is not forwarded again"
+            );
+            self.planned.push((waiting, plan));
+        }
+    }
+
+    fn hand_over(&mut self, index: usize) {
+        let (waiting, plan) = self.planned.remove(index);
+        let gate = &mut self.gates[waiting.vm];
+        if gate
+            .hand_over(&waiting.admitted, &plan, &PlanRequest::default(), self.now)
+            .is_err()
+        {
+            return;
+        }
+        assert!(
+            self.now < waiting.admitted.deadline,
+            "nothing is handed over after its deadline"
+        );
+        let route = waiting.admitted.route.as_str();
+        match &plan.candidate.target {
+            Target::Endpoint(id) => {
+                let region = waiting.vm % REGIONS.len();
+                self.assert_permitted(&waiting, route, region);
+                let life = self.reported.get(&(waiting.vm, id.clone())).copied().unwrap_or(0);
+                assert!(!self.told.contains(&(waiting.vm, id.clone(), life)), "{id} is leaving");
+            }
+            Target::Domain(domain) => {
+                self.assert_permitted(&waiting, route, region_index(domain.as_str()));
+                self.forward(&waiting, &plan);
+            }
+        }
+    }
+
+    /// A region has to be permitted by the version that a request began with and by the one in force.
+    fn assert_permitted(&self, waiting: &Waiting, route: &str, region: usize) {
+        let in_force = self.gates[waiting.vm].version_number();
+        for version in [waiting.admitted.version.number, in_force] {
+            assert!(
+                self.permits(version, route, region),
+                "{route} in {} under {version}",
+                REGIONS[region]
+            );
+        }
+    }
+
+    fn forward(&mut self, waiting: &Waiting, plan: &Plan) {
+        let row = plan.vm.as_ref().unwrap();
+        let to = (0..VMS).find(|to| support::row(*to, 1).vm == row.vm).unwrap();
+        assert_ne!(to % REGIONS.len(), waiting.vm % REGIONS.len());
+        let envelope = Envelope {
+            request: "r".to_owned(),
+            workspace: waiting.admitted.workspace.clone(),
+            route: waiting.admitted.route.clone(),
+            version: waiting.admitted.version.number,
+            left: waiting.admitted.deadline.since(self.now),
+            hops: waiting.hops + 1,
+            purpose: Purpose::Run,
+            ticket: None,
+        };
+        assert!(
+            self.gates[to]
+                .receive(
+                    &Envelope {
+                        hops: 2,
+                        ..envelope.clone()
+                    },
+                    self.now
+                )
+                .is_err(),
+            "a loop is refused"
+        );
+        if let Ok(admitted) = self.gates[to].receive(&envelope, self.now) {
+            assert!(
+                admitted.version.number >= envelope.version,
+                "no older configuration decides"
+            );
+            assert!(self.permits(admitted.version.number, admitted.route.as_str(), to % REGIONS.len()));
+            self.waiting.push(Waiting {
+                vm: to,
+                admitted,
+                hops: 1,
+            });
+        }
+    }
+
+    fn leave(&mut self, vm: usize, number: usize) {
+        let id = endpoint(vm, number);
+        let life = *self.lives.get(&id).unwrap_or(&1);
+        self.gates[vm].endpoint_leaving(&EndpointLife {
+            endpoint: id.clone(),
+            incarnation: Incarnation(life),
+        });
+        (0..=life).for_each(|life| {
+            self.told.insert((vm, id.clone(), life));
+        });
+    }
+
+    fn report(&mut self, vm: usize, number: usize, restart: bool) {
+        let id = endpoint(vm, number);
+        let life = self.lives.entry(id.clone()).or_insert(1);
+        *life += u64::from(restart);
+        let report = Report {
+            endpoint: id.clone(),
+            incarnation: Incarnation(*life),
+            running: 1,
+            queued: 0,
+            leaving: false,
+            age: Millis(0),
+        };
+        self.reported.insert((vm, id), *life);
+        self.gates[vm].polled(report, self.now);
+    }
+
+    fn greet(&mut self, from: usize, to: usize) {
+        if from == to {
+            return;
+        }
+        let receiver = self.gates[to].members().own().clone();
+        let heartbeat = self.gates[from].heartbeat(Some(&receiver), self.now);
+        for life in &heartbeat.leaving {
+            (0..=life.incarnation.0).for_each(|number| {
+                self.told.insert((to, life.endpoint.clone(), number));
+            });
+        }
+        for report in &heartbeat.reports {
+            let known = self.reported.entry((to, report.endpoint.clone())).or_default();
+            *known = (*known).max(report.incarnation.0);
+        }
+        self.gates[to].heard(heartbeat, self.now);
+    }
+}
+
+impl StateMachineTest for World {
+    type SystemUnderTest = Self;
+    type Reference = Steps;
+
+    fn init_test((): &()) -> Self {
+        Self::new()
+    }
+
+    fn apply(mut world: Self, (): &(), step: Step) -> Self {
+        match step {
+            Step::Accept { mask } if world.masks.len() < 20 => world.masks.push(mask),
+            Step::Adopt { vm, number } => world.adopt(vm, number % world.masks.len()),
+            Step::Admit { vm, narrow } => world.admit(vm, narrow),
+            Step::Plan { waiting } if !world.waiting.is_empty() => world.plan(waiting % world.waiting.len()),
+            Step::HandOver { planned } if !world.planned.is_empty() => world.hand_over(planned % world.planned.len()),
+            Step::Leave { vm, endpoint } => world.leave(vm, endpoint),
+            Step::Report { vm, endpoint, restart } => world.report(vm, endpoint, restart),
+            Step::Greet { from, to } => world.greet(from, to),
+            Step::Pass { ms } => {
+                world.now = world.now + Millis(ms);
+                let now = world.now;
+                world.gates.iter_mut().for_each(|gate| gate.tick(now));
+            }
+            _ => {}
+        }
+        world
+    }
+
+    fn check_invariants(world: &Self, (): &()) {
+        for (gate, highest) in world.gates.iter().zip(&world.highest) {
+            assert_eq!(
+                gate.version_number(),
+                Version(*highest),
+                "a configuration never reverts"
+            );
+        }
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(support::config())]
+
+    #[test]
+    fn requests_stay_in_their_regions(sequential 1..120 => World);
+}
--- /dev/null
+++ b/crates/sw-http/tests/sse.rs
@@ -0,0 +1,53 @@
+//! Streams are cut into whole events whatever the chunks are.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use sw_http::{SseError, SseReader};
+
+fn stream(events: usize) -> Vec<u8> {
+    let mut text: String = (0..events)
+        .map(|index| format!("data: {{\"id\":\"r1\",\"n\":{index}}}\n\n"))
+        .collect();
+    text.push_str("data: [DONE]\n\n");
+    text.into_bytes()
+}
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..Config::default() })]
+
+    #[test]
+    fn chunks_do_not_matter(events in 0..20_usize, cuts in prop::collection::vec(0..700_usize, 0..12)) {
+        let bytes = stream(events);
+        let mut cuts: Vec<_> = cuts.into_iter().map(|cut| cut % (bytes.len() + 1)).chain([0, bytes.len()]).collect();
+        cuts.sort_unstable();
+        let mut reader = SseReader::new("r1", 0);
+        let mut passed = Vec::new();
+        for window in cuts.windows(2) {
+            let part = reader.feed(&bytes[window[0]..window[1]]).unwrap();
+            prop_assert!(part.is_empty() || part.ends_with(b"\n\n"), "only whole events are passed on");
+            passed.extend_from_slice(&part);
+        }
+        prop_assert_eq!(passed, bytes);
+        prop_assert!(reader.ended());
+        prop_assert_eq!(reader.events(), events as u64);
+    }
+
+    #[test]
+    fn a_cut_stream_is_not_whole(events in 1..20_usize, cut in 0..700_usize) {
+        let bytes = stream(events);
+        let mut reader = SseReader::new("r1", 0);
+        reader.feed(&bytes[..cut % bytes.len()]).unwrap();
+        prop_assert!(!reader.ended());
+    }
+}
+
+#[test]
+fn another_requests_event_is_an_error() {
+    let mut reader = SseReader::new("r1", 0);
+    assert_eq!(reader.feed(b"data: {\"id\":\"r12\"}\n\n"), Err(SseError::Crossed));
+    let mut reader = SseReader::new("r1", 0);
+    assert!(reader.feed(b"data: {\"id\":\"r1\"}\n\ndata: {\"id\":\"r1").is_ok());
+    reader.drop_partial();
+    assert!(reader.feed(b"data: {\"id\":\"r1\"}\n\n").is_ok());
+    assert_eq!(reader.events(), 2);
+}
--- a/crates/sw-once/src/registry.rs
+++ b/crates/sw-once/src/registry.rs
@@ -104,12 +104,12 @@
         if key.sequence >= self.next {
             return Begin::Refuse(Kind::TicketInvalid);
         }
-        if key.sequence < self.expired {
-            return Begin::Refuse(Kind::TicketExpired);
-        }
         if let Some(record) = self.records.get(&key) {
             return repeat(record, digest);
         }
+        if key.sequence < self.expired {
+            return Begin::Refuse(Kind::TicketExpired);
+        }
         if self.records.len() >= self.options.records {
             return Begin::Refuse(Kind::Overloaded);
         }
@@ -132,6 +132,11 @@
         else {
             return;
         };
+        if key.sequence < self.expired {
+            // It ran for longer than the retention, so there is nothing left to keep it for.
+            self.records.swap_remove(key);
+            return;
+        }
         match outcome {
             Outcome::NotRun => {
                 self.records.swap_remove(key);
@@ -148,10 +153,8 @@
 
     /// What is known of a request.
     pub fn look_up(&self, key: &RequestKey) -> Standing {
-        if key.sequence < self.expired {
-            return Standing::Expired;
-        }
         match self.records.get(key).map(|record| &record.state) {
+            None if key.sequence < self.expired => Standing::Expired,
             None => Standing::NotRun,
             Some(State::Running) => Standing::Running,
             Some(State::Ran(_)) => Standing::Ran,
--- a/crates/sw-store/src/publish.rs
+++ b/crates/sw-store/src/publish.rs
@@ -181,28 +181,37 @@
         expected,
         puts,
     };
-    let mut last = store.swap(&swap).await;
+    match store.swap(&swap).await {
+        Ok(true) => return Ok(Published::Accepted(root.number)),
+        Ok(false) | Err(StoreError::Unknown) => {}
+        Err(error) => return Err(error),
+    }
     for _ in 0..RESOLVE_ATTEMPTS {
-        match last {
-            Ok(true) => return Ok(Published::Accepted(root.number)),
-            Ok(false) | Err(StoreError::Unknown) => {}
-            Err(error) => return Err(error),
-        }
-        // The swap may have taken effect although its answer, or that of an earlier attempt, was lost.
-        if let Ok(Some(line)) = history(store, root.number).await
-            && line.change == root.change
-        {
-            return Ok(Published::Accepted(root.number));
-        }
-        match read_root(store).await {
-            Ok((Some(winner), revision)) if revision != expected => return Ok(Published::Lost { winner }),
-            Ok((_, revision)) if revision == expected => last = store.swap(&swap).await,
-            _ => last = Err(StoreError::Unknown),
+        if let Ok(Some(published)) = resolve(store, root, &swap).await {
+            return Ok(published);
         }
     }
     Err(StoreError::Unknown)
 }
 
+/// Finds out whether a swap took effect whose answer said no or was lost; makes it again if it did not and still can.
+///
+/// The history decides: the root may have moved on since, and a root that cannot be told from another's must not be
+/// taken for one.
+async fn resolve(store: &impl Store, root: &Root, swap: &Swap<'_>) -> Result<Option<Published>, StoreError> {
+    match history(store, root.number).await? {
+        Some(line) if line.change == root.change => return Ok(Some(Published::Accepted(root.number))),
+        Some(winner) => return Ok(Some(Published::Lost { winner })),
+        None => {}
+    }
+    let (winner, revision) = read_root(store).await?;
+    if revision == swap.expected {
+        let swapped = store.swap(swap).await?;
+        return Ok(swapped.then_some(Published::Accepted(root.number)));
+    }
+    Ok(winner.map(|winner| Published::Lost { winner }))
+}
+
 fn parse(entry: &Entry) -> Result<Root, StoreError> {
     serde_json::from_slice(&entry.value).map_err(|error| StoreError::Corrupt(format!("a faulty root ({error})")))
 }
