--- a/crates/shallotwing-cli/src/command/mod.rs
+++ b/crates/shallotwing-cli/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! Subcommands.
 
 mod apply;
+mod bench;
 mod config;
 mod standin;
 mod store;
@@ -32,6 +33,8 @@
     Drain(vm::Drain),
     /// Start a whole system on loopback in this process and send requests.
     Try(r#try::Try),
+    /// Measure the routing policy against baselines.
+    Bench(bench::Bench),
     /// Run a stand-in of the platform or of an endpoint.
     Standin(standin::Standin),
 }
@@ -53,6 +56,10 @@
             Self::Entries(args) => args.run(json).await,
             Self::Drain(args) => args.run(json).await,
             Self::Try(args) => args.run().await,
+            Self::Bench(args) => {
+                args.run(json);
+                Ok(())
+            }
             Self::Standin(args) => args.run().await,
         }
     }
--- a/crates/sw-gate/src/plan.rs
+++ b/crates/sw-gate/src/plan.rs
@@ -48,7 +48,9 @@
         };
         let candidate = self.scratch[index].clone();
         let service = candidate.end.saturating_sub(candidate.wait);
-        if let Err(refusal) = self.shedder.admit(ask.route.worth, candidate.wait, service, ask.left) {
+        if P::SHEDS
+            && let Err(refusal) = self.shedder.admit(ask.route.worth, candidate.wait, service, ask.left)
+        {
             return Err(self.with_spread(refusal));
         }
         let vm = self.vm_for(&candidate, now)?;
--- a/crates/sw-gate/tests/regions_fuzz.rs
+++ b/crates/sw-gate/tests/regions_fuzz.rs
@@ -22,15 +22,40 @@
 
 #[derive(Debug, Clone)]
 enum Step {
-    Accept { mask: u8 },
-    Adopt { vm: usize, number: usize },
-    Admit { vm: usize, narrow: bool },
-    Plan { waiting: usize },
-    HandOver { planned: usize },
-    Leave { vm: usize, endpoint: usize },
-    Report { vm: usize, endpoint: usize, restart: bool },
-    Greet { from: usize, to: usize },
-    Pass { ms: u64 },
+    Accept {
+        mask: u8,
+    },
+    Adopt {
+        vm: usize,
+        number: usize,
+    },
+    Admit {
+        vm: usize,
+        narrow: bool,
+    },
+    Plan {
+        waiting: usize,
+    },
+    HandOver {
+        planned: usize,
+    },
+    Leave {
+        vm: usize,
+        endpoint: usize,
+    },
+    Report {
+        vm: usize,
+        endpoint: usize,
+        restart: bool,
+        running: u32,
+    },
+    Greet {
+        from: usize,
+        to: usize,
+    },
+    Pass {
+        ms: u64,
+    },
 }
 
 #[derive(Debug)]
@@ -53,7 +78,8 @@
             6 => (0..8_usize).prop_map(|waiting| Step::Plan { waiting }),
             6 => (0..8_usize).prop_map(|planned| Step::HandOver { planned }),
             1 => (vm(), 0..2_usize).prop_map(|(vm, endpoint)| Step::Leave { vm, endpoint }),
-            3 => (vm(), 0..2_usize, any::<bool>()).prop_map(|(vm, endpoint, restart)| Step::Report { vm, endpoint, restart }),
+            6 => (vm(), 0..2_usize, prop::bool::weighted(0.2), prop_oneof![Just(0), Just(20), Just(120)])
+                .prop_map(|(vm, endpoint, restart, running)| Step::Report { vm, endpoint, restart, running }),
             8 => (vm(), vm()).prop_map(|(from, to)| Step::Greet { from, to }),
             2 => (1..1_500_u64).prop_map(|ms| Step::Pass { ms }),
         ]
@@ -253,14 +279,14 @@
         });
     }
 
-    fn report(&mut self, vm: usize, number: usize, restart: bool) {
+    fn report(&mut self, vm: usize, number: usize, restart: bool, running: u32) {
         let id = endpoint(vm, number);
         let life = self.lives.entry(id.clone()).or_insert(1);
         *life += u64::from(restart);
         let report = Report {
             endpoint: id.clone(),
             incarnation: Incarnation(*life),
-            running: 1,
+            running,
             queued: 0,
             leaving: false,
             age: Millis(0),
@@ -304,7 +330,12 @@
             Step::Plan { waiting } if !world.waiting.is_empty() => world.plan(waiting % world.waiting.len()),
             Step::HandOver { planned } if !world.planned.is_empty() => world.hand_over(planned % world.planned.len()),
             Step::Leave { vm, endpoint } => world.leave(vm, endpoint),
-            Step::Report { vm, endpoint, restart } => world.report(vm, endpoint, restart),
+            Step::Report {
+                vm,
+                endpoint,
+                restart,
+                running,
+            } => world.report(vm, endpoint, restart, running),
             Step::Greet { from, to } => world.greet(from, to),
             Step::Pass { ms } => {
                 world.now = world.now + Millis(ms);
--- a/crates/sw-http/tests/sse.rs
+++ b/crates/sw-http/tests/sse.rs
@@ -5,11 +5,12 @@
 use sw_http::{SseError, SseReader};
 
 fn stream(events: usize) -> Vec<u8> {
-    let mut text: String = (0..events)
-        .map(|index| format!("data: {{\"id\":\"r1\",\"n\":{index}}}\n\n"))
-        .collect();
-    text.push_str("data: [DONE]\n\n");
-    text.into_bytes()
+    let mut bytes = Vec::new();
+    for index in 0..events {
+        bytes.extend_from_slice(format!("data: {{\"id\":\"r1\",\"n\":{index}}}\n\n").as_bytes());
+    }
+    bytes.extend_from_slice(b"data: [DONE]\n\n");
+    bytes
 }
 
 proptest! {
--- a/crates/sw-route/src/policy.rs
+++ b/crates/sw-route/src/policy.rs
@@ -16,6 +16,9 @@
 
 /// Picks one of several candidates.
 pub trait Policy {
+    /// Whether requests that are not worth the wait that they cause are refused.
+    const SHEDS: bool;
+
     /// The index of the chosen candidate and why; `None` if there is none.
     fn choose(&mut self, ask: &Ask<'_>, candidates: &[Candidate], rng: &mut fastrand::Rng) -> Option<(usize, Reason)>;
 }
@@ -39,6 +42,8 @@
 }
 
 impl Policy for Weighted {
+    const SHEDS: bool = true;
+
     fn choose(&mut self, ask: &Ask<'_>, candidates: &[Candidate], rng: &mut fastrand::Rng) -> Option<(usize, Reason)> {
         if candidates.len() < 2 {
             return candidates.first().map(|_| (0, Reason::Only));
@@ -74,6 +79,8 @@
 }
 
 impl Policy for RoundRobin {
+    const SHEDS: bool = false;
+
     fn choose(&mut self, _: &Ask<'_>, candidates: &[Candidate], _: &mut fastrand::Rng) -> Option<(usize, Reason)> {
         if candidates.is_empty() {
             return None;
@@ -88,6 +95,8 @@
 pub struct LeastLoad;
 
 impl Policy for LeastLoad {
+    const SHEDS: bool = false;
+
     fn choose(&mut self, _: &Ask<'_>, candidates: &[Candidate], _: &mut fastrand::Rng) -> Option<(usize, Reason)> {
         least_load(candidates, |_| true)
     }
@@ -98,6 +107,8 @@
 pub struct LocalOnly;
 
 impl Policy for LocalOnly {
+    const SHEDS: bool = false;
+
     fn choose(&mut self, _: &Ask<'_>, candidates: &[Candidate], _: &mut fastrand::Rng) -> Option<(usize, Reason)> {
         let is_local = |candidate: &Candidate| matches!(candidate.target, Target::Endpoint(_));
         least_load(candidates, is_local).or_else(|| least_load(candidates, |_| true))
--- a/crates/sw-store/tests/publish_fuzz.rs
+++ b/crates/sw-store/tests/publish_fuzz.rs
@@ -69,13 +69,11 @@
     }
 
     fn create(&mut self, key: &str, value: &[u8]) -> Created {
-        match self.items.get(key) {
-            Some(entry) => Created::Existing(entry.value.clone()),
-            None => {
-                self.put(key, value.to_vec());
-                Created::New
-            }
+        if let Some(entry) = self.items.get(key) {
+            return Created::Existing(entry.value.clone());
         }
+        self.put(key, value.to_vec());
+        Created::New
     }
 }
 
