perf(route): estimates that hold under load

The hints are bounded and cache events drop them now; - nothing corrected a wrong model: an engine with fewer slots or slower tokens than configured. Slots are now learned from reports, and the ratio of taken to expected time enters as a pace.

--- a/crates/shallotwing-daemon/src/process/poll.rs
+++ b/crates/shallotwing-daemon/src/process/poll.rs
@@ -1,10 +1,12 @@
 //! Load reports of endpoints.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use futures::future::join_all;
-use sw_engine::LoadReport;
+use sw_conf::EndpointKind;
+use sw_engine::{CacheEvents, LoadReport};
 use sw_http::{CallError, JsonError};
 use sw_load::Report;
 use sw_unit::{EndpointId, Incarnation, Millis};
@@ -13,22 +15,32 @@
 
 const PERIOD: Millis = Millis(1_000);
 
+/// Where to go on reading each engine's cache events.
+type Cursors = Arc<Mutex<HashMap<EndpointId, u64>>>;
+
 /// Polls the endpoints that fall to this VM each second.
 pub(crate) async fn run(gateway: Arc<Gateway>) {
     let mut ticks = gateway.timers.subscribe(PERIOD);
+    let cursors = Cursors::default();
     loop {
         ticks.tick().await;
-        let gateway = Arc::clone(&gateway);
+        let (gateway, cursors) = (Arc::clone(&gateway), Arc::clone(&cursors));
         tokio::spawn(async move {
             let Ok(endpoints) = gateway.core.run(|gate, now| gate.polls(now)).await else {
                 return;
             };
-            join_all(endpoints.into_iter().map(|(id, address)| poll(&gateway, id, address))).await;
+            let polls = endpoints.into_iter().map(async |(id, address, kind)| {
+                poll_load(&gateway, id.clone(), address).await;
+                if kind == EndpointKind::Engine {
+                    poll_cache(&gateway, &cursors, id, address).await;
+                }
+            });
+            join_all(polls).await;
         });
     }
 }
 
-async fn poll(gateway: &Gateway, endpoint: EndpointId, address: SocketAddr) {
+async fn poll_load(gateway: &Gateway, endpoint: EndpointId, address: SocketAddr) {
     match gateway.control.get::<LoadReport>(address, "/load").await {
         Ok(report) => {
             let report = Report {
@@ -48,3 +60,19 @@
         Err(_no_report) => {}
     }
 }
+
+/// Reads which cache blocks an engine dropped; what is missed makes a hint wrong and nothing else.
+async fn poll_cache(gateway: &Gateway, cursors: &Cursors, endpoint: EndpointId, address: SocketAddr) {
+    let since = lock(cursors).get(&endpoint).copied().unwrap_or_default();
+    let path = format!("/cache/events?since={since}");
+    if let Ok(events) = gateway.control.get::<CacheEvents>(address, &path).await {
+        lock(cursors).insert(endpoint.clone(), events.next);
+        gateway
+            .core
+            .post(move |gate, _| gate.evicted(&endpoint, &events.evicted));
+    }
+}
+
+fn lock(cursors: &Cursors) -> MutexGuard<'_, HashMap<EndpointId, u64>> {
+    cursors.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/shallotwing-daemon/src/request/attempt.rs
+++ b/crates/shallotwing-daemon/src/request/attempt.rs
@@ -3,8 +3,7 @@
 use std::sync::Arc;
 
 use sw_error::{Kind, Refusal};
-use sw_gate::{Finish, Plan};
-use sw_route::Target;
+use sw_gate::{Finish, Handed, Plan};
 use sw_unit::{Millis, Time};
 
 use super::job::Job;
@@ -30,7 +29,7 @@
 #[derive(Debug)]
 pub(crate) struct InFlight {
     core: Core,
-    target: Target,
+    handed: Handed,
     finish: Finish,
 }
 
@@ -43,8 +42,8 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        let (target, finish) = (self.target.clone(), self.finish);
-        self.core.post(move |gate, now| gate.finish(&target, finish, now));
+        let (handed, finish) = (self.handed.clone(), self.finish);
+        self.core.post(move |gate, now| gate.finish(&handed, finish, now));
     }
 }
 
@@ -53,11 +52,12 @@
     let (checked, with) = (Arc::clone(job), plan.clone());
     let step =
         move |gate: &mut sw_gate::Gate, now| gate.hand_over(&checked.admitted, &with, &checked.plan_request(&[]), now);
-    let handed_over = gateway.core.run(step).await.and_then(|checked| checked);
-    handed_over.map_err(AttemptError::NotRun)?;
+    let handed = gateway.core.run(step).await.and_then(|checked| checked);
+    let handed = handed.map_err(AttemptError::NotRun)?;
+    let core = gateway.core.clone();
     Ok(InFlight {
-        core: gateway.core.clone(),
-        target: plan.candidate.target.clone(),
+        core,
+        handed,
         finish: Finish::Broken,
     })
 }
--- a/crates/shallotwing-daemon/src/request/forward.rs
+++ b/crates/shallotwing-daemon/src/request/forward.rs
@@ -98,8 +98,11 @@
             if content_type.starts_with(EVENT_STREAM) && job.admitted.idempotent {
                 let (tx, body) = channel();
                 tokio::spawn(async move {
-                    relay(rx, &tx).await;
-                    drop(in_flight);
+                    if relay(rx, &tx).await
+                        && let Some(in_flight) = in_flight
+                    {
+                        in_flight.answered();
+                    }
                 });
                 return Ok(Reply::Stream {
                     status,
@@ -166,21 +169,24 @@
     }
 }
 
-/// Passes a streamed answer on to the caller.
-async fn relay(mut rx: mpsc::Receiver<Event>, tx: &BodySender) {
+/// Passes a streamed answer on to the caller, and returns whether it was whole.
+async fn relay(mut rx: mpsc::Receiver<Event>, tx: &BodySender) -> bool {
     loop {
         let event = tokio::select! {
             event = tokio::time::timeout(MAX_SILENCE, rx.recv()) => event,
-            () = tx.closed() => return,
+            () = tx.closed() => return false,
         };
         match event {
             Ok(Some(Event::Chunk(data))) => {
                 if tx.send(Ok(data)).await.is_err() {
-                    return;
+                    return false;
                 }
             }
-            Ok(Some(Event::End(Ok(())))) => return,
-            _ => return stream::break_off(tx).await,
+            Ok(Some(Event::End(Ok(())))) => return true,
+            _ => {
+                stream::break_off(tx).await;
+                return false;
+            }
         }
     }
 }
--- a/crates/sw-admit/src/shed.rs
+++ b/crates/sw-admit/src/shed.rs
@@ -8,7 +8,7 @@
 /// Longest time to come back.
 const MAX_RETRY_AFTER: Millis = Millis(30_000);
 /// Share of its slack that a request of no worth may spend waiting.
-const MIN_PATIENCE: f64 = 0.1;
+const MIN_PATIENCE: f64 = 0.5;
 /// Requests over which the highest worth is remembered.
 const WORTH_MEMORY: f64 = 500.0;
 
--- a/crates/sw-bench/src/scenario.rs
+++ b/crates/sw-bench/src/scenario.rs
@@ -11,6 +11,8 @@
 pub enum Scenario {
     /// All domains at 60% of their capacity.
     Steady,
+    /// All domains at their capacity.
+    Capacity,
     /// The own domain at 130%, the others at 30%.
     OffsetPeaks,
     /// The own domain has a tenth of its slots, and its callers are as many as before.
@@ -50,6 +52,7 @@
     /// Load of the own callers, as a share of a domain's capacity.
     pub fn own_load(self) -> f64 {
         match self {
+            Self::Capacity => 1.0,
             Self::OffsetPeaks | Self::NarrowLinks => 1.3,
             Self::Overload2 => 2.0,
             Self::Overload5 => 5.0,
@@ -60,6 +63,7 @@
     /// Load of each other domain's callers.
     pub fn other_load(self) -> f64 {
         match self {
+            Self::Capacity => 1.0,
             Self::OffsetPeaks | Self::NarrowLinks => 0.3,
             Self::Overload2 => 2.0,
             Self::Overload5 => 5.0,
--- a/crates/sw-engine/src/types.rs
+++ b/crates/sw-engine/src/types.rs
@@ -50,6 +50,15 @@
     pub age_ms: u64,
 }
 
+/// Cache blocks that an engine dropped.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct CacheEvents {
+    /// Where to go on reading.
+    pub next: u64,
+    /// Hashes of the dropped blocks.
+    pub evicted: Vec<u64>,
+}
+
 /// The capacity of an engine.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
--- a/crates/sw-gate/src/gate.rs
+++ b/crates/sw-gate/src/gate.rs
@@ -1,9 +1,11 @@
 //! The state of the gate.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
 use sw_admit::{Quotas, RetryBudget, Shedder};
+use sw_conf::EndpointKind;
 use sw_error::{Kind, Refusal};
 use sw_load::{Loads, Prefixes, Report};
 use sw_member::{EndpointLife, Leaving, Members, VmRow, top};
@@ -35,7 +37,7 @@
             members: sw_member::Options::default(),
             loads: sw_load::Options::default(),
             once: sw_once::Options::default(),
-            prefix_blocks: 4_096,
+            prefix_blocks: 1_024,
             seed: 0,
         }
     }
@@ -185,7 +187,7 @@
     }
 
     /// The endpoints of the own domain that this VM polls.
-    pub fn polls(&self, now: Time) -> Vec<(EndpointId, std::net::SocketAddr)> {
+    pub fn polls(&self, now: Time) -> Vec<(EndpointId, SocketAddr, EndpointKind)> {
         let Some(version) = &self.version else {
             return Vec::new();
         };
@@ -196,7 +198,9 @@
             .iter()
             .filter(|(_, endpoint)| endpoint.domain == *domain);
         let polled = own.filter(|(id, _)| self.members.polls(id, now));
-        polled.map(|(id, endpoint)| (id.clone(), endpoint.address)).collect()
+        polled
+            .map(|(id, endpoint)| (id.clone(), endpoint.address, endpoint.kind))
+            .collect()
     }
 
     /// Whether this VM is one of `count` live VMs of its domain that do a task.
--- a/crates/sw-gate/src/plan.rs
+++ b/crates/sw-gate/src/plan.rs
@@ -5,7 +5,7 @@
 use sw_route::{Ask, Candidate, Policy, Target, View, candidates};
 use sw_unit::{Bytes, EndpointId, Millis, RegionId, Time};
 
-use crate::{Admitted, Finish, Gate, Plan, PlanRequest};
+use crate::{Admitted, Finish, Gate, Handed, Plan, PlanRequest};
 
 /// Time to come back when nothing is known about when capacity returns.
 const NO_ENDPOINT_RETRY: Millis = Millis(1_000);
@@ -74,10 +74,11 @@
         plan: &Plan,
         request: &PlanRequest<'_>,
         now: Time,
-    ) -> Result<(), Refusal> {
+    ) -> Result<Handed, Refusal> {
         if now >= admitted.deadline {
             return Err(Kind::DeadlineUnreachable.into());
         }
+        let work = plan.candidate.work;
         match &plan.candidate.target {
             Target::Endpoint(id) => {
                 let domain = self.members.own().domain.clone();
@@ -85,28 +86,39 @@
                 if self.leaving.contains(id, self.loads.incarnation(id)) {
                     return Err(Kind::NoEndpoint.into());
                 }
-                self.loads.sent(id, now);
+                self.loads.sent(id, work, now);
                 self.prefixes.sent(id, request.prefixes);
             }
             Target::Domain(domain) => {
                 self.fleet()?.permits_domain(admitted, domain)?;
-                self.loads.forwarded(domain, now);
+                self.loads.forwarded(domain, work, now);
                 if let Some(vm) = &plan.vm {
                     self.count_transfer(admitted, &vm.region, request.len, now);
                 }
             }
         }
-        Ok(())
+        Ok(Handed {
+            target: plan.candidate.target.clone(),
+            at: now,
+            expected: plan.candidate.end,
+        })
     }
 
     /// Records how a request that was handed over ended.
-    pub fn finish(&mut self, target: &Target, finish: Finish, now: Time) {
-        let Target::Endpoint(id) = target else {
-            return;
-        };
-        self.loads.ended(id);
-        if finish == Finish::Answered {
-            self.loads.succeeded(id, now);
+    pub fn finish(&mut self, handed: &Handed, finish: Finish, now: Time) {
+        let taken = now.since(handed.at);
+        match &handed.target {
+            Target::Endpoint(id) => {
+                self.loads.ended(id);
+                if finish == Finish::Answered {
+                    self.loads.succeeded(id, now);
+                    self.loads.took(id, taken, handed.expected, now);
+                }
+            }
+            Target::Domain(domain) if finish == Finish::Answered => {
+                self.loads.took_remote(domain, taken, handed.expected, now);
+            }
+            Target::Domain(_) => {}
         }
     }
 
--- a/crates/sw-gate/src/types.rs
+++ b/crates/sw-gate/src/types.rs
@@ -83,6 +83,17 @@
     pub vm: Option<VmRow>,
 }
 
+/// A request that was handed over; it is to be given back with [`crate::Gate::finish`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Handed {
+    /// Where to.
+    pub target: Target,
+    /// When.
+    pub at: Time,
+    /// How long its answer was expected to take.
+    pub expected: Millis,
+}
+
 /// How a request that was handed over ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Finish {
--- a/crates/sw-load/src/lib.rs
+++ b/crates/sw-load/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod loads;
 mod prefix;
+mod speed;
 mod types;
 
 pub use loads::{Estimate, Loads, Options};
 pub use prefix::{BLOCK_LEN, PrefixHash, Prefixes, prefix_hashes};
+pub use speed::Work;
 pub use types::{DomainSummary, ModelLoad, Report};
--- a/crates/sw-load/src/loads.rs
+++ b/crates/sw-load/src/loads.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use sw_unit::{DomainId, EndpointId, Incarnation, Millis, ModelId, Time};
 
+use crate::speed::{Speed, Work};
 use crate::{DomainSummary, ModelLoad, Report};
 
 /// Share of its slots that an endpoint gets when it returns.
@@ -42,12 +43,21 @@
     pub slots: f64,
     /// Whether a fresh report is behind it.
     pub reported: bool,
+    /// What the requests there are thought to need on average.
+    pub work: Option<Work>,
+    /// How much longer requests took lately than was expected.
+    pub pace: f64,
 }
 
 impl Estimate {
-    /// Requests that wait ahead of a new one, per slot.
-    pub fn turns(self) -> f64 {
-        ((self.load + 1.0 - self.slots) / self.slots.max(1.0)).max(0.0)
+    /// Requests that wait ahead of a new one.
+    pub fn ahead(self) -> f64 {
+        (self.load + 1.0 - self.slots).max(0.0)
+    }
+
+    /// Share of the slots that are taken, up to 1.
+    pub fn fullness(self) -> f64 {
+        (self.load / self.slots.max(1.0)).min(1.0)
     }
 }
 
@@ -56,6 +66,9 @@
     report: Option<(Report, Time)>,
     in_flight: u32,
     sends: VecDeque<Time>,
+    speed: Speed,
+    /// Slots that the endpoint was seen to have, if it seems to have fewer than configured.
+    seen_slots: Option<f64>,
     failures: u32,
     paused_until: Time,
     ramp_from: Option<Time>,
@@ -66,6 +79,22 @@
     models: IndexMap<ModelId, ModelLoad>,
     at: Time,
     sends: VecDeque<Time>,
+    speed: Speed,
+}
+
+impl Row {
+    /// Learns how many slots there are from a report: requests that wait mean that all slots are taken.
+    fn see_slots(&mut self, report: &Report) {
+        let running = f64::from(report.running.max(1));
+        if report.queued > 0 {
+            self.seen_slots = Some(running);
+        } else if let Some(seen) = &mut self.seen_slots
+            && running >= *seen
+        {
+            // All are taken and nothing waits, so there may be more.
+            *seen = running + 1.0;
+        }
+    }
 }
 
 /// What is known of the load of endpoints and domains.
@@ -103,6 +132,7 @@
         while row.sends.front().is_some_and(|sent| *sent <= at) {
             row.sends.pop_front();
         }
+        row.see_slots(&report);
         row.report = Some((report, at));
         restarted
     }
@@ -113,10 +143,11 @@
         report.map_or(Incarnation(0), |(report, _)| report.incarnation)
     }
 
-    /// Records that a request is handed over to an endpoint.
-    pub fn sent(&mut self, endpoint: &EndpointId, now: Time) {
+    /// Records that a request that needs `work` is handed over to an endpoint.
+    pub fn sent(&mut self, endpoint: &EndpointId, work: Work, now: Time) {
         let row = self.rows.entry(endpoint.clone()).or_default();
         row.in_flight += 1;
+        row.speed.sent(work);
         row.sends.push_back(now);
         let stale = now - self.options.stale_after;
         while row.sends.front().is_some_and(|sent| *sent < stale) {
@@ -131,6 +162,20 @@
         }
     }
 
+    /// Records that a whole answer of an endpoint took `taken` where `expected` was expected.
+    pub fn took(&mut self, endpoint: &EndpointId, taken: Millis, expected: Millis, now: Time) {
+        if let Some(row) = self.rows.get_mut(endpoint) {
+            row.speed.took(taken, expected, now);
+        }
+    }
+
+    /// Records that a whole answer of another domain took `taken` where `expected` was expected.
+    pub fn took_remote(&mut self, domain: &DomainId, taken: Millis, expected: Millis, now: Time) {
+        if let Some(remote) = self.remotes.get_mut(domain) {
+            remote.speed.took(taken, expected, now);
+        }
+    }
+
     /// Records that a connection to an endpoint was made and used.
     pub fn succeeded(&mut self, endpoint: &EndpointId, now: Time) {
         if let Some(row) = self.rows.get_mut(endpoint)
@@ -162,6 +207,8 @@
                 load: 0.0,
                 slots: f64::from(slots),
                 reported: false,
+                work: None,
+                pace: 1.0,
             };
         };
         let fresh = row
@@ -173,10 +220,15 @@
             Some((report, _)) => (f64::from(report.running + report.queued) + row.sends.len() as f64).max(own),
             None => own * vms as f64,
         };
+        let slots = row
+            .seen_slots
+            .map_or(f64::from(slots), |seen| seen.min(f64::from(slots)));
         Estimate {
             load,
-            slots: f64::from(slots) * self.ramp(row, now),
+            slots: (slots * self.ramp(row, now)).max(1.0),
             reported: fresh.is_some(),
+            work: row.speed.work(),
+            pace: row.speed.pace(now),
         }
     }
 
@@ -198,9 +250,10 @@
         }
     }
 
-    /// Records that a request is forwarded to another domain.
-    pub fn forwarded(&mut self, domain: &DomainId, now: Time) {
+    /// Records that a request that needs `work` is forwarded to another domain.
+    pub fn forwarded(&mut self, domain: &DomainId, work: Work, now: Time) {
         if let Some(remote) = self.remotes.get_mut(domain) {
+            remote.speed.sent(work);
             remote.sends.push_back(now);
         }
     }
@@ -217,6 +270,8 @@
             load,
             slots: f64::from(row.slots),
             reported: true,
+            work: remote.speed.work(),
+            pace: remote.speed.pace(now),
         })
     }
 
--- a/crates/sw-route/src/candidate.rs
+++ b/crates/sw-route/src/candidate.rs
@@ -1,7 +1,7 @@
 //! Hard filters and estimates.
 
 use sw_conf::{Fleet, Route, Workspace};
-use sw_load::{Estimate, Loads, PrefixHash, Prefixes};
+use sw_load::{Estimate, Loads, PrefixHash, Prefixes, Work};
 use sw_member::{Leaving, Members};
 use sw_unit::{Bytes, Millis, ModelId, RegionId, Time};
 
@@ -12,6 +12,8 @@
 const BYTES_PER_TOKEN: f64 = 4.0;
 /// Growth of the time between tokens from an empty endpoint to a full one.
 const BATCH_SLOWDOWN: f64 = 1.0;
+/// Part of the other requests' prompts that goes before a first token.
+const FIRST_TOKEN_HELD_UP: f64 = 0.5;
 const BYTES_PER_GB: f64 = 1e9;
 
 /// What is asked for.
@@ -85,16 +87,17 @@
 
 fn local_candidate(ask: &Ask<'_>, view: &View<'_>, endpoint: &LocalEndpoint, estimate: Estimate) -> Candidate {
     let held = view.prefixes.held_len(&endpoint.id, ask.prefixes) as u64;
-    let uncached = ask.len.saturating_sub(Bytes(held));
-    let times = times(&endpoint.figures, estimate, uncached);
+    let work = work(&endpoint.figures, ask.len.saturating_sub(Bytes(held)));
+    let times = times(work, estimate, 1.0);
     Candidate {
         target: Target::Endpoint(endpoint.id.clone()),
         wait: Millis(times.wait as u64),
-        first: Millis((times.wait + times.prefill) as u64),
-        end: Millis((times.wait + times.prefill + times.answer) as u64),
+        first: Millis(times.first as u64),
+        end: Millis(times.end as u64),
         price: endpoint.figures.price,
         remote: false,
         load: estimate.load / estimate.slots.max(1.0),
+        work,
     }
 }
 
@@ -110,31 +113,55 @@
             .delay(&group.region, ask.len, link.bandwidth_mbps.0, vms, view.now);
         delay + Millis(2 * link.latency.0)
     });
+    let transfer = transfer.0 as f64;
     let link_price = link.map_or(0.0, |link| link.price_per_gb.units() * ask.len.0 as f64 / BYTES_PER_GB);
-    let times = times(&group.figures, estimate, ask.len);
-    let wait = times.wait + transfer.0 as f64;
+    let work = work(&group.figures, ask.len);
+    let endpoints = f64::from(group.slots) / f64::from(group.figures.slots.max(1));
+    let times = times(work, estimate, endpoints);
     Some(Candidate {
         target: Target::Domain(group.domain.clone()),
-        wait: Millis(wait as u64),
-        first: Millis((wait + times.prefill) as u64),
-        end: Millis((wait + times.prefill + times.answer) as u64),
+        wait: Millis((times.wait + transfer) as u64),
+        first: Millis((times.first + transfer) as u64),
+        end: Millis((times.end + transfer) as u64),
         price: group.figures.price + link_price,
         remote: group.region != *own,
         load: estimate.load / estimate.slots.max(1.0),
+        work,
     })
 }
 
-/// Estimated times in milliseconds.
+/// What a request with this much of its prompt uncached needs.
+fn work(figures: &Figures, uncached: Bytes) -> Work {
+    let prefill_ms = uncached.0 as f64 / BYTES_PER_TOKEN * figures.prefill_ms;
+    Work {
+        prefill_ms,
+        answer_ms: figures.answer_ms,
+    }
+}
+
+/// Estimated times from now, in milliseconds.
 struct Times {
     wait: f64,
-    prefill: f64,
-    answer: f64,
+    first: f64,
+    end: f64,
 }
 
-fn times(figures: &Figures, estimate: Estimate, uncached: Bytes) -> Times {
-    let prefill = uncached.0 as f64 / BYTES_PER_TOKEN * figures.prefill_ms;
-    let fullness = (estimate.load / estimate.slots.max(1.0)).min(1.0);
-    let answer = figures.answer_ms * (1.0 + BATCH_SLOWDOWN * fullness);
-    let wait = estimate.turns() * (prefill + answer);
-    Times { wait, prefill, answer }
+/// The times of a request that needs `own`, at as many like endpoints as share the estimated load.
+///
+/// An endpoint makes tokens for all running requests together, but takes in one prompt at a time, and every prompt
+/// holds up all running requests.
+fn times(own: Work, estimate: Estimate, endpoints: f64) -> Times {
+    let others = estimate.work.unwrap_or(own);
+    let slots = (estimate.slots / endpoints.max(1.0)).max(1.0);
+    let fullness = estimate.fullness();
+    let turn = others.prefill_ms + others.answer_ms * (1.0 + BATCH_SLOWDOWN) / slots;
+    let wait = estimate.ahead() * turn / endpoints.max(1.0);
+    let held_up = fullness * (slots - 1.0) * others.prefill_ms;
+    let first = own.prefill_ms + FIRST_TOKEN_HELD_UP * held_up;
+    let end = own.prefill_ms + held_up + own.answer_ms * (1.0 + BATCH_SLOWDOWN * fullness);
+    Times {
+        wait: wait * estimate.pace,
+        first: (wait + first) * estimate.pace,
+        end: (wait + end) * estimate.pace,
+    }
 }
--- a/crates/sw-route/src/policy.rs
+++ b/crates/sw-route/src/policy.rs
@@ -5,12 +5,16 @@
 use crate::{Ask, Candidate, Reason, Target};
 
 /// A remote candidate has to be better than the best local one by this factor.
-const REMOTE_GAIN: f64 = 0.9;
+const REMOTE_GAIN: f64 = 0.97;
 /// Candidates whose score is within this factor of the best are near it.
-const NEAR_BEST: f64 = 1.1;
+const NEAR_BEST: f64 = 1.02;
 /// Difference of scores, in seconds of latency of a request of worth 1, below which candidates are near each other.
 const NEAR_SECONDS: f64 = 0.02;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
+/// An estimate of the time to the end may be exceeded by this factor.
+const MARGIN: f64 = 2.0;
+/// A second after the deadline counts as this many seconds of latency.
+const LATE_FACTOR: f64 = 10.0;
 /// Part of the latency that is the first token's, for the person who waits.
 const FIRST_TOKEN_SHARE: f64 = 0.5;
 
@@ -34,10 +38,10 @@
         let first = seconds(candidate.first);
         let end = seconds(candidate.end);
         let latency = FIRST_TOKEN_SHARE * first + (1.0 - FIRST_TOKEN_SHARE) * end;
-        let late = seconds(candidate.end.saturating_sub(ask.left));
+        let late = (seconds(candidate.end) * MARGIN - seconds(ask.left)).max(0.0);
         let remote = if candidate.remote { objective.remote.0 } else { 0.0 };
         let worth = ask.route.worth.0;
-        objective.latency.0 * worth * (latency + 10.0 * late) + objective.cost.0 * candidate.price + remote
+        objective.latency.0 * worth * (latency + LATE_FACTOR * late) + objective.cost.0 * candidate.price + remote
     }
 }
 
--- a/crates/sw-route/src/types.rs
+++ b/crates/sw-route/src/types.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use strum::Display;
+use sw_load::Work;
 use sw_unit::{DomainId, EndpointId, Millis};
 
 /// Where a request goes next.
@@ -54,4 +55,6 @@
     pub remote: bool,
     /// Expected load per slot.
     pub load: f64,
+    /// What the request needs there.
+    pub work: Work,
 }
