feat(store): do not trust claims to a service that lost its latest state

Cause: an idempotency key that was claimed and run could be claimed anew after the service came back older, and the request ran twice. Answers carry the service's revision; one that is lower than what was seen before the call shows the loss. Claims are then refused, truthfully not run, for the retention, and heartbeats carry the highest revision and the distrust to other VMs. Ruled out: comparing with what was seen by the time of the answer (a neighbour's heartbeat may overtake it). What stays open: a loss within the second before the next heartbeat is seen only by the VM that made the claim.

--- a/crates/shallotwing-cli/src/command/store.rs
+++ b/crates/shallotwing-cli/src/command/store.rs
@@ -5,7 +5,7 @@
 
 use clap::Args;
 use sw_store::{Etcd, Root, fetch, history, read_root};
-use sw_unit::{Rate, Version};
+use sw_unit::{Millis, Rate, Version};
 
 use crate::failure::Failure;
 use crate::output::print;
@@ -43,7 +43,7 @@
 impl StoreArgs {
     /// A client of the service.
     pub(crate) fn connect(&self) -> Etcd {
-        Etcd::new(self.store, TIMEOUT, CALLS)
+        Etcd::new(self.store, TIMEOUT, CALLS, Millis(0))
     }
 }
 
--- a/crates/shallotwing-cli/src/command/try.rs
+++ b/crates/shallotwing-cli/src/command/try.rs
@@ -14,7 +14,7 @@
 use sw_http::{Caller, Connector, RAN_HEADER, Reuse, read_body};
 use sw_standin::{Deployment, DeploymentOptions, KEY};
 use sw_store::{Etcd, publish};
-use sw_unit::{Rate, Version, WallTime};
+use sw_unit::{Millis, Rate, Version, WallTime};
 
 use crate::failure::Failure;
 
@@ -57,7 +57,7 @@
                     .map_err(|error| failed(error.to_string()))?,
             );
         }
-        let store = Etcd::new(deployment.store.address(), TIMEOUT, Rate(100.0));
+        let store = Etcd::new(deployment.store.address(), TIMEOUT, Rate(100.0), Millis(0));
         let published = publish(&store, &deployment.fleet, Version(0), "try", WallTime(0)).await;
         published.map_err(|error| failed(error.to_string()))?;
         for plan in &deployment.vms {
--- a/crates/shallotwing-daemon/src/process/daemon.rs
+++ b/crates/shallotwing-daemon/src/process/daemon.rs
@@ -8,12 +8,12 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use spdlog::prelude::*;
 use sw_conf::Settings;
-use sw_gate::{Gate, Options};
+use sw_gate::{Gate, Options, StoreSeen};
 use sw_http::{Caller, Connector};
 use sw_member::VmRow;
 use sw_peer::Peers;
 use sw_route::Weighted;
-use sw_store::{Claimer, Etcd};
+use sw_store::{Claimer, Etcd, Revision};
 use sw_time::{Clock as _, SystemClock, TimerService};
 use sw_unit::{Incarnation, Millis, Rate, Version};
 use tokio::net::TcpListener;
@@ -54,6 +54,20 @@
 }
 
 impl Gateway {
+    /// What this VM has seen of the key-value service.
+    pub(crate) fn store_seen(&self) -> StoreSeen {
+        let trust = self.store.trust();
+        StoreSeen {
+            revision: trust.highest().0,
+            distrust: trust.distrust(),
+        }
+    }
+
+    /// Takes in what another VM has seen of the key-value service.
+    pub(crate) fn learn_store(&self, seen: StoreSeen) {
+        self.store.trust().learn(Revision(seen.revision), seen.distrust);
+    }
+
     /// A new request id.
     pub(crate) fn request_id(&self) -> String {
         let number = self.next_request.fetch_add(1, Ordering::Relaxed);
@@ -85,7 +99,12 @@
         let callers = bind(settings.listen).await?;
         let operators = bind(settings.operator_listen).await?;
         let core = Core::start(gate(&settings, incarnation), clock);
-        let store = Etcd::new(settings.platform.store, STORE_TIMEOUT, STORE_CALLS);
+        let store = Etcd::new(
+            settings.platform.store,
+            STORE_TIMEOUT,
+            STORE_CALLS,
+            settings.limits.retention,
+        );
         let forwards = Forwards::default();
         let peers = sw_peer::start(settings.peer_listen, forwards.handler(core.clone()));
         let peers = peers.wrap_err_with(|| format!("cannot listen on {}", settings.peer_listen))?;
--- a/crates/shallotwing-daemon/src/process/exchange.rs
+++ b/crates/shallotwing-daemon/src/process/exchange.rs
@@ -44,11 +44,13 @@
     let heartbeat = gateway
         .core
         .run(move |gate, now| (gate.heartbeat(to.as_ref(), now), gate.leaving_rev()));
-    let Ok((heartbeat, rev)) = heartbeat.await else {
+    let Ok((mut heartbeat, rev)) = heartbeat.await else {
         return;
     };
+    heartbeat.store = gateway.store_seen();
     match gateway.peers.greet(address, heartbeat).await {
         Ok(reply) => {
+            gateway.learn_store(reply.store);
             gateway.core.post(move |gate, now| {
                 let by = reply.from.clone();
                 gate.heard(reply, now);
--- a/crates/shallotwing-daemon/src/process/operator.rs
+++ b/crates/shallotwing-daemon/src/process/operator.rs
@@ -47,7 +47,10 @@
         (&Method::GET, "/metrics") => Response::new(ResponseBody::from(Bytes::from(gateway.metrics.render()))),
         (&Method::GET, "/status") => {
             let status = gateway.core.run(|gate, now| status(gate, now)).await;
-            json_answer(200, &status.unwrap_or_default())
+            let mut status = status.unwrap_or_default();
+            let seen = gateway.store_seen();
+            status["store"] = json!({ "revision": seen.revision, "distrust_ms": seen.distrust.0 });
+            json_answer(200, &status)
         }
         (&Method::POST, "/drain") => {
             gateway.drain.send_replace(true);
--- a/crates/shallotwing-daemon/src/request/received.rs
+++ b/crates/shallotwing-daemon/src/request/received.rs
@@ -58,6 +58,10 @@
         }
     }
 
+    fn gateway(&self) -> Option<Arc<Gateway>> {
+        self.gateway.get().and_then(Weak::upgrade)
+    }
+
     fn begin(&self) -> Active {
         self.active.fetch_add(1, Ordering::AcqRel);
         Active {
@@ -76,12 +80,18 @@
 
 impl Handler for PeerHandler {
     async fn greet(&self, heartbeat: Heartbeat) -> Option<Heartbeat> {
+        let gateway = self.forwards.gateway()?;
+        gateway.learn_store(heartbeat.store);
         let step = |gate: &mut sw_gate::Gate, now| {
             let from = heartbeat.from.clone();
             gate.heard(heartbeat, now);
             gate.heartbeat(Some(&from), now)
         };
-        self.core.run(step).await.ok()
+        let reply = self.core.run(step).await.ok()?;
+        Some(Heartbeat {
+            store: gateway.store_seen(),
+            ..reply
+        })
     }
 
     async fn configuration(&self) -> Option<Offer> {
@@ -95,7 +105,7 @@
 
     async fn forward(&self, forward: Forward, events: mpsc::Sender<Event>) {
         let active = self.forwards.begin();
-        let gateway = self.forwards.gateway.get().and_then(Weak::upgrade);
+        let gateway = self.forwards.gateway();
         self.runtime.spawn(async move {
             let reply = match gateway {
                 Some(gateway) => serve(&gateway, forward).await,
--- a/crates/shallotwing-daemon/tests/common/mod.rs
+++ b/crates/shallotwing-daemon/tests/common/mod.rs
@@ -17,7 +17,7 @@
 use sw_http::{Caller, Connector, Exchange, REQUEST_ID_HEADER, Reuse};
 use sw_standin::{Asked, Deployment, DeploymentOptions, Heard, KEY, Said, VmPlan, answer_tokens, check};
 use sw_store::{Etcd, Published, publish};
-use sw_unit::{Rate, Version, WallTime};
+use sw_unit::{Millis, Rate, Version, WallTime};
 
 /// Longest wait for a state that has to come.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -116,7 +116,12 @@
             .iter()
             .map(|plan| Process::start(&plan.settings))
             .collect();
-        let store = Etcd::new(deployment.store.address(), Duration::from_secs(2), Rate(1_000.0));
+        let store = Etcd::new(
+            deployment.store.address(),
+            Duration::from_secs(2),
+            Rate(1_000.0),
+            Millis(0),
+        );
         let fleet = Self {
             deployment,
             processes,
--- a/crates/shallotwing-daemon/tests/once.rs
+++ b/crates/shallotwing-daemon/tests/once.rs
@@ -188,6 +188,9 @@
     };
     fleet.deployment.store.set_faults(lost);
     let sending = Sending::payment("m-key;").with("idempotency-key", "order-17");
+    let first = sending.send(fleet.vm(0).listen).await.unwrap();
+    assert_eq!(first.status, 200, "a claim whose answer was lost is read back");
+    fleet.deployment.store.set_faults(lost);
     let sends = (0..3).chain(0..3).map(|vm| sending.send(fleet.vm(vm).listen));
     let answers = futures::future::join_all(sends).await;
     assert!(
@@ -225,3 +228,43 @@
     assert_eq!(answer.status, 200);
     assert_eq!(fleet.runs_of("m-no-store;"), 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_are_not_trusted_to_a_service_that_lost_its_latest_state() {
+    let mut fleet = Fleet::start(DeploymentOptions {
+        regions: 1,
+        vms: 2,
+        ..DeploymentOptions::default()
+    })
+    .await;
+    let old = fleet.deployment.store.snapshot();
+    let sending = Sending::payment("m-regress;").with("idempotency-key", "order-19");
+    assert_eq!(sending.send(fleet.vm(0).listen).await.unwrap().status, 200);
+    let revision = fleet.status(0).await["store"]["revision"].clone();
+    eventually("passed on", async || {
+        fleet.status(1).await["store"]["revision"].as_i64() >= revision.as_i64()
+    })
+    .await;
+    fleet.deployment.store.restore(old);
+    let repeat = sending.send(fleet.vm(1).listen).await.unwrap();
+    let mut heard = vec![sending.heard(Some(&repeat))];
+    if repeat.status != 200 {
+        assert_eq!(
+            (repeat.code().as_str(), repeat.header("shallotwing-ran")),
+            ("store_unavailable", "no")
+        );
+    }
+    fleet.processes[0].kill();
+    fleet.restart(0);
+    fleet.ready(0).await;
+    fleet.acquainted().await;
+    let repeat = sending.send(fleet.vm(0).listen).await.unwrap();
+    assert_eq!(
+        repeat.code(),
+        "store_unavailable",
+        "a new VM learns it from its neighbours"
+    );
+    heard.push(sending.heard(Some(&repeat)));
+    fleet.assert_kept(&[asked(&fleet, "m-regress;", heard)]);
+    assert_eq!(fleet.runs_of("m-regress;"), 1);
+}
--- a/crates/sw-gate/src/exchange.rs
+++ b/crates/sw-gate/src/exchange.rs
@@ -11,7 +11,7 @@
 use sw_route::{Policy, summary_keys};
 use sw_unit::{DomainId, Incarnation, Millis, ModelId, Time};
 
-use crate::{Gate, Heartbeat};
+use crate::{Gate, Heartbeat, StoreSeen};
 
 /// Rows that are this old were sent with an earlier heartbeat.
 const FRESH: Millis = Millis(1_500);
@@ -49,6 +49,7 @@
             leaving: Vec::new(),
             reports: Vec::new(),
             summaries: Vec::new(),
+            store: StoreSeen::default(),
         };
         let Some(to) = to else {
             heartbeat.members = self.domain_rows();
--- a/crates/sw-gate/src/types.rs
+++ b/crates/sw-gate/src/types.rs
@@ -145,6 +145,15 @@
     Gone,
 }
 
+/// What a VM has seen of the key-value service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct StoreSeen {
+    /// The highest revision.
+    pub revision: i64,
+    /// How much longer the service is not trusted to know of earlier claims.
+    pub distrust: Millis,
+}
+
 /// What VMs tell each other each second.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -160,4 +169,6 @@
     pub reports: Vec<Report>,
     /// Summaries of domains.
     pub summaries: Vec<DomainSummary>,
+    /// What the sender has seen of the key-value service.
+    pub store: StoreSeen,
 }
--- a/crates/sw-gate/tests/once_fuzz.rs
+++ b/crates/sw-gate/tests/once_fuzz.rs
@@ -298,7 +298,7 @@
                 world.send(vm, &ticket, body);
             }
             Step::Deliver { relay, again } if !world.relays.is_empty() => {
-                world.deliver(relay % world.relays.len(), again)
+                world.deliver(relay % world.relays.len(), again);
             }
             Step::Lose { relay } if !world.relays.is_empty() => {
                 world.relays.remove(relay % world.relays.len());
--- a/crates/sw-peer/schema/peer.capnp
+++ b/crates/sw-peer/schema/peer.capnp
@@ -46,6 +46,8 @@
   leaving @3 :List(EndpointLife);
   reports @4 :List(Report);
   summaries @5 :List(DomainSummary);
+  storeRevision @6 :Int64;
+  storeDistrustMs @7 :UInt64;
 }
 
 struct Envelope {
--- a/crates/sw-peer/src/convert.rs
+++ b/crates/sw-peer/src/convert.rs
@@ -5,7 +5,7 @@
 
 use capnp::text;
 use sw_error::Refusal;
-use sw_gate::{Envelope, Heartbeat, Offer};
+use sw_gate::{Envelope, Heartbeat, Offer, StoreSeen};
 use sw_load::{DomainSummary, ModelLoad, Report};
 use sw_member::{EndpointLife, VmRow};
 use sw_unit::{Digest, Incarnation, Millis, Version};
@@ -124,6 +124,8 @@
     for (index, report) in (0..).zip(&heartbeat.reports) {
         set_report(reports.reborrow().get(index), report);
     }
+    to.set_store_revision(heartbeat.store.revision);
+    to.set_store_distrust_ms(heartbeat.store.distrust.0);
     let mut summaries = to.init_summaries(len(&heartbeat.summaries));
     for (index, summary) in (0..).zip(&heartbeat.summaries) {
         set_summary(summaries.reborrow().get(index), summary);
@@ -145,6 +147,10 @@
         leaving: from.get_leaving()?.iter().map(life).collect::<Result<_>>()?,
         reports: from.get_reports()?.iter().map(report).collect::<Result<_>>()?,
         summaries: from.get_summaries()?.iter().map(summary).collect::<Result<_>>()?,
+        store: StoreSeen {
+            revision: from.get_store_revision(),
+            distrust: Millis(from.get_store_distrust_ms()),
+        },
     })
 }
 
--- a/crates/sw-peer/src/peer_capnp.rs
+++ b/crates/sw-peer/src/peer_capnp.rs
@@ -1736,11 +1736,19 @@
         pub fn has_summaries(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
+        #[inline]
+        pub fn get_store_revision(self) -> i64 {
+            self.reader.get_data_field::<i64>(1)
+        }
+        #[inline]
+        pub fn get_store_distrust_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1878,6 +1886,22 @@
         pub fn has_summaries(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
+        #[inline]
+        pub fn get_store_revision(self) -> i64 {
+            self.builder.get_data_field::<i64>(1)
+        }
+        #[inline]
+        pub fn set_store_revision(&mut self, value: i64)  {
+            self.builder.set_data_field::<i64>(1, value);
+        }
+        #[inline]
+        pub fn get_store_distrust_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_store_distrust_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1892,66 +1916,80 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 125] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 157] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(226, 116, 253, 57, 73, 155, 241, 162),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(113, 72, 233, 166, 194, 240, 177, 211),
             ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 101, 97, 114, 116),
             ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(26, 128, 190, 178, 67, 7, 133, 240),
@@ -2018,6 +2056,24 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 111, 114, 101, 82, 101, 118),
+            ::capnp::word(105, 115, 105, 111, 110, 0, 0, 0),
+            ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 111, 114, 101, 68, 105, 115),
+            ::capnp::word(116, 114, 117, 115, 116, 77, 115, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2027,6 +2083,8 @@
                 3 => <::capnp::struct_list::Owned<crate::peer_capnp::endpoint_life::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::struct_list::Owned<crate::peer_capnp::report::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::peer_capnp::domain_summary::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <i64 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2040,9 +2098,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,3,2,1,4,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,3,2,1,4,7,6,5];
         pub(crate) const TYPE_ID: u64 = 0xa2f1_9b49_39fd_74e2;
     }
 }
--- a/crates/sw-standin/src/store.rs
+++ b/crates/sw-standin/src/store.rs
@@ -28,7 +28,7 @@
     pub down: bool,
     /// Time before a call takes effect.
     pub delay: Duration,
-    /// Answers to writes that are lost after the write took effect.
+    /// Answers to transactions that are lost after they took effect.
     pub lose_answers: u32,
     /// Whether watches get no events.
     pub deaf_watches: bool,
@@ -142,7 +142,7 @@
             key.to_owned(),
             Item {
                 value: value.to_owned(),
-                revision: self.revision + 1,
+                revision: self.revision,
                 lease,
             },
         );
@@ -154,7 +154,7 @@
         text(&compare["mod_revision"]).parse() == Ok(revision)
     }
 
-    /// Runs a transaction at the next revision, which its caller makes the current one.
+    /// Runs a transaction at the current revision, which is its own.
     fn txn(&mut self, request: &Value) -> Result<Value, &'static str> {
         let list = |key: &str| request[key].as_array().cloned().unwrap_or_default();
         let succeeded = list("compare").iter().all(|compare| self.compare(compare));
@@ -209,12 +209,12 @@
             "/v3/lease/grant" => Ok((data.grant(request), true)),
             "/v3/kv/txn" | "/v3/kv/put" => {
                 let mut next = data.clone();
+                next.revision += 1;
                 let answer = if path.ends_with("txn") {
                     next.txn(request)?
                 } else {
                     next.put(request)?
                 };
-                next.revision += 1;
                 *data = next;
                 self.changed.send_replace(data.revision);
                 Ok((answer, true))
@@ -275,7 +275,7 @@
             return self.watch(text(&request["create_request"]["key"]).to_owned());
         }
         match self.run(&path, &request) {
-            Ok((_, true)) if self.take_lost_answer() => Reply::Close,
+            Ok((_, true)) if path == "/v3/kv/txn" && self.take_lost_answer() => Reply::Close,
             Ok((answer, _)) => Reply::Answer(json_answer(200, &answer)),
             Err(message) => Reply::Answer(json_answer(400, &json!({ "error": message }))),
         }
--- a/crates/sw-store/src/claim.rs
+++ b/crates/sw-store/src/claim.rs
@@ -93,6 +93,10 @@
             // What an earlier attempt created is found to exist with the own ticket, which binds it all the same.
             created = self.store.create_all(&pairs, Some(lease)).await;
         }
+        if self.store.distrust() > Millis(0) {
+            // A claim that was acknowledged before may be gone, so that "absent" proves nothing.
+            return Err(StoreError::NotRun);
+        }
         let mut bound = IndexMap::with_capacity(pairs.len());
         for (created, (key, ticket)) in created?.into_iter().zip(pairs) {
             let ticket = if let Created::Existing(earlier) = created {
--- a/crates/sw-store/src/etcd.rs
+++ b/crates/sw-store/src/etcd.rs
@@ -8,8 +8,9 @@
 use sw_http::{Caller, JsonError, JsonLines};
 use sw_unit::{Millis, Rate};
 
+use crate::wire::Answer;
 use crate::wire::{GrantRequest, GrantResponse, RangeRequest, RangeResponse, TxnRequest, TxnResponse, WatchRequest};
-use crate::{CallBudget, Created, Entry, Lease, Store, StoreError, Swap};
+use crate::{CallBudget, Created, Entry, Lease, Store, StoreError, Swap, Trust};
 
 const MILLIS_PER_SECOND: u64 = 1_000;
 
@@ -19,18 +20,28 @@
     address: SocketAddr,
     caller: Caller,
     budget: CallBudget,
+    trust: Trust,
 }
 
 impl Etcd {
     /// The service at `address`, with up to `rate` calls a second, each given up after `timeout`.
-    pub fn new(address: SocketAddr, timeout: Duration, rate: Rate) -> Self {
+    ///
+    /// A service that goes back to an earlier state is not trusted with claims for `retention`.
+    pub fn new(address: SocketAddr, timeout: Duration, rate: Rate, retention: Millis) -> Self {
+        let (budget, trust) = (CallBudget::new(rate), Trust::new(retention));
         Self {
             address,
             caller: Caller::new(timeout),
-            budget: CallBudget::new(rate),
+            budget,
+            trust,
         }
     }
 
+    /// What was seen of the service's revisions.
+    pub fn trust(&self) -> &Trust {
+        &self.trust
+    }
+
     /// Watches a key.
     ///
     /// # Errors
@@ -49,18 +60,23 @@
             .map_err(|_failed| StoreError::NotRun)
     }
 
-    async fn post<T: DeserializeOwned>(&self, path: &str, body: &impl Serialize) -> Result<T, StoreError> {
+    async fn post<T: DeserializeOwned + Answer>(&self, path: &str, body: &impl Serialize) -> Result<T, StoreError> {
         if !self.budget.take() {
             return Err(StoreError::Budget);
         }
-        let answer = self.caller.post(self.address, path, body).await;
-        answer.map_err(|error: JsonError| {
+        let before = self.trust.highest();
+        let answer: Result<T, JsonError> = self.caller.post(self.address, path, body).await;
+        let answer = answer.map_err(|error| {
             if error.may_have_run() {
                 StoreError::Unknown
             } else {
                 StoreError::NotRun
             }
-        })
+        })?;
+        if let Some(revision) = answer.revision() {
+            self.trust.answered(before, revision);
+        }
+        Ok(answer)
     }
 }
 
@@ -87,6 +103,10 @@
         Ok(response.succeeded)
     }
 
+    fn distrust(&self) -> Millis {
+        self.trust.distrust()
+    }
+
     async fn grant(&self, ttl: Millis) -> Result<Lease, StoreError> {
         let ttl = ttl.0.div_ceil(MILLIS_PER_SECOND).to_string();
         let response: GrantResponse = self.post("/v3/lease/grant", &GrantRequest { ttl }).await?;
--- a/crates/sw-store/src/lib.rs
+++ b/crates/sw-store/src/lib.rs
@@ -9,6 +9,7 @@
 mod claim;
 mod etcd;
 mod publish;
+mod trust;
 mod types;
 mod wire;
 
@@ -16,4 +17,5 @@
 pub use claim::{Claim, Claimer};
 pub use etcd::{Etcd, WatchStream};
 pub use publish::{History, Published, Root, fetch, history, publish, read_root, republish};
+pub use trust::Trust;
 pub use types::{Created, Entry, Lease, Revision, Store, StoreError, Swap};
--- a/crates/sw-store/src/types.rs
+++ b/crates/sw-store/src/types.rs
@@ -95,6 +95,11 @@
     /// Returns [`StoreError`]; after [`StoreError::Unknown`] the writes may have been made.
     fn swap(&self, swap: &Swap<'_>) -> impl Future<Output = Result<bool, StoreError>> + Send;
 
+    /// How much longer the service is not trusted to know of earlier claims, because it was seen to have lost state.
+    fn distrust(&self) -> Millis {
+        Millis(0)
+    }
+
     /// Grants a lease.
     ///
     /// # Errors
--- a/crates/sw-store/src/wire.rs
+++ b/crates/sw-store/src/wire.rs
@@ -11,9 +11,47 @@
     key: String,
 }
 
+/// What every answer begins with.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Header {
+    revision: String,
+}
+
+/// An answer of the service.
+pub(crate) trait Answer {
+    /// The service's revision when it gave the answer.
+    fn revision(&self) -> Option<Revision>;
+}
+
+impl Header {
+    fn revision(&self) -> Option<Revision> {
+        self.revision.parse().ok().map(Revision)
+    }
+}
+
+impl Answer for RangeResponse {
+    fn revision(&self) -> Option<Revision> {
+        self.header.revision()
+    }
+}
+
+impl Answer for TxnResponse {
+    fn revision(&self) -> Option<Revision> {
+        self.header.revision()
+    }
+}
+
+impl Answer for GrantResponse {
+    fn revision(&self) -> Option<Revision> {
+        self.header.revision()
+    }
+}
+
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
 pub(crate) struct RangeResponse {
+    header: Header,
     kvs: Vec<KeyValue>,
 }
 
@@ -60,6 +98,7 @@
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
 pub(crate) struct TxnResponse {
+    header: Header,
     pub(crate) succeeded: bool,
     responses: Vec<OperationResponse>,
 }
@@ -79,6 +118,8 @@
 
 #[derive(Debug, Deserialize)]
 pub(crate) struct GrantResponse {
+    #[serde(default)]
+    header: Header,
     #[serde(rename = "ID")]
     id: String,
 }
