--- a/crates/shallotwing-daemon/src/process/directory.rs
+++ b/crates/shallotwing-daemon/src/process/directory.rs
@@ -88,9 +88,9 @@
             endpoint: listed.endpoint,
             incarnation: Incarnation(listed.incarnation),
         };
-        gateway.core.post(move |gate, _| {
-            gate.endpoint_leaving(&life);
-        });
+        if gateway.core.run(move |gate, _| gate.endpoint_leaving(&life)).await == Ok(true) {
+            exchange::greet_all(gateway).await;
+        }
     }
     let addresses: Vec<_> = list.vms.into_iter().map(|vm| vm.peer_listen).collect();
     let unknown = gateway
@@ -98,6 +98,6 @@
         .run(move |gate, _| gate.members().unknown(&addresses).collect::<Vec<_>>())
         .await;
     for address in unknown.unwrap_or_default() {
-        exchange::greet(gateway, address, None).await;
+        exchange::greet_one(gateway, address, None).await;
     }
 }
--- a/crates/shallotwing-daemon/src/process/exchange.rs
+++ b/crates/shallotwing-daemon/src/process/exchange.rs
@@ -12,34 +12,40 @@
 
 const PERIOD: Millis = Millis(1_000);
 
-/// Greets other VMs each second.
+/// Greets the VMs that are due.
 pub(crate) async fn run(gateway: Arc<Gateway>) {
     let mut ticks = gateway.timers.subscribe(PERIOD);
     loop {
         ticks.tick().await;
         let gateway = Arc::clone(&gateway);
         // A VM that does not answer must not delay the others.
-        tokio::spawn(async move { greet_all(&gateway).await });
+        tokio::spawn(async move { greet(&gateway, false).await });
     }
 }
 
-/// Greets all VMs that are due, and waits for their answers.
+/// Greets all VMs at once, because there is something to tell, and waits for their answers.
 pub(crate) async fn greet_all(gateway: &Gateway) {
+    greet(gateway, true).await;
+}
+
+async fn greet(gateway: &Gateway, all: bool) {
     let seeds = gateway.settings.seeds.clone();
     let due = gateway.core.run(move |gate, now| {
         let unknown: Vec<_> = gate.members().unknown(&seeds).collect();
-        (gate.greets(now), unknown)
+        (gate.greets(all, now), unknown)
     });
     let Ok((rows, unknown)) = due.await else {
         return;
     };
-    let known = rows.into_iter().map(|row| greet(gateway, row.peer_listen, Some(row)));
-    let unknown = unknown.into_iter().map(|address| greet(gateway, address, None));
+    let known = rows
+        .into_iter()
+        .map(|row| greet_one(gateway, row.peer_listen, Some(row)));
+    let unknown = unknown.into_iter().map(|address| greet_one(gateway, address, None));
     join_all(known.chain(unknown)).await;
 }
 
 /// Greets one VM; `row` is `None` if it is not known yet.
-pub(crate) async fn greet(gateway: &Gateway, address: SocketAddr, row: Option<VmRow>) {
+pub(crate) async fn greet_one(gateway: &Gateway, address: SocketAddr, row: Option<VmRow>) {
     let to = row.clone();
     let heartbeat = gateway
         .core
@@ -52,13 +58,17 @@
         Ok(reply) => {
             gateway.learn_store(reply.store);
             gateway.core.post(move |gate, now| {
-                let by = reply.from.clone();
-                gate.heard(reply, now);
-                if row.is_some() {
+                let by = gate.heard(reply, now);
+                if let (Some(by), true) = (by, row.is_some()) {
                     gate.acknowledged(&by, rev);
                 }
             });
         }
-        Err(_silent) => debug!("no answer to a heartbeat", kv: { address = address.to_string().as_str() }),
+        Err(_silent) => {
+            debug!("no answer to a heartbeat", kv: { address = address.to_string().as_str() });
+            if let Some(row) = row {
+                gateway.core.post(move |gate, _| gate.unanswered(&row));
+            }
+        }
     }
 }
--- a/crates/shallotwing-daemon/src/process/poll.rs
+++ b/crates/shallotwing-daemon/src/process/poll.rs
@@ -11,7 +11,7 @@
 use sw_load::Report;
 use sw_unit::{EndpointId, Incarnation, Millis};
 
-use super::Gateway;
+use super::{Gateway, exchange};
 
 const PERIOD: Millis = Millis(1_000);
 
@@ -51,7 +51,9 @@
                 leaving: report.leaving,
                 age: Millis(report.age_ms),
             };
-            gateway.core.post(move |gate, now| gate.polled(report, now));
+            if gateway.core.run(move |gate, now| gate.polled(report, now)).await == Ok(true) {
+                exchange::greet_all(gateway).await;
+            }
         }
         Err(JsonError::Call(CallError::Connect)) => {
             gateway.core.post(move |gate, now| gate.unreachable(&endpoint, now));
--- a/crates/shallotwing-daemon/src/request/received.rs
+++ b/crates/shallotwing-daemon/src/request/received.rs
@@ -83,9 +83,8 @@
         let gateway = self.forwards.gateway()?;
         gateway.learn_store(heartbeat.store);
         let step = |gate: &mut sw_gate::Gate, now| {
-            let from = heartbeat.from.clone();
-            gate.heard(heartbeat, now);
-            gate.heartbeat(Some(&from), now)
+            let from = gate.heard(heartbeat, now);
+            gate.heartbeat(from.as_ref(), now)
         };
         let reply = self.core.run(step).await.ok()?;
         Some(Heartbeat {
--- a/crates/sw-bench/src/world.rs
+++ b/crates/sw-bench/src/world.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use sw_engine::Options;
-use sw_gate::{Admitted, Finish, FleetVersion, Gate, Handed, Head, Plan, PlanRequest};
+use sw_gate::{Admitted, Finish, FleetVersion, Gate, Handed, Head, Plan, PlanRequest, Sender};
 use sw_load::{DomainSummary, ModelLoad, Report as LoadReport};
 use sw_member::VmRow;
 use sw_route::{LeastLoad, LocalOnly, Policy, RoundRobin, Target, Weighted};
@@ -222,10 +222,11 @@
                 domain: row.domain.clone(),
                 models,
                 vms: vec![row.clone()],
+                vouched: Vec::new(),
                 age: self.deployment.link_latency(),
             };
             let mut heartbeat = self.gate.heartbeat(Some(&row), now);
-            heartbeat.from = row;
+            heartbeat.from = Sender::Full(row);
             heartbeat.summaries = vec![summary];
             self.gate.heard(heartbeat, now);
         }
--- a/crates/sw-gate/src/exchange.rs
+++ b/crates/sw-gate/src/exchange.rs
@@ -1,50 +1,79 @@
 //! Heartbeats between VMs.
 //!
-//! Within a failure domain each VM greets every other one each second, with its own row, the reports that it fetched
-//! itself and the summaries that it received itself. Between domains only delegates speak, with a summary by model
-//! and a few rows of live VMs. Lists that rarely change (members, leaving endpoints) are sent only where the
-//! receiver may not have them.
+//! Within a failure domain each pair of VMs exchanges heartbeats once a period: a VM greets a neighbour only if it has
+//! not heard it lately, and the answer to a greeting is a heartbeat too. Between domains only one delegate speaks for
+//! each pair of domains, with a summary by model and a few rows of live VMs, which the delegates pass on to their
+//! neighbours.
+//!
+//! What the receiver knows is left out: the sender's own row, members and leaving endpoints, reports that were sent
+//! before, and what did not change in a summary. A summary is sent whole now and then, so what was lost comes back.
 
 use indexmap::IndexMap;
-use sw_load::{DomainSummary, ModelLoad};
+use sw_load::{DomainSummary, ModelLoad, Report};
 use sw_member::{VmRow, VmState, score, top};
 use sw_route::{Policy, summary_keys};
 use sw_unit::{DomainId, Incarnation, Millis, ModelId, Time};
 
-use crate::{Gate, Heartbeat, StoreSeen};
+use crate::{Gate, Heartbeat, Sender, StoreSeen};
 
-/// Rows that are this old were sent with an earlier heartbeat.
-const FRESH: Millis = Millis(1_500);
+/// Part of a period after which a neighbour that was heard is due again; below 1, because ticks are not exact.
+const DUE_SHARE: f64 = 0.9;
+/// Time between two exchanges of a pair of domains.
+const SUMMARY_PERIOD: Millis = Millis(1_800);
+/// Age of a domain's summary at which delegates in reserve ask for it.
+const SUMMARY_LATE: Millis = Millis(3_500);
+/// Age of a neighbour's report of an endpoint at which VMs in reserve report on it.
+const REPORT_LATE: Millis = Millis(3_500);
+/// Time between two whole summaries to a VM.
+const WHOLE_SUMMARY_PERIOD: Millis = Millis(10_000);
+/// A change of load by less than this share of the slots is not sent.
+const SMALL_CHANGE: f64 = 0.05;
 /// Live VMs of a domain that its summary names.
 const SUMMARY_VMS: usize = 4;
 
 /// What is known of what another VM knows.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct PeerState {
     incarnation: Incarnation,
     members_digest: u64,
     leaving_rev: u64,
+    knows_own_row: bool,
+    last_sent: Time,
+    summaries: IndexMap<DomainId, SentSummary>,
+}
+
+/// What was sent to a VM about a domain.
+#[derive(Debug, Clone, Default)]
+struct SentSummary {
+    whole_at: Option<Time>,
+    models: IndexMap<ModelId, (u32, u32)>,
+    vms: Vec<u64>,
 }
 
 impl<P: Policy> Gate<P> {
-    /// The VMs to greet now: all of the own domain, and one of each domain that this VM is a delegate for.
-    pub fn greets(&self, now: Time) -> Vec<VmRow> {
+    /// The VMs to greet now.
+    ///
+    /// `all` greets also those that were heard lately, because there is something to tell at once.
+    pub fn greets(&self, all: bool, now: Time) -> Vec<VmRow> {
+        let due = Millis((self.members.period().0 as f64 * DUE_SHARE) as u64);
+        let is_due = |row: &&VmRow| all || self.members.heard_at(&row.vm).is_none_or(|at| now.since(at) >= due);
+        let mut rows: Vec<_> = self.members.neighbours().filter(is_due).cloned().collect();
         let own = &self.members.own().domain;
-        let mut rows: Vec<_> = self.members.neighbours().cloned().collect();
         if let Some(version) = &self.version {
             let others = version.fleet.domains.keys().filter(|domain| *domain != own);
-            rows.extend(others.filter_map(|domain| self.members.delegate(domain, now)).cloned());
+            let due = others.filter(|domain| self.is_summary_due(domain, all, now));
+            rows.extend(due.filter_map(|domain| self.members.counterpart(domain, now)).cloned());
         }
         rows
     }
 
     /// The heartbeat for a VM; `None` stands for a VM that is not known yet.
-    pub fn heartbeat(&self, to: Option<&VmRow>, now: Time) -> Heartbeat {
-        let own = self.members.own();
-        let members_digest = self.members_digest();
+    pub fn heartbeat(&mut self, to: Option<&VmRow>, now: Time) -> Heartbeat {
+        let own = self.members.own().clone();
         let mut heartbeat = Heartbeat {
-            from: own.clone(),
-            members_digest,
+            from: Sender::Full(own.clone()),
+            receiver_digest: to.map_or(0, row_digest),
+            members_digest: self.members_digest(),
             members: Vec::new(),
             leaving: Vec::new(),
             reports: Vec::new(),
@@ -56,32 +85,38 @@
             heartbeat.summaries = vec![self.summary(now)];
             return heartbeat;
         };
+        let peer = self.peer(to);
+        if peer.knows_own_row {
+            heartbeat.from = Sender::Brief(own.brief());
+        }
+        let last_sent = std::mem::replace(&mut peer.last_sent, now);
+        let (members_digest, leaving_rev) = (peer.members_digest, peer.leaving_rev);
         if to.domain != own.domain {
-            heartbeat.summaries = vec![self.summary(now)];
+            let summary = self.summary(now);
+            heartbeat.summaries = vec![self.reduced(to, summary, now)];
             return heartbeat;
         }
-        let peer = self.peers.get(&to.vm).copied().unwrap_or_default();
-        if peer.members_digest != members_digest || peer.incarnation != to.incarnation {
+        if members_digest != heartbeat.members_digest {
             heartbeat.members = self.domain_rows();
         }
-        if peer.leaving_rev != self.leaving.rev() || peer.incarnation != to.incarnation {
+        if leaving_rev != self.leaving.rev() {
             heartbeat.leaving = self.leaving.lives().collect();
         }
-        let is_own = |report: &sw_load::Report| {
-            self.polled
-                .get(&report.endpoint)
-                .is_some_and(|at| now.since(*at) < FRESH)
-        };
-        heartbeat.reports = self.loads.reports(now).filter(is_own).collect();
-        heartbeat.summaries = self.relayed_summaries(now);
+        heartbeat.reports = self.reports_since(last_sent, now);
+        heartbeat.summaries = self.summaries_since(to, last_sent, now);
         heartbeat
     }
 
-    /// Takes in a heartbeat.
-    pub fn heard(&mut self, heartbeat: Heartbeat, now: Time) {
-        let from = heartbeat.from.clone();
-        let same_domain = from.domain == self.members.own().domain;
-        self.members.heard(heartbeat.from, now);
+    /// Takes in a heartbeat, and returns the sender's row; `None` if the sender named itself briefly and is not known.
+    pub fn heard(&mut self, heartbeat: Heartbeat, now: Time) -> Option<VmRow> {
+        match &heartbeat.from {
+            Sender::Full(row) => {
+                self.members.heard(row.clone(), now);
+            }
+            Sender::Brief(brief) => {
+                self.members.heard_again(brief, now);
+            }
+        }
         for row in heartbeat.members {
             self.members.learned(row, now);
         }
@@ -89,31 +124,34 @@
             self.leaving.mark(life);
         }
         for report in heartbeat.reports {
+            self.reported_by_others.insert(report.endpoint.clone(), now);
             self.reported(report, now);
         }
-        for summary in heartbeat.summaries {
-            self.summarised(&summary, now);
+        for summary in &heartbeat.summaries {
+            self.summarised(summary, now);
         }
-        if !same_domain {
-            self.direct.insert(from.domain, now);
-            return;
-        }
-        let peer = self.peers.entry(from.vm).or_default();
-        if peer.incarnation != from.incarnation {
-            *peer = PeerState {
-                incarnation: from.incarnation,
-                ..PeerState::default()
-            };
+        let from = self
+            .members
+            .life(heartbeat.from.vm(), heartbeat.from.incarnation())?
+            .clone();
+        if from.domain != self.members.own().domain {
+            self.direct.insert(from.domain.clone(), now);
         }
+        let knows_own_row = heartbeat.receiver_digest == row_digest(self.members.own());
+        let peer = self.peer(&from);
+        peer.knows_own_row = knows_own_row;
         peer.members_digest = heartbeat.members_digest;
+        Some(from)
     }
 
     /// Records that a VM has taken in all leaving endpoints up to `rev`, the number that [`Gate::leaving_rev`] gave.
     pub fn acknowledged(&mut self, by: &VmRow, rev: u64) {
-        let peer = self.peers.entry(by.vm.clone()).or_default();
-        if peer.incarnation == by.incarnation {
-            peer.leaving_rev = rev;
-        }
+        self.peer(by).leaving_rev = rev;
+    }
+
+    /// Records that a heartbeat to a VM may be lost, so that nothing is left out of the next one.
+    pub fn unanswered(&mut self, to: &VmRow) {
+        self.peers.swap_remove(&to.vm);
     }
 
     /// A number that grows with each leaving endpoint.
@@ -136,16 +174,105 @@
     pub fn summary(&self, now: Time) -> DomainSummary {
         let own = self.members.own();
         let live = self.members.live(&own.domain, now);
-        let vms = top(&own.domain, live.clone().map(|row| &row.vm), SUMMARY_VMS);
-        let vms = live.filter(|row| vms.contains(&&row.vm)).cloned().collect();
+        let chosen = top(&own.domain, live.clone().map(|row| &row.vm), SUMMARY_VMS);
+        let vms = live.filter(|row| chosen.contains(&&row.vm)).cloned().collect();
+        let models = self.model_loads(now);
         DomainSummary {
             domain: own.domain.clone(),
-            models: self.model_loads(now),
+            models,
             vms,
+            vouched: Vec::new(),
             age: Millis(0),
         }
     }
 
+    /// What is known of what a VM knows; nothing for a new life.
+    fn peer(&mut self, row: &VmRow) -> &mut PeerState {
+        let peer = self.peers.entry(row.vm.clone()).or_default();
+        if peer.incarnation != row.incarnation {
+            *peer = PeerState {
+                incarnation: row.incarnation,
+                ..PeerState::default()
+            };
+        }
+        peer
+    }
+
+    fn is_summary_due(&self, domain: &DomainId, all: bool, now: Time) -> bool {
+        let is_late = |at: Option<Time>, after: Millis| at.is_none_or(|at| now.since(at) >= after);
+        match self.members.delegate_place(domain, now) {
+            None => false,
+            Some(_) if all => true,
+            Some(0) => is_late(self.direct.get(domain).copied(), SUMMARY_PERIOD),
+            Some(_) => is_late(self.loads.summarised_at(domain), SUMMARY_LATE),
+        }
+    }
+
+    /// Reports that this VM fetched and has not sent yet, for endpoints that it reports on.
+    fn reports_since(&self, last_sent: Time, now: Time) -> Vec<Report> {
+        let is_new = |report: &Report| self.polled.get(&report.endpoint).is_some_and(|at| *at > last_sent);
+        let is_late = |report: &Report| {
+            let by_others = self.reported_by_others.get(&report.endpoint);
+            by_others.is_none_or(|at| now.since(*at) >= REPORT_LATE)
+        };
+        let is_own = |report: &Report| self.members.reports(&report.endpoint, now) || is_late(report);
+        self.loads
+            .reports(now)
+            .filter(|report| is_new(report) && is_own(report))
+            .collect()
+    }
+
+    /// Summaries that other domains sent to this VM and that it has not passed on yet.
+    fn summaries_since(&mut self, to: &VmRow, last_sent: Time, now: Time) -> Vec<DomainSummary> {
+        let new = self.direct.iter().filter(|(_, at)| **at > last_sent);
+        let domains: Vec<_> = new.map(|(domain, _)| domain.clone()).collect();
+        let held: Vec<_> = self
+            .loads
+            .summaries(now)
+            .map(|(domain, age, models)| (domain.clone(), age, models))
+            .collect();
+        let mut summaries = Vec::new();
+        for (domain, age, models) in held.into_iter().filter(|(domain, _, _)| domains.contains(domain)) {
+            let vms = self.members.live(&domain, now).take(SUMMARY_VMS).cloned().collect();
+            let whole = DomainSummary {
+                domain,
+                models,
+                vms,
+                vouched: Vec::new(),
+                age,
+            };
+            summaries.push(self.reduced(to, whole, now));
+        }
+        summaries
+    }
+
+    /// A summary without what the receiver knows.
+    fn reduced(&mut self, to: &VmRow, mut summary: DomainSummary, now: Time) -> DomainSummary {
+        let sent = self.peer(to).summaries.entry(summary.domain.clone()).or_default();
+        if sent.whole_at.is_none_or(|at| now.since(at) >= WHOLE_SUMMARY_PERIOD) {
+            *sent = SentSummary {
+                whole_at: Some(now),
+                ..SentSummary::default()
+            };
+        }
+        summary.models.retain(|load| {
+            let news = sent.models.get(&load.model).is_none_or(|known| is_news(*known, load));
+            if news {
+                sent.models.insert(load.model.clone(), (load.slots, load.load));
+            }
+            news
+        });
+        let digests: Vec<_> = summary.vms.iter().map(row_digest).collect();
+        summary.vouched = digests
+            .iter()
+            .copied()
+            .filter(|digest| sent.vms.contains(digest))
+            .collect();
+        summary.vms.retain(|row| !sent.vms.contains(&row_digest(row)));
+        sent.vms = digests;
+        summary
+    }
+
     fn model_loads(&self, now: Time) -> Vec<ModelLoad> {
         let Some(version) = &self.version else {
             return Vec::new();
@@ -185,25 +312,14 @@
         for row in &summary.vms {
             self.members.vouched(row.clone(), summary.age, now);
         }
+        let is_vouched = |row: &&VmRow| row.domain == summary.domain && summary.vouched.contains(&row_digest(row));
+        let vouched: Vec<_> = self.members.others().filter(is_vouched).cloned().collect();
+        for row in vouched {
+            self.members.vouched(row, summary.age, now);
+        }
         self.loads.summarised(summary, now);
     }
 
-    /// Summaries that other domains sent to this VM lately, with the VMs that were heard with them.
-    fn relayed_summaries(&self, now: Time) -> Vec<DomainSummary> {
-        let is_direct = |domain: &DomainId| self.direct.get(domain).is_some_and(|at| now.since(*at) < FRESH);
-        let fresh = self.loads.summaries(now).filter(|(domain, _, _)| is_direct(domain));
-        let summary = |(domain, age, models): (&DomainId, Millis, Vec<ModelLoad>)| {
-            let vms = self.members.live(domain, now).take(SUMMARY_VMS).cloned().collect();
-            DomainSummary {
-                domain: domain.clone(),
-                models,
-                vms,
-                age,
-            }
-        };
-        fresh.map(summary).collect()
-    }
-
     fn domain_rows(&self) -> Vec<VmRow> {
         self.members.neighbours().cloned().collect()
     }
@@ -218,3 +334,14 @@
             .fold(digest(own), u64::wrapping_add)
     }
 }
+
+/// A digest of what does not change during a VM's life, and of whether it is leaving.
+fn row_digest(row: &VmRow) -> u64 {
+    score((&row.vm, row.incarnation, row.leaving), (row.listen, row.peer_listen))
+}
+
+/// Whether a load differs enough from what was sent.
+fn is_news((slots, load): (u32, u32), now: &ModelLoad) -> bool {
+    let small = (f64::from(now.slots) * SMALL_CHANGE).max(1.0);
+    slots != now.slots || f64::from(load.abs_diff(now.load)) >= small || (load == 0) != (now.load == 0)
+}
--- a/crates/sw-gate/src/gate.rs
+++ b/crates/sw-gate/src/gate.rs
@@ -59,6 +59,7 @@
     pub(crate) once: Registry,
     pub(crate) peers: IndexMap<VmId, PeerState>,
     pub(crate) polled: IndexMap<EndpointId, Time>,
+    pub(crate) reported_by_others: IndexMap<EndpointId, Time>,
     pub(crate) direct: IndexMap<DomainId, Time>,
     pub(crate) rng: fastrand::Rng,
     pub(crate) scratch: Vec<Candidate>,
@@ -83,6 +84,7 @@
             budget: RetryBudget::default(),
             peers: IndexMap::new(),
             polled: IndexMap::new(),
+            reported_by_others: IndexMap::new(),
             direct: IndexMap::new(),
             rng: fastrand::Rng::with_seed(options.seed),
             scratch: Vec::new(),
@@ -161,24 +163,22 @@
         recent.map_or(Millis(0), |held_up| held_up.gap)
     }
 
-    /// Takes in a report that this VM fetched itself.
-    pub fn polled(&mut self, report: Report, now: Time) {
+    /// Takes in a report that this VM fetched itself, and returns whether it is the first sign that the endpoint leaves.
+    pub fn polled(&mut self, report: Report, now: Time) -> bool {
         self.polled.insert(report.endpoint.clone(), now);
-        self.reported(report, now);
+        self.reported(report, now)
     }
 
-    pub(crate) fn reported(&mut self, report: Report, now: Time) {
-        if report.leaving {
-            let life = EndpointLife {
-                endpoint: report.endpoint.clone(),
-                incarnation: report.incarnation,
-            };
-            self.leaving.mark(&life);
-        }
-        let endpoint = report.endpoint.clone();
+    pub(crate) fn reported(&mut self, report: Report, now: Time) -> bool {
+        let life = EndpointLife {
+            endpoint: report.endpoint.clone(),
+            incarnation: report.incarnation,
+        };
+        let news = report.leaving && self.leaving.mark(&life);
         if self.loads.reported(report, now) {
-            self.prefixes.cleared(&endpoint);
+            self.prefixes.cleared(&life.endpoint);
         }
+        news
     }
 
     /// Records a sign that a life of an endpoint is leaving, and returns whether it was news.
--- a/crates/sw-gate/src/lib.rs
+++ b/crates/sw-gate/src/lib.rs
@@ -19,5 +19,7 @@
 
 pub use gate::{Gate, Offer, Options};
 pub use status::EndpointStatus;
-pub use types::{Admitted, Envelope, Finish, Handed, Head, Heartbeat, Owner, Plan, PlanRequest, Purpose, StoreSeen};
+pub use types::{
+    Admitted, Envelope, Finish, Handed, Head, Heartbeat, Owner, Plan, PlanRequest, Purpose, Sender, StoreSeen,
+};
 pub use version::{AdoptError, FleetVersion};
--- a/crates/sw-gate/src/types.rs
+++ b/crates/sw-gate/src/types.rs
@@ -5,10 +5,10 @@
 use strum::{Display, EnumString};
 use sw_conf::{Route, Workspace};
 use sw_load::{DomainSummary, PrefixHash, Report};
-use sw_member::{EndpointLife, VmRow};
+use sw_member::{EndpointLife, VmBrief, VmRow};
 use sw_once::Ticket;
 use sw_route::{Candidate, Reason, RouteIndex, Target};
-use sw_unit::{Bytes, Millis, ModelId, RouteId, Time, Version, WorkspaceId};
+use sw_unit::{Bytes, Incarnation, Millis, ModelId, RouteId, Time, Version, VmId, WorkspaceId};
 
 use crate::FleetVersion;
 
@@ -154,11 +154,40 @@
     pub distrust: Millis,
 }
 
-/// What VMs tell each other each second.
+/// How a VM names itself in a heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Sender {
+    /// To a VM that may not know it.
+    Full(VmRow),
+    /// To a VM that knows it.
+    Brief(VmBrief),
+}
+
+impl Sender {
+    /// The VM.
+    pub fn vm(&self) -> &VmId {
+        match self {
+            Self::Full(row) => &row.vm,
+            Self::Brief(brief) => &brief.vm,
+        }
+    }
+
+    /// Its life.
+    pub fn incarnation(&self) -> Incarnation {
+        match self {
+            Self::Full(row) => row.incarnation,
+            Self::Brief(brief) => brief.incarnation,
+        }
+    }
+}
+
+/// What VMs tell each other each period.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Heartbeat {
     /// The sender.
-    pub from: VmRow,
+    pub from: Sender,
+    /// A digest of the receiver's row as the sender knows it; zero if it does not.
+    pub receiver_digest: u64,
     /// A digest of the VMs of its domain that the sender knows.
     pub members_digest: u64,
     /// Those VMs, if the receiver's digest differs.
--- a/crates/sw-load/src/loads.rs
+++ b/crates/sw-load/src/loads.rs
@@ -233,6 +233,8 @@
     }
 
     /// Takes in another domain's summary; an older one than that which is held is ignored.
+    ///
+    /// Models that it leaves out are as they were.
     pub fn summarised(&mut self, summary: &DomainSummary, now: Time) {
         let at = now - summary.age;
         let remote = self.remotes.entry(summary.domain.clone()).or_default();
@@ -240,11 +242,9 @@
             return;
         }
         remote.at = at;
-        remote.models = summary
-            .models
-            .iter()
-            .map(|load| (load.model.clone(), load.clone()))
-            .collect();
+        for load in &summary.models {
+            remote.models.insert(load.model.clone(), load.clone());
+        }
         while remote.sends.front().is_some_and(|sent| *sent <= at) {
             remote.sends.pop_front();
         }
@@ -275,6 +275,11 @@
         })
     }
 
+    /// When the figures of a domain were last confirmed.
+    pub fn summarised_at(&self, domain: &DomainId) -> Option<Time> {
+        self.remotes.get(domain).map(|remote| remote.at)
+    }
+
     /// Summaries that are held, with their age.
     pub fn summaries(&self, now: Time) -> impl Iterator<Item = (&DomainId, Millis, Vec<ModelLoad>)> {
         let fresh = move |(_, remote): &(&DomainId, &Remote)| now.since(remote.at) < self.options.stale_after;
--- a/crates/sw-load/src/types.rs
+++ b/crates/sw-load/src/types.rs
@@ -36,10 +36,12 @@
 pub struct DomainSummary {
     /// The domain.
     pub domain: DomainId,
-    /// Its load by model.
+    /// Its load by model; models whose load the receiver knows may be left out.
     pub models: Vec<ModelLoad>,
-    /// Some of its live VMs.
+    /// Some of its live VMs, as far as the receiver does not know them.
     pub vms: Vec<VmRow>,
+    /// Digests of the rows of its live VMs that the receiver knows.
+    pub vouched: Vec<u64>,
     /// How old the figures were when they were received.
     pub age: Millis,
 }
--- a/crates/sw-member/src/lib.rs
+++ b/crates/sw-member/src/lib.rs
@@ -13,4 +13,4 @@
 pub use leaving::Leaving;
 pub use members::{Members, Options};
 pub use rendezvous::{score, top};
-pub use types::{EndpointLife, VmRow, VmState};
+pub use types::{EndpointLife, VmBrief, VmRow, VmState};
--- a/crates/sw-member/src/members.rs
+++ b/crates/sw-member/src/members.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use sw_unit::{DomainId, EndpointId, Incarnation, Millis, RegionId, Time, Version, VmId};
 
-use crate::{VmRow, VmState, rendezvous};
+use crate::{VmBrief, VmRow, VmState, rendezvous};
 
 /// VMs that poll one endpoint.
 const POLLERS: usize = 2;
@@ -15,8 +15,16 @@
 /// Bounds of [`Members`].
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
-    /// A VM that is not heard for this long is suspect.
-    pub suspect_after: Millis,
+    /// Shortest time between two heartbeats of neighbours.
+    pub period: Millis,
+    /// Time between two heartbeats for each neighbour that there is, so that all of them together cost the same.
+    pub period_per_neighbour: Millis,
+    /// Longest time between two heartbeats of neighbours.
+    pub max_period: Millis,
+    /// Heartbeats of a neighbour that may be missed before it is suspect.
+    pub missed_periods: u64,
+    /// A VM of another domain that is not heard, nor vouched for, for this long is suspect.
+    pub remote_suspect_after: Millis,
     /// A VM that is not heard for this long is forgotten.
     pub forget_after: Millis,
 }
@@ -24,7 +32,11 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            suspect_after: Millis(3_000),
+            period: Millis(1_000),
+            period_per_neighbour: Millis(100),
+            max_period: Millis(2_000),
+            missed_periods: 3,
+            remote_suspect_after: Millis(6_000),
             forget_after: Millis(600_000),
         }
     }
@@ -88,6 +100,36 @@
         changed
     }
 
+    /// Records that a VM was heard whose row is known, and returns whether it is.
+    pub fn heard_again(&mut self, brief: &VmBrief, now: Time) -> bool {
+        let Some(known) = self
+            .others
+            .get(&brief.vm)
+            .filter(|known| known.row.incarnation == brief.incarnation)
+        else {
+            return false;
+        };
+        let row = VmRow {
+            leaving: brief.leaving,
+            version: brief.version,
+            ..known.row.clone()
+        };
+        self.heard(row, now);
+        true
+    }
+
+    /// When a VM was last heard or vouched for.
+    pub fn heard_at(&self, vm: &VmId) -> Option<Time> {
+        self.others.get(vm).map(|member| member.heard)
+    }
+
+    /// Time between two heartbeats of neighbours; it grows with their number.
+    pub fn period(&self) -> Millis {
+        let neighbours = self.neighbours().count() as u64;
+        let period = Millis(self.options.period_per_neighbour.0 * neighbours);
+        period.clamp(self.options.period, self.options.max_period)
+    }
+
     /// Records a row that a third party passed on; it does not prove that the VM is live.
     ///
     /// Returns whether the VM was unknown.
@@ -100,7 +142,7 @@
                 return false;
             }
         }
-        let heard = now - self.options.suspect_after;
+        let heard = now - self.suspect_after(&row.domain);
         row.vm != self.own.vm && self.others.insert(row.vm.clone(), Member { row, heard }).is_none()
     }
 
@@ -188,19 +230,30 @@
         self.own.leaving || rendezvous::top(endpoint, live, POLLERS).contains(&&self.own.vm)
     }
 
-    /// The VM of `domain` that this VM exchanges summaries with; `None` if others of this domain do it.
-    pub fn delegate<'a>(&'a self, domain: &'a DomainId, now: Time) -> Option<&'a VmRow> {
+    /// Whether this VM is the one that reports on an endpoint to its neighbours; others poll it in reserve.
+    pub fn reports(&self, endpoint: &EndpointId, now: Time) -> bool {
+        let live = self.live(&self.own.domain, now).map(|row| &row.vm);
+        rendezvous::top(endpoint, live, 1).first() == Some(&&self.own.vm)
+    }
+
+    /// The place of this VM among the delegates of its domain for another domain; `None` if it is none.
+    ///
+    /// The first delegate exchanges summaries with the other domain, the others do if it fails to.
+    pub fn delegate_place(&self, domain: &DomainId, now: Time) -> Option<usize> {
         let own_live = self.live(&self.own.domain, now).map(|row| &row.vm);
         let delegates = rendezvous::top(domain, own_live, DELEGATES);
-        let position = delegates.iter().position(|vm| **vm == self.own.vm)?;
+        delegates.iter().position(|vm| **vm == self.own.vm)
+    }
+
+    /// The VM of another domain to exchange summaries with; a different one as time goes on.
+    pub fn counterpart<'a>(&'a self, domain: &'a DomainId, now: Time) -> Option<&'a VmRow> {
         let mut candidates: Vec<_> = self.live(domain, now).collect();
         if candidates.is_empty() {
             candidates = self.others().filter(|row| row.domain == *domain).collect();
         }
-        let slot = now.0 / self.options.suspect_after.0.max(1);
         candidates.sort_by(|a, b| a.vm.cmp(&b.vm));
-        let index = (slot as usize + position) % candidates.len().max(1);
-        candidates.get(index).copied()
+        let slot = now.0 / self.options.remote_suspect_after.0.max(1);
+        candidates.get(slot as usize % candidates.len().max(1)).copied()
     }
 
     /// Entry VMs for a caller, best first: own domain, then by region; live VMs only, this VM if there is no other.
@@ -227,10 +280,18 @@
         seeds.iter().filter(move |address| !known(address)).copied()
     }
 
+    fn suspect_after(&self, domain: &DomainId) -> Millis {
+        if *domain == self.own.domain {
+            Millis(self.period().0 * self.options.missed_periods)
+        } else {
+            self.options.remote_suspect_after
+        }
+    }
+
     fn state_of(&self, member: &Member, now: Time) -> VmState {
         if member.row.leaving {
             VmState::Leaving
-        } else if now.since(member.heard) < self.options.suspect_after {
+        } else if now.since(member.heard) < self.suspect_after(&member.row.domain) {
             VmState::Live
         } else {
             VmState::Suspect
--- a/crates/sw-member/src/types.rs
+++ b/crates/sw-member/src/types.rs
@@ -25,6 +25,31 @@
     pub version: Version,
 }
 
+/// What a VM says about itself to one that knows the rest.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VmBrief {
+    /// The VM.
+    pub vm: VmId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// The configuration that it runs.
+    pub version: Version,
+}
+
+impl VmRow {
+    /// What is left to say to a VM that knows the rest.
+    pub fn brief(&self) -> VmBrief {
+        VmBrief {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            leaving: self.leaving,
+            version: self.version,
+        }
+    }
+}
+
 /// How a VM is seen from here.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum VmState {
--- a/crates/sw-member/tests/members_fuzz.rs
+++ b/crates/sw-member/tests/members_fuzz.rs
@@ -9,6 +9,8 @@
 use sw_unit::{Incarnation, Millis, Time, Version};
 
 const VMS: usize = 5;
+/// Three heartbeats, which come once a second in a domain of this size.
+const SUSPECT_AFTER: Millis = Millis(3_000);
 
 #[derive(Debug, Clone)]
 enum Step {
@@ -128,9 +130,7 @@
     fn check_invariants(world: &Self, (): &()) {
         for (vm, known) in &world.known {
             let id = row(*vm, 1, false).vm;
-            let is_live = known
-                .heard
-                .is_some_and(|heard| world.now.since(heard) < Options::default().suspect_after);
+            let is_live = known.heard.is_some_and(|heard| world.now.since(heard) < SUSPECT_AFTER);
             let expected = match (known.leaving, is_live) {
                 (true, _) => VmState::Leaving,
                 (false, true) => VmState::Live,
--- a/crates/sw-peer/schema/peer.capnp
+++ b/crates/sw-peer/schema/peer.capnp
@@ -12,6 +12,13 @@
   version @7 :UInt64;
 }
 
+struct VmBrief {
+  vm @0 :Text;
+  incarnation @1 :UInt64;
+  leaving @2 :Bool;
+  version @3 :UInt64;
+}
+
 struct EndpointLife {
   endpoint @0 :Text;
   incarnation @1 :UInt64;
@@ -37,17 +44,21 @@
   models @1 :List(ModelLoad);
   vms @2 :List(VmRow);
   ageMs @3 :UInt64;
+  vouched @4 :List(UInt64);
 }
 
 struct Heartbeat {
+  # One of the two names the sender.
   from @0 :VmRow;
-  membersDigest @1 :UInt64;
-  members @2 :List(VmRow);
-  leaving @3 :List(EndpointLife);
-  reports @4 :List(Report);
-  summaries @5 :List(DomainSummary);
-  storeRevision @6 :Int64;
-  storeDistrustMs @7 :UInt64;
+  brief @1 :VmBrief;
+  receiverDigest @2 :UInt64;
+  membersDigest @3 :UInt64;
+  members @4 :List(VmRow);
+  leaving @5 :List(EndpointLife);
+  reports @6 :List(Report);
+  summaries @7 :List(DomainSummary);
+  storeRevision @8 :Int64;
+  storeDistrustMs @9 :UInt64;
 }
 
 struct Envelope {
--- a/crates/sw-peer/src/convert.rs
+++ b/crates/sw-peer/src/convert.rs
@@ -5,9 +5,9 @@
 
 use capnp::text;
 use sw_error::Refusal;
-use sw_gate::{Envelope, Heartbeat, Offer, StoreSeen};
+use sw_gate::{Envelope, Heartbeat, Offer, Sender, StoreSeen};
 use sw_load::{DomainSummary, ModelLoad, Report};
-use sw_member::{EndpointLife, VmRow};
+use sw_member::{EndpointLife, VmBrief, VmRow};
 use sw_unit::{Digest, Incarnation, Millis, Version};
 
 use crate::Forward;
@@ -54,6 +54,26 @@
     })
 }
 
+fn set_vm_brief(mut to: wire::vm_brief::Builder<'_>, brief: &VmBrief) {
+    to.set_vm(brief.vm.as_str());
+    to.set_incarnation(brief.incarnation.0);
+    to.set_leaving(brief.leaving);
+    to.set_version(brief.version.0);
+}
+
+fn sender(from: wire::heartbeat::Reader<'_>) -> Result<Sender> {
+    if from.has_from() {
+        return vm_row(from.get_from()?).map(Sender::Full);
+    }
+    let brief = from.get_brief()?;
+    Ok(Sender::Brief(VmBrief {
+        vm: parse(brief.get_vm())?,
+        incarnation: Incarnation(brief.get_incarnation()),
+        leaving: brief.get_leaving(),
+        version: Version(brief.get_version()),
+    }))
+}
+
 fn set_report(mut to: wire::report::Builder<'_>, report: &Report) {
     to.set_endpoint(report.endpoint.as_str());
     to.set_incarnation(report.incarnation.0);
@@ -84,6 +104,10 @@
         row.set_slots(load.slots);
         row.set_load(load.load);
     }
+    let mut vouched = to.reborrow().init_vouched(len(&summary.vouched));
+    for (index, digest) in (0..).zip(&summary.vouched) {
+        vouched.set(index, *digest);
+    }
     let mut vms = to.init_vms(len(&summary.vms));
     for (index, row) in (0..).zip(&summary.vms) {
         set_vm_row(vms.reborrow().get(index), row);
@@ -102,13 +126,18 @@
         domain: parse(from.get_domain())?,
         models: from.get_models()?.iter().map(model).collect::<Result<_>>()?,
         vms: from.get_vms()?.iter().map(vm_row).collect::<Result<_>>()?,
+        vouched: from.get_vouched()?.iter().collect(),
         age: Millis(from.get_age_ms()),
     })
 }
 
 /// Writes a heartbeat.
 pub(crate) fn set_heartbeat(mut to: wire::heartbeat::Builder<'_>, heartbeat: &Heartbeat) {
-    set_vm_row(to.reborrow().init_from(), &heartbeat.from);
+    match &heartbeat.from {
+        Sender::Full(row) => set_vm_row(to.reborrow().init_from(), row),
+        Sender::Brief(brief) => set_vm_brief(to.reborrow().init_brief(), brief),
+    }
+    to.set_receiver_digest(heartbeat.receiver_digest);
     to.set_members_digest(heartbeat.members_digest);
     let mut members = to.reborrow().init_members(len(&heartbeat.members));
     for (index, row) in (0..).zip(&heartbeat.members) {
@@ -141,7 +170,8 @@
         })
     };
     Ok(Heartbeat {
-        from: vm_row(from.get_from()?)?,
+        from: sender(from)?,
+        receiver_digest: from.get_receiver_digest(),
         members_digest: from.get_members_digest(),
         members: from.get_members()?.iter().map(vm_row).collect::<Result<_>>()?,
         leaving: from.get_leaving()?.iter().map(life).collect::<Result<_>>()?,
--- a/crates/sw-peer/src/peer_capnp.rs
+++ b/crates/sw-peer/src/peer_capnp.rs
@@ -458,6 +458,298 @@
     }
 }
 
+pub mod vm_brief {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_vm(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_vm(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_leaving(self) -> bool {
+            self.reader.get_bool_field(64)
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_vm(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_vm(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_vm(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_vm(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_leaving(self) -> bool {
+            self.builder.get_bool_field(64)
+        }
+        #[inline]
+        pub fn set_leaving(&mut self, value: bool)  {
+            self.builder.set_bool_field(64, value);
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(222, 112, 216, 141, 138, 117, 138, 254),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(113, 72, 233, 166, 194, 240, 177, 211),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 86, 109, 66, 114, 105),
+            ::capnp::word(101, 102, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(118, 109, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,3,0];
+        pub(crate) const TYPE_ID: u64 = 0xfe8a_758a_8dd8_70de;
+    }
+}
+
 pub mod endpoint_life {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -1396,11 +1688,19 @@
         pub fn get_age_ms(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
+        #[inline]
+        pub fn get_vouched(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_vouched(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1506,6 +1806,22 @@
         pub fn set_age_ms(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
+        #[inline]
+        pub fn get_vouched(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_vouched(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_vouched(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_vouched(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1517,17 +1833,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 86] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 105] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(154, 112, 187, 248, 194, 211, 233, 170),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(113, 72, 233, 166, 194, 240, 177, 211),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -1535,35 +1851,42 @@
             ::capnp::word(110, 83, 117, 109, 109, 97, 114, 121),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(100, 111, 109, 97, 105, 110, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1604,6 +1927,18 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 111, 117, 99, 104, 101, 100, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1611,6 +1946,7 @@
                 1 => <::capnp::struct_list::Owned<crate::peer_capnp::model_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::struct_list::Owned<crate::peer_capnp::vm_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1624,9 +1960,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,1,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,1,2,4];
         pub(crate) const TYPE_ID: u64 = 0xaae9_d3c2_f8bb_709a;
     }
 }
@@ -1701,54 +2037,66 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_members_digest(self) -> u64 {
+        pub fn get_brief(self) -> ::capnp::Result<crate::peer_capnp::vm_brief::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_brief(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_receiver_digest(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
+        pub fn get_members_digest(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
         pub fn get_members(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::vm_row::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_members(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
+            !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
         pub fn get_leaving(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::endpoint_life::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_leaving(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
+            !self.reader.get_pointer_field(3).is_null()
         }
         #[inline]
         pub fn get_reports(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::report::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_reports(&self) -> bool {
-            !self.reader.get_pointer_field(3).is_null()
+            !self.reader.get_pointer_field(4).is_null()
         }
         #[inline]
         pub fn get_summaries(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::domain_summary::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_summaries(&self) -> bool {
-            !self.reader.get_pointer_field(4).is_null()
+            !self.reader.get_pointer_field(5).is_null()
         }
         #[inline]
         pub fn get_store_revision(self) -> i64 {
-            self.reader.get_data_field::<i64>(1)
+            self.reader.get_data_field::<i64>(2)
         }
         #[inline]
         pub fn get_store_distrust_ms(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
+            self.reader.get_data_field::<u64>(3)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1815,92 +2163,116 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_members_digest(self) -> u64 {
+        pub fn get_brief(self) -> ::capnp::Result<crate::peer_capnp::vm_brief::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_brief(&mut self, value: crate::peer_capnp::vm_brief::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_brief(self, ) -> crate::peer_capnp::vm_brief::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        }
+        #[inline]
+        pub fn has_brief(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_receiver_digest(self) -> u64 {
             self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_members_digest(&mut self, value: u64)  {
+        pub fn set_receiver_digest(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
+        pub fn get_members_digest(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_members_digest(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
         pub fn get_members(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::vm_row::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
         pub fn set_members(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::vm_row::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
         }
         #[inline]
         pub fn init_members(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::vm_row::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
         }
         #[inline]
         pub fn has_members(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
+            !self.builder.is_pointer_field_null(2)
         }
         #[inline]
         pub fn get_leaving(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::endpoint_life::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
         pub fn set_leaving(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::endpoint_life::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
         }
         #[inline]
         pub fn init_leaving(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::endpoint_life::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
         }
         #[inline]
         pub fn has_leaving(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
+            !self.builder.is_pointer_field_null(3)
         }
         #[inline]
         pub fn get_reports(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::report::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
         }
         #[inline]
         pub fn set_reports(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::report::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
         }
         #[inline]
         pub fn init_reports(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::report::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
         }
         #[inline]
         pub fn has_reports(&self) -> bool {
-            !self.builder.is_pointer_field_null(3)
+            !self.builder.is_pointer_field_null(4)
         }
         #[inline]
         pub fn get_summaries(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::domain_summary::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
         pub fn set_summaries(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::domain_summary::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
         }
         #[inline]
         pub fn init_summaries(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::domain_summary::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
         }
         #[inline]
         pub fn has_summaries(&self) -> bool {
-            !self.builder.is_pointer_field_null(4)
+            !self.builder.is_pointer_field_null(5)
         }
         #[inline]
         pub fn get_store_revision(self) -> i64 {
-            self.builder.get_data_field::<i64>(1)
+            self.builder.get_data_field::<i64>(2)
         }
         #[inline]
         pub fn set_store_revision(&mut self, value: i64)  {
-            self.builder.set_data_field::<i64>(1, value);
+            self.builder.set_data_field::<i64>(2, value);
         }
         #[inline]
         pub fn get_store_distrust_ms(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
+            self.builder.get_data_field::<u64>(3)
         }
         #[inline]
         pub fn set_store_distrust_ms(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(2, value);
+            self.builder.set_data_field::<u64>(3, value);
         }
     }
 
@@ -1914,82 +2286,99 @@
         pub fn get_from(&self) -> crate::peer_capnp::vm_row::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
         }
+        pub fn get_brief(&self) -> crate::peer_capnp::vm_brief::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 157] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 188] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(226, 116, 253, 57, 73, 155, 241, 162),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(113, 72, 233, 166, 194, 240, 177, 211),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 101, 97, 114, 116),
             ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(26, 128, 190, 178, 67, 7, 133, 240),
@@ -1998,6 +2387,23 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 114, 105, 101, 102, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(222, 112, 216, 141, 138, 117, 138, 254),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 99, 101, 105, 118, 101, 114),
+            ::capnp::word(68, 105, 103, 101, 115, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(109, 101, 109, 98, 101, 114, 115, 68),
             ::capnp::word(105, 103, 101, 115, 116, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -2078,13 +2484,15 @@
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <crate::peer_capnp::vm_row::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::struct_list::Owned<crate::peer_capnp::vm_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                3 => <::capnp::struct_list::Owned<crate::peer_capnp::endpoint_life::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::struct_list::Owned<crate::peer_capnp::report::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                5 => <::capnp::struct_list::Owned<crate::peer_capnp::domain_summary::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                6 => <i64 as ::capnp::introspect::Introspect>::introspect(),
-                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <crate::peer_capnp::vm_brief::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::struct_list::Owned<crate::peer_capnp::vm_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::peer_capnp::endpoint_life::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::peer_capnp::report::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::struct_list::Owned<crate::peer_capnp::domain_summary::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                8 => <i64 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2098,9 +2506,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,3,2,1,4,7,6,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,5,4,3,2,6,9,8,7];
         pub(crate) const TYPE_ID: u64 = 0xa2f1_9b49_39fd_74e2;
     }
 }
--- a/crates/sw-store/src/claim.rs
+++ b/crates/sw-store/src/claim.rs
@@ -11,6 +11,8 @@
 const KEY_PREFIX: &str = "shallotwing/once/";
 /// Claims in one call.
 const MAX_BATCH: usize = 64;
+/// Shortest time between two calls, so that a burst of claims costs few.
+const CALL_GAP: Duration = Duration::from_millis(25);
 /// Time for which a lease takes new claims, as a share of the retention.
 const LEASE_USE_DIVISOR: u32 = 4;
 
@@ -70,7 +72,16 @@
 impl<S: Store> Worker<S> {
     async fn run(mut self, mut rx: mpsc::Receiver<(Claim, Reply)>) {
         let mut batch = Vec::with_capacity(MAX_BATCH);
+        let mut next_call = tokio::time::Instant::now();
         while rx.recv_many(&mut batch, MAX_BATCH).await > 0 {
+            // What comes in the meantime joins the batch.
+            tokio::time::sleep_until(next_call).await;
+            next_call = tokio::time::Instant::now() + CALL_GAP;
+            while batch.len() < MAX_BATCH
+                && let Ok(claim) = rx.try_recv()
+            {
+                batch.push(claim);
+            }
             let (claims, replies): (Vec<Claim>, Vec<Reply>) = batch.drain(..).unzip();
             let bound = self.bind(&claims).await;
             for (index, reply) in replies.into_iter().enumerate() {
