--- /dev/null
+++ b/crates/shallotwing-daemon/tests/chaos.rs
@@ -0,0 +1,272 @@
+//! All failures at random, two and more at a time, under a mixed load; the checker decides.
+//!
+//! The seed fixes faults and requests, the machine their exact times; the promises hold whatever those are. More or
+//! longer runs: `SHALLOTWING_CHAOS_SEED=11 SHALLOTWING_CHAOS_SECONDS=120 cargo test --release -p shallotwing-daemon
+//! --test chaos`.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use common::{Fleet, Sending, tickets};
+use rustix::process::Signal;
+use sw_standin::{Asked, DeploymentOptions, EngineFaults, Heard, LinkState, Said, ServiceFaults, StoreFaults};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+const REQUEST_GAP: Duration = Duration::from_millis(40);
+/// Longest wait for a planned stop, beyond the longest deadline of a request.
+const MAX_STOP: Duration = Duration::from_secs(20);
+const VMS_PER_REGION: usize = 2;
+
+fn number(name: &str, default: u64) -> u64 {
+    std::env::var(name)
+        .ok()
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(default)
+}
+
+/// A request that is sent once or several times.
+struct Request {
+    sending: Sending,
+    /// Where it goes, and after how long.
+    sends: Vec<(SocketAddr, Duration)>,
+    marker: String,
+    regions: Vec<String>,
+    idempotent: bool,
+}
+
+impl Request {
+    async fn run(self) -> Asked {
+        let sends = self.sends.iter().map(async |(to, after)| {
+            sleep(*after).await;
+            let answer = self.sending.send(*to).await;
+            self.sending.heard(answer.as_ref())
+        });
+        let heard: Vec<Heard> = futures::future::join_all(sends).await;
+        Asked {
+            marker: self.marker,
+            regions: self.regions,
+            idempotent: self.idempotent,
+            heard,
+        }
+    }
+}
+
+struct Chaos {
+    fleet: Fleet,
+    rng: fastrand::Rng,
+    count: u64,
+}
+
+impl Chaos {
+    fn address(&mut self) -> SocketAddr {
+        let vm = self.rng.usize(..self.fleet.processes.len());
+        self.fleet.vm(vm).listen
+    }
+
+    fn request(&mut self, tickets: &mut Vec<String>) -> Request {
+        self.count += 1;
+        let home = self.rng.u8(..4) == 0;
+        let regions = if home {
+            vec!["lahore".to_owned()]
+        } else {
+            self.fleet.regions()
+        };
+        let marker = format!("m-{};", self.count);
+        if self.rng.bool() {
+            let route = if home { "question-home" } else { "question" };
+            let sending =
+                Sending::question(&marker, 1 + self.rng.u64(..12), self.rng.bool()).with("shallotwing-route", route);
+            let sends = vec![(self.address(), Duration::ZERO)];
+            return Request {
+                sending,
+                sends,
+                marker,
+                regions,
+                idempotent: true,
+            };
+        }
+        let mut sending = Sending::payment(&marker);
+        if home {
+            "/svc/payment-home/post".clone_into(&mut sending.path);
+        }
+        let identified = match self.rng.u8(..3) {
+            0 => false,
+            1 => {
+                sending = sending.with("idempotency-key", &format!("key-{}", self.count));
+                true
+            }
+            _ => match self.ticket(tickets) {
+                Some(ticket) => {
+                    sending = sending.with("shallotwing-ticket", &ticket);
+                    true
+                }
+                None => false,
+            },
+        };
+        let repeats = if identified { 1 + self.rng.usize(..4) } else { 1 };
+        let sends = (0..repeats).map(|_| {
+            (
+                self.address(),
+                Duration::from_millis(self.rng.u64(..4_000) * u64::from(identified)),
+            )
+        });
+        Request {
+            sending,
+            sends: sends.collect(),
+            marker,
+            regions,
+            idempotent: false,
+        }
+    }
+
+    /// A ticket that was issued earlier, by a VM that may be gone by now.
+    fn ticket(&mut self, tickets: &mut Vec<String>) -> Option<String> {
+        if tickets.is_empty() {
+            return None;
+        }
+        Some(tickets.swap_remove(self.rng.usize(..tickets.len())))
+    }
+
+    /// Brings about a failure.
+    async fn fail(&mut self) {
+        let vm = self.rng.usize(..self.fleet.processes.len());
+        let region = vm / VMS_PER_REGION;
+        let engine = &self.fleet.deployment.engines[region];
+        let service = &self.fleet.deployment.services[region];
+        let link = self.fleet.vm(vm).link.as_ref().unwrap();
+        match self.rng.u8(..13) {
+            0 => {
+                self.fleet.processes[vm].kill();
+                sleep(Duration::from_millis(self.rng.u64(..1_500))).await;
+                self.fleet.restart(vm);
+            }
+            1 => {
+                self.fleet.processes[vm].signal(Signal::STOP);
+                sleep(Duration::from_millis(self.rng.u64(..4_000))).await;
+                self.fleet.processes[vm].signal(Signal::CONT);
+            }
+            2 => self.stop(vm).await,
+            3 => link.set(LinkState::Cut),
+            4 => link.set(LinkState::Frozen),
+            5 => link.silence(),
+            6 => engine.set_faults(EngineFaults {
+                cut_after: Some(2),
+                ..EngineFaults::default()
+            }),
+            7 => engine.set_faults(EngineFaults {
+                silent_after: Some(2),
+                ..EngineFaults::default()
+            }),
+            8 => engine.set_faults(EngineFaults {
+                crossed_ids: true,
+                ..EngineFaults::default()
+            }),
+            9 => service.set_faults(ServiceFaults {
+                lose_answers: true,
+                ..ServiceFaults::default()
+            }),
+            10 => service.set_faults(ServiceFaults {
+                delay: Duration::from_secs(2),
+                ..ServiceFaults::default()
+            }),
+            11 => {
+                let faults = StoreFaults {
+                    down: self.rng.bool(),
+                    lose_answers: 3,
+                    ..StoreFaults::default()
+                };
+                self.fleet.deployment.store.set_faults(faults);
+            }
+            _ => self.fleet.deployment.store_link.set(LinkState::Cut),
+        }
+    }
+
+    /// A planned stop, with a new process in its place.
+    async fn stop(&mut self, vm: usize) {
+        self.fleet.processes[vm].signal(Signal::TERM);
+        if tokio::time::timeout(MAX_STOP, self.fleet.processes[vm].ended())
+            .await
+            .is_err()
+        {
+            self.fleet.processes[vm].kill();
+        }
+        self.fleet.restart(vm);
+    }
+
+    fn heal(&mut self) {
+        let deployment = &self.fleet.deployment;
+        deployment
+            .vms
+            .iter()
+            .filter_map(|plan| plan.link.as_ref())
+            .for_each(|link| link.set(LinkState::Up));
+        deployment.store_link.set(LinkState::Up);
+        deployment.store.set_faults(StoreFaults::default());
+        deployment
+            .engines
+            .iter()
+            .for_each(|engine| engine.set_faults(EngineFaults::default()));
+        deployment
+            .services
+            .iter()
+            .for_each(|service| service.set_faults(ServiceFaults::default()));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_under_random_failures() {
+    let seed = number("SHALLOTWING_CHAOS_SEED", 1);
+    let length = Duration::from_secs(number("SHALLOTWING_CHAOS_SECONDS", 15));
+    let options = DeploymentOptions {
+        vms: VMS_PER_REGION,
+        link_delay: Some(Duration::from_millis(2)),
+        ..DeploymentOptions::default()
+    };
+    let fleet = Fleet::start(options).await;
+    let mut issued = Vec::new();
+    for vm in 0..fleet.processes.len() {
+        issued.extend(tickets(fleet.vm(vm).listen, 60).await);
+    }
+    let mut chaos = Chaos {
+        fleet,
+        rng: fastrand::Rng::with_seed(seed),
+        count: 0,
+    };
+    let mut tasks: Vec<JoinHandle<Asked>> = Vec::new();
+    let end = Instant::now() + length;
+    while Instant::now() < end {
+        for _ in 0..chaos.rng.usize(5..30) {
+            let request = chaos.request(&mut issued);
+            tasks.push(tokio::spawn(request.run()));
+            sleep(REQUEST_GAP).await;
+        }
+        if chaos.rng.u8(..3) == 0 {
+            chaos.heal();
+        }
+        for _ in 0..chaos.rng.usize(1..3) {
+            chaos.fail().await;
+        }
+    }
+    chaos.heal();
+    let mut asked = Vec::new();
+    for task in tasks {
+        asked.push(task.await.unwrap());
+    }
+    let said = |wanted: &Said| {
+        asked
+            .iter()
+            .flat_map(|asked| &asked.heard)
+            .filter(|heard| heard.said == *wanted)
+            .count()
+    };
+    let counts = [Said::Answer { right: true }, Said::NotRun, Said::Ran, Said::Unknown].map(|wanted| said(&wanted));
+    println!(
+        "seed {seed}: {} requests; answered, not run, ran, unknown: {counts:?}",
+        asked.len()
+    );
+    assert!(counts[0] > 0, "some are answered");
+    chaos.fleet.assert_kept(&asked);
+}
