--- a/crates/shallotwing-cli/src/command/standin.rs
+++ b/crates/shallotwing-cli/src/command/standin.rs
@@ -49,6 +49,12 @@
         /// Milliseconds between two tokens.
         #[arg(long, default_value_t = 20)]
         token_ms: u64,
+        /// Load models by order only.
+        #[arg(long)]
+        takes_orders: bool,
+        /// Refuse orders with an old fencing number.
+        #[arg(long)]
+        checks_orders: bool,
     },
     /// A plain service.
     Service {
@@ -89,13 +95,20 @@
                 region,
                 slots,
                 token_ms,
+                takes_orders,
+                checks_orders,
             } => {
                 let model = Options {
                     slots,
                     token_time: Millis(token_ms),
                     ..Options::default()
                 };
-                let options = EngineOptions { model, incarnation: 1 };
+                let options = EngineOptions {
+                    model,
+                    incarnation: 1,
+                    takes_orders,
+                    checks_orders,
+                };
                 keep(
                     StandinEngine::start(listen, &name, &region, options, ledger)
                         .await
--- a/crates/shallotwing-daemon/src/process/daemon.rs
+++ b/crates/shallotwing-daemon/src/process/daemon.rs
@@ -194,6 +194,7 @@
     tokio::spawn(tick(Arc::clone(gateway)));
     tokio::spawn(super::exchange::run(Arc::clone(gateway)));
     tokio::spawn(super::poll::run(Arc::clone(gateway)));
+    tokio::spawn(super::placement::run(Arc::clone(gateway)));
     tokio::spawn(super::directory::run(Arc::clone(gateway)));
     tokio::spawn(super::operator::run(operators, Arc::clone(gateway)));
     tokio::spawn(version::run(Arc::clone(gateway)));
--- a/crates/shallotwing-daemon/src/process/mod.rs
+++ b/crates/shallotwing-daemon/src/process/mod.rs
@@ -6,6 +6,7 @@
 mod exchange;
 pub mod logging;
 mod operator;
+mod placement;
 mod poll;
 mod telemetry;
 
--- a/crates/shallotwing-daemon/src/process/poll.rs
+++ b/crates/shallotwing-daemon/src/process/poll.rs
@@ -50,6 +50,9 @@
                 queued: report.queued,
                 leaving: report.leaving,
                 age: Millis(report.age_ms),
+                loaded: report
+                    .loaded
+                    .map(|models| models.iter().filter_map(|model| model.parse().ok()).collect()),
             };
             if gateway.core.run(move |gate, now| gate.polled(report, now)).await == Ok(true) {
                 exchange::greet_all(gateway).await;
--- a/crates/shallotwing-daemon/tests/capacity.rs
+++ b/crates/shallotwing-daemon/tests/capacity.rs
@@ -160,6 +160,15 @@
             "  in force on 3 VMs after {in_force:?}, {:.0} ms of CPU a VM",
             cpu_s / 3.0 * 1_000.0
         );
+        let text = text.replacen("worth = 1\n", "worth = 2\n", 1);
+        fleet.apply(&text, Version(2)).await;
+        for vm in 0..3 {
+            fleet.runs(vm, 3).await;
+        }
+        println!(
+            "  memory after a second change: {:.1} MB a VM",
+            usage(&fleet).rss_kb as f64 / 3_000.0
+        );
     }
 }
 
@@ -172,24 +181,17 @@
         token_time: sw_unit::Millis(1),
         ..Options::default()
     };
-    for rate in [0, 50, 100, 200] {
-        let fleet = Fleet::start(DeploymentOptions {
+    for (rate, tokens) in [(0, 16), (50, 16), (100, 16), (200, 16), (100, 64), (100, 128)] {
+        let options = DeploymentOptions {
             engine,
             ..linked(1, 1, 2)
-        })
-        .await;
+        };
+        let fleet = Fleet::start(options).await;
         let questions = load(&fleet, rate, |index| {
-            Sending::question(&format!("m-{index};"), 16, true)
+            Sending::question(&format!("m-{index};"), tokens, true)
         });
-        println!(
-            "{}",
-            measure(
-                &fleet,
-                &format!("{rate} streamed questions a second, 16 tokens"),
-                questions
-            )
-            .await
-        );
+        let label = format!("{rate} streamed questions a second, {tokens} tokens");
+        println!("{}", measure(&fleet, &label, questions).await);
     }
     let fleet = Fleet::start(linked(1, 1, 2)).await;
     let payments = load(&fleet, 100, |index| Sending::payment(&format!("p-{index};")));
--- /dev/null
+++ b/crates/shallotwing-daemon/tests/placement.rs
@@ -0,0 +1,117 @@
+//! Orders to load models come from one holder at a time.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fleet, Sending, eventually};
+use rustix::process::Signal;
+use sw_standin::{DeploymentOptions, EngineOptions, StandinEngine};
+
+fn ordered(checks_orders: bool) -> DeploymentOptions {
+    DeploymentOptions {
+        regions: 1,
+        vms: 3,
+        engines: 2,
+        takes_orders: true,
+        checks_orders,
+        ..DeploymentOptions::default()
+    }
+}
+
+/// Waits until both models are loaded and answer.
+async fn both_models_answer(fleet: &Fleet, vm: usize, round: &str) {
+    let large = Sending::question(&format!("m-large-{round};"), 1, false);
+    let mut small =
+        Sending::question(&format!("m-small-{round};"), 1, false).with("shallotwing-route", "question-small");
+    small.body = small.body.replace("registry-7b", "registry-3b");
+    for sending in [large, small] {
+        eventually("answered", async || {
+            sending
+                .send(fleet.vm(vm).listen)
+                .await
+                .is_some_and(|answer| answer.status == 200)
+        })
+        .await;
+    }
+}
+
+fn holder(fleet: &Fleet) -> usize {
+    let holds = |vm: &usize| fleet.processes[*vm].logged().contains("holds the lease for orders");
+    (0..fleet.processes.len()).rfind(holds).expect("one VM holds the lease")
+}
+
+fn assert_fences_grow(fleet: &Fleet) {
+    for engine in &fleet.deployment.engines {
+        let fences: Vec<_> = engine.orders().iter().map(|order| order.fence).collect();
+        assert!(
+            fences.is_sorted(),
+            "an order of an earlier holder came after one of a later: {fences:?}"
+        );
+    }
+}
+
+/// Replaces an engine by its next life, which has nothing loaded.
+async fn restart_engine(fleet: &mut Fleet, index: usize, incarnation: u64, checks_orders: bool) {
+    let old = fleet.deployment.engines.remove(index);
+    let address = old.address();
+    drop(old);
+    eventually("closed", async || common::connect(address).await.is_none()).await;
+    let options = EngineOptions {
+        incarnation,
+        takes_orders: true,
+        checks_orders,
+        ..EngineOptions::default()
+    };
+    let name = format!("engine-lahore-{}", index + 1);
+    let ledger = fleet.deployment.ledger.clone();
+    let engine = StandinEngine::start(address, &name, "lahore", options, ledger)
+        .await
+        .unwrap();
+    fleet.deployment.engines.insert(index, engine);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn needed_models_are_loaded_and_a_killed_holder_is_replaced() {
+    let mut fleet = Fleet::start(ordered(true)).await;
+    both_models_answer(&fleet, 0, "first").await;
+    let loaded: Vec<_> = fleet
+        .deployment
+        .engines
+        .iter()
+        .flat_map(StandinEngine::orders)
+        .map(|order| order.model)
+        .collect();
+    assert!(
+        loaded.contains(&"registry-7b".to_owned()) && loaded.contains(&"registry-3b".to_owned()),
+        "{loaded:?}"
+    );
+    let first = holder(&fleet);
+    fleet.processes[first].kill();
+    restart_engine(&mut fleet, 0, 2, true).await;
+    both_models_answer(&fleet, (first + 1) % 3, "second").await;
+    assert_fences_grow(&fleet);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_holder_that_was_frozen_past_its_lease_gives_no_more_orders() {
+    let mut fleet = Fleet::start(ordered(false)).await;
+    both_models_answer(&fleet, 0, "first").await;
+    let frozen = holder(&fleet);
+    fleet.processes[frozen].signal(Signal::STOP);
+    restart_engine(&mut fleet, 0, 2, false).await;
+    restart_engine(&mut fleet, 1, 2, false).await;
+    both_models_answer(&fleet, (frozen + 1) % 3, "second").await;
+    let given: usize = fleet
+        .deployment
+        .engines
+        .iter()
+        .map(|engine| engine.orders().len())
+        .sum();
+    restart_engine(&mut fleet, 0, 3, false).await;
+    fleet.processes[frozen].signal(Signal::CONT);
+    both_models_answer(&fleet, (frozen + 1) % 3, "third").await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(given >= 2);
+    assert_fences_grow(&fleet);
+}
--- a/crates/sw-bench/src/world.rs
+++ b/crates/sw-bench/src/world.rs
@@ -201,6 +201,7 @@
                     queued,
                     leaving: false,
                     age,
+                    loaded: None,
                 },
                 now,
             );
--- a/crates/sw-conf/src/build.rs
+++ b/crates/sw-conf/src/build.rs
@@ -28,6 +28,8 @@
     pub price: Option<&'a str>,
     /// Whether it refuses orders with an old fencing number.
     pub checks_orders: bool,
+    /// Memory for weights, if models are loaded by order.
+    pub memory_bytes: Option<u64>,
 }
 
 /// Keys of a route.
@@ -76,6 +78,11 @@
             .key("remote", remote)
     }
 
+    /// Sets the rate of the weight store.
+    pub fn weight_store(&mut self, bytes_per_s: u64) -> &mut Self {
+        self.header("weight_store").key("bytes_per_s", bytes_per_s)
+    }
+
     /// Adds a region.
     pub fn region(&mut self, id: &str) -> &mut Self {
         self.header(format_args!("region {id}"))
@@ -118,7 +125,9 @@
         self.optional("prefill_tokens_per_s", options.prefill_tokens_per_s);
         self.optional("token_ms", options.token_ms);
         self.optional("price", options.price);
-        self.flag("checks_orders", options.checks_orders)
+        self.flag("checks_orders", options.checks_orders);
+        self.optional("memory_bytes", options.memory_bytes);
+        self
     }
 
     /// Adds a request class.
--- a/crates/sw-conf/src/document.rs
+++ b/crates/sw-conf/src/document.rs
@@ -3,9 +3,9 @@
 use std::collections::HashMap;
 use std::fmt::Display;
 use std::str::FromStr;
+use std::sync::Arc;
 
-use indexmap::IndexMap;
-use ini::{Ini, ParseOption};
+use ini::{Ini, ParseOption, Properties};
 
 use crate::{Fault, Faults};
 
@@ -19,19 +19,20 @@
 #[derive(Debug, Clone)]
 pub struct Section {
     /// The file it stands in.
-    pub file: String,
+    pub file: Arc<str>,
     /// The line of its header.
     pub line: usize,
     /// The first word of the header.
     pub kind: String,
     /// The rest of the header, or the empty text.
     pub name: String,
-    entries: IndexMap<String, Entry>,
+    entries: Vec<Entry>,
     faults: Vec<Fault>,
 }
 
 #[derive(Debug, Clone)]
 struct Entry {
+    key: String,
     line: usize,
     value: String,
     read: bool,
@@ -39,9 +40,9 @@
 
 /// Lines of headers and keys, which the INI library does not report.
 #[derive(Debug, Default)]
-struct Lines {
-    headers: HashMap<String, usize>,
-    keys: HashMap<String, HashMap<String, usize>>,
+struct Lines<'a> {
+    headers: HashMap<&'a str, usize>,
+    keys: HashMap<(&'a str, &'a str), usize>,
 }
 
 impl Document {
@@ -72,12 +73,13 @@
                 return faults.or(Self { sections: Vec::new() });
             }
         };
-        let sections = ini.iter().filter_map(|(header, properties)| {
+        let file: Arc<str> = Arc::from(file);
+        let sections = ini.into_iter().filter_map(|(header, properties)| {
             let header = header.unwrap_or_default();
             if header.is_empty() && properties.is_empty() {
                 return None;
             }
-            Some(Section::new(file, header, properties, &lines))
+            Some(Section::new(&file, &header, properties, &lines))
         });
         let sections = sections.collect();
         faults.or(Self { sections })
@@ -94,9 +96,8 @@
 
     /// Takes the only section of a kind; an empty one stands in for a missing one.
     pub fn take_single(&mut self, file: &str, kind: &str) -> Section {
-        self.take(kind)
-            .pop()
-            .unwrap_or_else(|| Section::new(file, kind, &ini::Properties::new(), &Lines::default()))
+        let section = self.take(kind).pop();
+        section.unwrap_or_else(|| Section::new(&Arc::from(file), kind, Properties::new(), &Lines::default()))
     }
 
     /// Adds a fault for each section that was not taken.
@@ -112,10 +113,10 @@
     }
 }
 
-impl Lines {
-    fn scan(file: &str, text: &str, faults: &mut Faults) -> Self {
+impl<'a> Lines<'a> {
+    fn scan(file: &str, text: &'a str, faults: &mut Faults) -> Self {
         let mut lines = Self::default();
-        let mut header = String::new();
+        let mut header = "";
         for (index, line) in text.lines().enumerate() {
             let (line, number) = (line.trim(), index + 1);
             let duplicate = |key: String| Fault {
@@ -129,19 +130,14 @@
                 continue;
             }
             if let Some(rest) = line.strip_prefix('[') {
-                rest.split(']')
-                    .next()
-                    .unwrap_or_default()
-                    .trim()
-                    .clone_into(&mut header);
-                if lines.headers.insert(header.clone(), number).is_some() {
+                header = rest.split(']').next().unwrap_or_default().trim();
+                if lines.headers.insert(header, number).is_some() {
                     faults.0.push(duplicate(format!("[{header}]")));
                 }
                 continue;
             }
-            let key = line.split(['=', ':']).next().unwrap_or_default().trim().to_owned();
-            let keys = lines.keys.entry(header.clone()).or_default();
-            if keys.insert(key.clone(), number).is_some() {
+            let key = line.split(['=', ':']).next().unwrap_or_default().trim();
+            if lines.keys.insert((header, key), number).is_some() {
                 faults.0.push(duplicate(format!("[{header}] {key}")));
             }
         }
@@ -150,26 +146,23 @@
 }
 
 impl Section {
-    fn new(file: &str, header: &str, properties: &ini::Properties, lines: &Lines) -> Self {
+    fn new(file: &Arc<str>, header: &str, properties: Properties, lines: &Lines<'_>) -> Self {
         let (kind, name) = header.split_once(' ').unwrap_or((header, ""));
-        let keys = lines.keys.get(header);
-        let entry = |(key, value): (&str, &str)| {
-            let line = keys.and_then(|keys| keys.get(key)).copied().unwrap_or_default();
-            (
-                key.to_owned(),
-                Entry {
-                    line,
-                    value: value.trim().to_owned(),
-                    read: false,
-                },
-            )
+        let entry = |(key, value): (String, String)| {
+            let line = lines.keys.get(&(header, key.as_str())).copied().unwrap_or_default();
+            Entry {
+                key,
+                line,
+                value,
+                read: false,
+            }
         };
         Self {
-            file: file.to_owned(),
+            file: Arc::clone(file),
             line: lines.headers.get(header).copied().unwrap_or_default(),
             kind: kind.to_owned(),
             name: name.trim().to_owned(),
-            entries: properties.iter().map(entry).collect(),
+            entries: properties.into_iter().map(entry).collect(),
             faults: Vec::new(),
         }
     }
@@ -188,7 +181,7 @@
 
     /// The value of a key that must be there; `None`, with a fault, if it is missing or not valid.
     pub fn required<T: FromStr<Err: Display>>(&mut self, key: &str) -> Option<T> {
-        if !self.entries.contains_key(key) {
+        if self.entry(key).is_none() {
             let fault = self.fault_at(self.line, key, "nothing", "a value is required");
             self.faults.push(fault);
             return None;
@@ -198,13 +191,13 @@
 
     /// The value of a key; `None` if it is missing, or, with a fault, if it is not valid.
     pub fn optional<T: FromStr<Err: Display>>(&mut self, key: &str) -> Option<T> {
-        let entry = self.entries.get_mut(key)?;
+        let entry = self.entries.iter_mut().find(|entry| entry.key == key)?;
         entry.read = true;
-        let (line, value) = (entry.line, entry.value.clone());
-        match value.parse() {
+        match entry.value.trim().parse() {
             Ok(parsed) => Some(parsed),
             Err(error) => {
-                self.reject_at(line, key, &value, &error);
+                let (line, value) = (entry.line, entry.value.clone());
+                self.reject_at(line, key, value.trim(), &error);
                 None
             }
         }
@@ -244,16 +237,6 @@
         }
     }
 
-    /// Takes all entries that were not read, as key and value.
-    pub fn rest(&mut self) -> Vec<(String, String)> {
-        let unread = self.entries.iter_mut().filter(|(_, entry)| !entry.read);
-        let rest = unread.map(|(key, entry)| {
-            entry.read = true;
-            (key.clone(), entry.value.clone())
-        });
-        rest.collect()
-    }
-
     /// Adds a fault to a key.
     pub fn reject(&mut self, key: &str, found: &str, allowed: &str) {
         self.reject_at(self.line_of(key), key, found, &allowed);
@@ -261,16 +244,20 @@
 
     /// Adds a fault for each key that was not read, and moves all faults to `faults`.
     pub fn finish(mut self, faults: &mut Faults) {
-        let unread = self.entries.iter().filter(|(_, entry)| !entry.read);
+        let unread = self.entries.iter().filter(|entry| !entry.read);
         let unknown =
-            unread.map(|(key, entry)| self.fault_at(entry.line, key, "an unknown key", "remove or rename it"));
+            unread.map(|entry| self.fault_at(entry.line, &entry.key, "an unknown key", "remove or rename it"));
         let unknown: Vec<_> = unknown.collect();
         faults.0.append(&mut self.faults);
         faults.0.extend(unknown);
     }
 
+    fn entry(&self, key: &str) -> Option<&Entry> {
+        self.entries.iter().find(|entry| entry.key == key)
+    }
+
     fn line_of(&self, key: &str) -> usize {
-        self.entries.get(key).map_or(self.line, |entry| entry.line)
+        self.entry(key).map_or(self.line, |entry| entry.line)
     }
 
     fn reject_at(&mut self, line: usize, key: &str, found: &str, allowed: &dyn Display) {
@@ -290,7 +277,7 @@
             format!("[{header}] {key}")
         };
         Fault {
-            file: self.file.clone(),
+            file: self.file.to_string(),
             line,
             key,
             found: found.to_owned(),
--- a/crates/sw-conf/src/fleet.rs
+++ b/crates/sw-conf/src/fleet.rs
@@ -8,7 +8,7 @@
     Class, Document, Domain, Endpoint, EndpointKind, Faults, Fleet, Link, Model, Objective, Route, Section, Workspace,
 };
 
-const SECTIONS: &str = "objective, region, domain, link, model, endpoint, class, route and workspace";
+const SECTIONS: &str = "objective, weight_store, region, domain, link, model, endpoint, class, route and workspace";
 
 impl Fleet {
     /// Parses and checks a fleet configuration that was read from `file`.
@@ -24,6 +24,9 @@
             objective: objective(document.take_single(file, "objective"), &mut faults),
             ..Self::default()
         };
+        let mut weight_store = document.take_single(file, "weight_store");
+        fleet.weight_store_rate = weight_store.or("bytes_per_s", Rate(0.0));
+        weight_store.finish(&mut faults);
         for mut section in document.take("region") {
             fleet.regions.extend(section.id::<RegionId>());
             section.finish(&mut faults);
@@ -41,6 +44,7 @@
         if faults.0.is_empty() {
             validate(&fleet, file, text, &mut faults);
         }
+        fleet.share_ids();
         fleet.keys = fleet
             .workspaces
             .iter()
@@ -50,6 +54,23 @@
     }
 }
 
+impl Fleet {
+    /// Makes workspaces refer to the ids of routes and regions instead of holding copies.
+    fn share_ids(&mut self) {
+        for workspace in self.workspaces.values_mut() {
+            for id in &mut workspace.routes {
+                if let Some((shared, _)) = self.routes.get_key_value(id) {
+                    *id = shared.clone();
+                }
+            }
+            workspace.routes.shrink_to_fit();
+            if let Some(shared) = workspace.home.as_ref().and_then(|home| self.regions.get(home)) {
+                workspace.home = Some(shared.clone());
+            }
+        }
+    }
+}
+
 /// Reads sections that are named by an id.
 fn collect<K, V>(
     sections: Vec<Section>,
@@ -132,6 +153,7 @@
         token_time: section.or("token_ms", Millis(20)),
         price: section.or("price", Money::default()),
         checks_orders: section.flag("checks_orders", false),
+        memory: section.optional("memory_bytes"),
     };
     Some(endpoint)
 }
--- a/crates/sw-conf/src/types.rs
+++ b/crates/sw-conf/src/types.rs
@@ -14,6 +14,8 @@
 pub struct Fleet {
     /// What the deployment optimises.
     pub objective: Objective,
+    /// Bytes a second that the weight store gives to a failure domain; 0 for no limit.
+    pub weight_store_rate: Rate,
     /// The regions.
     pub regions: IndexSet<RegionId>,
     /// The failure domains.
@@ -114,6 +116,8 @@
     pub price: Money,
     /// Whether it refuses orders with an old fencing number.
     pub checks_orders: bool,
+    /// Memory for weights, if models are loaded and unloaded by order; otherwise all its models are always loaded.
+    pub memory: Option<Bytes>,
 }
 
 /// A request class.
--- a/crates/sw-engine/src/types.rs
+++ b/crates/sw-engine/src/types.rs
@@ -36,7 +36,7 @@
 }
 
 /// What an engine reports of its load.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
     /// Its life.
     pub incarnation: u64,
@@ -48,6 +48,9 @@
     pub leaving: bool,
     /// How old the figures are.
     pub age_ms: u64,
+    /// Models that are loaded; not given if all are.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub loaded: Option<Vec<String>>,
 }
 
 /// Cache blocks that an engine dropped.
--- a/crates/sw-gate/src/gate.rs
+++ b/crates/sw-gate/src/gate.rs
@@ -10,10 +10,12 @@
 use sw_load::{Loads, Prefixes, Report};
 use sw_member::{EndpointLife, Leaving, Members, VmRow, top};
 use sw_once::Registry;
+use sw_place::Planner;
 use sw_route::{Candidate, Links, Policy, Weighted};
 use sw_unit::{DomainId, EndpointId, Millis, Time, Version, VmId};
 
 use crate::exchange::PeerState;
+use crate::placement::Demand;
 use crate::{AdoptError, FleetVersion};
 
 /// Bounds and seeds of a [`Gate`].
@@ -61,6 +63,8 @@
     pub(crate) polled: IndexMap<EndpointId, Time>,
     pub(crate) reported_by_others: IndexMap<EndpointId, Time>,
     pub(crate) direct: IndexMap<DomainId, Time>,
+    pub(crate) planner: Planner,
+    pub(crate) demand: Demand,
     pub(crate) rng: fastrand::Rng,
     pub(crate) scratch: Vec<Candidate>,
     pub(crate) last_tick: Option<Time>,
@@ -86,6 +90,8 @@
             polled: IndexMap::new(),
             reported_by_others: IndexMap::new(),
             direct: IndexMap::new(),
+            planner: Planner::default(),
+            demand: Demand::default(),
             rng: fastrand::Rng::with_seed(options.seed),
             scratch: Vec::new(),
             last_tick: None,
@@ -149,6 +155,7 @@
             self.held_up = Some(HeldUp { until: now, gap });
         }
         self.last_tick = Some(now);
+        self.demand.tick(now);
         self.once.prune(now);
         self.members.prune(now);
     }
--- a/crates/sw-gate/src/lib.rs
+++ b/crates/sw-gate/src/lib.rs
@@ -11,6 +11,7 @@
 mod admit;
 mod exchange;
 mod gate;
+mod placement;
 mod plan;
 mod status;
 mod ticket;
--- a/crates/sw-gate/src/plan.rs
+++ b/crates/sw-gate/src/plan.rs
@@ -18,6 +18,8 @@
     /// Refuses, truthfully not run, if there is no target or none is worth the wait; the refusal has a time to come
     /// back.
     pub fn plan(&mut self, admitted: &Admitted, request: &PlanRequest<'_>, now: Time) -> Result<Plan, Refusal> {
+        self.demand
+            .asked(request.model.or_else(|| admitted.route().models.first()));
         let ask = Ask {
             fleet: &admitted.version.fleet,
             route: admitted.route(),
--- a/crates/sw-gate/tests/regions_fuzz.rs
+++ b/crates/sw-gate/tests/regions_fuzz.rs
@@ -290,6 +290,7 @@
             queued: 0,
             leaving: false,
             age: Millis(0),
+            loaded: None,
         };
         self.reported.insert((vm, id), *life);
         self.gates[vm].polled(report, self.now);
--- a/crates/sw-load/src/loads.rs
+++ b/crates/sw-load/src/loads.rs
@@ -137,6 +137,17 @@
         restarted
     }
 
+    /// Whether an endpoint has a model loaded, as far as it reports it.
+    pub fn has_loaded(&self, endpoint: &EndpointId, model: &ModelId) -> bool {
+        self.loaded(endpoint).is_none_or(|loaded| loaded.contains(model))
+    }
+
+    /// The models that an endpoint reports as loaded; `None` if all are.
+    pub fn loaded(&self, endpoint: &EndpointId) -> Option<&[ModelId]> {
+        let (report, _) = self.rows.get(endpoint)?.report.as_ref()?;
+        report.loaded.as_deref()
+    }
+
     /// The life that an endpoint last reported.
     pub fn incarnation(&self, endpoint: &EndpointId) -> Incarnation {
         let report = self.rows.get(endpoint).and_then(|row| row.report.as_ref());
--- a/crates/sw-load/src/types.rs
+++ b/crates/sw-load/src/types.rs
@@ -18,6 +18,8 @@
     pub leaving: bool,
     /// How old the figures were when they were received.
     pub age: Millis,
+    /// The models that are loaded; `None` if all are.
+    pub loaded: Option<Vec<ModelId>>,
 }
 
 /// The load of all endpoints of a failure domain that serve a model.
--- a/crates/sw-peer/schema/peer.capnp
+++ b/crates/sw-peer/schema/peer.capnp
@@ -31,6 +31,7 @@
   queued @3 :UInt32;
   leaving @4 :Bool;
   ageMs @5 :UInt64;
+  loaded @6 :List(Text);
 }
 
 struct ModelLoad {
--- a/crates/sw-peer/src/convert.rs
+++ b/crates/sw-peer/src/convert.rs
@@ -81,9 +81,20 @@
     to.set_queued(report.queued);
     to.set_leaving(report.leaving);
     to.set_age_ms(report.age.0);
+    if let Some(loaded) = &report.loaded {
+        let mut models = to.init_loaded(len(loaded));
+        for (index, model) in (0..).zip(loaded) {
+            models.set(index, model.as_str());
+        }
+    }
 }
 
 fn report(from: wire::report::Reader<'_>) -> Result<Report> {
+    let loaded = if from.has_loaded() {
+        Some(from.get_loaded()?.iter().map(parse).collect::<Result<_>>()?)
+    } else {
+        None
+    };
     Ok(Report {
         endpoint: parse(from.get_endpoint())?,
         incarnation: Incarnation(from.get_incarnation()),
@@ -91,6 +102,7 @@
         queued: from.get_queued(),
         leaving: from.get_leaving(),
         age: Millis(from.get_age_ms()),
+        loaded,
     })
 }
 
--- a/crates/sw-peer/src/peer_capnp.rs
+++ b/crates/sw-peer/src/peer_capnp.rs
@@ -1076,11 +1076,19 @@
         pub fn get_age_ms(self) -> u64 {
             self.reader.get_data_field::<u64>(3)
         }
+        #[inline]
+        pub fn get_loaded(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_loaded(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1186,6 +1194,22 @@
         pub fn set_age_ms(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(3, value);
         }
+        #[inline]
+        pub fn get_loaded(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_loaded(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_loaded(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_loaded(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1197,66 +1221,73 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 128] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(122, 18, 213, 32, 83, 234, 243, 128),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(113, 72, 233, 166, 194, 240, 177, 211),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 82, 101, 112, 111, 114),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -1307,6 +1338,18 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 97, 100, 101, 100, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1316,6 +1359,7 @@
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1329,9 +1373,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,0,1,4,3,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,0,1,4,6,3,2];
         pub(crate) const TYPE_ID: u64 = 0x80f3_ea53_20d5_127a;
     }
 }
--- /dev/null
+++ b/crates/sw-place/tests/planner_fuzz.rs
@@ -0,0 +1,256 @@
+//! Stateful fuzz of placement: endpoints that carry orders out, late or not at all, against simple rules.
+
+use std::collections::BTreeSet;
+
+use indexmap::IndexMap;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use sw_conf::{Fleet, Model};
+use sw_place::{Action, EndpointView, Options, Order, Planner, Tenure};
+use sw_unit::{Bytes, Fence, Millis, ModelId, Rate, Time};
+
+const MODELS: [(&str, u64); 4] = [("a", 4), ("b", 6), ("c", 3), ("d", 9)];
+const MEMORY: [u64; 3] = [10, 10, 6];
+const STORE_RATE: f64 = 2.0;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Ask,
+    CarryOut,
+    Lose,
+    Demand { model: usize, rate: u8 },
+    Restart { endpoint: usize },
+    Pass { ms: u64 },
+}
+
+#[derive(Debug)]
+struct Steps;
+
+impl ReferenceStateMachine for Steps {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        prop_oneof![
+            6 => Just(Step::Ask),
+            6 => Just(Step::CarryOut),
+            1 => Just(Step::Lose),
+            2 => (0..4_usize, 0..50_u8).prop_map(|(model, rate)| Step::Demand { model, rate }),
+            1 => (0..3_usize).prop_map(|endpoint| Step::Restart { endpoint }),
+            5 => (1..9_000_u64).prop_map(|ms| Step::Pass { ms }),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+#[derive(Debug)]
+struct World {
+    fleet: Fleet,
+    planner: Planner,
+    endpoints: Vec<EndpointView>,
+    demand: IndexMap<ModelId, Rate>,
+    given: Option<Order>,
+    last_load: Option<(Time, u64)>,
+    now: Time,
+}
+
+fn id(model: usize) -> ModelId {
+    MODELS[model].0.parse().unwrap()
+}
+
+fn size(model: &ModelId) -> u64 {
+    MODELS.iter().find(|(name, _)| *name == model.as_str()).unwrap().1
+}
+
+impl World {
+    /// Models `a`, `b` and `c` are needed; `d` may be asked for but has no route.
+    fn needed() -> Vec<ModelId> {
+        (0..3).map(id).collect()
+    }
+
+    fn copies(&self, model: &ModelId) -> usize {
+        self.endpoints
+            .iter()
+            .filter(|endpoint| endpoint.loaded.contains(model))
+            .count()
+    }
+
+    fn ask(&mut self) {
+        let next = self.planner.next(
+            &self.fleet,
+            &self.endpoints,
+            &Self::needed(),
+            &self.demand,
+            Fence(1),
+            self.now,
+        );
+        let Some(order) = next else {
+            return;
+        };
+        let endpoint = self
+            .endpoints
+            .iter()
+            .find(|endpoint| endpoint.id == order.endpoint)
+            .unwrap();
+        match order.action {
+            Action::Load => {
+                let used: u64 = endpoint.loaded.iter().map(size).sum();
+                assert!(used + size(&order.model) <= endpoint.memory.0, "{order:?} does not fit");
+                assert!(endpoint.models.contains(&order.model) && !endpoint.loaded.contains(&order.model));
+                if let Some((at, bytes)) = self.last_load {
+                    let busy = Millis((bytes as f64 / STORE_RATE * 1_000.0) as u64);
+                    assert!(self.now >= at + busy, "the weight store is still busy");
+                }
+                self.last_load = Some((self.now, size(&order.model)));
+            }
+            Action::Unload => {
+                assert!(endpoint.loaded.contains(&order.model));
+                let last = Self::needed().contains(&order.model) && self.copies(&order.model) == 1;
+                assert!(!last, "{order:?} takes the last copy of a needed model");
+            }
+        }
+        self.given = Some(order);
+    }
+
+    fn carry_out(&mut self) {
+        let Some(order) = self.given.take() else {
+            return;
+        };
+        let endpoint = self
+            .endpoints
+            .iter_mut()
+            .find(|endpoint| endpoint.id == order.endpoint)
+            .unwrap();
+        match order.action {
+            Action::Load => endpoint.loaded.insert(order.model),
+            Action::Unload => endpoint.loaded.remove(&order.model),
+        };
+    }
+}
+
+impl StateMachineTest for World {
+    type SystemUnderTest = Self;
+    type Reference = Steps;
+
+    fn init_test((): &()) -> Self {
+        let model = |(name, size): &(&str, u64)| {
+            (
+                name.parse().unwrap(),
+                Model {
+                    size: Bytes(*size),
+                    base: None,
+                },
+            )
+        };
+        let fleet = Fleet {
+            models: MODELS.iter().map(model).collect(),
+            weight_store_rate: Rate(STORE_RATE),
+            ..Fleet::default()
+        };
+        let endpoint = |(index, memory): (usize, &u64)| EndpointView {
+            id: format!("e-{index}").parse().unwrap(),
+            memory: Bytes(*memory),
+            models: (0..4).map(id).collect(),
+            loaded: BTreeSet::new(),
+        };
+        let endpoints = MEMORY.iter().enumerate().map(endpoint).collect();
+        let planner = Planner::new(Options::default());
+        let demand = IndexMap::new();
+        Self {
+            fleet,
+            planner,
+            endpoints,
+            demand,
+            given: None,
+            last_load: None,
+            now: Time(1_000_000),
+        }
+    }
+
+    fn apply(mut world: Self, (): &(), step: Step) -> Self {
+        match step {
+            Step::Ask => world.ask(),
+            Step::CarryOut => world.carry_out(),
+            Step::Lose => world.given = None,
+            Step::Demand { model, rate } => {
+                world.demand.insert(id(model), Rate(f64::from(rate)));
+            }
+            Step::Restart { endpoint } => world.endpoints[endpoint].loaded.clear(),
+            Step::Pass { ms } => world.now = world.now + Millis(ms),
+        }
+        world
+    }
+
+    /// If nothing fails any more, every needed model is loaded in the end, and the orders come to an end.
+    fn teardown(mut world: Self, (): ()) {
+        world.carry_out();
+        let mut quiet = 0;
+        for _ in 0..500 {
+            world.now = world.now + Millis(70_000);
+            world.ask();
+            quiet = if world.given.is_some() { 0 } else { quiet + 1 };
+            world.carry_out();
+        }
+        assert!(
+            World::needed().iter().all(|model| world.copies(model) > 0),
+            "{:?}",
+            world.endpoints
+        );
+        assert!(quiet > 400, "orders go on for ever");
+    }
+}
+
+fn config() -> Config {
+    let number = |name: &str| std::env::var(name).ok().and_then(|value| value.parse().ok());
+    let cases = number("SHALLOTWING_FUZZ_CASES").map_or(200, |cases: u64| cases as u32);
+    let seed = number("SHALLOTWING_FUZZ_SEED").unwrap_or(7);
+    Config {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn orders_keep_the_rules(sequential 1..100 => World);
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn no_order_is_given_outside_the_lease(
+        steps in prop::collection::vec((0..6_000_u64, 0..2_000_u64, any::<bool>()), 1..40),
+    ) {
+        let (ttl, margin) = (Millis(10_000), Millis(3_000));
+        let mut now = Time(50_000);
+        let mut tenure = Tenure::new(Fence(1), now, ttl, margin);
+        // The service counts from when it took the call in, which is later than when the holder made it.
+        let mut service_end = now + ttl;
+        for (pause, answer_after, renews) in steps {
+            now = now + Millis(pause);
+            if tenure.fence(now).is_some() {
+                prop_assert!(now + margin < service_end, "an order is given with its margin left");
+            }
+            if renews && now < service_end {
+                let taken_in = now + Millis(answer_after / 2);
+                if taken_in < service_end {
+                    service_end = taken_in + ttl;
+                    tenure.renewed(now, ttl);
+                }
+                now = now + Millis(answer_after);
+            }
+        }
+    }
+}
--- a/crates/sw-route/src/candidate.rs
+++ b/crates/sw-route/src/candidate.rs
@@ -65,7 +65,9 @@
     let permitted = |region: &RegionId| ask.fleet.permits(ask.route, ask.workspace, region);
     let vms = view.members.live_count(view.now);
     let local = ask.index.local.iter().filter(|endpoint| {
-        permitted(&endpoint.region) && ask.model.is_none_or(|model| endpoint.models.contains(model))
+        let asked = |model: &ModelId| ask.model.is_none_or(|asked| asked == model);
+        let ready = |model: &ModelId| asked(model) && view.loads.has_loaded(&endpoint.id, model);
+        permitted(&endpoint.region) && (endpoint.models.is_empty() || endpoint.models.iter().any(ready))
     });
     out.extend(local.filter(|endpoint| is_usable(endpoint, view)).map(|endpoint| {
         let estimate = view.loads.estimate(&endpoint.id, endpoint.figures.slots, vms, view.now);
--- a/crates/sw-standin/src/deployment.rs
+++ b/crates/sw-standin/src/deployment.rs
@@ -41,6 +41,12 @@
 /// Distance between the first ports of two processes with neighbouring ids.
 const PORTS_PER_PROCESS: u32 = 211;
 const MODEL: &str = "registry-7b";
+const MODEL_SIZE: u64 = 14_000_000_000;
+/// A second model, where engines load models by order.
+const SMALL_MODEL: &str = "registry-3b";
+const SMALL_MODEL_SIZE: u64 = 6_000_000_000;
+/// Room for one of the two models.
+const ENGINE_MEMORY: u64 = 15_000_000_000;
 
 /// What a deployment is like.
 #[derive(Debug, Clone, Copy)]
@@ -53,6 +59,10 @@
     pub engines: usize,
     /// The capacity of a model engine.
     pub engine: Options,
+    /// Whether engines load models by order; each then has room for one of two models.
+    pub takes_orders: bool,
+    /// Whether engines refuse orders with an old fencing number.
+    pub checks_orders: bool,
     /// Delay of each way between VMs; `None` connects them without links.
     pub link_delay: Option<Duration>,
 }
@@ -64,6 +74,8 @@
             vms: 1,
             engines: 1,
             engine: Options::default(),
+            takes_orders: false,
+            checks_orders: false,
             link_delay: None,
         }
     }
@@ -149,6 +161,8 @@
                 let engine = EngineOptions {
                     model: options.engine,
                     incarnation: 1,
+                    takes_orders: options.takes_orders,
+                    checks_orders: options.checks_orders,
                 };
                 engines.push(StandinEngine::start(any_port(), &name, region, engine, ledger.clone()).await?);
             }
@@ -177,7 +191,10 @@
     services: &[StandinService],
 ) -> String {
     let mut builder = Builder::new();
-    builder.objective("2", "1", "0.05").model(MODEL, 14_000_000_000);
+    builder.objective("2", "1", "0.05").model(MODEL, MODEL_SIZE);
+    if options.takes_orders {
+        builder.model(SMALL_MODEL, SMALL_MODEL_SIZE).weight_store(MODEL_SIZE);
+    }
     for region in regions {
         builder.region(region).domain(region, region);
     }
@@ -187,7 +204,13 @@
         }
     }
     let engine_options = EndpointOptions {
-        models: &[MODEL],
+        models: if options.takes_orders {
+            &[MODEL, SMALL_MODEL]
+        } else {
+            &[MODEL]
+        },
+        memory_bytes: options.takes_orders.then_some(ENGINE_MEMORY),
+        checks_orders: options.checks_orders,
         slots: Some(options.engine.slots),
         token_ms: Some(options.engine.token_time.0 as u32),
         price: Some("0.4"),
@@ -212,11 +235,11 @@
             &service_options,
         );
     }
-    add_routes(&mut builder, regions);
+    add_routes(&mut builder, regions, options.takes_orders);
     builder.to_string()
 }
 
-fn add_routes(builder: &mut Builder, regions: &[&str]) {
+fn add_routes(builder: &mut Builder, regions: &[&str], takes_orders: bool) {
     let services: Vec<String> = regions.iter().map(|region| format!("ledger-{region}")).collect();
     let services: Vec<&str> = services.iter().map(String::as_str).collect();
     builder.class("question", "1", 16).class("payment", "3", 1);
@@ -253,7 +276,17 @@
             ..payment
         },
     );
-    let routes = ["question", "payment", "question-home", "payment-home"];
+    let mut routes = vec!["question", "payment", "question-home", "payment-home"];
+    if takes_orders {
+        builder.route(
+            "question-small",
+            &RouteOptions {
+                models: &[SMALL_MODEL],
+                ..question
+            },
+        );
+        routes.push("question-small");
+    }
     builder.workspace(
         "registry",
         &WorkspaceOptions {
--- a/crates/sw-standin/src/engine.rs
+++ b/crates/sw-standin/src/engine.rs
@@ -1,6 +1,6 @@
 //! A model engine over HTTP, in the OpenAI format.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response};
+use serde::Deserialize;
 use serde_json::{Value, json};
 use sw_engine::{CacheEvents, Emission, Engine, Job, JobId, LoadReport, Options};
 use sw_http::{REQUEST_ID_HEADER, channel, json_answer, read_body};
@@ -29,6 +30,17 @@
 const MAX_EVENTS: usize = 1_024;
 const PERIOD_OF_LOAD: Duration = Duration::from_millis(200);
 
+/// An order that an engine received.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct ReceivedOrder {
+    /// The fencing number.
+    pub fence: u64,
+    /// `load` or `unload`.
+    pub action: String,
+    /// The model.
+    pub model: String,
+}
+
 /// What an engine is like.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct EngineOptions {
@@ -36,6 +48,10 @@
     pub model: Options,
     /// Its life.
     pub incarnation: u64,
+    /// Whether models are loaded and unloaded by order; it begins with none.
+    pub takes_orders: bool,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_orders: bool,
 }
 
 /// Faults of an engine.
@@ -72,6 +88,9 @@
     report: (LoadReport, Instant),
     /// Dropped cache blocks, and the number of those that are no longer kept.
     evicted: (VecDeque<u64>, u64),
+    loaded: BTreeSet<String>,
+    /// Orders that were carried out.
+    orders: Vec<ReceivedOrder>,
 }
 
 /// A model engine.
@@ -110,6 +129,7 @@
             queued: 0,
             leaving: false,
             age_ms: 0,
+            loaded: None,
         };
         let core = Core {
             engine: Engine::new(options.model),
@@ -117,6 +137,8 @@
             readers: HashMap::new(),
             report: (report, Instant::now()),
             evicted: (VecDeque::new(), 0),
+            loaded: BTreeSet::new(),
+            orders: Vec::new(),
         };
         let state = Arc::new(State {
             name: name.to_owned(),
@@ -142,6 +164,11 @@
         *self.state.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
     }
 
+    /// Orders that it carried out.
+    pub fn orders(&self) -> Vec<ReceivedOrder> {
+        self.state.core().orders.clone()
+    }
+
     /// Requests that run and that wait.
     pub fn load(&self) -> (u32, u32) {
         self.state.core().engine.load()
@@ -172,14 +199,12 @@
         core.keep_evicted();
         if core.report.1.elapsed() >= PERIOD_OF_LOAD {
             let (running, queued) = core.engine.load();
-            core.report = (
-                LoadReport {
-                    running,
-                    queued,
-                    ..core.report.0
-                },
-                Instant::now(),
-            );
+            let report = LoadReport {
+                running,
+                queued,
+                ..core.report.0.clone()
+            };
+            core.report = (report, Instant::now());
         }
     }
 }
@@ -223,16 +248,41 @@
         if faults.no_reports {
             return Reply::Close;
         }
-        let (report, at) = self.core().report;
+        let core = self.core();
+        let (report, at) = &core.report;
+        let loaded = self.options.takes_orders.then(|| core.loaded.iter().cloned().collect());
         let age_ms = at.elapsed().as_millis() as u64;
-        Reply::Answer(json_answer(
-            200,
-            &LoadReport {
-                leaving: faults.leaving,
-                age_ms,
-                ..report
-            },
-        ))
+        let report = LoadReport {
+            leaving: faults.leaving,
+            age_ms,
+            loaded,
+            ..report.clone()
+        };
+        Reply::Answer(json_answer(200, &report))
+    }
+
+    async fn order(&self, req: Request<Incoming>) -> Reply {
+        let Ok(body) = read_body(req.into_body(), MAX_BODY, BODY_TIMEOUT).await else {
+            return Reply::Close;
+        };
+        let Ok(order) = serde_json::from_slice::<ReceivedOrder>(&body) else {
+            return Reply::Answer(json_answer(400, &json!({ "error": "not an order" })));
+        };
+        let mut core = self.core();
+        let highest = core.orders.iter().map(|order| order.fence).max().unwrap_or(0);
+        if self.options.checks_orders && order.fence < highest {
+            return Reply::Answer(json_answer(
+                409,
+                &json!({ "error": "old fencing number", "highest": highest }),
+            ));
+        }
+        if order.action == "load" {
+            core.loaded.insert(order.model.clone());
+        } else {
+            core.loaded.remove(&order.model);
+        }
+        core.orders.push(order);
+        Reply::Answer(json_answer(200, &json!({})))
     }
 
     fn submit(&self, body: &[u8], tokens: u64) -> mpsc::UnboundedReceiver<Emission> {
@@ -261,6 +311,13 @@
             return Reply::Close;
         };
         let value: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let model = value["model"].as_str().unwrap_or_default();
+        if self.options.takes_orders && !self.core().loaded.contains(model) {
+            return Reply::Answer(json_answer(
+                404,
+                &json!({ "error": { "message": "the model is not loaded" } }),
+            ));
+        }
         let tokens = value["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS);
         let words = answer_tokens(&body, tokens);
         let (endpoint, region) = (self.name.clone(), self.region.clone());
@@ -306,6 +363,7 @@
                     .and_then(|query| query.strip_prefix("since=")?.parse().ok());
                 Reply::Answer(json_answer(200, &self.core().evicted_since(since.unwrap_or(0))))
             }
+            "/orders" => self.order(req).await,
             "/v1/chat/completions" | "/v1/completions" => self.complete(req).await,
             _ => Reply::Answer(json_answer(404, &json!({ "incarnation": self.options.incarnation }))),
         }
--- a/crates/sw-standin/src/service.rs
+++ b/crates/sw-standin/src/service.rs
@@ -91,6 +91,7 @@
                 queued: 0,
                 leaving: faults.leaving,
                 age_ms: 0,
+                loaded: None,
             };
             return Reply::Answer(json_answer(200, &report));
         }
--- a/crates/sw-standin/src/store.rs
+++ b/crates/sw-standin/src/store.rs
@@ -41,11 +41,17 @@
     lease: Option<String>,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct LeaseTerm {
+    ttl: Duration,
+    end: Instant,
+}
+
 #[derive(Debug, Clone, Default)]
 struct Data {
     items: IndexMap<String, Item>,
     revision: i64,
-    leases: IndexMap<String, Instant>,
+    leases: IndexMap<String, LeaseTerm>,
     next_lease: i64,
 }
 
@@ -118,7 +124,7 @@
         let live = |lease: &Option<String>| {
             lease
                 .as_ref()
-                .is_none_or(|id| leases.get(id).is_some_and(|end| *end > now))
+                .is_none_or(|id| leases.get(id).is_some_and(|term| term.end > now))
         };
         self.items.retain(|_, item| live(&item.lease));
     }
@@ -182,11 +188,22 @@
         let seconds = text(&request["TTL"]).parse().unwrap_or(1);
         self.next_lease += 1;
         let id = (7_000 + self.next_lease).to_string();
-        self.leases
-            .insert(id.clone(), Instant::now() + Duration::from_secs(seconds));
+        let ttl = Duration::from_secs(seconds);
+        let end = Instant::now() + ttl;
+        self.leases.insert(id.clone(), LeaseTerm { ttl, end });
         json!({ "header": self.header(), "ID": id, "TTL": seconds.to_string() })
     }
 
+    fn keep_alive(&mut self, request: &Value) -> Value {
+        let (id, now) = (text(&request["ID"]), Instant::now());
+        let alive = self.leases.get_mut(id).filter(|term| term.end > now);
+        let ttl = alive.map_or(0, |term| {
+            term.end = now + term.ttl;
+            term.ttl.as_secs()
+        });
+        json!({ "result": { "header": self.header(), "ID": id, "TTL": ttl.to_string() } })
+    }
+
     fn header(&self) -> Value {
         json!({ "revision": self.revision.to_string() })
     }
@@ -207,6 +224,12 @@
         match path {
             "/v3/kv/range" => Ok((data.range(request), false)),
             "/v3/lease/grant" => Ok((data.grant(request), true)),
+            "/v3/lease/keepalive" => Ok((data.keep_alive(request), true)),
+            "/v3/lease/revoke" => {
+                data.leases.shift_remove(text(&request["ID"]));
+                data.expire();
+                Ok((json!({ "header": data.header() }), true))
+            }
             "/v3/kv/txn" | "/v3/kv/put" => {
                 let mut next = data.clone();
                 next.revision += 1;
--- a/crates/sw-store/src/etcd.rs
+++ b/crates/sw-store/src/etcd.rs
@@ -9,7 +9,10 @@
 use sw_unit::{Millis, Rate};
 
 use crate::wire::Answer;
-use crate::wire::{GrantRequest, GrantResponse, RangeRequest, RangeResponse, TxnRequest, TxnResponse, WatchRequest};
+use crate::wire::{
+    GrantRequest, GrantResponse, KeepAliveResponse, LeaseRequest, RangeRequest, RangeResponse, TxnRequest, TxnResponse,
+    WatchRequest,
+};
 use crate::{CallBudget, Created, Entry, Lease, Store, StoreError, Swap, Trust};
 
 const MILLIS_PER_SECOND: u64 = 1_000;
@@ -103,6 +106,16 @@
         Ok(response.succeeded)
     }
 
+    async fn keep_alive(&self, lease: Lease) -> Result<bool, StoreError> {
+        let response: KeepAliveResponse = self.post("/v3/lease/keepalive", &LeaseRequest::new(lease)).await?;
+        Ok(response.is_alive())
+    }
+
+    async fn revoke(&self, lease: Lease) -> Result<(), StoreError> {
+        let _revoked: RangeResponse = self.post("/v3/lease/revoke", &LeaseRequest::new(lease)).await?;
+        Ok(())
+    }
+
     fn distrust(&self) -> Millis {
         self.trust.distrust()
     }
--- a/crates/sw-store/src/lib.rs
+++ b/crates/sw-store/src/lib.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod claim;
 mod etcd;
+mod hold;
 mod publish;
 mod trust;
 mod types;
@@ -16,6 +17,7 @@
 pub use budget::CallBudget;
 pub use claim::{Claim, Claimer};
 pub use etcd::{Etcd, WatchStream};
+pub use hold::{Hold, take_hold};
 pub use publish::{History, Published, Root, fetch, history, publish, read_root, republish};
 pub use trust::Trust;
 pub use types::{Created, Entry, Lease, Revision, Store, StoreError, Swap};
--- a/crates/sw-store/src/types.rs
+++ b/crates/sw-store/src/types.rs
@@ -100,6 +100,20 @@
         Millis(0)
     }
 
+    /// Renews a lease, and returns whether it was still there.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`].
+    fn keep_alive(&self, lease: Lease) -> impl Future<Output = Result<bool, StoreError>> + Send;
+
+    /// Ends a lease.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`].
+    fn revoke(&self, lease: Lease) -> impl Future<Output = Result<(), StoreError>> + Send;
+
     /// Grants a lease.
     ///
     /// # Errors
--- a/crates/sw-store/src/wire.rs
+++ b/crates/sw-store/src/wire.rs
@@ -124,6 +124,47 @@
     id: String,
 }
 
+#[derive(Debug, Serialize)]
+pub(crate) struct LeaseRequest {
+    #[serde(rename = "ID")]
+    id: String,
+}
+
+/// The gateway streams its answers to renewals, each under `result`.
+#[derive(Debug, Deserialize)]
+pub(crate) struct KeepAliveResponse {
+    result: KeepAliveResult,
+}
+
+#[derive(Debug, Deserialize)]
+struct KeepAliveResult {
+    #[serde(default)]
+    header: Header,
+    #[serde(rename = "TTL", default)]
+    ttl: String,
+}
+
+impl LeaseRequest {
+    pub(crate) fn new(lease: Lease) -> Self {
+        Self {
+            id: lease.0.to_string(),
+        }
+    }
+}
+
+impl KeepAliveResponse {
+    /// A lease that is gone has no time to live.
+    pub(crate) fn is_alive(&self) -> bool {
+        self.result.ttl.parse::<i64>().is_ok_and(|ttl| ttl > 0)
+    }
+}
+
+impl Answer for KeepAliveResponse {
+    fn revision(&self) -> Option<Revision> {
+        self.result.header.revision()
+    }
+}
+
 #[derive(Debug, Serialize)]
 pub(crate) struct WatchRequest {
     create_request: RangeRequest,
--- a/crates/sw-store/tests/publish_fuzz.rs
+++ b/crates/sw-store/tests/publish_fuzz.rs
@@ -99,6 +99,14 @@
         self.call(run).await
     }
 
+    async fn keep_alive(&self, _: Lease) -> Result<bool, StoreError> {
+        Ok(true)
+    }
+
+    async fn revoke(&self, _: Lease) -> Result<(), StoreError> {
+        Ok(())
+    }
+
     async fn grant(&self, _: Millis) -> Result<Lease, StoreError> {
         Ok(Lease(1))
     }
--- a/python/shallotwing_fleet.py
+++ b/python/shallotwing_fleet.py
@@ -20,6 +20,10 @@
         """Sets the weights of the objective."""
         return self._add("objective", cost=cost, latency=latency, remote=remote)
 
+    def weight_store(self, bytes_per_s):
+        """Sets the rate of the weight store."""
+        return self._add("weight_store", bytes_per_s=bytes_per_s)
+
     def region(self, id):
         """Adds a region."""
         return self._add(f"region {id}")
@@ -51,6 +55,7 @@
         token_ms=None,
         price=None,
         checks_orders=False,
+        memory_bytes=None,
     ):
         """Adds an endpoint."""
         return self._add(
@@ -64,6 +69,7 @@
             token_ms=token_ms,
             price=price,
             checks_orders=checks_orders,
+            memory_bytes=memory_bytes,
         )
 
     def request_class(self, id, weight, expected_tokens):
