fix(request): a wait for the first token is not silence; perf(gate): one exchange a pair of domains

Cause: an answer that had not begun within 3 s was taken for a silent connection and sent again, up to three times, which put it into the engine's queue again. An answer may now take two thirds of the time left to begin, sending it again takes from the retry budget, and connections are probed by keepalive, which finds a path that lost track of them. Ruled out: waiting until the deadline (nothing would be left for a dead connection). The new test failed before (sent twice) and passes now. gate: both sides' first delegates exchanged summaries, because each looked only at what it had heard itself; now at the age of the summary, wherever it came from. All 37 process tests pass.

--- a/crates/shallotwing-daemon/src/request/forward.rs
+++ b/crates/shallotwing-daemon/src/request/forward.rs
@@ -20,7 +20,7 @@
 
 /// Time between two looks at whether the other VM is still heard.
 const LIVENESS_PERIOD: Duration = Duration::from_millis(250);
-/// Longest silence within a streamed answer.
+/// Longest silence between two parts of a streamed answer.
 const MAX_SILENCE: Duration = Duration::from_secs(5);
 /// Longest answer that is held whole.
 const MAX_WHOLE_ANSWER: usize = 8 << 20;
@@ -98,7 +98,7 @@
             if content_type.starts_with(EVENT_STREAM) && job.admitted.idempotent {
                 let (tx, body) = channel();
                 tokio::spawn(async move {
-                    if relay(rx, &tx).await
+                    if relay(rx, &tx, deadline).await
                         && let Some(in_flight) = in_flight
                     {
                         in_flight.answered();
@@ -170,12 +170,14 @@
 }
 
 /// Passes a streamed answer on to the caller, and returns whether it was whole.
-async fn relay(mut rx: mpsc::Receiver<Event>, tx: &BodySender) -> bool {
+async fn relay(mut rx: mpsc::Receiver<Event>, tx: &BodySender, deadline: Instant) -> bool {
+    let mut next_by = deadline;
     loop {
         let event = tokio::select! {
-            event = tokio::time::timeout(MAX_SILENCE, rx.recv()) => event,
+            event = timeout_at(next_by, rx.recv()) => event,
             () = tx.closed() => return false,
         };
+        next_by = Instant::now() + MAX_SILENCE;
         match event {
             Ok(Some(Event::Chunk(data))) => {
                 if tx.send(Ok(data)).await.is_err() {
--- a/crates/shallotwing-daemon/src/request/run.rs
+++ b/crates/shallotwing-daemon/src/request/run.rs
@@ -49,7 +49,8 @@
     gateway.core.run(step).await?
 }
 
-async fn may_retry(gateway: &Gateway, job: &Arc<Job>) -> bool {
+/// Takes a retry out of the budget, and returns whether there was one.
+pub(crate) async fn may_retry(gateway: &Gateway, job: &Arc<Job>) -> bool {
     let job = Arc::clone(job);
     gateway
         .core
--- a/crates/shallotwing-daemon/src/request/stream.rs
+++ b/crates/shallotwing-daemon/src/request/stream.rs
@@ -19,10 +19,13 @@
 use super::attempt;
 use super::endpoint::{self, Begun};
 use super::job::Job;
+use super::run;
 use crate::process::Gateway;
 
-/// Longest silence within a stream.
+/// Longest silence between two parts of a stream.
 const MAX_SILENCE: Duration = Duration::from_secs(3);
+/// Share of the time left in which an answer has to begin, as a fraction.
+const FIRST_PATIENCE: (u32, u32) = (2, 3);
 /// Time for the error event to be written out.
 const ERROR_EVENT_FLUSH: Duration = Duration::from_millis(50);
 /// Times that a stream is resumed.
@@ -78,7 +81,12 @@
             in_flight,
         }) = part
         {
-            match pass_part(response.into_body(), &mut reader, tx).await {
+            let patience = if reader.events() == 0 {
+                first_patience(gateway, job)
+            } else {
+                MAX_SILENCE
+            };
+            match pass_part(response.into_body(), &mut reader, tx, patience).await {
                 PartEnd::Whole => {
                     in_flight.answered();
                     exchange.give_back();
@@ -88,7 +96,8 @@
                 PartEnd::Broken => {}
             }
         }
-        if attempt::left(gateway, job).0 == 0 {
+        // An engine goes on from where it was, but an answer that has not begun is made a second time.
+        if attempt::left(gateway, job).0 == 0 || (reader.events() == 0 && !run::may_retry(gateway, job).await) {
             return false;
         }
         reader.drop_partial();
@@ -97,10 +106,18 @@
     false
 }
 
-async fn pass_part(mut body: Incoming, reader: &mut SseReader, tx: &BodySender) -> PartEnd {
+/// How long an answer may take to begin: a request may wait in an engine's queue for longer than was expected, and
+/// sending it again would put it there twice; yet there has to be time for that if the connection is dead.
+fn first_patience(gateway: &Gateway, job: &Job) -> Duration {
+    let left = Duration::from_millis(attempt::left(gateway, job).0);
+    (left * FIRST_PATIENCE.0 / FIRST_PATIENCE.1).max(MAX_SILENCE)
+}
+
+/// Passes on what comes on one connection; its first part may take as long as `patience`.
+async fn pass_part(mut body: Incoming, reader: &mut SseReader, tx: &BodySender, mut patience: Duration) -> PartEnd {
     loop {
         let frame = tokio::select! {
-            frame = tokio::time::timeout(MAX_SILENCE, body.frame()) => frame,
+            frame = tokio::time::timeout(patience, body.frame()) => frame,
             () = tx.closed() => return PartEnd::CallerGone,
         };
         let data = match frame {
@@ -108,6 +125,7 @@
             Ok(None) if reader.ended() => return PartEnd::Whole,
             Ok(None | Some(Err(_))) | Err(_) => return PartEnd::Broken,
         };
+        patience = MAX_SILENCE;
         let Ok(events) = reader.feed(&data) else {
             return PartEnd::Broken;
         };
--- a/crates/shallotwing-daemon/tests/whole.rs
+++ b/crates/shallotwing-daemon/tests/whole.rs
@@ -137,3 +137,31 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_wait_for_the_first_token_is_not_silence() {
+    let engine = sw_engine::Options {
+        slots: 1,
+        ..sw_engine::Options::default()
+    };
+    for regions in [1, 2] {
+        let mut fleet = Fleet::start(DeploymentOptions {
+            regions,
+            engine,
+            ..DeploymentOptions::default()
+        })
+        .await;
+        if regions == 2 {
+            drop(fleet.deployment.engines.remove(0));
+        }
+        let to = fleet.vm(0).listen;
+        let first = Sending::question("m-long;", 280, true);
+        let running = tokio::spawn(async move { first.send(to).await });
+        common::eventually("running", async || fleet.runs_of("m-long;") > 0).await;
+        let second = Sending::question("m-waits;", 2, true);
+        let answer = second.send(to).await.unwrap();
+        assert!(answer.whole && second.is_right(&answer), "{answer:?}");
+        assert_eq!(fleet.runs_of("m-waits;"), 1, "it was sent once");
+        running.await.unwrap();
+    }
+}
--- a/crates/sw-gate/src/exchange.rs
+++ b/crates/sw-gate/src/exchange.rs
@@ -25,7 +25,7 @@
 /// Age of a neighbour's report of an endpoint at which VMs in reserve report on it.
 const REPORT_LATE: Millis = Millis(3_500);
 /// Time between two whole summaries to a VM.
-const WHOLE_SUMMARY_PERIOD: Millis = Millis(10_000);
+const WHOLE_SUMMARY_PERIOD: Millis = Millis(20_000);
 /// A change of load by less than this share of the slots is not sent.
 const SMALL_CHANGE: f64 = 0.05;
 /// Live VMs of a domain that its summary names.
@@ -199,12 +199,12 @@
     }
 
     fn is_summary_due(&self, domain: &DomainId, all: bool, now: Time) -> bool {
-        let is_late = |at: Option<Time>, after: Millis| at.is_none_or(|at| now.since(at) >= after);
+        let confirmed = self.loads.summarised_at(domain);
+        let is_late = |after: Millis| confirmed.is_none_or(|at| now.since(at) >= after);
         match self.members.delegate_place(domain, now) {
             None => false,
-            Some(_) if all => true,
-            Some(0) => is_late(self.direct.get(domain).copied(), SUMMARY_PERIOD),
-            Some(_) => is_late(self.loads.summarised_at(domain), SUMMARY_LATE),
+            Some(0) => all || is_late(SUMMARY_PERIOD),
+            Some(_) => all || is_late(SUMMARY_LATE),
         }
     }
 
--- a/crates/sw-http/src/connect.rs
+++ b/crates/sw-http/src/connect.rs
@@ -12,6 +12,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
 /// An idle connection older than this may have been forgotten by something between the two ends.
@@ -19,6 +20,13 @@
 /// Idle connections that are kept to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
+/// A connection on which nothing comes is probed after this time,
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
+/// this often,
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// and breaks after this many probes without an answer.
+const KEEPALIVE_RETRIES: u32 = 2;
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// How a call failed.
@@ -120,6 +128,13 @@
         .await
         .map_err(|_refused| CallError::Connect)?;
     stream.set_nodelay(true).map_err(|_closed| CallError::Connect)?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_RETRIES);
+    SockRef::from(&stream)
+        .set_tcp_keepalive(&keepalive)
+        .map_err(|_closed| CallError::Connect)?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|_closed| CallError::Connect)?;
     tokio::spawn(connection);
