fix(place): whoever holds the lease keeps it; refactor: one crate for what fuzz tests share

Rank now decides only who tries to take it. The frozen-holder test wakes the old holder without a store, where only its own clock can stop it: with the lease counted a thousand times too long it fails with fencing numbers 3, 9, 3, 9; with the mechanism it passes, twice.

--- a/crates/shallotwing-daemon/src/process/placement.rs
+++ b/crates/shallotwing-daemon/src/process/placement.rs
@@ -46,17 +46,21 @@
 }
 
 /// Takes, renews or gives up the lease.
+///
+/// One VM of the domain tries to take it, but whichever has it keeps it, so a VM that comes back causes no change.
 async fn keep(gateway: &Gateway, held: Option<Held>) -> Option<Held> {
     let step = |gate: &mut sw_gate::Gate, now| {
-        gate.gives_orders() && !gate.members().own().leaving && gate.is_chosen("place", 1, now)
+        let may_hold = gate.gives_orders() && !gate.members().own().leaving;
+        (may_hold, gate.is_chosen("place", 1, now))
     };
-    if gateway.core.run(step).await != Ok(true) {
-        release(gateway, held).await;
-        return None;
-    }
-    match held {
-        None => take(gateway).await,
-        Some(held) => renew(gateway, held).await,
+    match (gateway.core.run(step).await, held) {
+        (Ok((true, _)), Some(held)) => renew(gateway, held).await,
+        (Ok((true, true)), None) => take(gateway).await,
+        (Ok((true, false)), None) => None,
+        (_, held) => {
+            release(gateway, held).await;
+            None
+        }
     }
 }
 
--- a/crates/shallotwing-daemon/tests/placement.rs
+++ b/crates/shallotwing-daemon/tests/placement.rs
@@ -4,7 +4,7 @@
 
 use common::{Fleet, Sending, eventually};
 use rustix::process::Signal;
-use sw_standin::{DeploymentOptions, EngineOptions, StandinEngine};
+use sw_standin::{DeploymentOptions, EngineOptions, LinkState, StandinEngine};
 
 fn ordered(checks_orders: bool) -> DeploymentOptions {
     DeploymentOptions {
@@ -116,10 +116,13 @@
     restart_engine(&mut fleet, &mut fences, 0, 2).await;
     restart_engine(&mut fleet, &mut fences, 1, 2).await;
     both_models_answer(&fleet, (frozen + 1) % 3, "second").await;
-    for round in 3..6 {
-        restart_engine(&mut fleet, &mut fences, 0, round).await;
-        fleet.processes[frozen].signal(Signal::CONT);
-        both_models_answer(&fleet, (frozen + 1) % 3, &format!("round-{round}")).await;
-    }
+    // Without the store a woken holder can ask nobody whether its lease still stands.
+    fleet.deployment.store_link.set(LinkState::Cut);
+    restart_engine(&mut fleet, &mut fences, 0, 3).await;
+    fleet.processes[frozen].signal(Signal::CONT);
+    both_models_answer(&fleet, (frozen + 1) % 3, "third").await;
+    fleet.deployment.store_link.set(LinkState::Up);
+    restart_engine(&mut fleet, &mut fences, 0, 4).await;
+    both_models_answer(&fleet, (frozen + 1) % 3, "fourth").await;
     fences.assert_growing(&fleet);
 }
--- a/crates/sw-bench/src/report.rs
+++ b/crates/sw-bench/src/report.rs
@@ -149,17 +149,13 @@
     seconds: f64,
 ) -> Report {
     let classes: Vec<_> = records.iter().map(ClassRecord::report).collect();
-    let sum = |value: &dyn Fn(&ClassReport, &ClassPlan) -> f64| -> f64 {
-        classes
-            .iter()
-            .zip(records)
-            .map(|(class, record)| value(class, record.plan))
-            .sum()
-    };
-    let worth = sum(&|class, plan| class.useful as f64 * plan.worth);
-    let offered = sum(&|class, plan| class.offered as f64 * plan.worth);
-    let weights = sum(&|_, plan| plan.worth * plan.share);
-    let tail = sum(&|class, plan| class.end_ms[2] as f64 * plan.worth * plan.share);
+    let plans = || classes.iter().zip(records.iter().map(|record| record.plan));
+    let worth: f64 = plans().map(|(class, plan)| class.useful as f64 * plan.worth).sum();
+    let offered: f64 = plans().map(|(class, plan)| class.offered as f64 * plan.worth).sum();
+    let weights: f64 = plans().map(|(_, plan)| plan.worth * plan.share).sum();
+    let tail: f64 = plans()
+        .map(|(class, plan)| class.end_ms[2] as f64 * plan.worth * plan.share)
+        .sum();
     Report {
         deployment,
         scenario,
--- a/crates/sw-conf/src/document.rs
+++ b/crates/sw-conf/src/document.rs
@@ -260,7 +260,7 @@
         self.entry(key).map_or(self.line, |entry| entry.line)
     }
 
-    fn reject_at(&mut self, line: usize, key: &str, found: &str, allowed: &dyn Display) {
+    fn reject_at(&mut self, line: usize, key: &str, found: &str, allowed: &impl Display) {
         let fault = self.fault_at(line, key, &format!("`{found}`"), &allowed.to_string());
         self.faults.push(fault);
     }
--- a/crates/sw-conf/src/validate.rs
+++ b/crates/sw-conf/src/validate.rs
@@ -25,7 +25,7 @@
         }
     }
 
-    fn fault(&self, header: &str, key: &str, found: &dyn Display, allowed: &str) -> Fault {
+    fn fault(&self, header: &str, key: &str, found: &impl Display, allowed: &str) -> Fault {
         Fault {
             file: self.file.to_owned(),
             line: self.lines.get(header).copied().unwrap_or_default(),
--- a/crates/sw-gate/tests/once_fuzz.rs
+++ b/crates/sw-gate/tests/once_fuzz.rs
@@ -8,8 +8,9 @@
 use std::collections::HashMap;
 
 use proptest::prelude::*;
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use proptest_state_machine::{StateMachineTest, prop_state_machine};
 use sw_error::{Kind, Ran};
+use sw_fuzz::{Independent, config};
 use sw_gate::{Gate, Owner};
 use sw_once::{Begin, KeptAnswer, Outcome, Standing, Ticket};
 use sw_unit::{Bytes, Digest, Millis, Time, WorkspaceId};
@@ -39,19 +40,8 @@
     Refused,
 }
 
-/// Steps do not depend on what went before.
-#[derive(Debug)]
-struct Steps;
-
-impl ReferenceStateMachine for Steps {
-    type State = ();
-    type Transition = Step;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions((): &()) -> BoxedStrategy<Step> {
+impl sw_fuzz::Step for Step {
+    fn any() -> BoxedStrategy<Self> {
         let vm = || 0..VMS;
         let end = prop_oneof![Just(End::Answered), Just(End::Lost), Just(End::Refused)];
         prop_oneof![
@@ -68,8 +58,6 @@
         ]
         .boxed()
     }
-
-    fn apply((): (), _: &Step) {}
 }
 
 /// A request on its way from one VM to another.
@@ -281,7 +269,7 @@
 
 impl StateMachineTest for World {
     type SystemUnderTest = Self;
-    type Reference = Steps;
+    type Reference = Independent<Step>;
 
     fn init_test((): &()) -> Self {
         Self::new()
@@ -323,7 +311,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(support::config())]
+    #![proptest_config(config())]
 
     #[test]
     fn a_ticket_runs_at_most_once(sequential 1..120 => World);
--- a/crates/sw-gate/tests/regions_fuzz.rs
+++ b/crates/sw-gate/tests/regions_fuzz.rs
@@ -9,7 +9,8 @@
 use std::collections::{HashMap, HashSet};
 
 use proptest::prelude::*;
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use proptest_state_machine::{StateMachineTest, prop_state_machine};
+use sw_fuzz::{Independent, config};
 use sw_gate::{Admitted, Envelope, Gate, Head, Plan, PlanRequest, Purpose};
 use sw_load::Report;
 use sw_member::EndpointLife;
@@ -58,18 +59,8 @@
     },
 }
 
-#[derive(Debug)]
-struct Steps;
-
-impl ReferenceStateMachine for Steps {
-    type State = ();
-    type Transition = Step;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions((): &()) -> BoxedStrategy<Step> {
+impl sw_fuzz::Step for Step {
+    fn any() -> BoxedStrategy<Self> {
         let vm = || 0..VMS;
         prop_oneof![
             2 => (0..8_u8).prop_map(|mask| Step::Accept { mask }),
@@ -85,8 +76,6 @@
         ]
         .boxed()
     }
-
-    fn apply((): (), _: &Step) {}
 }
 
 #[derive(Debug)]
@@ -317,7 +306,7 @@
 
 impl StateMachineTest for World {
     type SystemUnderTest = Self;
-    type Reference = Steps;
+    type Reference = Independent<Step>;
 
     fn init_test((): &()) -> Self {
         Self::new()
@@ -360,7 +349,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(support::config())]
+    #![proptest_config(config())]
 
     #[test]
     fn requests_stay_in_their_regions(sequential 1..120 => World);
--- a/crates/sw-gate/tests/support/mod.rs
+++ b/crates/sw-gate/tests/support/mod.rs
@@ -4,7 +4,6 @@
 
 use std::sync::Arc;
 
-use proptest::test_runner::{Config, RngSeed};
 use sw_conf::{Builder, EndpointOptions, RouteOptions, WorkspaceOptions};
 use sw_gate::{FleetVersion, Gate, Options};
 use sw_member::VmRow;
@@ -13,22 +12,6 @@
 
 pub const REGIONS: [&str; 3] = ["a", "b", "c"];
 pub const KEY: &str = "key";
-const DEFAULT_SEED: u64 = 7;
-const DEFAULT_CASES: u32 = 200;
-
-/// The configuration of a run; `SHALLOTWING_FUZZ_CASES` and `SHALLOTWING_FUZZ_SEED` change it.
-pub fn config() -> Config {
-    let number = |name: &str| std::env::var(name).ok().and_then(|value| value.parse().ok());
-    let cases = number("SHALLOTWING_FUZZ_CASES").map_or(DEFAULT_CASES, |cases: u64| cases as u32);
-    let seed = number("SHALLOTWING_FUZZ_SEED").unwrap_or(DEFAULT_SEED);
-    Config {
-        cases,
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        max_shrink_iters: 20_000,
-        ..Config::default()
-    }
-}
 
 /// A VM's row; VM `index` lies in region `index % 3`.
 pub fn row(index: usize, incarnation: u64) -> VmRow {
--- a/crates/sw-member/tests/members_fuzz.rs
+++ b/crates/sw-member/tests/members_fuzz.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use proptest_state_machine::{StateMachineTest, prop_state_machine};
+use sw_fuzz::{Independent, config};
 use sw_member::{Members, Options, VmRow, VmState};
 use sw_unit::{Incarnation, Millis, Time, Version};
 
@@ -19,18 +19,8 @@
     Pass { ms: u64 },
 }
 
-#[derive(Debug)]
-struct Steps;
-
-impl ReferenceStateMachine for Steps {
-    type State = ();
-    type Transition = Step;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions((): &()) -> BoxedStrategy<Step> {
+impl sw_fuzz::Step for Step {
+    fn any() -> BoxedStrategy<Self> {
         let row = || (1..VMS, 1..5_u64, prop::bool::weighted(0.2));
         prop_oneof![
             4 => row().prop_map(|(vm, incarnation, leaving)| Step::Heard { vm, incarnation, leaving }),
@@ -39,8 +29,6 @@
         ]
         .boxed()
     }
-
-    fn apply((): (), _: &Step) {}
 }
 
 /// What the oracle knows of a VM: its newest life, whether that is leaving, and when it was heard itself.
@@ -93,7 +81,7 @@
 
 impl StateMachineTest for World {
     type SystemUnderTest = Self;
-    type Reference = Steps;
+    type Reference = Independent<Step>;
 
     fn init_test((): &()) -> Self {
         let members = Members::new(row(0, 1, false), Options::default());
@@ -147,18 +135,6 @@
     }
 }
 
-fn config() -> Config {
-    let number = |name: &str| std::env::var(name).ok().and_then(|value| value.parse().ok());
-    let cases = number("SHALLOTWING_FUZZ_CASES").map_or(200, |cases: u64| cases as u32);
-    let seed = number("SHALLOTWING_FUZZ_SEED").unwrap_or(7);
-    Config {
-        cases,
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
-
 prop_state_machine! {
     #![proptest_config(config())]
 
--- a/crates/sw-place/tests/planner_fuzz.rs
+++ b/crates/sw-place/tests/planner_fuzz.rs
@@ -4,9 +4,9 @@
 
 use indexmap::IndexMap;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use proptest_state_machine::{StateMachineTest, prop_state_machine};
 use sw_conf::{Fleet, Model};
+use sw_fuzz::{Independent, config};
 use sw_place::{Action, EndpointView, Options, Order, Planner, Tenure};
 use sw_unit::{Bytes, Fence, Incarnation, Millis, ModelId, Rate, Time};
 
@@ -24,18 +24,8 @@
     Pass { ms: u64 },
 }
 
-#[derive(Debug)]
-struct Steps;
-
-impl ReferenceStateMachine for Steps {
-    type State = ();
-    type Transition = Step;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions((): &()) -> BoxedStrategy<Step> {
+impl sw_fuzz::Step for Step {
+    fn any() -> BoxedStrategy<Self> {
         prop_oneof![
             6 => Just(Step::Ask),
             6 => Just(Step::CarryOut),
@@ -46,8 +36,6 @@
         ]
         .boxed()
     }
-
-    fn apply((): (), _: &Step) {}
 }
 
 #[derive(Debug)]
@@ -147,7 +135,7 @@
 
 impl StateMachineTest for World {
     type SystemUnderTest = Self;
-    type Reference = Steps;
+    type Reference = Independent<Step>;
 
     fn init_test((): &()) -> Self {
         let model = |(name, size): &(&str, u64)| {
@@ -218,18 +206,6 @@
     }
 }
 
-fn config() -> Config {
-    let number = |name: &str| std::env::var(name).ok().and_then(|value| value.parse().ok());
-    let cases = number("SHALLOTWING_FUZZ_CASES").map_or(200, |cases: u64| cases as u32);
-    let seed = number("SHALLOTWING_FUZZ_SEED").unwrap_or(7);
-    Config {
-        cases,
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
-
 prop_state_machine! {
     #![proptest_config(config())]
 
--- a/crates/sw-store/tests/publish_fuzz.rs
+++ b/crates/sw-store/tests/publish_fuzz.rs
@@ -9,7 +9,7 @@
 
 use futures::future::join_all;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
+use sw_fuzz::config;
 use sw_store::{
     Created, Entry, Lease, Published, Revision, Store, StoreError, Swap, fetch, history, publish, read_root,
 };
@@ -161,18 +161,6 @@
     }
 }
 
-fn config() -> Config {
-    let number = |name: &str| std::env::var(name).ok().and_then(|value| value.parse().ok());
-    let cases = number("SHALLOTWING_FUZZ_CASES").map_or(400, |cases: u64| cases as u32);
-    let seed = number("SHALLOTWING_FUZZ_SEED").unwrap_or(7);
-    Config {
-        cases,
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
-
 proptest! {
     #![proptest_config(config())]
 
