--- a/crates/shallotwing-cli/src/client.rs
+++ b/crates/shallotwing-cli/src/client.rs
@@ -58,10 +58,17 @@
     let request = builder.body(Full::new(Bytes::from_static(body.as_bytes())));
     let request = request.map_err(|error| Failure::Input(error.to_string()))?;
     let unreachable = |error| Failure::unreachable(&vm.to_string(), error);
-    let mut exchange = Connector::new(TIMEOUT).connect(vm, Reuse::Never).await.map_err(unreachable)?;
+    let mut exchange = Connector::new(TIMEOUT)
+        .connect(vm, Reuse::Never)
+        .await
+        .map_err(unreachable)?;
     let response = exchange.send(request, TIMEOUT).await.map_err(unreachable)?;
     let (parts, body) = response.into_parts();
     let body = read_body(body, MAX_ANSWER, TIMEOUT).await;
     let body = body.map_err(|_broken| Failure::unreachable(&vm.to_string(), "the answer broke off"))?;
-    Ok(Answer { status: parts.status.as_u16(), headers: parts.headers, body })
+    Ok(Answer {
+        status: parts.status.as_u16(),
+        headers: parts.headers,
+        body,
+    })
 }
--- a/crates/shallotwing-cli/src/command/try.rs
+++ b/crates/shallotwing-cli/src/command/try.rs
@@ -3,25 +3,22 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use clap::Args;
-use http_body_util::Full;
-use hyper::Request;
-use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HOST};
+use hyper::Method;
 use serde_json::Value;
 use shallotwing_daemon::{Daemon, logging};
 use sw_conf::{LogFormat, Settings};
-use sw_http::{Caller, Connector, RAN_HEADER, Reuse, read_body};
+use sw_http::{Caller, RAN_HEADER};
 use sw_standin::{Deployment, DeploymentOptions, KEY};
 use sw_store::{Etcd, publish};
 use sw_unit::{Millis, Rate, Version, WallTime};
 
+use crate::client::call;
 use crate::failure::Failure;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 const READY_POLL: Duration = Duration::from_millis(50);
 const READY_POLLS: u32 = 200;
-const MAX_ANSWER: u64 = 1 << 20;
 
 /// Start a whole system on loopback in this process and send requests.
 ///
@@ -122,54 +119,24 @@
 }
 
 async fn send(entry: SocketAddr, sample: &Sample) -> Result<(), Failure> {
-    let mut builder = Request::post(sample.path)
-        .header(HOST, entry.to_string())
-        .header(CONTENT_TYPE, "application/json")
-        .header(AUTHORIZATION, format!("Bearer {KEY}"));
-    for (name, value) in &sample.headers {
-        builder = builder.header(*name, value);
-    }
-    let request = builder.body(Full::new(Bytes::from_static(sample.body.as_bytes())));
-    let request = request.map_err(|error| Failure::Input(error.to_string()))?;
-    let unreachable = |error| Failure::unreachable("the entry VM", error);
-    let mut connection = Connector::new(TIMEOUT)
-        .connect(entry, Reuse::Never)
-        .await
-        .map_err(unreachable)?;
-    let response = connection.send(request, TIMEOUT).await.map_err(unreachable)?;
-    let status = response.status();
-    let ran = response
-        .headers()
+    let answer = call(entry, KEY, Method::POST, sample.path, &sample.headers, sample.body).await?;
+    let ran = answer
+        .headers
         .get(RAN_HEADER)
         .and_then(|ran| ran.to_str().ok())
-        .unwrap_or("yes")
-        .to_owned();
-    let body = read_body(response.into_body(), MAX_ANSWER, TIMEOUT).await;
-    let body = body.map_err(|_broken| Failure::Unreachable("the answer broke off".to_owned()))?;
+        .unwrap_or("yes");
+    let text = String::from_utf8_lossy(&answer.body);
     println!(
-        "--- {}: {status}, ran: {ran}\n{}",
+        "--- {}: {}, ran: {ran}\n{}",
         sample.title,
-        String::from_utf8_lossy(&body).trim_end()
+        answer.status,
+        text.trim_end()
     );
     Ok(())
 }
 
 async fn ticket(entry: SocketAddr) -> Result<String, Failure> {
-    let request = Request::post("/v1/tickets?n=1")
-        .header(HOST, entry.to_string())
-        .header(AUTHORIZATION, format!("Bearer {KEY}"))
-        .body(Full::new(Bytes::new()));
-    let request = request.map_err(|error| Failure::Input(error.to_string()))?;
-    let unreachable = |error| Failure::unreachable("the entry VM", error);
-    let mut connection = Connector::new(TIMEOUT)
-        .connect(entry, Reuse::Never)
-        .await
-        .map_err(unreachable)?;
-    let response = connection.send(request, TIMEOUT).await.map_err(unreachable)?;
-    let body = read_body(response.into_body(), MAX_ANSWER, TIMEOUT)
-        .await
-        .unwrap_or_default();
-    let answer: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let answer = call(entry, KEY, Method::POST, "/v1/tickets?n=1", &[], "").await?.json();
     let ticket = answer["tickets"][0].as_str();
     ticket
         .map(str::to_owned)
--- a/crates/shallotwing-cli/src/command/vm.rs
+++ b/crates/shallotwing-cli/src/command/vm.rs
@@ -5,17 +5,15 @@
 
 use bytes::Bytes;
 use clap::Args;
-use http_body_util::Full;
-use hyper::header::{AUTHORIZATION, HOST};
-use hyper::{Method, Request};
+use hyper::Method;
 use serde_json::Value;
-use sw_http::{Caller, Connector, Reuse, read_body};
+use sw_http::Caller;
 
+use crate::client::call;
 use crate::failure::Failure;
 use crate::output::print;
 
 const TIMEOUT: Duration = Duration::from_secs(5);
-const MAX_ANSWER: u64 = 1 << 20;
 
 /// Show how a VM sees the system.
 #[derive(Debug, Args)]
@@ -63,25 +61,12 @@
 
 impl Entries {
     pub(crate) async fn run(self, json: bool) -> Result<(), Failure> {
-        let request = Request::get(format!("/v1/entries?route={}", self.route))
-            .header(HOST, self.vm.to_string())
-            .header(AUTHORIZATION, format!("Bearer {}", self.key))
-            .body(Full::new(Bytes::new()));
-        let request = request.map_err(|error| Failure::Input(error.to_string()))?;
-        let connection = Connector::new(TIMEOUT).connect(self.vm, Reuse::Never).await;
-        let mut connection = connection.map_err(|error| unreachable(self.vm, error))?;
-        let response = connection
-            .send(request, TIMEOUT)
-            .await
-            .map_err(|error| unreachable(self.vm, error))?;
-        let status = response.status();
-        let body = read_body(response.into_body(), MAX_ANSWER, TIMEOUT).await;
-        let body = body.map_err(|_broken| Failure::unreachable(&self.vm.to_string(), "the answer broke off"))?;
-        let answer: Value = serde_json::from_slice(&body).unwrap_or_default();
-        if !status.is_success() {
-            return Err(Failure::No(
-                answer["error"]["message"].as_str().unwrap_or("refused").to_owned(),
-            ));
+        let path = format!("/v1/entries?route={}", self.route);
+        let answer = call(self.vm, &self.key, Method::GET, &path, &[], "").await?;
+        let (status, answer) = (answer.status, answer.json());
+        if status != 200 {
+            let message = answer["error"]["message"].as_str().unwrap_or("refused");
+            return Err(Failure::No(message.to_owned()));
         }
         print(json, &answer, |answer| {
             let row = |row: &Value| {
@@ -92,13 +77,8 @@
                     field(row, "vm")
                 )
             };
-            answer["entries"]
-                .as_array()
-                .into_iter()
-                .flatten()
-                .map(row)
-                .collect::<Vec<_>>()
-                .join("\n")
+            let rows: Vec<_> = answer["entries"].as_array().into_iter().flatten().map(row).collect();
+            rows.join("\n")
         });
         Ok(())
     }
--- a/crates/shallotwing-cli/src/main.rs
+++ b/crates/shallotwing-cli/src/main.rs
@@ -3,6 +3,7 @@
 //! Each subcommand is a module of [`command`]. Exit codes: 0 for success, 1 where the answer is "no" (differences,
 //! a lost race, a VM that is not ready), 2 for faulty input, 3 if something could not be reached.
 
+mod client;
 mod command;
 mod failure;
 mod output;
