--- a/crates/shallotwing-cli/tests/cli.rs
+++ b/crates/shallotwing-cli/tests/cli.rs
@@ -50,3 +50,56 @@
         assert!(String::from_utf8_lossy(&output.stdout).contains("Example"), "{command}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_are_applied_compared_and_listed() {
+    let store = sw_standin::StandinStore::start("127.0.0.1:0".parse().unwrap())
+        .await
+        .unwrap();
+    let address = store.address().to_string();
+    let fleet = include_str!("../../../etc/ravi-noor.ini");
+    let first = file("first.ini", fleet);
+    let second = file("second.ini", &fleet.replace("worth = 4", "worth = 6"));
+    let run = |command: &str, args: &[&str]| {
+        let mut all = vec![command, "--store", &address];
+        all.extend_from_slice(args);
+        let output = shallotwing(&all);
+        let text = [output.stdout, output.stderr].concat();
+        (output.status.code(), String::from_utf8_lossy(&text).into_owned())
+    };
+    let (code, text) = run("apply", &["--author", "a", &first]);
+    assert_eq!((code, text.lines().last()), (Some(0), Some("version 1 is accepted")));
+    assert_eq!(
+        run("apply", &["--author", "a", &first]),
+        (Some(0), "version 1 is the same\n".to_owned())
+    );
+    let (code, text) = run("diff", &[&second]);
+    assert_eq!(
+        (code, text.as_str()),
+        (
+            Some(1),
+            "changed [route season-summary]\nshallotwing: 1 sections differ\n"
+        )
+    );
+    let (code, _) = run("apply", &["--author", "b", &second]);
+    assert_eq!(code, Some(0));
+    let (code, text) = run(
+        "apply",
+        &[
+            "--author",
+            "a",
+            "--base",
+            "1",
+            &file("third.ini", &fleet.replace("worth = 4", "worth = 7")),
+        ],
+    );
+    assert_eq!(code, Some(1), "{text}");
+    let expected =
+        "shallotwing: version 2 by b was accepted first; yours differs from it in\nchanged [route season-summary]\n";
+    assert_eq!(text, expected);
+    let (code, text) = run("history", &[]);
+    let authors: Vec<_> = text.lines().map(|line| line.split("  ").nth(2).unwrap()).collect();
+    assert_eq!((code, authors), (Some(0), vec!["b", "a"]));
+    let (code, text) = run("show", &[]);
+    assert_eq!((code, text.contains("worth = 6")), (Some(0), true));
+}
