--- a/crates/sw-gate/src/gate.rs
+++ b/crates/sw-gate/src/gate.rs
@@ -14,9 +14,9 @@
 use sw_route::{Candidate, Links, Policy, Weighted};
 use sw_unit::{DomainId, EndpointId, Millis, Time, Version, VmId};
 
+use crate::FleetVersion;
 use crate::exchange::PeerState;
 use crate::placement::Demand;
-use crate::{AdoptError, FleetVersion};
 
 /// Bounds and seeds of a [`Gate`].
 #[derive(Debug, Clone, Copy)]
@@ -123,21 +123,6 @@
         self.version.as_ref().ok_or(Refusal::new(Kind::NoConfiguration))
     }
 
-    /// Puts a configuration in force if it is newer than the one that is, and returns whether it was.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`AdoptError`] if the configuration is not what its digest says, or is faulty; the one in force stays.
-    pub fn adopt(&mut self, offer: Offer) -> Result<bool, AdoptError> {
-        if offer.number <= self.version_number() {
-            return Ok(false);
-        }
-        let domain = &self.members.own().domain;
-        let version = FleetVersion::new(offer.number, offer.digest, offer.text, domain)?;
-        self.install(Arc::new(version));
-        Ok(true)
-    }
-
     /// Puts a checked configuration in force if it is newer than the one that is, and returns whether it was.
     pub fn install(&mut self, version: Arc<FleetVersion>) -> bool {
         let newer = version.number > self.version_number();
--- a/crates/sw-gate/src/lib.rs
+++ b/crates/sw-gate/src/lib.rs
@@ -23,4 +23,4 @@
 pub use types::{
     Admitted, Envelope, Finish, Handed, Head, Heartbeat, Owner, Plan, PlanRequest, Purpose, Sender, StoreSeen,
 };
-pub use version::{AdoptError, FleetVersion};
+pub use version::{FleetVersion, VersionError};
--- a/crates/sw-gate/src/version.rs
+++ b/crates/sw-gate/src/version.rs
@@ -21,16 +21,16 @@
     pub index: Index,
 }
 
-/// Why a configuration was not adopted.
+/// Why a configuration is not put in force.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum AdoptError {
+pub enum VersionError {
     /// The text is not the one that the digest belongs to.
     Digest,
     /// The text is faulty.
     Faults(Faults),
 }
 
-impl fmt::Display for AdoptError {
+impl fmt::Display for VersionError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Digest => f.write_str("the digest does not belong to the text"),
@@ -39,19 +39,19 @@
     }
 }
 
-impl std::error::Error for AdoptError {}
+impl std::error::Error for VersionError {}
 
 impl FleetVersion {
     /// Checks a configuration and derives what `own` needs.
     ///
     /// # Errors
     ///
-    /// Returns [`AdoptError`] if the text does not have the digest, or is faulty.
-    pub fn new(number: Version, digest: Digest, text: String, own: &DomainId) -> Result<Self, AdoptError> {
+    /// Returns [`VersionError`] if the text does not have the digest, or is faulty.
+    pub fn new(number: Version, digest: Digest, text: String, own: &DomainId) -> Result<Self, VersionError> {
         if sw_conf::digest(text.as_bytes()) != digest {
-            return Err(AdoptError::Digest);
+            return Err(VersionError::Digest);
         }
-        let fleet = Fleet::parse("fleet", &text).map_err(AdoptError::Faults)?;
+        let fleet = Fleet::parse("fleet", &text).map_err(VersionError::Faults)?;
         let index = Index::new(&fleet, own);
         Ok(Self {
             number,
--- a/crates/sw-once/src/registry.rs
+++ b/crates/sw-once/src/registry.rs
@@ -183,11 +183,6 @@
         }
     }
 
-    /// Bytes of answers that are kept.
-    pub fn kept_len(&self) -> Bytes {
-        Bytes(self.kept_len)
-    }
-
     /// Records that are kept.
     pub fn len(&self) -> usize {
         self.records.len()
