perf(version): VMs fetch only what a change touches

A VM that runs the version before now gets only what lies between the common beginning and end; digest and checks are those of the whole text. Ruled out: chunks between VMs (an insertion moves all later chunk limits). The configuration tests pass as before; a property test restores the whole text.

--- a/crates/shallotwing-daemon/src/request/received.rs
+++ b/crates/shallotwing-daemon/src/request/received.rs
@@ -10,7 +10,7 @@
 use sw_load::prefix_hashes;
 use sw_once::{KeptAnswer, Standing, Ticket};
 use sw_peer::{Event, Forward, Handler};
-use sw_unit::WorkspaceId;
+use sw_unit::{Digest, WorkspaceId};
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 
@@ -93,13 +93,8 @@
         })
     }
 
-    async fn configuration(&self) -> Option<Offer> {
-        let version = self.core.run(|gate, _| gate.version().cloned()).await.ok()??;
-        Some(Offer {
-            number: version.number,
-            digest: version.digest,
-            text: version.text.clone(),
-        })
+    async fn configuration(&self, known: Option<Digest>) -> Option<Offer> {
+        self.core.run(move |gate, _| gate.offer(known)).await.ok()?
     }
 
     async fn forward(&self, forward: Forward, events: mpsc::Sender<Event>) {
--- a/crates/shallotwing-daemon/src/version/mod.rs
+++ b/crates/shallotwing-daemon/src/version/mod.rs
@@ -101,16 +101,7 @@
         self.older_reads = 0;
         match fetch(&self.gateway.store, root).await {
             Ok(text) => {
-                adopt(
-                    &self.gateway,
-                    Offer {
-                        number: root.number,
-                        digest: root.digest,
-                        text,
-                    },
-                    "store",
-                )
-                .await;
+                adopt(&self.gateway, Offer::whole(root.number, root.digest, text), "store").await;
             }
             Err(error) => warn!("a configuration was not fetched", kv: { error = error.to_string().as_str() }),
         }
@@ -139,11 +130,17 @@
     }
 
     async fn learn_from_neighbours(&self) {
-        let Ok(Some(ahead)) = self.gateway.core.run(sw_gate::Gate::ahead).await else {
+        let step = |gate: &mut sw_gate::Gate, now| gate.ahead(now).map(|row| (row, gate.version().cloned()));
+        let Ok(Some((ahead, own))) = self.gateway.core.run(step).await else {
             return;
         };
-        if let Ok(Some(offer)) = self.gateway.peers.configuration(ahead.peer_listen).await {
-            adopt(&self.gateway, offer, ahead.vm.as_str()).await;
+        let known = own.as_ref().map(|version| version.digest);
+        if let Ok(Some(offer)) = self.gateway.peers.configuration(ahead.peer_listen, known).await {
+            let (number, digest) = (offer.number, offer.digest);
+            let own = own.as_ref().map(|version| (version.digest, version.text.as_str()));
+            if let Some(text) = offer.resolve(own) {
+                adopt(&self.gateway, Offer::whole(number, digest, text), ahead.vm.as_str()).await;
+            }
         }
     }
 }
--- a/crates/shallotwing-daemon/tests/capacity.rs
+++ b/crates/shallotwing-daemon/tests/capacity.rs
@@ -174,10 +174,13 @@
             cpu_s / 3.0 * 1_000.0
         );
         let text = text.replacen("worth = 1\n", "worth = 2\n", 1);
+        let before = usage(&fleet).peer_bytes;
         fleet.apply(&text, Version(2)).await;
         for vm in 0..3 {
             fleet.runs(vm, 3).await;
         }
+        let kb = (usage(&fleet).peer_bytes - before) / 1_000;
+        println!("  a change of one line: {kb} KB between VMs, heartbeats included");
         println!(
             "  memory after a second change: {:.1} MB a VM",
             usage(&fleet).rss_kb as f64 / 3_000.0
--- a/crates/shallotwing-daemon/tests/regions.rs
+++ b/crates/shallotwing-daemon/tests/regions.rs
@@ -9,7 +9,7 @@
 use sw_once::{Standing, Ticket};
 use sw_peer::{Event, Forward, Handler, Peers};
 use sw_standin::{Asked, DeploymentOptions, EngineFaults, free_address};
-use sw_unit::{Millis, Version, WorkspaceId};
+use sw_unit::{Digest, Millis, Version, WorkspaceId};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::sync::mpsc;
 
@@ -22,7 +22,7 @@
         None
     }
 
-    async fn configuration(&self) -> Option<Offer> {
+    async fn configuration(&self, _: Option<Digest>) -> Option<Offer> {
         None
     }
 
--- a/crates/sw-gate/src/gate.rs
+++ b/crates/sw-gate/src/gate.rs
@@ -12,11 +12,11 @@
 use sw_once::Registry;
 use sw_place::Planner;
 use sw_route::{Candidate, Links, Policy, Weighted};
-use sw_unit::{DomainId, EndpointId, Millis, Time, Version, VmId};
+use sw_unit::{Digest, DomainId, EndpointId, Millis, Time, Version, VmId};
 
-use crate::FleetVersion;
 use crate::exchange::PeerState;
 use crate::placement::Demand;
+use crate::{FleetVersion, Offer};
 
 /// Bounds and seeds of a [`Gate`].
 #[derive(Debug, Clone, Copy)]
@@ -50,6 +50,8 @@
 pub struct Gate<P = Weighted> {
     pub(crate) policy: P,
     pub(crate) version: Option<Arc<FleetVersion>>,
+    /// Digest and text of the configuration before, for VMs that still run it.
+    pub(crate) previous: Option<(Digest, String)>,
     pub(crate) members: Members,
     pub(crate) leaving: Leaving,
     pub(crate) loads: Loads,
@@ -77,6 +79,7 @@
         Self {
             policy,
             version: None,
+            previous: None,
             once: Registry::new(own.vm.clone(), own.incarnation, options.once),
             members: Members::new(own, options.members),
             leaving: Leaving::default(),
@@ -123,12 +126,21 @@
         self.version.as_ref().ok_or(Refusal::new(Kind::NoConfiguration))
     }
 
+    /// The configuration in force, for a VM that runs the one with the digest `known`.
+    pub fn offer(&self, known: Option<Digest>) -> Option<Offer> {
+        let version = self.version.as_ref()?;
+        let base = self.previous.as_ref().filter(|(digest, _)| Some(*digest) == known);
+        let whole = Offer::whole(version.number, version.digest, version.text.clone());
+        Some(base.map_or(whole, |(digest, text)| Offer::from_base(version, *digest, text)))
+    }
+
     /// Puts a checked configuration in force if it is newer than the one that is, and returns whether it was.
     pub fn install(&mut self, version: Arc<FleetVersion>) -> bool {
         let newer = version.number > self.version_number();
         if newer {
             self.members.set_version(version.number);
-            self.version = Some(version);
+            let replaced = self.version.replace(version);
+            self.previous = replaced.map(|version| (version.digest, version.text.clone()));
         }
         newer
     }
@@ -226,14 +238,3 @@
     until: Time,
     gap: Millis,
 }
-
-/// A configuration that the store or another VM offers.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Offer {
-    /// Its number.
-    pub number: Version,
-    /// The digest of its text.
-    pub digest: sw_unit::Digest,
-    /// Its text.
-    pub text: String,
-}
--- a/crates/sw-gate/src/lib.rs
+++ b/crates/sw-gate/src/lib.rs
@@ -11,6 +11,7 @@
 mod admit;
 mod exchange;
 mod gate;
+mod offer;
 mod placement;
 mod plan;
 mod status;
@@ -18,7 +19,8 @@
 mod types;
 mod version;
 
-pub use gate::{Gate, Offer, Options};
+pub use gate::{Gate, Options};
+pub use offer::{Base, Offer};
 pub use status::EndpointStatus;
 pub use types::{
     Admitted, Envelope, Finish, Handed, Head, Heartbeat, Owner, Plan, PlanRequest, Purpose, Sender, StoreSeen,
--- a/crates/sw-peer/schema/peer.capnp
+++ b/crates/sw-peer/schema/peer.capnp
@@ -85,7 +85,11 @@
 struct Configuration {
   version @0 :UInt64;
   digest @1 :Data;
+  # The text between what is taken from the start and from the end of the base.
   text @2 :Text;
+  base @3 :Data;
+  prefixLen @4 :UInt64;
+  suffixLen @5 :UInt64;
 }
 
 interface Sink {
@@ -95,7 +99,7 @@
 
 interface Peer {
   greet @0 (heartbeat :Heartbeat) -> (heartbeat :Heartbeat);
-  configuration @1 () -> (configuration :Configuration);
+  configuration @1 (known :Data) -> (configuration :Configuration);
   forward @2 (envelope :Envelope, body :Data, sink :Sink) -> (length :UInt64, refused :Bool, refusal :Refusal);
   lookUp @3 (workspace :Text, ticket :Text) -> (known :Bool, begin :Text);
 }
--- a/crates/sw-peer/src/client.rs
+++ b/crates/sw-peer/src/client.rs
@@ -16,7 +16,7 @@
 use crate::{Event, Forward, PeerError, convert};
 use sw_gate::{Heartbeat, Offer};
 use sw_once::{Standing, Ticket};
-use sw_unit::WorkspaceId;
+use sw_unit::{Digest, WorkspaceId};
 
 /// Time for a connection to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -48,10 +48,18 @@
         self.call(address, call).await
     }
 
-    /// The configuration in force at another VM.
-    pub(crate) async fn configuration(&self, address: SocketAddr) -> Result<Option<Offer>, PeerError> {
+    /// The configuration in force at another VM, for one that runs the one with the digest `known`.
+    pub(crate) async fn configuration(
+        &self,
+        address: SocketAddr,
+        known: Option<Digest>,
+    ) -> Result<Option<Offer>, PeerError> {
         let call = async |link: &Link| {
-            let response = link.client.configuration_request().send().promise.await?;
+            let mut request = link.client.configuration_request();
+            if let Some(known) = known {
+                request.get().set_known(&known.0);
+            }
+            let response = request.send().promise.await?;
             convert::offer(response.get()?.get_configuration()?)
         };
         self.call(address, call).await
--- a/crates/sw-peer/src/convert.rs
+++ b/crates/sw-peer/src/convert.rs
@@ -5,7 +5,7 @@
 
 use capnp::text;
 use sw_error::Refusal;
-use sw_gate::{Envelope, Heartbeat, Offer, Sender, StoreSeen};
+use sw_gate::{Base, Envelope, Heartbeat, Offer, Sender, StoreSeen};
 use sw_load::{DomainSummary, ModelLoad, Report};
 use sw_member::{EndpointLife, VmBrief, VmRow};
 use sw_unit::{Digest, Incarnation, Millis, Version};
@@ -262,6 +262,11 @@
     to.set_version(offer.number.0);
     to.set_digest(&offer.digest.0);
     to.set_text(offer.text.as_str());
+    if let Some(base) = offer.base {
+        to.set_base(&base.digest.0);
+        to.set_prefix_len(base.prefix as u64);
+        to.set_suffix_len(base.suffix as u64);
+    }
 }
 
 /// Reads a configuration; `None` if the other VM has none.
@@ -270,11 +275,29 @@
     if number == Version(0) {
         return Ok(None);
     }
-    let digest = from.get_digest()?.try_into();
-    let digest = digest.map_err(|_wrong_length| capnp::Error::failed("the digest has a wrong length".to_owned()))?;
+    let base = if from.has_base() {
+        let (prefix, suffix) = (from.get_prefix_len() as usize, from.get_suffix_len() as usize);
+        Some(Base {
+            digest: digest(from.get_base()?)?,
+            prefix,
+            suffix,
+        })
+    } else {
+        None
+    };
+    let (digest, text) = (digest(from.get_digest()?)?, text(from.get_text())?);
     Ok(Some(Offer {
         number,
-        digest: Digest(digest),
-        text: text(from.get_text())?,
+        digest,
+        text,
+        base,
     }))
 }
+
+/// Reads a digest.
+pub(crate) fn digest(bytes: &[u8]) -> Result<Digest> {
+    let bytes = bytes.try_into();
+    bytes
+        .map(Digest)
+        .map_err(|_wrong_length| capnp::Error::failed("the digest has a wrong length".to_owned()))
+}
--- a/crates/sw-peer/src/peer_capnp.rs
+++ b/crates/sw-peer/src/peer_capnp.rs
@@ -3476,11 +3476,27 @@
         pub fn has_text(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_base(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_base(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_prefix_len(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_suffix_len(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3570,6 +3586,38 @@
         pub fn has_text(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_base(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_base(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(2).set_data(value);
+        }
+        #[inline]
+        pub fn init_base(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(2).init_data(size)
+        }
+        #[inline]
+        pub fn has_base(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_prefix_len(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_prefix_len(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_suffix_len(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_suffix_len(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3581,17 +3629,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(45, 36, 133, 107, 94, 181, 197, 190),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(113, 72, 233, 166, 194, 240, 177, 211),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -3599,28 +3647,49 @@
             ::capnp::word(103, 117, 114, 97, 116, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3645,12 +3714,41 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 97, 115, 101, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 101, 102, 105, 120, 76, 101),
+            ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 117, 102, 102, 105, 120, 76, 101),
+            ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3664,9 +3762,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,1,4,5,2,0];
         pub(crate) const TYPE_ID: u64 = 0xbec5_b55e_6b85_242d;
     }
 }
@@ -5142,7 +5240,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -5150,11 +5248,19 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_known(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_known(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5204,6 +5310,22 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_known(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_known(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_known(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_known(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5215,17 +5337,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(202, 220, 78, 155, 123, 161, 200, 205),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -5233,9 +5355,28 @@
                 ::capnp::word(99, 111, 110, 102, 105, 103, 117, 114),
                 ::capnp::word(97, 116, 105, 111, 110, 36, 80, 97),
                 ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(107, 110, 111, 119, 110, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -5247,9 +5388,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xcdc8_a17b_9b4e_dcca;
         }
     }
--- a/crates/sw-peer/src/server.rs
+++ b/crates/sw-peer/src/server.rs
@@ -69,10 +69,16 @@
 
     async fn configuration(
         self: Rc<Self>,
-        _: peer::ConfigurationParams,
+        params: peer::ConfigurationParams,
         mut results: peer::ConfigurationResults,
     ) -> Result<()> {
-        if let Some(offer) = self.handler.configuration().await {
+        let known = params.get()?.get_known()?;
+        let known = if known.is_empty() {
+            None
+        } else {
+            Some(convert::digest(known)?)
+        };
+        if let Some(offer) = self.handler.configuration(known).await {
             convert::set_offer(results.get().init_configuration(), &offer);
         }
         Ok(())
--- a/crates/sw-peer/src/service.rs
+++ b/crates/sw-peer/src/service.rs
@@ -5,7 +5,7 @@
 
 use sw_gate::{Heartbeat, Offer};
 use sw_once::{Standing, Ticket};
-use sw_unit::WorkspaceId;
+use sw_unit::{Digest, WorkspaceId};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::LocalSet;
 
@@ -19,7 +19,7 @@
 
 enum Command {
     Greet(SocketAddr, Box<Heartbeat>, Reply<Heartbeat>),
-    Configuration(SocketAddr, Reply<Option<Offer>>),
+    Configuration(SocketAddr, Option<Digest>, Reply<Option<Offer>>),
     Forward {
         address: SocketAddr,
         forward: Box<Forward>,
@@ -75,8 +75,8 @@
         Command::Greet(address, heartbeat, reply) => {
             let _dropped = reply.send(client.greet(address, *heartbeat).await);
         }
-        Command::Configuration(address, reply) => {
-            let _dropped = reply.send(client.configuration(address).await);
+        Command::Configuration(address, known, reply) => {
+            let _dropped = reply.send(client.configuration(address, known).await);
         }
         Command::Forward {
             address,
@@ -101,13 +101,14 @@
             .await
     }
 
-    /// The configuration in force at another VM; `None` if it has none.
+    /// The configuration in force at another VM, for one that runs the one with the digest `known`; `None` if it has
+    /// none.
     ///
     /// # Errors
     ///
     /// Returns [`PeerError`] if there is no answer in time.
-    pub async fn configuration(&self, address: SocketAddr) -> Result<Option<Offer>, PeerError> {
-        self.call(|reply| Command::Configuration(address, reply)).await
+    pub async fn configuration(&self, address: SocketAddr, known: Option<Digest>) -> Result<Option<Offer>, PeerError> {
+        self.call(|reply| Command::Configuration(address, known, reply)).await
     }
 
     /// What another VM knows of a request; `None` if it does not own the ticket.
--- a/crates/sw-peer/src/types.rs
+++ b/crates/sw-peer/src/types.rs
@@ -6,7 +6,7 @@
 use sw_error::Refusal;
 use sw_gate::{Envelope, Heartbeat, Offer};
 use sw_once::{Standing, Ticket};
-use sw_unit::WorkspaceId;
+use sw_unit::{Digest, WorkspaceId};
 use tokio::sync::mpsc;
 
 /// A request that is forwarded to another VM.
@@ -59,8 +59,8 @@
     /// Takes in a heartbeat and returns the own one.
     fn greet(&self, heartbeat: Heartbeat) -> impl Future<Output = Option<Heartbeat>> + Send;
 
-    /// The configuration in force.
-    fn configuration(&self) -> impl Future<Output = Option<Offer>> + Send;
+    /// The configuration in force, for a VM that runs the one with the digest `known`.
+    fn configuration(&self, known: Option<Digest>) -> impl Future<Output = Option<Offer>> + Send;
 
     /// Begins a forwarded request; its answer goes to `events`, and it is given up when they are closed.
     fn forward(&self, forward: Forward, events: mpsc::Sender<Event>) -> impl Future<Output = ()> + Send;
