--- a/crates/sw-bench/src/world.rs
+++ b/crates/sw-bench/src/world.rs
@@ -270,7 +270,7 @@
         self.attempt(request, now);
     }
 
-    /// Sends a caller's request to the gate, with the time that is left to the person who waits.
+    /// Sends a caller's request to the gate, with the time that is left until its deadline.
     fn attempt(&mut self, request: RequestId, now: Time) {
         let Some(open) = self.open.get_mut(&request) else {
             return;
--- a/crates/sw-conf/src/build.rs
+++ b/crates/sw-conf/src/build.rs
@@ -43,7 +43,7 @@
     pub services: &'a [&'a str],
     /// Permitted regions.
     pub regions: &'a [&'a str],
-    /// Worth to the person waiting.
+    /// Worth to the caller.
     pub worth: Option<&'a str>,
     /// Deadline in milliseconds.
     pub deadline_ms: u64,
--- a/crates/sw-conf/src/types.rs
+++ b/crates/sw-conf/src/types.rs
@@ -140,7 +140,7 @@
     pub services: Vec<EndpointId>,
     /// The regions that its data may enter.
     pub regions: IndexSet<RegionId>,
-    /// What an answer is worth to the person waiting.
+    /// What an answer is worth to the caller.
     pub worth: Weight,
     /// The deadline of a request that names none.
     pub deadline: Millis,
--- a/crates/sw-route/src/policy.rs
+++ b/crates/sw-route/src/policy.rs
@@ -15,7 +15,7 @@
 const MARGIN: f64 = 2.0;
 /// A second after the deadline counts as this many seconds of latency.
 const LATE_FACTOR: f64 = 10.0;
-/// Part of the latency that is the first token's, for the person who waits.
+/// Weight of the time to the first token against that of the time to the end.
 const FIRST_TOKEN_SHARE: f64 = 0.5;
 
 /// Picks one of several candidates.
