perf(gate): offers are made away from the gate's actor

Found on reading the change: the common beginning and end of two texts of 2.2 MB were looked for, and a whole text copied, within a step of the actor that every request waits for. The gate now hands out shared references and the peer thread does the work. Not measured.

--- a/crates/shallotwing-daemon/src/request/received.rs
+++ b/crates/shallotwing-daemon/src/request/received.rs
@@ -94,7 +94,8 @@
     }
 
     async fn configuration(&self, known: Option<Digest>) -> Option<Offer> {
-        self.core.run(move |gate, _| gate.offer(known)).await.ok()?
+        let offers = self.core.run(|gate, _| gate.offers()).await.ok()??;
+        Some(offers.offer(known))
     }
 
     async fn forward(&self, forward: Forward, events: mpsc::Sender<Event>) {
--- a/crates/sw-gate/src/gate.rs
+++ b/crates/sw-gate/src/gate.rs
@@ -16,7 +16,7 @@
 
 use crate::exchange::PeerState;
 use crate::placement::Demand;
-use crate::{FleetVersion, Offer};
+use crate::{FleetVersion, OfferSource};
 
 /// Bounds and seeds of a [`Gate`].
 #[derive(Debug, Clone, Copy)]
@@ -51,7 +51,7 @@
     pub(crate) policy: P,
     pub(crate) version: Option<Arc<FleetVersion>>,
     /// Digest and text of the configuration before, for VMs that still run it.
-    pub(crate) previous: Option<(Digest, String)>,
+    pub(crate) previous: Option<Arc<(Digest, String)>>,
     pub(crate) members: Members,
     pub(crate) leaving: Leaving,
     pub(crate) loads: Loads,
@@ -126,12 +126,13 @@
         self.version.as_ref().ok_or(Refusal::new(Kind::NoConfiguration))
     }
 
-    /// The configuration in force, for a VM that runs the one with the digest `known`.
-    pub fn offer(&self, known: Option<Digest>) -> Option<Offer> {
-        let version = self.version.as_ref()?;
-        let base = self.previous.as_ref().filter(|(digest, _)| Some(*digest) == known);
-        let whole = Offer::whole(version.number, version.digest, version.text.clone());
-        Some(base.map_or(whole, |(digest, text)| Offer::from_base(version, *digest, text)))
+    /// What offers to other VMs are made from, away from the gate, because texts are long.
+    pub fn offers(&self) -> Option<OfferSource> {
+        let version = self.version.clone()?;
+        Some(OfferSource {
+            version,
+            previous: self.previous.clone(),
+        })
     }
 
     /// Puts a checked configuration in force if it is newer than the one that is, and returns whether it was.
@@ -140,7 +141,7 @@
         if newer {
             self.members.set_version(version.number);
             let replaced = self.version.replace(version);
-            self.previous = replaced.map(|version| (version.digest, version.text.clone()));
+            self.previous = replaced.map(|version| Arc::new((version.digest, version.text.clone())));
         }
         newer
     }
--- a/crates/sw-gate/src/lib.rs
+++ b/crates/sw-gate/src/lib.rs
@@ -20,7 +20,7 @@
 mod version;
 
 pub use gate::{Gate, Options};
-pub use offer::{Base, Offer};
+pub use offer::{Base, Offer, OfferSource};
 pub use status::EndpointStatus;
 pub use types::{
     Admitted, Envelope, Finish, Handed, Head, Heartbeat, Owner, Plan, PlanRequest, Purpose, Sender, StoreSeen,
--- a/crates/sw-gate/src/offer.rs
+++ b/crates/sw-gate/src/offer.rs
@@ -3,6 +3,8 @@
 //! A change usually touches a few lines of a text of megabytes. A VM that runs the version before gets only what lies
 //! between the common beginning and the common end.
 
+use std::sync::Arc;
+
 use sw_unit::{Digest, Version};
 
 use crate::FleetVersion;
@@ -31,6 +33,24 @@
     pub suffix: usize,
 }
 
+/// What offers are made from.
+#[derive(Debug, Clone)]
+pub struct OfferSource {
+    pub(crate) version: Arc<FleetVersion>,
+    pub(crate) previous: Option<Arc<(Digest, String)>>,
+}
+
+impl OfferSource {
+    /// The configuration in force, for a VM that runs the one with the digest `known`.
+    pub fn offer(&self, known: Option<Digest>) -> Offer {
+        let version = &self.version;
+        match self.previous.as_deref().filter(|(digest, _)| Some(*digest) == known) {
+            Some((digest, text)) => Offer::from_base(version, *digest, text),
+            None => Offer::whole(version.number, version.digest, version.text.clone()),
+        }
+    }
+}
+
 impl Offer {
     /// An offer of a whole text.
     pub fn whole(number: Version, digest: Digest, text: String) -> Self {
@@ -43,7 +63,7 @@
     }
 
     /// An offer of what differs from an earlier text.
-    pub(crate) fn from_base(version: &FleetVersion, digest: Digest, earlier: &str) -> Self {
+    fn from_base(version: &FleetVersion, digest: Digest, earlier: &str) -> Self {
         let later = version.text.as_str();
         let prefix = boundary(later, common(later.bytes(), earlier.bytes()));
         let room = later.len().min(earlier.len()) - prefix;
