--- a/crates/shallotwing-daemon/src/lib.rs
+++ b/crates/shallotwing-daemon/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod connection;
 pub mod process;
+#[cfg(feature = "platform")]
+pub mod relay;
 mod request;
 mod version;
 
--- a/crates/shallotwing-daemon/src/main.rs
+++ b/crates/shallotwing-daemon/src/main.rs
@@ -7,7 +7,7 @@
 use eyre::{Context as _, eyre};
 use shallotwing_daemon::{Daemon, logging};
 use spdlog::prelude::*;
-use sw_conf::Settings;
+use sw_conf::{RelaySettings, Settings};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// The gateway process of an entry VM.
@@ -38,6 +38,9 @@
 fn run(args: &Args) -> eyre::Result<()> {
     let file = args.config.display().to_string();
     let text = std::fs::read_to_string(&args.config).wrap_err_with(|| format!("cannot read {file}"))?;
+    if RelaySettings::describes(&text) {
+        return run_relay(args, &file);
+    }
     let settings = Settings::parse(&file, &text).map_err(|faults| eyre!("the settings are faulty\n{faults}"))?;
     if args.check {
         println!("{file}: good");
@@ -51,6 +54,24 @@
     runtime.block_on(serve(settings))
 }
 
+#[cfg(feature = "platform")]
+fn run_relay(args: &Args, file: &str) -> eyre::Result<()> {
+    let settings = shallotwing_daemon::relay::read_settings(&args.config)?;
+    if args.check {
+        println!("{file}: good");
+        return Ok(());
+    }
+    logging::start(sw_conf::LogFormat::Json)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, shallotwing_daemon::relay::run(args.config.clone(), settings))
+}
+
+#[cfg(not(feature = "platform"))]
+fn run_relay(_: &Args, file: &str) -> eyre::Result<()> {
+    Err(eyre!("{file}: this program was built without the users' platform"))
+}
+
 async fn serve(settings: Settings) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/crates/shallotwing-daemon/src/process/logging.rs
+++ b/crates/shallotwing-daemon/src/process/logging.rs
@@ -1,23 +1,75 @@
 //! The log: one line a decision, for people or as JSON, never with content of a request.
+//!
+//! Lines go to a bounded buffer that a thread of its own writes to standard output. Whoever logs never waits for
+//! whoever reads: what does not fit is dropped and counted.
 
-use std::sync::Arc;
+use std::io::Write;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use spdlog::formatter::{FullFormatter, JsonFormatter};
-use spdlog::sink::{StdStream, StdStreamSink};
+use spdlog::sink::WriteSink;
 use spdlog::{Level, LevelFilter, Logger};
 use sw_conf::LogFormat;
 
 /// Time after which lines are written out at the latest.
-const FLUSH_PERIOD: Duration = Duration::from_millis(500);
+const FLUSH_PERIOD: Duration = Duration::from_millis(250);
+/// Bytes that wait to be written out; this many in a flush period at most.
+const BUFFER_LEN: usize = 128 << 10;
 
-/// Sends the log to standard error in the given format.
+#[derive(Debug, Default)]
+struct Buffer {
+    bytes: Vec<u8>,
+    dropped: u64,
+}
+
+/// The end of the buffer that lines are written to.
+#[derive(Debug, Clone, Default)]
+struct Lines(Arc<Mutex<Buffer>>);
+
+impl Write for Lines {
+    fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
+        let mut buffer = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if buffer.bytes.len() + line.len() > BUFFER_LEN {
+            buffer.dropped += 1;
+        } else {
+            buffer.bytes.extend_from_slice(line);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Lines {
+    /// Writes out what waits.
+    fn drain(&self) {
+        let Buffer { bytes, dropped } = std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner));
+        let mut out = std::io::stdout().lock();
+        // Standard output that is gone takes no line that could say so.
+        let _gone = out.write_all(&bytes);
+        if dropped > 0 {
+            let _gone = writeln!(
+                out,
+                "{{\"level\":\"warn\",\"payload\":\"log_lines_dropped\",\"kv\":{{\"lines\":{dropped}}}}}"
+            );
+        }
+        let _gone = out.flush();
+    }
+}
+
+static LINES: std::sync::OnceLock<Lines> = std::sync::OnceLock::new();
+
+/// Sends the log to standard output in the given format.
 ///
 /// # Errors
 ///
-/// Returns an error if the logger cannot be made.
+/// Returns an error if the logger or its thread cannot be made.
 pub fn start(format: LogFormat) -> eyre::Result<()> {
-    let sink = StdStreamSink::builder().std_stream(StdStream::Stderr);
+    let lines = LINES.get_or_init(Lines::default).clone();
+    let sink = WriteSink::builder().target(lines.clone());
     let sink = match format {
         LogFormat::Human => sink.formatter(FullFormatter::new()).build()?,
         LogFormat::Json => sink.formatter(JsonFormatter::new()).build()?,
@@ -26,13 +78,20 @@
         .sink(Arc::new(sink))
         .level_filter(LevelFilter::MoreSevereEqual(Level::Info))
         .build()?;
-    let logger = Arc::new(logger);
-    logger.set_flush_period(Some(FLUSH_PERIOD));
-    spdlog::set_default_logger(logger);
+    spdlog::set_default_logger(Arc::new(logger));
+    let write = move || {
+        loop {
+            std::thread::sleep(FLUSH_PERIOD);
+            lines.drain();
+        }
+    };
+    std::thread::Builder::new().name("log".to_owned()).spawn(write)?;
     Ok(())
 }
 
 /// Writes out what is buffered.
 pub fn flush() {
-    spdlog::default_logger().flush();
+    if let Some(lines) = LINES.get() {
+        lines.drain();
+    }
 }
--- a/crates/shallotwing-daemon/src/process/mod.rs
+++ b/crates/shallotwing-daemon/src/process/mod.rs
@@ -13,4 +13,6 @@
 pub(crate) use self::core::Core;
 pub use self::daemon::Daemon;
 pub(crate) use self::daemon::Gateway;
+#[cfg(feature = "platform")]
+pub(crate) use self::telemetry::recorder as metrics_recorder;
 pub(crate) use self::telemetry::{count_decision, count_end};
--- /dev/null
+++ b/crates/shallotwing-daemon/src/relay.rs
@@ -0,0 +1,105 @@
+//! Serving discovered services on a platform.
+
+use std::path::{Path, PathBuf};
+use std::time::SystemTime;
+
+use eyre::{Context as _, eyre};
+use spdlog::prelude::*;
+use sw_conf::RelaySettings;
+use sw_platform::{PlatformDialect, PlatformStore};
+use sw_proxy::{Options, Proxy};
+use sw_time::{SystemClock, TimerService};
+use sw_unit::Millis;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::logging;
+use crate::process::metrics_recorder;
+
+/// Time between two looks at whether the settings file changed.
+const SETTINGS_PERIOD: Millis = Millis(2_000);
+
+/// Reads the settings of `file`.
+///
+/// # Errors
+///
+/// Returns an error if the file cannot be read or is faulty.
+pub fn read_settings(file: &Path) -> eyre::Result<RelaySettings> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).wrap_err_with(|| format!("cannot read {name}"))?;
+    RelaySettings::parse(&name, &text).map_err(|faults| eyre!("the settings are faulty\n{faults}"))
+}
+
+/// Serves until the process is told to stop; to be run in a `LocalSet`.
+///
+/// # Errors
+///
+/// Returns an error if an address cannot be bound or signals cannot be received.
+pub async fn run(file: PathBuf, settings: RelaySettings) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let recorder = metrics_recorder();
+    let render = Box::leak(Box::new(move || recorder.render()));
+    let store = PlatformStore::new(settings.store);
+    let proxy = Proxy::start(options(&settings), PlatformDialect, store, &*render).await?;
+    let mut ticks = TimerService::new(SystemClock::default()).subscribe(SETTINGS_PERIOD);
+    let mut changed = modified(&file);
+    let mut current = settings;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => {}
+            _ = ticks.tick() => {
+                let now = modified(&file);
+                if now == changed {
+                    continue;
+                }
+                changed = now;
+            }
+        }
+        reload(&file, &mut current, &proxy);
+    }
+    proxy.stop().await;
+    logging::flush();
+    Ok(())
+}
+
+fn reload(file: &Path, current: &mut RelaySettings, proxy: &Proxy<PlatformDialect, PlatformStore>) {
+    match read_settings(file) {
+        Ok(settings) => {
+            let changed = settings != *current;
+            info!("reloaded", kv: { changed });
+            proxy.reload(options(&settings));
+            *current = settings;
+        }
+        Err(error) => {
+            let reason = format!("{error:#}");
+            error!("reload_failed", kv: { reason = reason.as_str() });
+        }
+    }
+}
+
+fn modified(file: &Path) -> Option<SystemTime> {
+    std::fs::metadata(file).and_then(|data| data.modified()).ok()
+}
+
+fn options(settings: &RelaySettings) -> Options {
+    Options {
+        vm: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        region: settings.region.clone(),
+        regions: settings.regions.clone(),
+        listen: settings.listen,
+        ready_listen: settings.ready_listen,
+        directory_listen: settings.directory_listen,
+        peer_listen: settings.peer_listen,
+        metrics_listen: settings.metrics_listen,
+        seeds: settings.seeds.clone(),
+        entry_ttl: settings.entry_ttl,
+        stop_grace: settings.stop_grace,
+        retry_ratio: settings.retry_ratio,
+        retry_slack: settings.retry_slack,
+        body_memory: settings.body_memory,
+    }
+}
--- a/crates/shallotwing-daemon/src/request/endpoint.rs
+++ b/crates/shallotwing-daemon/src/request/endpoint.rs
@@ -131,7 +131,7 @@
 
 fn failure(job: &Job, error: CallError) -> AttemptError {
     match error {
-        CallError::Connect => AttemptError::NotRun(Kind::EndpointUnreachable.into()),
+        CallError::Connect | CallError::Unsent => AttemptError::NotRun(Kind::EndpointUnreachable.into()),
         CallError::Broken | CallError::Timeout if job.admitted.idempotent => {
             AttemptError::after_hand_over(Kind::AnswerIncomplete)
         }
--- a/crates/sw-admit/src/budget.rs
+++ b/crates/sw-admit/src/budget.rs
@@ -9,18 +9,34 @@
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     saved: f64,
+    share: f64,
+    max_saved: f64,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self { saved: 1.0 }
+        Self::new(RETRY_SHARE, MAX_SAVED)
     }
 }
 
 impl RetryBudget {
+    /// A budget of a `share` of the first attempts, of which up to `max_saved` are saved up.
+    pub fn new(share: f64, max_saved: f64) -> Self {
+        Self {
+            saved: 1.0,
+            share,
+            max_saved,
+        }
+    }
+
+    /// Changes how much may be saved up.
+    pub fn set_max_saved(&mut self, max_saved: f64) {
+        self.max_saved = max_saved;
+    }
+
     /// Records a first attempt.
     pub fn attempted(&mut self) {
-        self.saved = (self.saved + RETRY_SHARE).min(MAX_SAVED);
+        self.saved = (self.saved + self.share).min(self.max_saved);
     }
 
     /// Takes a retry out of the budget, and returns whether there was one.
--- a/crates/sw-conf/src/lib.rs
+++ b/crates/sw-conf/src/lib.rs
@@ -10,6 +10,7 @@
 mod document;
 mod error;
 mod fleet;
+mod relay;
 mod settings;
 mod types;
 mod validate;
@@ -18,6 +19,7 @@
 pub use diff::{Change, ChangeKind, diff};
 pub use document::{Document, Section};
 pub use error::{Fault, Faults};
+pub use relay::RelaySettings;
 pub use settings::{Limits, LogFormat, Platform, Settings};
 pub use types::{Class, Domain, Endpoint, EndpointKind, Fleet, Link, Model, Objective, Route, Workspace};
 
--- a/crates/sw-error/src/kind.rs
+++ b/crates/sw-error/src/kind.rs
@@ -100,6 +100,8 @@
     AnswerDropped,
     /// The request was sent and its outcome is not known.
     OutcomeUnknown,
+    /// The request was sent and its answer did not come in time.
+    EndpointTimeout,
     /// The answer broke off before its end.
     AnswerIncomplete,
 }
@@ -140,6 +142,7 @@
             Self::IdReused            => (422, No, Never, INVALID, "This id was used with another request."),
             Self::AnswerDropped       => (409, Yes, Never, SERVER, "The request ran; its answer is no longer kept."),
             Self::OutcomeUnknown      => (502, Unknown, Never, SERVER, "The request was sent and its outcome is not known."),
+            Self::EndpointTimeout     => (504, Unknown, Never, SERVER, "The answer did not come in time."),
             Self::AnswerIncomplete    => (502, Unknown, Never, SERVER, "The answer broke off before its end."),
         };
         Answer { status, ran, retry, category, message }
--- a/crates/sw-http/src/connect.rs
+++ b/crates/sw-http/src/connect.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 
 /// An idle connection older than this may have been forgotten by something between the two ends.
 const MAX_IDLE: Duration = Duration::from_secs(2);
@@ -34,6 +35,8 @@
 pub enum CallError {
     /// No connection was made, so nothing was sent.
     Connect,
+    /// The connection was closed before any of the request was sent.
+    Unsent,
     /// It was sent, or may have been, and the connection broke before the answer's headers.
     Broken,
     /// It was sent, or may have been, and the answer's headers did not come in time.
@@ -44,6 +47,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Connect => "no connection could be made",
+            Self::Unsent => "the connection was closed before it was used",
             Self::Broken => "the connection broke",
             Self::Timeout => "there was no answer in time",
         })
@@ -59,12 +63,21 @@
     Never,
     /// An idle one is taken if there is one.
     Allowed,
+    /// One is taken that has been idle for less than this.
+    IdleFor(Duration),
 }
 
 #[derive(Debug)]
-struct Idle {
+struct Open {
     sender: Sender,
+    task: AbortHandle,
+}
+
+#[derive(Debug)]
+struct Idle {
+    open: Open,
     since: Instant,
+    until: Instant,
 }
 
 /// Opens connections and keeps idle ones.
@@ -74,12 +87,13 @@
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
 }
 
-/// A connection that is in use; it is closed when dropped, unless it is given back.
+/// A connection that is in use; it is closed at once when dropped, unless it is given back.
 #[derive(Debug)]
 pub struct Exchange {
-    sender: Sender,
+    open: Option<Open>,
     address: SocketAddr,
     connector: Connector,
+    reused: bool,
 }
 
 impl Connector {
@@ -97,33 +111,50 @@
     ///
     /// Returns [`CallError::Connect`] if none can be made in time.
     pub async fn connect(&self, address: SocketAddr, reuse: Reuse) -> Result<Exchange, CallError> {
-        if reuse == Reuse::Allowed
-            && let Some(sender) = self.take_idle(address)
-        {
-            return Ok(Exchange {
-                sender,
-                address,
-                connector: self.clone(),
-            });
+        let idle = match reuse {
+            Reuse::Never => None,
+            Reuse::Allowed => self.take_idle(address, MAX_IDLE),
+            Reuse::IdleFor(limit) => self.take_idle(address, limit),
+        };
+        if let Some(open) = idle {
+            return Ok(self.exchange(open, address, true));
         }
         let connect = tokio::time::timeout(self.connect_timeout, open(address));
-        let sender = connect.await.unwrap_or(Err(CallError::Connect))?;
-        Ok(Exchange {
-            sender,
+        let open = connect.await.unwrap_or(Err(CallError::Connect))?;
+        Ok(self.exchange(open, address, false))
+    }
+
+    fn exchange(&self, open: Open, address: SocketAddr, reused: bool) -> Exchange {
+        Exchange {
+            open: Some(open),
             address,
             connector: self.clone(),
-        })
+            reused,
+        }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+    /// Takes the connection that was used last, if it has been idle for less than `limit`.
+    fn take_idle(&self, address: SocketAddr, limit: Duration) -> Option<Open> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
-        connections.retain(|idle| idle.since.elapsed() < MAX_IDLE && idle.sender.is_ready());
-        connections.pop().map(|idle| idle.sender)
+        let now = Instant::now();
+        connections.retain(|idle| now < idle.until && idle.open.sender.is_ready());
+        let newest = connections.pop_if(|idle| now.duration_since(idle.since) < limit);
+        newest.map(|idle| idle.open)
+    }
+
+    /// Closes idle connections whose time is over.
+    pub fn prune(&self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        for connections in idle.values_mut() {
+            connections.retain(|idle| now < idle.until && idle.open.sender.is_ready());
+        }
+        idle.retain(|_, connections| !connections.is_empty());
     }
 }
 
-async fn open(address: SocketAddr) -> Result<Sender, CallError> {
+async fn open(address: SocketAddr) -> Result<Open, CallError> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(|_refused| CallError::Connect)?;
@@ -137,8 +168,8 @@
         .map_err(|_closed| CallError::Connect)?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|_closed| CallError::Connect)?;
-    tokio::spawn(connection);
-    Ok(sender)
+    let task = tokio::spawn(connection).abort_handle();
+    Ok(Open { sender, task })
 }
 
 impl Exchange {
@@ -146,33 +177,56 @@
     ///
     /// # Errors
     ///
-    /// Returns [`CallError::Broken`] or [`CallError::Timeout`]; the request may have been run in both cases.
+    /// Returns [`CallError::Unsent`], or [`CallError::Broken`] or [`CallError::Timeout`]; the request may have been run
+    /// in the last two cases.
     pub async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Incoming>, CallError> {
-        let response = tokio::time::timeout(timeout, self.sender.send_request(req));
+        let open = self.open.as_mut().ok_or(CallError::Unsent)?;
+        let response = tokio::time::timeout(timeout, open.sender.try_send_request(req));
         match response.await {
-            Ok(response) => response.map_err(|_closed| CallError::Broken),
+            Ok(Ok(response)) => Ok(response),
+            // The library hands the request back if it wrote none of it.
+            Ok(Err(error)) if error.message().is_some() => Err(CallError::Unsent),
+            Ok(Err(_broken)) => Err(CallError::Broken),
             Err(_elapsed) => Err(CallError::Timeout),
         }
     }
 
+    /// Whether the connection carried another request before.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
     /// Keeps the connection for another request; only to be called after the whole answer was read.
     pub fn give_back(self) {
-        let Self {
-            sender,
-            address,
-            connector,
-        } = self;
-        let mut idle = connector.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle.entry(address).or_default();
+        self.give_back_for(MAX_IDLE);
+    }
+
+    /// Keeps the connection for another request within `idle`; only to be called after the whole answer was read.
+    pub fn give_back_for(mut self, limit: Duration) {
+        let Some(open) = self.open.take() else {
+            return;
+        };
+        let mut idle = self.connector.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let connections = idle.entry(self.address).or_default();
         if connections.len() < MAX_IDLE_PER_ADDRESS {
+            let since = Instant::now();
             connections.push(Idle {
-                sender,
-                since: Instant::now(),
+                open,
+                since,
+                until: since + limit,
             });
         }
     }
 }
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if let Some(open) = &self.open {
+            open.task.abort();
+        }
+    }
+}
--- a/crates/sw-http/src/json.rs
+++ b/crates/sw-http/src/json.rs
@@ -31,7 +31,7 @@
 impl JsonError {
     /// Whether the call may have taken effect.
     pub fn may_have_run(&self) -> bool {
-        !matches!(self, Self::Call(CallError::Connect))
+        !matches!(self, Self::Call(CallError::Connect | CallError::Unsent))
     }
 }
 
--- /dev/null
+++ b/crates/sw-peer/schema/relay.capnp
@@ -0,0 +1,56 @@
+@0xa7c4e1d90b5f3826;
+# Remote calls between VMs about discovered services.
+
+using Peer = import "peer.capnp";
+
+struct Header {
+  name @0 :Text;
+  value @1 :Data;
+}
+
+struct EndpointLoad {
+  endpoint @0 :Text;
+  running @1 :UInt32;
+  backlogMs @2 :UInt32;
+}
+
+struct ServiceLoad {
+  service @0 :Text;
+  usable @1 :UInt32;
+  waitMs @2 :UInt32;
+  gapMs @3 :UInt32;
+}
+
+struct Beat {
+  from @0 :Peer.VmRow;
+  known @1 :List(Peer.VmRow);
+  revision @2 :UInt64;
+  endpoints @3 :List(EndpointLoad);
+  services @4 :List(ServiceLoad);
+}
+
+struct Item {
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+}
+
+struct Call {
+  method @0 :Text;
+  target @1 :Text;
+  headers @2 :List(Header);
+  leftMs @3 :UInt64;
+  body @4 :Data;
+  hops @5 :UInt32;
+}
+
+interface AnswerSink {
+  head @0 (status :UInt16, headers :List(Header)) -> ();
+  chunk @1 (data :Data) -> ();
+}
+
+interface RelayPeer {
+  exchange @0 (beat :Beat) -> (beat :Beat);
+  snapshot @1 () -> (revision :UInt64, items :List(Item));
+  relay @2 (call :Call, sink :AnswerSink) -> (length :UInt64, refused :Bool, refusal :Peer.Refusal);
+}
--- a/crates/sw-peer/src/client.rs
+++ b/crates/sw-peer/src/client.rs
@@ -6,11 +6,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use capnp::capability::Rc;
+use capnp::capability::{FromClientHook, Rc};
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
 
 use crate::peer_capnp::{peer, sink};
 use crate::{Event, Forward, PeerError, convert};
@@ -177,6 +178,15 @@
 }
 
 async fn connect(address: SocketAddr) -> Result<Rc<Link>, PeerError> {
+    let (client, _system) = open(address).await?;
+    Ok(Rc::new(Link {
+        client,
+        answered: Cell::new(Instant::now()),
+    }))
+}
+
+/// Connects to another VM, and returns its main interface and the task that serves the connection.
+pub(crate) async fn open<C: FromClientHook>(address: SocketAddr) -> Result<(C, AbortHandle), PeerError> {
     let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let stream = connect
         .await
@@ -185,11 +195,8 @@
     stream.set_nodelay(true).map_err(|_closed| PeerError)?;
     let mut system = RpcSystem::new(Box::new(crate::server::network(stream, Side::Client)), None);
     let client = system.bootstrap(Side::Server);
-    tokio::task::spawn_local(system);
-    Ok(Rc::new(Link {
-        client,
-        answered: Cell::new(Instant::now()),
-    }))
+    let task = tokio::task::spawn_local(system);
+    Ok((client, task.abort_handle()))
 }
 
 /// Receives the parts of an answer.
--- a/crates/sw-peer/src/convert.rs
+++ b/crates/sw-peer/src/convert.rs
@@ -22,15 +22,15 @@
         .map_err(|error: T::Err| capnp::Error::failed(error.to_string()))
 }
 
-fn text(text: Result<text::Reader<'_>>) -> Result<String> {
+pub(crate) fn text(text: Result<text::Reader<'_>>) -> Result<String> {
     Ok(text?.to_str()?.to_owned())
 }
 
-fn len<T>(items: &[T]) -> u32 {
+pub(crate) fn len<T>(items: &[T]) -> u32 {
     u32::try_from(items.len()).unwrap_or(u32::MAX)
 }
 
-fn set_vm_row(mut to: wire::vm_row::Builder<'_>, row: &VmRow) {
+pub(crate) fn set_vm_row(mut to: wire::vm_row::Builder<'_>, row: &VmRow) {
     to.set_vm(row.vm.as_str());
     to.set_incarnation(row.incarnation.0);
     to.set_domain(row.domain.as_str());
@@ -41,7 +41,7 @@
     to.set_version(row.version.0);
 }
 
-fn vm_row(from: wire::vm_row::Reader<'_>) -> Result<VmRow> {
+pub(crate) fn vm_row(from: wire::vm_row::Reader<'_>) -> Result<VmRow> {
     Ok(VmRow {
         vm: parse(from.get_vm())?,
         incarnation: Incarnation(from.get_incarnation()),
--- /dev/null
+++ b/crates/sw-peer/src/relay/client.rs
@@ -0,0 +1,210 @@
+//! Outgoing calls.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use capnp::capability::Rc;
+use sw_relay::Beat;
+use sw_store::Snapshot;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+use super::{RelayCall, RelayEvent, convert};
+use crate::PeerError;
+use crate::client::open;
+use crate::relay_capnp::{answer_sink, relay_peer};
+
+/// Time for a short call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// A connection that answered this lately is taken to work.
+const PROVEN: Duration = Duration::from_millis(1_500);
+/// Events of an answer that wait for a slow reader.
+const EVENT_BUFFER: usize = 16;
+
+struct Link {
+    client: relay_peer::Client,
+    system: AbortHandle,
+    answered: Cell<Instant>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.system.abort();
+    }
+}
+
+/// Connections to other VMs; one with a call that failed or timed out is closed.
+#[derive(Clone, Default)]
+pub struct RelayClient {
+    links: Rc<RefCell<HashMap<SocketAddr, Rc<Link>>>>,
+}
+
+impl fmt::Debug for RelayClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("RelayClient")
+    }
+}
+
+impl RelayClient {
+    /// Sends a heartbeat and returns the other VM's.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] if there is no answer in time.
+    pub async fn exchange(&self, address: SocketAddr, beat: &Beat) -> Result<Beat, PeerError> {
+        let call = async |link: &Link| {
+            let mut request = link.client.exchange_request();
+            convert::set_beat(request.get().init_beat(), beat);
+            let response = request.send().promise.await?;
+            convert::beat(response.get()?.get_beat()?)
+        };
+        self.call(address, call).await
+    }
+
+    /// What another VM knows of the platform's store.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] if there is no answer in time.
+    pub async fn snapshot(&self, address: SocketAddr) -> Result<Snapshot, PeerError> {
+        let call = async |link: &Link| {
+            let response = link.client.snapshot_request().send().promise.await?;
+            let results = response.get()?;
+            convert::snapshot(results.get_revision(), results.get_items()?)
+        };
+        self.call(address, call).await
+    }
+
+    /// Forwards a request; dropping the returned receiver gives it up.
+    ///
+    /// The receiver ends without [`RelayEvent::End`] if the connection broke.
+    pub fn relay(&self, address: SocketAddr, call: RelayCall) -> mpsc::Receiver<RelayEvent> {
+        let (events, rx) = mpsc::channel(EVENT_BUFFER);
+        tokio::task::spawn_local(self.clone().run(address, call, events));
+        rx
+    }
+
+    async fn run(self, address: SocketAddr, call: RelayCall, events: mpsc::Sender<RelayEvent>) {
+        let proven = self.link(address).filter(|link| link.answered.get().elapsed() < PROVEN);
+        let link = match proven {
+            Some(link) => Ok(link),
+            None => self.open(address).await,
+        };
+        let Ok(link) = link else {
+            let _closed = events.send(RelayEvent::NotSent).await;
+            return;
+        };
+        let received = Rc::new(Cell::new(0));
+        let sink = Sink {
+            events: events.clone(),
+            received: Rc::clone(&received),
+        };
+        let mut request = link.client.relay_request();
+        convert::set_call(request.get().init_call(), &call);
+        request.get().set_sink(capnp_rpc::new_client(sink));
+        let response = tokio::select! {
+            response = request.send().promise => response,
+            () = events.closed() => return,
+        };
+        let end = response.and_then(|response| {
+            let results = response.get()?;
+            if results.get_refused() {
+                return Ok(Err(crate::convert::refusal(results.get_refusal()?)?));
+            }
+            if results.get_length() != received.get() {
+                return Err(capnp::Error::failed("parts of the answer are missing".to_owned()));
+            }
+            Ok(Ok(()))
+        });
+        match end {
+            Ok(end) => {
+                link.answered.set(Instant::now());
+                let _closed = events.send(RelayEvent::End(end)).await;
+            }
+            // The receiver ends without an end of the answer.
+            Err(error) if error.kind == capnp::ErrorKind::Failed => {}
+            Err(_broken) => self.forget(address, &link),
+        }
+    }
+
+    async fn call<T>(
+        &self,
+        address: SocketAddr,
+        call: impl AsyncFnOnce(&Link) -> Result<T, capnp::Error>,
+    ) -> Result<T, PeerError> {
+        let link = match self.link(address) {
+            Some(link) => link,
+            None => self.open(address).await?,
+        };
+        if let Ok(Ok(answer)) = tokio::time::timeout(CALL_TIMEOUT, call(&link)).await {
+            link.answered.set(Instant::now());
+            return Ok(answer);
+        }
+        self.forget(address, &link);
+        Err(PeerError)
+    }
+
+    fn link(&self, address: SocketAddr) -> Option<Rc<Link>> {
+        self.links.borrow().get(&address).cloned()
+    }
+
+    /// Closes a connection, which ends all calls on it.
+    fn forget(&self, address: SocketAddr, link: &Rc<Link>) {
+        link.system.abort();
+        let mut links = self.links.borrow_mut();
+        if links.get(&address).is_some_and(|known| Rc::ptr_eq(known, link)) {
+            links.remove(&address);
+        }
+    }
+
+    async fn open(&self, address: SocketAddr) -> Result<Rc<Link>, PeerError> {
+        let (client, system) = open(address).await?;
+        let link = Rc::new(Link {
+            client,
+            system,
+            answered: Cell::new(Instant::now()),
+        });
+        self.links.borrow_mut().insert(address, Rc::clone(&link));
+        Ok(link)
+    }
+}
+
+/// Receives the parts of an answer.
+struct Sink {
+    events: mpsc::Sender<RelayEvent>,
+    received: Rc<Cell<u64>>,
+}
+
+impl answer_sink::Server for Sink {
+    async fn head(
+        self: Rc<Self>,
+        params: answer_sink::HeadParams,
+        _: answer_sink::HeadResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let headers = convert::headers(params.get_headers()?)?;
+        let status = params.get_status();
+        self.pass(RelayEvent::Head { status, headers }).await
+    }
+
+    async fn chunk(
+        self: Rc<Self>,
+        params: answer_sink::ChunkParams,
+        _: answer_sink::ChunkResults,
+    ) -> Result<(), capnp::Error> {
+        let data = Bytes::copy_from_slice(params.get()?.get_data()?);
+        self.received.set(self.received.get() + data.len() as u64);
+        self.pass(RelayEvent::Chunk(data)).await
+    }
+}
+
+impl Sink {
+    async fn pass(&self, event: RelayEvent) -> Result<(), capnp::Error> {
+        let sent = self.events.send(event).await;
+        sent.map_err(|_closed| capnp::Error::failed("the request was given up".to_owned()))
+    }
+}
--- /dev/null
+++ b/crates/sw-peer/src/relay/server.rs
@@ -0,0 +1,147 @@
+//! Incoming calls.
+
+use std::net::SocketAddr;
+
+use capnp::capability::Rc;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use futures::stream::{FuturesUnordered, StreamExt as _};
+use sw_error::{Kind, Refusal};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+use super::{RelayEvent, RelayHandler, convert};
+use crate::convert::{len, set_refusal};
+use crate::relay_capnp::{answer_sink, relay_peer};
+
+type Result<T> = std::result::Result<T, capnp::Error>;
+
+/// Chunks of an answer that are under way to the other VM at a time.
+const CHUNK_WINDOW: usize = 32;
+/// Events of an answer that wait for the window.
+const EVENT_BUFFER: usize = 16;
+
+/// Listens for other VMs.
+///
+/// # Errors
+///
+/// Returns the error of binding the address.
+pub async fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Serves connections until the listener fails; each runs as a task of the current `LocalSet`.
+///
+/// # Errors
+///
+/// Returns the error of the listener.
+pub async fn serve<H: RelayHandler>(listener: TcpListener, handler: H) -> std::io::Result<()> {
+    loop {
+        let (stream, _) = listener.accept().await?;
+        if stream.set_nodelay(true).is_ok() {
+            tokio::task::spawn_local(serve_connection(stream, handler.clone()));
+        }
+    }
+}
+
+async fn serve_connection<H: RelayHandler>(stream: TcpStream, handler: H) {
+    let client: relay_peer::Client = capnp_rpc::new_client(Server { handler });
+    let network = crate::server::network(stream, Side::Server);
+    // An error ends this connection only; the other VM makes a new one.
+    let _ended = RpcSystem::new(Box::new(network), Some(client.client)).await;
+}
+
+struct Server<H> {
+    handler: H,
+}
+
+impl<H: RelayHandler> relay_peer::Server for Server<H> {
+    async fn exchange(
+        self: Rc<Self>,
+        params: relay_peer::ExchangeParams,
+        mut results: relay_peer::ExchangeResults,
+    ) -> Result<()> {
+        let beat = convert::beat(params.get()?.get_beat()?)?;
+        let reply = self.handler.exchange(beat);
+        convert::set_beat(results.get().init_beat(), &reply);
+        Ok(())
+    }
+
+    async fn snapshot(
+        self: Rc<Self>,
+        _: relay_peer::SnapshotParams,
+        mut results: relay_peer::SnapshotResults,
+    ) -> Result<()> {
+        let snapshot = self.handler.snapshot();
+        let mut results = results.get();
+        results.set_revision(snapshot.revision);
+        convert::set_items(results.init_items(len(&snapshot.items)), &snapshot.items);
+        Ok(())
+    }
+
+    async fn relay(
+        self: Rc<Self>,
+        params: relay_peer::RelayParams,
+        mut results: relay_peer::RelayResults,
+    ) -> Result<()> {
+        let params = params.get()?;
+        let call = convert::call(params.get_call()?)?;
+        let sink = params.get_sink()?;
+        let (tx, rx) = mpsc::channel(EVENT_BUFFER);
+        let ((), passed) = futures::join!(self.handler.relay(call, tx), pass(rx, &sink));
+        let (length, end) = passed?;
+        let mut results = results.get();
+        results.set_length(length);
+        if let Err(refusal) = end {
+            results.set_refused(true);
+            set_refusal(results.init_refusal(), refusal);
+        }
+        Ok(())
+    }
+}
+
+/// Passes the parts of an answer on, and returns their length and how the answer ended.
+async fn pass(
+    mut rx: mpsc::Receiver<RelayEvent>,
+    sink: &answer_sink::Client,
+) -> Result<(u64, std::result::Result<(), Refusal>)> {
+    let mut under_way = FuturesUnordered::new();
+    let mut length = 0;
+    while let Some(event) = rx.recv().await {
+        match event {
+            RelayEvent::Head { status, headers } => {
+                let mut request = sink.head_request();
+                request.get().set_status(status);
+                convert::set_headers(request.get().init_headers(len(&headers)), &headers);
+                under_way.push(request.send().promise.boxed_local_result());
+            }
+            RelayEvent::Chunk(data) => {
+                length += data.len() as u64;
+                let mut request = sink.chunk_request();
+                request.get().set_data(&data);
+                under_way.push(request.send().promise.boxed_local_result());
+                while under_way.len() >= CHUNK_WINDOW {
+                    under_way.next().await.transpose()?;
+                }
+            }
+            RelayEvent::End(end) => {
+                while under_way.next().await.transpose()?.is_some() {}
+                return Ok((length, end));
+            }
+            RelayEvent::NotSent => return Ok((length, Err(Kind::EndpointUnreachable.into()))),
+        }
+    }
+    Err(capnp::Error::failed("the answer broke off".to_owned()))
+}
+
+/// Brings calls of different methods into one type.
+trait Ended {
+    fn boxed_local_result(self) -> futures::future::LocalBoxFuture<'static, Result<()>>;
+}
+
+impl<T, F: Future<Output = Result<T>> + 'static> Ended for F {
+    fn boxed_local_result(self) -> futures::future::LocalBoxFuture<'static, Result<()>> {
+        use futures::FutureExt as _;
+        self.map(|result| result.map(|_empty| ())).boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/sw-proxy/src/answer.rs
@@ -0,0 +1,56 @@
+//! Answers that the proxy gives itself, and headers that concern one connection only.
+
+use bytes::Bytes;
+use hyper::header::{
+    CONNECTION, CONTENT_TYPE, EXPECT, HeaderName, HeaderValue, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use hyper::{HeaderMap, Response, StatusCode};
+use sw_error::{Refusal, Retry};
+use sw_http::ResponseBody;
+use sw_unit::Millis;
+
+use crate::Dialect;
+
+/// Time to come back if a refusal names none.
+const DEFAULT_RETRY_AFTER: Millis = Millis(200);
+
+const HOP_HEADERS: [HeaderName; 9] = [
+    CONNECTION,
+    EXPECT,
+    HeaderName::from_static("keep-alive"),
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Removes the headers that concern one connection only.
+pub(crate) fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_HEADERS) {
+        headers.remove(name);
+    }
+}
+
+/// The answer for a refusal.
+pub(crate) fn refusal_answer<D: Dialect>(dialect: &D, refusal: Refusal) -> Response<ResponseBody> {
+    let answer = refusal.kind.answer();
+    let body = format!("{{\"error\":\"{}\"}}", refusal.kind);
+    let mut response = Response::new(ResponseBody::from(Bytes::from(body)));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if answer.retry != Retry::Never {
+        dialect.set_retry_after(headers, refusal.retry_after.unwrap_or(DEFAULT_RETRY_AFTER));
+    }
+    response
+}
--- /dev/null
+++ b/crates/sw-proxy/src/attempt.rs
@@ -0,0 +1,205 @@
+//! One attempt at an endpoint, up to the head of its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Method, Request, Response, Uri};
+use sw_http::{CallError, Exchange, Reuse};
+use sw_relay::{Admitted, Attempt, EndpointEntry, Outcome};
+use sw_unit::Millis;
+
+use crate::core::Core;
+use crate::{AnswerHead, Claim, Dialect, Outbound, telemetry};
+
+/// A connection that was idle for this long may have been closed by the endpoint at the same moment; requests that
+/// must not run twice are not sent on it.
+const FRESH_IDLE: Duration = Duration::from_millis(400);
+/// An answer that does not begin within this many objectives is given up if the request can be sent elsewhere.
+const STALLED_AFTER_OBJECTIVES: u64 = 3;
+/// Or within this many times what was expected.
+const STALLED_AFTER_EXPECTED: f64 = 3.0;
+
+/// A request that was read whole.
+#[derive(Debug, Clone)]
+pub(crate) struct Call {
+    pub(crate) admitted: Admitted,
+    pub(crate) method: Method,
+    pub(crate) target: Uri,
+    /// The headers that concern more than one connection.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// Reports the end of an attempt; an attempt that is dropped was cancelled.
+#[derive(Debug)]
+pub(crate) struct Running<D: Dialect, F> {
+    core: Rc<Core<D, F>>,
+    attempt: Option<Attempt>,
+}
+
+impl<D: Dialect, F> Running<D, F> {
+    /// The attempt.
+    pub(crate) fn attempt(&self) -> Option<&Attempt> {
+        self.attempt.as_ref()
+    }
+
+    /// Ends the attempt.
+    pub(crate) fn finish(mut self, outcome: Outcome) {
+        self.end(outcome);
+    }
+
+    fn end(&mut self, outcome: Outcome) {
+        let Some(attempt) = self.attempt.take() else {
+            return;
+        };
+        let now = self.core.now();
+        let paused = self.core.relay.borrow_mut().end(&attempt, outcome, now);
+        if let Some(until) = paused {
+            telemetry::paused(attempt.endpoint.id.as_str(), until.since(now));
+        }
+    }
+}
+
+impl<D: Dialect, F> Drop for Running<D, F> {
+    fn drop(&mut self) {
+        self.end(Outcome::Cancelled);
+    }
+}
+
+/// An answer whose head has come.
+#[derive(Debug)]
+pub(crate) struct Opened<D: Dialect, F> {
+    pub(crate) running: Running<D, F>,
+    pub(crate) exchange: Exchange,
+    pub(crate) response: Response<Incoming>,
+    pub(crate) head: AnswerHead,
+}
+
+/// Sends a request to an endpoint and waits for the head of its answer.
+///
+/// # Errors
+///
+/// Returns how the attempt ended; [`Outcome::not_run`] tells whether it cannot have run.
+pub(crate) async fn open<D: Dialect, F: 'static>(
+    core: &Rc<Core<D, F>>,
+    call: &Call,
+    endpoint: &EndpointEntry,
+    last_event: Option<&str>,
+    may_go_elsewhere: bool,
+) -> Result<Opened<D, F>, Outcome> {
+    let admitted = &call.admitted;
+    let attempt = core.relay.borrow_mut().begin(admitted, endpoint, core.now());
+    let running = Running {
+        core: Rc::clone(core),
+        attempt: Some(attempt.ok_or(Outcome::Unreachable)?),
+    };
+    let began = core.now();
+    match exchange_heads(core, call, endpoint, last_event, may_go_elsewhere, &running).await {
+        Ok((exchange, response, head)) => Ok(Opened {
+            running,
+            exchange,
+            response,
+            head,
+        }),
+        Err((outcome, status)) => {
+            let age = core.now().since(began);
+            telemetry::attempt_ended(admitted, endpoint.id.as_str(), outcome, status, age);
+            running.finish(outcome);
+            Err(outcome)
+        }
+    }
+}
+
+async fn exchange_heads<D: Dialect, F: 'static>(
+    core: &Rc<Core<D, F>>,
+    call: &Call,
+    endpoint: &EndpointEntry,
+    last_event: Option<&str>,
+    may_go_elsewhere: bool,
+    running: &Running<D, F>,
+) -> Result<(Exchange, Response<Incoming>, AnswerHead), (Outcome, u16)> {
+    let admitted = &call.admitted;
+    let reuse = if admitted.route.kind.repeatable() {
+        Reuse::Allowed
+    } else {
+        Reuse::IdleFor(FRESH_IDLE)
+    };
+    let connection = core.connector.connect(endpoint.address, reuse).await;
+    let mut exchange = connection.map_err(|_no_connection| (Outcome::Unreachable, 0))?;
+    // Connecting takes time: the endpoint may have begun to leave, or the caller's time may be over.
+    let left = admitted.left(core.now());
+    if left == Millis(0) || !core.relay.borrow().registry().may_send(endpoint) {
+        return Err((Outcome::Unreachable, 0));
+    }
+    let request = outbound(core, call, endpoint, last_event, left);
+    let wait = head_wait(admitted, left, running.attempt(), may_go_elsewhere);
+    let response = exchange.send(request, Duration::from_millis(wait.0)).await;
+    let response = response.map_err(|error| match error {
+        CallError::Connect | CallError::Unsent => (Outcome::Unreachable, 0),
+        CallError::Broken => (Outcome::Broken, 0),
+        CallError::Timeout => (Outcome::Timeout, 0),
+    })?;
+    let head = core.dialect.answer_head(response.status(), response.headers());
+    let status = response.status().as_u16();
+    check(admitted, &head, &response, exchange.is_reused()).map_err(|outcome| (outcome, status))?;
+    let mut relay = core.relay.borrow_mut();
+    relay.reported(&endpoint.id, head.load, head.cold_for, core.now());
+    drop(relay);
+    Ok((exchange, response, head))
+}
+
+/// Whether the head of an answer belongs to the request and may be passed on.
+fn check(admitted: &Admitted, head: &AnswerHead, response: &Response<Incoming>, reused: bool) -> Result<(), Outcome> {
+    if head.id.as_ref().is_some_and(|id| **id != *admitted.id) {
+        return Err(Outcome::Broken);
+    }
+    // On a connection that was used before, an answer without the id may be a late one to an earlier request.
+    let is_answer = head.id.is_some() || !reused;
+    match head.claim {
+        Claim::NotRun if is_answer => return Err(Outcome::Rejected),
+        Claim::WrongEndpoint if is_answer => return Err(Outcome::WrongEndpoint),
+        Claim::NotRun | Claim::WrongEndpoint => return Err(Outcome::Broken),
+        Claim::None => {}
+    }
+    let status = response.status().as_u16();
+    let promises_not_run = matches!(status, 408 | 421 | 429 | 503);
+    if head.id.is_none() || !head.signed || promises_not_run {
+        return Err(Outcome::Broken);
+    }
+    Ok(())
+}
+
+fn outbound<D: Dialect, F>(
+    core: &Core<D, F>,
+    call: &Call,
+    endpoint: &EndpointEntry,
+    last_event: Option<&str>,
+    left: Millis,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.target.clone();
+    *request.headers_mut() = call.headers.clone();
+    let outbound = Outbound {
+        endpoint: &endpoint.id,
+        left,
+        last_event,
+        priority: None,
+    };
+    core.dialect.set_outbound(request.headers_mut(), &outbound);
+    request
+}
+
+/// How long the head of the answer may take.
+fn head_wait(admitted: &Admitted, left: Millis, attempt: Option<&Attempt>, may_go_elsewhere: bool) -> Millis {
+    if !may_go_elsewhere {
+        return left;
+    }
+    let expected = attempt.map_or(0.0, |attempt| attempt.backlog_ms + attempt.read_ms);
+    let expected = Millis((expected * STALLED_AFTER_EXPECTED) as u64);
+    let objective = Millis(admitted.route.objective.0 * STALLED_AFTER_OBJECTIVES);
+    left.min(objective.max(expected))
+}
--- /dev/null
+++ b/crates/sw-proxy/src/core.rs
@@ -0,0 +1,91 @@
+//! What all parts of a proxy share.
+
+use std::cell::{Cell, Ref, RefCell};
+use std::time::Duration;
+
+use sw_http::Connector;
+use sw_peer::relay::RelayClient;
+use sw_relay::Relay;
+use sw_store::Mirror;
+use sw_time::{BootClock, Clock as _, TimerService};
+use sw_unit::{Millis, Time};
+
+use crate::Options;
+
+/// Time for a connection to an endpoint to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// How far a planned stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// Requests are served.
+    Serving,
+    /// Callers are sent elsewhere since this time, and what still comes is served.
+    Leaving(Time),
+}
+
+/// The shared state; used from one thread.
+#[derive(Debug)]
+pub(crate) struct Core<D, F> {
+    options: RefCell<Options>,
+    pub(crate) dialect: D,
+    pub(crate) feed: F,
+    pub(crate) clock: BootClock,
+    pub(crate) timer: TimerService<BootClock>,
+    pub(crate) relay: RefCell<Relay>,
+    pub(crate) mirror: RefCell<Mirror>,
+    pub(crate) connector: Connector,
+    pub(crate) peers: RelayClient,
+    pub(crate) stage: Cell<Stage>,
+    /// Bytes of bodies that are being read or sent.
+    pub(crate) body_bytes: Cell<u64>,
+    /// Requests that are being served.
+    pub(crate) active: Cell<usize>,
+    /// When the store was lost; `None` while it answers.
+    pub(crate) store_lost: Cell<Option<Time>>,
+}
+
+impl<D, F> Core<D, F> {
+    pub(crate) fn new(options: Options, dialect: D, feed: F, clock: BootClock, relay: Relay) -> Self {
+        Self {
+            options: RefCell::new(options),
+            dialect,
+            feed,
+            clock,
+            timer: TimerService::new(clock),
+            relay: RefCell::new(relay),
+            mirror: RefCell::default(),
+            connector: Connector::new(CONNECT_TIMEOUT),
+            peers: RelayClient::default(),
+            stage: Cell::new(Stage::Serving),
+            body_bytes: Cell::new(0),
+            active: Cell::new(0),
+            store_lost: Cell::new(None),
+        }
+    }
+
+    pub(crate) fn options(&self) -> Ref<'_, Options> {
+        self.options.borrow()
+    }
+
+    pub(crate) fn set_options(&self, options: Options) {
+        *self.options.borrow_mut() = options;
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Time since the planned stop began; `None` while requests are served.
+    pub(crate) fn leaving_for(&self) -> Option<Millis> {
+        match self.stage.get() {
+            Stage::Serving => None,
+            Stage::Leaving(since) => Some(self.now().since(since)),
+        }
+    }
+
+    /// Whether callers should be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.stage.get() == Stage::Serving && self.relay.borrow().table().is_some()
+    }
+}
--- /dev/null
+++ b/crates/sw-proxy/src/dialect.rs
@@ -0,0 +1,112 @@
+//! The names and formats of a platform.
+
+use std::fmt;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, StatusCode, Uri};
+use sw_member::VmRow;
+use sw_relay::{Fact, LoadReport, RequestHead};
+use sw_unit::{DomainId, EndpointId, Millis, RegionId};
+
+/// A request's headers cannot be understood.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeadError {
+    /// What is wrong.
+    pub reason: &'static str,
+}
+
+impl fmt::Display for HeadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.reason)
+    }
+}
+
+impl std::error::Error for HeadError {}
+
+/// What the gateway adds to a request that it sends to an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Outbound<'a> {
+    /// The endpoint that is expected to answer.
+    pub endpoint: &'a EndpointId,
+    /// How long the caller still waits.
+    pub left: Millis,
+    /// The last event that the caller has, if the stream is resumed.
+    pub last_event: Option<&'a str>,
+    /// Urgency; 0 comes first. `None` for endpoints that know no priorities.
+    pub priority: Option<u32>,
+}
+
+/// What an endpoint states about a request that it did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Claim {
+    /// Nothing: the request ran or may have run.
+    #[default]
+    None,
+    /// It did not run the request.
+    NotRun,
+    /// It is not the endpoint that the request is for.
+    WrongEndpoint,
+}
+
+/// What the head of an endpoint's answer says.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct AnswerHead {
+    /// The id of the request that it answers.
+    pub id: Option<Arc<str>>,
+    /// Whether it carries an endpoint's signature.
+    pub signed: bool,
+    /// What the endpoint states about a request that it did not run.
+    pub claim: Claim,
+    /// The endpoint's load.
+    pub load: Option<LoadReport>,
+    /// How much longer the endpoint is cold.
+    pub cold_for: Option<Millis>,
+    /// How long the endpoint keeps the connection when it is idle.
+    pub keep_alive: Option<Millis>,
+    /// Whether the endpoint closes the connection.
+    pub closes: bool,
+}
+
+/// A caller asks where to connect.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct DirectoryQuery {
+    /// The caller's region.
+    pub region: Option<RegionId>,
+    /// The caller's failure domain.
+    pub domain: Option<DomainId>,
+}
+
+/// Translates between the names and formats of a platform and the product's types.
+///
+/// An implementation decides nothing.
+pub trait Dialect: Clone + 'static {
+    /// What a key of the store says; `value` is `None` if the key was removed.
+    fn fact(&self, key: &str, value: Option<&[u8]>) -> Fact;
+
+    /// Reads the head of a caller's request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HeadError`] if a header that is needed is missing or malformed.
+    fn request_head(&self, parts: &Parts) -> Result<RequestHead, HeadError>;
+
+    /// Drops the headers that only the gateway may set, and sets those of this attempt.
+    fn set_outbound(&self, headers: &mut HeaderMap, outbound: &Outbound<'_>);
+
+    /// Reads the head of an endpoint's answer.
+    fn answer_head(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead;
+
+    /// Sets the time after which a caller may come back.
+    fn set_retry_after(&self, headers: &mut HeaderMap, after: Millis);
+
+    /// Whether a call asks if this VM is ready.
+    fn asks_ready(&self, uri: &Uri) -> bool;
+
+    /// Reads a call that asks where to connect; `None` if it is another call.
+    fn directory_query(&self, uri: &Uri) -> Option<DirectoryQuery>;
+
+    /// The answer to a call that asks where to connect, as JSON.
+    fn directory_answer(&self, entries: &[VmRow], ttl: Millis) -> Bytes;
+}
--- /dev/null
+++ b/crates/sw-proxy/src/front.rs
@@ -0,0 +1,113 @@
+//! Listeners and connections.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use spdlog::prelude::*;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::Dialect;
+use crate::core::Core;
+use crate::request::Answer;
+
+/// Pause after a connection could not be accepted, as when descriptors run out.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// Bounds of the buffer for a header block, in bytes.
+const HEADER_BUFFER: (usize, usize) = (8 << 10, 1 << 20);
+
+/// Listens on `address`.
+///
+/// # Errors
+///
+/// Returns the error of binding the address.
+pub(crate) fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Serves connections until `stop` says so, and then until they have finished their requests.
+pub(crate) async fn serve<D, F, S, A>(
+    core: Rc<Core<D, F>>,
+    listener: TcpListener,
+    mut stop: watch::Receiver<bool>,
+    service: S,
+) where
+    D: Dialect,
+    F: 'static,
+    S: Fn(Rc<Core<D, F>>, Request<Incoming>) -> A + Copy + 'static,
+    A: Future<Output = Answer> + 'static,
+{
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        match accepted {
+            Ok((stream, _)) => serve_connection(&core, stream, &graceful, service),
+            Err(error) => {
+                let reason = error.to_string();
+                warn!("accept_failed", kv: { reason = reason.as_str() });
+                tokio::time::sleep(ACCEPT_BACKOFF).await;
+            }
+        }
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn serve_connection<D, F, S, A>(core: &Rc<Core<D, F>>, stream: TcpStream, graceful: &GracefulShutdown, service: S)
+where
+    D: Dialect,
+    F: 'static,
+    S: Fn(Rc<Core<D, F>>, Request<Incoming>) -> A + Copy + 'static,
+    A: Future<Output = Answer> + 'static,
+{
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let limits = core
+        .relay
+        .borrow()
+        .table()
+        .map(|table| table.limits)
+        .unwrap_or_default();
+    let (least, most) = HEADER_BUFFER;
+    let core = Rc::clone(core);
+    let answer = service_fn(move |req| {
+        let core = Rc::clone(&core);
+        async move {
+            let mut response = service(Rc::clone(&core), req).await;
+            if core.leaving_for().is_some() {
+                response
+                    .headers_mut()
+                    .insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle_timeout.0))
+        .max_buf_size((limits.headers.0 as usize).clamp(least, most))
+        .serve_connection(TokioIo::new(stream), answer);
+    let connection = graceful.watch(connection);
+    tokio::task::spawn_local(async move {
+        // A connection that breaks ends its own requests only.
+        let _ended = connection.await;
+    });
+}
--- /dev/null
+++ b/crates/sw-proxy/src/lib.rs
@@ -0,0 +1,28 @@
+//! Requests to discovered services over HTTP.
+//!
+//! A [`Proxy`] joins the decisions of `sw-relay` with hyper, the calls between VMs and the platform's store. What the
+//! platform calls its headers, keys and calls is the matter of a [`Dialect`]; what its store speaks, that of a
+//! [`Feed`](sw_store::Feed). Everything runs on one thread, inside a `LocalSet`: a VM has a fraction of a core, and
+//! each wake-up of another thread costs more than it gains.
+
+mod answer;
+mod attempt;
+mod core;
+mod dialect;
+mod directory;
+mod exchange;
+mod forward;
+mod front;
+mod options;
+mod peer;
+mod proxy;
+mod request;
+mod sse;
+mod store;
+mod stream;
+mod telemetry;
+
+pub use dialect::{AnswerHead, Claim, Dialect, DirectoryQuery, HeadError, Outbound};
+pub use options::Options;
+pub use proxy::Proxy;
+pub use sse::EventSplitter;
--- /dev/null
+++ b/crates/sw-proxy/src/peer.rs
@@ -0,0 +1,104 @@
+//! Answering other VMs.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use hyper::{Method, Request, Uri};
+use sw_error::{Kind, Refusal};
+use sw_peer::relay::{RelayCall, RelayEvent, RelayHandler};
+use sw_relay::Beat;
+use sw_store::Snapshot;
+use tokio::sync::mpsc;
+
+use crate::attempt::Call;
+use crate::core::Core;
+use crate::forward::{FIRST_HOP, header_list, header_map};
+use crate::request::{Answer, answer};
+use crate::{Dialect, exchange, telemetry};
+
+/// Answers calls from other VMs with the state of this one.
+pub(crate) struct PeerHandler<D, F>(pub(crate) Rc<Core<D, F>>);
+
+impl<D, F> Clone for PeerHandler<D, F> {
+    fn clone(&self) -> Self {
+        Self(Rc::clone(&self.0))
+    }
+}
+
+impl<D: Dialect, F: 'static> RelayHandler for PeerHandler<D, F> {
+    fn exchange(&self, beat: Beat) -> Beat {
+        let region = beat.from.region.clone();
+        exchange::heard(&self.0, beat);
+        self.0.relay.borrow().beat(Some(&region), self.0.now())
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        let mirror = self.0.mirror.borrow();
+        Snapshot {
+            revision: mirror.revision(),
+            items: mirror.items().cloned().collect(),
+        }
+    }
+
+    async fn relay(&self, call: RelayCall, events: mpsc::Sender<RelayEvent>) {
+        let received = self.0.now();
+        let id = call_id(&call);
+        let end = match run(&self.0, call).await {
+            Ok(answer) => pass_on(answer, &events).await,
+            Err(refusal) => {
+                telemetry::refused(&id, "", refusal, self.0.now().since(received));
+                Some(RelayEvent::End(Err(refusal)))
+            }
+        };
+        if let Some(end) = end {
+            // Fails only if the other VM has given the request up.
+            let _closed = events.send(end).await;
+        }
+    }
+}
+
+/// Something to name a call by in the log before its head is understood.
+fn call_id(call: &RelayCall) -> String {
+    call.target.clone()
+}
+
+async fn run<D: Dialect, F: 'static>(core: &Rc<Core<D, F>>, call: RelayCall) -> Result<Answer, Refusal> {
+    if call.hops > FIRST_HOP {
+        return Err(Kind::ForwardLoop.into());
+    }
+    let method = Method::from_bytes(call.method.as_bytes()).map_err(|_malformed| Kind::BadRequest)?;
+    let target: Uri = call.target.parse().map_err(|_malformed| Kind::BadRequest)?;
+    let mut request = Request::new(());
+    *request.method_mut() = method;
+    *request.uri_mut() = target;
+    *request.headers_mut() = header_map(call.headers);
+    let (parts, ()) = request.into_parts();
+    let mut head = core
+        .dialect
+        .request_head(&parts)
+        .map_err(|_malformed| Kind::BadRequest)?;
+    head.left = Some(call.left);
+    let admitted = core.relay.borrow_mut().admit(head, core.now(), true)?;
+    let call = Call {
+        admitted,
+        method: parts.method,
+        target: parts.uri,
+        headers: parts.headers,
+        body: call.body,
+    };
+    answer(core, call).await
+}
+
+/// Passes an answer on, and returns its end; `None` if it broke off.
+async fn pass_on(answer: Answer, events: &mpsc::Sender<RelayEvent>) -> Option<RelayEvent> {
+    let (head, mut body) = answer.into_parts();
+    let headers = header_list(&head.headers);
+    let status = head.status.as_u16();
+    events.send(RelayEvent::Head { status, headers }).await.ok()?;
+    while let Some(frame) = body.frame().await {
+        let data: Bytes = frame.ok()?.into_data().unwrap_or_default();
+        events.send(RelayEvent::Chunk(data)).await.ok()?;
+    }
+    Some(RelayEvent::End(Ok(())))
+}
--- /dev/null
+++ b/crates/sw-proxy/src/proxy.rs
@@ -0,0 +1,169 @@
+//! Start and planned stop.
+
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+use spdlog::prelude::*;
+use sw_member::VmRow;
+use sw_relay::Relay;
+use sw_store::Feed;
+use sw_time::{BootClock, Clock as _};
+use sw_unit::{Incarnation, Millis, Version};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::core::{Core, Stage};
+use crate::exchange::BEAT_PERIOD;
+use crate::peer::PeerHandler;
+use crate::{Dialect, Options, directory, exchange, front, request, store};
+
+/// Heartbeats that a VM may miss before it is suspect.
+const MISSED_BEATS: u64 = 5;
+/// A VM that was not heard for this long is forgotten.
+const FORGET_AFTER: Millis = Millis(120_000);
+/// Callers keep an answer of the directory for up to this many times its time to live.
+const ENTRY_KEPT: u64 = 3;
+/// Share of the stop's grace in which connections are accepted.
+const ACCEPT_SHARE: f64 = 0.75;
+/// Time before the end of the grace at which what still runs is cut off.
+const STOP_MARGIN: Millis = Millis(350);
+
+/// A running proxy.
+pub struct Proxy<D, F> {
+    core: Rc<Core<D, F>>,
+    stop: watch::Sender<bool>,
+    listeners: Vec<JoinHandle<()>>,
+}
+
+impl<D, F> fmt::Debug for Proxy<D, F> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Proxy").finish_non_exhaustive()
+    }
+}
+
+impl<D: Dialect, F: Feed> Proxy<D, F> {
+    /// Listens and begins to learn; needs a current `LocalSet`.
+    ///
+    /// `render_metrics` gives the text that is served on the metrics address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of an address that cannot be bound.
+    pub async fn start(
+        options: Options,
+        dialect: D,
+        feed: F,
+        render_metrics: impl Fn() -> String + Copy + 'static,
+    ) -> std::io::Result<Self> {
+        let clock = BootClock::default();
+        let relay = Relay::new(relay_options(&options, clock));
+        let (stop, stopped) = watch::channel(false);
+        let peer_listener = sw_peer::relay::bind(options.peer_listen).await?;
+        let (callers, ready) = (front::bind(options.listen)?, front::bind(options.ready_listen)?);
+        let directory = front::bind(options.directory_listen)?;
+        let metrics = options.metrics_listen.map(front::bind).transpose()?;
+        let core = Rc::new(Core::new(options, dialect, feed, clock, relay));
+        let mut listeners = vec![
+            tokio::task::spawn_local(front::serve(Rc::clone(&core), callers, stopped.clone(), request::serve)),
+            tokio::task::spawn_local(front::serve(
+                Rc::clone(&core),
+                directory,
+                stopped.clone(),
+                async |core, req| directory::directory(&core, &req),
+            )),
+            tokio::task::spawn_local(front::serve(
+                Rc::clone(&core),
+                ready,
+                stopped.clone(),
+                async |core, req| directory::ready(&core, &req),
+            )),
+        ];
+        if let Some(metrics) = metrics {
+            let serve = move |_, _| std::future::ready(directory::content(render_metrics().into(), "text/plain"));
+            listeners.push(tokio::task::spawn_local(front::serve(
+                Rc::clone(&core),
+                metrics,
+                stopped,
+                serve,
+            )));
+        }
+        tokio::task::spawn_local(serve_peers(peer_listener, Rc::clone(&core)));
+        tokio::task::spawn_local(store::follow(Rc::clone(&core)));
+        tokio::task::spawn_local(exchange::run(Rc::clone(&core)));
+        log_start(&core.options());
+        Ok(Self { core, stop, listeners })
+    }
+
+    /// Takes over options that may change while the process runs: seeds, bounds of retries, memory and times.
+    pub fn reload(&self, options: Options) {
+        let mut relay = self.core.relay.borrow_mut();
+        relay.set_retry_bounds(options.retry_ratio, options.retry_slack);
+        self.core.set_options(options);
+    }
+
+    /// Sends callers elsewhere, finishes all requests, and returns when that is done or the grace is over.
+    pub async fn stop(self) {
+        let core = self.core;
+        let grace = core.options().stop_grace;
+        let active = core.active.get() as u64;
+        info!("stopping", kv: { active, grace_ms = grace.0 });
+        core.stage.set(Stage::Leaving(core.now()));
+        core.relay.borrow_mut().leave();
+        let end = tokio::time::Instant::now() + Duration::from_millis((grace - STOP_MARGIN).0);
+        let kept = Millis(core.options().entry_ttl.0 * ENTRY_KEPT);
+        let accept = kept.min(Millis((grace.0 as f64 * ACCEPT_SHARE) as u64));
+        let told = exchange::tell_all(&core);
+        let (_, ()) = futures::join!(
+            tokio::time::timeout_at(end, told),
+            tokio::time::sleep(Duration::from_millis(accept.0))
+        );
+        // Fails only if all listeners have failed.
+        let _none = self.stop.send(true);
+        let finished = futures::future::join_all(self.listeners);
+        let cut = tokio::time::timeout_at(end, finished).await.is_err();
+        let active = core.active.get() as u64;
+        info!("stopped", kv: { cut, active });
+    }
+}
+
+fn log_start(options: &Options) {
+    let (vm, domain, region) = (options.vm.as_str(), options.domain.as_str(), options.region.as_str());
+    info!("started", kv: { vm, domain, region });
+}
+
+async fn serve_peers<D: Dialect, F: Feed>(listener: tokio::net::TcpListener, core: Rc<Core<D, F>>) {
+    if let Err(error) = sw_peer::relay::serve(listener, PeerHandler(core)).await {
+        let reason = error.to_string();
+        error!("peer_listener_failed", kv: { reason = reason.as_str() });
+    }
+}
+
+fn relay_options(options: &Options, clock: BootClock) -> sw_relay::Options {
+    let incarnation = Incarnation(clock.wall().0);
+    let suspect_after = Millis(BEAT_PERIOD.0 * MISSED_BEATS);
+    sw_relay::Options {
+        own: VmRow {
+            vm: options.vm.clone(),
+            incarnation,
+            domain: options.domain.clone(),
+            region: options.region.clone(),
+            listen: options.listen,
+            peer_listen: options.peer_listen,
+            leaving: false,
+            version: Version(0),
+        },
+        members: sw_member::Options {
+            period: BEAT_PERIOD,
+            period_per_neighbour: Millis(0),
+            max_period: BEAT_PERIOD,
+            missed_periods: MISSED_BEATS,
+            remote_suspect_after: suspect_after,
+            forget_after: FORGET_AFTER,
+        },
+        regions: options.regions.clone(),
+        retry_ratio: options.retry_ratio,
+        retry_slack: options.retry_slack,
+        seed: incarnation.0,
+    }
+}
--- /dev/null
+++ b/crates/sw-proxy/src/request.rs
@@ -0,0 +1,304 @@
+//! One request, from its headers to its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::http::request::Parts;
+use hyper::{Request, Response, Uri};
+use sw_error::{Kind, Refusal};
+use sw_http::{ReadBodyError, ResponseBody, read_body};
+use sw_relay::{Admitted, Choice, Outcome, Tried};
+use sw_unit::{Millis, Time};
+
+use crate::answer::{refusal_answer, strip_hop_headers};
+use crate::attempt::{Call, Opened, open};
+use crate::core::Core;
+use crate::{Dialect, forward, stream, telemetry};
+
+/// An answer up to this length is read whole before any of it is passed on.
+const WHOLE_ANSWER: u64 = 64 << 10;
+/// Part of the stop's grace after which requests that take long are refused.
+const LATE_STOP_SHARE: f64 = 0.4;
+/// Time to come back for callers that reached a VM that is stopping.
+const ELSEWHERE: Millis = Millis(50);
+/// Shares of an idle time that a connection is kept.
+const KEEP_ALIVE_SHARE: f64 = 0.6;
+/// Longest time that an idle connection to an endpoint is kept.
+const MAX_KEEP_ALIVE: Millis = Millis(4_000);
+/// Time that an idle connection is kept if the endpoint does not say how long it keeps it.
+const DEFAULT_KEEP_ALIVE: Millis = Millis(300);
+
+pub(crate) type Answer = Response<ResponseBody>;
+
+/// Counts a request while it is served.
+struct Active<D: Dialect, F>(Rc<Core<D, F>>);
+
+impl<D: Dialect, F> Drop for Active<D, F> {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active.get().saturating_sub(1));
+    }
+}
+
+/// Answers a caller's request.
+pub(crate) async fn serve<D: Dialect, F: 'static>(core: Rc<Core<D, F>>, req: Request<Incoming>) -> Answer {
+    core.active.set(core.active.get() + 1);
+    let _active = Active(Rc::clone(&core));
+    let received = core.now();
+    let (parts, body) = req.into_parts();
+    let id = core.dialect.request_head(&parts);
+    let name = id.as_ref().map_or_else(|_| String::new(), |head| head.id.to_string());
+    match run(&core, parts, body, received).await {
+        Ok(answer) => answer,
+        Err((refusal, route)) => {
+            telemetry::refused(&name, &route, refusal, core.now().since(received));
+            refusal_answer(&core.dialect, refusal)
+        }
+    }
+}
+
+async fn run<D: Dialect, F: 'static>(
+    core: &Rc<Core<D, F>>,
+    parts: Parts,
+    body: Incoming,
+    received: Time,
+) -> Result<Answer, (Refusal, String)> {
+    let unnamed = |refusal: Refusal| (refusal, String::new());
+    if parts.headers.contains_key(CONTENT_LENGTH) && parts.headers.contains_key(TRANSFER_ENCODING) {
+        return Err(unnamed(Kind::BadRequest.into()));
+    }
+    let head = core.dialect.request_head(&parts);
+    let head = head.map_err(|_malformed| unnamed(Kind::BadRequest.into()))?;
+    let admitted = core.relay.borrow_mut().admit(head, received, false).map_err(unnamed)?;
+    let route = admitted.route.name.clone();
+    let answer = async {
+        check_stopping(core, &admitted)?;
+        let body = read(core, &admitted, body).await?;
+        let call = Call {
+            admitted,
+            method: parts.method,
+            target: origin_form(&parts.uri),
+            headers: end_to_end(parts.headers),
+            body,
+        };
+        answer(core, call).await
+    };
+    answer.await.map_err(|refusal| (refusal, route))
+}
+
+/// Sends a request until it is answered or given up.
+///
+/// # Errors
+///
+/// Returns why it is given up; kinds that say "not run" are true.
+pub(crate) async fn answer<D: Dialect, F: 'static>(core: &Rc<Core<D, F>>, call: Call) -> Result<Answer, Refusal> {
+    let mut tried = Tried::default();
+    let mut last: Option<Answer> = None;
+    let mut outcome = Outcome::Unreachable;
+    loop {
+        let now = core.now();
+        if call.admitted.left(now) == Millis(0) {
+            return last.ok_or_else(|| given_up(&tried, outcome, None));
+        }
+        let choice = core.relay.borrow_mut().choose(&call.admitted, &tried, now);
+        let choice = match choice {
+            Ok(choice) => choice,
+            Err(refusal) => return last.ok_or_else(|| given_up(&tried, outcome, Some(refusal))),
+        };
+        telemetry::chosen(&call.admitted, &choice, None, now);
+        match send(core, &call, &choice, &mut tried).await {
+            Ok(answer) if is_failure(&answer) && call.admitted.route.kind.repeatable() => {
+                outcome = Outcome::Failed;
+                last = Some(answer);
+            }
+            Ok(answer) => return Ok(answer),
+            Err(Sent::Refused(refusal)) => outcome = refused_elsewhere(refusal),
+            Err(Sent::Ended(ended)) => outcome = ended,
+        }
+        tried.retries += 1;
+        if !core.relay.borrow_mut().take_retry(&call.admitted, &tried) {
+            return last.ok_or_else(|| given_up(&tried, outcome, None));
+        }
+    }
+}
+
+/// How a send ended without an answer.
+pub(crate) enum Sent {
+    /// Another VM refused it and says that it did not run.
+    Refused(Refusal),
+    /// The attempt ended.
+    Ended(Outcome),
+}
+
+async fn send<D: Dialect, F: 'static>(
+    core: &Rc<Core<D, F>>,
+    call: &Call,
+    choice: &Choice,
+    tried: &mut Tried,
+) -> Result<Answer, Sent> {
+    let endpoint = match choice {
+        Choice::Endpoint { endpoint, .. } => endpoint,
+        Choice::Region { vm, address, .. } => {
+            tried.vms.insert(vm.clone());
+            let answer = forward::send(core, call, *address).await;
+            if !matches!(answer, Err(Sent::Refused(_) | Sent::Ended(Outcome::Unreachable))) {
+                tried.may_have_run = true;
+            }
+            return answer;
+        }
+    };
+    let may_go_elsewhere = call.admitted.route.kind.repeatable() && tried.runs() + 1 < call.admitted.route.max_attempts;
+    let opened = open(core, call, endpoint, None, may_go_elsewhere).await;
+    let not_run = matches!(&opened, Err(outcome) if outcome.not_run());
+    tried.endpoints.insert(endpoint.id.clone(), !not_run);
+    tried.may_have_run |= !not_run;
+    let opened = opened.map_err(Sent::Ended)?;
+    let age = core.now().since(call.admitted.received);
+    telemetry::answered(&call.admitted, opened.response.status().as_u16(), age);
+    pass_on(core, call, opened, tried).await.map_err(Sent::Ended)
+}
+
+/// Makes the caller's answer of an endpoint's.
+async fn pass_on<D: Dialect, F: 'static>(
+    core: &Rc<Core<D, F>>,
+    call: &Call,
+    opened: Opened<D, F>,
+    tried: &Tried,
+) -> Result<Answer, Outcome> {
+    let mut head = Response::new(());
+    *head.status_mut() = opened.response.status();
+    *head.headers_mut() = opened.response.headers().clone();
+    strip_hop_headers(head.headers_mut());
+    let len = opened.response.body().size_hint().exact();
+    let whole = !call.admitted.route.kind.streams() && len.is_some_and(|len| len <= WHOLE_ANSWER);
+    if !whole {
+        let body = stream::start(core, call.clone(), opened, tried.clone());
+        return Ok(head.map(|()| body));
+    }
+    let Opened {
+        running,
+        exchange,
+        response,
+        head: marks,
+    } = opened;
+    let left = Duration::from_millis(call.admitted.left(core.now()).0);
+    match read_body(response.into_body(), WHOLE_ANSWER, left).await {
+        Ok(body) => {
+            keep(exchange, &marks);
+            let failed = head.status().is_server_error();
+            running.finish(if failed { Outcome::Failed } else { Outcome::Whole });
+            Ok(head.map(|()| ResponseBody::from(body)))
+        }
+        Err(error) => {
+            let outcome = match error {
+                ReadBodyError::Timeout => Outcome::Timeout,
+                ReadBodyError::Broken | ReadBodyError::TooLarge => Outcome::Broken,
+            };
+            let endpoint = running.attempt().map(|attempt| attempt.endpoint.id.clone());
+            let endpoint = endpoint.as_ref().map_or("", |id| id.as_str());
+            let age = core.now().since(call.admitted.received);
+            telemetry::attempt_ended(&call.admitted, endpoint, outcome, head.status().as_u16(), age);
+            running.finish(outcome);
+            Err(outcome)
+        }
+    }
+}
+
+/// Keeps a connection after a whole answer, if the endpoint does.
+pub(crate) fn keep(exchange: sw_http::Exchange, marks: &crate::AnswerHead) {
+    if marks.closes {
+        return;
+    }
+    let keep_alive = marks
+        .keep_alive
+        .map(|keep| Millis((keep.0 as f64 * KEEP_ALIVE_SHARE) as u64));
+    let limit = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE).min(MAX_KEEP_ALIVE);
+    exchange.give_back_for(Duration::from_millis(limit.0));
+}
+
+/// The refusal for a request of which nothing more can be tried.
+fn given_up(tried: &Tried, outcome: Outcome, refusal: Option<Refusal>) -> Refusal {
+    if tried.may_have_run {
+        let timed_out = outcome == Outcome::Timeout;
+        return Refusal::new(if timed_out {
+            Kind::EndpointTimeout
+        } else {
+            Kind::OutcomeUnknown
+        });
+    }
+    refusal.unwrap_or_else(|| match outcome {
+        Outcome::Rejected => Kind::Overloaded.into(),
+        _ => Kind::EndpointUnreachable.into(),
+    })
+}
+
+fn refused_elsewhere(refusal: Refusal) -> Outcome {
+    match refusal.kind {
+        Kind::Overloaded | Kind::DeadlineUnreachable => Outcome::Rejected,
+        _ => Outcome::Unreachable,
+    }
+}
+
+fn is_failure(answer: &Answer) -> bool {
+    answer.status().is_server_error()
+}
+
+/// Refuses, late in a planned stop, what could not end before the process does.
+fn check_stopping<D: Dialect, F>(core: &Core<D, F>, admitted: &Admitted) -> Result<(), Refusal> {
+    let late = Millis((core.options().stop_grace.0 as f64 * LATE_STOP_SHARE) as u64);
+    match core.leaving_for() {
+        Some(leaving_for) if leaving_for > late && admitted.route.kind.streams() => {
+            Err(Refusal::after(Kind::Stopping, ELSEWHERE))
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Counts the bytes of a body while it is held.
+struct Held<'a, D, F> {
+    core: &'a Core<D, F>,
+    len: u64,
+}
+
+impl<D, F> Drop for Held<'_, D, F> {
+    fn drop(&mut self) {
+        let held = self.core.body_bytes.get();
+        self.core.body_bytes.set(held.saturating_sub(self.len));
+    }
+}
+
+async fn read<D: Dialect, F>(core: &Core<D, F>, admitted: &Admitted, body: Incoming) -> Result<Bytes, Refusal> {
+    let limit = core.relay.borrow().table().map_or(0, |table| table.limits.body.0);
+    let expected = body.size_hint().exact().unwrap_or_default();
+    if expected > limit {
+        return Err(Kind::BodyTooLarge.into());
+    }
+    if expected == 0 && body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    if core.body_bytes.get() + expected > core.options().body_memory.0 {
+        return Err(Kind::Overloaded.into());
+    }
+    core.body_bytes.set(core.body_bytes.get() + expected);
+    let _held = Held { core, len: expected };
+    let left = Duration::from_millis(admitted.left(core.now()).0);
+    read_body(body, limit, left).await.map_err(|error| match error {
+        ReadBodyError::TooLarge => Kind::BodyTooLarge.into(),
+        ReadBodyError::Timeout => Kind::ClientTimeout.into(),
+        ReadBodyError::Broken => Kind::BadRequest.into(),
+    })
+}
+
+/// The path and query of a target, which is what endpoints get.
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(|| Uri::from_static("/"), Uri::from)
+}
+
+fn end_to_end(mut headers: hyper::HeaderMap) -> hyper::HeaderMap {
+    strip_hop_headers(&mut headers);
+    headers.remove(CONTENT_LENGTH);
+    headers
+}
--- /dev/null
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -0,0 +1,89 @@
+//! Log lines and counters.
+//!
+//! One line for each decision that touches a request or changes what the VM believes, with what decided it. Lines
+//! never carry content of a request.
+
+use metrics::{counter, histogram};
+use spdlog::prelude::*;
+use sw_error::Refusal;
+use sw_relay::{Admitted, Choice, Outcome};
+use sw_unit::{Millis, Time};
+
+/// Milliseconds in a second.
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
+/// Logs where a request goes.
+pub(crate) fn chosen(admitted: &Admitted, choice: &Choice, report_age: Option<Millis>, now: Time) {
+    let id = &*admitted.id;
+    let route = admitted.route.name.as_str();
+    let version = admitted.version.0;
+    let left_ms = admitted.left(now).0;
+    match choice {
+        Choice::Endpoint {
+            endpoint,
+            expected_ms,
+            considered,
+        } => {
+            let (expected_ms, considered) = (*expected_ms as u64, *considered as u64);
+            let entry_age_ms = report_age.map_or(0, |age| age.0);
+            let target = endpoint.id.as_str();
+            info!("routed", kv: { id, route, version, left_ms, target, expected_ms, considered, entry_age_ms });
+        }
+        Choice::Region {
+            region,
+            vm,
+            expected_ms,
+            local_ms,
+            ..
+        } => {
+            let local_ms = local_ms.map_or(-1, |ms| ms as i64);
+            let (region, vm, expected_ms) = (region.as_str(), vm.as_str(), *expected_ms as u64);
+            info!("forwarded", kv: { id, route, version, left_ms, region, vm, expected_ms, local_ms });
+        }
+    }
+    counter!("shallotwing_decisions_total", "route" => admitted.route.name.clone()).increment(1);
+}
+
+/// Logs an attempt that did not end well.
+pub(crate) fn attempt_ended(admitted: &Admitted, endpoint: &str, outcome: Outcome, status: u16, age: Millis) {
+    let id = &*admitted.id;
+    let (outcome, age_ms) = (<&'static str>::from(outcome), age.0);
+    info!("attempt_failed", kv: { id, endpoint, outcome, status, age_ms });
+    counter!("shallotwing_attempts_failed_total", "outcome" => outcome).increment(1);
+}
+
+/// Logs that an endpoint is paused.
+pub(crate) fn paused(endpoint: &str, for_ms: Millis) {
+    let pause_ms = for_ms.0;
+    warn!("endpoint_paused", kv: { endpoint, pause_ms });
+}
+
+/// Logs and counts a request that is given up.
+pub(crate) fn refused(id: &str, route: &str, refusal: Refusal, age: Millis) {
+    let kind: &'static str = refusal.kind.into();
+    let ran: &'static str = refusal.kind.answer().ran.into();
+    let (retry_after_ms, age_ms) = (refusal.retry_after.unwrap_or_default().0, age.0);
+    info!("refused", kv: { id, route, kind, ran, retry_after_ms, age_ms });
+    counter!("shallotwing_requests_total", "end" => kind).increment(1);
+}
+
+/// Counts an answer whose head is passed on.
+pub(crate) fn answered(admitted: &Admitted, status: u16, age: Millis) {
+    counter!("shallotwing_requests_total", "end" => "answered", "status" => status.to_string()).increment(1);
+    histogram!("shallotwing_head_seconds", "route" => admitted.route.name.clone())
+        .record(age.0 as f64 / MILLIS_PER_SECOND);
+}
+
+/// Logs that an answer broke off after its head was passed on.
+pub(crate) fn broke_off(admitted: &Admitted, reason: &'static str, age: Millis) {
+    let (id, age_ms) = (&*admitted.id, age.0);
+    info!("answer_broke_off", kv: { id, reason, age_ms });
+    counter!("shallotwing_answers_broken_total", "reason" => reason).increment(1);
+}
+
+/// Logs that a stream goes on at another endpoint.
+pub(crate) fn resumed(admitted: &Admitted, endpoint: &str, after: &str) {
+    let id = &*admitted.id;
+    info!("stream_resumed", kv: { id, endpoint, after });
+    counter!("shallotwing_streams_resumed_total").increment(1);
+}
--- /dev/null
+++ b/crates/sw-relay/src/attempt.rs
@@ -0,0 +1,64 @@
+//! One attempt at an endpoint.
+
+use strum::{Display, IntoStaticStr};
+use sw_unit::{Millis, Time, Tokens};
+
+use crate::{EndpointEntry, ServiceId};
+
+/// An attempt that is under way.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Attempt {
+    /// The endpoint.
+    pub endpoint: EndpointEntry,
+    /// The service that it was chosen for.
+    pub service: ServiceId,
+    /// When it began.
+    pub began: Time,
+    /// Tokens that the engine has to read.
+    pub unread: Tokens,
+    /// Milliseconds that reading them is expected to take.
+    pub read_ms: f64,
+    /// Milliseconds of reading that were ahead of it.
+    pub backlog_ms: f64,
+}
+
+impl Attempt {
+    /// Time since it began.
+    pub fn age(&self, now: Time) -> Millis {
+        now.since(self.began)
+    }
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Outcome {
+    /// The whole answer came.
+    Whole,
+    /// The endpoint answered that it failed.
+    Failed,
+    /// The endpoint says that it did not run the request.
+    Rejected,
+    /// Another endpoint has the address.
+    WrongEndpoint,
+    /// No connection was made, so nothing was sent.
+    Unreachable,
+    /// The connection broke, or what came was no answer to this request.
+    Broken,
+    /// The time was over.
+    Timeout,
+    /// The caller left.
+    Cancelled,
+}
+
+impl Outcome {
+    /// Whether the endpoint cannot have run the request.
+    pub fn not_run(self) -> bool {
+        matches!(self, Self::Rejected | Self::WrongEndpoint | Self::Unreachable)
+    }
+
+    /// Whether the outcome speaks against the endpoint.
+    pub fn is_fault(self) -> bool {
+        matches!(self, Self::Failed | Self::Unreachable | Self::Broken | Self::Timeout)
+    }
+}
--- /dev/null
+++ b/crates/sw-relay/src/cache.rs
@@ -0,0 +1,91 @@
+//! What the prompt cache of an engine probably holds.
+//!
+//! The model follows what this VM sent: each part of a prompt is cached behind the parts before it, and the parts
+//! that were used least recently yield when the memory is full.
+
+use std::hash::{Hash as _, Hasher as _};
+
+use indexmap::IndexMap;
+use sw_unit::{Time, Tokens};
+
+use crate::{Part, Prompt};
+
+/// Share of an engine's memory that is taken to hold cached parts.
+const CACHE_SHARE: f64 = 0.5;
+/// Parts that are remembered for one engine.
+const MAX_PARTS: usize = 512;
+
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    len: Tokens,
+    used: Time,
+}
+
+/// The parts that an engine probably holds.
+#[derive(Debug, Clone, Default)]
+pub struct PromptCache {
+    held: IndexMap<u64, Held>,
+    total: u64,
+}
+
+impl PromptCache {
+    /// Tokens at the start of `prompt` that need not be read again.
+    pub fn cached(&self, prompt: &Prompt) -> Tokens {
+        let chain = chain(&prompt.parts);
+        let held = chain.take_while(|(key, _)| self.held.contains_key(key));
+        Tokens(held.map(|(_, part)| part.len.0).sum())
+    }
+
+    /// Records that an engine with room for `memory` tokens reads `prompt`.
+    pub fn read(&mut self, prompt: &Prompt, memory: Tokens, now: Time) {
+        for (key, part) in chain(&prompt.parts) {
+            let held = Held {
+                len: part.len,
+                used: now,
+            };
+            let before = self.held.insert(key, held);
+            self.total += part.len.0;
+            self.total -= before.map_or(0, |before| before.len.0);
+        }
+        let room = (memory.0 as f64 * CACHE_SHARE) as u64;
+        while self.total > room || self.held.len() > MAX_PARTS {
+            self.evict();
+        }
+    }
+
+    /// Forgets everything, when the engine restarted.
+    pub fn clear(&mut self) {
+        self.held.clear();
+        self.total = 0;
+    }
+
+    fn evict(&mut self) {
+        let oldest = self.held.iter().min_by_key(|(_, held)| held.used).map(|(key, _)| *key);
+        if let Some(held) = oldest.and_then(|key| self.held.swap_remove(&key)) {
+            self.total -= held.len.0;
+        } else {
+            self.total = 0;
+        }
+    }
+}
+
+/// The parts with keys that depend on all parts before them.
+fn chain(parts: &[Part]) -> impl Iterator<Item = (u64, &Part)> {
+    parts.iter().scan(0, |key, part| {
+        *key = link(*key, part.id);
+        Some((*key, part))
+    })
+}
+
+/// The key of a part behind the chain `before`.
+fn link(before: u64, id: u64) -> u64 {
+    let mut hasher = std::hash::DefaultHasher::new();
+    (before, id).hash(&mut hasher);
+    hasher.finish()
+}
+
+/// The key of the parts that other requests may share; `None` if there are none.
+pub(crate) fn shared_key(prompt: &Prompt) -> Option<u64> {
+    let (_, shared) = prompt.parts.split_last()?;
+    chain(shared).last().map(|(key, _)| key)
+}
--- /dev/null
+++ b/crates/sw-relay/src/choose.rs
@@ -0,0 +1,270 @@
+//! The choice of an endpoint or another region.
+//!
+//! Each usable endpoint of the own region is scored by the expected time to its first event, plus a surcharge for
+//! shared parts of the prompt that it would read although another endpoint has them. All VMs rank the endpoints for
+//! a shared part in the same order, so they keep it in one place without telling each other. Another region is asked
+//! when the own one is expected to be late and the other one is not.
+
+use sw_error::{Kind, Refusal};
+use sw_unit::{Millis, RegionId, Time, Tokens};
+
+use crate::cache::shared_key;
+use crate::registry::Endpoint;
+use crate::{Admitted, Choice, EndpointEntry, Load, Prompt, Relay, ServiceId, Tried};
+
+/// Surcharge for reading a shared part once more, in units of the time that it takes.
+const REREAD_SURCHARGE: f64 = 2.0;
+/// Surcharge for each place in the ranking of a shared part, in milliseconds.
+const RANK_SURCHARGE_MS: f64 = 8.0;
+/// Share of the objective above which another region is considered.
+const SPILL_SHARE: f64 = 0.6;
+/// Advantage that another region must have, as a share of the objective.
+const SPILL_MARGIN: f64 = 0.1;
+/// Share of an endpoint's connections that the VMs plan to use.
+const CONNECTION_SHARE: f64 = 0.9;
+/// Time that each waiting request adds at an engine, in milliseconds.
+const WAITING_MS: f64 = 60.0;
+/// Shortest time to come back.
+const MIN_RETRY_AFTER: Millis = Millis(100);
+/// Share of the caller's time within which it may be asked to come back.
+const RETRY_AFTER_SHARE: u64 = 3;
+/// A caller leaves a stream after a pause of at least this,
+const MIN_STREAM_PATIENCE: Millis = Millis(2_000);
+/// this many times the objective,
+const OBJECTIVES_OF_PATIENCE: u64 = 4;
+/// or this many times the longest pause that is on time.
+const GAPS_OF_PATIENCE: u64 = 8;
+
+struct Scored<'a> {
+    endpoint: &'a Endpoint,
+    expected_ms: f64,
+    score: f64,
+}
+
+struct Remote {
+    region: RegionId,
+    expected_ms: f64,
+}
+
+impl Relay {
+    /// Decides where a request goes next.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with [`Kind::NoEndpoint`] if no endpoint can be reached that may run it, and with
+    /// [`Kind::DeadlineUnreachable`] if none is expected to begin in time.
+    pub fn choose(&mut self, admitted: &Admitted, tried: &Tried, now: Time) -> Result<Choice, Refusal> {
+        let local = self.best_local(admitted, tried, now);
+        let local = local.map(|(best, considered)| (best.endpoint.entry.clone(), best.expected_ms, considered));
+        let remote = if admitted.forwarded {
+            None
+        } else {
+            self.best_remote(admitted, tried, now)
+        };
+        let local_ms = local.as_ref().map(|(_, expected_ms, _)| *expected_ms);
+        let expected_ms = match (local_ms, &remote) {
+            (Some(local), Some(remote)) => local.min(remote.expected_ms),
+            (Some(local), None) => local,
+            (None, Some(remote)) => remote.expected_ms,
+            (None, None) => return Err(Refusal::after(Kind::NoEndpoint, self.come_back(admitted, 0.0, now))),
+        };
+        if expected_ms > patience(admitted, now) {
+            let after = self.come_back(admitted, expected_ms, now);
+            return Err(Refusal::after(Kind::DeadlineUnreachable, after));
+        }
+        let spills = |remote: &Remote| local_ms.is_none_or(|local| spills(admitted, local, remote.expected_ms, now));
+        if let Some(remote) = remote.filter(spills)
+            && let Some(choice) = self.peer_choice(admitted, remote, local_ms, tried, now)
+        {
+            return Ok(choice);
+        }
+        let Some((endpoint, expected_ms, considered)) = local else {
+            return Err(Refusal::after(Kind::NoEndpoint, self.come_back(admitted, 0.0, now)));
+        };
+        Ok(Choice::Endpoint {
+            endpoint,
+            expected_ms,
+            considered,
+        })
+    }
+
+    /// Tokens of a prompt that an endpoint probably has to read.
+    pub(crate) fn unread(&self, endpoint: &EndpointEntry, prompt: Option<&Prompt>) -> Tokens {
+        let Some(prompt) = prompt else {
+            return Tokens(0);
+        };
+        let load = self.loads.get(&endpoint.id);
+        prompt
+            .input
+            .saturating_sub(load.map_or(Tokens(0), |load| load.cache.cached(prompt)))
+    }
+
+    /// Milliseconds that an engine of a service takes to read `tokens`.
+    pub(crate) fn read_ms(&self, service: &ServiceId, tokens: Tokens) -> f64 {
+        self.models.get(service).copied().unwrap_or_default().read_ms(tokens)
+    }
+
+    fn best_local<'a>(&'a self, admitted: &'a Admitted, tried: &Tried, now: Time) -> Option<(Scored<'a>, usize)> {
+        if !admitted.route.permits(&self.options.own.region) {
+            return None;
+        }
+        let usable = self.registry.usable(&admitted.service);
+        let own = usable.filter(|endpoint| self.region_of(&endpoint.entry.domain) == Some(&self.options.own.region));
+        let open = own.filter(|endpoint| self.is_open(&endpoint.entry, &admitted.service, now));
+        let open: Vec<_> = open.collect();
+        let fresh = |endpoint: &&&Endpoint| !tried.endpoints.contains_key(&endpoint.entry.id);
+        let well = |endpoint: &&&Endpoint| !self.is_paused(&endpoint.entry, now);
+        let mut candidates: Vec<_> = open.iter().filter(fresh).filter(well).copied().collect();
+        if candidates.is_empty() {
+            candidates = open.iter().filter(fresh).copied().collect();
+        }
+        if candidates.is_empty() && admitted.route.kind.repeatable() {
+            candidates = open;
+        }
+        let ranking = Self::ranking(admitted, &candidates);
+        let scored = candidates
+            .iter()
+            .map(|endpoint| self.score(admitted, endpoint, &ranking, now));
+        let best = scored.min_by(|a, b| a.score.total_cmp(&b.score))?;
+        Some((best, candidates.len()))
+    }
+
+    /// The endpoints in the order in which all VMs prefer them for the shared parts of a prompt.
+    fn ranking<'a>(admitted: &Admitted, candidates: &[&'a Endpoint]) -> Vec<&'a str> {
+        let Some(key) = admitted.prompt.as_ref().and_then(shared_key) else {
+            return Vec::new();
+        };
+        let ids = candidates.iter().map(|endpoint| endpoint.entry.id.as_str());
+        sw_member::top(key, ids, candidates.len())
+    }
+
+    fn score<'a>(&self, admitted: &Admitted, endpoint: &'a Endpoint, ranking: &[&str], now: Time) -> Scored<'a> {
+        let expected_ms = self.expected_ms(admitted, &endpoint.entry, now);
+        let id = endpoint.entry.id.as_str();
+        let rank = ranking.iter().position(|ranked| *ranked == id).unwrap_or_default();
+        let reread_ms = match &admitted.prompt {
+            Some(prompt) if rank > 0 => {
+                let unread = self.unread(&endpoint.entry, Some(prompt));
+                let own = prompt.input.saturating_sub(prompt.shared());
+                self.read_ms(&admitted.service, unread.saturating_sub(own))
+            }
+            _ => 0.0,
+        };
+        Scored {
+            endpoint,
+            expected_ms,
+            score: expected_ms + REREAD_SURCHARGE * reread_ms + RANK_SURCHARGE_MS * rank as f64,
+        }
+    }
+
+    /// Milliseconds until the first event, or until the answer of a plain service.
+    fn expected_ms(&self, admitted: &Admitted, endpoint: &EndpointEntry, now: Time) -> f64 {
+        let idle = Load::default();
+        let load = self.loads.get(&endpoint.id).unwrap_or(&idle);
+        if admitted.prompt.is_some() {
+            let unread = self.unread(endpoint, admitted.prompt.as_ref());
+            let waiting = f64::from(load.waiting(now)) * WAITING_MS;
+            return load.backlog_ms(now) + waiting + self.read_ms(&admitted.service, unread) + load.gap_ms(now);
+        }
+        let service_ms = self
+            .models
+            .get(&admitted.service)
+            .copied()
+            .unwrap_or_default()
+            .service_ms();
+        let ahead = f64::from(load.all_running(now) + 1) / f64::from(endpoint.slots.max(1));
+        service_ms * ahead.max(1.0)
+    }
+
+    fn best_remote(&self, admitted: &Admitted, tried: &Tried, now: Time) -> Option<Remote> {
+        let read_ms = self.remote_read_ms(admitted);
+        let permitted = self.regions.iter().filter(|(region, _)| admitted.route.permits(region));
+        let reachable = permitted.filter(|(region, _)| self.peer_in(region, tried, now).is_some());
+        let expected = reachable.filter_map(|(region, view)| {
+            let wait_ms = view.wait_ms(&admitted.service, now)?;
+            Some(Remote {
+                region: region.clone(),
+                expected_ms: wait_ms + read_ms,
+            })
+        });
+        expected.min_by(|a, b| a.expected_ms.total_cmp(&b.expected_ms))
+    }
+
+    fn remote_read_ms(&self, admitted: &Admitted) -> f64 {
+        match &admitted.prompt {
+            Some(prompt) => self.read_ms(&admitted.service, prompt.input),
+            None => self
+                .models
+                .get(&admitted.service)
+                .copied()
+                .unwrap_or_default()
+                .service_ms(),
+        }
+    }
+
+    fn peer_choice(
+        &mut self,
+        admitted: &Admitted,
+        remote: Remote,
+        local_ms: Option<f64>,
+        tried: &Tried,
+        now: Time,
+    ) -> Option<Choice> {
+        let draw = self.rng.usize(..);
+        let peers: Vec<_> = self.peers_in(&remote.region, tried, now).collect();
+        let row = peers.get(draw.checked_rem(peers.len())?)?;
+        let (vm, address) = (row.vm.clone(), row.peer_listen);
+        let read_ms = self.remote_read_ms(admitted);
+        if let Some(view) = self.regions.get_mut(&remote.region) {
+            view.sent(&admitted.service, read_ms);
+        }
+        Some(Choice::Region {
+            region: remote.region,
+            vm,
+            address,
+            expected_ms: remote.expected_ms,
+            local_ms,
+        })
+    }
+
+    /// Whether this VM's share of an endpoint's connections and of a cold endpoint's rate has room.
+    fn is_open(&self, endpoint: &EndpointEntry, service: &ServiceId, now: Time) -> bool {
+        let running = self.loads.get(&endpoint.id).map_or(0, |load| load.running);
+        let connections = self.service(service).map_or(1, |service| service.max_connections);
+        let share = f64::from(connections) * CONNECTION_SHARE / self.senders() as f64;
+        f64::from(running) < share.max(1.0) && self.pace_allows(endpoint, now)
+    }
+
+    fn is_paused(&self, endpoint: &EndpointEntry, now: Time) -> bool {
+        self.loads.get(&endpoint.id).is_some_and(|load| load.is_paused(now))
+    }
+
+    /// When a refused caller should come back.
+    fn come_back(&mut self, admitted: &Admitted, expected_ms: f64, now: Time) -> Millis {
+        let late_ms = (expected_ms - admitted.route.objective.0 as f64).max(0.0);
+        let after = sw_admit::retry_after(Millis(late_ms as u64).max(MIN_RETRY_AFTER), self.rng.f64());
+        let most = Millis(admitted.deadline.since(now).0 / RETRY_AFTER_SHARE);
+        after.min(most.max(MIN_RETRY_AFTER))
+    }
+}
+
+/// Whether a request that is expected to take `local_ms` here goes to a region where it takes `remote_ms`.
+fn spills(admitted: &Admitted, local_ms: f64, remote_ms: f64, now: Time) -> bool {
+    let objective = admitted.route.objective.0 as f64;
+    let elapsed = now.since(admitted.received).0 as f64;
+    local_ms + elapsed > objective * SPILL_SHARE && remote_ms + objective * SPILL_MARGIN < local_ms
+}
+
+/// Milliseconds that the caller still waits for the first event or the answer.
+fn patience(admitted: &Admitted, now: Time) -> f64 {
+    let left = admitted.left(now);
+    if !admitted.route.kind.streams() {
+        return left.0 as f64;
+    }
+    let objectives = Millis(admitted.route.objective.0 * OBJECTIVES_OF_PATIENCE);
+    let gap = admitted.route.gap_objective.unwrap_or_default();
+    let pause = MIN_STREAM_PATIENCE
+        .max(objectives)
+        .max(Millis(gap.0 * GAPS_OF_PATIENCE));
+    left.min(pause.saturating_sub(now.since(admitted.received))).0 as f64
+}
--- /dev/null
+++ b/crates/sw-relay/src/lib.rs
@@ -0,0 +1,39 @@
+//! Decisions about requests to discovered services.
+//!
+//! Where [`sw-gate`] serves routes whose endpoints stand in the configuration, [`Relay`] serves routes that are found
+//! by host and path and whose endpoints register themselves. It joins the route [`Table`], the [`Registry`] of
+//! endpoints, the estimates of their load and the view of other VMs. Like the gate it opens no socket and reads no
+//! clock: it takes an event and the time, and returns what to do.
+//!
+//! A request passes [`Relay::admit`], then [`Relay::choose`] and [`Relay::begin`] once for each attempt. The
+//! [`Attempt`] that `begin` returns is given back with its [`Outcome`].
+//!
+//! [`sw-gate`]: https://example.invalid/shallotwing
+
+mod attempt;
+mod beat;
+mod cache;
+mod candidate;
+mod choose;
+mod exchange;
+mod load;
+mod model;
+mod pace;
+mod region;
+mod registry;
+mod relay;
+mod table;
+mod types;
+
+pub use attempt::{Attempt, Outcome};
+pub use beat::{Beat, EndpointLoad, ServiceLoad};
+pub use cache::PromptCache;
+pub use candidate::{Choice, Tried};
+pub use load::Load;
+pub use model::EngineModel;
+pub use pace::Pace;
+pub use region::RegionView;
+pub use registry::{Endpoint, Registry};
+pub use relay::{Admitted, Options, Relay};
+pub use table::{ClientLimits, EngineSpec, Route, RouteKind, Service, Table, Target};
+pub use types::{EndpointEntry, Fact, LoadReport, Part, Prompt, RequestHead, ServiceId};
--- /dev/null
+++ b/crates/sw-relay/src/load.rs
@@ -0,0 +1,149 @@
+//! The load of one endpoint, as this VM sees it.
+//!
+//! What this VM sent is known at once. What the other VMs of the region sent comes with their beats, and the
+//! endpoint's own report with its answers. Pauses between the events of streams show how busy an engine is, whoever
+//! keeps it busy.
+
+use indexmap::IndexMap;
+use sw_unit::{Millis, Time, VmId};
+
+use crate::{EndpointLoad, LoadReport, Pace, PromptCache};
+
+/// Pause between two events on an idle engine, in milliseconds.
+const IDLE_GAP_MS: f64 = 45.0;
+/// Weight of the newest pause.
+const NEWEST_GAP: f64 = 0.2;
+/// Without streams for this long, an engine is taken to be idle.
+const GAP_MEMORY: Millis = Millis(1_500);
+/// A report or beat older than this is not used.
+const REPORT_MEMORY: Millis = Millis(1_500);
+/// Failures in a row after which an endpoint is paused.
+const FAILURES_TO_PAUSE: u32 = 3;
+/// First pause; each further failure doubles it.
+const FIRST_PAUSE: Millis = Millis(1_000);
+/// Longest pause.
+const MAX_PAUSE: Millis = Millis(8_000);
+
+/// The load of one endpoint.
+#[derive(Debug, Clone, Default)]
+pub struct Load {
+    /// Requests of this VM that run there.
+    pub running: u32,
+    /// What its prompt cache probably holds.
+    pub cache: PromptCache,
+    /// Pacing while it is cold.
+    pub pace: Pace,
+    /// When the prompts that this VM sent are read, in milliseconds of the process's clock.
+    read_until: f64,
+    gap: Option<(f64, Time)>,
+    report: Option<(LoadReport, Time)>,
+    peers: IndexMap<VmId, (EndpointLoad, Time)>,
+    failures: u32,
+    paused_until: Time,
+}
+
+impl Load {
+    /// Milliseconds of reading that are ahead of a new prompt.
+    pub fn backlog_ms(&self, now: Time) -> f64 {
+        let peers: f64 = self
+            .fresh_peers(now)
+            .map(|(load, age)| (load.backlog_ms - age).max(0.0))
+            .sum();
+        self.own_backlog_ms(now) + peers
+    }
+
+    /// Milliseconds of reading that this VM sent and that are not done.
+    pub fn own_backlog_ms(&self, now: Time) -> f64 {
+        (self.read_until - now.0 as f64).max(0.0)
+    }
+
+    /// Requests that run there, of all VMs.
+    pub fn all_running(&self, now: Time) -> u32 {
+        let peers: u32 = self.fresh_peers(now).map(|(load, _)| load.running).sum();
+        let known = self.running + peers;
+        self.fresh_report(now)
+            .map_or(known, |report| known.max(report.running + report.waiting))
+    }
+
+    /// Requests that wait there.
+    pub fn waiting(&self, now: Time) -> u32 {
+        self.fresh_report(now).map_or(0, |report| report.waiting)
+    }
+
+    /// The pause between two events, in milliseconds.
+    pub fn gap_ms(&self, now: Time) -> f64 {
+        let fresh = self.gap.filter(|(_, at)| now.since(*at) < GAP_MEMORY);
+        fresh.map_or(IDLE_GAP_MS, |(gap, _)| gap)
+    }
+
+    /// Records a prompt that takes `read_ms` to read.
+    pub fn sent(&mut self, read_ms: f64, now: Time) {
+        self.running += 1;
+        self.read_until = self.read_until.max(now.0 as f64) + read_ms;
+    }
+
+    /// Records that the first event came of a prompt that was expected to take `read_ms` more.
+    pub fn caught_up(&mut self, unread_ms: f64, now: Time) {
+        // What is read earlier than expected was ahead of the rest.
+        self.read_until = (self.read_until - unread_ms).max(now.0 as f64);
+    }
+
+    /// Records the end of a request.
+    pub fn ended(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Records a pause between two events.
+    pub fn paused_between_events(&mut self, gap: Millis, now: Time) {
+        let before = self.gap_ms(now);
+        self.gap = Some((before + NEWEST_GAP * (gap.0 as f64 - before), now));
+    }
+
+    /// Records what the endpoint said.
+    pub fn reported(&mut self, report: LoadReport, now: Time) {
+        self.report = Some((report, now));
+    }
+
+    /// Records what another VM sent there.
+    pub fn heard(&mut self, vm: VmId, load: EndpointLoad, now: Time) {
+        self.peers.insert(vm, (load, now));
+    }
+
+    /// Records a good answer.
+    pub fn succeeded(&mut self) {
+        self.failures = 0;
+        self.paused_until = Time(0);
+    }
+
+    /// Records a failed attempt, and returns the end of the pause if it begins one.
+    pub fn failed(&mut self, now: Time) -> Option<Time> {
+        self.failures += 1;
+        let excess = self.failures.checked_sub(FAILURES_TO_PAUSE)?;
+        let pause = Millis(FIRST_PAUSE.0 << excess.min(10)).min(MAX_PAUSE);
+        self.paused_until = now + pause;
+        Some(self.paused_until)
+    }
+
+    /// Whether the endpoint is paused after failures.
+    pub fn is_paused(&self, now: Time) -> bool {
+        self.paused_until > now
+    }
+
+    /// Failures in a row.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    fn fresh_report(&self, now: Time) -> Option<LoadReport> {
+        let fresh = self.report.filter(|(_, at)| now.since(*at) < REPORT_MEMORY);
+        fresh.map(|(report, _)| report)
+    }
+
+    fn fresh_peers(&self, now: Time) -> impl Iterator<Item = (&EndpointLoad, f64)> {
+        let fresh = move |(_, at): &&(EndpointLoad, Time)| now.since(*at) < REPORT_MEMORY;
+        self.peers
+            .values()
+            .filter(fresh)
+            .map(move |(load, at)| (load, now.since(*at).0 as f64))
+    }
+}
--- /dev/null
+++ b/crates/sw-relay/src/model.rs
@@ -0,0 +1,68 @@
+//! How fast the endpoints of a service are.
+//!
+//! All figures are learned from answers: tokens of a prompt that are read in a millisecond, and for plain services
+//! the time that a request takes.
+
+use sw_unit::{Millis, Tokens};
+
+/// Tokens read in a millisecond before any answer was seen.
+const DEFAULT_READ_RATE: f64 = 40.0;
+/// Bounds of the tokens that are read in a millisecond.
+const READ_RATE_BOUNDS: (f64, f64) = (2.0, 500.0);
+/// Time that a plain request takes before any answer was seen, in milliseconds.
+const DEFAULT_SERVICE_MS: f64 = 25.0;
+/// Time between reading the prompt and the first event, in milliseconds.
+const FIRST_EVENT_MS: f64 = 45.0;
+/// Weight of the newest observation.
+const NEWEST: f64 = 0.05;
+/// Prompts shorter than this say little about the speed of reading.
+const MIN_OBSERVED_TOKENS: u64 = 1_500;
+
+/// Learned speed of the endpoints of one service.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineModel {
+    read_rate: f64,
+    service_ms: f64,
+}
+
+impl Default for EngineModel {
+    fn default() -> Self {
+        Self {
+            read_rate: DEFAULT_READ_RATE,
+            service_ms: DEFAULT_SERVICE_MS,
+        }
+    }
+}
+
+impl EngineModel {
+    /// Milliseconds that an engine takes to read `tokens`.
+    pub fn read_ms(&self, tokens: Tokens) -> f64 {
+        tokens.0 as f64 / self.read_rate
+    }
+
+    /// Milliseconds that a plain request takes.
+    pub fn service_ms(&self) -> f64 {
+        self.service_ms
+    }
+
+    /// Tokens that are read in a millisecond.
+    pub fn read_rate(&self) -> f64 {
+        self.read_rate
+    }
+
+    /// Records that the first event came after `taken`, with `tokens` read on an engine without a queue.
+    pub fn first_event(&mut self, tokens: Tokens, taken: Millis) {
+        if tokens.0 < MIN_OBSERVED_TOKENS {
+            return;
+        }
+        let reading = (taken.0 as f64 - FIRST_EVENT_MS).max(1.0);
+        let (low, high) = READ_RATE_BOUNDS;
+        let seen = (tokens.0 as f64 / reading).clamp(low, high);
+        self.read_rate += NEWEST * (seen - self.read_rate);
+    }
+
+    /// Records that a plain request took `taken`.
+    pub fn answered(&mut self, taken: Millis) {
+        self.service_ms += NEWEST * (taken.0 as f64 - self.service_ms);
+    }
+}
--- /dev/null
+++ b/crates/sw-relay/src/region.rs
@@ -0,0 +1,79 @@
+//! How busy other regions are.
+
+use indexmap::IndexMap;
+use sw_unit::{Millis, RegionId, Time};
+
+use crate::{ServiceId, ServiceLoad};
+
+/// A summary older than this is not used.
+const SUMMARY_MEMORY: Millis = Millis(2_500);
+/// Time to another region and back before any was measured, in milliseconds.
+const DEFAULT_ROUND_TRIP_MS: f64 = 120.0;
+/// Weight of the newest round trip.
+const NEWEST: f64 = 0.2;
+
+#[derive(Debug, Clone)]
+struct Summary {
+    load: ServiceLoad,
+    at: Time,
+    /// Work that this VM sent there since, in milliseconds of one endpoint.
+    sent_ms: f64,
+}
+
+/// What the VMs of one other region say.
+#[derive(Debug, Clone)]
+pub struct RegionView {
+    services: IndexMap<ServiceId, Summary>,
+    round_trip_ms: f64,
+}
+
+impl Default for RegionView {
+    fn default() -> Self {
+        Self {
+            services: IndexMap::new(),
+            round_trip_ms: DEFAULT_ROUND_TRIP_MS,
+        }
+    }
+}
+
+/// Other regions by name.
+pub(crate) type Regions = IndexMap<RegionId, RegionView>;
+
+impl RegionView {
+    /// Records what a VM of the region says.
+    pub fn heard(&mut self, loads: Vec<ServiceLoad>, now: Time) {
+        for load in loads {
+            let summary = Summary {
+                load,
+                at: now,
+                sent_ms: 0.0,
+            };
+            self.services.insert(summary.load.service.clone(), summary);
+        }
+    }
+
+    /// Records the time of a call to the region and back.
+    pub fn took(&mut self, round_trip: Millis) {
+        self.round_trip_ms += NEWEST * (round_trip.0 as f64 - self.round_trip_ms);
+    }
+
+    /// Records work of `read_ms` that this VM sends there.
+    pub fn sent(&mut self, service: &ServiceId, read_ms: f64) {
+        if let Some(summary) = self.services.get_mut(service) {
+            summary.sent_ms += read_ms / f64::from(summary.load.usable.max(1));
+        }
+    }
+
+    /// Milliseconds until a request to `service` is begun there; `None` if it has no usable endpoint or is not heard.
+    pub fn wait_ms(&self, service: &ServiceId, now: Time) -> Option<f64> {
+        let summary = self.services.get(service)?;
+        let fresh = now.since(summary.at) < SUMMARY_MEMORY && summary.load.usable > 0;
+        let wait = summary.load.wait_ms + summary.load.gap_ms + summary.sent_ms + self.round_trip_ms;
+        fresh.then_some(wait)
+    }
+
+    /// The time of a call to the region and back, in milliseconds.
+    pub fn round_trip_ms(&self) -> f64 {
+        self.round_trip_ms
+    }
+}
--- /dev/null
+++ b/crates/sw-relay/src/registry.rs
@@ -0,0 +1,134 @@
+//! The endpoints that are registered.
+//!
+//! A life that was seen leaving stays so. While the store is away, and shortly after, registrations lapse of
+//! endpoints that are well; such an endpoint stays in use until the grace is over.
+
+use indexmap::{IndexMap, IndexSet};
+use sw_unit::{DomainId, EndpointId, Millis, Time};
+
+use crate::{EndpointEntry, ServiceId};
+
+/// Time after the store's return within which live endpoints register again.
+const RETURN_GRACE: Millis = Millis(2_300);
+
+/// A registered endpoint.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Endpoint {
+    /// What it says about itself.
+    pub entry: EndpointEntry,
+    /// It is cold until then.
+    pub cold_until: Time,
+    /// It is gone from then on unless it registers again.
+    lapses: Option<Time>,
+}
+
+/// The registered endpoints and the failure domains that are being emptied.
+#[derive(Debug, Clone, Default)]
+pub struct Registry {
+    endpoints: IndexMap<EndpointId, Endpoint>,
+    evacuated: IndexSet<DomainId>,
+    returned: Option<Time>,
+}
+
+impl Registry {
+    /// Takes in a registration, and returns whether anything but its heartbeat changed.
+    pub fn learn(&mut self, mut entry: EndpointEntry, now: Time) -> bool {
+        let cold_until = now + entry.cold_for;
+        let Some(known) = self.endpoints.get_mut(&entry.id) else {
+            let endpoint = Endpoint {
+                cold_until,
+                lapses: None,
+                entry,
+            };
+            self.endpoints.insert(endpoint.entry.id.clone(), endpoint);
+            return true;
+        };
+        if entry.life == known.entry.life {
+            entry.leaving |= known.entry.leaving;
+        } else if entry.life < known.entry.life {
+            return false;
+        }
+        let cold = entry.cold_for > Millis(0);
+        let changed = known.lapses.is_some()
+            || known.entry.life != entry.life
+            || known.entry.leaving != entry.leaving
+            || known.entry.address != entry.address
+            || known.entry.service != entry.service
+            || cold != (known.cold_until > now);
+        known.cold_until = cold_until;
+        known.lapses = None;
+        known.entry = entry;
+        changed
+    }
+
+    /// Takes in that a registration is gone, and returns whether the endpoint is gone with it.
+    pub fn removed(&mut self, id: &EndpointId, now: Time) -> bool {
+        let grace_end = self.returned.map(|returned| returned + RETURN_GRACE);
+        match (self.endpoints.get_mut(id), grace_end) {
+            (Some(known), Some(end)) if now < end && !known.entry.leaving => {
+                known.lapses = Some(end);
+                false
+            }
+            (Some(_), _) => self.endpoints.swap_remove(id).is_some(),
+            (None, _) => false,
+        }
+    }
+
+    /// Records that the store answers again after an outage.
+    pub fn store_returned(&mut self, now: Time) {
+        self.returned = Some(now);
+    }
+
+    /// Drops endpoints that did not register again in time, and returns them.
+    pub fn expire(&mut self, now: Time) -> Vec<EndpointId> {
+        let over = |endpoint: &Endpoint| endpoint.lapses.is_some_and(|lapses| lapses <= now);
+        let gone: Vec<_> = self.endpoints.values().filter(|endpoint| over(endpoint)).collect();
+        let gone: Vec<_> = gone.into_iter().map(|endpoint| endpoint.entry.id.clone()).collect();
+        for id in &gone {
+            self.endpoints.swap_remove(id);
+        }
+        gone
+    }
+
+    /// Begins or ends the evacuation of a failure domain, and returns whether that is a change.
+    pub fn evacuate(&mut self, domain: DomainId, on: bool) -> bool {
+        if on {
+            self.evacuated.insert(domain)
+        } else {
+            self.evacuated.swap_remove(&domain)
+        }
+    }
+
+    /// Endpoints of a service that may be sent to, in all failure domains.
+    pub fn usable<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Endpoint> {
+        let usable = move |endpoint: &&Endpoint| endpoint.entry.service == *service && self.is_usable(endpoint);
+        self.endpoints.values().filter(usable)
+    }
+
+    /// Whether this life of an endpoint may be sent to.
+    pub fn may_send(&self, entry: &EndpointEntry) -> bool {
+        let known = self.endpoints.get(&entry.id);
+        known.is_some_and(|known| known.entry.life == entry.life && self.is_usable(known))
+    }
+
+    /// The endpoint with an id.
+    pub fn get(&self, id: &EndpointId) -> Option<&Endpoint> {
+        self.endpoints.get(id)
+    }
+
+    /// All endpoints.
+    pub fn all(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values()
+    }
+
+    /// Records how much longer an endpoint says it is cold.
+    pub fn set_cold(&mut self, id: &EndpointId, cold_for: Millis, now: Time) {
+        if let Some(known) = self.endpoints.get_mut(id) {
+            known.cold_until = known.cold_until.max(now + cold_for);
+        }
+    }
+
+    fn is_usable(&self, endpoint: &Endpoint) -> bool {
+        !endpoint.entry.leaving && !self.evacuated.contains(&endpoint.entry.domain)
+    }
+}
--- /dev/null
+++ b/crates/sw-relay/src/relay.rs
@@ -0,0 +1,334 @@
+//! The state of one VM, and what it learns.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use sw_admit::RetryBudget;
+use sw_error::{Kind, Refusal};
+use sw_member::{Members, VmRow};
+use sw_unit::{DomainId, EndpointId, Millis, Rate, RegionId, Time, VmId};
+
+use crate::region::Regions;
+use crate::{
+    Attempt, EndpointEntry, EngineModel, Fact, Load, LoadReport, Outcome, Prompt, Registry, RequestHead, Route,
+    Service, ServiceId, Table, Tried,
+};
+
+/// Share of the retries that all VMs together are allowed that they plan to use, so that views that differ do not
+/// add up to too many.
+const RETRY_SAFETY: f64 = 0.5;
+/// Time that a caller without a deadline is taken to wait.
+const DEFAULT_PATIENCE: Millis = Millis(30_000);
+
+/// Bounds of [`Relay`].
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// What this VM says about itself.
+    pub own: VmRow,
+    /// Bounds of membership.
+    pub members: sw_member::Options,
+    /// The region of each failure domain.
+    pub regions: IndexMap<DomainId, RegionId>,
+    /// Share of a service's requests that may be sent once more, by all VMs together.
+    pub retry_ratio: f64,
+    /// Further retries that all VMs together may make in a window.
+    pub retry_slack: f64,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// A request that may be run.
+#[derive(Debug, Clone)]
+pub struct Admitted {
+    /// The id that the caller gave this attempt.
+    pub id: Arc<str>,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that runs it.
+    pub service: ServiceId,
+    /// Its prompt, if it goes to a model engine.
+    pub prompt: Option<Prompt>,
+    /// When it was received.
+    pub received: Time,
+    /// When the caller stops waiting.
+    pub deadline: Time,
+    /// When its final answer is due: the deadline, or the route's timeout if that is sooner.
+    pub due: Time,
+    /// Whether another VM forwarded it.
+    pub forwarded: bool,
+    /// The version of the configuration that admitted it.
+    pub version: sw_unit::Version,
+}
+
+impl Admitted {
+    /// Time until the final answer is due.
+    pub fn left(&self, now: Time) -> Millis {
+        self.due.since(now)
+    }
+}
+
+/// The decision core of one VM for discovered services.
+#[derive(Debug)]
+pub struct Relay {
+    pub(crate) options: Options,
+    pub(crate) members: Members,
+    pub(crate) registry: Registry,
+    pub(crate) table: Option<Arc<Table>>,
+    pub(crate) loads: IndexMap<EndpointId, Load>,
+    pub(crate) models: IndexMap<ServiceId, EngineModel>,
+    pub(crate) regions: Regions,
+    pub(crate) revision: u64,
+    pub(crate) peer_revisions: IndexMap<VmId, u64>,
+    budgets: IndexMap<ServiceId, RetryBudget>,
+    pub(crate) rng: fastrand::Rng,
+}
+
+impl Relay {
+    /// A VM that knows nothing but itself.
+    pub fn new(options: Options) -> Self {
+        Self {
+            members: Members::new(options.own.clone(), options.members),
+            registry: Registry::default(),
+            table: None,
+            loads: IndexMap::new(),
+            models: IndexMap::new(),
+            regions: Regions::new(),
+            revision: 0,
+            peer_revisions: IndexMap::new(),
+            budgets: IndexMap::new(),
+            rng: fastrand::Rng::with_seed(options.seed),
+            options,
+        }
+    }
+
+    /// The configuration in force; `None` before any was learned.
+    pub fn table(&self) -> Option<&Arc<Table>> {
+        self.table.as_ref()
+    }
+
+    /// The endpoints.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// The VMs.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// Takes in what the store says, and returns whether that changed anything.
+    ///
+    /// A configuration that is not newer than the one in force is ignored.
+    pub fn learn(&mut self, fact: Fact, now: Time) -> bool {
+        match fact {
+            Fact::Table(table) => self.adopt(table),
+            Fact::Endpoint(_, Some(entry)) => self.learn_endpoint(entry, now),
+            Fact::Endpoint(id, None) | Fact::Unreadable { endpoint: Some(id), .. } => self.registry.removed(&id, now),
+            Fact::Evacuated(domain, on) => self.registry.evacuate(domain, on),
+            Fact::Unreadable { endpoint: None, .. } | Fact::Other => false,
+        }
+    }
+
+    /// Records up to which revision the store's changes are known.
+    pub fn set_revision(&mut self, revision: u64) {
+        self.revision = revision;
+    }
+
+    /// Records that the store answers again after an outage.
+    pub fn store_returned(&mut self, now: Time) {
+        self.registry.store_returned(now);
+    }
+
+    /// Changes the bounds of retries of all VMs together.
+    pub fn set_retry_bounds(&mut self, ratio: f64, slack: f64) {
+        self.options.retry_ratio = ratio;
+        self.options.retry_slack = slack;
+        self.budgets.clear();
+    }
+
+    /// Announces that this VM is stopping.
+    pub fn leave(&mut self) {
+        self.members.leave();
+    }
+
+    /// Drops what is out of date, and returns the endpoints that are gone.
+    pub fn tick(&mut self, now: Time) -> Vec<EndpointId> {
+        self.members.prune(now);
+        let gone = self.registry.expire(now);
+        let registry = &self.registry;
+        self.loads
+            .retain(|id, load| load.running > 0 || registry.get(id).is_some());
+        gone
+    }
+
+    /// Admits a request that was received at `received`, with `left` until the caller stops waiting.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with [`Kind::NoConfiguration`] before a configuration is known, with [`Kind::UnknownRoute`], or with
+    /// [`Kind::WrongRegion`] if another VM forwarded it into a region that the route does not permit.
+    pub fn admit(&mut self, head: RequestHead, received: Time, forwarded: bool) -> Result<Admitted, Refusal> {
+        let table = self.table.clone().ok_or(Kind::NoConfiguration)?;
+        let route = table.find(&head.host, &head.path).ok_or(Kind::UnknownRoute)?;
+        if forwarded && !route.permits(&self.options.own.region) {
+            return Err(Kind::WrongRegion.into());
+        }
+        let service = route.target(self.rng.u64(..)).ok_or(Kind::NoEndpoint)?.clone();
+        if !forwarded {
+            self.budget(&service).attempted();
+        }
+        let deadline = received + head.left.unwrap_or(DEFAULT_PATIENCE);
+        Ok(Admitted {
+            id: head.id,
+            due: deadline.min(received + route.timeout),
+            deadline,
+            route: Arc::clone(route),
+            service,
+            prompt: head.prompt,
+            received,
+            forwarded,
+            version: table.version,
+        })
+    }
+
+    /// Whether a request may be sent once more; takes it out of the budget.
+    pub fn take_retry(&mut self, admitted: &Admitted, tried: &Tried) -> bool {
+        let runs_left = tried.runs() < admitted.route.max_attempts.max(1);
+        let repeatable = !tried.may_have_run || admitted.route.kind.repeatable();
+        runs_left && repeatable && self.budget(&admitted.service).take()
+    }
+
+    /// Begins an attempt at an endpoint that was chosen; `None` if nothing may be sent there any more.
+    pub fn begin(&mut self, admitted: &Admitted, endpoint: &EndpointEntry, now: Time) -> Option<Attempt> {
+        if !self.registry.may_send(endpoint) || !self.pace_allows(endpoint, now) {
+            return None;
+        }
+        let unread = self.unread(endpoint, admitted.prompt.as_ref());
+        let read_ms = self.read_ms(&admitted.service, unread);
+        let senders = self.senders();
+        let (rate, memory) = self.service(&admitted.service).map_or((Rate(0.0), None), |service| {
+            (service.cold_rate, service.engine.map(|engine| engine.memory))
+        });
+        let cold = self.is_cold(endpoint, now);
+        let load = self.loads.entry(endpoint.id.clone()).or_default();
+        let backlog_ms = load.backlog_ms(now);
+        load.sent(read_ms, now);
+        if let (Some(prompt), Some(memory)) = (&admitted.prompt, memory) {
+            load.cache.read(prompt, memory, now);
+        }
+        if cold {
+            load.pace.sent(rate, senders, now);
+        }
+        Some(Attempt {
+            endpoint: endpoint.clone(),
+            service: admitted.service.clone(),
+            began: now,
+            unread,
+            read_ms,
+            backlog_ms,
+        })
+    }
+
+    /// Records the first event of a stream.
+    pub fn first_event(&mut self, attempt: &Attempt, now: Time) {
+        if attempt.backlog_ms < 1.0 {
+            let model = self.models.entry(attempt.service.clone()).or_default();
+            model.first_event(attempt.unread, attempt.age(now));
+        }
+    }
+
+    /// Records a pause between two events of a stream.
+    pub fn event_gap(&mut self, attempt: &Attempt, gap: Millis, now: Time) {
+        if let Some(load) = self.loads.get_mut(&attempt.endpoint.id) {
+            load.paused_between_events(gap, now);
+        }
+    }
+
+    /// Records what an endpoint says with an answer.
+    pub fn reported(&mut self, endpoint: &EndpointId, report: Option<LoadReport>, cold_for: Option<Millis>, now: Time) {
+        if let (Some(report), Some(load)) = (report, self.loads.get_mut(endpoint)) {
+            load.reported(report, now);
+        }
+        if let Some(cold_for) = cold_for {
+            self.registry.set_cold(endpoint, cold_for, now);
+        }
+    }
+
+    /// Ends an attempt, and returns the end of the pause if the endpoint is paused for its failures.
+    pub fn end(&mut self, attempt: &Attempt, outcome: Outcome, now: Time) -> Option<Time> {
+        if outcome == Outcome::Whole && attempt.unread.0 == 0 {
+            let model = self.models.entry(attempt.service.clone()).or_default();
+            model.answered(attempt.age(now));
+        }
+        let load = self.loads.get_mut(&attempt.endpoint.id)?;
+        load.ended();
+        if outcome == Outcome::Whole {
+            load.succeeded();
+            return None;
+        }
+        if outcome.is_fault() { load.failed(now) } else { None }
+    }
+
+    /// The load of an endpoint; `None` if nothing was sent there.
+    pub fn load(&self, endpoint: &EndpointId) -> Option<&Load> {
+        self.loads.get(endpoint)
+    }
+
+    pub(crate) fn service(&self, id: &ServiceId) -> Option<&Service> {
+        self.table.as_ref()?.services.get(id)
+    }
+
+    pub(crate) fn region_of(&self, domain: &DomainId) -> Option<&RegionId> {
+        self.options.regions.get(domain)
+    }
+
+    /// VMs that may send to the endpoints of this region, live or not, this VM included.
+    pub(crate) fn senders(&self) -> usize {
+        let region = &self.options.own.region;
+        let others = self
+            .members
+            .others()
+            .filter(|row| row.region == *region && !row.leaving);
+        1 + others.count()
+    }
+
+    pub(crate) fn is_cold(&self, endpoint: &EndpointEntry, now: Time) -> bool {
+        let known = self.registry.get(&endpoint.id);
+        known.is_some_and(|known| known.cold_until > now)
+    }
+
+    pub(crate) fn pace_allows(&self, endpoint: &EndpointEntry, now: Time) -> bool {
+        let load = self.loads.get(&endpoint.id);
+        !self.is_cold(endpoint, now) || load.is_none_or(|load| load.pace.allows(now))
+    }
+
+    fn adopt(&mut self, table: Arc<Table>) -> bool {
+        let newer = self.table.as_ref().is_none_or(|known| known.version < table.version);
+        if newer {
+            self.members.set_version(table.version);
+            self.table = Some(table);
+        }
+        newer
+    }
+
+    fn learn_endpoint(&mut self, entry: EndpointEntry, now: Time) -> bool {
+        let known = self.registry.get(&entry.id);
+        let restarted = known.is_some_and(|known| known.entry.life < entry.life);
+        if restarted && let Some(load) = self.loads.get_mut(&entry.id) {
+            load.cache.clear();
+        }
+        self.registry.learn(entry, now)
+    }
+
+    fn budget(&mut self, service: &ServiceId) -> &mut RetryBudget {
+        let vms = self.members.known_count() as f64;
+        let (share, saved) = (
+            self.options.retry_ratio * RETRY_SAFETY,
+            self.options.retry_slack * RETRY_SAFETY / vms,
+        );
+        let new = || RetryBudget::new(share, saved.max(1.0));
+        let budget = self.budgets.entry(service.clone()).or_insert_with(new);
+        budget.set_max_saved(saved.max(1.0));
+        budget
+    }
+}
--- /dev/null
+++ b/crates/sw-store/src/feed.rs
@@ -0,0 +1,67 @@
+//! Following what a store holds.
+
+use std::fmt;
+use std::time::Duration;
+
+use crate::{Change, Item, StoreError};
+
+/// What a full read found.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Snapshot {
+    /// The store's revision before the read began.
+    pub revision: u64,
+    /// The items.
+    pub items: Vec<Item>,
+}
+
+/// What changed since a revision.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Changes {
+    /// The revision up to which all changes are listed.
+    pub revision: u64,
+    /// The changes, oldest first.
+    pub changes: Vec<Change>,
+}
+
+/// Why changes are not known.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FeedError {
+    /// The store no longer has the history; a full read is needed.
+    HistoryGone,
+    /// The call failed.
+    Store(StoreError),
+}
+
+impl fmt::Display for FeedError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::HistoryGone => f.write_str("the store no longer has the history"),
+            Self::Store(error) => write!(f, "{error}"),
+        }
+    }
+}
+
+impl std::error::Error for FeedError {}
+
+impl From<StoreError> for FeedError {
+    fn from(error: StoreError) -> Self {
+        Self::Store(error)
+    }
+}
+
+/// A store whose items a process follows.
+pub trait Feed: Clone + 'static {
+    /// Reads all items that the process follows.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`].
+    fn read(&self) -> impl Future<Output = Result<Snapshot, StoreError>>;
+
+    /// Waits up to `wait` for changes after `revision`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FeedError`].
+    fn changes(&self, revision: u64, wait: Duration) -> impl Future<Output = Result<Changes, FeedError>>;
+}
--- a/crates/sw-time/src/clock.rs
+++ b/crates/sw-time/src/clock.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use sw_unit::{Millis, Time, WallTime};
 
@@ -60,3 +60,30 @@
         WallTime(self.now.load(Ordering::Relaxed))
     }
 }
+
+/// The clock of the operating system that also counts the time for which the VM was suspended.
+#[derive(Debug, Clone, Copy)]
+pub struct BootClock {
+    start: Duration,
+}
+
+impl Default for BootClock {
+    fn default() -> Self {
+        Self { start: since_boot() }
+    }
+}
+
+impl Clock for BootClock {
+    fn now(&self) -> Time {
+        Time(since_boot().saturating_sub(self.start).as_millis() as u64)
+    }
+
+    fn wall(&self) -> WallTime {
+        SystemClock { start: Instant::now() }.wall()
+    }
+}
+
+fn since_boot() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Duration::new(time.tv_sec.cast_unsigned(), time.tv_nsec as u32)
+}
--- a/crates/sw-time/src/lib.rs
+++ b/crates/sw-time/src/lib.rs
@@ -6,5 +6,5 @@
 mod clock;
 mod timer;
 
-pub use clock::{Clock, ManualClock, SystemClock};
+pub use clock::{BootClock, Clock, ManualClock, SystemClock};
 pub use timer::{Subscription, TimerService};
