fix(relay): only a VM that says so did not run a request

Cause: any refusal of another VM counted as not run, also 'outcome unknown', so a payment or a stream could be sent twice and a refusal could be untrue. Ruled out: lost replies of capnp-rpc (the logs show the refusal arriving). Change: Outcome::of_refusal reads the refusal's own word; what was tried and what may be said of it moved into sw-relay, with a property test.

--- a/crates/sw-proxy/src/forward.rs
+++ b/crates/sw-proxy/src/forward.rs
@@ -14,7 +14,7 @@
 
 use crate::attempt::Call;
 use crate::core::Core;
-use crate::request::{Answer, Sent};
+use crate::request::Answer;
 use crate::{Dialect, telemetry};
 
 /// Hops of a request that its entry VM forwards.
@@ -24,12 +24,12 @@
 ///
 /// # Errors
 ///
-/// Returns [`Sent::Refused`] if the VM says that it did not hand the request over, else how the attempt ended.
+/// Returns how the attempt ended; [`Outcome::not_run`] tells whether it cannot have run.
 pub(crate) async fn send<D: Dialect, F: 'static>(
     core: &Rc<Core<D, F>>,
     call: &Call,
     address: SocketAddr,
-) -> Result<Answer, Sent> {
+) -> Result<Answer, Outcome> {
     let left = call.admitted.left(core.now());
     let relayed = RelayCall {
         method: call.method.to_string(),
@@ -45,14 +45,14 @@
         Ok(Some(RelayEvent::Head { status, headers })) => {
             return pass_on(core, call, status, headers, events).await;
         }
-        Ok(Some(RelayEvent::End(Err(refusal)))) => return Err(Sent::Refused(refusal)),
+        Ok(Some(RelayEvent::End(Err(refusal)))) => return Err(Outcome::of_refusal(refusal)),
         Ok(Some(RelayEvent::NotSent)) => Outcome::Unreachable,
         Ok(Some(RelayEvent::Chunk(_) | RelayEvent::End(Ok(()))) | None) => Outcome::Broken,
         Err(_elapsed) => Outcome::Timeout,
     };
     let age = core.now().since(call.admitted.received);
     telemetry::attempt_ended(&call.admitted, "", outcome, 0, age);
-    Err(Sent::Ended(outcome))
+    Err(outcome)
 }
 
 async fn pass_on<D: Dialect, F: 'static>(
@@ -61,9 +61,9 @@
     status: u16,
     headers: Vec<(String, Bytes)>,
     events: mpsc::Receiver<RelayEvent>,
-) -> Result<Answer, Sent> {
+) -> Result<Answer, Outcome> {
     let mut head = Response::new(());
-    *head.status_mut() = StatusCode::from_u16(status).map_err(|_no_status| Sent::Ended(Outcome::Broken))?;
+    *head.status_mut() = StatusCode::from_u16(status).map_err(|_no_status| Outcome::Broken)?;
     *head.headers_mut() = header_map(headers);
     telemetry::answered(&call.admitted, status, core.now().since(call.admitted.received));
     if call.admitted.route.kind.streams() || !head.headers().contains_key(CONTENT_LENGTH) {
@@ -74,8 +74,8 @@
     let left = Duration::from_millis(call.admitted.left(core.now()).0);
     match tokio::time::timeout(left, collect(events)).await {
         Ok(Some(body)) => Ok(head.map(|()| ResponseBody::from(body))),
-        Ok(None) => Err(Sent::Ended(Outcome::Broken)),
-        Err(_elapsed) => Err(Sent::Ended(Outcome::Timeout)),
+        Ok(None) => Err(Outcome::Broken),
+        Err(_elapsed) => Err(Outcome::Timeout),
     }
 }
 
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -95,69 +95,55 @@
 /// Returns why it is given up; kinds that say "not run" are true.
 pub(crate) async fn answer<D: Dialect, F: 'static>(core: &Rc<Core<D, F>>, call: Call) -> Result<Answer, Refusal> {
     let mut tried = Tried::default();
-    let mut last: Option<Answer> = None;
-    let mut outcome = Outcome::Unreachable;
+    // An endpoint's own failure is passed on if nothing better comes.
+    let mut failure: Option<Answer> = None;
     loop {
         let now = core.now();
         if call.admitted.left(now) == Millis(0) {
-            return last.ok_or_else(|| given_up(&tried, outcome, None));
+            return failure.ok_or_else(|| tried.given_up(None));
         }
         let choice = core.relay.borrow_mut().choose(&call.admitted, &tried, now);
         let choice = match choice {
             Ok(choice) => choice,
-            Err(refusal) => return last.ok_or_else(|| given_up(&tried, outcome, Some(refusal))),
+            Err(refusal) => return failure.ok_or_else(|| tried.given_up(Some(refusal))),
         };
         telemetry::chosen(&call.admitted, &choice, None, now);
         match send(core, &call, &choice, &mut tried).await {
-            Ok(answer) if is_failure(&answer) && call.admitted.route.kind.repeatable() => {
-                outcome = Outcome::Failed;
-                last = Some(answer);
+            Ok(answer) if answer.status().is_server_error() && call.admitted.route.kind.repeatable() => {
+                failure = Some(answer);
             }
             Ok(answer) => return Ok(answer),
-            Err(Sent::Refused(refusal)) => outcome = refused_elsewhere(refusal),
-            Err(Sent::Ended(ended)) => outcome = ended,
+            Err(_ended) => {}
         }
-        tried.retries += 1;
         if !core.relay.borrow_mut().take_retry(&call.admitted, &tried) {
-            return last.ok_or_else(|| given_up(&tried, outcome, None));
+            return failure.ok_or_else(|| tried.given_up(None));
         }
     }
 }
 
-/// How a send ended without an answer.
-pub(crate) enum Sent {
-    /// Another VM refused it and says that it did not run.
-    Refused(Refusal),
-    /// The attempt ended.
-    Ended(Outcome),
-}
-
 async fn send<D: Dialect, F: 'static>(
     core: &Rc<Core<D, F>>,
     call: &Call,
     choice: &Choice,
     tried: &mut Tried,
-) -> Result<Answer, Sent> {
-    let endpoint = match choice {
-        Choice::Endpoint { endpoint, .. } => endpoint,
+) -> Result<Answer, Outcome> {
+    match choice {
+        Choice::Endpoint { endpoint, .. } => {
+            let route = &call.admitted.route;
+            let may_go_elsewhere = route.kind.repeatable() && tried.runs() + 1 < route.max_attempts;
+            let opened = open(core, call, endpoint, None, may_go_elsewhere).await;
+            tried.sent_to_endpoint(&endpoint.id, opened.as_ref().err().copied());
+            let opened = opened?;
+            let age = core.now().since(call.admitted.received);
+            telemetry::answered(&call.admitted, opened.response.status().as_u16(), age);
+            pass_on(core, call, opened, tried).await
+        }
         Choice::Region { vm, address, .. } => {
-            tried.vms.insert(vm.clone());
             let answer = forward::send(core, call, *address).await;
-            if !matches!(answer, Err(Sent::Refused(_) | Sent::Ended(Outcome::Unreachable))) {
-                tried.may_have_run = true;
-            }
-            return answer;
+            tried.sent_to_vm(vm, answer.as_ref().err().copied());
+            answer
         }
-    };
-    let may_go_elsewhere = call.admitted.route.kind.repeatable() && tried.runs() + 1 < call.admitted.route.max_attempts;
-    let opened = open(core, call, endpoint, None, may_go_elsewhere).await;
-    let not_run = matches!(&opened, Err(outcome) if outcome.not_run());
-    tried.endpoints.insert(endpoint.id.clone(), !not_run);
-    tried.may_have_run |= !not_run;
-    let opened = opened.map_err(Sent::Ended)?;
-    let age = core.now().since(call.admitted.received);
-    telemetry::answered(&call.admitted, opened.response.status().as_u16(), age);
-    pass_on(core, call, opened, tried).await.map_err(Sent::Ended)
+    }
 }
 
 /// Makes the caller's answer of an endpoint's.
@@ -218,33 +204,6 @@
     exchange.give_back_for(Duration::from_millis(limit.0));
 }
 
-/// The refusal for a request of which nothing more can be tried.
-fn given_up(tried: &Tried, outcome: Outcome, refusal: Option<Refusal>) -> Refusal {
-    if tried.may_have_run {
-        let timed_out = outcome == Outcome::Timeout;
-        return Refusal::new(if timed_out {
-            Kind::EndpointTimeout
-        } else {
-            Kind::OutcomeUnknown
-        });
-    }
-    refusal.unwrap_or_else(|| match outcome {
-        Outcome::Rejected => Kind::Overloaded.into(),
-        _ => Kind::EndpointUnreachable.into(),
-    })
-}
-
-fn refused_elsewhere(refusal: Refusal) -> Outcome {
-    match refusal.kind {
-        Kind::Overloaded | Kind::DeadlineUnreachable => Outcome::Rejected,
-        _ => Outcome::Unreachable,
-    }
-}
-
-fn is_failure(answer: &Answer) -> bool {
-    answer.status().is_server_error()
-}
-
 /// Refuses, late in a planned stop, what could not end before the process does.
 fn check_stopping<D: Dialect, F>(core: &Core<D, F>, admitted: &Admitted) -> Result<(), Refusal> {
     let late = Millis((core.options().stop_grace.0 as f64 * LATE_STOP_SHARE) as u64);
--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -186,8 +186,8 @@
             opened = open(&self.core, &self.call, &endpoint, last_event, false) => opened,
             () = tx.closed() => return None,
         };
-        let not_run = matches!(&opened, Err(outcome) if outcome.not_run());
-        self.tried.endpoints.insert(endpoint.id.clone(), !not_run);
+        self.tried
+            .sent_to_endpoint(&endpoint.id, opened.as_ref().err().copied());
         Some(opened.and_then(|opened| {
             if opened.response.status().is_success() {
                 Ok(opened)
--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at an endpoint.
 
 use strum::{Display, IntoStaticStr};
+use sw_error::{Kind, Ran, Refusal};
 use sw_unit::{Millis, Time, Tokens};
 
 use crate::{EndpointEntry, ServiceId};
@@ -52,6 +53,16 @@
 }
 
 impl Outcome {
+    /// What another VM's refusal says of a request that was sent there.
+    pub fn of_refusal(refusal: Refusal) -> Self {
+        match (refusal.kind.answer().ran, refusal.kind) {
+            (Ran::No, Kind::Overloaded | Kind::DeadlineUnreachable) => Self::Rejected,
+            (Ran::No, _) => Self::Unreachable,
+            (_, Kind::EndpointTimeout) => Self::Timeout,
+            (_, _) => Self::Broken,
+        }
+    }
+
     /// Whether the endpoint cannot have run the request.
     pub fn not_run(self) -> bool {
         matches!(self, Self::Rejected | Self::WrongEndpoint | Self::Unreachable)
--- a/crates/sw-relay/src/candidate.rs
+++ b/crates/sw-relay/src/candidate.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
+use sw_error::{Kind, Refusal};
 use sw_unit::{EndpointId, RegionId, VmId};
 
-use crate::EndpointEntry;
+use crate::{EndpointEntry, Outcome};
 
 /// Where a request goes next.
 #[derive(Debug, Clone, PartialEq)]
@@ -38,19 +39,72 @@
 #[derive(Debug, Clone, Default)]
 pub struct Tried {
     /// Endpoints, with whether the request may have run there.
-    pub endpoints: IndexMap<EndpointId, bool>,
-    /// VMs of other regions that did not hand it over.
-    pub vms: IndexSet<VmId>,
-    /// Sends beyond the first.
-    pub retries: u32,
-    /// Whether it may have run at all.
-    pub may_have_run: bool,
+    endpoints: IndexMap<EndpointId, bool>,
+    /// VMs of other regions, with whether the request may have run there.
+    vms: IndexMap<VmId, bool>,
+    sends: u32,
+    last: Option<Outcome>,
 }
 
 impl Tried {
+    /// Records that an endpoint got the request, and how that ended; `None` if it answered.
+    pub fn sent_to_endpoint(&mut self, endpoint: &EndpointId, outcome: Option<Outcome>) {
+        let ran = self.record(outcome);
+        *self.endpoints.entry(endpoint.clone()).or_default() |= ran;
+    }
+
+    /// Records that a VM of another region got the request, and how that ended; `None` if it answered.
+    pub fn sent_to_vm(&mut self, vm: &VmId, outcome: Option<Outcome>) {
+        let ran = self.record(outcome);
+        *self.vms.entry(vm.clone()).or_default() |= ran;
+    }
+
+    /// Whether the request may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.runs() > 0
+    }
+
     /// Endpoints on which the request may have run.
     pub fn runs(&self) -> u32 {
-        let runs = self.endpoints.values().filter(|ran| **ran).count();
-        u32::try_from(runs).unwrap_or(u32::MAX)
+        let runs = self.endpoints.values().chain(self.vms.values()).filter(|ran| **ran);
+        u32::try_from(runs.count()).unwrap_or(u32::MAX)
+    }
+
+    /// How often the request was sent.
+    pub fn sends(&self) -> u32 {
+        self.sends
+    }
+
+    /// Whether an endpoint got the request before.
+    pub fn has_endpoint(&self, endpoint: &EndpointId) -> bool {
+        self.endpoints.contains_key(endpoint)
+    }
+
+    /// Whether a VM of another region got the request before.
+    pub fn has_vm(&self, vm: &VmId) -> bool {
+        self.vms.contains_key(vm)
+    }
+
+    /// The final answer for a request that is given up, with the reason for which it is not sent once more.
+    pub fn given_up(&self, reason: Option<Refusal>) -> Refusal {
+        if self.may_have_run() {
+            let timed_out = self.last == Some(Outcome::Timeout);
+            return Refusal::new(if timed_out {
+                Kind::EndpointTimeout
+            } else {
+                Kind::OutcomeUnknown
+            });
+        }
+        reason.unwrap_or_else(|| match self.last {
+            Some(Outcome::Rejected) => Kind::Overloaded.into(),
+            _ => Kind::EndpointUnreachable.into(),
+        })
+    }
+
+    /// Counts a send, and returns whether the request may have run.
+    fn record(&mut self, outcome: Option<Outcome>) -> bool {
+        self.sends += 1;
+        self.last = outcome;
+        !outcome.is_some_and(Outcome::not_run)
     }
 }
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -112,7 +112,7 @@
         let own = usable.filter(|endpoint| self.region_of(&endpoint.entry.domain) == Some(&self.options.own.region));
         let open = own.filter(|endpoint| self.is_open(&endpoint.entry, &admitted.service, now));
         let open: Vec<_> = open.collect();
-        let fresh = |endpoint: &&&Endpoint| !tried.endpoints.contains_key(&endpoint.entry.id);
+        let fresh = |endpoint: &&&Endpoint| !tried.has_endpoint(&endpoint.entry.id);
         let well = |endpoint: &&&Endpoint| !self.is_paused(&endpoint.entry, now);
         let mut candidates: Vec<_> = open.iter().filter(fresh).filter(well).copied().collect();
         if candidates.is_empty() {
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -88,11 +88,11 @@
     ) -> impl Iterator<Item = &'a VmRow> {
         let live = move |row: &&VmRow| self.members.state(&row.vm, now) == Some(VmState::Live);
         let others = self.members.others().filter(move |row| row.region == *region);
-        others.filter(live).filter(|row| !tried.vms.contains(&row.vm))
+        others.filter(live).filter(|row| !tried.has_vm(&row.vm))
     }
 
     pub(crate) fn peer_in(&self, region: &RegionId, tried: &Tried, now: Time) -> Option<&VmRow> {
-        let tried = |row: &&VmRow| !tried.vms.contains(&row.vm);
+        let tried = |row: &&VmRow| !tried.has_vm(&row.vm);
         let live = |row: &&VmRow| self.members.state(&row.vm, now) == Some(VmState::Live);
         let mut others = self.members.others().filter(|row| row.region == *region);
         others.find(|row| tried(row) && live(row))
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -17,6 +17,8 @@
 /// Share of the retries that all VMs together are allowed that they plan to use, so that views that differ do not
 /// add up to too many.
 const RETRY_SAFETY: f64 = 0.5;
+/// Sends of one request, those that endpoints rejected included.
+const MAX_SENDS: u32 = 4;
 /// Time that a caller without a deadline is taken to wait.
 const DEFAULT_PATIENCE: Millis = Millis(30_000);
 
@@ -193,8 +195,8 @@
 
     /// Whether a request may be sent once more; takes it out of the budget.
     pub fn take_retry(&mut self, admitted: &Admitted, tried: &Tried) -> bool {
-        let runs_left = tried.runs() < admitted.route.max_attempts.max(1);
-        let repeatable = !tried.may_have_run || admitted.route.kind.repeatable();
+        let runs_left = tried.runs() < admitted.route.max_attempts.max(1) && tried.sends() < MAX_SENDS;
+        let repeatable = !tried.may_have_run() || admitted.route.kind.repeatable();
         runs_left && repeatable && self.budget(&admitted.service).take()
     }
 
--- /dev/null
+++ b/crates/sw-relay/tests/tried.rs
@@ -0,0 +1,69 @@
+//! What may be said of a request that was sent and not answered.
+
+use proptest::prelude::*;
+use sw_error::{Kind, Ran, Refusal};
+use sw_relay::{Outcome, Tried};
+use sw_unit::{EndpointId, VmId};
+
+fn endpoint() -> EndpointId {
+    "e-1".parse().expect("a valid id")
+}
+
+fn vm() -> VmId {
+    "vm-1".parse().expect("a valid id")
+}
+
+#[test]
+fn a_vm_that_does_not_know_the_outcome_may_have_run_the_request() {
+    for kind in [Kind::OutcomeUnknown, Kind::EndpointTimeout, Kind::AnswerIncomplete] {
+        let outcome = Outcome::of_refusal(kind.into());
+        assert!(!outcome.not_run(), "{kind}");
+        let mut tried = Tried::default();
+        tried.sent_to_vm(&vm(), Some(outcome));
+        assert!(tried.may_have_run(), "{kind}");
+    }
+}
+
+#[test]
+fn a_vm_that_refused_before_the_hand_over_did_not_run_the_request() {
+    for kind in [
+        Kind::Overloaded,
+        Kind::NoEndpoint,
+        Kind::Stopping,
+        Kind::NoConfiguration,
+    ] {
+        assert!(Outcome::of_refusal(kind.into()).not_run(), "{kind}");
+    }
+}
+
+fn any_outcome() -> impl Strategy<Value = Option<Outcome>> {
+    prop::sample::select(vec![
+        None,
+        Some(Outcome::Failed),
+        Some(Outcome::Rejected),
+        Some(Outcome::WrongEndpoint),
+        Some(Outcome::Unreachable),
+        Some(Outcome::Broken),
+        Some(Outcome::Timeout),
+    ])
+}
+
+proptest! {
+    /// Whatever was tried, "not run" is said only if no send can have run the request.
+    #[test]
+    fn a_refusal_that_says_not_run_is_true(sends in prop::collection::vec((any::<bool>(), any_outcome()), 0..6)) {
+        let mut tried = Tried::default();
+        for (remote, outcome) in &sends {
+            if *remote {
+                tried.sent_to_vm(&vm(), *outcome);
+            } else {
+                tried.sent_to_endpoint(&endpoint(), *outcome);
+            }
+        }
+        let ran = sends.iter().any(|(_, outcome)| !outcome.is_some_and(Outcome::not_run));
+        for reason in [None, Some(Refusal::new(Kind::Overloaded))] {
+            let said = tried.given_up(reason).kind.answer().ran;
+            prop_assert_eq!(said == Ran::No, !ran);
+        }
+    }
+}
