--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at an endpoint, up to the head of its answer.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -37,7 +38,9 @@
 #[derive(Debug)]
 pub(crate) struct Running<D: Dialect, F> {
     core: Rc<Core<D, F>>,
+    id: Arc<str>,
     attempt: Option<Attempt>,
+    status: u16,
 }
 
 impl<D: Dialect, F> Running<D, F> {
@@ -46,6 +49,11 @@
         self.attempt.as_ref()
     }
 
+    /// The attempt, to record what is seen of it.
+    pub(crate) fn attempt_mut(&mut self) -> Option<&mut Attempt> {
+        self.attempt.as_mut()
+    }
+
     /// Ends the attempt.
     pub(crate) fn finish(mut self, outcome: Outcome) {
         self.end(outcome);
@@ -56,6 +64,7 @@
             return;
         };
         let now = self.core.now();
+        telemetry::attempt_ended(&self.id, &attempt, outcome, self.status, now);
         let paused = self.core.relay.borrow_mut().end(&attempt, outcome, now);
         if let Some(until) = paused {
             telemetry::paused(attempt.endpoint.id.as_str(), until.since(now));
@@ -92,21 +101,24 @@
 ) -> Result<Opened<D, F>, Outcome> {
     let admitted = &call.admitted;
     let attempt = core.relay.borrow_mut().begin(admitted, endpoint, core.now());
-    let running = Running {
+    let mut running = Running {
         core: Rc::clone(core),
+        id: Arc::clone(&admitted.id),
         attempt: Some(attempt.ok_or(Outcome::Unreachable)?),
+        status: 0,
     };
-    let began = core.now();
     match exchange_heads(core, call, endpoint, last_event, may_go_elsewhere, &running).await {
-        Ok((exchange, response, head)) => Ok(Opened {
-            running,
-            exchange,
-            response,
-            head,
-        }),
+        Ok((exchange, response, head)) => {
+            running.status = response.status().as_u16();
+            Ok(Opened {
+                running,
+                exchange,
+                response,
+                head,
+            })
+        }
         Err((outcome, status)) => {
-            let age = core.now().since(began);
-            telemetry::attempt_ended(admitted, endpoint.id.as_str(), outcome, status, age);
+            running.status = status;
             running.finish(outcome);
             Err(outcome)
         }
--- a/crates/sw-proxy/src/forward.rs
+++ b/crates/sw-proxy/src/forward.rs
@@ -51,7 +51,7 @@
         Err(_elapsed) => Outcome::Timeout,
     };
     let age = core.now().since(call.admitted.received);
-    telemetry::attempt_ended(&call.admitted, "", outcome, 0, age);
+    telemetry::forward_failed(&call.admitted, outcome, age);
     Err(outcome)
 }
 
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -169,10 +169,6 @@
                 ReadBodyError::Timeout => Outcome::Timeout,
                 ReadBodyError::Broken | ReadBodyError::TooLarge => Outcome::Broken,
             };
-            let endpoint = running.attempt().map(|attempt| attempt.endpoint.id.clone());
-            let endpoint = endpoint.as_ref().map_or("", |id| id.as_str());
-            let age = core.now().since(call.admitted.received);
-            telemetry::attempt_ended(&call.admitted, endpoint, outcome, head.status().as_u16(), age);
             running.finish(outcome);
             Err(outcome)
         }
--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -132,11 +132,10 @@
     /// Learns from the time at which a chunk came.
     fn observe(&self, source: &mut Source<D, F>) {
         let now = self.core.now();
-        let Some(attempt) = source
-            .running
-            .attempt()
-            .filter(|_| self.call.admitted.route.kind.streams())
-        else {
+        if !self.call.admitted.route.kind.streams() {
+            return;
+        }
+        let Some(attempt) = source.running.attempt_mut() else {
             return;
         };
         let mut relay = self.core.relay.borrow_mut();
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -6,7 +6,7 @@
 use metrics::{counter, histogram};
 use spdlog::prelude::*;
 use sw_error::Refusal;
-use sw_relay::{Admitted, Choice, Outcome};
+use sw_relay::{Admitted, Attempt, Choice, Outcome};
 use sw_unit::{Millis, Time};
 
 /// Milliseconds in a second.
@@ -44,12 +44,23 @@
     counter!("shallotwing_decisions_total", "route" => admitted.route.name.clone()).increment(1);
 }
 
-/// Logs an attempt that did not end well.
-pub(crate) fn attempt_ended(admitted: &Admitted, endpoint: &str, outcome: Outcome, status: u16, age: Millis) {
+/// Logs how an attempt at an endpoint ended, with what was expected of it.
+pub(crate) fn attempt_ended(id: &str, attempt: &Attempt, outcome: Outcome, status: u16, now: Time) {
+    let endpoint = attempt.endpoint.id.as_str();
+    let ended: &'static str = outcome.into();
+    let (unread, read_ms, backlog_ms) = (attempt.unread.0, attempt.read_ms as u64, attempt.backlog_ms as u64);
+    let first_ms = attempt.first_event.map_or(0, |first| first.since(attempt.began).0);
+    let age_ms = attempt.age(now).0;
+    info!("attempt_ended", kv: { id, endpoint, ended, status, unread, read_ms, backlog_ms, first_ms, age_ms });
+    counter!("shallotwing_attempts_total", "outcome" => ended).increment(1);
+}
+
+/// Logs that a request that was forwarded got no answer.
+pub(crate) fn forward_failed(admitted: &Admitted, outcome: Outcome, age: Millis) {
     let id = &*admitted.id;
-    let (outcome, age_ms) = (<&'static str>::from(outcome), age.0);
-    info!("attempt_failed", kv: { id, endpoint, outcome, status, age_ms });
-    counter!("shallotwing_attempts_failed_total", "outcome" => outcome).increment(1);
+    let (ended, age_ms): (&'static str, _) = (outcome.into(), age.0);
+    info!("forward_failed", kv: { id, ended, age_ms });
+    counter!("shallotwing_forwards_failed_total", "outcome" => ended).increment(1);
 }
 
 /// Logs that an endpoint is paused.
--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -21,6 +21,8 @@
     pub read_ms: f64,
     /// Milliseconds of reading that were ahead of it.
     pub backlog_ms: f64,
+    /// When the first event of its answer came.
+    pub first_event: Option<Time>,
 }
 
 impl Attempt {
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -228,11 +228,13 @@
             unread,
             read_ms,
             backlog_ms,
+            first_event: None,
         })
     }
 
     /// Records the first event of a stream.
-    pub fn first_event(&mut self, attempt: &Attempt, now: Time) {
+    pub fn first_event(&mut self, attempt: &mut Attempt, now: Time) {
+        attempt.first_event = Some(now);
         if attempt.backlog_ms < 1.0 {
             let model = self.models.entry(attempt.service.clone()).or_default();
             model.first_event(attempt.unread, attempt.age(now));
