--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -42,6 +42,7 @@
   leftMs @3 :UInt64;
   body @4 :Data;
   hops @5 :UInt32;
+  attempts @6 :UInt32;
 }
 
 interface AnswerSink {
--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -85,6 +85,7 @@
     to.set_target(call.target.as_str());
     to.set_left_ms(call.left.0);
     to.set_hops(call.hops);
+    to.set_attempts(call.attempts);
     to.set_body(&call.body);
     set_headers(to.init_headers(len(&call.headers)), &call.headers);
 }
@@ -97,6 +98,7 @@
         left: Millis(from.get_left_ms()),
         body: Bytes::copy_from_slice(from.get_body()?),
         hops: from.get_hops(),
+        attempts: from.get_attempts(),
     })
 }
 
--- a/crates/sw-peer/src/relay/types.rs
+++ b/crates/sw-peer/src/relay/types.rs
@@ -22,6 +22,8 @@
     pub body: Bytes,
     /// VMs that it passed.
     pub hops: u32,
+    /// Endpoints on which it may still run.
+    pub attempts: u32,
 }
 
 /// A part of the answer to a forwarded request.
--- a/crates/sw-peer/src/relay_capnp.rs
+++ b/crates/sw-peer/src/relay_capnp.rs
@@ -1559,6 +1559,10 @@
         pub fn get_hops(self) -> u32 {
             self.reader.get_data_field::<u32>(2)
         }
+        #[inline]
+        pub fn get_attempts(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -1693,6 +1697,14 @@
         pub fn set_hops(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(2, value);
         }
+        #[inline]
+        pub fn get_attempts(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_attempts(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1704,7 +1716,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 111] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 127] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(145, 219, 65, 67, 31, 202, 143, 255),
             ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
@@ -1714,56 +1726,63 @@
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 67, 97, 108, 108),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(109, 101, 116, 104, 111, 100, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1816,6 +1835,15 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 116, 116, 101, 109, 112, 116, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1825,6 +1853,7 @@
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1838,9 +1867,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,5,3,0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,4,2,5,3,0,1];
         pub(crate) const TYPE_ID: u64 = 0xff8f_ca1f_4341_db91;
     }
 }
--- a/crates/sw-proxy/src/forward.rs
+++ b/crates/sw-proxy/src/forward.rs
@@ -9,7 +9,7 @@
 use hyper::{HeaderMap, Response, StatusCode};
 use sw_http::{BodyError, ResponseBody, channel};
 use sw_peer::relay::{RelayCall, RelayEvent};
-use sw_relay::Outcome;
+use sw_relay::{Outcome, Tried};
 use tokio::sync::mpsc;
 
 use crate::attempt::Call;
@@ -28,6 +28,7 @@
 pub(crate) async fn send<D: Dialect, F: 'static>(
     core: &Rc<Core<D, F>>,
     call: &Call,
+    tried: &Tried,
     address: SocketAddr,
 ) -> Result<Answer, Outcome> {
     let left = call.admitted.left(core.now());
@@ -38,6 +39,7 @@
         left,
         body: call.body.clone(),
         hops: FIRST_HOP,
+        attempts: call.admitted.attempts.saturating_sub(tried.runs()),
     };
     let mut events = core.peers.relay(address, relayed);
     let first = tokio::time::timeout(Duration::from_millis(left.0), events.recv()).await;
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -83,7 +83,8 @@
         .request_head(&parts)
         .map_err(|_malformed| Kind::BadRequest)?;
     head.left = Some(call.left);
-    let admitted = core.relay.borrow_mut().admit(head, core.now(), true)?;
+    let mut admitted = core.relay.borrow_mut().admit(head, core.now(), true)?;
+    admitted.attempts = admitted.attempts.min(call.attempts);
     let call = Call {
         admitted,
         method: parts.method,
--- a/crates/sw-proxy/src/proxy.rs
+++ b/crates/sw-proxy/src/proxy.rs
@@ -164,6 +164,7 @@
         regions: options.regions.clone(),
         retry_ratio: options.retry_ratio,
         retry_slack: options.retry_slack,
+        started: clock.now(),
         seed: incarnation.0,
     }
 }
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -117,7 +117,7 @@
     match choice {
         Choice::Endpoint { endpoint, .. } => {
             let route = &call.admitted.route;
-            let may_go_elsewhere = route.kind.repeatable() && tried.runs() + 1 < route.max_attempts;
+            let may_go_elsewhere = route.kind.repeatable() && tried.runs() + 1 < call.admitted.attempts;
             let opened = open(core, call, endpoint, None, may_go_elsewhere).await;
             tried.sent_to_endpoint(&endpoint.id, opened.as_ref().err().copied());
             let opened = opened?;
@@ -126,7 +126,7 @@
             pass_on(core, call, opened, tried).await
         }
         Choice::Region { vm, address, .. } => {
-            let answer = forward::send(core, call, *address).await;
+            let answer = forward::send(core, call, tried, *address).await;
             tried.sent_to_vm(vm, answer.as_ref().err().copied());
             answer
         }
--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -15,6 +15,8 @@
     pub service: ServiceId,
     /// When it began.
     pub began: Time,
+    /// Stands for it in the endpoint's load.
+    pub ticket: u64,
     /// Tokens that the engine has to read.
     pub unread: Tokens,
     /// Milliseconds that reading them is expected to take.
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -78,8 +78,12 @@
 
     /// Entry VMs for a caller: live ones of its failure domain or its region.
     ///
-    /// If there are none, those of the regions in which all of its host's routes may be run, or else all live ones.
+    /// If there are none, those of the regions in which most of the host's requests may be run. A VM that has just
+    /// started and heard of no other names none.
     pub fn entries(&self, caller: Caller<'_>, now: Time) -> Vec<VmRow> {
+        if self.is_joining(now) {
+            return Vec::new();
+        }
         let own = Some(self.members.own()).filter(|row| !row.leaving);
         let others = self.members.others();
         let others = others.filter(|row| self.members.state(&row.vm, now) == Some(VmState::Live));
@@ -92,10 +96,13 @@
         if !in_region.is_empty() {
             return in_region;
         }
-        let permitted = rows(&live, |row| {
-            caller.host.is_none_or(|host| self.all_routes_permit(host, &row.region))
-        });
-        if permitted.is_empty() { live } else { permitted }
+        let traffic = |row: &VmRow| {
+            caller
+                .host
+                .map_or(0.0, |host| self.permitted_traffic(host, &row.region))
+        };
+        let most = live.iter().map(traffic).fold(0.0, f64::max);
+        rows(&live, |row| traffic(row) >= most)
     }
 
     /// Live VMs of a region that a request was not refused by.
@@ -117,9 +124,13 @@
         others.find(|row| tried(row) && live(row))
     }
 
-    fn all_routes_permit(&self, host: &str, region: &RegionId) -> bool {
-        let mut routes = self.table.iter().flat_map(|table| table.routes_of(host));
-        routes.all(|route| route.permits(region))
+    /// Recent requests to the host's routes that may be run in `region`.
+    fn permitted_traffic(&self, host: &str, region: &RegionId) -> f64 {
+        let routes = self.table.iter().flat_map(|table| table.routes_of(host));
+        let permitted = routes.filter(|route| route.permits(region));
+        permitted
+            .map(|route| 1.0 + self.traffic.get(&route.name).copied().unwrap_or_default())
+            .sum()
     }
 
     fn own_loads(&self, now: Time) -> Vec<EndpointLoad> {
--- a/crates/sw-relay/src/load.rs
+++ b/crates/sw-relay/src/load.rs
@@ -4,6 +4,8 @@
 //! endpoint's own report with its answers. Pauses between the events of streams show how busy an engine is, whoever
 //! keeps it busy.
 
+use std::collections::VecDeque;
+
 use indexmap::IndexMap;
 use sw_unit::{Millis, Time, VmId};
 
@@ -11,6 +13,8 @@
 
 /// Pause between two events on an idle engine, in milliseconds.
 const IDLE_GAP_MS: f64 = 45.0;
+/// Delay beyond the expected that says nothing yet, in milliseconds.
+const LATE_MARGIN_MS: f64 = 60.0;
 /// Weight of the newest pause.
 const NEWEST_GAP: f64 = 0.2;
 /// Without streams for this long, an engine is taken to be idle.
@@ -24,6 +28,13 @@
 /// Longest pause.
 const MAX_PAUSE: Millis = Millis(8_000);
 
+/// A prompt that is being read or waits for it.
+#[derive(Debug, Clone, Copy)]
+struct Unread {
+    ticket: u64,
+    read_ms: f64,
+}
+
 /// The load of one endpoint.
 #[derive(Debug, Clone, Default)]
 pub struct Load {
@@ -33,8 +44,11 @@
     pub cache: PromptCache,
     /// Pacing while it is cold.
     pub pace: Pace,
-    /// When the prompts that this VM sent are read, in milliseconds of the process's clock.
-    read_until: f64,
+    /// Prompts of this VM whose first event has not come, oldest first.
+    unread: VecDeque<Unread>,
+    /// When the engine began with the oldest of them.
+    reading_since: Time,
+    next_ticket: u64,
     gap: Option<(f64, Time)>,
     report: Option<(LoadReport, Time)>,
     peers: IndexMap<VmId, (EndpointLoad, Time)>,
@@ -53,8 +67,16 @@
     }
 
     /// Milliseconds of reading that this VM sent and that are not done.
+    ///
+    /// An engine that takes longer than expected for the oldest is expected to be as late for the next.
     pub fn own_backlog_ms(&self, now: Time) -> f64 {
-        (self.read_until - now.0 as f64).max(0.0)
+        let Some(oldest) = self.unread.front() else {
+            return 0.0;
+        };
+        let total: f64 = self.unread.iter().map(|unread| unread.read_ms).sum();
+        let reading = now.since(self.reading_since).0 as f64;
+        let late = (reading - oldest.read_ms - LATE_MARGIN_MS).max(0.0);
+        total - reading.min(oldest.read_ms) + late
     }
 
     /// Requests that run there, of all VMs.
@@ -76,21 +98,33 @@
         fresh.map_or(IDLE_GAP_MS, |(gap, _)| gap)
     }
 
-    /// Records a prompt that takes `read_ms` to read.
-    pub fn sent(&mut self, read_ms: f64, now: Time) {
+    /// Records a request whose prompt takes `read_ms` to read, and returns the ticket that stands for it.
+    pub fn sent(&mut self, read_ms: f64, now: Time) -> u64 {
         self.running += 1;
-        self.read_until = self.read_until.max(now.0 as f64) + read_ms;
-    }
-
-    /// Records that the first event came of a prompt that was expected to take `read_ms` more.
-    pub fn caught_up(&mut self, unread_ms: f64, now: Time) {
-        // What is read earlier than expected was ahead of the rest.
-        self.read_until = (self.read_until - unread_ms).max(now.0 as f64);
-    }
-
-    /// Records the end of a request.
-    pub fn ended(&mut self) {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        if read_ms > 0.0 {
+            if self.unread.is_empty() {
+                self.reading_since = now;
+            }
+            self.unread.push_back(Unread { ticket, read_ms });
+        }
+        ticket
+    }
+
+    /// Records that the prompt of `ticket` was read.
+    pub fn read(&mut self, ticket: u64, now: Time) {
+        let before = self.unread.len();
+        self.unread.retain(|unread| unread.ticket != ticket);
+        if self.unread.len() < before {
+            self.reading_since = now;
+        }
+    }
+
+    /// Records the end of the request of `ticket`.
+    pub fn ended(&mut self, ticket: u64, now: Time) {
         self.running = self.running.saturating_sub(1);
+        self.read(ticket, now);
     }
 
     /// Records a pause between two events.
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -17,6 +17,10 @@
 /// Share of the retries that all VMs together are allowed that they plan to use, so that views that differ do not
 /// add up to too many.
 const RETRY_SAFETY: f64 = 0.5;
+/// What is left of the count of recent requests after each tick.
+const TRAFFIC_DECAY: f64 = 0.97;
+/// Time after the start in which a VM may not know all others yet.
+const JOIN_TIME: Millis = Millis(1_500);
 /// Sends of one request, those that endpoints rejected included.
 const MAX_SENDS: u32 = 4;
 /// Time that a caller without a deadline is taken to wait.
@@ -35,6 +39,8 @@
     pub retry_ratio: f64,
     /// Further retries that all VMs together may make in a window.
     pub retry_slack: f64,
+    /// When the process started.
+    pub started: Time,
     /// Seed of random choices.
     pub seed: u64,
 }
@@ -56,6 +62,8 @@
     pub deadline: Time,
     /// When its final answer is due: the deadline, or the route's timeout if that is sooner.
     pub due: Time,
+    /// Endpoints on which it may run.
+    pub attempts: u32,
     /// Whether another VM forwarded it.
     pub forwarded: bool,
     /// The version of the configuration that admitted it.
@@ -80,6 +88,8 @@
     pub(crate) models: IndexMap<ServiceId, EngineModel>,
     pub(crate) regions: Regions,
     pub(crate) revision: u64,
+    /// Recent requests by route.
+    pub(crate) traffic: IndexMap<String, f64>,
     pub(crate) peer_revisions: IndexMap<VmId, u64>,
     budgets: IndexMap<ServiceId, RetryBudget>,
     pub(crate) rng: fastrand::Rng,
@@ -96,6 +106,7 @@
             models: IndexMap::new(),
             regions: Regions::new(),
             revision: 0,
+            traffic: IndexMap::new(),
             peer_revisions: IndexMap::new(),
             budgets: IndexMap::new(),
             rng: fastrand::Rng::with_seed(options.seed),
@@ -156,6 +167,9 @@
     /// Drops what is out of date, and returns the endpoints that are gone.
     pub fn tick(&mut self, now: Time) -> Vec<EndpointId> {
         self.members.prune(now);
+        for requests in self.traffic.values_mut() {
+            *requests *= TRAFFIC_DECAY;
+        }
         let gone = self.registry.expire(now);
         let registry = &self.registry;
         self.loads
@@ -177,6 +191,7 @@
         }
         let service = route.target(self.rng.u64(..)).ok_or(Kind::NoEndpoint)?.clone();
         if !forwarded {
+            *self.traffic.entry(route.name.clone()).or_default() += 1.0;
             self.budget(&service).attempted();
         }
         let deadline = received + head.left.unwrap_or(DEFAULT_PATIENCE);
@@ -187,6 +202,7 @@
             route: Arc::clone(route),
             service,
             prompt: head.prompt,
+            attempts: route.max_attempts.max(1),
             received,
             forwarded,
             version: table.version,
@@ -195,7 +211,7 @@
 
     /// Whether a request may be sent once more; takes it out of the budget.
     pub fn take_retry(&mut self, admitted: &Admitted, tried: &Tried) -> bool {
-        let runs_left = tried.runs() < admitted.route.max_attempts.max(1) && tried.sends() < MAX_SENDS;
+        let runs_left = tried.runs() < admitted.attempts && tried.sends() < MAX_SENDS;
         let repeatable = !tried.may_have_run() || admitted.route.kind.repeatable();
         runs_left && repeatable && self.budget(&admitted.service).take()
     }
@@ -214,7 +230,7 @@
         let cold = self.is_cold(endpoint, now);
         let load = self.loads.entry(endpoint.id.clone()).or_default();
         let backlog_ms = load.backlog_ms(now);
-        load.sent(read_ms, now);
+        let ticket = load.sent(read_ms, now);
         if let (Some(prompt), Some(memory)) = (&admitted.prompt, memory) {
             load.cache.read(prompt, memory, now);
         }
@@ -225,6 +241,7 @@
             endpoint: endpoint.clone(),
             service: admitted.service.clone(),
             began: now,
+            ticket,
             unread,
             read_ms,
             backlog_ms,
@@ -235,6 +252,9 @@
     /// Records the first event of a stream.
     pub fn first_event(&mut self, attempt: &mut Attempt, now: Time) {
         attempt.first_event = Some(now);
+        if let Some(load) = self.loads.get_mut(&attempt.endpoint.id) {
+            load.read(attempt.ticket, now);
+        }
         if attempt.backlog_ms < 1.0 {
             let model = self.models.entry(attempt.service.clone()).or_default();
             model.first_event(attempt.unread, attempt.age(now));
@@ -265,7 +285,7 @@
             model.answered(attempt.age(now));
         }
         let load = self.loads.get_mut(&attempt.endpoint.id)?;
-        load.ended();
+        load.ended(attempt.ticket, now);
         if outcome == Outcome::Whole {
             load.succeeded();
             return None;
@@ -286,13 +306,15 @@
         self.options.regions.get(domain)
     }
 
+    /// Whether this VM has just started and heard of no other one yet.
+    pub(crate) fn is_joining(&self, now: Time) -> bool {
+        now.since(self.options.started) < JOIN_TIME && self.members.others().next().is_none()
+    }
+
     /// VMs that may send to the endpoints of this region, live or not, this VM included.
     pub(crate) fn senders(&self) -> usize {
         let region = &self.options.own.region;
-        let others = self
-            .members
-            .others()
-            .filter(|row| row.region == *region && !row.leaving);
+        let others = self.members.others().filter(|row| row.region == *region);
         1 + others.count()
     }
 
@@ -303,7 +325,8 @@
 
     pub(crate) fn pace_allows(&self, endpoint: &EndpointEntry, now: Time) -> bool {
         let load = self.loads.get(&endpoint.id);
-        !self.is_cold(endpoint, now) || load.is_none_or(|load| load.pace.allows(now))
+        let paced = !self.is_joining(now) && load.is_none_or(|load| load.pace.allows(now));
+        paced || !self.is_cold(endpoint, now)
     }
 
     fn adopt(&mut self, table: Arc<Table>) -> bool {
--- /dev/null
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -0,0 +1,169 @@
+//! A VM in a small deployment, for tests of decisions.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use sw_member::VmRow;
+use sw_relay::{
+    Admitted, Beat, ClientLimits, EndpointEntry, EngineSpec, Fact, Options, Part, Prompt, Relay, RequestHead, Route,
+    RouteKind, Service, ServiceId, ServiceLoad, Table, Target,
+};
+use sw_unit::{Incarnation, Millis, Rate, Time, Tokens, Version};
+
+/// The host of all routes.
+pub const HOST: &str = "shop.example";
+/// Requests a second that a cold endpoint bears.
+pub const COLD_RATE: f64 = 2.4;
+
+/// A service by name.
+pub fn service(name: &str) -> ServiceId {
+    name.parse().expect("a service name")
+}
+
+/// A VM's row; its failure domain has the name of its region.
+pub fn row(name: &str, region: &str) -> VmRow {
+    let port: u16 = name.bytes().map(u16::from).sum();
+    VmRow {
+        vm: name.parse().expect("an id"),
+        incarnation: Incarnation(1),
+        domain: region.parse().expect("an id"),
+        region: region.parse().expect("an id"),
+        listen: ([10, 0, 0, 1], port).into(),
+        peer_listen: ([10, 0, 0, 2], port).into(),
+        leaving: false,
+        version: Version(1),
+    }
+}
+
+/// A VM called `vm-0` in the region `north`, which knows the configuration.
+pub fn relay() -> Relay {
+    let regions = ["north", "south", "west"].map(|name| (name.parse().expect("an id"), name.parse().expect("an id")));
+    let mut relay = Relay::new(Options {
+        own: row("vm-0", "north"),
+        members: sw_member::Options {
+            period: Millis(500),
+            period_per_neighbour: Millis(0),
+            max_period: Millis(500),
+            missed_periods: 5,
+            remote_suspect_after: Millis(2_500),
+            forget_after: Millis(120_000),
+        },
+        regions: IndexMap::from(regions),
+        retry_ratio: 0.2,
+        retry_slack: 54.0,
+        started: Time(0),
+        seed: 7,
+    });
+    relay.learn(Fact::Table(Arc::new(table(1))), Time(0));
+    relay
+}
+
+/// A route to `service`.
+pub fn route(name: &str, kind: RouteKind, to: &str, regions: &[&str]) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: HOST.to_owned(),
+        prefix: format!("/{name}/"),
+        kind,
+        timeout: Millis(12_000),
+        objective: Millis(1_200),
+        gap_objective: Some(Millis(800)),
+        priority: 0,
+        max_attempts: 2,
+        targets: vec![Target {
+            service: service(to),
+            weight: 1,
+        }],
+        regions: regions.iter().map(|region| region.parse().expect("an id")).collect(),
+    }
+}
+
+/// A configuration with a route of each kind.
+pub fn table(version: u64) -> Table {
+    let routes = vec![
+        route("digest", RouteKind::Resumable, "engines", &[]),
+        route("query", RouteKind::Streaming, "engines", &["north", "south"]),
+        route("pay", RouteKind::NonIdempotent, "app", &[]),
+        route("read", RouteKind::Idempotent, "app", &[]),
+        route("idle", RouteKind::Idempotent, "app", &["west"]),
+    ];
+    let plain = Service {
+        max_connections: 100,
+        cold_rate: Rate(0.0),
+        cold_for: Millis(0),
+        engine: None,
+    };
+    let engines = Service {
+        max_connections: 300,
+        cold_rate: Rate(COLD_RATE),
+        cold_for: Millis(3_000),
+        engine: Some(EngineSpec {
+            slots: 64,
+            memory: Tokens(400_000),
+        }),
+    };
+    let services = IndexMap::from([(service("app"), plain), (service("engines"), engines)]);
+    Table::new(Version(version), routes, services, ClientLimits::default())
+}
+
+/// The registration of a ready endpoint.
+pub fn endpoint(name: &str, of: &str, region: &str) -> EndpointEntry {
+    let port: u16 = name.bytes().map(u16::from).sum();
+    EndpointEntry {
+        id: name.parse().expect("an id"),
+        life: Incarnation(1),
+        service: service(of),
+        address: ([10, 1, 0, 1], port).into(),
+        domain: region.parse().expect("an id"),
+        slots: if of == "app" { 6 } else { 64 },
+        leaving: false,
+        cold_for: Millis(0),
+        ends_in: None,
+    }
+}
+
+/// Registers an endpoint.
+pub fn register(relay: &mut Relay, entry: EndpointEntry, now: Time) {
+    relay.learn(Fact::Endpoint(entry.id.clone(), Some(entry)), now);
+}
+
+/// A prompt of `own` tokens behind a part that the requests of `subject` share.
+pub fn prompt(subject: u64, shared: u64, own: u64) -> Prompt {
+    let part = |id, len| Part { id, len: Tokens(len) };
+    Prompt {
+        input: Tokens(shared + own),
+        output_max: Tokens(400),
+        output_hint: None,
+        parts: vec![part(subject, shared), part(fastrand::u64(..), own)],
+    }
+}
+
+/// The head of a request on `route`.
+pub fn head(route: &str, prompt: Option<Prompt>) -> RequestHead {
+    RequestHead {
+        id: Arc::from("a1"),
+        host: HOST.to_owned(),
+        path: format!("/{route}/x"),
+        left: Some(Millis(10_000)),
+        prompt,
+        last_event: None,
+    }
+}
+
+/// Admits a request that comes from a caller.
+pub fn admit(relay: &mut Relay, route: &str, prompt: Option<Prompt>, now: Time) -> Admitted {
+    relay.admit(head(route, prompt), now, false).expect("admitted")
+}
+
+/// A heartbeat of a VM.
+pub fn beat(from: VmRow, services: Vec<ServiceLoad>) -> Beat {
+    Beat {
+        from,
+        known: Vec::new(),
+        revision: 1,
+        endpoints: Vec::new(),
+        services,
+    }
+}
