perf(relay): admit a prompt only if it can begin within its objective

Ruled out: a limit that counts all of a long prompt's own reading (the largest tenth would be refused first), a limit of 0.8 of the objective (no gain). Change: refused at once if a stream is not expected to begin within its objective, long prompts counted in part; broken streams are resumed regardless; a larger surcharge for reading shared parts again. Tests name both patterns.

--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -13,7 +13,7 @@
 use crate::{Admitted, Choice, EndpointEntry, Load, Prompt, Relay, ServiceId, Tried};
 
 /// Surcharge for reading a shared part once more, in units of the time that it takes.
-const REREAD_SURCHARGE: f64 = 2.0;
+const REREAD_SURCHARGE: f64 = 6.0;
 /// Surcharge for each place in the ranking of a shared part, in milliseconds.
 const RANK_SURCHARGE_MS: f64 = 8.0;
 /// Share of the objective above which another region is considered.
@@ -28,12 +28,9 @@
 const MIN_RETRY_AFTER: Millis = Millis(100);
 /// Share of the caller's time within which it may be asked to come back.
 const RETRY_AFTER_SHARE: u64 = 3;
-/// A caller leaves a stream after a pause of at least this,
-const MIN_STREAM_PATIENCE: Millis = Millis(2_000);
-/// this many times the objective,
-const OBJECTIVES_OF_PATIENCE: u64 = 4;
-/// or this many times the longest pause that is on time.
-const GAPS_OF_PATIENCE: u64 = 8;
+/// Part of the objective up to which the time to read the own prompt counts when a request is admitted; the rest of a
+/// long prompt does not count against it.
+const OWN_READ_SHARE: f64 = 0.6;
 
 struct Scored<'a> {
     endpoint: &'a Endpoint,
@@ -68,7 +65,13 @@
             (None, Some(remote)) => remote.expected_ms,
             (None, None) => return Err(Refusal::after(Kind::NoEndpoint, self.come_back(admitted, 0.0, now))),
         };
-        if expected_ms > patience(admitted, now) {
+        let limit = if tried.may_have_run() {
+            // What has begun is worth finishing late.
+            admitted.left(now).0 as f64
+        } else {
+            admission_limit(admitted, self.whole_read_ms(admitted), now)
+        };
+        if expected_ms > limit {
             let after = self.come_back(admitted, expected_ms, now);
             return Err(Refusal::after(Kind::DeadlineUnreachable, after));
         }
@@ -177,7 +180,7 @@
     }
 
     fn best_remote(&self, admitted: &Admitted, tried: &Tried, now: Time) -> Option<Remote> {
-        let read_ms = self.remote_read_ms(admitted);
+        let read_ms = self.whole_read_ms(admitted);
         let permitted = self.regions.iter().filter(|(region, _)| admitted.route.permits(region));
         let reachable = permitted.filter(|(region, _)| self.peer_in(region, tried, now).is_some());
         let expected = reachable.filter_map(|(region, view)| {
@@ -190,7 +193,7 @@
         expected.min_by(|a, b| a.expected_ms.total_cmp(&b.expected_ms))
     }
 
-    fn remote_read_ms(&self, admitted: &Admitted) -> f64 {
+    fn whole_read_ms(&self, admitted: &Admitted) -> f64 {
         match &admitted.prompt {
             Some(prompt) => self.read_ms(&admitted.service, prompt.input),
             None => self
@@ -214,7 +217,7 @@
         let peers: Vec<_> = self.peers_in(&remote.region, tried, now).collect();
         let row = peers.get(draw.checked_rem(peers.len())?)?;
         let (vm, address) = (row.vm.clone(), row.peer_listen);
-        let read_ms = self.remote_read_ms(admitted);
+        let read_ms = self.whole_read_ms(admitted);
         if let Some(view) = self.regions.get_mut(&remote.region) {
             view.sent(&admitted.service, read_ms);
         }
@@ -255,16 +258,15 @@
     local_ms + elapsed > objective * SPILL_SHARE && remote_ms + objective * SPILL_MARGIN < local_ms
 }
 
-/// Milliseconds that the caller still waits for the first event or the answer.
-fn patience(admitted: &Admitted, now: Time) -> f64 {
-    let left = admitted.left(now);
+/// Milliseconds within which a request must be expected to begin, so that it is worth sending.
+///
+/// A stream that begins later than its objective makes those behind it late too, and its caller may leave before.
+fn admission_limit(admitted: &Admitted, read_ms: f64, now: Time) -> f64 {
+    let left = admitted.left(now).0 as f64;
     if !admitted.route.kind.streams() {
-        return left.0 as f64;
+        return left;
     }
-    let objectives = Millis(admitted.route.objective.0 * OBJECTIVES_OF_PATIENCE);
-    let gap = admitted.route.gap_objective.unwrap_or_default();
-    let pause = MIN_STREAM_PATIENCE
-        .max(objectives)
-        .max(Millis(gap.0 * GAPS_OF_PATIENCE));
-    left.min(pause.saturating_sub(now.since(admitted.received))).0 as f64
+    let objective = admitted.route.objective.0 as f64;
+    let uncounted = (read_ms - objective * OWN_READ_SHARE).max(0.0);
+    left.min(objective + uncounted)
 }
--- /dev/null
+++ b/crates/sw-relay/tests/admission.rs
@@ -0,0 +1,64 @@
+//! Who is refused: more prompts than the engines read in time.
+
+mod support;
+
+use support::{admit, endpoint, prompt, register, relay};
+use sw_error::Kind;
+use sw_relay::{Choice, Outcome, Relay, Tried};
+use sw_unit::{EndpointId, Millis, Time};
+
+/// Sends prompts of `tokens` to the only engine until one is refused, and returns how many were sent.
+fn fill(relay: &mut Relay, route: &str, tokens: u64, now: Time) -> usize {
+    for sent in 0..1_000 {
+        let admitted = admit(relay, route, Some(prompt(sent as u64, 0, tokens)), now);
+        let Ok(Choice::Endpoint { endpoint, .. }) = relay.choose(&admitted, &Tried::default(), now) else {
+            return sent;
+        };
+        assert!(relay.begin(&admitted, &endpoint, now).is_some());
+    }
+    panic!("nothing was refused");
+}
+
+/// The pattern: a region is evacuated while many users ask at once, and every prompt that is let in makes those
+/// behind it late, until callers leave streams that the engines still read for.
+#[test]
+fn a_prompt_that_cannot_begin_within_its_objective_is_refused_at_once() {
+    let mut relay = relay();
+    register(&mut relay, endpoint("e-1", "engines", "north"), Time(0));
+    let sent = fill(&mut relay, "query", 4_000, Time(0));
+    let ahead = relay
+        .load(&endpoint("e-1", "engines", "north").id)
+        .expect("a load")
+        .backlog_ms(Time(0));
+    assert!(
+        (900.0..=1_300.0).contains(&ahead),
+        "{sent} prompts are {ahead} ms ahead"
+    );
+    let admitted = admit(&mut relay, "query", Some(prompt(1, 0, 4_000)), Time(0));
+    let refusal = relay
+        .choose(&admitted, &Tried::default(), Time(0))
+        .expect_err("refused");
+    assert_eq!(refusal.kind, Kind::DeadlineUnreachable);
+    let after = refusal.retry_after.expect("a time to come back");
+    assert!(after >= Millis(100) && after.0 <= admitted.left(Time(0)).0 / 3);
+}
+
+#[test]
+fn a_long_prompt_is_not_refused_for_its_own_length() {
+    let mut relay = relay();
+    register(&mut relay, endpoint("e-1", "engines", "north"), Time(0));
+    let admitted = admit(&mut relay, "digest", Some(prompt(1, 0, 80_000)), Time(0));
+    assert!(relay.choose(&admitted, &Tried::default(), Time(0)).is_ok());
+}
+
+#[test]
+fn a_stream_that_broke_is_resumed_also_when_new_ones_are_refused() {
+    let mut relay = relay();
+    register(&mut relay, endpoint("e-1", "engines", "north"), Time(0));
+    let admitted = admit(&mut relay, "digest", Some(prompt(1, 0, 4_000)), Time(0));
+    fill(&mut relay, "digest", 4_000, Time(0));
+    let mut tried = Tried::default();
+    let broken: EndpointId = "e-0".parse().expect("an id");
+    tried.sent_to_endpoint(&broken, Some(Outcome::Broken));
+    assert!(relay.choose(&admitted, &tried, Time(0)).is_ok());
+}
--- a/crates/sw-relay/tests/cold.rs
+++ b/crates/sw-relay/tests/cold.rs
@@ -46,7 +46,10 @@
         }
         for start in (0..3_000).step_by(50) {
             let in_second = sent.iter().filter(|ms| (start..start + 1_000).contains(*ms)).count();
-            assert!(in_second as f64 <= COLD_RATE * OVERSHOOT + SLACK, "{vms} VMs sent {in_second}");
+            assert!(
+                in_second as f64 <= COLD_RATE * OVERSHOOT + SLACK,
+                "{vms} VMs sent {in_second}"
+            );
         }
         assert!(!sent.is_empty());
     }
--- a/crates/sw-relay/tests/directory.rs
+++ b/crates/sw-relay/tests/directory.rs
@@ -25,7 +25,11 @@
     relay.heard(beat(row("vm-2", "south"), Vec::new()), Time(100));
     assert_eq!(entries(&relay, "north", Time(200)), ["vm-0", "vm-1"]);
     assert_eq!(entries(&relay, "south", Time(200)), ["vm-2"]);
-    assert_eq!(entries(&relay, "north", Time(3_000)), ["vm-0"], "a VM that is not heard is not named");
+    assert_eq!(
+        entries(&relay, "north", Time(3_000)),
+        ["vm-0"],
+        "a VM that is not heard is not named"
+    );
 }
 
 #[test]
@@ -47,5 +51,9 @@
     relay.heard(beat(row("vm-2", "south"), Vec::new()), Time(400));
     assert_eq!(entries(&relay, "south", Time(500)), ["vm-2"]);
     let alone = support::relay();
-    assert_eq!(entries(&alone, "south", Time(2_000)), ["vm-0"], "a VM that stays alone serves all");
+    assert_eq!(
+        entries(&alone, "south", Time(2_000)),
+        ["vm-0"],
+        "a VM that stays alone serves all"
+    );
 }
