--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -21,12 +21,28 @@
   gapMs @3 :UInt32;
 }
 
+struct VmAge {
+  vm @0 :Text;
+  incarnation @1 :UInt64;
+  ageMs @2 :UInt32;
+}
+
+struct DomainView {
+  domain @0 :Text;
+  region @1 :Text;
+  ageMs @2 :UInt32;
+  vms @3 :List(VmAge);
+  endpoints @4 :List(EndpointLoad);
+  services @5 :List(ServiceLoad);
+}
+
 struct Beat {
   from @0 :Peer.VmRow;
-  known @1 :List(Peer.VmRow);
-  revision @2 :UInt64;
-  endpoints @3 :List(EndpointLoad);
-  services @4 :List(ServiceLoad);
+  members @1 :UInt64;
+  known @2 :List(Peer.VmRow);
+  revision @3 :UInt64;
+  endpoints @4 :List(EndpointLoad);
+  domains @5 :List(DomainView);
 }
 
 struct Item {
--- a/crates/sw-peer/src/relay_capnp.rs
+++ b/crates/sw-peer/src/relay_capnp.rs
@@ -809,6 +809,679 @@
     }
 }
 
+pub mod vm_age {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_vm(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_vm(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_vm(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_vm(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_vm(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_vm(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(20, 125, 251, 218, 191, 174, 8, 206),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 86, 109, 65, 103),
+            ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(118, 109, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+        pub(crate) const TYPE_ID: u64 = 0xce08_aebf_dafb_7d14;
+    }
+}
+
+pub mod domain_view {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_domain(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_domain(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_region(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_region(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_vms(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::vm_age::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_vms(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_endpoints(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::endpoint_load::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_endpoints(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_services(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::service_load::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_services(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 5 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_domain(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_domain(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_domain(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_domain(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_region(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_region(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_region(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_region(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_vms(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::vm_age::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_vms(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::vm_age::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_vms(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::vm_age::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_vms(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_endpoints(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::endpoint_load::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_endpoints(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::endpoint_load::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_endpoints(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::endpoint_load::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_endpoints(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+        #[inline]
+        pub fn get_services(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::service_load::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_services(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::service_load::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+        }
+        #[inline]
+        pub fn init_services(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::service_load::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
+        }
+        #[inline]
+        pub fn has_services(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 121] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(115, 136, 146, 174, 102, 110, 67, 236),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 68, 111, 109, 97),
+            ::capnp::word(105, 110, 86, 105, 101, 119, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 111, 109, 97, 105, 110, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 103, 105, 111, 110, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 109, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(20, 125, 251, 218, 191, 174, 8, 206),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(190, 4, 145, 203, 143, 133, 98, 162),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 216, 112, 191, 150, 222, 183, 217),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::struct_list::Owned<crate::relay_capnp::vm_age::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::struct_list::Owned<crate::relay_capnp::endpoint_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::relay_capnp::service_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,4,1,5,3];
+        pub(crate) const TYPE_ID: u64 = 0xec43_6e66_ae92_8873;
+    }
+}
+
 pub mod beat {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -879,6 +1552,10 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn get_members(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
         pub fn get_known(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::vm_row::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
@@ -888,7 +1565,7 @@
         }
         #[inline]
         pub fn get_revision(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
+            self.reader.get_data_field::<u64>(1)
         }
         #[inline]
         pub fn get_endpoints(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::endpoint_load::Owned>> {
@@ -899,18 +1576,18 @@
             !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
-        pub fn get_services(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::service_load::Owned>> {
+        pub fn get_domains(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::domain_view::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_services(&self) -> bool {
+        pub fn has_domains(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -977,6 +1654,14 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn get_members(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_members(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
         pub fn get_known(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::vm_row::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
@@ -994,11 +1679,11 @@
         }
         #[inline]
         pub fn get_revision(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+            self.builder.get_data_field::<u64>(1)
         }
         #[inline]
         pub fn set_revision(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
+            self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
         pub fn get_endpoints(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::endpoint_load::Owned>> {
@@ -1017,19 +1702,19 @@
             !self.builder.is_pointer_field_null(2)
         }
         #[inline]
-        pub fn get_services(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::service_load::Owned>> {
+        pub fn get_domains(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::domain_view::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_services(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::service_load::Owned>) -> ::capnp::Result<()> {
+        pub fn set_domains(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::domain_view::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
         }
         #[inline]
-        pub fn init_services(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::service_load::Owned> {
+        pub fn init_domains(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::domain_view::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
         }
         #[inline]
-        pub fn has_services(&self) -> bool {
+        pub fn has_domains(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
     }
@@ -1046,59 +1731,66 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 107] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 121] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(133, 4, 211, 207, 138, 222, 52, 236),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 66, 101, 97, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 0, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(26, 128, 190, 178, 67, 7, 133, 240),
@@ -1107,6 +1799,14 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 109, 98, 101, 114, 115, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(107, 110, 111, 119, 110, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1141,14 +1841,13 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 115),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 111, 109, 97, 105, 110, 115, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 216, 112, 191, 150, 222, 183, 217),
+            ::capnp::word(115, 136, 146, 174, 102, 110, 67, 236),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -1158,10 +1857,11 @@
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <crate::peer_capnp::vm_row::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::struct_list::Owned<crate::peer_capnp::vm_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <::capnp::struct_list::Owned<crate::relay_capnp::endpoint_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::struct_list::Owned<crate::relay_capnp::service_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::peer_capnp::vm_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::struct_list::Owned<crate::relay_capnp::endpoint_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::relay_capnp::domain_view::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1175,9 +1875,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,1,2,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,4,0,2,1,3];
         pub(crate) const TYPE_ID: u64 = 0xec34_de8a_cfd3_0485;
     }
 }
--- a/crates/sw-proxy/src/exchange.rs
+++ b/crates/sw-proxy/src/exchange.rs
@@ -1,6 +1,6 @@
 //! Heartbeats with other VMs.
 //!
-//! Of two VMs the one with the smaller id calls; the other one calls only if it has not heard for a while. A VM that
+//! Of two neighbours the one with the smaller id calls; the other one calls only if it has not heard for a while. A VM that
 //! cannot reach the store takes what a neighbour knows of it.
 
 use std::cell::RefCell;
@@ -9,17 +9,23 @@
 
 use indexmap::{IndexMap, IndexSet};
 use spdlog::prelude::*;
-use sw_member::VmState;
-use sw_relay::Beat;
-use sw_unit::{Millis, RegionId, VmId};
+use sw_member::{VmRow, VmState};
+use sw_relay::{Beat, Relay};
+use sw_unit::{Millis, Time, VmId};
 
 use crate::core::Core;
 use crate::{Dialect, store};
 
 /// Time between two heartbeats.
 pub(crate) const BEAT_PERIOD: Millis = Millis(500);
-/// A VM with a larger id is called after it has not been heard for this long.
-const OVERDUE: Millis = Millis(1_100);
+/// A neighbour with a smaller id is called if it is this much overdue.
+const OVERDUE: Millis = Millis(700);
+/// What is due within this time is done now.
+const TICK_MARGIN: Millis = Millis(60);
+/// Time between two heartbeats with another domain.
+const DOMAIN_PERIOD: Millis = Millis(900);
+/// Time after which the second delegate speaks with another domain.
+const DOMAIN_PATIENCE: Millis = Millis(2_400);
 /// Without the store for this long, a neighbour is asked what it knows.
 const STORE_PATIENCE: Millis = Millis(1_000);
 
@@ -49,9 +55,7 @@
 /// Tells all VMs what this one says about itself.
 pub(crate) async fn tell_all<D: Dialect, F: 'static>(core: &Rc<Core<D, F>>) {
     let rows: Vec<_> = core.relay.borrow().members().others().cloned().collect();
-    let calls = rows
-        .into_iter()
-        .map(|row| call(core, row.peer_listen, Some(row.region)));
+    let calls = rows.into_iter().map(|row| call(core, row.peer_listen, Some(row)));
     futures::future::join_all(calls).await;
 }
 
@@ -67,35 +71,51 @@
 }
 
 fn call_due<D: Dialect, F: 'static>(core: &Rc<Core<D, F>>, seen: &Rc<RefCell<Seen>>) {
-    for (address, region) in due(core) {
+    for (address, row) in due(core) {
         if !seen.borrow_mut().calling.insert(address) {
             continue;
         }
         let (core, seen) = (Rc::clone(core), Rc::clone(seen));
         tokio::task::spawn_local(async move {
-            call(&core, address, region).await;
+            call(&core, address, row).await;
             seen.borrow_mut().calling.swap_remove(&address);
         });
     }
 }
 
-/// VMs to call now.
-fn due<D, F>(core: &Core<D, F>) -> Vec<(SocketAddr, Option<RegionId>)> {
-    let relay = core.relay.borrow();
-    let members = relay.members();
+/// VMs to call now: neighbours that are due, a VM of each domain that this one speaks with, and seeds that were
+/// never heard.
+fn due<D, F>(core: &Core<D, F>) -> Vec<(SocketAddr, Option<VmRow>)> {
+    let mut relay = core.relay.borrow_mut();
     let now = core.now();
-    let own = members.own().vm.clone();
-    let overdue = |vm: &VmId| members.heard_at(vm).is_none_or(|heard| now.since(heard) > OVERDUE);
-    let known = members.others().filter(|row| own < row.vm || overdue(&row.vm));
-    let known = known.map(|row| (row.peer_listen, Some(row.region.clone())));
+    let mut rows: Vec<VmRow> = neighbours_due(&relay, now);
+    let domains: Vec<_> = relay.other_domains().cloned().collect();
+    for domain in domains {
+        if relay.speaks_with(&domain, DOMAIN_PERIOD, DOMAIN_PATIENCE, now) {
+            rows.extend(relay.counterpart(&domain, now));
+        }
+    }
     let options = core.options();
-    let unknown = members.unknown(&options.seeds).map(|address| (address, None));
+    let unknown = relay.members().unknown(&options.seeds).map(|address| (address, None));
+    let known = rows.into_iter().map(|row| (row.peer_listen, Some(row)));
     known.chain(unknown).collect()
 }
 
-async fn call<D: Dialect, F: 'static>(core: &Rc<Core<D, F>>, address: SocketAddr, region: Option<RegionId>) {
+fn neighbours_due(relay: &Relay, now: Time) -> Vec<VmRow> {
+    let members = relay.members();
+    let own = &members.own().vm;
+    let period = members.period();
+    let is_due = |row: &&VmRow| {
+        let age = members.heard_at(&row.vm).map_or(OVERDUE, |heard| now.since(heard));
+        let limit = if *own < row.vm { period } else { period + OVERDUE };
+        age + TICK_MARGIN >= limit
+    };
+    members.neighbours().filter(is_due).cloned().collect()
+}
+
+async fn call<D: Dialect, F: 'static>(core: &Rc<Core<D, F>>, address: SocketAddr, row: Option<VmRow>) {
     let began = core.now();
-    let beat = core.relay.borrow().beat(region.as_ref(), began);
+    let beat = core.relay.borrow().beat(row.as_ref(), began);
     // A VM that does not answer is seen as suspect when its heartbeats are overdue.
     let Ok(reply) = core.peers.exchange(address, &beat).await else {
         return;
--- a/crates/sw-proxy/src/forward.rs
+++ b/crates/sw-proxy/src/forward.rs
@@ -9,7 +9,7 @@
 use hyper::{HeaderMap, Response, StatusCode};
 use sw_http::{BodyError, ResponseBody, channel};
 use sw_peer::relay::{RelayCall, RelayEvent};
-use sw_relay::{Outcome, Tried};
+use sw_relay::Outcome;
 use tokio::sync::mpsc;
 
 use crate::attempt::Call;
@@ -20,7 +20,8 @@
 /// Hops of a request that its entry VM forwards.
 pub(crate) const FIRST_HOP: u32 = 1;
 
-/// Sends a request to the VM at `address`, and waits for the head of its answer.
+/// Sends a request to the VM at `address`, which may run it on `attempts` endpoints, and waits for the head of its
+/// answer.
 ///
 /// # Errors
 ///
@@ -28,7 +29,7 @@
 pub(crate) async fn send<D: Dialect, F: 'static>(
     core: &Rc<Core<D, F>>,
     call: &Call,
-    tried: &Tried,
+    attempts: u32,
     address: SocketAddr,
 ) -> Result<Answer, Outcome> {
     let left = call.admitted.left(core.now());
@@ -39,7 +40,7 @@
         left,
         body: call.body.clone(),
         hops: FIRST_HOP,
-        attempts: call.admitted.attempts.saturating_sub(tried.runs()),
+        attempts,
     };
     let mut events = core.peers.relay(address, relayed);
     let first = tokio::time::timeout(Duration::from_millis(left.0), events.recv()).await;
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -28,9 +28,9 @@
 
 impl<D: Dialect, F: 'static> RelayHandler for PeerHandler<D, F> {
     fn exchange(&self, beat: Beat) -> Beat {
-        let region = beat.from.region.clone();
+        let from = beat.from.clone();
         exchange::heard(&self.0, beat);
-        self.0.relay.borrow().beat(Some(&region), self.0.now())
+        self.0.relay.borrow().beat(Some(&from), self.0.now())
     }
 
     fn snapshot(&self) -> Snapshot {
--- a/crates/sw-proxy/src/proxy.rs
+++ b/crates/sw-proxy/src/proxy.rs
@@ -20,6 +20,12 @@
 
 /// Heartbeats that a VM may miss before it is suspect.
 const MISSED_BEATS: u64 = 5;
+/// Time between two heartbeats for each neighbour that there is.
+const PERIOD_PER_NEIGHBOUR: Millis = Millis(60);
+/// Longest time between two heartbeats of neighbours.
+const MAX_PERIOD: Millis = Millis(1_500);
+/// A VM of another domain that is not heard of for this long is suspect.
+const REMOTE_SUSPECT_AFTER: Millis = Millis(4_000);
 /// A VM that was not heard for this long is forgotten.
 const FORGET_AFTER: Millis = Millis(120_000);
 /// Callers keep an answer of the directory for up to this many times its time to live.
@@ -141,7 +147,6 @@
 
 fn relay_options(options: &Options, clock: BootClock) -> sw_relay::Options {
     let incarnation = Incarnation(clock.wall().0);
-    let suspect_after = Millis(BEAT_PERIOD.0 * MISSED_BEATS);
     sw_relay::Options {
         own: VmRow {
             vm: options.vm.clone(),
@@ -155,10 +160,10 @@
         },
         members: sw_member::Options {
             period: BEAT_PERIOD,
-            period_per_neighbour: Millis(0),
-            max_period: BEAT_PERIOD,
+            period_per_neighbour: PERIOD_PER_NEIGHBOUR,
+            max_period: MAX_PERIOD,
             missed_periods: MISSED_BEATS,
-            remote_suspect_after: suspect_after,
+            remote_suspect_after: REMOTE_SUSPECT_AFTER,
             forget_after: FORGET_AFTER,
         },
         regions: options.regions.clone(),
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -126,8 +126,9 @@
             pass_on(core, call, opened, tried).await
         }
         Choice::Region { vm, address, .. } => {
-            let answer = forward::send(core, call, tried, *address).await;
-            tried.sent_to_vm(vm, answer.as_ref().err().copied());
+            let attempts = call.admitted.attempts.saturating_sub(tried.runs());
+            let answer = forward::send(core, call, attempts, *address).await;
+            tried.sent_to_vm(vm, attempts, answer.as_ref().err().copied());
             answer
         }
     }
--- a/crates/sw-relay/src/beat.rs
+++ b/crates/sw-relay/src/beat.rs
@@ -1,11 +1,15 @@
 //! What VMs tell each other.
+//!
+//! VMs of a failure domain exchange heartbeats with each other. Between two domains only a delegate of each does, and
+//! passes what it hears on to its neighbours, so that the traffic of a VM does not grow with the number of domains'
+//! VMs. Rows of VMs travel only when the two ends know different ones.
 
 use sw_member::VmRow;
-use sw_unit::EndpointId;
+use sw_unit::{DomainId, EndpointId, Incarnation, Millis, RegionId, VmId};
 
 use crate::ServiceId;
 
-/// What a VM sent to one endpoint.
+/// What one VM, or the VMs of one failure domain, sent to an endpoint.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EndpointLoad {
     /// The endpoint.
@@ -29,17 +33,47 @@
     pub gap_ms: f64,
 }
 
+/// One life of a VM, and how long ago it was heard.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VmAge {
+    /// The VM.
+    pub vm: VmId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Time since it was heard.
+    pub age: Millis,
+}
+
+/// What is known in a failure domain of itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DomainView {
+    /// The domain.
+    pub domain: DomainId,
+    /// Its region.
+    pub region: RegionId,
+    /// Time since one of its VMs said so.
+    pub age: Millis,
+    /// Its VMs.
+    pub vms: Vec<VmAge>,
+    /// What its VMs sent to the endpoints of their region; empty for VMs of other regions.
+    pub endpoints: Vec<EndpointLoad>,
+    /// How busy its region is.
+    pub services: Vec<ServiceLoad>,
+}
+
 /// A heartbeat between two VMs.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Beat {
     /// The sender.
     pub from: VmRow,
-    /// VMs that the sender knows of; this does not prove that they are live.
+    /// Digest of the rows that the sender knows.
+    pub members: u64,
+    /// The rows that the sender knows, if the receiver may know others; they do not prove that a VM is live.
     pub known: Vec<VmRow>,
     /// The revision of the sender's copy of the store.
     pub revision: u64,
-    /// What the sender sent to endpoints of its region; empty between regions.
+    /// What the sender sent to endpoints of its region; empty between domains.
     pub endpoints: Vec<EndpointLoad>,
-    /// How busy the sender's region is.
-    pub services: Vec<ServiceLoad>,
+    /// To another domain the sender's own, to neighbours those that it heard of as a delegate.
+    pub domains: Vec<DomainView>,
 }
--- a/crates/sw-relay/src/candidate.rs
+++ b/crates/sw-relay/src/candidate.rs
@@ -40,8 +40,8 @@
 pub struct Tried {
     /// Endpoints, with whether the request may have run there.
     endpoints: IndexMap<EndpointId, bool>,
-    /// VMs of other regions, with whether the request may have run there.
-    vms: IndexMap<VmId, bool>,
+    /// VMs of other regions, with the number of endpoints on which the request may have run there.
+    vms: IndexMap<VmId, u32>,
     sends: u32,
     last: Option<Outcome>,
 }
@@ -53,10 +53,11 @@
         *self.endpoints.entry(endpoint.clone()).or_default() |= ran;
     }
 
-    /// Records that a VM of another region got the request, and how that ended; `None` if it answered.
-    pub fn sent_to_vm(&mut self, vm: &VmId, outcome: Option<Outcome>) {
+    /// Records that a VM of another region got the request, which it might run on `attempts` endpoints, and how that
+    /// ended; `None` if it answered.
+    pub fn sent_to_vm(&mut self, vm: &VmId, attempts: u32, outcome: Option<Outcome>) {
         let ran = self.record(outcome);
-        *self.vms.entry(vm.clone()).or_default() |= ran;
+        *self.vms.entry(vm.clone()).or_default() += if ran { attempts.max(1) } else { 0 };
     }
 
     /// Whether the request may have run.
@@ -66,8 +67,8 @@
 
     /// Endpoints on which the request may have run.
     pub fn runs(&self) -> u32 {
-        let runs = self.endpoints.values().chain(self.vms.values()).filter(|ran| **ran);
-        u32::try_from(runs.count()).unwrap_or(u32::MAX)
+        let here = self.endpoints.values().filter(|ran| **ran).count();
+        u32::try_from(here).unwrap_or(u32::MAX) + self.vms.values().sum::<u32>()
     }
 
     /// How often the request was sent.
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -1,12 +1,15 @@
 //! What this VM tells others and hears from them.
 
-use sw_member::{VmRow, VmState};
+use sw_member::{VmRow, VmState, score};
 use sw_unit::{DomainId, Millis, RegionId, Time};
 
-use crate::{Beat, EndpointLoad, Load, Relay, ServiceLoad, Tried};
+use crate::load::Sender;
+use crate::{Beat, DomainView, EndpointLoad, Load, Relay, ServiceLoad, Tried, VmAge};
 
 /// Members of a failure domain that a directory answer names at least, if its region has as many.
 const MIN_ENTRIES: usize = 2;
+/// A view of another domain that is older than this is not passed on.
+const VIEW_MEMORY: Millis = Millis(4_000);
 /// Share of a region's endpoints, the least busy, whose wait is what a new request can expect.
 const LEAST_BUSY_SHARE: f64 = 0.5;
 
@@ -21,19 +24,37 @@
     pub host: Option<&'a str>,
 }
 
+/// A domain's view of itself, as heard.
+#[derive(Debug, Clone)]
+pub(crate) struct HeardView {
+    view: DomainView,
+    at: Time,
+    /// Whether a VM of the domain said so itself.
+    firsthand: bool,
+}
+
 impl Relay {
-    /// What this VM says to one in `region`.
-    pub fn beat(&self, region: Option<&RegionId>, now: Time) -> Beat {
-        let same_region = region == Some(&self.options.own.region);
+    /// What this VM says to another one, of which `to` is the row if it is known.
+    pub fn beat(&self, to: Option<&VmRow>, now: Time) -> Beat {
+        let own = self.members.own();
+        let neighbour = to.is_some_and(|row| row.domain == own.domain);
+        let same_region = to.is_some_and(|row| row.region == own.region);
+        let members = self.members_digest();
+        let agree = to.is_some_and(|row| self.digests.get(&row.vm) == Some(&members));
         Beat {
-            from: self.members.own().clone(),
-            known: self.members.others().cloned().collect(),
-            revision: self.revision,
-            endpoints: if same_region { self.own_loads(now) } else { Vec::new() },
-            services: if same_region {
+            from: own.clone(),
+            members,
+            known: if agree {
                 Vec::new()
             } else {
-                self.service_loads(now)
+                self.members.others().cloned().collect()
+            },
+            revision: self.revision,
+            endpoints: if neighbour { self.own_loads(now) } else { Vec::new() },
+            domains: if neighbour {
+                self.firsthand_views(now)
+            } else {
+                vec![self.own_view(same_region, now)]
             },
         }
     }
@@ -45,15 +66,115 @@
         }
         let vm = beat.from.vm.clone();
         self.peer_revisions.insert(vm.clone(), beat.revision);
+        self.digests.insert(vm.clone(), beat.members);
         for load in beat.endpoints {
             let known = self.loads.entry(load.endpoint.clone()).or_default();
-            known.heard(vm.clone(), load, now);
+            known.heard(Sender::Vm(vm.clone()), load, now);
         }
-        if beat.from.region != self.options.own.region {
-            let view = self.regions.entry(beat.from.region.clone()).or_default();
-            view.heard(beat.services, now);
+        let firsthand = beat.from.domain != self.options.own.domain;
+        let changed = self.members.heard(beat.from, now);
+        for view in beat.domains {
+            self.heard_view(view, firsthand, now);
         }
-        self.members.heard(beat.from, now)
+        changed
+    }
+
+    /// Whether this VM should exchange heartbeats with another domain now.
+    ///
+    /// The first delegate does so every `period`, the second one if that did not happen for `patience`.
+    pub fn speaks_with(&self, domain: &DomainId, period: Millis, patience: Millis, now: Time) -> bool {
+        let age = self.views.get(domain).map(|heard| now.since(heard.at));
+        match self.members.delegate_place(domain, now) {
+            Some(0) => age.is_none_or(|age| age >= period),
+            Some(_) => age.is_none_or(|age| age >= patience),
+            None => false,
+        }
+    }
+
+    /// The failure domains other than the own one.
+    pub fn other_domains(&self) -> impl Iterator<Item = &DomainId> {
+        let domains = self.options.regions.keys();
+        domains.filter(|domain| **domain != self.options.own.domain)
+    }
+
+    /// A VM of another domain to exchange heartbeats with, a live one if any is known.
+    pub fn counterpart(&mut self, domain: &DomainId, now: Time) -> Option<VmRow> {
+        let live: Vec<_> = self.members.live(domain, now).cloned().collect();
+        let draw = self.rng.usize(..);
+        let drawn = draw.checked_rem(live.len()).and_then(|at| live.into_iter().nth(at));
+        drawn.or_else(|| self.members.counterpart(domain, now).cloned())
+    }
+
+    fn heard_view(&mut self, view: DomainView, firsthand: bool, now: Time) {
+        if view.domain == self.options.own.domain {
+            return;
+        }
+        let at = now - view.age;
+        if self.views.get(&view.domain).is_some_and(|known| known.at > at) {
+            return;
+        }
+        for vm in &view.vms {
+            if let Some(row) = self.members.life(&vm.vm, vm.incarnation).cloned() {
+                self.members.vouched(row, vm.age + view.age, now);
+            }
+        }
+        let own_region = view.region == self.options.own.region;
+        if own_region {
+            for load in &view.endpoints {
+                let known = self.loads.entry(load.endpoint.clone()).or_default();
+                known.heard(Sender::Domain(view.domain.clone()), load.clone(), at);
+            }
+        } else {
+            let region = self.regions.entry(view.region.clone()).or_default();
+            region.heard(view.services.clone(), at);
+        }
+        let heard = HeardView { view, at, firsthand };
+        self.views.insert(heard.view.domain.clone(), heard);
+    }
+
+    /// What VMs of other domains said to this one, for its neighbours.
+    fn firsthand_views(&self, now: Time) -> Vec<DomainView> {
+        let fresh = |heard: &&HeardView| heard.firsthand && now.since(heard.at) < VIEW_MEMORY;
+        let views = self.views.values().filter(fresh).map(|heard| DomainView {
+            age: now.since(heard.at),
+            ..heard.view.clone()
+        });
+        views.collect()
+    }
+
+    fn own_view(&self, same_region: bool, now: Time) -> DomainView {
+        let own = self.members.own();
+        let neighbours = self.members.neighbours().filter_map(|row| {
+            let heard = self.members.heard_at(&row.vm)?;
+            Some(VmAge {
+                vm: row.vm.clone(),
+                incarnation: row.incarnation,
+                age: now.since(heard),
+            })
+        });
+        DomainView {
+            domain: own.domain.clone(),
+            region: own.region.clone(),
+            age: Millis(0),
+            vms: neighbours.collect(),
+            endpoints: if same_region {
+                self.domain_loads(now)
+            } else {
+                Vec::new()
+            },
+            services: if same_region {
+                Vec::new()
+            } else {
+                self.service_loads(now)
+            },
+        }
+    }
+
+    /// A digest of all rows, equal at VMs that know the same.
+    fn members_digest(&self) -> u64 {
+        let own = std::iter::once(self.members.own());
+        let rows = own.chain(self.members.others());
+        rows.fold(0, |digest, row| digest ^ score(row.incarnation, (&row.vm, row.leaving)))
     }
 
     /// Records the time of a call to another VM and back.
@@ -143,6 +264,12 @@
         row.collect()
     }
 
+    /// What the VMs of this domain sent, as far as it is known.
+    fn domain_loads(&self, now: Time) -> Vec<EndpointLoad> {
+        let loads = self.loads.iter().map(|(id, load)| load.of_neighbours(id, now));
+        loads.filter(|load| load.running > 0).collect()
+    }
+
     fn service_loads(&self, now: Time) -> Vec<ServiceLoad> {
         let services = self.table.iter().flat_map(|table| table.services.keys());
         let loads = services.map(|service| {
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -26,7 +26,7 @@
 mod types;
 
 pub use attempt::{Attempt, Outcome};
-pub use beat::{Beat, EndpointLoad, ServiceLoad};
+pub use beat::{Beat, DomainView, EndpointLoad, ServiceLoad, VmAge};
 pub use cache::PromptCache;
 pub use candidate::{Choice, Tried};
 pub use exchange::Caller;
--- a/crates/sw-relay/src/load.rs
+++ b/crates/sw-relay/src/load.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 
 use indexmap::IndexMap;
-use sw_unit::{Millis, Time, VmId};
+use sw_unit::{DomainId, EndpointId, Millis, Time, VmId};
 
 use crate::{EndpointLoad, LoadReport, Pace, PromptCache};
 
@@ -20,7 +20,7 @@
 /// Without streams for this long, an engine is taken to be idle.
 const GAP_MEMORY: Millis = Millis(1_500);
 /// A report or beat older than this is not used.
-const REPORT_MEMORY: Millis = Millis(1_500);
+const REPORT_MEMORY: Millis = Millis(2_500);
 /// Failures in a row after which an endpoint is paused.
 const FAILURES_TO_PAUSE: u32 = 3;
 /// First pause; each further failure doubles it.
@@ -28,6 +28,15 @@
 /// Longest pause.
 const MAX_PAUSE: Millis = Millis(8_000);
 
+/// Who else sends to an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) enum Sender {
+    /// A VM of the own failure domain.
+    Vm(VmId),
+    /// All VMs of another failure domain of the region.
+    Domain(DomainId),
+}
+
 /// A prompt that is being read or waits for it.
 #[derive(Debug, Clone, Copy)]
 struct Unread {
@@ -51,7 +60,7 @@
     next_ticket: u64,
     gap: Option<(f64, Time)>,
     report: Option<(LoadReport, Time)>,
-    peers: IndexMap<VmId, (EndpointLoad, Time)>,
+    peers: IndexMap<Sender, (EndpointLoad, Time)>,
     failures: u32,
     paused_until: Time,
 }
@@ -139,8 +148,24 @@
     }
 
     /// Records what another VM sent there.
-    pub fn heard(&mut self, vm: VmId, load: EndpointLoad, now: Time) {
-        self.peers.insert(vm, (load, now));
+    pub(crate) fn heard(&mut self, sender: Sender, load: EndpointLoad, now: Time) {
+        self.peers.insert(sender, (load, now));
+    }
+
+    /// What this VM and its neighbours sent to the endpoint `id`.
+    pub(crate) fn of_neighbours(&self, id: &EndpointId, now: Time) -> EndpointLoad {
+        let mut sum = EndpointLoad {
+            endpoint: id.clone(),
+            running: self.running,
+            backlog_ms: self.own_backlog_ms(now),
+        };
+        for (sender, (load, at)) in &self.peers {
+            if matches!(sender, Sender::Vm(_)) && now.since(*at) < REPORT_MEMORY {
+                sum.running += load.running;
+                sum.backlog_ms += load.backlog_ms;
+            }
+        }
+        sum
     }
 
     /// Records a good answer.
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -8,6 +8,7 @@
 use sw_member::{Members, VmRow};
 use sw_unit::{DomainId, EndpointId, Millis, Rate, RegionId, Time, VmId};
 
+use crate::exchange::HeardView;
 use crate::region::Regions;
 use crate::{
     Attempt, EndpointEntry, EngineModel, Fact, Load, LoadReport, Outcome, Prompt, Registry, RequestHead, Route,
@@ -91,6 +92,10 @@
     /// Recent requests by route.
     pub(crate) traffic: IndexMap<String, f64>,
     pub(crate) peer_revisions: IndexMap<VmId, u64>,
+    /// Digests of the rows that other VMs know.
+    pub(crate) digests: IndexMap<VmId, u64>,
+    /// What other failure domains say of themselves.
+    pub(crate) views: IndexMap<DomainId, HeardView>,
     budgets: IndexMap<ServiceId, RetryBudget>,
     pub(crate) rng: fastrand::Rng,
 }
@@ -108,6 +113,8 @@
             revision: 0,
             traffic: IndexMap::new(),
             peer_revisions: IndexMap::new(),
+            digests: IndexMap::new(),
+            views: IndexMap::new(),
             budgets: IndexMap::new(),
             rng: fastrand::Rng::with_seed(options.seed),
             options,
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -7,8 +7,8 @@
 use indexmap::IndexMap;
 use sw_member::VmRow;
 use sw_relay::{
-    Admitted, Beat, ClientLimits, EndpointEntry, EngineSpec, Fact, Options, Part, Prompt, Relay, RequestHead, Route,
-    RouteKind, Service, ServiceId, ServiceLoad, Table, Target,
+    Admitted, Beat, ClientLimits, DomainView, EndpointEntry, EngineSpec, Fact, Options, Part, Prompt, Relay,
+    RequestHead, Route, RouteKind, Service, ServiceId, ServiceLoad, Table, Target,
 };
 use sw_unit::{Incarnation, Millis, Rate, Time, Tokens, Version};
 
@@ -160,10 +160,18 @@
 /// A heartbeat of a VM.
 pub fn beat(from: VmRow, services: Vec<ServiceLoad>) -> Beat {
     Beat {
-        from,
+        members: 0,
         known: Vec::new(),
         revision: 1,
         endpoints: Vec::new(),
-        services,
+        domains: vec![DomainView {
+            domain: from.domain.clone(),
+            region: from.region.clone(),
+            age: Millis(0),
+            vms: Vec::new(),
+            endpoints: Vec::new(),
+            services,
+        }],
+        from,
     }
 }
--- a/crates/sw-relay/tests/tried.rs
+++ b/crates/sw-relay/tests/tried.rs
@@ -19,7 +19,7 @@
         let outcome = Outcome::of_refusal(kind.into());
         assert!(!outcome.not_run(), "{kind}");
         let mut tried = Tried::default();
-        tried.sent_to_vm(&vm(), Some(outcome));
+        tried.sent_to_vm(&vm(), 1, Some(outcome));
         assert!(tried.may_have_run(), "{kind}");
     }
 }
@@ -36,6 +36,17 @@
     }
 }
 
+/// The other VM sends a failed request once more by itself; the entry VM must not do so again.
+#[test]
+fn endpoints_that_another_vm_may_have_used_count_as_tried() {
+    let mut tried = Tried::default();
+    tried.sent_to_vm(&vm(), 2, None);
+    assert_eq!(tried.runs(), 2);
+    let mut tried = Tried::default();
+    tried.sent_to_vm(&vm(), 2, Some(Outcome::Rejected));
+    assert_eq!(tried.runs(), 0);
+}
+
 fn any_outcome() -> impl Strategy<Value = Option<Outcome>> {
     prop::sample::select(vec![
         None,
@@ -55,7 +66,7 @@
         let mut tried = Tried::default();
         for (remote, outcome) in &sends {
             if *remote {
-                tried.sent_to_vm(&vm(), *outcome);
+                tried.sent_to_vm(&vm(), 2, *outcome);
             } else {
                 tried.sent_to_endpoint(&endpoint(), *outcome);
             }
