fix(relay): VMs take turns at a cold endpoint

Ruled out: random delays (would still pass the bound now and then). Change: the cold time is cut into slots, which go to the VMs in turn by their ids; a VM sends nothing to cold endpoints for 2 s after its start.

--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -32,7 +32,7 @@
 pub use exchange::Caller;
 pub use load::Load;
 pub use model::EngineModel;
-pub use pace::Pace;
+pub use pace::{Pace, PaceShare};
 pub use region::RegionView;
 pub use registry::{Endpoint, Registry};
 pub use relay::{Admitted, Options, Relay};
--- a/crates/sw-relay/src/pace.rs
+++ b/crates/sw-relay/src/pace.rs
@@ -1,32 +1,50 @@
 //! Pacing of requests to a cold endpoint.
+//!
+//! The VMs that may send to a cold endpoint share its rate without asking each other. The time until it is warm, which
+//! all of them know, is cut into slots of one request each, and the slots go to the VMs in turn.
 
-use sw_unit::{Millis, Rate, Time};
+use sw_unit::{Millis, Rate};
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
+/// Share of the rate that is used, because the VMs know the endpoint's end of the cold time only roughly.
+const RATE_SHARE: f64 = 0.8;
+
+/// The part of a cold endpoint's rate that belongs to this VM.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PaceShare {
+    /// Requests a second that the endpoint bears from all VMs.
+    pub rate: Rate,
+    /// VMs that may send to it, this one included.
+    pub senders: usize,
+    /// The place of this VM among them.
+    pub place: usize,
+}
 
 /// Spaces the requests that this VM sends to one cold endpoint.
-///
-/// The VMs that may send to it share its rate without asking each other: each takes an equal part of the rate and
-/// never saves up more than one request.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Pace {
-    next: Option<Time>,
+    used: Option<u64>,
 }
 
 impl Pace {
-    /// Whether a request may be sent now.
-    pub fn allows(&self, now: Time) -> bool {
-        self.next.is_none_or(|next| next <= now)
+    /// Whether a request may be sent to an endpoint that is cold for `cold_for` more.
+    pub fn allows(&self, share: PaceShare, cold_for: Millis) -> bool {
+        slot(share, cold_for).is_some_and(|slot| is_own(share, slot) && self.used != Some(slot))
     }
 
-    /// Records a request, sent by one of `senders` VMs that share `rate`.
-    pub fn sent(&mut self, rate: Rate, senders: usize, now: Time) {
-        let share = rate.0 / senders.max(1) as f64;
-        let pause = if share > 0.0 {
-            Millis((MILLIS_PER_SECOND / share).ceil() as u64)
-        } else {
-            Millis(u64::MAX)
-        };
-        self.next = Some(now + pause);
+    /// Records a request.
+    pub fn sent(&mut self, share: PaceShare, cold_for: Millis) {
+        self.used = slot(share, cold_for);
     }
 }
+
+/// The slot that the time `cold_for` before the end of the cold time lies in; `None` if the endpoint bears nothing.
+fn slot(share: PaceShare, cold_for: Millis) -> Option<u64> {
+    let rate = share.rate.0 * RATE_SHARE;
+    let length = Millis((MILLIS_PER_SECOND / rate.max(f64::MIN_POSITIVE)).min(f64::from(u32::MAX)) as u64);
+    (rate > 0.0).then(|| cold_for.0 / length.0.max(1))
+}
+
+fn is_own(share: PaceShare, slot: u64) -> bool {
+    slot % share.senders.max(1) as u64 == share.place as u64
+}
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -11,8 +11,8 @@
 use crate::exchange::HeardView;
 use crate::region::Regions;
 use crate::{
-    Attempt, EndpointEntry, EngineModel, Fact, Load, LoadReport, Outcome, Prompt, Registry, RequestHead, Route,
-    Service, ServiceId, Table, Tried,
+    Attempt, EndpointEntry, EngineModel, Fact, Load, LoadReport, Outcome, PaceShare, Prompt, Registry, RequestHead,
+    Route, Service, ServiceId, Table, Tried,
 };
 
 /// Share of the retries that all VMs together are allowed that they plan to use, so that views that differ do not
@@ -21,7 +21,7 @@
 /// What is left of the count of recent requests after each tick.
 const TRAFFIC_DECAY: f64 = 0.97;
 /// Time after the start in which a VM may not know all others yet.
-const JOIN_TIME: Millis = Millis(1_500);
+const JOIN_TIME: Millis = Millis(2_000);
 /// Sends of one request, those that endpoints rejected included.
 const MAX_SENDS: u32 = 4;
 /// Time that a caller without a deadline is taken to wait.
@@ -230,19 +230,16 @@
         }
         let unread = self.unread(endpoint, admitted.prompt.as_ref());
         let read_ms = self.read_ms(&admitted.service, unread);
-        let senders = self.senders();
-        let (rate, memory) = self.service(&admitted.service).map_or((Rate(0.0), None), |service| {
-            (service.cold_rate, service.engine.map(|engine| engine.memory))
-        });
-        let cold = self.is_cold(endpoint, now);
+        let engine = self.service(&admitted.service).and_then(|service| service.engine);
+        let cold = self.cold_share(endpoint, now);
         let load = self.loads.entry(endpoint.id.clone()).or_default();
         let backlog_ms = load.backlog_ms(now);
         let ticket = load.sent(read_ms, now);
-        if let (Some(prompt), Some(memory)) = (&admitted.prompt, memory) {
-            load.cache.read(prompt, memory, now);
+        if let (Some(prompt), Some(engine)) = (&admitted.prompt, engine) {
+            load.cache.read(prompt, engine.memory, now);
         }
-        if cold {
-            load.pace.sent(rate, senders, now);
+        if let Some((share, cold_for)) = cold {
+            load.pace.sent(share, cold_for);
         }
         Some(Attempt {
             endpoint: endpoint.clone(),
@@ -325,15 +322,37 @@
         1 + others.count()
     }
 
-    pub(crate) fn is_cold(&self, endpoint: &EndpointEntry, now: Time) -> bool {
-        let known = self.registry.get(&endpoint.id);
-        known.is_some_and(|known| known.cold_until > now)
+    /// This VM's part of an endpoint's rate while it is cold, and how long it is; `None` if it is warm.
+    fn cold_share(&self, endpoint: &EndpointEntry, now: Time) -> Option<(PaceShare, Millis)> {
+        let known = self.registry.get(&endpoint.id)?;
+        let cold_for = known.cold_until.since(now);
+        if cold_for == Millis(0) {
+            return None;
+        }
+        let own = self.members.own();
+        let before = self
+            .members
+            .others()
+            .filter(|row| row.region == own.region && row.vm < own.vm);
+        let share = PaceShare {
+            rate: self
+                .service(&endpoint.service)
+                .map_or(Rate(0.0), |service| service.cold_rate),
+            senders: self.senders(),
+            place: before.count(),
+        };
+        Some((share, cold_for))
     }
 
+    /// Whether the endpoint is warm or this VM may send to it in spite of that.
+    ///
+    /// A VM that has just started does not know yet how many others send there, and sends nothing.
     pub(crate) fn pace_allows(&self, endpoint: &EndpointEntry, now: Time) -> bool {
-        let load = self.loads.get(&endpoint.id);
-        let paced = !self.is_joining(now) && load.is_none_or(|load| load.pace.allows(now));
-        paced || !self.is_cold(endpoint, now)
+        let Some((share, cold_for)) = self.cold_share(endpoint, now) else {
+            return true;
+        };
+        let pace = self.loads.get(&endpoint.id).map(|load| load.pace).unwrap_or_default();
+        now.since(self.options.started) >= JOIN_TIME && pace.allows(share, cold_for)
     }
 
     fn adopt(&mut self, table: Arc<Table>) -> bool {
--- a/crates/sw-relay/tests/cold.rs
+++ b/crates/sw-relay/tests/cold.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use support::{COLD_RATE, admit, beat, endpoint, prompt, register, relay, row};
-use sw_relay::{Relay, Tried};
+use support::{COLD_RATE, admit, beat, endpoint, prompt, register, relay_of, row};
+use sw_relay::{Outcome, Relay, Tried};
 use sw_unit::{Millis, Time};
 
 /// Share beyond the rate, and requests beyond that, that a cold endpoint bears in a second.
@@ -19,44 +19,48 @@
         let Ok(sw_relay::Choice::Endpoint { endpoint, .. }) = relay.choose(&admitted, &Tried::default(), now) else {
             continue;
         };
-        if relay.begin(&admitted, &endpoint, now).is_some() {
+        if let Some(mut attempt) = relay.begin(&admitted, &endpoint, now) {
+            relay.first_event(&mut attempt, now);
+            relay.end(&attempt, Outcome::Whole, now);
             sent.push(ms);
         }
     }
     sent
 }
 
-fn cold_vm(others: usize) -> Relay {
-    let mut relay = relay();
+/// The VM `place` of `vms` in a region with one endpoint, which is cold until 6,000 ms.
+fn cold_vm(place: usize, vms: usize) -> Relay {
+    let mut relay = relay_of(&format!("vm-{place:02}"));
     let mut cold = endpoint("e-1", "engines", "north");
-    cold.cold_for = Millis(3_000);
-    register(&mut relay, cold, Time(0));
-    for index in 1..=others {
-        relay.heard(beat(row(&format!("vm-{index}"), "north"), Vec::new()), Time(10));
+    cold.cold_for = Millis(6_000);
+    // Each VM hears of it at another moment, and of how cold it was when the registration was written.
+    register(&mut relay, cold, Time(place as u64 * 37 % 400));
+    for other in (0..vms).filter(|other| *other != place) {
+        relay.heard(beat(row(&format!("vm-{other:02}"), "north"), Vec::new()), Time(10));
     }
     relay
 }
 
+/// The pattern: a failure domain of many VMs, and a server that comes back cold while all of them are busy.
 #[test]
 fn all_vms_together_keep_to_the_rate_of_a_cold_endpoint() {
-    for vms in 1..=6 {
-        let mut sent: Vec<u64> = Vec::new();
-        for _ in 0..vms {
-            sent.extend(send_all(&mut cold_vm(vms - 1), 20, 3_000));
-        }
-        for start in (0..3_000).step_by(50) {
+    for vms in [1, 2, 3, 6, 11, 22] {
+        let sent: Vec<u64> = (0..vms)
+            .flat_map(|place| send_all(&mut cold_vm(place, vms), 20, 6_000))
+            .collect();
+        for start in (0..6_000).step_by(50) {
             let in_second = sent.iter().filter(|ms| (start..start + 1_000).contains(*ms)).count();
             assert!(
                 in_second as f64 <= COLD_RATE * OVERSHOOT + SLACK,
                 "{vms} VMs sent {in_second}"
             );
         }
-        assert!(!sent.is_empty());
+        assert!(sent.len() >= 4, "{vms} VMs sent only {}", sent.len());
     }
 }
 
 #[test]
-fn a_vm_that_does_not_know_the_others_yet_sends_nothing_to_a_cold_endpoint() {
-    assert_eq!(send_all(&mut cold_vm(0), 20, 1_400), Vec::<u64>::new());
-    assert!(!send_all(&mut cold_vm(0), 1_500, 2_500).is_empty());
+fn a_vm_that_has_just_started_sends_nothing_to_a_cold_endpoint() {
+    assert_eq!(send_all(&mut cold_vm(0, 3), 20, 1_900), Vec::<u64>::new());
+    assert!(!send_all(&mut cold_vm(0, 3), 2_000, 5_000).is_empty());
 }
--- a/crates/sw-relay/tests/directory.rs
+++ b/crates/sw-relay/tests/directory.rs
@@ -52,7 +52,7 @@
     assert_eq!(entries(&relay, "south", Time(500)), ["vm-2"]);
     let alone = support::relay();
     assert_eq!(
-        entries(&alone, "south", Time(2_000)),
+        entries(&alone, "south", Time(2_100)),
         ["vm-0"],
         "a VM that stays alone serves all"
     );
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -39,9 +39,14 @@
 
 /// A VM called `vm-0` in the region `north`, which knows the configuration.
 pub fn relay() -> Relay {
+    relay_of("vm-0")
+}
+
+/// A VM in the region `north`, which knows the configuration.
+pub fn relay_of(name: &str) -> Relay {
     let regions = ["north", "south", "west"].map(|name| (name.parse().expect("an id"), name.parse().expect("an id")));
     let mut relay = Relay::new(Options {
-        own: row("vm-0", "north"),
+        own: row(name, "north"),
         members: sw_member::Options {
             period: Millis(500),
             period_per_neighbour: Millis(0),
