--- a/crates/sw-conf/src/relay.rs
+++ b/crates/sw-conf/src/relay.rs
@@ -13,7 +13,7 @@
 const DEFAULT_RETRY_RATIO: f64 = 0.1;
 /// Further retries of all VMs together.
 const DEFAULT_RETRY_SLACK: f64 = 10.0;
-const DEFAULT_ENTRY_TTL: Millis = Millis(2_000);
+const DEFAULT_ENTRY_TTL: Millis = Millis(1_000);
 const DEFAULT_STOP_GRACE: Millis = Millis(8_000);
 const DEFAULT_BODY_MEMORY: Bytes = Bytes(48 << 20);
 
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -20,8 +20,8 @@
 
 /// An answer up to this length is read whole before any of it is passed on.
 const WHOLE_ANSWER: u64 = 64 << 10;
-/// Part of the stop's grace after which requests that take long are refused.
-const LATE_STOP_SHARE: f64 = 0.3;
+/// Part of the stop's grace after which streams are refused, because they might not end before the process does.
+const LATE_STOP_SHARE: f64 = 0.35;
 /// Time to come back for callers that reached a VM that is stopping.
 const ELSEWHERE: Millis = Millis(50);
 /// Shares of an idle time that a connection is kept.
--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -15,7 +15,7 @@
 /// How long the store holds a call that waits for changes.
 const WATCH_WAIT: Duration = Duration::from_secs(4);
 /// Pause after changes, in which further ones gather, so that they cost one call.
-const GATHER: Duration = Duration::from_millis(300);
+const GATHER: Duration = Duration::from_millis(500);
 /// Pause after a failed call.
 const BACKOFF: Duration = Duration::from_millis(250);
 
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -152,11 +152,16 @@
                 age: now.since(heard),
             })
         });
+        let itself = VmAge {
+            vm: own.vm.clone(),
+            incarnation: own.incarnation,
+            age: Millis(0),
+        };
         DomainView {
             domain: own.domain.clone(),
             region: own.region.clone(),
             age: Millis(0),
-            vms: neighbours.collect(),
+            vms: std::iter::once(itself).chain(neighbours).collect(),
             endpoints: if same_region {
                 self.domain_loads(now)
             } else {
--- /dev/null
+++ b/crates/sw-relay/tests/heartbeats.rs
@@ -0,0 +1,74 @@
+//! What VMs learn of each other through heartbeats and delegates.
+
+mod support;
+
+use support::{admit, endpoint, prompt, register, relay_of, row};
+use sw_relay::{Caller, Choice, Relay, Tried};
+use sw_unit::{RegionId, Time};
+
+/// One exchange of heartbeats, begun by `a`, with whose row is known at the other end.
+fn exchange(a: &mut Relay, b: &mut Relay, now: Time) {
+    let (row_a, row_b) = (a.members().own().clone(), b.members().own().clone());
+    let greeting = a.beat(Some(&row_b), now);
+    b.heard(greeting, now);
+    let reply = b.beat(Some(&row_a), now);
+    a.heard(reply, now);
+}
+
+fn live_in_south(relay: &Relay, now: Time) -> Vec<String> {
+    let region: RegionId = "south".parse().expect("an id");
+    let caller = Caller {
+        region: Some(&region),
+        ..Caller::default()
+    };
+    let rows = relay.entries(caller, now).into_iter();
+    rows.filter(|row| row.region == region)
+        .map(|row| row.vm.to_string())
+        .collect()
+}
+
+/// The pattern: a domain of which one VM is left; only the delegate of the other domain speaks with it.
+#[test]
+fn a_neighbour_learns_from_the_delegate_that_the_other_domains_only_vm_lives() {
+    let (mut delegate, mut neighbour) = (relay_of("vm-0"), relay_of("vm-1"));
+    let mut other = support::relay_in("vm-9", "south");
+    for step in 0..10 {
+        let now = Time(step * 1_000);
+        exchange(&mut delegate, &mut other, now);
+        exchange(&mut delegate, &mut neighbour, now);
+    }
+    assert_eq!(live_in_south(&neighbour, Time(9_100)), ["vm-9"]);
+    assert_eq!(
+        live_in_south(&neighbour, Time(15_000)),
+        Vec::<String>::new(),
+        "silence spreads too"
+    );
+}
+
+#[test]
+fn rows_travel_only_until_both_ends_know_the_same() {
+    let (mut one, mut other) = (relay_of("vm-0"), relay_of("vm-1"));
+    other.heard(support::beat(row("vm-2", "north"), Vec::new()), Time(0));
+    exchange(&mut one, &mut other, Time(0));
+    exchange(&mut one, &mut other, Time(1_000));
+    assert!(one.members().row(&"vm-2".parse().expect("an id")).is_some());
+    let settled = one.beat(Some(&row("vm-1", "north")), Time(2_000));
+    assert!(settled.known.is_empty(), "{:?}", settled.known);
+}
+
+/// The pattern: two VMs of a region send to the same engines.
+#[test]
+fn prompts_of_neighbours_count_as_backlog() {
+    let (mut one, mut other) = (relay_of("vm-0"), relay_of("vm-1"));
+    for relay in [&mut one, &mut other] {
+        register(relay, endpoint("e-1", "engines", "north"), Time(0));
+    }
+    let admitted = admit(&mut one, "digest", Some(prompt(1, 0, 8_000)), Time(0));
+    let Ok(Choice::Endpoint { endpoint, .. }) = one.choose(&admitted, &Tried::default(), Time(0)) else {
+        panic!("nothing was chosen");
+    };
+    let attempt = one.begin(&admitted, &endpoint, Time(0)).expect("an attempt");
+    exchange(&mut one, &mut other, Time(10));
+    let seen = other.load(&endpoint.id).expect("a load").backlog_ms(Time(10));
+    assert!((seen - attempt.read_ms).abs() < 20.0, "{seen} of {}", attempt.read_ms);
+}
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -44,9 +44,14 @@
 
 /// A VM in the region `north`, which knows the configuration.
 pub fn relay_of(name: &str) -> Relay {
+    relay_in(name, "north")
+}
+
+/// A VM in a region, which knows the configuration.
+pub fn relay_in(name: &str, region: &str) -> Relay {
     let regions = ["north", "south", "west"].map(|name| (name.parse().expect("an id"), name.parse().expect("an id")));
     let mut relay = Relay::new(Options {
-        own: row(name, "north"),
+        own: row(name, region),
         members: sw_member::Options {
             period: Millis(500),
             period_per_neighbour: Millis(0),
