test: a soak of real processes on the platform's stand-ins

Kills, pauses, SIGTERM and SIGHUP in series, store links cut, silenced or frozen, outages, changes of configuration and servers, overlapping, under clients that keep their connections; promises are checked while it runs.

--- /dev/null
+++ b/crates/shallotwing-daemon/tests/soak.rs
@@ -0,0 +1,414 @@
+//! Real processes before the stand-ins of the users' platform, with random faults from outside; the promises are
+//! checked from what clients and servers saw.
+//!
+//! The seed fixes faults and requests, the machine their exact times. Longer runs, or other seeds:
+//! `SHALLOTWING_SOAK_SEED=7 SHALLOTWING_SOAK_SECONDS=60 cargo test --release -p shallotwing-daemon --test soak`.
+
+#![cfg(feature = "platform")]
+
+#[path = "../../../platform/tests/support/mod.rs"]
+mod support;
+
+use std::cell::RefCell;
+use std::io::Write as _;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::BodyExt as _;
+use rustix::process::{Pid, Signal, kill_process};
+use sw_http::{Connector, Reuse};
+use sw_standin::{Link, LinkState};
+use tokio::time::{Instant, sleep};
+
+use support::server::{EVENTS, Seen, StandinServer};
+use support::store::StandinStore;
+use support::{client, config, entry, run};
+
+const DEFAULT_SECONDS: u64 = 8;
+/// Seeds that once failed, each with its cause.
+const REGRESSIONS: [(u64, &str); 0] = [];
+const VMS: [(&str, &str); 4] = [
+    ("vm-n1", "north"),
+    ("vm-n2", "north"),
+    ("vm-s1", "south"),
+    ("vm-s2", "south"),
+];
+const SERVERS: [(&str, &str); 4] = [("s-0", "north"), ("s-1", "north"), ("s-2", "south"), ("s-3", "south")];
+const CLIENTS: usize = 6;
+/// Time in which all VMs serve again when the faults are over.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// Time from SIGTERM to the end of a process.
+const STOP_GRACE: Duration = Duration::from_secs(9);
+const PATHS: [&str; 16] = [
+    "/pay/ok",
+    "/pay/ok",
+    "/pay/close",
+    "/pay/short",
+    "/pay/shed",
+    "/pay/other-id",
+    "/pay/garbage",
+    "/read/ok",
+    "/read/fail",
+    "/read/extra",
+    "/read/close",
+    "/bound/ok",
+    "/stream/events",
+    "/stream/break",
+    "/resumable/events",
+    "/resumable/break",
+];
+
+/// What a client asked for and got.
+struct Asked {
+    id: String,
+    path: &'static str,
+    /// Status, signature and body; `None` if no head came.
+    got: Option<(u16, bool, Result<String, String>)>,
+}
+
+struct Vm {
+    index: usize,
+    file: tempfile::NamedTempFile,
+    front: SocketAddr,
+    store: Link,
+    child: Child,
+    paused: bool,
+}
+
+impl Vm {
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        // Fails only if the process has just ended.
+        let _ended = kill_process(pid, signal);
+    }
+
+    fn restart(&mut self) {
+        self.child = spawn(self.file.path());
+        self.paused = false;
+    }
+
+    /// Waits for the end of a process that was told to stop.
+    async fn ended(&mut self) -> ExitStatus {
+        let end = Instant::now() + STOP_GRACE;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("a child") {
+                return status;
+            }
+            assert!(Instant::now() < end, "{} did not stop in time", VMS[self.index].0);
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        let _ended = self.child.kill();
+        let _ended = self.child.wait();
+    }
+}
+
+fn spawn(file: &std::path::Path) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_shallotwingd"));
+    command.arg("--config").arg(file).stdout(Stdio::null());
+    command.spawn().expect("the daemon starts")
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("an address");
+    listener.local_addr().expect("an address")
+}
+
+async fn start_vm(index: usize, peers: &[SocketAddr], store: SocketAddr) -> Vm {
+    let (name, region) = VMS[index];
+    let [front, ready, directory] = std::array::from_fn(|_| free_address());
+    let link = Link::start((Ipv4Addr::LOCALHOST, 0).into(), store, Duration::ZERO)
+        .await
+        .expect("a link");
+    let seeds: Vec<_> = peers.iter().take(3).map(ToString::to_string).collect();
+    let mut file = tempfile::NamedTempFile::new().expect("a file");
+    let text = format!(
+        "[vm]\nid = {name}\ndomain = {region}\nregion = {region}\nlisten = {front}\npeer_listen = {}\nseeds = {}\n\
+         [relay]\nstore = {}\nready_listen = {ready}\ndirectory_listen = {directory}\nstop_grace_ms = 8000\n\
+         [retries]\nratio = 0.2\nslack = 40\n[domain north]\nregion = north\n[domain south]\nregion = south\n",
+        peers[index],
+        seeds.join(", "),
+        link.address(),
+    );
+    file.write_all(text.as_bytes()).expect("settings");
+    let child = spawn(file.path());
+    Vm {
+        index,
+        file,
+        front,
+        store: link,
+        child,
+        paused: false,
+    }
+}
+
+struct Soak {
+    store: StandinStore,
+    servers: Vec<StandinServer>,
+    vms: Vec<Vm>,
+    asked: Rc<RefCell<Vec<Asked>>>,
+    rng: fastrand::Rng,
+    version: u64,
+}
+
+impl Soak {
+    async fn start(seed: u64) -> Self {
+        let store = StandinStore::start().await;
+        store.put("op/config", &config(1));
+        let mut servers = Vec::new();
+        for (name, region) in SERVERS {
+            let server = StandinServer::start(name).await;
+            store.put(&format!("servers/{name}"), &entry(server.address, region, "ready"));
+            servers.push(server);
+        }
+        let peers: Vec<_> = VMS.iter().map(|_| free_address()).collect();
+        let mut vms = Vec::new();
+        for index in 0..VMS.len() {
+            vms.push(start_vm(index, &peers, store.address).await);
+        }
+        Self {
+            store,
+            servers,
+            vms,
+            asked: Rc::default(),
+            rng: fastrand::Rng::with_seed(seed),
+            version: 1,
+        }
+    }
+
+    /// Brings about one fault; some of them overlap with what earlier ones left.
+    async fn fault(&mut self) {
+        let at = self.rng.usize(..self.vms.len());
+        let vm = &mut self.vms[at];
+        match self.rng.u32(..11) {
+            0 => {
+                vm.child.kill().expect("a child");
+                vm.child.wait().expect("a child");
+                vm.restart();
+            }
+            1 if !vm.paused => {
+                vm.signal(Signal::TERM);
+                // Signals come in series: a second one must not cut anything.
+                vm.signal(Signal::HUP);
+                vm.signal(Signal::TERM);
+                let status = vm.ended().await;
+                assert!(status.success(), "a planned stop ended with {status}");
+                vm.restart();
+            }
+            2 => {
+                vm.signal(Signal::STOP);
+                vm.paused = true;
+            }
+            3 => vm.signal(Signal::HUP),
+            4 => vm.store.set(LinkState::Cut),
+            5 => vm.store.silence(),
+            6 => vm.store.set(LinkState::Frozen),
+            7 => self.store.set_down(true),
+            8 => self.store.compact(),
+            9 => {
+                self.version += 1 + self.rng.u64(..3);
+                self.store.put("op/config", &config(self.version));
+            }
+            _ => self.toggle_server(),
+        }
+    }
+
+    /// A server leaves, or one that left comes back in a new life.
+    fn toggle_server(&mut self) {
+        let index = self.rng.usize(..self.servers.len());
+        let server = &self.servers[index];
+        let mut doc = entry(server.address, SERVERS[index].1, "draining");
+        if self.rng.bool() {
+            doc["state"] = "ready".into();
+            doc["born"] = (1_000 + self.rng.u64(..1_000)).into();
+        }
+        self.store.put(&format!("servers/{}", server.name), &doc);
+    }
+
+    fn heal(&mut self) {
+        self.store.set_down(false);
+        for vm in &mut self.vms {
+            vm.store.set(LinkState::Up);
+            if vm.paused {
+                vm.signal(Signal::CONT);
+                vm.paused = false;
+            }
+        }
+    }
+
+    /// Registers all servers as ready, in new lives.
+    fn restore_servers(&self) {
+        for (server, (name, region)) in self.servers.iter().zip(SERVERS) {
+            let mut doc = entry(server.address, region, "ready");
+            doc["born"] = 1_000_000.into();
+            self.store.put(&format!("servers/{name}"), &doc);
+        }
+    }
+
+    /// Waits until each VM serves and uses the newest configuration.
+    async fn recovered(&self) {
+        let end = Instant::now() + RECOVERY;
+        for vm in &self.vms {
+            for path in ["/read/ok", "/bound/ok"] {
+                while !client::send(vm.front, "GET", path, "", client::PATIENCE)
+                    .await
+                    .is_ok_and(|got| got.status == 200)
+                {
+                    assert!(Instant::now() < end, "{} does not serve {path} again", VMS[vm.index].0);
+                    sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+    }
+
+    /// All requests that servers saw, with the servers.
+    fn seen(&self) -> Vec<(&'static str, Seen)> {
+        let seen = self.servers.iter();
+        seen.flat_map(|server| server.seen().into_iter().map(move |seen| (server.name, seen)))
+            .collect()
+    }
+
+    /// Holds what clients got against what servers ran.
+    fn check(&self) {
+        let seen = self.seen();
+        let south = |server: &str| SERVERS.contains(&(server, "south"));
+        for (server, request) in &seen {
+            assert!(
+                !request.path.starts_with("/bound/") || south(server),
+                "{} left its region",
+                request.id
+            );
+        }
+        for asked in self.asked.borrow().iter() {
+            let shed = asked.path.ends_with("/shed");
+            let ran = seen.iter().filter(|(_, request)| request.id == asked.id && !shed);
+            let runs = ran.clone().count();
+            let once = asked.path.starts_with("/pay/") || asked.path.starts_with("/stream/");
+            assert!(!once || runs <= 1, "{} {} ran {runs} times", asked.id, asked.path);
+            // A route allows two servers; a request may be sent to one of them again.
+            let servers: std::collections::BTreeSet<_> = ran.map(|(server, _)| *server).collect();
+            assert!(servers.len() <= 2, "{} {} ran on {servers:?}", asked.id, asked.path);
+            let Some((status, signed, body)) = &asked.got else {
+                continue;
+            };
+            if matches!(status, 408 | 421 | 429 | 503) {
+                assert_eq!(runs, 0, "{} {} was said not to have run", asked.id, asked.path);
+                assert!(!signed, "{} {} carries a signature", asked.id, asked.path);
+            }
+            if *status == 200 {
+                assert!(signed, "{} {} carries no signature", asked.id, asked.path);
+                if let Ok(body) = body {
+                    check_body(asked, body);
+                }
+            }
+        }
+    }
+}
+
+/// Checks an answer that looks whole.
+fn check_body(asked: &Asked, body: &str) {
+    if asked.path.starts_with("/stream/") || asked.path.starts_with("/resumable/") {
+        let ids: Vec<u64> = body
+            .lines()
+            .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
+            .collect();
+        assert_eq!(ids, (1..=EVENTS).collect::<Vec<_>>(), "{} {}", asked.id, asked.path);
+    } else {
+        let whole = SERVERS.iter().any(|(name, _)| body == *name);
+        assert!(whole, "{} {} got {body:?}", asked.id, asked.path);
+    }
+}
+
+/// Sends requests to random VMs, on open connections for as long as they last.
+async fn ask(fronts: Vec<SocketAddr>, asked: Rc<RefCell<Vec<Asked>>>, mut rng: fastrand::Rng) {
+    const GAP: Duration = Duration::from_millis(25);
+    const PATIENCE: Duration = Duration::from_secs(3);
+    let connector = Connector::new(Duration::from_millis(500));
+    loop {
+        let front = fronts[rng.usize(..fronts.len())];
+        let path = PATHS[rng.usize(..PATHS.len())];
+        let method = if path.starts_with("/read/") { "GET" } else { "POST" };
+        let id = client::next_id();
+        let mut got = None;
+        if let Ok(mut exchange) = connector.connect(front, Reuse::Allowed).await {
+            let body = if method == "POST" { "five trolleys" } else { "" };
+            let request = client::request(&id, method, path, body, PATIENCE);
+            if let Ok(response) = exchange.send(request, PATIENCE + Duration::from_secs(1)).await {
+                let (head, body) = response.into_parts();
+                let body = tokio::time::timeout(PATIENCE, body.collect()).await;
+                let body = body.map_err(|late| late.to_string());
+                let body = body.and_then(|body| body.map_err(|error| error.to_string()));
+                let whole = body.is_ok();
+                let body = body.map(|body| String::from_utf8_lossy(&body.to_bytes()).into_owned());
+                let closes = head.headers.get("connection").is_some_and(|value| value == "close");
+                got = Some((
+                    head.status.as_u16(),
+                    head.headers.contains_key("x-response-stamp"),
+                    body,
+                ));
+                if whole && !closes {
+                    exchange.give_back();
+                }
+            }
+        }
+        asked.borrow_mut().push(Asked { id, path, got });
+        sleep(GAP).await;
+    }
+}
+
+fn number(name: &str, default: u64) -> u64 {
+    let set = std::env::var(name).ok().and_then(|value| value.parse().ok());
+    set.unwrap_or(default)
+}
+
+async fn soak(seed: u64, seconds: u64) {
+    const PAUSE: std::ops::Range<u64> = 100..700;
+    println!("soak with SHALLOTWING_SOAK_SEED={seed} for {seconds} s");
+    let mut soak = Soak::start(seed).await;
+    soak.recovered().await;
+    let fronts: Vec<_> = soak.vms.iter().map(|vm| vm.front).collect();
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|_| tokio::task::spawn_local(ask(fronts.clone(), Rc::clone(&soak.asked), soak.rng.fork())))
+        .collect();
+    let end = Instant::now() + Duration::from_secs(seconds);
+    while Instant::now() < end {
+        soak.fault().await;
+        sleep(Duration::from_millis(soak.rng.u64(PAUSE))).await;
+        if soak.rng.u32(..3) == 0 {
+            soak.heal();
+        }
+        soak.check();
+    }
+    soak.heal();
+    soak.restore_servers();
+    soak.recovered().await;
+    for client in clients {
+        client.abort();
+    }
+    soak.check();
+    for vm in &mut soak.vms {
+        let exited = vm.child.try_wait().expect("a child");
+        assert!(exited.is_none(), "{} ended by itself: {exited:?}", VMS[vm.index].0);
+    }
+    println!("{} requests kept the promises", soak.asked.borrow().len());
+}
+
+#[test]
+fn promises_hold_under_random_faults() {
+    let seconds = number("SHALLOTWING_SOAK_SECONDS", DEFAULT_SECONDS);
+    run(soak(number("SHALLOTWING_SOAK_SEED", 1), seconds));
+}
+
+#[test]
+fn seeds_that_once_failed_pass() {
+    for (seed, cause) in REGRESSIONS {
+        println!("seed {seed} once failed: {cause}");
+        run(soak(seed, DEFAULT_SECONDS));
+    }
+}
