--- a/crates/sw-proxy/src/core.rs
+++ b/crates/sw-proxy/src/core.rs
@@ -68,6 +68,8 @@
     pub(crate) idle: Notify,
     /// When the store was lost; `None` while it answers.
     pub(crate) store_lost: Cell<Option<Time>>,
+    /// When the process started, or the store answered again after an outage.
+    pub(crate) store_returned: Cell<Time>,
 }
 
 impl<D, F> Core<D, F> {
@@ -87,6 +89,7 @@
             active: Cell::new(0),
             idle: Notify::new(),
             store_lost: Cell::new(None),
+            store_returned: Cell::new(clock.now()),
         }
     }
 
--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -16,6 +16,10 @@
 const WATCH_WAIT: Duration = Duration::from_secs(4);
 /// Pause after changes, in which further ones gather, so that they cost one call.
 const GATHER: Duration = Duration::from_millis(500);
+/// The same shortly after a start or an outage, when much is registered anew.
+const FRESH_GATHER: Duration = Duration::from_millis(100);
+/// Time after a start or an outage in which changes are asked for more often.
+const FRESH: Millis = Millis(3_000);
 /// Pause after a failed call.
 const BACKOFF: Duration = Duration::from_millis(250);
 
@@ -35,7 +39,7 @@
                 seen(&core);
                 apply(&core, &changes, "store");
                 if follows && !quiet {
-                    tokio::time::sleep(GATHER).await;
+                    tokio::time::sleep(gather(&core)).await;
                 }
                 follows = true;
             }
@@ -51,6 +55,12 @@
     }
 }
 
+/// The pause after changes.
+fn gather<D, F>(core: &Core<D, F>) -> Duration {
+    let fresh = core.now().since(core.store_returned.get()) < FRESH;
+    if fresh { FRESH_GATHER } else { GATHER }
+}
+
 /// A VM to copy from, if the store is away for longer than `patience`.
 pub(crate) fn neighbour_ahead<D, F>(core: &Core<D, F>, patience: Millis) -> Option<(VmId, SocketAddr)> {
     let lost = core.store_lost.get()?;
@@ -156,6 +166,7 @@
     if let Some(since) = core.store_lost.take() {
         let now = core.now();
         let away_ms = now.since(since).0;
+        core.store_returned.set(now);
         core.relay.borrow_mut().store_returned(now);
         info!("store_regained", kv: { away_ms });
     }
