--- a/crates/shallotwing-daemon/tests/common/mod.rs
+++ b/crates/shallotwing-daemon/tests/common/mod.rs
@@ -45,12 +45,13 @@
         let file = std::env::temp_dir().join(format!("{name}.ini"));
         let log = std::env::temp_dir().join(format!("{name}.log"));
         std::fs::write(&file, settings).unwrap();
+        let out = std::fs::File::create(&log).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_shallotwingd"))
             .arg("--config")
             .arg(&file)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(std::fs::File::create(&log).unwrap())
+            .stdout(out.try_clone().unwrap())
+            .stderr(out)
             .spawn()
             .unwrap();
         Self { child, file, log }
