--- a/crates/shallotwing-daemon/tests/soak.rs
+++ b/crates/shallotwing-daemon/tests/soak.rs
@@ -11,7 +11,7 @@
 
 use std::cell::RefCell;
 use std::io::Write as _;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,12 +19,12 @@
 use http_body_util::BodyExt as _;
 use rustix::process::{Pid, Signal, kill_process};
 use sw_http::{Connector, Reuse};
-use sw_standin::{Link, LinkState};
+use sw_standin::{Link, LinkState, free_address};
 use tokio::time::{Instant, sleep};
 
 use support::server::{EVENTS, Seen, StandinServer};
 use support::store::StandinStore;
-use support::{client, config, entry, run};
+use support::{client, entry, run};
 
 const DEFAULT_SECONDS: u64 = 8;
 /// Seeds that once failed, each with its cause.
@@ -115,14 +115,9 @@
     command.spawn().expect("the daemon starts")
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("an address");
-    listener.local_addr().expect("an address")
-}
-
 async fn start_vm(index: usize, peers: &[SocketAddr], store: SocketAddr) -> Vm {
     let (name, region) = VMS[index];
-    let [front, ready, directory] = std::array::from_fn(|_| free_address());
+    let [front, ready, directory] = std::array::from_fn(|_| free_address().expect("a free port"));
     let link = Link::start((Ipv4Addr::LOCALHOST, 0).into(), store, Duration::ZERO)
         .await
         .expect("a link");
@@ -160,14 +155,14 @@
 impl Soak {
     async fn start(seed: u64) -> Self {
         let store = StandinStore::start().await;
-        store.put("op/config", &config(1));
+        store.put_config(1);
         let mut servers = Vec::new();
         for (name, region) in SERVERS {
             let server = StandinServer::start(name).await;
             store.put(&format!("servers/{name}"), &entry(server.address, region, "ready"));
             servers.push(server);
         }
-        let peers: Vec<_> = VMS.iter().map(|_| free_address()).collect();
+        let peers: Vec<_> = VMS.iter().map(|_| free_address().expect("a free port")).collect();
         let mut vms = Vec::new();
         for index in 0..VMS.len() {
             vms.push(start_vm(index, &peers, store.address).await);
@@ -213,7 +208,7 @@
             8 => self.store.compact(),
             9 => {
                 self.version += 1 + self.rng.u64(..3);
-                self.store.put("op/config", &config(self.version));
+                self.store.put_config(self.version);
             }
             _ => self.toggle_server(),
         }
--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -199,7 +199,6 @@
         endpoint: &endpoint.id,
         left,
         last_event,
-        priority: None,
     };
     core.dialect.set_outbound(request.headers_mut(), &outbound);
     request
--- a/crates/sw-proxy/src/dialect.rs
+++ b/crates/sw-proxy/src/dialect.rs
@@ -34,8 +34,6 @@
     pub left: Millis,
     /// The last event that the caller has, if the stream is resumed.
     pub last_event: Option<&'a str>,
-    /// Urgency; 0 comes first. `None` for endpoints that know no priorities.
-    pub priority: Option<u32>,
 }
 
 /// What an endpoint states about a request that it did not run.
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -1,6 +1,7 @@
 //! Answering other VMs.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -48,8 +49,8 @@
     async fn relay(&self, call: RelayCall, events: mpsc::Sender<RelayEvent>) {
         let active = Active::new(&self.0);
         let received = self.0.now();
-        let id = call_id(&call);
-        let end = match run(&self.0, call).await {
+        let mut id = Arc::from("");
+        let end = match run(&self.0, call, &mut id).await {
             Ok(answer) => pass_on(answer, &events).await,
             Err(refusal) => {
                 telemetry::refused(&id, "", refusal, self.0.now().since(received));
@@ -70,15 +71,12 @@
     }
 }
 
-/// Something to name a call by in the log before its head is understood.
-fn call_id(call: &RelayCall) -> String {
-    call.target.clone()
-}
-
-async fn run<D: Dialect, F: 'static>(core: &Rc<Core<D, F>>, call: RelayCall) -> Result<Answer, Refusal> {
-    if core.leaving_for().is_some() {
-        return Err(Kind::Stopping.into());
-    }
+/// Runs a forwarded request; `id` is set as soon as it is known.
+async fn run<D: Dialect, F: 'static>(
+    core: &Rc<Core<D, F>>,
+    call: RelayCall,
+    id: &mut Arc<str>,
+) -> Result<Answer, Refusal> {
     if call.hops > FIRST_HOP {
         return Err(Kind::ForwardLoop.into());
     }
@@ -93,6 +91,10 @@
         .dialect
         .request_head(&parts)
         .map_err(|_malformed| Kind::BadRequest)?;
+    *id = Arc::clone(&head.id);
+    if core.leaving_for().is_some() {
+        return Err(Kind::Stopping.into());
+    }
     head.left = Some(call.left);
     let mut admitted = core.relay.borrow_mut().admit(head, core.now(), true)?;
     admitted.attempts = admitted.attempts.min(call.attempts);
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -1,6 +1,7 @@
 //! One request, from its headers to its answer.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,13 +11,13 @@
 use hyper::{Request, Response, Uri};
 use sw_error::{Kind, Refusal};
 use sw_http::{ReadBodyError, ResponseBody, read_body};
-use sw_relay::{Admitted, Choice, Outcome, Tried};
+use sw_relay::{Admitted, Choice, Outcome, RequestHead, Tried};
 use sw_unit::{Millis, Time};
 
 use crate::answer::{refusal_answer, strip_hop_headers};
 use crate::attempt::{Call, Opened, open};
 use crate::core::{Active, Core};
-use crate::{Dialect, forward, stream, telemetry};
+use crate::{Dialect, HeadError, forward, stream, telemetry};
 
 /// An answer up to this length is read whole before any of it is passed on.
 const WHOLE_ANSWER: u64 = 64 << 10;
@@ -38,12 +39,14 @@
     let _active = Active::new(&core);
     let received = core.now();
     let (parts, body) = req.into_parts();
-    let id = core.dialect.request_head(&parts);
-    let name = id.as_ref().map_or_else(|_| String::new(), |head| head.id.to_string());
-    match run(&core, parts, body, received).await {
+    let head = core.dialect.request_head(&parts);
+    let id = head
+        .as_ref()
+        .map_or_else(|_| Arc::from(""), |head| Arc::clone(&head.id));
+    match run(&core, parts, head, body, received).await {
         Ok(answer) => answer,
         Err((refusal, route)) => {
-            telemetry::refused(&name, &route, refusal, core.now().since(received));
+            telemetry::refused(&id, &route, refusal, core.now().since(received));
             refusal_answer(&core.dialect, refusal)
         }
     }
@@ -52,11 +55,11 @@
 async fn run<D: Dialect, F: 'static>(
     core: &Rc<Core<D, F>>,
     parts: Parts,
+    head: Result<RequestHead, HeadError>,
     body: Incoming,
     received: Time,
 ) -> Result<Answer, (Refusal, String)> {
     let unnamed = |refusal: Refusal| (refusal, String::new());
-    let head = core.dialect.request_head(&parts);
     let head = head.map_err(|_malformed| unnamed(Kind::BadRequest.into()))?;
     let admitted = core.relay.borrow_mut().admit(head, received, false).map_err(unnamed)?;
     let route = admitted.route.name.clone();
@@ -94,7 +97,8 @@
             Ok(choice) => choice,
             Err(refusal) => return failure.ok_or_else(|| tried.given_up(Some(refusal))),
         };
-        telemetry::chosen(&call.admitted, &choice, None, now);
+        let revision = core.mirror.borrow().revision();
+        telemetry::chosen(&call.admitted, &choice, revision, now);
         match send(core, &call, &choice, &mut tried).await {
             Ok(answer) if answer.status().is_server_error() && call.admitted.route.kind.repeatable() => {
                 failure = Some(answer);
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -12,8 +12,8 @@
 /// Milliseconds in a second.
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
-/// Logs where a request goes.
-pub(crate) fn chosen(admitted: &Admitted, choice: &Choice, report_age: Option<Millis>, now: Time) {
+/// Logs where a request goes, decided on what the store held at `revision`.
+pub(crate) fn chosen(admitted: &Admitted, choice: &Choice, revision: u64, now: Time) {
     let id = &*admitted.id;
     let route = admitted.route.name.as_str();
     let version = admitted.version.0;
@@ -25,9 +25,8 @@
             considered,
         } => {
             let (expected_ms, considered) = (*expected_ms as u64, *considered as u64);
-            let entry_age_ms = report_age.map_or(0, |age| age.0);
             let target = endpoint.id.as_str();
-            info!("routed", kv: { id, route, version, left_ms, target, expected_ms, considered, entry_age_ms });
+            info!("routed", kv: { id, route, version, left_ms, target, expected_ms, considered, revision });
         }
         Choice::Region {
             region,
@@ -38,7 +37,7 @@
         } => {
             let local_ms = local_ms.map_or(-1, |ms| ms as i64);
             let (region, vm, expected_ms) = (region.as_str(), vm.as_str(), *expected_ms as u64);
-            info!("forwarded", kv: { id, route, version, left_ms, region, vm, expected_ms, local_ms });
+            info!("forwarded", kv: { id, route, version, left_ms, region, vm, expected_ms, local_ms, revision });
         }
     }
     counter!("shallotwing_decisions_total", "route" => admitted.route.name.clone()).increment(1);
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -10,7 +10,7 @@
 
 use crate::cache::shared_key;
 use crate::registry::Endpoint;
-use crate::{Admitted, Choice, EndpointEntry, Load, Prompt, Relay, ServiceId, Tried};
+use crate::{Admitted, Choice, EndpointEntry, EngineModel, Load, Prompt, Relay, ServiceId, Tried};
 
 /// Surcharge for reading a shared part once more, in units of the time that it takes.
 const REREAD_SURCHARGE: f64 = 14.0;
@@ -108,7 +108,12 @@
 
     /// Milliseconds that an engine of a service takes to read `tokens`.
     pub(crate) fn read_ms(&self, service: &ServiceId, tokens: Tokens) -> f64 {
-        self.models.get(service).copied().unwrap_or_default().read_ms(tokens)
+        self.model(service).read_ms(tokens)
+    }
+
+    /// How fast the endpoints of a service are.
+    fn model(&self, service: &ServiceId) -> EngineModel {
+        self.models.get(service).copied().unwrap_or_default()
     }
 
     fn best_local<'a>(&'a self, admitted: &'a Admitted, tried: &Tried, now: Time) -> Option<(Scored<'a>, usize)> {
@@ -177,12 +182,7 @@
             let waiting = f64::from(load.waiting(now)) * WAITING_MS;
             return load.backlog_ms(now) + waiting + self.read_ms(&admitted.service, unread) + load.gap_ms(now);
         }
-        let service_ms = self
-            .models
-            .get(&admitted.service)
-            .copied()
-            .unwrap_or_default()
-            .service_ms();
+        let service_ms = self.model(&admitted.service).service_ms();
         let ahead = f64::from(load.all_running(now) + 1) / f64::from(endpoint.slots.max(1));
         service_ms * ahead.max(1.0)
     }
@@ -190,7 +190,7 @@
     fn best_remote(&self, admitted: &Admitted, tried: &Tried, now: Time) -> Option<Remote> {
         let read_ms = self.whole_read_ms(admitted);
         let permitted = self.regions.iter().filter(|(region, _)| admitted.route.permits(region));
-        let reachable = permitted.filter(|(region, _)| self.peer_in(region, tried, now).is_some());
+        let reachable = permitted.filter(|(region, _)| self.peers_in(region, tried, now).next().is_some());
         let expected = reachable.filter_map(|(region, view)| {
             let wait_ms = view.wait_ms(&admitted.service, now)?;
             Some(Remote {
@@ -204,12 +204,7 @@
     fn whole_read_ms(&self, admitted: &Admitted) -> f64 {
         match &admitted.prompt {
             Some(prompt) => self.read_ms(&admitted.service, prompt.input),
-            None => self
-                .models
-                .get(&admitted.service)
-                .copied()
-                .unwrap_or_default()
-                .service_ms(),
+            None => self.model(&admitted.service).service_ms(),
         }
     }
 
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -243,13 +243,6 @@
         others.filter(live).filter(|row| !tried.has_vm(&row.vm))
     }
 
-    pub(crate) fn peer_in(&self, region: &RegionId, tried: &Tried, now: Time) -> Option<&VmRow> {
-        let tried = |row: &&VmRow| !tried.has_vm(&row.vm);
-        let live = |row: &&VmRow| self.members.state(&row.vm, now) == Some(VmState::Live);
-        let mut others = self.members.others().filter(|row| row.region == *region);
-        others.find(|row| tried(row) && live(row))
-    }
-
     /// Recent requests to the host's routes that may be run in `region`.
     fn permitted_traffic(&self, host: &str, region: &RegionId) -> f64 {
         let routes = self.table.iter().flat_map(|table| table.routes_of(host));
--- a/crates/sw-relay/src/load.rs
+++ b/crates/sw-relay/src/load.rs
@@ -188,11 +188,6 @@
         self.paused_until > now
     }
 
-    /// Failures in a row.
-    pub fn failures(&self) -> u32 {
-        self.failures
-    }
-
     fn fresh_report(&self, now: Time) -> Option<LoadReport> {
         let fresh = self.report.filter(|(_, at)| now.since(*at) < REPORT_MEMORY);
         fresh.map(|(report, _)| report)
--- a/crates/sw-relay/src/model.rs
+++ b/crates/sw-relay/src/model.rs
@@ -45,11 +45,6 @@
         self.service_ms
     }
 
-    /// Tokens that are read in a millisecond.
-    pub fn read_rate(&self) -> f64 {
-        self.read_rate
-    }
-
     /// Records that the first event came after `taken`, with `tokens` read on an engine without a queue.
     pub fn first_event(&mut self, tokens: Tokens, taken: Millis) {
         if tokens.0 < MIN_OBSERVED_TOKENS {
--- a/crates/sw-relay/src/region.rs
+++ b/crates/sw-relay/src/region.rs
@@ -71,9 +71,4 @@
         let wait = summary.load.wait_ms + summary.load.gap_ms + summary.sent_ms + self.round_trip_ms;
         fresh.then_some(wait)
     }
-
-    /// The time of a call to the region and back, in milliseconds.
-    pub fn round_trip_ms(&self) -> f64 {
-        self.round_trip_ms
-    }
 }
--- a/crates/sw-relay/src/registry.rs
+++ b/crates/sw-relay/src/registry.rs
@@ -116,11 +116,6 @@
         self.endpoints.get(id)
     }
 
-    /// All endpoints.
-    pub fn all(&self) -> impl Iterator<Item = &Endpoint> {
-        self.endpoints.values()
-    }
-
     /// Records how much longer an endpoint says it is cold.
     pub fn set_cold(&mut self, id: &EndpointId, cold_for: Millis, now: Time) {
         if let Some(known) = self.endpoints.get_mut(id) {
