fix(relay): endpoints that are gone are left alone at once, and cost no retry

Ruled out: the budget itself (arrivals stayed far below the bound); the store (registrations lapse in time). Change: an endpoint that cannot be reached or that another one answers for is paused at the first failure, until it registers a new life; a send that cannot have arrived takes nothing out of the budget; time that ran out before a send says nothing about the endpoint (Outcome::Unsent). A refusal of another VM that says not run is Rejected, since it may have arrived at an endpoint there.

--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -104,7 +104,7 @@
     let mut running = Running {
         core: Rc::clone(core),
         id: Arc::clone(&admitted.id),
-        attempt: Some(attempt.ok_or(Outcome::Unreachable)?),
+        attempt: Some(attempt.ok_or(Outcome::Unsent)?),
         status: 0,
     };
     match exchange_heads(core, call, endpoint, last_event, may_go_elsewhere, &running).await {
@@ -144,13 +144,14 @@
     // Connecting takes time: the endpoint may have begun to leave, or the caller's time may be over.
     let left = admitted.left(core.now());
     if left == Millis(0) || !core.relay.borrow().registry().may_send(endpoint) {
-        return Err((Outcome::Unreachable, 0));
+        return Err((Outcome::Unsent, 0));
     }
     let request = outbound(core, call, endpoint, last_event, left);
     let wait = head_wait(admitted, left, running.attempt(), may_go_elsewhere);
     let response = exchange.send(request, Duration::from_millis(wait.0)).await;
     let response = response.map_err(|error| match error {
-        CallError::Connect | CallError::Unsent => (Outcome::Unreachable, 0),
+        CallError::Connect => (Outcome::Unreachable, 0),
+        CallError::Unsent => (Outcome::Unsent, 0),
         CallError::Broken => (Outcome::Broken, 0),
         CallError::Timeout => (Outcome::Timeout, 0),
     })?;
--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -48,6 +48,8 @@
     WrongEndpoint,
     /// No connection was made, so nothing was sent.
     Unreachable,
+    /// Nothing was sent, for a reason that says nothing about the endpoint.
+    Unsent,
     /// The connection broke, or what came was no answer to this request.
     Broken,
     /// The time was over.
@@ -60,8 +62,7 @@
     /// What another VM's refusal says of a request that was sent there.
     pub fn of_refusal(refusal: Refusal) -> Self {
         match (refusal.kind.answer().ran, refusal.kind) {
-            (Ran::No, Kind::Overloaded | Kind::DeadlineUnreachable) => Self::Rejected,
-            (Ran::No, _) => Self::Unreachable,
+            (Ran::No, _) => Self::Rejected,
             (_, Kind::EndpointTimeout) => Self::Timeout,
             (_, _) => Self::Broken,
         }
@@ -69,11 +70,24 @@
 
     /// Whether the endpoint cannot have run the request.
     pub fn not_run(self) -> bool {
-        matches!(self, Self::Rejected | Self::WrongEndpoint | Self::Unreachable)
+        matches!(
+            self,
+            Self::Rejected | Self::WrongEndpoint | Self::Unreachable | Self::Unsent
+        )
+    }
+
+    /// Whether the request cannot have arrived at the endpoint.
+    pub fn not_arrived(self) -> bool {
+        matches!(self, Self::Unreachable | Self::Unsent)
+    }
+
+    /// Whether the endpoint is not where it registered.
+    pub fn is_absent(self) -> bool {
+        matches!(self, Self::Unreachable | Self::WrongEndpoint)
     }
 
     /// Whether the outcome speaks against the endpoint.
     pub fn is_fault(self) -> bool {
-        matches!(self, Self::Failed | Self::Unreachable | Self::Broken | Self::Timeout)
+        matches!(self, Self::Failed | Self::Broken | Self::Timeout) || self.is_absent()
     }
 }
--- a/crates/sw-relay/src/candidate.rs
+++ b/crates/sw-relay/src/candidate.rs
@@ -76,6 +76,11 @@
         self.sends
     }
 
+    /// How the last send ended; `None` if it was answered or there was none.
+    pub fn last(&self) -> Option<Outcome> {
+        self.last
+    }
+
     /// Whether an endpoint got the request before.
     pub fn has_endpoint(&self, endpoint: &EndpointId) -> bool {
         self.endpoints.contains_key(endpoint)
--- a/crates/sw-relay/src/load.rs
+++ b/crates/sw-relay/src/load.rs
@@ -175,8 +175,13 @@
     }
 
     /// Records a failed attempt, and returns the end of the pause if it begins one.
-    pub fn failed(&mut self, now: Time) -> Option<Time> {
+    ///
+    /// An endpoint that is absent is paused at once.
+    pub fn failed(&mut self, absent: bool, now: Time) -> Option<Time> {
         self.failures += 1;
+        if absent {
+            self.failures = self.failures.max(FAILURES_TO_PAUSE);
+        }
         let excess = self.failures.checked_sub(FAILURES_TO_PAUSE)?;
         let pause = Millis(FIRST_PAUSE.0 << excess.min(10)).min(MAX_PAUSE);
         self.paused_until = now + pause;
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -216,11 +216,12 @@
         })
     }
 
-    /// Whether a request may be sent once more; takes it out of the budget.
+    /// Whether a request may be sent once more; takes it out of the budget if the last send arrived somewhere.
     pub fn take_retry(&mut self, admitted: &Admitted, tried: &Tried) -> bool {
         let runs_left = tried.runs() < admitted.attempts && tried.sends() < MAX_SENDS;
         let repeatable = !tried.may_have_run() || admitted.route.kind.repeatable();
-        runs_left && repeatable && self.budget(&admitted.service).take()
+        let free = tried.last().is_some_and(Outcome::not_arrived);
+        runs_left && repeatable && (free || self.budget(&admitted.service).take())
     }
 
     /// Begins an attempt at an endpoint that was chosen; `None` if nothing may be sent there any more.
@@ -294,7 +295,11 @@
             load.succeeded();
             return None;
         }
-        if outcome.is_fault() { load.failed(now) } else { None }
+        if outcome.is_fault() {
+            load.failed(outcome.is_absent(), now)
+        } else {
+            None
+        }
     }
 
     /// The load of an endpoint; `None` if nothing was sent there.
@@ -369,6 +374,7 @@
         let restarted = known.is_some_and(|known| known.entry.life < entry.life);
         if restarted && let Some(load) = self.loads.get_mut(&entry.id) {
             load.cache.clear();
+            load.succeeded();
         }
         self.registry.learn(entry, now)
     }
--- /dev/null
+++ b/crates/sw-relay/tests/outage.rs
@@ -0,0 +1,92 @@
+//! Endpoints that are not there any more.
+//!
+//! The pattern: a quarter of a service's endpoints crash at once. Their registrations live on for some seconds, and
+//! their addresses are soon given to others.
+
+mod support;
+
+use support::{admit, endpoint, register, relay};
+use sw_relay::{Admitted, Choice, Outcome, Relay, Tried};
+use sw_unit::{Incarnation, Time};
+
+const ENDPOINTS: usize = 4;
+
+fn vm() -> Relay {
+    let mut relay = relay();
+    for index in 1..=ENDPOINTS {
+        register(&mut relay, endpoint(&format!("e-{index}"), "app", "north"), Time(0));
+    }
+    relay
+}
+
+/// Sends a request, lets it end as `outcome` says, and returns the endpoint's name.
+fn send(relay: &mut Relay, admitted: &Admitted, tried: &mut Tried, outcome: Outcome, now: Time) -> String {
+    let Ok(Choice::Endpoint { endpoint, .. }) = relay.choose(admitted, tried, now) else {
+        panic!("no endpoint");
+    };
+    let attempt = relay.begin(admitted, &endpoint, now).expect("an attempt");
+    relay.end(&attempt, outcome, now);
+    tried.sent_to_endpoint(&endpoint.id, Some(outcome));
+    endpoint.id.to_string()
+}
+
+fn next(relay: &mut Relay, now: Time) -> String {
+    let admitted = admit(relay, "read", None, now);
+    send(relay, &admitted, &mut Tried::default(), Outcome::Whole, now)
+}
+
+#[test]
+fn an_endpoint_that_cannot_be_reached_is_left_alone_at_once() {
+    for outcome in [Outcome::Unreachable, Outcome::WrongEndpoint] {
+        let mut relay = vm();
+        let admitted = admit(&mut relay, "read", None, Time(0));
+        let gone = send(&mut relay, &admitted, &mut Tried::default(), outcome, Time(0));
+        for at in 0..20 {
+            assert_ne!(next(&mut relay, Time(at * 40)), gone, "{outcome}");
+        }
+    }
+}
+
+#[test]
+fn an_endpoint_that_registers_anew_is_used_again() {
+    let mut relay = vm();
+    let admitted = admit(&mut relay, "read", None, Time(0));
+    let gone = send(&mut relay, &admitted, &mut Tried::default(), Outcome::WrongEndpoint, Time(0));
+    let mut entry = endpoint(&gone, "app", "north");
+    entry.life = Incarnation(2);
+    register(&mut relay, entry, Time(100));
+    let used = (0..40).any(|at| next(&mut relay, Time(200 + at)) == gone);
+    assert!(used, "{gone} is back");
+}
+
+#[test]
+fn a_request_that_reached_no_endpoint_does_not_use_up_retries() {
+    let mut relay = vm();
+    for _ in 0..500 {
+        let admitted = admit(&mut relay, "pay", None, Time(0));
+        let mut tried = Tried::default();
+        send(&mut relay, &admitted, &mut tried, Outcome::Unreachable, Time(0));
+        assert!(relay.take_retry(&admitted, &tried));
+    }
+}
+
+#[test]
+fn a_request_that_an_endpoint_rejected_does() {
+    let mut relay = vm();
+    let retried = (0..500).filter(|_| {
+        let admitted = admit(&mut relay, "pay", None, Time(0));
+        let mut tried = Tried::default();
+        send(&mut relay, &admitted, &mut tried, Outcome::Rejected, Time(0));
+        relay.take_retry(&admitted, &tried)
+    });
+    assert!(retried.count() < 250);
+}
+
+#[test]
+fn a_request_whose_time_ran_out_says_nothing_about_the_endpoint() {
+    let mut relay = vm();
+    let admitted = admit(&mut relay, "read", None, Time(0));
+    let used = send(&mut relay, &admitted, &mut Tried::default(), Outcome::Unsent, Time(0));
+    assert!(Outcome::Unsent.not_run());
+    assert!((0..40).any(|at| next(&mut relay, Time(at)) == used));
+}
