@@ -4107,6 +5974,22 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_reservation(self) -> ::capnp::Result<crate::relay_capnp::reservation::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_reservation(&mut self, value: crate::relay_capnp::reservation::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_reservation(self, ) -> crate::relay_capnp::reservation::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_reservation(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4116,29 +5999,52 @@
             }
         }
         impl Pipeline  {
+            pub fn get_reservation(&self) -> crate::relay_capnp::reservation::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(7, 134, 68, 45, 98, 5, 34, 154),
+                ::capnp::word(227, 106, 154, 171, 145, 242, 200, 208),
                 ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
-                ::capnp::word(121, 80, 101, 101, 114, 46, 115, 110),
-                ::capnp::word(97, 112, 115, 104, 111, 116, 36, 80),
-                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(121, 80, 101, 101, 114, 46, 114, 101),
+                ::capnp::word(115, 101, 114, 118, 101, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 115, 101, 114, 118, 97, 116),
+                ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(118, 33, 231, 62, 158, 27, 47, 184),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <crate::relay_capnp::reservation::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -4150,14 +6056,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0x9a22_0562_2d44_8607;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xd0c8_f291_ab9a_6ae3;
         }
     }
 
-    pub mod snapshot_results {
+    pub mod reserve_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -4219,22 +6125,30 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_revision(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
+            pub fn get_granted(self) -> bool {
+                self.reader.get_bool_field(0)
             }
             #[inline]
-            pub fn get_items(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::item::Owned>> {
+            pub fn get_ticket(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn get_unread(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn get_wait(self) -> ::capnp::Result<crate::relay_capnp::wait::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_items(&self) -> bool {
+            pub fn has_wait(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4285,27 +6199,43 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_revision(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
+            pub fn get_granted(self) -> bool {
+                self.builder.get_bool_field(0)
             }
             #[inline]
-            pub fn set_revision(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
+            pub fn set_granted(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
             }
             #[inline]
-            pub fn get_items(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::item::Owned>> {
+            pub fn get_ticket(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_ticket(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+            #[inline]
+            pub fn get_unread(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_unread(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(2, value);
+            }
+            #[inline]
+            pub fn get_wait(self) -> ::capnp::Result<crate::relay_capnp::wait::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_items(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::item::Owned>) -> ::capnp::Result<()> {
+            pub fn set_wait(&mut self, value: crate::relay_capnp::wait::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_items(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::item::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            pub fn init_wait(self, ) -> crate::relay_capnp::wait::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_items(&self) -> bool {
+            pub fn has_wait(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -4317,43 +6247,67 @@
             }
         }
         impl Pipeline  {
+            pub fn get_wait(&self) -> crate::relay_capnp::wait::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 53] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(114, 122, 153, 131, 88, 16, 49, 218),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(254, 134, 171, 3, 6, 132, 15, 220),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 80, 101, 101, 114, 46, 114, 101),
+                ::capnp::word(115, 101, 114, 118, 101, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
-                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
-                ::capnp::word(121, 80, 101, 101, 114, 46, 115, 110),
-                ::capnp::word(97, 112, 115, 104, 111, 116, 36, 82),
-                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 105, 99, 107, 101, 116, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4361,23 +6315,29 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 116, 101, 109, 115, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(117, 110, 114, 101, 97, 100, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 105, 116, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(222, 112, 27, 104, 20, 169, 224, 175),
+                ::capnp::word(192, 220, 140, 237, 234, 190, 169, 199),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::struct_list::Owned<crate::relay_capnp::item::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <crate::relay_capnp::wait::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4391,14 +6351,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
-            pub(crate) const TYPE_ID: u64 = 0xda31_1058_8399_7a72;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2,3];
+            pub(crate) const TYPE_ID: u64 = 0xdc0f_8406_03ab_86fe;
         }
     }
 
-    pub mod relay_params {
+    pub mod release_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -4460,26 +6420,26 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_call(self) -> ::capnp::Result<crate::relay_capnp::call::Reader<'a>> {
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_call(&self) -> bool {
+            pub fn has_endpoint(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_sink(self) -> ::capnp::Result<crate::relay_capnp::answer_sink::Client> {
-                match self.reader.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            pub fn get_ticket(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn has_sink(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
+            pub fn get_absent(self) -> bool {
+                self.reader.get_bool_field(64)
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4530,32 +6490,36 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_call(self) -> ::capnp::Result<crate::relay_capnp::call::Builder<'a>> {
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_call(&mut self, value: crate::relay_capnp::call::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
             }
             #[inline]
-            pub fn init_call(self, ) -> crate::relay_capnp::call::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
             }
             #[inline]
-            pub fn has_call(&self) -> bool {
+            pub fn has_endpoint(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_sink(self) -> ::capnp::Result<crate::relay_capnp::answer_sink::Client> {
-                match self.builder.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            pub fn get_ticket(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_sink(&mut self, value: crate::relay_capnp::answer_sink::Client)  {
-                self.builder.reborrow().get_pointer_field(1).set_capability(value.client.hook);
+            pub fn set_ticket(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
-            pub fn has_sink(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
+            pub fn get_absent(self) -> bool {
+                self.builder.get_bool_field(64)
+            }
+            #[inline]
+            pub fn set_absent(&mut self, value: bool)  {
+                self.builder.set_bool_field(64, value);
             }
         }
 
@@ -4566,68 +6530,79 @@
             }
         }
         impl Pipeline  {
-            pub fn get_call(&self) -> crate::relay_capnp::call::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
-            pub fn get_sink(&self) -> crate::relay_capnp::answer_sink::Client {
-                ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(1).as_cap())
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(158, 191, 188, 185, 198, 224, 131, 233),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(135, 181, 213, 244, 137, 190, 248, 250),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
                 ::capnp::word(121, 80, 101, 101, 114, 46, 114, 101),
-                ::capnp::word(108, 97, 121, 36, 80, 97, 114, 97),
-                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(108, 101, 97, 115, 101, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(99, 97, 108, 108, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(145, 219, 65, 67, 31, 202, 143, 255),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(115, 105, 110, 107, 0, 0, 0, 0),
-                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 17, 211, 229, 133, 84, 231, 177),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 105, 99, 107, 101, 116, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 98, 115, 101, 110, 116, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::relay_capnp::call::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <crate::relay_capnp::answer_sink::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4641,14 +6616,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-            pub(crate) const TYPE_ID: u64 = 0xe983_e0c6_b9bc_bf9e;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+            pub(crate) const TYPE_ID: u64 = 0xfaf8_be89_f4d5_b587;
         }
     }
 
-    pub mod relay_results {
+    pub mod release_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -4701,7 +6676,7 @@
             }
         }
 
-        impl <'a,> Reader<'a,>  {
+        impl <> Reader<'_,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -4709,27 +6684,11 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
-            #[inline]
-            pub fn get_length(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn get_refused(self) -> bool {
-                self.reader.get_bool_field(64)
-            }
-            #[inline]
-            pub fn get_refusal(self) -> ::capnp::Result<crate::peer_capnp::refusal::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_refusal(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4779,38 +6738,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
-            #[inline]
-            pub fn get_length(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_length(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
-            }
-            #[inline]
-            pub fn get_refused(self) -> bool {
-                self.builder.get_bool_field(64)
-            }
-            #[inline]
-            pub fn set_refused(&mut self, value: bool)  {
-                self.builder.set_bool_field(64, value);
-            }
-            #[inline]
-            pub fn get_refusal(self) -> ::capnp::Result<crate::peer_capnp::refusal::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_refusal(&mut self, value: crate::peer_capnp::refusal::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
-            }
-            #[inline]
-            pub fn init_refusal(self, ) -> crate::peer_capnp::refusal::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
-            }
-            #[inline]
-            pub fn has_refusal(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4820,83 +6747,29 @@
             }
         }
         impl Pipeline  {
-            pub fn get_refusal(&self) -> crate::peer_capnp::refusal::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(218, 75, 19, 38, 208, 12, 160, 140),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(178, 105, 73, 146, 193, 147, 253, 191),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
                 ::capnp::word(121, 80, 101, 101, 114, 46, 114, 101),
-                ::capnp::word(108, 97, 121, 36, 82, 101, 115, 117),
-                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(108, 101, 110, 103, 116, 104, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 101, 102, 117, 115, 101, 100, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 101, 102, 117, 115, 97, 108, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(141, 174, 242, 153, 225, 82, 190, 227),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 101, 97, 115, 101, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <crate::peer_capnp::refusal::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
+                ::capnp::introspect::panic_invalid_field_index(index)
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -4908,10 +6781,10 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
-            pub(crate) const TYPE_ID: u64 = 0x8ca0_0cd0_2613_4bda;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xbffd_93c1_9249_69b2;
         }
     }
 }
--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -9,10 +9,13 @@
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use sw_http::{CallError, Exchange, Reuse};
-use sw_relay::{Admitted, Attempt, EndpointEntry, Outcome};
+use sw_relay::{Admitted, Attempt, EndpointEntry, Outcome, Tried};
 use sw_unit::Millis;
 
+use crate::answer::strip_hop_headers;
 use crate::core::Core;
+use crate::reserve::Reserved;
+use crate::source::{EndpointAnswer, Opened, Source};
 use crate::{AnswerHead, Claim, Dialect, Outbound, telemetry};
 
 /// A connection that was idle for this long may have been closed by the endpoint at the same moment; requests that
@@ -32,28 +35,51 @@
     /// The headers that concern more than one connection.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The id of the last event that the caller got of an answer that broke off.
+    pub(crate) resume_after: Option<String>,
+    /// Whether the VM that forwarded it can send it elsewhere if it is not answered soon.
+    pub(crate) elsewhere: bool,
+}
+
+impl Call {
+    /// Whether the request can be sent elsewhere if the next send is not answered soon.
+    pub(crate) fn may_go_elsewhere(&self, tried: &Tried) -> bool {
+        let attempts_left = tried.runs() + 1 < self.admitted.attempts;
+        self.admitted.route.kind.repeatable() && (attempts_left || self.elsewhere)
+    }
+
+    /// How long the head of an answer may take that is expected after `expected_ms`.
+    pub(crate) fn head_wait(&self, expected_ms: f64, may_go_elsewhere: bool, left: Millis) -> Millis {
+        if !may_go_elsewhere {
+            return left;
+        }
+        let expected = Millis((expected_ms * STALLED_AFTER_EXPECTED) as u64);
+        let objective = Millis(self.admitted.route.objective.0 * STALLED_AFTER_OBJECTIVES);
+        left.min(objective.max(expected))
+    }
 }
 
 /// Reports the end of an attempt; an attempt that is dropped was cancelled.
-#[derive(Debug)]
-pub(crate) struct Running<D: Dialect, F> {
+pub(crate) struct Running<D: Dialect, F: 'static> {
     core: Rc<Core<D, F>>,
     id: Arc<str>,
     attempt: Option<Attempt>,
+    /// Its place in the engine's queue, until the prompt is read.
+    reserved: Option<Reserved<D, F>>,
     status: u16,
 }
 
 impl<D: Dialect, F> Running<D, F> {
-    /// The attempt.
-    pub(crate) fn attempt(&self) -> Option<&Attempt> {
-        self.attempt.as_ref()
-    }
-
     /// The attempt, to record what is seen of it.
     pub(crate) fn attempt_mut(&mut self) -> Option<&mut Attempt> {
         self.attempt.as_mut()
     }
 
+    /// Frees its place in the engine's queue, as the first event came.
+    pub(crate) fn began(&mut self) {
+        self.reserved = None;
+    }
+
     /// Ends the attempt.
     pub(crate) fn finish(mut self, outcome: Outcome) {
         self.end(outcome);
@@ -63,6 +89,11 @@
         let Some(attempt) = self.attempt.take() else {
             return;
         };
+        if let Some(reserved) = self.reserved.take()
+            && outcome.is_absent()
+        {
+            reserved.absent();
+        }
         let now = self.core.now();
         telemetry::attempt_ended(&self.id, &attempt, outcome, self.status, now);
         let paused = self.core.relay.borrow_mut().end(&attempt, outcome, now);
@@ -78,15 +109,6 @@
     }
 }
 
-/// An answer whose head has come.
-#[derive(Debug)]
-pub(crate) struct Opened<D: Dialect, F> {
-    pub(crate) running: Running<D, F>,
-    pub(crate) exchange: Exchange,
-    pub(crate) response: Response<Incoming>,
-    pub(crate) head: AnswerHead,
-}
-
 /// Sends a request to an endpoint and waits for the head of its answer.
 ///
 /// # Errors
@@ -96,26 +118,34 @@
     core: &Rc<Core<D, F>>,
     call: &Call,
     endpoint: &EndpointEntry,
-    last_event: Option<&str>,
+    reserved: Option<Reserved<D, F>>,
     may_go_elsewhere: bool,
 ) -> Result<Opened<D, F>, Outcome> {
     let admitted = &call.admitted;
-    let attempt = core.relay.borrow_mut().begin(admitted, endpoint, core.now());
+    let granted = reserved.as_ref().map(Reserved::granted);
+    let attempt = core.relay.borrow_mut().begin(admitted, endpoint, granted, core.now());
+    let attempt = attempt.ok_or(Outcome::Unsent)?;
+    let expected_ms = attempt.backlog_ms + attempt.read_ms;
     let mut running = Running {
         core: Rc::clone(core),
         id: Arc::clone(&admitted.id),
-        attempt: Some(attempt.ok_or(Outcome::Unsent)?),
+        attempt: Some(attempt),
+        reserved,
         status: 0,
     };
-    match exchange_heads(core, call, endpoint, last_event, may_go_elsewhere, &running).await {
+    match exchange_heads(core, call, endpoint, expected_ms, may_go_elsewhere).await {
         Ok((exchange, response, head)) => {
             running.status = response.status().as_u16();
-            Ok(Opened {
+            let (parts, body) = response.into_parts();
+            let source = Source::Endpoint(Box::new(EndpointAnswer {
                 running,
                 exchange,
-                response,
+                body,
                 head,
-            })
+            }));
+            let mut head = Response::from_parts(parts, ());
+            strip_hop_headers(head.headers_mut());
+            Ok(Opened { head, source })
         }
         Err((outcome, status)) => {
             running.status = status;
@@ -129,9 +159,8 @@
     core: &Rc<Core<D, F>>,
     call: &Call,
     endpoint: &EndpointEntry,
-    last_event: Option<&str>,
+    expected_ms: f64,
     may_go_elsewhere: bool,
-    running: &Running<D, F>,
 ) -> Result<(Exchange, Response<Incoming>, AnswerHead), (Outcome, u16)> {
     let admitted = &call.admitted;
     let reuse = if admitted.route.kind.repeatable() {
@@ -146,8 +175,8 @@
     if left == Millis(0) || !core.relay.borrow().registry().may_send(endpoint) {
         return Err((Outcome::Unsent, 0));
     }
-    let request = outbound(core, call, endpoint, last_event, left);
-    let wait = head_wait(admitted, left, running.attempt(), may_go_elsewhere);
+    let request = outbound(core, call, endpoint, left);
+    let wait = call.head_wait(expected_ms, may_go_elsewhere, left);
     let response = exchange.send(request, Duration::from_millis(wait.0)).await;
     let response = response.map_err(|error| match error {
         CallError::Connect => (Outcome::Unreachable, 0),
@@ -189,7 +218,6 @@
     core: &Core<D, F>,
     call: &Call,
     endpoint: &EndpointEntry,
-    last_event: Option<&str>,
     left: Millis,
 ) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(call.body.clone()));
@@ -199,19 +227,8 @@
     let outbound = Outbound {
         endpoint: &endpoint.id,
         left,
-        last_event,
+        last_event: call.resume_after.as_deref(),
     };
     core.dialect.set_outbound(request.headers_mut(), &outbound);
     request
 }
-
-/// How long the head of the answer may take.
-fn head_wait(admitted: &Admitted, left: Millis, attempt: Option<&Attempt>, may_go_elsewhere: bool) -> Millis {
-    if !may_go_elsewhere {
-        return left;
-    }
-    let expected = attempt.map_or(0.0, |attempt| attempt.backlog_ms + attempt.read_ms);
-    let expected = Millis((expected * STALLED_AFTER_EXPECTED) as u64);
-    let objective = Millis(admitted.route.objective.0 * STALLED_AFTER_OBJECTIVES);
-    left.min(objective.max(expected))
-}
--- a/crates/sw-proxy/src/forward.rs
+++ b/crates/sw-proxy/src/forward.rs
@@ -4,34 +4,55 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
+use bytes::Bytes;
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Response, StatusCode};
-use sw_http::{BodyError, ResponseBody, channel};
+use sw_error::Refusal;
 use sw_peer::relay::{RelayCall, RelayEvent};
 use sw_relay::Outcome;
-use tokio::sync::mpsc;
+use sw_unit::Millis;
 
 use crate::attempt::Call;
-use crate::core::{Active, Core};
-use crate::request::Answer;
+use crate::core::Core;
+use crate::source::{Opened, Source};
 use crate::{Dialect, telemetry};
 
 /// Hops of a request that its entry VM forwards.
 pub(crate) const FIRST_HOP: u32 = 1;
+/// Time that the other VM has to report an endpoint that does not answer, before its own answer is given up.
+const FORWARD_MARGIN: Millis = Millis(400);
 
-/// Sends a request to the VM at `address`, which may run it on `attempts` endpoints, and waits for the head of its
-/// answer.
+/// How a forwarded request failed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Failure {
+    /// The other VM refused it.
+    Refused(Refusal),
+    /// The other VM did not answer.
+    Unanswered(Outcome),
+}
+
+impl Failure {
+    /// What that says of the attempt.
+    pub(crate) fn outcome(&self) -> Outcome {
+        match self {
+            Self::Refused(refusal) => Outcome::of_refusal(*refusal),
+            Self::Unanswered(outcome) => *outcome,
+        }
+    }
+}
+
+/// Sends a request to the VM at `address`, which may run it on one endpoint, and waits for the head of its answer.
 ///
 /// # Errors
 ///
 /// Returns how the attempt ended; [`Outcome::not_run`] tells whether it cannot have run.
-pub(crate) async fn send<D: Dialect, F: 'static>(
+pub(crate) async fn open<D: Dialect, F: 'static>(
     core: &Rc<Core<D, F>>,
     call: &Call,
-    attempts: u32,
     address: SocketAddr,
-) -> Result<Answer, Outcome> {
+    expected_ms: f64,
+    may_go_elsewhere: bool,
+) -> Result<Opened<D, F>, Failure> {
     let left = call.admitted.left(core.now());
     let relayed = RelayCall {
         method: call.method.to_string(),
@@ -40,90 +61,37 @@
         left,
         body: call.body.clone(),
         hops: FIRST_HOP,
-        attempts,
+        attempts: 1,
+        elsewhere: may_go_elsewhere,
+        resume_after: call.resume_after.clone(),
     };
     let mut events = core.peers.relay(address, relayed);
-    let first = tokio::time::timeout(Duration::from_millis(left.0), events.recv()).await;
+    let wait = call.head_wait(expected_ms, may_go_elsewhere, left) + FORWARD_MARGIN;
+    let first = tokio::time::timeout(Duration::from_millis(wait.min(left).0), events.recv()).await;
     let outcome = match first {
-        Ok(Some(RelayEvent::Head { status, headers })) => {
-            return pass_on(core, call, status, headers, events).await;
-        }
-        Ok(Some(RelayEvent::End(Err(refusal)))) => return Err(Outcome::of_refusal(refusal)),
+        Ok(Some(RelayEvent::Head { status, headers })) => match answer_head(status, headers) {
+            Some(head) => {
+                let source = Source::Vm(events);
+                return Ok(Opened { head, source });
+            }
+            None => Outcome::Broken,
+        },
+        Ok(Some(RelayEvent::End(Err(refusal)))) => return Err(Failure::Refused(refusal)),
         Ok(Some(RelayEvent::NotSent)) => Outcome::Unreachable,
         Ok(Some(RelayEvent::Chunk(_) | RelayEvent::End(Ok(()))) | None) => Outcome::Broken,
         Err(_elapsed) => Outcome::Timeout,
     };
     let age = core.now().since(call.admitted.received);
     telemetry::forward_failed(&call.admitted, outcome, age);
-    Err(outcome)
+    Err(Failure::Unanswered(outcome))
 }
 
-async fn pass_on<D: Dialect, F: 'static>(
-    core: &Rc<Core<D, F>>,
-    call: &Call,
-    status: u16,
-    headers: Vec<(String, Bytes)>,
-    events: mpsc::Receiver<RelayEvent>,
-) -> Result<Answer, Outcome> {
+/// The head of an answer; `None` if its status is none.
+fn answer_head(status: u16, headers: Vec<(String, Bytes)>) -> Option<Response<()>> {
     let mut head = Response::new(());
-    *head.status_mut() = StatusCode::from_u16(status).map_err(|_no_status| Outcome::Broken)?;
+    *head.status_mut() = StatusCode::from_u16(status).ok()?;
     *head.headers_mut() = header_map(headers);
-    telemetry::answered(&call.admitted, status, core.now().since(call.admitted.received));
-    if call.admitted.route.kind.streams() || !head.headers().contains_key(CONTENT_LENGTH) {
-        let (tx, body) = channel();
-        let active = Active::new(core);
-        tokio::task::spawn_local(pump(Rc::clone(core), call.clone(), events, tx, active));
-        return Ok(head.map(|()| body));
-    }
-    let left = Duration::from_millis(call.admitted.left(core.now()).0);
-    match tokio::time::timeout(left, collect(events)).await {
-        Ok(Some(body)) => Ok(head.map(|()| ResponseBody::from(body))),
-        Ok(None) => Err(Outcome::Broken),
-        Err(_elapsed) => Err(Outcome::Timeout),
-    }
-}
-
-/// The whole body; `None` if it breaks off.
-async fn collect(mut events: mpsc::Receiver<RelayEvent>) -> Option<Bytes> {
-    let mut buf = BytesMut::new();
-    loop {
-        match events.recv().await? {
-            RelayEvent::Chunk(data) => buf.extend_from_slice(&data),
-            RelayEvent::End(Ok(())) => return Some(buf.freeze()),
-            RelayEvent::Head { .. } | RelayEvent::End(Err(_)) | RelayEvent::NotSent => return None,
-        }
-    }
-}
-
-async fn pump<D: Dialect, F>(
-    core: Rc<Core<D, F>>,
-    call: Call,
-    mut events: mpsc::Receiver<RelayEvent>,
-    tx: mpsc::Sender<Result<Bytes, BodyError>>,
-    _active: Active<D, F>,
-) {
-    let reason = loop {
-        let left = Duration::from_millis(call.admitted.left(core.now()).0);
-        let event = tokio::select! {
-            biased;
-            () = tx.closed() => return,
-            event = events.recv() => event,
-            () = tokio::time::sleep(left) => break "timeout",
-        };
-        match event {
-            Some(RelayEvent::Chunk(data)) => {
-                if tx.send(Ok(data)).await.is_err() {
-                    return;
-                }
-            }
-            Some(RelayEvent::End(Ok(()))) => return,
-            Some(RelayEvent::End(Err(_)) | RelayEvent::Head { .. } | RelayEvent::NotSent) | None => break "broken",
-        }
-    };
-    let age = core.now().since(call.admitted.received);
-    telemetry::broke_off(&call.admitted, reason, age);
-    // Fails only if the caller has left.
-    let _left = tx.send(Err(BodyError)).await;
+    Some(head)
 }
 
 /// Headers as they travel between VMs.
--- a/crates/sw-proxy/src/lib.rs
+++ b/crates/sw-proxy/src/lib.rs
@@ -17,6 +17,8 @@
 mod peer;
 mod proxy;
 mod request;
+mod reserve;
+mod source;
 mod sse;
 mod store;
 mod stream;
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -9,8 +9,9 @@
 use hyper::{Method, Request, Uri};
 use sw_error::{Kind, Refusal};
 use sw_peer::relay::{RelayCall, RelayEvent, RelayHandler};
-use sw_relay::Beat;
+use sw_relay::{Beat, Granted, Reservation, Wait};
 use sw_store::Snapshot;
+use sw_unit::EndpointId;
 use tokio::sync::mpsc;
 
 use crate::attempt::Call;
@@ -46,6 +47,19 @@
         }
     }
 
+    fn reserve(&self, reservation: &Reservation) -> Result<Granted, Wait> {
+        let mut relay = self.0.relay.borrow_mut();
+        relay.reserve(reservation, self.0.now())
+    }
+
+    fn release(&self, endpoint: &EndpointId, ticket: u64, absent: bool) {
+        let now = self.0.now();
+        let paused = self.0.relay.borrow_mut().release(endpoint, ticket, absent, now);
+        if let Some(until) = paused {
+            telemetry::paused(endpoint.as_str(), until.since(now));
+        }
+    }
+
     async fn relay(&self, call: RelayCall, events: mpsc::Sender<RelayEvent>) {
         let active = Active::new(&self.0);
         let received = self.0.now();
@@ -104,6 +118,8 @@
         target: parts.uri,
         headers: parts.headers,
         body: call.body,
+        resume_after: call.resume_after,
+        elsewhere: call.elsewhere,
     };
     answer(core, call).await
 }
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -15,8 +15,10 @@
 use sw_unit::{Millis, Time};
 
 use crate::answer::{refusal_answer, strip_hop_headers};
-use crate::attempt::{Call, Opened, open};
+use crate::attempt::{self, Call};
 use crate::core::{Active, Core};
+use crate::reserve::reserve;
+use crate::source::Opened;
 use crate::{Dialect, HeadError, forward, stream, telemetry};
 
 /// An answer up to this length is read whole before any of it is passed on.
@@ -72,6 +74,8 @@
             target: origin_form(&parts.uri),
             headers: end_to_end(parts.headers),
             body,
+            resume_after: None,
+            elsewhere: false,
         };
         answer(core, call).await
     };
@@ -112,72 +116,66 @@
     }
 }
 
-async fn send<D: Dialect, F: 'static>(
+/// Sends a request where `choice` says, and waits for the head of the answer.
+///
+/// # Errors
+///
+/// Returns how the attempt ended.
+pub(crate) async fn open<D: Dialect, F: 'static>(
     core: &Rc<Core<D, F>>,
     call: &Call,
     choice: &Choice,
     tried: &mut Tried,
-) -> Result<Answer, Outcome> {
-    match choice {
-        Choice::Endpoint { endpoint, .. } => {
-            let route = &call.admitted.route;
-            let may_go_elsewhere = route.kind.repeatable() && tried.runs() + 1 < call.admitted.attempts;
-            let opened = open(core, call, endpoint, None, may_go_elsewhere).await;
+) -> Result<Opened<D, F>, Outcome> {
+    let may_go_elsewhere = call.may_go_elsewhere(tried);
+    let opened = match choice {
+        Choice::Endpoint {
+            endpoint, coordinator, ..
+        } => {
+            let reserved = match coordinator {
+                Some(coordinator) => reserve(core, call, coordinator, tried).await?,
+                None => None,
+            };
+            let opened = attempt::open(core, call, endpoint, reserved, may_go_elsewhere).await;
             tried.sent_to_endpoint(&endpoint.id, opened.as_ref().err().copied());
-            let opened = opened?;
-            let age = core.now().since(call.admitted.received);
-            telemetry::answered(&call.admitted, opened.response.status().as_u16(), age);
-            pass_on(core, call, opened, tried).await
+            opened
         }
-        Choice::Region { vm, address, .. } => {
-            let attempts = call.admitted.attempts.saturating_sub(tried.runs());
-            let answer = forward::send(core, call, attempts, *address).await;
-            tried.sent_to_vm(vm, attempts, answer.as_ref().err().copied());
-            answer
+        Choice::Vm {
+            region,
+            vm,
+            address,
+            expected_ms,
+            ..
+        } => {
+            let opened = forward::open(core, call, *address, *expected_ms, may_go_elsewhere).await;
+            match &opened {
+                Err(forward::Failure::Refused(refusal)) => tried.refused_by_vm(vm, region, *refusal),
+                _ => tried.sent_to_vm(vm, 1, opened.as_ref().err().map(forward::Failure::outcome)),
+            }
+            opened.map_err(|failure| failure.outcome())
         }
+    };
+    if let Ok(opened) = &opened {
+        let age = core.now().since(call.admitted.received);
+        telemetry::answered(&call.admitted, opened.head.status().as_u16(), age);
     }
+    opened
 }
 
-/// Makes the caller's answer of an endpoint's.
-async fn pass_on<D: Dialect, F: 'static>(
+async fn send<D: Dialect, F: 'static>(
     core: &Rc<Core<D, F>>,
     call: &Call,
-    opened: Opened<D, F>,
-    tried: &Tried,
+    choice: &Choice,
+    tried: &mut Tried,
 ) -> Result<Answer, Outcome> {
-    let mut head = Response::new(());
-    *head.status_mut() = opened.response.status();
-    *head.headers_mut() = opened.response.headers().clone();
-    strip_hop_headers(head.headers_mut());
-    let len = opened.response.body().size_hint().exact();
-    let whole = !call.admitted.route.kind.streams() && len.is_some_and(|len| len <= WHOLE_ANSWER);
+    let opened = open(core, call, choice, tried).await?;
+    let whole = !call.admitted.route.kind.streams() && opened.len().is_some_and(|len| len <= WHOLE_ANSWER);
     if !whole {
-        let body = stream::start(core, call.clone(), opened, tried.clone());
-        return Ok(head.map(|()| body));
+        return Ok(stream::start(core, call.clone(), opened, tried.clone()));
     }
-    let Opened {
-        running,
-        exchange,
-        response,
-        head: marks,
-    } = opened;
     let left = Duration::from_millis(call.admitted.left(core.now()).0);
-    match read_body(response.into_body(), WHOLE_ANSWER, left).await {
-        Ok(body) => {
-            keep(exchange, &marks);
-            let failed = head.status().is_server_error();
-            running.finish(if failed { Outcome::Failed } else { Outcome::Whole });
-            Ok(head.map(|()| ResponseBody::from(body)))
-        }
-        Err(error) => {
-            let outcome = match error {
-                ReadBodyError::Timeout => Outcome::Timeout,
-                ReadBodyError::Broken | ReadBodyError::TooLarge => Outcome::Broken,
-            };
-            running.finish(outcome);
-            Err(outcome)
-        }
-    }
+    let answer = opened.whole(left).await?;
+    Ok(answer.map(ResponseBody::from))
 }
 
 /// Keeps a connection after a whole answer, if the endpoint does.
--- /dev/null
+++ b/crates/sw-proxy/src/reserve.rs
@@ -0,0 +1,88 @@
+//! Asking the coordinator of an engine for a place in its queue.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use spdlog::prelude::*;
+use sw_relay::{Coordinator, Granted, Outcome, Tried};
+
+use crate::attempt::Call;
+use crate::core::Core;
+use crate::{Dialect, telemetry};
+
+/// Time for a coordinator to answer; without an answer the prompt is sent all the same.
+const PATIENCE: Duration = Duration::from_millis(150);
+
+/// A place in an engine's queue, which is freed when it is dropped.
+pub(crate) struct Reserved<D: Dialect, F: 'static> {
+    core: Rc<Core<D, F>>,
+    coordinator: Coordinator,
+    granted: Granted,
+    absent: bool,
+}
+
+impl<D: Dialect, F> Reserved<D, F> {
+    /// What was granted.
+    pub(crate) fn granted(&self) -> &Granted {
+        &self.granted
+    }
+
+    /// Frees the place, as the engine is not there.
+    pub(crate) fn absent(mut self) {
+        self.absent = true;
+    }
+}
+
+impl<D: Dialect, F: 'static> Drop for Reserved<D, F> {
+    fn drop(&mut self) {
+        let peers = self.core.peers.clone();
+        let address = self.coordinator.address;
+        let endpoint = self.coordinator.reservation.endpoint.clone();
+        let (ticket, absent) = (self.granted.ticket, self.absent);
+        tokio::task::spawn_local(async move {
+            // A place that is not freed is dropped by the coordinator after a while.
+            let _lost = peers.release(address, &endpoint, ticket, absent).await;
+        });
+    }
+}
+
+/// Asks for a place in an engine's queue; `None` if its coordinator does not answer.
+///
+/// # Errors
+///
+/// Returns [`Outcome::Declined`] if the engine is busier than was expected.
+pub(crate) async fn reserve<D: Dialect, F: 'static>(
+    core: &Rc<Core<D, F>>,
+    call: &Call,
+    coordinator: &Coordinator,
+    tried: &mut Tried,
+) -> Result<Option<Reserved<D, F>>, Outcome> {
+    let reservation = &coordinator.reservation;
+    let answer = core.peers.reserve(coordinator.address, reservation, PATIENCE).await;
+    let now = core.now();
+    let mut relay = core.relay.borrow_mut();
+    match answer {
+        Ok(Ok(granted)) => {
+            let read_ms = granted.wait.expected_ms - granted.wait.backlog_ms;
+            relay.learn_wait(coordinator, granted.wait, read_ms, now);
+            Ok(Some(Reserved {
+                core: Rc::clone(core),
+                coordinator: coordinator.clone(),
+                granted,
+                absent: false,
+            }))
+        }
+        Ok(Err(wait)) => {
+            relay.learn_wait(coordinator, wait, 0.0, now);
+            tried.declined(&reservation.endpoint, wait.expected_ms);
+            telemetry::declined(&call.admitted, reservation, wait);
+            Err(Outcome::Declined)
+        }
+        Err(_silent) => {
+            relay.coordinator_silent(&coordinator.vm, now);
+            let vm = coordinator.vm.as_str();
+            info!("coordinator_silent", kv: { vm });
+            Ok(None)
+        }
+    }
+}
--- /dev/null
+++ b/crates/sw-proxy/src/source.rs
@@ -0,0 +1,141 @@
+//! Where an answer comes from: an endpoint, or another VM that passes on an endpoint's.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt as _;
+use hyper::Response;
+use hyper::body::{Body as _, Incoming};
+use hyper::header::CONTENT_LENGTH;
+use sw_http::Exchange;
+use sw_peer::relay::RelayEvent;
+use sw_relay::{Attempt, Outcome};
+use tokio::sync::mpsc;
+
+use crate::attempt::Running;
+use crate::request::keep;
+use crate::{AnswerHead, Dialect};
+
+/// An answer whose head has come.
+pub(crate) struct Opened<D: Dialect, F: 'static> {
+    pub(crate) head: Response<()>,
+    pub(crate) source: Source<D, F>,
+}
+
+/// What gives the body of an answer.
+pub(crate) enum Source<D: Dialect, F: 'static> {
+    /// An endpoint.
+    Endpoint(Box<EndpointAnswer<D, F>>),
+    /// Another VM.
+    Vm(mpsc::Receiver<RelayEvent>),
+}
+
+/// An answer of an endpoint.
+pub(crate) struct EndpointAnswer<D: Dialect, F: 'static> {
+    pub(crate) running: Running<D, F>,
+    pub(crate) exchange: Exchange,
+    pub(crate) body: Incoming,
+    pub(crate) head: AnswerHead,
+}
+
+/// What came next.
+#[derive(Debug)]
+pub(crate) enum Part {
+    /// A part of the body.
+    Chunk(Bytes),
+    /// Its end.
+    End,
+    /// It broke off.
+    Broken,
+}
+
+impl<D: Dialect, F: 'static> Opened<D, F> {
+    /// The length of the body; `None` if it is not known.
+    pub(crate) fn len(&self) -> Option<u64> {
+        if let Source::Endpoint(answer) = &self.source {
+            return answer.body.size_hint().exact();
+        }
+        let len = self.head.headers().get(CONTENT_LENGTH)?;
+        len.to_str().ok()?.parse().ok()
+    }
+
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Outcome::Broken`] or [`Outcome::Timeout`], after which the attempt has ended.
+    pub(crate) async fn whole(mut self, left: Duration) -> Result<Response<Bytes>, Outcome> {
+        let failed = self.head.status().is_server_error();
+        match tokio::time::timeout(left, self.source.collect()).await {
+            Ok(Some(body)) => {
+                self.source
+                    .finish(if failed { Outcome::Failed } else { Outcome::Whole });
+                Ok(self.head.map(|()| body))
+            }
+            Ok(None) => {
+                self.source.finish(Outcome::Broken);
+                Err(Outcome::Broken)
+            }
+            Err(_elapsed) => {
+                self.source.finish(Outcome::Timeout);
+                Err(Outcome::Timeout)
+            }
+        }
+    }
+}
+
+impl<D: Dialect, F: 'static> Source<D, F> {
+    /// The next part of the body.
+    pub(crate) async fn next(&mut self) -> Part {
+        match self {
+            Self::Endpoint(answer) => match answer.body.frame().await {
+                Some(Ok(frame)) => Part::Chunk(frame.into_data().unwrap_or_default()),
+                Some(Err(_broken)) => Part::Broken,
+                None => Part::End,
+            },
+            Self::Vm(events) => match events.recv().await {
+                Some(RelayEvent::Chunk(data)) => Part::Chunk(data),
+                Some(RelayEvent::End(Ok(()))) => Part::End,
+                Some(_) | None => Part::Broken,
+            },
+        }
+    }
+
+    /// Frees the prompt's place in the engine's queue, as the first event came.
+    pub(crate) fn began(&mut self) {
+        if let Self::Endpoint(answer) = self {
+            answer.running.began();
+        }
+    }
+
+    /// The attempt at an endpoint, to record what is seen of it.
+    pub(crate) fn attempt_mut(&mut self) -> Option<&mut Attempt> {
+        match self {
+            Self::Endpoint(answer) => answer.running.attempt_mut(),
+            Self::Vm(_) => None,
+        }
+    }
+
+    /// Ends the attempt; the connection to an endpoint is kept after a whole answer.
+    pub(crate) fn finish(self, outcome: Outcome) {
+        let Self::Endpoint(answer) = self else {
+            return;
+        };
+        if matches!(outcome, Outcome::Whole | Outcome::Failed) {
+            keep(answer.exchange, &answer.head);
+        }
+        answer.running.finish(outcome);
+    }
+
+    /// The whole body; `None` if it breaks off.
+    async fn collect(&mut self) -> Option<Bytes> {
+        let mut buf = BytesMut::new();
+        loop {
+            match self.next().await {
+                Part::Chunk(data) => buf.extend_from_slice(&data),
+                Part::End => return Some(buf.freeze()),
+                Part::Broken => return None,
+            }
+        }
+    }
+}
--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -7,57 +7,39 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
-use sw_http::{BodyError, Exchange, ResponseBody, channel};
-use sw_relay::{Choice, Outcome, RouteKind, Tried};
+use sw_http::{BodyError, channel};
+use sw_relay::{Outcome, RouteKind, Tried};
 use sw_unit::{Millis, Time};
 use tokio::sync::mpsc;
 
-use crate::attempt::{Call, Opened, Running, open};
+use crate::attempt::Call;
 use crate::core::{Active, Core};
-use crate::request::keep;
-use crate::{AnswerHead, Dialect, EventSplitter, telemetry};
+use crate::request::{Answer, open};
+use crate::source::{Opened, Part, Source};
+use crate::{Dialect, EventSplitter, telemetry};
 
 type Sender = mpsc::Sender<Result<Bytes, BodyError>>;
 
-/// What is being passed on.
-struct Source<D: Dialect, F> {
-    running: Running<D, F>,
-    exchange: Exchange,
-    body: Incoming,
-    head: AnswerHead,
-    last_chunk: Option<Time>,
-}
-
-/// Begins to pass on an answer, and returns its body.
+/// Begins to pass on an answer.
 pub(crate) fn start<D: Dialect, F: 'static>(
     core: &Rc<Core<D, F>>,
     call: Call,
     opened: Opened<D, F>,
     tried: Tried,
-) -> ResponseBody {
+) -> Answer {
     let (tx, body) = channel();
+    let by_event = call.admitted.route.kind == RouteKind::Resumable && opened.head.status().is_success();
     let pump = Pump {
         core: Rc::clone(core),
         events: EventSplitter::default(),
+        last_chunk: None,
         _active: Active::new(core),
-        by_event: call.admitted.route.kind == RouteKind::Resumable && opened.response.status().is_success(),
+        by_event,
         call,
         tried,
     };
-    tokio::task::spawn_local(pump.run(source(opened), tx));
-    body
-}
-
-fn source<D: Dialect, F>(opened: Opened<D, F>) -> Source<D, F> {
-    Source {
-        running: opened.running,
-        exchange: opened.exchange,
-        body: opened.response.into_body(),
-        head: opened.head,
-        last_chunk: None,
-    }
+    tokio::task::spawn_local(pump.run(opened.source, tx));
+    opened.head.map(|()| body)
 }
 
 struct Pump<D: Dialect, F> {
@@ -66,15 +48,14 @@
     call: Call,
     tried: Tried,
     events: EventSplitter,
+    last_chunk: Option<Time>,
     /// Whether only whole events are passed on, so that the stream can be resumed.
     by_event: bool,
 }
 
 /// What happened next.
 enum Next {
-    Chunk(Bytes),
-    End,
-    Broken,
+    Part(Part),
     Timeout,
     CallerLeft,
 }
@@ -82,35 +63,28 @@
 impl<D: Dialect, F: 'static> Pump<D, F> {
     async fn run(mut self, mut source: Source<D, F>, tx: Sender) {
         loop {
-            match self.next(&mut source, &tx).await {
-                Next::Chunk(data) => {
+            let reason = match self.next(&mut source, &tx).await {
+                Next::Part(Part::Chunk(data)) => {
                     self.observe(&mut source);
                     let data = if self.by_event { self.events.feed(&data) } else { data };
                     if !data.is_empty() && tx.send(Ok(data)).await.is_err() {
                         return;
                     }
+                    continue;
                 }
-                Next::End if self.events.has_partial() => {
-                    if !self.resume(&mut source, "incomplete_event", &tx).await {
-                        return;
-                    }
-                }
-                Next::End => {
-                    keep(source.exchange, &source.head);
-                    source.running.finish(Outcome::Whole);
-                    return;
-                }
-                Next::Broken => {
-                    if !self.resume(&mut source, "broken", &tx).await {
-                        return;
-                    }
-                }
+                Next::Part(Part::End) if !self.events.has_partial() => return source.finish(Outcome::Whole),
+                Next::Part(Part::End) => "incomplete_event",
+                Next::Part(Part::Broken) => "broken",
                 Next::Timeout => {
-                    source.running.finish(Outcome::Timeout);
-                    self.break_off("timeout", &tx).await;
-                    return;
+                    source.finish(Outcome::Timeout);
+                    return self.break_off("timeout", &tx).await;
                 }
                 Next::CallerLeft => return,
+            };
+            source.finish(Outcome::Broken);
+            match self.resume(&tx).await {
+                Some(next) => source = next,
+                None => return self.break_off(reason, &tx).await,
             }
         }
     }
@@ -120,82 +94,65 @@
         tokio::select! {
             biased;
             () = tx.closed() => Next::CallerLeft,
-            frame = source.body.frame() => match frame {
-                Some(Ok(frame)) => Next::Chunk(frame.into_data().unwrap_or_default()),
-                Some(Err(_broken)) => Next::Broken,
-                None => Next::End,
-            },
+            part = source.next() => Next::Part(part),
             () = tokio::time::sleep(left) => Next::Timeout,
         }
     }
 
     /// Learns from the time at which a chunk came.
-    fn observe(&self, source: &mut Source<D, F>) {
+    fn observe(&mut self, source: &mut Source<D, F>) {
         let now = self.core.now();
         if !self.call.admitted.route.kind.streams() {
             return;
         }
-        let Some(attempt) = source.running.attempt_mut() else {
+        if self.last_chunk.is_none() {
+            source.began();
+        }
+        let Some(attempt) = source.attempt_mut() else {
             return;
         };
         let mut relay = self.core.relay.borrow_mut();
-        match source.last_chunk {
+        match self.last_chunk {
             None => relay.first_event(attempt, now),
             Some(last) => relay.event_gap(attempt, now.since(last), now),
         }
-        source.last_chunk = Some(now);
+        self.last_chunk = Some(now);
     }
 
-    /// Goes on with a broken stream at another endpoint, and returns whether that was possible.
-    async fn resume(&mut self, source: &mut Source<D, F>, reason: &'static str, tx: &Sender) -> bool {
+    /// Goes on with a broken stream elsewhere; `None` if that is not possible or the caller left.
+    async fn resume(&mut self, tx: &Sender) -> Option<Source<D, F>> {
         if !self.by_event {
-            self.break_off(reason, tx).await;
-            return false;
+            return None;
         }
         self.events.drop_partial();
-        while let Some(opened) = self.reopen(tx).await {
-            match opened {
-                Ok(opened) => {
-                    let before = std::mem::replace(source, self::source(opened));
-                    before.running.finish(Outcome::Broken);
-                    return true;
-                }
-                Err(_outcome) if self.call.admitted.left(self.core.now()) > Millis(0) => {}
-                Err(_outcome) => break,
+        self.last_chunk = None;
+        self.call.resume_after = self.events.last_id().map(str::to_owned);
+        while self.call.admitted.left(self.core.now()) > Millis(0) {
+            if let Some(opened) = self.reopen(tx).await? {
+                return Some(opened.source);
             }
         }
-        self.break_off(reason, tx).await;
-        false
+        None
     }
 
-    /// Sends the request once more; `None` if that is not allowed or the caller left.
-    async fn reopen(&mut self, tx: &Sender) -> Option<Result<Opened<D, F>, Outcome>> {
+    /// Sends the request once more; the outer `None` if that is not allowed or the caller left, the inner one if it
+    /// failed.
+    async fn reopen(&mut self, tx: &Sender) -> Option<Option<Opened<D, F>>> {
         let admitted = &self.call.admitted;
         let choice = {
             let mut relay = self.core.relay.borrow_mut();
             if !relay.take_retry(admitted, &self.tried) {
                 return None;
             }
-            relay.choose(admitted, &self.tried, self.core.now())
+            relay.choose(admitted, &self.tried, self.core.now()).ok()?
         };
-        let Ok(Choice::Endpoint { endpoint, .. }) = choice else {
-            return None;
-        };
-        let last_event = self.events.last_id();
-        telemetry::resumed(admitted, endpoint.id.as_str(), last_event.unwrap_or_default());
+        let last_event = self.call.resume_after.as_deref().unwrap_or_default();
+        telemetry::resumed(admitted, &choice, last_event);
         let opened = tokio::select! {
-            opened = open(&self.core, &self.call, &endpoint, last_event, false) => opened,
+            opened = open(&self.core, &self.call, &choice, &mut self.tried) => opened,
             () = tx.closed() => return None,
         };
-        self.tried
-            .sent_to_endpoint(&endpoint.id, opened.as_ref().err().copied());
-        Some(opened.and_then(|opened| {
-            if opened.response.status().is_success() {
-                Ok(opened)
-            } else {
-                Err(Outcome::Failed)
-            }
-        }))
+        Some(opened.ok().filter(|opened| opened.head.status().is_success()))
     }
 
     async fn break_off(&self, reason: &'static str, tx: &Sender) {
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -6,7 +6,7 @@
 use metrics::{counter, histogram};
 use spdlog::prelude::*;
 use sw_error::Refusal;
-use sw_relay::{Admitted, Attempt, Choice, Outcome};
+use sw_relay::{Admitted, Attempt, Choice, Outcome, Reservation, Wait};
 use sw_unit::{Millis, Time};
 
 /// Milliseconds in a second.
@@ -23,12 +23,13 @@
             endpoint,
             expected_ms,
             considered,
+            ..
         } => {
             let (expected_ms, considered) = (*expected_ms as u64, *considered as u64);
             let target = endpoint.id.as_str();
             info!("routed", kv: { id, route, version, left_ms, target, expected_ms, considered, revision });
         }
-        Choice::Region {
+        Choice::Vm {
             region,
             vm,
             expected_ms,
@@ -54,6 +55,14 @@
     counter!("shallotwing_attempts_total", "outcome" => ended).increment(1);
 }
 
+/// Logs that the coordinator of an engine declined a request.
+pub(crate) fn declined(admitted: &Admitted, reservation: &Reservation, wait: Wait) {
+    let (id, endpoint) = (&*admitted.id, reservation.endpoint.as_str());
+    let (limit_ms, expected_ms) = (reservation.limit_ms as u64, wait.expected_ms as u64);
+    info!("declined", kv: { id, endpoint, limit_ms, expected_ms });
+    counter!("shallotwing_declined_total").increment(1);
+}
+
 /// Logs that a request that was forwarded got no answer.
 pub(crate) fn forward_failed(admitted: &Admitted, outcome: Outcome, age: Millis) {
     let id = &*admitted.id;
@@ -91,9 +100,13 @@
     counter!("shallotwing_answers_broken_total", "reason" => reason).increment(1);
 }
 
-/// Logs that a stream goes on at another endpoint.
-pub(crate) fn resumed(admitted: &Admitted, endpoint: &str, after: &str) {
+/// Logs that a stream goes on elsewhere.
+pub(crate) fn resumed(admitted: &Admitted, choice: &Choice, after: &str) {
     let id = &*admitted.id;
-    info!("stream_resumed", kv: { id, endpoint, after });
+    let target = match choice {
+        Choice::Endpoint { endpoint, .. } => endpoint.id.as_str(),
+        Choice::Vm { vm, .. } => vm.as_str(),
+    };
+    info!("stream_resumed", kv: { id, target, after });
     counter!("shallotwing_streams_resumed_total").increment(1);
 }
--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -25,6 +25,10 @@
     pub backlog_ms: f64,
     /// When the first event of its answer came.
     pub first_event: Option<Time>,
+    /// Events that came.
+    pub events: u32,
+    /// Tokens that the answer was expected to have.
+    pub output: Tokens,
 }
 
 impl Attempt {
@@ -50,6 +54,8 @@
     Unreachable,
     /// Nothing was sent, for a reason that says nothing about the endpoint.
     Unsent,
+    /// Another VM knows that the endpoint is busier than was expected, and did not send the request there.
+    Declined,
     /// The connection broke, or what came was no answer to this request.
     Broken,
     /// The time was over.
@@ -62,7 +68,8 @@
     /// What another VM's refusal says of a request that was sent there.
     pub fn of_refusal(refusal: Refusal) -> Self {
         match (refusal.kind.answer().ran, refusal.kind) {
-            (Ran::No, _) => Self::Rejected,
+            (Ran::No, Kind::Overloaded | Kind::EndpointUnreachable) => Self::Rejected,
+            (Ran::No, _) => Self::Unsent,
             (_, Kind::EndpointTimeout) => Self::Timeout,
             (_, _) => Self::Broken,
         }
@@ -72,13 +79,13 @@
     pub fn not_run(self) -> bool {
         matches!(
             self,
-            Self::Rejected | Self::WrongEndpoint | Self::Unreachable | Self::Unsent
+            Self::Rejected | Self::WrongEndpoint | Self::Unreachable | Self::Unsent | Self::Declined
         )
     }
 
     /// Whether the request cannot have arrived at the endpoint.
     pub fn not_arrived(self) -> bool {
-        matches!(self, Self::Unreachable | Self::Unsent)
+        matches!(self, Self::Unreachable | Self::Unsent | Self::Declined)
     }
 
     /// Whether the endpoint is not where it registered.
--- a/crates/sw-relay/src/beat.rs
+++ b/crates/sw-relay/src/beat.rs
@@ -18,6 +18,8 @@
     pub running: u32,
     /// Milliseconds of reading that are not done.
     pub backlog_ms: f64,
+    /// Milliseconds between two events of a stream, if any were seen lately.
+    pub gap_ms: Option<f64>,
 }
 
 /// How busy the endpoints of a service are in the sender's region.
--- a/crates/sw-relay/src/candidate.rs
+++ b/crates/sw-relay/src/candidate.rs
@@ -2,11 +2,11 @@
 
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use sw_error::{Kind, Refusal};
 use sw_unit::{EndpointId, RegionId, VmId};
 
-use crate::{EndpointEntry, Outcome};
+use crate::{Coordinator, EndpointEntry, Outcome};
 
 /// Where a request goes next.
 #[derive(Debug, Clone, PartialEq)]
@@ -19,10 +19,12 @@
         expected_ms: f64,
         /// Endpoints that were weighed.
         considered: usize,
+        /// The VM to ask first; `None` if there is none to ask.
+        coordinator: Option<Coordinator>,
     },
-    /// To a VM of another region.
-    Region {
-        /// The region.
+    /// To a VM of another region, which sends it to an endpoint there.
+    Vm {
+        /// The VM's region.
         region: RegionId,
         /// The VM.
         vm: VmId,
@@ -40,10 +42,16 @@
 pub struct Tried {
     /// Endpoints, with whether the request may have run there.
     endpoints: IndexMap<EndpointId, bool>,
-    /// VMs of other regions, with the number of endpoints on which the request may have run there.
+    /// Other VMs, with the number of endpoints on which the request may have run there.
     vms: IndexMap<VmId, u32>,
+    /// Regions that cannot begin it in time.
+    full: IndexSet<RegionId>,
+    /// Engines whose coordinator declined, with the milliseconds that it expected.
+    declined: IndexMap<EndpointId, f64>,
+    declines: u32,
     sends: u32,
     last: Option<Outcome>,
+    refusal: Option<Refusal>,
 }
 
 impl Tried {
@@ -53,13 +61,49 @@
         *self.endpoints.entry(endpoint.clone()).or_default() |= ran;
     }
 
-    /// Records that a VM of another region got the request, which it might run on `attempts` endpoints, and how that
-    /// ended; `None` if it answered.
+    /// Records that another VM got the request, which it might run on `attempts` endpoints, and how that ended; `None`
+    /// if it answered.
     pub fn sent_to_vm(&mut self, vm: &VmId, attempts: u32, outcome: Option<Outcome>) {
         let ran = self.record(outcome);
         *self.vms.entry(vm.clone()).or_default() += if ran { attempts.max(1) } else { 0 };
     }
 
+    /// Records that a VM of `region` refused the request.
+    pub fn refused_by_vm(&mut self, vm: &VmId, region: &RegionId, refusal: Refusal) {
+        self.sent_to_vm(vm, 1, Some(Outcome::of_refusal(refusal)));
+        self.refusal = Some(refusal);
+        if refusal.kind == Kind::DeadlineUnreachable {
+            self.full.insert(region.clone());
+        }
+    }
+
+    /// Records that the coordinator of an engine declined, because it expects the first event after `expected_ms`.
+    pub fn declined(&mut self, endpoint: &EndpointId, expected_ms: f64) {
+        self.declines += 1;
+        self.last = Some(Outcome::Declined);
+        self.declined.insert(endpoint.clone(), expected_ms);
+    }
+
+    /// How often the request was declined.
+    pub fn declines(&self) -> u32 {
+        self.declines
+    }
+
+    /// What the coordinator of an engine expected when it declined; `None` if it did not.
+    pub fn declined_at(&self, endpoint: &EndpointId) -> Option<f64> {
+        self.declined.get(endpoint).copied()
+    }
+
+    /// The shortest wait that a coordinator expected when it declined.
+    pub fn least_declined(&self) -> Option<f64> {
+        self.declined.values().copied().min_by(f64::total_cmp)
+    }
+
+    /// Whether a VM of `region` said that the request cannot begin there in time.
+    pub fn is_full(&self, region: &RegionId) -> bool {
+        self.full.contains(region)
+    }
+
     /// Whether the request may have run.
     pub fn may_have_run(&self) -> bool {
         self.runs() > 0
@@ -86,7 +130,7 @@
         self.endpoints.contains_key(endpoint)
     }
 
-    /// Whether a VM of another region got the request before.
+    /// Whether another VM got the request before.
     pub fn has_vm(&self, vm: &VmId) -> bool {
         self.vms.contains_key(vm)
     }
@@ -101,7 +145,7 @@
                 Kind::OutcomeUnknown
             });
         }
-        reason.unwrap_or_else(|| match self.last {
+        self.refusal.or(reason).unwrap_or_else(|| match self.last {
             Some(Outcome::Rejected) => Kind::Overloaded.into(),
             _ => Kind::EndpointUnreachable.into(),
         })
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -3,7 +3,8 @@
 //! Each usable endpoint of the own region is scored by the expected time to its first event, plus a surcharge for
 //! shared parts of the prompt that it would read although another endpoint has them. All VMs rank the endpoints for
 //! a shared part in the same order, so they keep it in one place without telling each other. Another region is asked
-//! when the own one is expected to be late and the other one is not.
+//! when the own one is expected to be late and the other one is not. The coordinator of the
+//! engine that is chosen is asked for a place in its queue.
 
 use sw_error::{Kind, Refusal};
 use sw_unit::{Millis, RegionId, Time, Tokens};
@@ -20,6 +21,10 @@
 const LATE_SURCHARGE: f64 = 20.0;
 /// Surcharge for each place in the ranking of a shared part, in milliseconds.
 const RANK_SURCHARGE_MS: f64 = 8.0;
+/// Part of the time that is left within which an answer should end; engines that are busy reading make few tokens.
+const END_SHARE: f64 = 0.7;
+/// Surcharge for ending later than that, in units of the time beyond it.
+const OVERRUN_SURCHARGE: f64 = 1.0;
 /// Share of the objective above which another region is considered.
 const SPILL_SHARE: f64 = 0.6;
 /// Advantage that another region must have, as a share of the objective.
@@ -39,12 +44,24 @@
 struct Scored<'a> {
     endpoint: &'a Endpoint,
     expected_ms: f64,
+    overrun_ms: f64,
     score: f64,
 }
 
+/// The best endpoint of the own region.
+struct Local {
+    endpoint: EndpointEntry,
+    expected_ms: f64,
+    overrun_ms: f64,
+    /// By how much the next best one is worse.
+    ahead_ms: f64,
+    considered: usize,
+}
+
 struct Remote {
     region: RegionId,
     expected_ms: f64,
+    overrun_ms: f64,
 }
 
 impl Relay {
@@ -56,42 +73,49 @@
     /// [`Kind::DeadlineUnreachable`] if none is expected to begin in time.
     pub fn choose(&mut self, admitted: &Admitted, tried: &Tried, now: Time) -> Result<Choice, Refusal> {
         let local = self.best_local(admitted, tried, now);
-        let local = local.map(|(best, considered)| (best.endpoint.entry.clone(), best.expected_ms, considered));
         let remote = if admitted.forwarded {
             None
         } else {
             self.best_remote(admitted, tried, now)
         };
-        let local_ms = local.as_ref().map(|(_, expected_ms, _)| *expected_ms);
+        let local_ms = local.as_ref().map(|local| local.expected_ms);
         let expected_ms = match (local_ms, &remote) {
             (Some(local), Some(remote)) => local.min(remote.expected_ms),
             (Some(local), None) => local,
             (None, Some(remote)) => remote.expected_ms,
-            (None, None) => return Err(Refusal::after(Kind::NoEndpoint, self.come_back(admitted, 0.0, now))),
+            (None, None) => {
+                let (kind, wait_ms) = match tried.least_declined() {
+                    Some(wait_ms) => (Kind::DeadlineUnreachable, wait_ms),
+                    None => (Kind::NoEndpoint, 0.0),
+                };
+                return Err(Refusal::after(kind, self.come_back(admitted, wait_ms, now)));
+            }
         };
-        let limit = if tried.may_have_run() {
+        let limit_ms = if tried.may_have_run() {
             // What has begun is worth finishing late.
             admitted.left(now).0 as f64
         } else {
             admission_limit(admitted, self.whole_read_ms(admitted), now)
         };
-        if expected_ms > limit {
+        if expected_ms > limit_ms {
             let after = self.come_back(admitted, expected_ms, now);
             return Err(Refusal::after(Kind::DeadlineUnreachable, after));
         }
-        let spills = |remote: &Remote| local_ms.is_none_or(|local| spills(admitted, local, remote.expected_ms, now));
+        let spills = |remote: &Remote| local.as_ref().is_none_or(|local| spills(admitted, local, remote, now));
         if let Some(remote) = remote.filter(spills)
             && let Some(choice) = self.peer_choice(admitted, remote, local_ms, tried, now)
         {
             return Ok(choice);
         }
-        let Some((endpoint, expected_ms, considered)) = local else {
+        let Some(local) = local else {
             return Err(Refusal::after(Kind::NoEndpoint, self.come_back(admitted, 0.0, now)));
         };
+        let decline_ms = Self::decline_above(admitted, tried, local.expected_ms, local.ahead_ms, limit_ms);
         Ok(Choice::Endpoint {
-            endpoint,
-            expected_ms,
-            considered,
+            coordinator: self.coordinator(admitted, &local.endpoint, decline_ms, now),
+            endpoint: local.endpoint,
+            expected_ms: local.expected_ms,
+            considered: local.considered,
         })
     }
 
@@ -116,12 +140,13 @@
         self.models.get(service).copied().unwrap_or_default()
     }
 
-    fn best_local<'a>(&'a self, admitted: &'a Admitted, tried: &Tried, now: Time) -> Option<(Scored<'a>, usize)> {
-        if !admitted.route.permits(&self.options.own.region) {
+    fn best_local(&self, admitted: &Admitted, tried: &Tried, now: Time) -> Option<Local> {
+        let region = &self.options.own.region;
+        if !admitted.route.permits(region) || tried.is_full(region) || Self::is_declined(tried) {
             return None;
         }
         let usable = self.registry.usable(&admitted.service);
-        let own = usable.filter(|endpoint| self.region_of(&endpoint.entry.domain) == Some(&self.options.own.region));
+        let own = usable.filter(|endpoint| self.region_of(&endpoint.entry.domain) == Some(region));
         let open = own.filter(|endpoint| self.is_open(&endpoint.entry, &admitted.service, now));
         let open: Vec<_> = open.collect();
         let fresh = |endpoint: &&&Endpoint| !tried.has_endpoint(&endpoint.entry.id);
@@ -134,11 +159,20 @@
             candidates = open;
         }
         let ranking = Self::ranking(admitted, &candidates);
-        let scored = candidates
+        let mut scored: Vec<_> = candidates
             .iter()
-            .map(|endpoint| self.score(admitted, endpoint, &ranking, now));
-        let best = scored.min_by(|a, b| a.score.total_cmp(&b.score))?;
-        Some((best, candidates.len()))
+            .map(|endpoint| self.score(admitted, endpoint, &ranking, tried, now))
+            .collect();
+        let next = scored.len().checked_sub(1)?.min(1);
+        scored.select_nth_unstable_by(next, |a, b| a.score.total_cmp(&b.score));
+        let best = &scored[0];
+        Some(Local {
+            endpoint: best.endpoint.entry.clone(),
+            expected_ms: best.expected_ms,
+            overrun_ms: best.overrun_ms,
+            ahead_ms: scored[next].score - best.score,
+            considered: scored.len(),
+        })
     }
 
     /// The endpoints in the order in which all VMs prefer them for the shared parts of a prompt.
@@ -150,8 +184,17 @@
         sw_member::top(key, ids, candidates.len())
     }
 
-    fn score<'a>(&self, admitted: &Admitted, endpoint: &'a Endpoint, ranking: &[&str], now: Time) -> Scored<'a> {
+    fn score<'a>(
+        &self,
+        admitted: &Admitted,
+        endpoint: &'a Endpoint,
+        ranking: &[&str],
+        tried: &Tried,
+        now: Time,
+    ) -> Scored<'a> {
         let expected_ms = self.expected_ms(admitted, &endpoint.entry, now);
+        let declined_ms = tried.declined_at(&endpoint.entry.id).unwrap_or_default();
+        let expected_ms = expected_ms.max(declined_ms);
         let id = endpoint.entry.id.as_str();
         let rank = ranking.iter().position(|ranked| *ranked == id).unwrap_or_default();
         let reread_ms = match &admitted.prompt {
@@ -162,12 +205,16 @@
             }
             _ => 0.0,
         };
+        let gap_ms = self.loads.get(&endpoint.entry.id).map(|load| load.gap_ms(now));
+        let overrun_ms = self.overrun_ms(admitted, expected_ms, gap_ms.unwrap_or_default(), now);
         let late_ms = (expected_ms - admitted.route.objective.0 as f64 * AFFINITY_SHARE).max(0.0);
         Scored {
             endpoint,
             expected_ms,
+            overrun_ms,
             score: expected_ms
                 + LATE_SURCHARGE * late_ms
+                + OVERRUN_SURCHARGE * overrun_ms
                 + REREAD_SURCHARGE * reread_ms
                 + RANK_SURCHARGE_MS * rank as f64,
         }
@@ -175,30 +222,58 @@
 
     /// Milliseconds until the first event, or until the answer of a plain service.
     fn expected_ms(&self, admitted: &Admitted, endpoint: &EndpointEntry, now: Time) -> f64 {
-        let idle = Load::default();
-        let load = self.loads.get(&endpoint.id).unwrap_or(&idle);
         if admitted.prompt.is_some() {
-            let unread = self.unread(endpoint, admitted.prompt.as_ref());
-            let waiting = f64::from(load.waiting(now)) * WAITING_MS;
-            return load.backlog_ms(now) + waiting + self.read_ms(&admitted.service, unread) + load.gap_ms(now);
+            return self.prompt_ms(&admitted.service, endpoint, admitted.prompt.as_ref(), now);
         }
+        let idle = Load::default();
+        let load = self.loads.get(&endpoint.id).unwrap_or(&idle);
         let service_ms = self.model(&admitted.service).service_ms();
         let ahead = f64::from(load.all_running(now) + 1) / f64::from(endpoint.slots.max(1));
         service_ms * ahead.max(1.0)
     }
 
+    /// Milliseconds until the first event for a prompt.
+    pub(crate) fn prompt_ms(
+        &self,
+        service: &ServiceId,
+        endpoint: &EndpointEntry,
+        prompt: Option<&Prompt>,
+        now: Time,
+    ) -> f64 {
+        let idle = Load::default();
+        let load = self.loads.get(&endpoint.id).unwrap_or(&idle);
+        let waiting = f64::from(load.waiting(now)) * WAITING_MS;
+        let read_ms = self.read_ms(service, self.unread(endpoint, prompt));
+        load.backlog_ms(now) + waiting + read_ms + load.gap_ms(now)
+    }
+
+    /// Milliseconds by which an answer is expected to end too late that begins after `expected_ms`.
+    fn overrun_ms(&self, admitted: &Admitted, expected_ms: f64, gap_ms: f64, now: Time) -> f64 {
+        let Some(prompt) = &admitted.prompt else {
+            return 0.0;
+        };
+        let events = self.model(&admitted.service).events(prompt.output());
+        let ends_ms = expected_ms + (events - 1.0).max(0.0) * gap_ms;
+        (ends_ms - admitted.left(now).0 as f64 * END_SHARE).max(0.0)
+    }
+
     fn best_remote(&self, admitted: &Admitted, tried: &Tried, now: Time) -> Option<Remote> {
         let read_ms = self.whole_read_ms(admitted);
-        let permitted = self.regions.iter().filter(|(region, _)| admitted.route.permits(region));
+        let regions = self.regions.iter();
+        let permitted = regions.filter(|(region, _)| admitted.route.permits(region) && !tried.is_full(region));
         let reachable = permitted.filter(|(region, _)| self.peers_in(region, tried, now).next().is_some());
         let expected = reachable.filter_map(|(region, view)| {
             let wait_ms = view.wait_ms(&admitted.service, now)?;
+            let expected_ms = wait_ms + read_ms;
+            let gap_ms = view.gap_ms(&admitted.service).unwrap_or_default();
             Some(Remote {
                 region: region.clone(),
-                expected_ms: wait_ms + read_ms,
+                expected_ms,
+                overrun_ms: self.overrun_ms(admitted, expected_ms, gap_ms, now),
             })
         });
-        expected.min_by(|a, b| a.expected_ms.total_cmp(&b.expected_ms))
+        let cost = |remote: &Remote| remote.expected_ms + remote.overrun_ms;
+        expected.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
     fn whole_read_ms(&self, admitted: &Admitted) -> f64 {
@@ -224,7 +299,7 @@
         if let Some(view) = self.regions.get_mut(&remote.region) {
             view.sent(&admitted.service, read_ms);
         }
-        Some(Choice::Region {
+        Some(Choice::Vm {
             region: remote.region,
             vm,
             address,
@@ -254,11 +329,16 @@
     }
 }
 
-/// Whether a request that is expected to take `local_ms` here goes to a region where it takes `remote_ms`.
-fn spills(admitted: &Admitted, local_ms: f64, remote_ms: f64, now: Time) -> bool {
+/// Whether a request goes to another region.
+fn spills(admitted: &Admitted, local: &Local, remote: &Remote, now: Time) -> bool {
     let objective = admitted.route.objective.0 as f64;
     let elapsed = now.since(admitted.received).0 as f64;
-    local_ms + elapsed > objective * SPILL_SHARE && remote_ms + objective * SPILL_MARGIN < local_ms
+    let busy = local.expected_ms + elapsed > objective * SPILL_SHARE || local.overrun_ms > 0.0;
+    let (here, there) = (
+        local.expected_ms + local.overrun_ms,
+        remote.expected_ms + remote.overrun_ms,
+    );
+    busy && there + objective * SPILL_MARGIN < here
 }
 
 /// Milliseconds within which a request must be expected to begin, so that it is worth sending.
--- /dev/null
+++ b/crates/sw-relay/src/coordinate.rs
@@ -0,0 +1,239 @@
+//! Which VM keeps account of an engine's queue.
+//!
+//! What waits at an engine is known at once only to those that sent it; others hear of it with the next heartbeat,
+//! when most of it has been read. So each engine has a coordinator, a live VM of its own failure domain, which the VMs
+//! of the region ask before they send a prompt there: it grants a [`Reservation`], or tells how busy the engine is.
+//! The prompt itself goes straight to the engine. A VM whose coordinator does not answer sends without asking.
+//!
+//! All VMs work out the coordinators alike from the VMs and endpoints that they know. Where they know different ones
+//! for a moment, an engine has two, which makes the estimates of both less exact and does no other harm.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use sw_member::{VmRow, VmState, top};
+use sw_unit::{DomainId, EndpointId, Millis, Time, Tokens, VmId};
+
+use crate::load::Sender;
+use crate::{Admitted, EndpointEntry, Prompt, Relay, ServiceId, Tried};
+
+/// Delay beyond what was expected for which a coordinator does not decline yet, in milliseconds.
+const DECLINE_MARGIN_MS: f64 = 40.0;
+/// Share of the objective within which an engine begins soon enough, whatever others would.
+const SOON_SHARE: f64 = 0.3;
+/// Declines after which any engine will do that begins within the objective.
+const MAX_CHOOSY_DECLINES: u32 = 2;
+/// Declines after which a region is taken to be full.
+const MAX_DECLINES: u32 = 4;
+/// A reservation that is not released is dropped after this many times the time that was expected,
+const LOST_AFTER_EXPECTED: f64 = 3.0;
+/// and this much more.
+const LOST_AFTER: Millis = Millis(2_000);
+/// Time for which a coordinator that did not answer is not asked.
+const SILENCE: Millis = Millis(1_000);
+/// What an engine that its coordinator does not know or use is said to take, in milliseconds.
+const UNKNOWN_MS: f64 = 10_000.0;
+
+/// A request for a place in an engine's queue.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Reservation {
+    /// The engine.
+    pub endpoint: EndpointId,
+    /// The service that the prompt is for.
+    pub service: ServiceId,
+    /// The prompt.
+    pub prompt: Prompt,
+    /// Milliseconds to the first event beyond which the coordinator declines.
+    pub limit_ms: f64,
+}
+
+/// The VM to ask for a place in an engine's queue.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Coordinator {
+    /// The VM.
+    pub vm: VmId,
+    /// Where it takes calls of other VMs.
+    pub address: SocketAddr,
+    /// What to ask.
+    pub reservation: Reservation,
+}
+
+/// How busy an engine is, as its coordinator knows.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Wait {
+    /// Milliseconds to the first event of the prompt in question.
+    pub expected_ms: f64,
+    /// Milliseconds of reading that are ahead of it.
+    pub backlog_ms: f64,
+}
+
+/// A place in an engine's queue.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Granted {
+    /// Stands for it when it is released.
+    pub ticket: u64,
+    /// Tokens of the prompt that the engine has to read.
+    pub unread: Tokens,
+    /// How busy the engine is.
+    pub wait: Wait,
+}
+
+/// The coordinators of engines.
+pub(crate) type Coordinators = IndexMap<EndpointId, VmId>;
+
+impl Relay {
+    /// Grants a place in the queue of an engine that this VM coordinates.
+    ///
+    /// # Errors
+    ///
+    /// Returns how busy the engine is if that is more than the reservation allows.
+    pub fn reserve(&mut self, reservation: &Reservation, now: Time) -> Result<Granted, Wait> {
+        let known = self.registry.get(&reservation.endpoint);
+        let usable = known.filter(|known| self.registry.may_send(&known.entry));
+        let Some(entry) = usable.map(|known| known.entry.clone()) else {
+            return Err(Wait {
+                expected_ms: UNKNOWN_MS,
+                backlog_ms: UNKNOWN_MS,
+            });
+        };
+        let prompt = Some(&reservation.prompt);
+        let unread = self.unread(&entry, prompt);
+        let read_ms = self.read_ms(&reservation.service, unread);
+        let engine = self.service(&reservation.service).and_then(|service| service.engine);
+        let expected_ms = self.prompt_ms(&reservation.service, &entry, prompt, now);
+        let load = self.loads.entry(entry.id).or_default();
+        let pause_ms = load.pause_left_ms(now);
+        let wait = Wait {
+            expected_ms: pause_ms + expected_ms,
+            backlog_ms: pause_ms + load.backlog_ms(now),
+        };
+        if wait.expected_ms > reservation.limit_ms {
+            return Err(wait);
+        }
+        if let Some(engine) = engine {
+            load.cache.read(&reservation.prompt, engine.memory, now);
+        }
+        let lost = now + LOST_AFTER + Millis((wait.expected_ms * LOST_AFTER_EXPECTED) as u64);
+        let ticket = load.reserve(read_ms, lost, now);
+        Ok(Granted { ticket, unread, wait })
+    }
+
+    /// Frees a place in an engine's queue, when its prompt was read or given up; `absent` if the engine was not there.
+    ///
+    /// Returns the end of the pause if the engine is paused for that.
+    pub fn release(&mut self, endpoint: &EndpointId, ticket: u64, absent: bool, now: Time) -> Option<Time> {
+        let load = self.loads.get_mut(endpoint)?;
+        load.read(ticket, now);
+        if absent { load.failed(true, now) } else { None }
+    }
+
+    /// Records what the coordinator of an engine said of its queue, `reserved_ms` for a place in it included.
+    pub fn learn_wait(&mut self, coordinator: &Coordinator, wait: Wait, reserved_ms: f64, now: Time) {
+        let Some(sender) = self.members.row(&coordinator.vm).map(|row| self.sender(row)) else {
+            return;
+        };
+        let endpoint = &coordinator.reservation.endpoint;
+        let load = self.loads.entry(endpoint.clone()).or_default();
+        load.set_backlog(sender, endpoint, wait.backlog_ms + reserved_ms, now);
+    }
+
+    /// Records that a coordinator did not answer.
+    pub fn coordinator_silent(&mut self, vm: &VmId, now: Time) {
+        self.silent.insert(vm.clone(), now + SILENCE);
+    }
+
+    /// Works out the coordinators of all engines of this region.
+    pub(crate) fn assign_coordinators(&mut self, now: Time) {
+        let own = &self.options.own.region;
+        let domains = self.options.regions.iter().filter(|(_, region)| *region == own);
+        let assigned = domains.flat_map(|(domain, _)| self.coordinators_in(domain, now));
+        self.coordinators = assigned.collect();
+        self.silent.retain(|_, until| *until > now);
+    }
+
+    /// Whom to ask before a request is sent to `endpoint`; `None` if this VM sends it without asking.
+    pub(crate) fn coordinator(
+        &self,
+        admitted: &Admitted,
+        endpoint: &EndpointEntry,
+        limit_ms: f64,
+        now: Time,
+    ) -> Option<Coordinator> {
+        let prompt = admitted.prompt.as_ref()?;
+        let vm = self.coordinators.get(&endpoint.id)?;
+        let live = self.members.state(vm, now) == Some(VmState::Live);
+        if !live || *vm == self.options.own.vm || self.silent.get(vm).is_some_and(|until| *until > now) {
+            return None;
+        }
+        let row = self.members.row(vm)?;
+        Some(Coordinator {
+            vm: vm.clone(),
+            address: row.peer_listen,
+            reservation: Reservation {
+                endpoint: endpoint.id.clone(),
+                service: admitted.service.clone(),
+                prompt: prompt.clone(),
+                limit_ms,
+            },
+        })
+    }
+
+    /// Milliseconds to the first event beyond which the coordinator of the best engine shall decline, if the next best
+    /// one is `ahead_ms` behind it and the request must begin within `limit_ms`.
+    pub(crate) fn decline_above(
+        admitted: &Admitted,
+        tried: &Tried,
+        expected_ms: f64,
+        ahead_ms: f64,
+        limit_ms: f64,
+    ) -> f64 {
+        if tried.declines() >= MAX_CHOOSY_DECLINES {
+            return limit_ms;
+        }
+        let soon = admitted.route.objective.0 as f64 * SOON_SHARE;
+        let better_elsewhere = expected_ms + ahead_ms + DECLINE_MARGIN_MS;
+        limit_ms.min(better_elsewhere.max(soon))
+    }
+
+    /// Whether enough coordinators declined a request for this region to be full.
+    pub(crate) fn is_declined(tried: &Tried) -> bool {
+        tried.declines() >= MAX_DECLINES
+    }
+
+    /// Under which name heartbeats tell what a VM has waiting.
+    fn sender(&self, row: &VmRow) -> Sender {
+        if row.domain == self.options.own.domain {
+            Sender::Vm(row.vm.clone())
+        } else {
+            Sender::Domain(row.domain.clone())
+        }
+    }
+
+    /// The coordinators of the engines of one failure domain, about as many for each of its live VMs.
+    fn coordinators_in(&self, domain: &DomainId, now: Time) -> Vec<(EndpointId, VmId)> {
+        let vms: Vec<_> = self.members.live(domain, now).map(|row| &row.vm).collect();
+        let mut engines: Vec<_> = self.engines_in(domain).collect();
+        engines.sort();
+        let room = engines.len().div_ceil(vms.len().max(1));
+        let mut assigned: IndexMap<&VmId, usize> = IndexMap::new();
+        let mut coordinators = Vec::new();
+        for engine in engines {
+            let ranked = top(engine, vms.iter().copied(), vms.len());
+            let has_room = |vm: &&VmId| assigned.get(vm).copied().unwrap_or_default() < room;
+            if let Some(vm) = ranked.into_iter().find(has_room) {
+                *assigned.entry(vm).or_default() += 1;
+                coordinators.push((engine.clone(), vm.clone()));
+            }
+        }
+        coordinators
+    }
+
+    fn engines_in<'a>(&'a self, domain: &'a DomainId) -> impl Iterator<Item = &'a EndpointId> {
+        let services = self.table.iter().flat_map(|table| &table.services);
+        let engines = services.filter(|(_, service)| service.engine.is_some());
+        let usable = engines.flat_map(|(id, _)| self.registry.usable(id));
+        usable
+            .filter(move |endpoint| endpoint.entry.domain == *domain)
+            .map(|endpoint| &endpoint.entry.id)
+    }
+}
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -253,11 +253,13 @@
     }
 
     fn own_loads(&self, now: Time) -> Vec<EndpointLoad> {
-        let busy = self.loads.iter().filter(|(_, load)| load.running > 0);
+        let busy = |load: &Load| load.running > 0 || load.is_paused(now) || load.own_backlog_ms(now) > 0.0;
+        let busy = self.loads.iter().filter(|(_, load)| busy(load));
         let row = busy.map(|(id, load)| EndpointLoad {
             endpoint: id.clone(),
             running: load.running,
-            backlog_ms: load.own_backlog_ms(now),
+            backlog_ms: load.own_backlog_ms(now).max(load.pause_left_ms(now)),
+            gap_ms: load.own_gap_ms(now),
         });
         row.collect()
     }
@@ -265,7 +267,7 @@
     /// What the VMs of this domain sent, as far as it is known.
     fn domain_loads(&self, now: Time) -> Vec<EndpointLoad> {
         let loads = self.loads.iter().map(|(id, load)| load.of_neighbours(id, now));
-        loads.filter(|load| load.running > 0).collect()
+        loads.filter(|load| load.running > 0 || load.backlog_ms > 0.0).collect()
     }
 
     fn service_loads(&self, now: Time) -> Vec<ServiceLoad> {
--- a/crates/sw-relay/src/load.rs
+++ b/crates/sw-relay/src/load.rs
@@ -19,6 +19,8 @@
 const NEWEST_GAP: f64 = 0.2;
 /// Without streams for this long, an engine is taken to be idle.
 const GAP_MEMORY: Millis = Millis(1_500);
+/// What another VM has waiting shrinks by this share of the time since it said so; more arrives meanwhile.
+const PEER_DRAIN: f64 = 0.3;
 /// A report or beat older than this is not used.
 const REPORT_MEMORY: Millis = Millis(2_500);
 /// Failures in a row after which an endpoint is paused.
@@ -42,6 +44,8 @@
 struct Unread {
     ticket: u64,
     read_ms: f64,
+    /// When the place of another VM's prompt is dropped if it was not released.
+    lost: Option<Time>,
 }
 
 /// The load of one endpoint.
@@ -53,7 +57,7 @@
     pub cache: PromptCache,
     /// Pacing while it is cold.
     pub pace: Pace,
-    /// Prompts of this VM whose first event has not come, oldest first.
+    /// Prompts whose first event has not come, oldest first: those of this VM, and those for which it granted a place.
     unread: VecDeque<Unread>,
     /// When the engine began with the oldest of them.
     reading_since: Time,
@@ -70,12 +74,12 @@
     pub fn backlog_ms(&self, now: Time) -> f64 {
         let peers: f64 = self
             .fresh_peers(now)
-            .map(|(load, age)| (load.backlog_ms - age).max(0.0))
+            .map(|(load, age)| (load.backlog_ms - age * PEER_DRAIN).max(0.0))
             .sum();
         self.own_backlog_ms(now) + peers
     }
 
-    /// Milliseconds of reading that this VM sent and that are not done.
+    /// Milliseconds of reading that this VM sent or granted and that are not done.
     ///
     /// An engine that takes longer than expected for the oldest is expected to be as late for the next.
     pub fn own_backlog_ms(&self, now: Time) -> f64 {
@@ -101,10 +105,22 @@
         self.fresh_report(now).map_or(0, |report| report.waiting)
     }
 
-    /// The pause between two events, in milliseconds.
+    /// The pause between two events, in milliseconds: as seen, or else as the busiest other VM saw it.
     pub fn gap_ms(&self, now: Time) -> f64 {
+        let own = self.own_gap_ms(now);
+        own.or_else(|| self.peers_gap_ms(now)).unwrap_or(IDLE_GAP_MS)
+    }
+
+    /// The pause between two events that this VM saw; `None` if it saw none lately.
+    pub(crate) fn own_gap_ms(&self, now: Time) -> Option<f64> {
         let fresh = self.gap.filter(|(_, at)| now.since(*at) < GAP_MEMORY);
-        fresh.map_or(IDLE_GAP_MS, |(gap, _)| gap)
+        fresh.map(|(gap, _)| gap)
+    }
+
+    fn peers_gap_ms(&self, now: Time) -> Option<f64> {
+        let seen = self.fresh_peers(now).filter(|(load, _)| load.gap_ms.is_some());
+        seen.max_by_key(|(load, _)| load.running)
+            .and_then(|(load, _)| load.gap_ms)
     }
 
     /// Records a request whose prompt takes `read_ms` to read, and returns the ticket that stands for it.
@@ -113,10 +129,7 @@
         self.next_ticket += 1;
         let ticket = self.next_ticket;
         if read_ms > 0.0 {
-            if self.unread.is_empty() {
-                self.reading_since = now;
-            }
-            self.unread.push_back(Unread { ticket, read_ms });
+            self.wait_for(ticket, read_ms, None, now);
         }
         ticket
     }
@@ -152,17 +165,56 @@
         self.peers.insert(sender, (load, now));
     }
 
+    /// Records a prompt that another VM sends there, until it is read or lost, and returns the ticket that stands for it.
+    pub(crate) fn reserve(&mut self, read_ms: f64, lost: Time, now: Time) -> u64 {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        self.wait_for(ticket, read_ms, Some(lost), now);
+        ticket
+    }
+
+    /// Drops prompts of other VMs that were not released.
+    pub(crate) fn drop_lost(&mut self, now: Time) {
+        let lost = |unread: &Unread| unread.lost.is_some_and(|lost| lost <= now);
+        if self.unread.iter().any(lost) {
+            self.unread.retain(|unread| !lost(unread));
+            self.reading_since = now;
+        }
+    }
+
+    /// Records how much another sender has waiting there.
+    pub(crate) fn set_backlog(&mut self, sender: Sender, endpoint: &EndpointId, backlog_ms: f64, now: Time) {
+        let unheard = EndpointLoad {
+            endpoint: endpoint.clone(),
+            running: 0,
+            backlog_ms,
+            gap_ms: None,
+        };
+        let (load, at) = self.peers.entry(sender).or_insert((unheard, now));
+        load.backlog_ms = backlog_ms;
+        *at = now;
+    }
+
+    fn wait_for(&mut self, ticket: u64, read_ms: f64, lost: Option<Time>, now: Time) {
+        if self.unread.is_empty() {
+            self.reading_since = now;
+        }
+        self.unread.push_back(Unread { ticket, read_ms, lost });
+    }
+
     /// What this VM and its neighbours sent to the endpoint `id`.
     pub(crate) fn of_neighbours(&self, id: &EndpointId, now: Time) -> EndpointLoad {
         let mut sum = EndpointLoad {
             endpoint: id.clone(),
             running: self.running,
-            backlog_ms: self.own_backlog_ms(now),
+            backlog_ms: self.own_backlog_ms(now).max(self.pause_left_ms(now)),
+            gap_ms: self.own_gap_ms(now),
         };
         for (sender, (load, at)) in &self.peers {
             if matches!(sender, Sender::Vm(_)) && now.since(*at) < REPORT_MEMORY {
                 sum.running += load.running;
                 sum.backlog_ms += load.backlog_ms;
+                sum.gap_ms = sum.gap_ms.or(load.gap_ms);
             }
         }
         sum
@@ -193,6 +245,11 @@
         self.paused_until > now
     }
 
+    /// Milliseconds until the endpoint is tried again after failures.
+    pub(crate) fn pause_left_ms(&self, now: Time) -> f64 {
+        self.paused_until.since(now).0 as f64
+    }
+
     fn fresh_report(&self, now: Time) -> Option<LoadReport> {
         let fresh = self.report.filter(|(_, at)| now.since(*at) < REPORT_MEMORY);
         fresh.map(|(report, _)| report)
--- a/crates/sw-relay/src/model.rs
+++ b/crates/sw-relay/src/model.rs
@@ -15,6 +15,8 @@
 const FIRST_EVENT_MS: f64 = 45.0;
 /// Weight of the newest observation.
 const NEWEST: f64 = 0.05;
+/// Events of a stream for each token that it may have, before any answer was seen.
+const DEFAULT_EVENTS_PER_TOKEN: f64 = 0.1;
 /// Prompts shorter than this say little about the speed of reading.
 const MIN_OBSERVED_TOKENS: u64 = 1_500;
 
@@ -23,6 +25,7 @@
 pub struct EngineModel {
     read_rate: f64,
     service_ms: f64,
+    events_per_token: f64,
 }
 
 impl Default for EngineModel {
@@ -30,6 +33,7 @@
         Self {
             read_rate: DEFAULT_READ_RATE,
             service_ms: DEFAULT_SERVICE_MS,
+            events_per_token: DEFAULT_EVENTS_PER_TOKEN,
         }
     }
 }
@@ -45,6 +49,19 @@
         self.service_ms
     }
 
+    /// Events of a stream that may have `tokens`.
+    pub fn events(&self, tokens: Tokens) -> f64 {
+        tokens.0 as f64 * self.events_per_token
+    }
+
+    /// Records that a stream that might have had `tokens` had `events`.
+    pub fn streamed(&mut self, tokens: Tokens, events: u32) {
+        if tokens.0 > 0 {
+            let seen = f64::from(events) / tokens.0 as f64;
+            self.events_per_token += NEWEST * (seen - self.events_per_token);
+        }
+    }
+
     /// Records that the first event came after `taken`, with `tokens` read on an engine without a queue.
     pub fn first_event(&mut self, tokens: Tokens, taken: Millis) {
         if tokens.0 < MIN_OBSERVED_TOKENS {
--- a/crates/sw-relay/src/region.rs
+++ b/crates/sw-relay/src/region.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Milliseconds between two events of a stream of `service` there; `None` if it is not heard.
+    pub fn gap_ms(&self, service: &ServiceId) -> Option<f64> {
+        Some(self.services.get(service)?.load.gap_ms)
+    }
+
     /// Milliseconds until a request to `service` is begun there; `None` if it has no usable endpoint or is not heard.
     pub fn wait_ms(&self, service: &ServiceId, now: Time) -> Option<f64> {
         let summary = self.services.get(service)?;
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -6,8 +6,9 @@
 use sw_admit::RetryBudget;
 use sw_error::{Kind, Refusal};
 use sw_member::{Members, VmRow};
-use sw_unit::{DomainId, EndpointId, Millis, Rate, RegionId, Time, VmId};
+use sw_unit::{DomainId, EndpointId, Millis, Rate, RegionId, Time, Tokens, VmId};
 
+use crate::coordinate::{Coordinators, Granted};
 use crate::exchange::HeardView;
 use crate::region::Regions;
 use crate::{
@@ -96,6 +97,9 @@
     pub(crate) digests: IndexMap<VmId, u64>,
     /// What other failure domains say of themselves.
     pub(crate) views: IndexMap<DomainId, HeardView>,
+    pub(crate) coordinators: Coordinators,
+    /// Coordinators that did not answer, with the time until which they are not asked.
+    pub(crate) silent: IndexMap<VmId, Time>,
     budgets: IndexMap<ServiceId, RetryBudget>,
     pub(crate) rng: fastrand::Rng,
 }
@@ -115,6 +119,8 @@
             peer_revisions: IndexMap::new(),
             digests: IndexMap::new(),
             views: IndexMap::new(),
+            coordinators: Coordinators::new(),
+            silent: IndexMap::new(),
             budgets: IndexMap::new(),
             rng: fastrand::Rng::with_seed(options.seed),
             options,
@@ -178,6 +184,10 @@
             *requests *= TRAFFIC_DECAY;
         }
         let gone = self.registry.expire(now);
+        self.assign_coordinators(now);
+        for load in self.loads.values_mut() {
+            load.drop_lost(now);
+        }
         let registry = &self.registry;
         self.loads
             .retain(|id, load| load.running > 0 || registry.get(id).is_some());
@@ -224,18 +234,27 @@
         runs_left && repeatable && (free || self.budget(&admitted.service).take())
     }
 
-    /// Begins an attempt at an endpoint that was chosen; `None` if nothing may be sent there any more.
-    pub fn begin(&mut self, admitted: &Admitted, endpoint: &EndpointEntry, now: Time) -> Option<Attempt> {
+    /// Begins an attempt at an endpoint that was chosen, and in whose queue a place may have been `granted`; `None` if
+    /// nothing may be sent there any more.
+    pub fn begin(
+        &mut self,
+        admitted: &Admitted,
+        endpoint: &EndpointEntry,
+        granted: Option<&Granted>,
+        now: Time,
+    ) -> Option<Attempt> {
         if !self.registry.may_send(endpoint) || !self.pace_allows(endpoint, now) {
             return None;
         }
-        let unread = self.unread(endpoint, admitted.prompt.as_ref());
+        let unread = granted.map(|granted| granted.unread);
+        let unread = unread.unwrap_or_else(|| self.unread(endpoint, admitted.prompt.as_ref()));
         let read_ms = self.read_ms(&admitted.service, unread);
         let engine = self.service(&admitted.service).and_then(|service| service.engine);
         let cold = self.cold_share(endpoint, now);
         let load = self.loads.entry(endpoint.id.clone()).or_default();
-        let backlog_ms = load.backlog_ms(now);
-        let ticket = load.sent(read_ms, now);
+        let backlog_ms = granted.map_or_else(|| load.backlog_ms(now), |granted| granted.wait.backlog_ms);
+        // A place in the queue is in the coordinator's account already.
+        let ticket = load.sent(if granted.is_some() { 0.0 } else { read_ms }, now);
         if let (Some(prompt), Some(engine)) = (&admitted.prompt, engine) {
             load.cache.read(prompt, engine.memory, now);
         }
@@ -251,12 +270,15 @@
             read_ms,
             backlog_ms,
             first_event: None,
+            events: 0,
+            output: admitted.prompt.as_ref().map_or(Tokens(0), Prompt::output),
         })
     }
 
     /// Records the first event of a stream.
     pub fn first_event(&mut self, attempt: &mut Attempt, now: Time) {
         attempt.first_event = Some(now);
+        attempt.events = 1;
         if let Some(load) = self.loads.get_mut(&attempt.endpoint.id) {
             load.read(attempt.ticket, now);
         }
@@ -267,7 +289,8 @@
     }
 
     /// Records a pause between two events of a stream.
-    pub fn event_gap(&mut self, attempt: &Attempt, gap: Millis, now: Time) {
+    pub fn event_gap(&mut self, attempt: &mut Attempt, gap: Millis, now: Time) {
+        attempt.events += 1;
         if let Some(load) = self.loads.get_mut(&attempt.endpoint.id) {
             load.paused_between_events(gap, now);
         }
@@ -285,9 +308,13 @@
 
     /// Ends an attempt, and returns the end of the pause if the endpoint is paused for its failures.
     pub fn end(&mut self, attempt: &Attempt, outcome: Outcome, now: Time) -> Option<Time> {
-        if outcome == Outcome::Whole && attempt.unread.0 == 0 {
+        if outcome == Outcome::Whole {
             let model = self.models.entry(attempt.service.clone()).or_default();
-            model.answered(attempt.age(now));
+            if attempt.events > 0 {
+                model.streamed(attempt.output, attempt.events);
+            } else {
+                model.answered(attempt.age(now));
+            }
         }
         let load = self.loads.get_mut(&attempt.endpoint.id)?;
         load.ended(attempt.ticket, now);
--- a/crates/sw-relay/src/types.rs
+++ b/crates/sw-relay/src/types.rs
@@ -75,6 +75,11 @@
 }
 
 impl Prompt {
+    /// Tokens of the answer, as far as they are known.
+    pub fn output(&self) -> Tokens {
+        self.output_hint.unwrap_or(self.output_max)
+    }
+
     /// Tokens in parts that other requests may share.
     pub fn shared(&self) -> Tokens {
         let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
--- a/crates/sw-relay/tests/admission.rs
+++ b/crates/sw-relay/tests/admission.rs
@@ -14,7 +14,7 @@
         let Ok(Choice::Endpoint { endpoint, .. }) = relay.choose(&admitted, &Tried::default(), now) else {
             return sent;
         };
-        assert!(relay.begin(&admitted, &endpoint, now).is_some());
+        assert!(relay.begin(&admitted, &endpoint, None, now).is_some());
     }
     panic!("nothing was refused");
 }
--- a/crates/sw-relay/tests/cold.rs
+++ b/crates/sw-relay/tests/cold.rs
@@ -19,7 +19,7 @@
         let Ok(sw_relay::Choice::Endpoint { endpoint, .. }) = relay.choose(&admitted, &Tried::default(), now) else {
             continue;
         };
-        if let Some(mut attempt) = relay.begin(&admitted, &endpoint, now) {
+        if let Some(mut attempt) = relay.begin(&admitted, &endpoint, None, now) {
             relay.first_event(&mut attempt, now);
             relay.end(&attempt, Outcome::Whole, now);
             sent.push(ms);
--- a/crates/sw-relay/tests/heartbeats.rs
+++ b/crates/sw-relay/tests/heartbeats.rs
@@ -67,7 +67,7 @@
     let Ok(Choice::Endpoint { endpoint, .. }) = one.choose(&admitted, &Tried::default(), Time(0)) else {
         panic!("nothing was chosen");
     };
-    let attempt = one.begin(&admitted, &endpoint, Time(0)).expect("an attempt");
+    let attempt = one.begin(&admitted, &endpoint, None, Time(0)).expect("an attempt");
     exchange(&mut one, &mut other, Time(10));
     let seen = other.load(&endpoint.id).expect("a load").backlog_ms(Time(10));
     assert!((seen - attempt.read_ms).abs() < 20.0, "{seen} of {}", attempt.read_ms);
--- a/crates/sw-relay/tests/outage.rs
+++ b/crates/sw-relay/tests/outage.rs
@@ -24,7 +24,7 @@
     let Ok(Choice::Endpoint { endpoint, .. }) = relay.choose(admitted, tried, now) else {
         panic!("no endpoint");
     };
-    let attempt = relay.begin(admitted, &endpoint, now).expect("an attempt");
+    let attempt = relay.begin(admitted, &endpoint, None, now).expect("an attempt");
     relay.end(&attempt, outcome, now);
     tried.sent_to_endpoint(&endpoint.id, Some(outcome));
     endpoint.id.to_string()
@@ -51,7 +51,13 @@
 fn an_endpoint_that_registers_anew_is_used_again() {
     let mut relay = vm();
     let admitted = admit(&mut relay, "read", None, Time(0));
-    let gone = send(&mut relay, &admitted, &mut Tried::default(), Outcome::WrongEndpoint, Time(0));
+    let gone = send(
+        &mut relay,
+        &admitted,
+        &mut Tried::default(),
+        Outcome::WrongEndpoint,
+        Time(0),
+    );
     let mut entry = endpoint(&gone, "app", "north");
     entry.life = Incarnation(2);
     register(&mut relay, entry, Time(100));
