--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -142,7 +142,7 @@
 
     fn best_local(&self, admitted: &Admitted, tried: &Tried, now: Time) -> Option<Local> {
         let region = &self.options.own.region;
-        if !admitted.route.permits(region) || tried.is_full(region) || Self::is_declined(tried) {
+        if !admitted.route.permits(region) || tried.is_full(region) || tried.is_declined() {
             return None;
         }
         let usable = self.registry.usable(&admitted.service);
--- a/crates/sw-relay/src/coordinate.rs
+++ b/crates/sw-relay/src/coordinate.rs
@@ -78,6 +78,13 @@
     pub wait: Wait,
 }
 
+impl Tried {
+    /// Whether enough coordinators declined a request for the own region to be full.
+    pub(crate) fn is_declined(&self) -> bool {
+        self.declines() >= MAX_DECLINES
+    }
+}
+
 /// The coordinators of engines.
 pub(crate) type Coordinators = IndexMap<EndpointId, VmId>;
 
@@ -195,11 +202,6 @@
         limit_ms.min(better_elsewhere.max(soon))
     }
 
-    /// Whether enough coordinators declined a request for this region to be full.
-    pub(crate) fn is_declined(tried: &Tried) -> bool {
-        tried.declines() >= MAX_DECLINES
-    }
-
     /// Under which name heartbeats tell what a VM has waiting.
     fn sender(&self, row: &VmRow) -> Sender {
         if row.domain == self.options.own.domain {
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -6,7 +6,8 @@
 //! clock: it takes an event and the time, and returns what to do.
 //!
 //! A request passes [`Relay::admit`], then [`Relay::choose`] and [`Relay::begin`] once for each attempt. The
-//! [`Attempt`] that `begin` returns is given back with its [`Outcome`].
+//! [`Attempt`] that `begin` returns is given back with its [`Outcome`]. Where a [`Choice`] names a [`Coordinator`], that
+//! VM's [`Relay::reserve`] is asked before.
 //!
 //! [`sw-gate`]: https://example.invalid/shallotwing
 
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -19,6 +19,8 @@
 /// Share of the retries that all VMs together are allowed that they plan to use, so that views that differ do not
 /// add up to too many.
 const RETRY_SAFETY: f64 = 0.5;
+/// Span whose requests earn the retries that may be saved up; shorter than the window in which retries are counted.
+const RETRY_SPAN: Millis = Millis(5_000);
 /// What is left of the count of recent requests after each tick.
 const TRAFFIC_DECAY: f64 = 0.97;
 /// Time after the start in which a VM may not know all others yet.
@@ -28,6 +30,21 @@
 /// Time that a caller without a deadline is taken to wait.
 const DEFAULT_PATIENCE: Millis = Millis(30_000);
 
+/// A count of requests that forgets older ones.
+#[derive(Debug, Clone, Copy, Default)]
+struct Recent {
+    requests: f64,
+    at: Time,
+}
+
+impl Recent {
+    fn add(&mut self, now: Time) {
+        let age = now.since(self.at).0 as f64;
+        self.requests = self.requests * (-age / RETRY_SPAN.0 as f64).exp() + 1.0;
+        self.at = now;
+    }
+}
+
 /// Bounds of [`Relay`].
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -101,6 +118,8 @@
     /// Coordinators that did not answer, with the time until which they are not asked.
     pub(crate) silent: IndexMap<VmId, Time>,
     budgets: IndexMap<ServiceId, RetryBudget>,
+    /// Requests of the last seconds by service.
+    recent: IndexMap<ServiceId, Recent>,
     pub(crate) rng: fastrand::Rng,
 }
 
@@ -122,6 +141,7 @@
             coordinators: Coordinators::new(),
             silent: IndexMap::new(),
             budgets: IndexMap::new(),
+            recent: IndexMap::new(),
             rng: fastrand::Rng::with_seed(options.seed),
             options,
         }
@@ -209,6 +229,7 @@
         let service = route.target(self.rng.u64(..)).ok_or(Kind::NoEndpoint)?.clone();
         if !forwarded {
             *self.traffic.entry(route.name.clone()).or_default() += 1.0;
+            self.recent.entry(service.clone()).or_default().add(received);
             self.budget(&service).attempted();
         }
         let deadline = received + head.left.unwrap_or(DEFAULT_PATIENCE);
@@ -408,10 +429,9 @@
 
     fn budget(&mut self, service: &ServiceId) -> &mut RetryBudget {
         let vms = self.members.known_count() as f64;
-        let (share, saved) = (
-            self.options.retry_ratio * RETRY_SAFETY,
-            self.options.retry_slack * RETRY_SAFETY / vms,
-        );
+        let share = self.options.retry_ratio * RETRY_SAFETY;
+        let recent = self.recent.get(service).map_or(0.0, |recent| recent.requests);
+        let saved = self.options.retry_slack * RETRY_SAFETY / vms + share * recent;
         let new = || RetryBudget::new(share, saved.max(1.0));
         let budget = self.budgets.entry(service.clone()).or_insert_with(new);
         budget.set_max_saved(saved.max(1.0));
