perf(relay): streams that cannot end in time are refused at once

Ruled out: the objective of the first event (kept); other regions (as busy). Streams that have begun go on. Tests: admission.rs, two.

--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -23,6 +23,8 @@
 const RANK_SURCHARGE_MS: f64 = 8.0;
 /// Part of the time that is left within which an answer should end; engines that are busy reading make few tokens.
 const END_SHARE: f64 = 0.7;
+/// Part of the time that is left by which an answer may be expected to end later than that, so that it is begun.
+const HOPELESS_SHARE: f64 = 0.4;
 /// Surcharge for ending later than that, in units of the time beyond it.
 const OVERRUN_SURCHARGE: f64 = 1.0;
 /// Share of the objective above which another region is considered.
@@ -101,6 +103,13 @@
             let after = self.come_back(admitted, expected_ms, now);
             return Err(Refusal::after(Kind::DeadlineUnreachable, after));
         }
+        let overruns = local.iter().map(|local| local.overrun_ms);
+        let overruns = overruns.chain(remote.iter().map(|remote| remote.overrun_ms));
+        let overrun_ms = overruns.fold(f64::INFINITY, f64::min);
+        if !tried.may_have_run() && overrun_ms > admitted.left(now).0 as f64 * HOPELESS_SHARE {
+            let after = self.come_back(admitted, expected_ms + overrun_ms, now);
+            return Err(Refusal::after(Kind::DeadlineUnreachable, after));
+        }
         let spills = |remote: &Remote| local.as_ref().is_none_or(|local| spills(admitted, local, remote, now));
         if let Some(remote) = remote.filter(spills)
             && let Some(choice) = self.peer_choice(admitted, remote, local_ms, tried, now)
--- a/crates/sw-relay/tests/admission.rs
+++ b/crates/sw-relay/tests/admission.rs
@@ -5,7 +5,7 @@
 use support::{admit, endpoint, prompt, register, relay};
 use sw_error::Kind;
 use sw_relay::{Choice, Outcome, Relay, Tried};
-use sw_unit::{EndpointId, Millis, Time};
+use sw_unit::{EndpointId, Millis, Time, Tokens};
 
 /// Sends prompts of `tokens` to the only engine until one is refused, and returns how many were sent.
 fn fill(relay: &mut Relay, route: &str, tokens: u64, now: Time) -> usize {
@@ -62,3 +62,48 @@
     tried.sent_to_endpoint(&broken, Some(Outcome::Broken));
     assert!(relay.choose(&admitted, &tried, Time(0)).is_ok());
 }
+
+/// A relay whose only engine takes `gap_ms` between two events of a stream.
+fn slow_engine(gap_ms: u64) -> Relay {
+    let mut relay = relay();
+    let engine = endpoint("e-1", "engines", "north");
+    register(&mut relay, engine.clone(), Time(0));
+    let admitted = admit(&mut relay, "digest", Some(prompt(1, 0, 500)), Time(0));
+    let mut attempt = relay.begin(&admitted, &engine, None, Time(0)).expect("an attempt");
+    relay.first_event(&mut attempt, Time(50));
+    for _ in 0..40 {
+        relay.event_gap(&mut attempt, Millis(gap_ms), Time(100));
+    }
+    relay
+}
+
+fn long_answer(relay: &mut Relay, output: u64, tried: &Tried) -> Result<Choice, sw_error::Refusal> {
+    let mut prompt = prompt(1, 0, 500);
+    prompt.output_max = Tokens(output);
+    let admitted = admit(relay, "digest", Some(prompt), Time(100));
+    relay.choose(&admitted, tried, Time(100))
+}
+
+/// The pattern: engines that read prompts all the time still begin each answer soon, but make so few tokens that long
+/// answers do not end before their callers leave; all that was made of them is in vain, and it slows short ones.
+#[test]
+fn a_stream_that_cannot_end_in_time_is_refused_at_once() {
+    let refusal = long_answer(&mut slow_engine(600), 400, &Tried::default()).expect_err("refused");
+    assert_eq!(refusal.kind, Kind::DeadlineUnreachable);
+    assert!(refusal.retry_after.is_some_and(|after| after >= Millis(100)));
+    assert!(
+        long_answer(&mut slow_engine(600), 40, &Tried::default()).is_ok(),
+        "a short one"
+    );
+    assert!(
+        long_answer(&mut slow_engine(100), 400, &Tried::default()).is_ok(),
+        "a fast engine"
+    );
+}
+
+#[test]
+fn a_stream_that_has_begun_goes_on_also_if_it_may_end_late() {
+    let mut tried = Tried::default();
+    tried.sent_to_endpoint(&"e-0".parse().expect("an id"), Some(Outcome::Broken));
+    assert!(long_answer(&mut slow_engine(600), 400, &tried).is_ok());
+}
