--- a/crates/sw-relay/tests/tried.rs
+++ b/crates/sw-relay/tests/tried.rs
@@ -54,6 +54,8 @@
         Some(Outcome::Rejected),
         Some(Outcome::WrongEndpoint),
         Some(Outcome::Unreachable),
+        Some(Outcome::Unsent),
+        Some(Outcome::Declined),
         Some(Outcome::Broken),
         Some(Outcome::Timeout),
     ])
