refactor(relay): an engine is looked at once, by one piece of code each

Found when reading the change again: unread tokens of a prompt were worked out twice for each candidate of a choice and twice for a reservation; the rank of a candidate was searched for by name in a list of names; which endpoints are in the own region, which VMs are live and what an endpoint's load is to others were each written two to four times. Now candidates are put into the order in which VMs prefer them and weighed with their place; prompt_ms takes the unread tokens; own_endpoints, is_live, of_own and EndpointLoad::is_busy serve all places. No decision changes: keys, order, surcharges and limits are the same.

--- a/crates/sw-relay/src/beat.rs
+++ b/crates/sw-relay/src/beat.rs
@@ -22,6 +22,13 @@
     pub gap_ms: Option<f64>,
 }
 
+impl EndpointLoad {
+    /// Whether anything runs or waits there.
+    pub fn is_busy(&self) -> bool {
+        self.running > 0 || self.backlog_ms > 0.0
+    }
+}
+
 /// How busy the endpoints of a service are in the sender's region.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServiceLoad {
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -3,11 +3,13 @@
 //! Each usable endpoint of the own region is scored by the expected time to its first event, plus a surcharge for
 //! shared parts of the prompt that it would read although another endpoint has them. All VMs rank the endpoints for
 //! a shared part in the same order, so they keep it in one place without telling each other. Another region is asked
-//! when the own one is expected to be late and the other one is not. The coordinator of the
-//! engine that is chosen is asked for a place in its queue.
+//! when the own one is expected to be late and the other one is not. The coordinator of the engine that is chosen is
+//! asked for a place in its queue.
+
+use std::cmp::Reverse;
 
 use sw_error::{Kind, Refusal};
-use sw_unit::{Millis, RegionId, Time, Tokens};
+use sw_unit::{EndpointId, Millis, RegionId, Time, Tokens};
 
 use crate::cache::shared_key;
 use crate::registry::Endpoint;
@@ -129,14 +131,10 @@
     }
 
     /// Tokens of a prompt that an endpoint probably has to read.
-    pub(crate) fn unread(&self, endpoint: &EndpointEntry, prompt: Option<&Prompt>) -> Tokens {
-        let Some(prompt) = prompt else {
-            return Tokens(0);
-        };
-        let load = self.loads.get(&endpoint.id);
-        prompt
-            .input
-            .saturating_sub(load.map_or(Tokens(0), |load| load.cache.cached(prompt)))
+    pub(crate) fn unread(&self, endpoint: &EndpointId, prompt: &Prompt) -> Tokens {
+        let load = self.loads.get(endpoint);
+        let cached = load.map_or(Tokens(0), |load| load.cache.cached(prompt));
+        prompt.input.saturating_sub(cached)
     }
 
     /// Milliseconds that an engine of a service takes to read `tokens`.
@@ -154,8 +152,7 @@
         if !admitted.route.permits(region) || tried.is_full(region) || tried.is_declined() {
             return None;
         }
-        let usable = self.registry.usable(&admitted.service);
-        let own = usable.filter(|endpoint| self.region_of(&endpoint.entry.domain) == Some(region));
+        let own = self.own_endpoints(&admitted.service);
         let open = own.filter(|endpoint| self.is_open(&endpoint.entry, &admitted.service, now));
         let open: Vec<_> = open.collect();
         let fresh = |endpoint: &&&Endpoint| !tried.has_endpoint(&endpoint.entry.id);
@@ -167,10 +164,17 @@
         if candidates.is_empty() && admitted.route.kind.repeatable() {
             candidates = open;
         }
-        let ranking = Self::ranking(admitted, &candidates);
-        let mut scored: Vec<_> = candidates
-            .iter()
-            .map(|endpoint| self.score(admitted, endpoint, &ranking, tried, now))
+        let key = admitted.prompt.as_ref().and_then(shared_key);
+        if let Some(key) = key {
+            // All VMs prefer the endpoints for the shared parts of a prompt in this order.
+            candidates.sort_by_cached_key(|endpoint| Reverse(sw_member::score(key, endpoint.entry.id.as_str())));
+        }
+        let ranked = candidates.into_iter().enumerate();
+        let mut scored: Vec<_> = ranked
+            .map(|(place, endpoint)| {
+                let rank = if key.is_some() { place } else { 0 };
+                self.score(admitted, endpoint, rank, tried, now)
+            })
             .collect();
         let next = scored.len().checked_sub(1)?.min(1);
         scored.select_nth_unstable_by(next, |a, b| a.score.total_cmp(&b.score));
@@ -184,37 +188,31 @@
         })
     }
 
-    /// The endpoints in the order in which all VMs prefer them for the shared parts of a prompt.
-    fn ranking<'a>(admitted: &Admitted, candidates: &[&'a Endpoint]) -> Vec<&'a str> {
-        let Some(key) = admitted.prompt.as_ref().and_then(shared_key) else {
-            return Vec::new();
-        };
-        let ids = candidates.iter().map(|endpoint| endpoint.entry.id.as_str());
-        sw_member::top(key, ids, candidates.len())
-    }
-
+    /// Weighs an endpoint that has the place `rank` among those for the shared parts of a prompt.
     fn score<'a>(
         &self,
         admitted: &Admitted,
         endpoint: &'a Endpoint,
-        ranking: &[&str],
+        rank: usize,
         tried: &Tried,
         now: Time,
     ) -> Scored<'a> {
-        let expected_ms = self.expected_ms(admitted, &endpoint.entry, now);
-        let declined_ms = tried.declined_at(&endpoint.entry.id).unwrap_or_default();
+        let id = &endpoint.entry.id;
+        let unread = admitted.prompt.as_ref().map(|prompt| self.unread(id, prompt));
+        let expected_ms = match unread {
+            Some(unread) => self.prompt_ms(&admitted.service, id, unread, now),
+            None => self.answer_ms(&admitted.service, &endpoint.entry, now),
+        };
+        let declined_ms = tried.declined_at(id).unwrap_or_default();
         let expected_ms = expected_ms.max(declined_ms);
-        let id = endpoint.entry.id.as_str();
-        let rank = ranking.iter().position(|ranked| *ranked == id).unwrap_or_default();
-        let reread_ms = match &admitted.prompt {
-            Some(prompt) if rank > 0 => {
-                let unread = self.unread(&endpoint.entry, Some(prompt));
+        let reread_ms = match (&admitted.prompt, unread) {
+            (Some(prompt), Some(unread)) if rank > 0 => {
                 let own = prompt.input.saturating_sub(prompt.shared());
                 self.read_ms(&admitted.service, unread.saturating_sub(own))
             }
             _ => 0.0,
         };
-        let gap_ms = self.loads.get(&endpoint.entry.id).map(|load| load.gap_ms(now));
+        let gap_ms = self.loads.get(id).map(|load| load.gap_ms(now));
         let overrun_ms = self.overrun_ms(admitted, expected_ms, gap_ms.unwrap_or_default(), now);
         let late_ms = (expected_ms - admitted.route.objective.0 as f64 * AFFINITY_SHARE).max(0.0);
         Scored {
@@ -229,31 +227,19 @@
         }
     }
 
-    /// Milliseconds until the first event, or until the answer of a plain service.
-    fn expected_ms(&self, admitted: &Admitted, endpoint: &EndpointEntry, now: Time) -> f64 {
-        if admitted.prompt.is_some() {
-            return self.prompt_ms(&admitted.service, endpoint, admitted.prompt.as_ref(), now);
-        }
-        let idle = Load::default();
-        let load = self.loads.get(&endpoint.id).unwrap_or(&idle);
-        let service_ms = self.model(&admitted.service).service_ms();
-        let ahead = f64::from(load.all_running(now) + 1) / f64::from(endpoint.slots.max(1));
-        service_ms * ahead.max(1.0)
+    /// Milliseconds until the answer of a plain service.
+    fn answer_ms(&self, service: &ServiceId, endpoint: &EndpointEntry, now: Time) -> f64 {
+        let running = self.loads.get(&endpoint.id).map_or(0, |load| load.all_running(now));
+        let ahead = f64::from(running + 1) / f64::from(endpoint.slots.max(1));
+        self.model(service).service_ms() * ahead.max(1.0)
     }
 
-    /// Milliseconds until the first event for a prompt.
-    pub(crate) fn prompt_ms(
-        &self,
-        service: &ServiceId,
-        endpoint: &EndpointEntry,
-        prompt: Option<&Prompt>,
-        now: Time,
-    ) -> f64 {
+    /// Milliseconds until the first event for a prompt of which `unread` has to be read.
+    pub(crate) fn prompt_ms(&self, service: &ServiceId, endpoint: &EndpointId, unread: Tokens, now: Time) -> f64 {
         let idle = Load::default();
-        let load = self.loads.get(&endpoint.id).unwrap_or(&idle);
+        let load = self.loads.get(endpoint).unwrap_or(&idle);
         let waiting = f64::from(load.waiting(now)) * WAITING_MS;
-        let read_ms = self.read_ms(service, self.unread(endpoint, prompt));
-        load.backlog_ms(now) + waiting + read_ms + load.gap_ms(now)
+        load.backlog_ms(now) + waiting + self.read_ms(service, unread) + load.gap_ms(now)
     }
 
     /// Milliseconds by which an answer is expected to end too late that begins after `expected_ms`.
--- a/crates/sw-relay/src/coordinate.rs
+++ b/crates/sw-relay/src/coordinate.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
-use sw_member::{VmRow, VmState, top};
+use sw_member::{VmRow, top};
 use sw_unit::{DomainId, EndpointId, Millis, Time, Tokens, VmId};
 
 use crate::load::Sender;
@@ -95,30 +95,34 @@
     ///
     /// Returns how busy the engine is if that is more than the reservation allows.
     pub fn reserve(&mut self, reservation: &Reservation, now: Time) -> Result<Granted, Wait> {
-        let known = self.registry.get(&reservation.endpoint);
-        let usable = known.filter(|known| self.registry.may_send(&known.entry));
-        let Some(entry) = usable.map(|known| known.entry.clone()) else {
+        let Reservation {
+            endpoint,
+            service,
+            prompt,
+            limit_ms,
+        } = reservation;
+        let known = self.registry.get(endpoint);
+        if !known.is_some_and(|known| self.registry.may_send(&known.entry)) {
             return Err(Wait {
                 expected_ms: UNKNOWN_MS,
                 backlog_ms: UNKNOWN_MS,
             });
-        };
-        let prompt = Some(&reservation.prompt);
-        let unread = self.unread(&entry, prompt);
-        let read_ms = self.read_ms(&reservation.service, unread);
-        let engine = self.service(&reservation.service).and_then(|service| service.engine);
-        let expected_ms = self.prompt_ms(&reservation.service, &entry, prompt, now);
-        let load = self.loads.entry(entry.id).or_default();
+        }
+        let unread = self.unread(endpoint, prompt);
+        let read_ms = self.read_ms(service, unread);
+        let memory = self.engine_memory(service);
+        let expected_ms = self.prompt_ms(service, endpoint, unread, now);
+        let load = self.loads.entry(endpoint.clone()).or_default();
         let pause_ms = load.pause_left_ms(now);
         let wait = Wait {
             expected_ms: pause_ms + expected_ms,
             backlog_ms: pause_ms + load.backlog_ms(now),
         };
-        if wait.expected_ms > reservation.limit_ms {
+        if wait.expected_ms > *limit_ms {
             return Err(wait);
         }
-        if let Some(engine) = engine {
-            load.cache.read(&reservation.prompt, engine.memory, now);
+        if let Some(memory) = memory {
+            load.cache.read(prompt, memory, now);
         }
         let lost = now + LOST_AFTER + Millis((wait.expected_ms * LOST_AFTER_EXPECTED) as u64);
         let ticket = load.reserve(read_ms, lost, now);
@@ -168,8 +172,8 @@
     ) -> Option<Coordinator> {
         let prompt = admitted.prompt.as_ref()?;
         let vm = self.coordinators.get(&endpoint.id)?;
-        let live = self.members.state(vm, now) == Some(VmState::Live);
-        if !live || *vm == self.options.own.vm || self.silent.get(vm).is_some_and(|until| *until > now) {
+        if !self.is_live(vm, now) || *vm == self.options.own.vm || self.silent.get(vm).is_some_and(|until| *until > now)
+        {
             return None;
         }
         let row = self.members.row(vm)?;
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -1,7 +1,7 @@
 //! What this VM tells others and hears from them.
 
 use sw_member::{VmRow, VmState, score};
-use sw_unit::{DomainId, Millis, RegionId, Time};
+use sw_unit::{DomainId, Millis, RegionId, Time, VmId};
 
 use crate::load::Sender;
 use crate::{Beat, DomainView, EndpointLoad, Load, Relay, ServiceLoad, Tried, VmAge};
@@ -196,9 +196,9 @@
                 .get(&row.vm)
                 .is_some_and(|known| *known > self.revision)
         };
-        let live = |row: &&VmRow| self.members.state(&row.vm, now) == Some(VmState::Live);
         let own = self.members.own();
-        let candidates = self.members.others().filter(ahead).filter(live);
+        let ahead = self.members.others().filter(ahead);
+        let candidates = ahead.filter(|row| self.is_live(&row.vm, now));
         candidates.min_by_key(|row| (row.domain != own.domain, row.region != own.region))
     }
 
@@ -212,7 +212,7 @@
         }
         let own = Some(self.members.own()).filter(|row| !row.leaving);
         let others = self.members.others();
-        let others = others.filter(|row| self.members.state(&row.vm, now) == Some(VmState::Live));
+        let others = others.filter(|row| self.is_live(&row.vm, now));
         let live: Vec<_> = own.into_iter().chain(others).cloned().collect();
         let near = rows(&live, |row| Some(&row.domain) == caller.domain);
         if near.len() >= MIN_ENTRIES {
@@ -238,9 +238,13 @@
         tried: &'a Tried,
         now: Time,
     ) -> impl Iterator<Item = &'a VmRow> {
-        let live = move |row: &&VmRow| self.members.state(&row.vm, now) == Some(VmState::Live);
         let others = self.members.others().filter(move |row| row.region == *region);
-        others.filter(live).filter(|row| !tried.has_vm(&row.vm))
+        let live = others.filter(move |row| self.is_live(&row.vm, now));
+        live.filter(|row| !tried.has_vm(&row.vm))
+    }
+
+    pub(crate) fn is_live(&self, vm: &VmId, now: Time) -> bool {
+        self.members.state(vm, now) == Some(VmState::Live)
     }
 
     /// Recent requests to the host's routes that may be run in `region`.
@@ -253,30 +257,21 @@
     }
 
     fn own_loads(&self, now: Time) -> Vec<EndpointLoad> {
-        let busy = |load: &Load| load.running > 0 || load.is_paused(now) || load.own_backlog_ms(now) > 0.0;
-        let busy = self.loads.iter().filter(|(_, load)| busy(load));
-        let row = busy.map(|(id, load)| EndpointLoad {
-            endpoint: id.clone(),
-            running: load.running,
-            backlog_ms: load.own_backlog_ms(now).max(load.pause_left_ms(now)),
-            gap_ms: load.own_gap_ms(now),
-        });
-        row.collect()
+        let loads = self.loads.iter().map(|(id, load)| load.of_own(id, now));
+        loads.filter(EndpointLoad::is_busy).collect()
     }
 
     /// What the VMs of this domain sent, as far as it is known.
     fn domain_loads(&self, now: Time) -> Vec<EndpointLoad> {
         let loads = self.loads.iter().map(|(id, load)| load.of_neighbours(id, now));
-        loads.filter(|load| load.running > 0 || load.backlog_ms > 0.0).collect()
+        loads.filter(EndpointLoad::is_busy).collect()
     }
 
     fn service_loads(&self, now: Time) -> Vec<ServiceLoad> {
         let services = self.table.iter().flat_map(|table| table.services.keys());
         let loads = services.map(|service| {
             let idle = Load::default();
-            let usable = self.registry.usable(service);
-            let own =
-                usable.filter(|endpoint| self.region_of(&endpoint.entry.domain) == Some(&self.options.own.region));
+            let own = self.own_endpoints(service);
             let loads: Vec<_> = own
                 .map(|endpoint| self.loads.get(&endpoint.entry.id).unwrap_or(&idle))
                 .collect();
--- a/crates/sw-relay/src/load.rs
+++ b/crates/sw-relay/src/load.rs
@@ -112,7 +112,7 @@
     }
 
     /// The pause between two events that this VM saw; `None` if it saw none lately.
-    pub(crate) fn own_gap_ms(&self, now: Time) -> Option<f64> {
+    fn own_gap_ms(&self, now: Time) -> Option<f64> {
         let fresh = self.gap.filter(|(_, at)| now.since(*at) < GAP_MEMORY);
         fresh.map(|(gap, _)| gap)
     }
@@ -126,12 +126,11 @@
     /// Records a request whose prompt takes `read_ms` to read, and returns the ticket that stands for it.
     pub fn sent(&mut self, read_ms: f64, now: Time) -> u64 {
         self.running += 1;
-        self.next_ticket += 1;
-        let ticket = self.next_ticket;
         if read_ms > 0.0 {
-            self.wait_for(ticket, read_ms, None, now);
+            self.wait_for(read_ms, None, now)
+        } else {
+            self.ticket()
         }
-        ticket
     }
 
     /// Records that the prompt of `ticket` was read.
@@ -167,10 +166,7 @@
 
     /// Records a prompt that another VM sends there, until it is read or lost, and returns the ticket that stands for it.
     pub(crate) fn reserve(&mut self, read_ms: f64, lost: Time, now: Time) -> u64 {
-        self.next_ticket += 1;
-        let ticket = self.next_ticket;
-        self.wait_for(ticket, read_ms, Some(lost), now);
-        ticket
+        self.wait_for(read_ms, Some(lost), now)
     }
 
     /// Drops prompts of other VMs that were not released.
@@ -195,21 +191,33 @@
         *at = now;
     }
 
-    fn wait_for(&mut self, ticket: u64, read_ms: f64, lost: Option<Time>, now: Time) {
+    fn wait_for(&mut self, read_ms: f64, lost: Option<Time>, now: Time) -> u64 {
         if self.unread.is_empty() {
             self.reading_since = now;
         }
+        let ticket = self.ticket();
         self.unread.push_back(Unread { ticket, read_ms, lost });
+        ticket
     }
 
-    /// What this VM and its neighbours sent to the endpoint `id`.
-    pub(crate) fn of_neighbours(&self, id: &EndpointId, now: Time) -> EndpointLoad {
-        let mut sum = EndpointLoad {
+    fn ticket(&mut self) -> u64 {
+        self.next_ticket += 1;
+        self.next_ticket
+    }
+
+    /// What this VM sent to the endpoint `id`; a pause counts as backlog.
+    pub(crate) fn of_own(&self, id: &EndpointId, now: Time) -> EndpointLoad {
+        EndpointLoad {
             endpoint: id.clone(),
             running: self.running,
             backlog_ms: self.own_backlog_ms(now).max(self.pause_left_ms(now)),
             gap_ms: self.own_gap_ms(now),
-        };
+        }
+    }
+
+    /// What this VM and its neighbours sent to the endpoint `id`.
+    pub(crate) fn of_neighbours(&self, id: &EndpointId, now: Time) -> EndpointLoad {
+        let mut sum = self.of_own(id, now);
         for (sender, (load, at)) in &self.peers {
             if matches!(sender, Sender::Vm(_)) && now.since(*at) < REPORT_MEMORY {
                 sum.running += load.running;
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -11,6 +11,7 @@
 use crate::coordinate::{Coordinators, Granted};
 use crate::exchange::HeardView;
 use crate::region::Regions;
+use crate::registry::Endpoint;
 use crate::{
     Attempt, EndpointEntry, EngineModel, Fact, Load, LoadReport, Outcome, PaceShare, Prompt, Registry, RequestHead,
     Route, Service, ServiceId, Table, Tried,
@@ -267,17 +268,20 @@
         if !self.registry.may_send(endpoint) || !self.pace_allows(endpoint, now) {
             return None;
         }
-        let unread = granted.map(|granted| granted.unread);
-        let unread = unread.unwrap_or_else(|| self.unread(endpoint, admitted.prompt.as_ref()));
+        let unread = match (granted, &admitted.prompt) {
+            (Some(granted), _) => granted.unread,
+            (None, Some(prompt)) => self.unread(&endpoint.id, prompt),
+            (None, None) => Tokens(0),
+        };
         let read_ms = self.read_ms(&admitted.service, unread);
-        let engine = self.service(&admitted.service).and_then(|service| service.engine);
+        let memory = self.engine_memory(&admitted.service);
         let cold = self.cold_share(endpoint, now);
         let load = self.loads.entry(endpoint.id.clone()).or_default();
         let backlog_ms = granted.map_or_else(|| load.backlog_ms(now), |granted| granted.wait.backlog_ms);
         // A place in the queue is in the coordinator's account already.
         let ticket = load.sent(if granted.is_some() { 0.0 } else { read_ms }, now);
-        if let (Some(prompt), Some(engine)) = (&admitted.prompt, engine) {
-            load.cache.read(prompt, engine.memory, now);
+        if let (Some(prompt), Some(memory)) = (&admitted.prompt, memory) {
+            load.cache.read(prompt, memory, now);
         }
         if let Some((share, cold_for)) = cold {
             load.pace.sent(share, cold_for);
@@ -359,6 +363,19 @@
         self.table.as_ref()?.services.get(id)
     }
 
+    /// Tokens that an engine of a service holds; `None` for a plain service.
+    pub(crate) fn engine_memory(&self, id: &ServiceId) -> Option<Tokens> {
+        let engine = self.service(id).and_then(|service| service.engine);
+        engine.map(|engine| engine.memory)
+    }
+
+    /// Endpoints of a service in the own region that may be sent to.
+    pub(crate) fn own_endpoints<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Endpoint> {
+        let region = &self.options.own.region;
+        let usable = self.registry.usable(service);
+        usable.filter(move |endpoint| self.region_of(&endpoint.entry.domain) == Some(region))
+    }
+
     pub(crate) fn region_of(&self, domain: &DomainId) -> Option<&RegionId> {
         self.options.regions.get(domain)
     }
