refactor(peer): one piece of code keeps connections, for both kinds of calls

Found when reading the change again: the clients of the two kinds of calls between VMs kept, proved, made and forgot connections with the same lines, the two servers served a connection with the same lines, and the list of lints that generated code may break stood twice. Now Links keeps connections; a kind of connection says how it is made and what happens when it is forgotten, so that each behaves as before: forwards of models make a connection of their own, and connections of discovered services are closed when they stay silent. serve_connection serves both. A forwarded request runs on one endpoint at most, so the number of endpoints no longer travels with it.

--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -59,9 +59,8 @@
   leftMs @3 :UInt64;
   body @4 :Data;
   hops @5 :UInt32;
-  attempts @6 :UInt32;
-  elsewhere @7 :Bool;
-  resumeAfter @8 :Text;
+  elsewhere @6 :Bool;
+  resumeAfter @7 :Text;
 }
 
 struct Part {
--- a/crates/sw-peer/src/client.rs
+++ b/crates/sw-peer/src/client.rs
@@ -1,40 +1,46 @@
 //! Outgoing calls.
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use capnp::capability::{FromClientHook, Rc};
-use capnp_rpc::RpcSystem;
-use capnp_rpc::rpc_twoparty_capnp::Side;
-use tokio::net::TcpStream;
+use capnp::capability::Rc;
+use sw_gate::{Heartbeat, Offer};
+use sw_once::{Standing, Ticket};
+use sw_unit::{Digest, WorkspaceId};
 use tokio::sync::mpsc;
-use tokio::task::AbortHandle;
 
+use crate::links::{self, Links};
 use crate::peer_capnp::{peer, sink};
 use crate::{Event, Forward, PeerError, convert};
-use sw_gate::{Heartbeat, Offer};
-use sw_once::{Standing, Ticket};
-use sw_unit::{Digest, WorkspaceId};
 
-/// Time for a connection to be made.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for a short call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// A connection that answered this lately is taken to work.
-const PROVEN: Duration = Duration::from_millis(1_500);
 
 struct Link {
     client: peer::Client,
     answered: Cell<Instant>,
 }
 
-/// Connections to other VMs; a connection with a call that failed or timed out is never used again.
+impl links::Link for Link {
+    async fn connect(address: SocketAddr) -> Result<Self, PeerError> {
+        let (client, _system) = links::connect(address).await?;
+        Ok(Self {
+            client,
+            answered: Cell::new(Instant::now()),
+        })
+    }
+
+    fn answered(&self) -> &Cell<Instant> {
+        &self.answered
+    }
+}
+
+/// Calls to other VMs.
 #[derive(Clone, Default)]
 pub(crate) struct Client {
-    links: Rc<RefCell<HashMap<SocketAddr, Rc<Link>>>>,
+    links: Links<Link>,
 }
 
 impl Client {
@@ -46,7 +52,7 @@
             let response = request.send().promise.await?;
             convert::heartbeat(response.get()?.get_heartbeat()?)
         };
-        self.call(address, call).await
+        self.links.call(address, CALL_TIMEOUT, call).await
     }
 
     /// The configuration in force at another VM, for one that runs the one with the digest `known`.
@@ -63,7 +69,7 @@
             let response = request.send().promise.await?;
             convert::offer(response.get()?.get_configuration()?)
         };
-        self.call(address, call).await
+        self.links.call(address, CALL_TIMEOUT, call).await
     }
 
     /// What another VM knows of a request.
@@ -85,7 +91,7 @@
                 Ok(None)
             }
         };
-        self.call(address, call).await
+        self.links.call(address, CALL_TIMEOUT, call).await
     }
 
     /// Forwards a request; its answer goes to `events`, and it is given up when they are closed.
@@ -98,15 +104,13 @@
         fresh: bool,
         events: mpsc::Sender<Event>,
     ) {
-        let proven = self
-            .link(address)
-            .filter(|link| !fresh && link.answered.get().elapsed() < PROVEN);
+        let proven = self.links.proven(address).filter(|_| !fresh);
         let link = match proven {
             Some(link) => Ok(link),
-            None => connect(address).await,
+            None => <Link as links::Link>::connect(address).await.map(Rc::new),
         };
         let Ok(link) = link else {
-            self.links.borrow_mut().remove(&address);
+            self.links.remove(address);
             let _closed = events.send(Event::NotSent).await;
             return;
         };
@@ -138,65 +142,9 @@
                 link.answered.set(Instant::now());
                 let _closed = events.send(Event::End(end)).await;
             }
-            Err(_broken) => self.forget(address, &link),
-        }
-    }
-
-    fn link(&self, address: SocketAddr) -> Option<Rc<Link>> {
-        self.links.borrow().get(&address).cloned()
-    }
-
-    fn forget(&self, address: SocketAddr, link: &Rc<Link>) {
-        let mut links = self.links.borrow_mut();
-        if links.get(&address).is_some_and(|known| Rc::ptr_eq(known, link)) {
-            links.remove(&address);
-        }
-    }
-
-    async fn call<T>(
-        &self,
-        address: SocketAddr,
-        call: impl AsyncFnOnce(&Link) -> Result<T, capnp::Error>,
-    ) -> Result<T, PeerError> {
-        let link = match self.link(address) {
-            Some(link) => link,
-            None => self.open(address).await?,
-        };
-        if let Ok(Ok(answer)) = tokio::time::timeout(CALL_TIMEOUT, call(&link)).await {
-            link.answered.set(Instant::now());
-            return Ok(answer);
+            Err(_broken) => self.links.forget(address, &link),
         }
-        self.forget(address, &link);
-        Err(PeerError)
     }
-
-    async fn open(&self, address: SocketAddr) -> Result<Rc<Link>, PeerError> {
-        let link = connect(address).await?;
-        self.links.borrow_mut().insert(address, Rc::clone(&link));
-        Ok(link)
-    }
-}
-
-async fn connect(address: SocketAddr) -> Result<Rc<Link>, PeerError> {
-    let (client, _system) = open(address).await?;
-    Ok(Rc::new(Link {
-        client,
-        answered: Cell::new(Instant::now()),
-    }))
-}
-
-/// Connects to another VM, and returns its main interface and the task that serves the connection.
-pub(crate) async fn open<C: FromClientHook>(address: SocketAddr) -> Result<(C, AbortHandle), PeerError> {
-    let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    let stream = connect
-        .await
-        .map_err(|_elapsed| PeerError)?
-        .map_err(|_refused| PeerError)?;
-    stream.set_nodelay(true).map_err(|_closed| PeerError)?;
-    let mut system = RpcSystem::new(Box::new(crate::server::network(stream, Side::Client)), None);
-    let client = system.bootstrap(Side::Server);
-    let task = tokio::task::spawn_local(system);
-    Ok((client, task.abort_handle()))
 }
 
 /// Receives the parts of an answer.
--- a/crates/sw-peer/src/lib.rs
+++ b/crates/sw-peer/src/lib.rs
@@ -5,35 +5,31 @@
 //! through a [`Handler`]. Calls about discovered services, in [`relay`], stay on the thread of the caller.
 //! `src/peer_capnp.rs` and `src/relay_capnp.rs` are generated from `schema/` and committed.
 
+/// Declares a module of generated code.
+macro_rules! generated {
+    ($name:ident) => {
+        #[allow(
+            missing_docs,
+            missing_debug_implementations,
+            unused_lifetimes,
+            redundant_lifetimes,
+            unused_qualifications,
+            clippy::all,
+            clippy::allow_attributes_without_reason,
+            clippy::pedantic,
+            reason = "generated code"
+        )]
+        mod $name;
+    };
+}
+
+generated!(peer_capnp);
+generated!(relay_capnp);
+
 mod client;
 mod convert;
-#[allow(
-    missing_docs,
-    missing_debug_implementations,
-    unused_lifetimes,
-    redundant_lifetimes,
-    unused_qualifications,
-    clippy::all,
-    clippy::allow_attributes_without_reason,
-    clippy::pedantic,
-    reason = "generated code"
-)]
-#[rustfmt::skip]
-mod peer_capnp;
+mod links;
 pub mod relay;
-#[allow(
-    missing_docs,
-    missing_debug_implementations,
-    unused_lifetimes,
-    redundant_lifetimes,
-    unused_qualifications,
-    clippy::all,
-    clippy::allow_attributes_without_reason,
-    clippy::pedantic,
-    reason = "generated code"
-)]
-#[rustfmt::skip]
-mod relay_capnp;
 mod server;
 mod service;
 mod types;
--- a/crates/sw-peer/src/relay/client.rs
+++ b/crates/sw-peer/src/relay/client.rs
@@ -1,7 +1,6 @@
 //! Outgoing calls.
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Weak;
@@ -17,13 +16,11 @@
 
 use super::{RelayCall, RelayEvent, convert};
 use crate::PeerError;
-use crate::client::open;
+use crate::links::{self, Links};
 use crate::relay_capnp::{answer_sink, relay_peer};
 
 /// Time for a short call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// A connection that answered this lately is taken to work.
-const PROVEN: Duration = Duration::from_millis(1_500);
 /// A connection on which a call was lost is closed if nothing comes on it for this long.
 const SILENCE: Duration = Duration::from_secs(3);
 /// Events of an answer that wait for a slow reader.
@@ -35,16 +32,43 @@
     answered: Cell<Instant>,
 }
 
+impl links::Link for Link {
+    async fn connect(address: SocketAddr) -> Result<Self, PeerError> {
+        let (client, system) = links::connect(address).await?;
+        Ok(Self {
+            client,
+            system,
+            answered: Cell::new(Instant::now()),
+        })
+    }
+
+    fn answered(&self) -> &Cell<Instant> {
+        &self.answered
+    }
+
+    /// Closes it if it stays silent, which ends all calls on it.
+    fn forgotten(link: &Rc<Self>) {
+        let link = Rc::downgrade(link);
+        let forgotten = Instant::now();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(SILENCE).await;
+            if let Some(link) = link.upgrade().filter(|link| link.answered.get() < forgotten) {
+                link.system.abort();
+            }
+        });
+    }
+}
+
 impl Drop for Link {
     fn drop(&mut self) {
         self.system.abort();
     }
 }
 
-/// Connections to other VMs; one with a call that failed or timed out is not used for another.
+/// Calls to other VMs.
 #[derive(Clone, Default)]
 pub struct RelayClient {
-    links: Rc<RefCell<HashMap<SocketAddr, Rc<Link>>>>,
+    links: Links<Link>,
 }
 
 impl fmt::Debug for RelayClient {
@@ -66,7 +90,7 @@
             let response = request.send().promise.await?;
             convert::beat(response.get()?.get_beat()?)
         };
-        self.call(address, call).await
+        self.links.call(address, CALL_TIMEOUT, call).await
     }
 
     /// What another VM knows of the platform's store.
@@ -80,7 +104,7 @@
             let results = response.get()?;
             convert::snapshot(results.get_revision(), results.get_items()?)
         };
-        self.call(address, call).await
+        self.links.call(address, CALL_TIMEOUT, call).await
     }
 
     /// Asks for a place in the queue of an engine.
@@ -101,7 +125,7 @@
             let response = request.send().promise.await?;
             convert::granted(response.get()?)
         };
-        let answer = tokio::time::timeout(patience, self.call(address, call)).await;
+        let answer = tokio::time::timeout(patience, self.links.call(address, CALL_TIMEOUT, call)).await;
         answer.unwrap_or(Err(PeerError))
     }
 
@@ -125,7 +149,7 @@
             params.set_absent(absent);
             request.send().promise.await.map(|_empty| ())
         };
-        self.call(address, call).await
+        self.links.call(address, CALL_TIMEOUT, call).await
     }
 
     /// Forwards a request; dropping the returned receiver gives it up.
@@ -138,10 +162,9 @@
     }
 
     async fn run(self, address: SocketAddr, call: RelayCall, events: mpsc::Sender<RelayEvent>) {
-        let proven = self.link(address).filter(|link| link.answered.get().elapsed() < PROVEN);
-        let link = match proven {
+        let link = match self.links.proven(address) {
             Some(link) => Ok(link),
-            None => self.open(address).await,
+            None => self.links.open(address).await,
         };
         let Ok(link) = link else {
             let _closed = events.send(RelayEvent::NotSent).await;
@@ -177,56 +200,8 @@
             }
             // The receiver ends without an end of the answer.
             Err(error) if error.kind == capnp::ErrorKind::Failed => {}
-            Err(_broken) => self.forget(address, &link),
-        }
-    }
-
-    async fn call<T>(
-        &self,
-        address: SocketAddr,
-        call: impl AsyncFnOnce(&Link) -> Result<T, capnp::Error>,
-    ) -> Result<T, PeerError> {
-        let link = match self.link(address) {
-            Some(link) => link,
-            None => self.open(address).await?,
-        };
-        if let Ok(Ok(answer)) = tokio::time::timeout(CALL_TIMEOUT, call(&link)).await {
-            link.answered.set(Instant::now());
-            return Ok(answer);
+            Err(_broken) => self.links.forget(address, &link),
         }
-        self.forget(address, &link);
-        Err(PeerError)
-    }
-
-    fn link(&self, address: SocketAddr) -> Option<Rc<Link>> {
-        self.links.borrow().get(&address).cloned()
-    }
-
-    /// Uses a connection for no further call, and closes it if it stays silent, which ends all calls on it.
-    fn forget(&self, address: SocketAddr, link: &Rc<Link>) {
-        let mut links = self.links.borrow_mut();
-        if links.get(&address).is_some_and(|known| Rc::ptr_eq(known, link)) {
-            links.remove(&address);
-        }
-        let link = Rc::downgrade(link);
-        let forgotten = Instant::now();
-        tokio::task::spawn_local(async move {
-            tokio::time::sleep(SILENCE).await;
-            if let Some(link) = link.upgrade().filter(|link| link.answered.get() < forgotten) {
-                link.system.abort();
-            }
-        });
-    }
-
-    async fn open(&self, address: SocketAddr) -> Result<Rc<Link>, PeerError> {
-        let (client, system) = open(address).await?;
-        let link = Rc::new(Link {
-            client,
-            system,
-            answered: Cell::new(Instant::now()),
-        });
-        self.links.borrow_mut().insert(address, Rc::clone(&link));
-        Ok(link)
     }
 }
 
--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -140,7 +140,6 @@
     to.set_target(call.target.as_str());
     to.set_left_ms(call.left.0);
     to.set_hops(call.hops);
-    to.set_attempts(call.attempts);
     to.set_elsewhere(call.elsewhere);
     if let Some(event) = &call.resume_after {
         to.set_resume_after(event.as_str());
@@ -158,7 +157,6 @@
         left: Millis(from.get_left_ms()),
         body: Bytes::copy_from_slice(from.get_body()?),
         hops: from.get_hops(),
-        attempts: from.get_attempts(),
         elsewhere: from.get_elsewhere(),
         resume_after: resume_after.transpose()?,
     })
--- a/crates/sw-peer/src/relay/server.rs
+++ b/crates/sw-peer/src/relay/server.rs
@@ -3,24 +3,18 @@
 use std::net::SocketAddr;
 
 use capnp::capability::Rc;
-use capnp_rpc::RpcSystem;
-use capnp_rpc::rpc_twoparty_capnp::Side;
 use futures::stream::{FuturesUnordered, StreamExt as _};
 use sw_error::{Kind, Refusal};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
 use super::{RelayEvent, RelayHandler, convert};
 use crate::convert::{len, parse, set_refusal};
 use crate::relay_capnp::{answer_sink, relay_peer};
+use crate::server::{CHUNK_WINDOW, EVENT_BUFFER, serve_connection};
 
 type Result<T> = std::result::Result<T, capnp::Error>;
 
-/// Chunks of an answer that are under way to the other VM at a time.
-const CHUNK_WINDOW: usize = 32;
-/// Events of an answer that wait for the window.
-const EVENT_BUFFER: usize = 16;
-
 /// Listens for other VMs.
 ///
 /// # Errors
@@ -39,18 +33,14 @@
     loop {
         let (stream, _) = listener.accept().await?;
         if stream.set_nodelay(true).is_ok() {
-            tokio::task::spawn_local(serve_connection(stream, handler.clone()));
+            let server: relay_peer::Client = capnp_rpc::new_client(Server {
+                handler: handler.clone(),
+            });
+            tokio::task::spawn_local(serve_connection(stream, server.client));
         }
     }
 }
 
-async fn serve_connection<H: RelayHandler>(stream: TcpStream, handler: H) {
-    let client: relay_peer::Client = capnp_rpc::new_client(Server { handler });
-    let network = crate::server::network(stream, Side::Server);
-    // An error ends this connection only; the other VM makes a new one.
-    let _ended = RpcSystem::new(Box::new(network), Some(client.client)).await;
-}
-
 struct Server<H> {
     handler: H,
 }
--- a/crates/sw-peer/src/relay/types.rs
+++ b/crates/sw-peer/src/relay/types.rs
@@ -7,7 +7,7 @@
 use sw_unit::{EndpointId, Millis};
 use tokio::sync::mpsc;
 
-/// A request that is forwarded to another VM.
+/// A request that is forwarded to another VM, which runs it on one endpoint at most.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RelayCall {
     /// The HTTP method.
@@ -22,8 +22,6 @@
     pub body: Bytes,
     /// VMs that it passed.
     pub hops: u32,
-    /// Endpoints on which it may still run.
-    pub attempts: u32,
     /// Whether the sender can send it elsewhere if it is not answered soon.
     pub elsewhere: bool,
     /// The id of the last event that the caller got of an answer that broke off.
--- a/crates/sw-peer/src/relay_capnp.rs
+++ b/crates/sw-peer/src/relay_capnp.rs
@@ -2288,12 +2288,8 @@
             self.reader.get_data_field::<u32>(2)
         }
         #[inline]
-        pub fn get_attempts(self) -> u32 {
-            self.reader.get_data_field::<u32>(3)
-        }
-        #[inline]
         pub fn get_elsewhere(self) -> bool {
-            self.reader.get_bool_field(128)
+            self.reader.get_bool_field(96)
         }
         #[inline]
         pub fn get_resume_after(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
@@ -2307,7 +2303,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2438,20 +2434,12 @@
             self.builder.set_data_field::<u32>(2, value);
         }
         #[inline]
-        pub fn get_attempts(self) -> u32 {
-            self.builder.get_data_field::<u32>(3)
-        }
-        #[inline]
-        pub fn set_attempts(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(3, value);
-        }
-        #[inline]
         pub fn get_elsewhere(self) -> bool {
-            self.builder.get_bool_field(128)
+            self.builder.get_bool_field(96)
         }
         #[inline]
         pub fn set_elsewhere(&mut self, value: bool)  {
-            self.builder.set_bool_field(128, value);
+            self.builder.set_bool_field(96, value);
         }
         #[inline]
         pub fn get_resume_after(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
@@ -2480,87 +2468,80 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 159] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 143] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(145, 219, 65, 67, 31, 202, 143, 255),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
             ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 67, 97, 108, 108),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 96, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 82, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 98, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(109, 101, 116, 104, 111, 100, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2613,15 +2594,6 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 116, 116, 101, 109, 112, 116, 115),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 108, 115, 101, 119, 104, 101, 114),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
@@ -2649,9 +2621,8 @@
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                7 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                8 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2665,9 +2636,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,4,7,2,5,3,0,8,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,6,2,5,3,0,7,1];
         pub(crate) const TYPE_ID: u64 = 0xff8f_ca1f_4341_db91;
     }
 }
--- a/crates/sw-peer/src/server.rs
+++ b/crates/sw-peer/src/server.rs
@@ -18,15 +18,18 @@
 type Result<T> = std::result::Result<T, capnp::Error>;
 
 /// Chunks of an answer that are under way to the other VM at a time.
-const CHUNK_WINDOW: usize = 32;
+pub(crate) const CHUNK_WINDOW: usize = 32;
 /// Events of an answer that wait for the window.
-const EVENT_BUFFER: usize = 16;
+pub(crate) const EVENT_BUFFER: usize = 16;
 
 /// Serves connections until the listener fails.
 pub(crate) async fn serve<H: Handler>(listener: TcpListener, handler: H) {
     while let Ok((stream, _)) = listener.accept().await {
         if stream.set_nodelay(true).is_ok() {
-            tokio::task::spawn_local(serve_connection(stream, handler.clone()));
+            let server: peer::Client = capnp_rpc::new_client(Server {
+                handler: handler.clone(),
+            });
+            tokio::task::spawn_local(serve_connection(stream, server.client));
         }
     }
 }
@@ -38,11 +41,11 @@
     Ok(listener)
 }
 
-async fn serve_connection<H: Handler>(stream: TcpStream, handler: H) {
-    let client: peer::Client = capnp_rpc::new_client(Server { handler });
+/// Serves a connection with the interface `main`.
+pub(crate) async fn serve_connection(stream: TcpStream, main: capnp::capability::Client) {
     let network = network(stream, Side::Server);
     // An error ends this connection only; the other VM makes a new one.
-    let _ended = RpcSystem::new(Box::new(network), Some(client.client)).await;
+    let _ended = RpcSystem::new(Box::new(network), Some(main)).await;
 }
 
 /// The RPC network on a connection.
--- a/crates/sw-proxy/src/forward.rs
+++ b/crates/sw-proxy/src/forward.rs
@@ -61,7 +61,6 @@
         left,
         body: call.body.clone(),
         hops: FIRST_HOP,
-        attempts: 1,
         elsewhere: may_go_elsewhere,
         resume_after: call.resume_after.clone(),
     };
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -111,7 +111,8 @@
     }
     head.left = Some(call.left);
     let mut admitted = core.relay.borrow_mut().admit(head, core.now(), true)?;
-    admitted.attempts = admitted.attempts.min(call.attempts);
+    // The VM that forwarded it sends it elsewhere.
+    admitted.attempts = 1;
     let call = Call {
         admitted,
         method: parts.method,
