refactor: settings are read once at the start; code that nothing used is gone

Found when reading the change again: the settings of discovered services were read from the file twice at the start; a place in a queue kept a copy of the whole prompt to free it; which event a caller has was decoded and never read, as endpoints get its header as it came; EventSplitter::new had no caller. Keeping a connection after an answer moves to where answers end. Behaviour is the same.

--- a/crates/shallotwing-daemon/src/main.rs
+++ b/crates/shallotwing-daemon/src/main.rs
@@ -39,7 +39,7 @@
     let file = args.config.display().to_string();
     let text = std::fs::read_to_string(&args.config).wrap_err_with(|| format!("cannot read {file}"))?;
     if RelaySettings::describes(&text) {
-        return run_relay(args, &file);
+        return run_relay(args, &file, &text);
     }
     let settings = Settings::parse(&file, &text).map_err(|faults| eyre!("the settings are faulty\n{faults}"))?;
     if args.check {
@@ -55,8 +55,8 @@
 }
 
 #[cfg(feature = "platform")]
-fn run_relay(args: &Args, file: &str) -> eyre::Result<()> {
-    let settings = shallotwing_daemon::relay::read_settings(&args.config)?;
+fn run_relay(args: &Args, file: &str, text: &str) -> eyre::Result<()> {
+    let settings = shallotwing_daemon::relay::parse_settings(file, text)?;
     if args.check {
         println!("{file}: good");
         return Ok(());
@@ -68,7 +68,7 @@
 }
 
 #[cfg(not(feature = "platform"))]
-fn run_relay(_: &Args, file: &str) -> eyre::Result<()> {
+fn run_relay(_: &Args, file: &str, _: &str) -> eyre::Result<()> {
     Err(eyre!("{file}: this program was built without the users' platform"))
 }
 
--- a/crates/shallotwing-daemon/src/relay.rs
+++ b/crates/shallotwing-daemon/src/relay.rs
@@ -18,15 +18,19 @@
 /// Time between two looks at whether the settings file changed.
 const SETTINGS_PERIOD: Millis = Millis(2_000);
 
-/// Reads the settings of `file`.
+/// Checks settings that were read from `file`.
 ///
 /// # Errors
 ///
-/// Returns an error if the file cannot be read or is faulty.
-pub fn read_settings(file: &Path) -> eyre::Result<RelaySettings> {
+/// Returns an error if they are faulty.
+pub fn parse_settings(file: &str, text: &str) -> eyre::Result<RelaySettings> {
+    RelaySettings::parse(file, text).map_err(|faults| eyre!("the settings are faulty\n{faults}"))
+}
+
+fn read_settings(file: &Path) -> eyre::Result<RelaySettings> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).wrap_err_with(|| format!("cannot read {name}"))?;
-    RelaySettings::parse(&name, &text).map_err(|faults| eyre!("the settings are faulty\n{faults}"))
+    parse_settings(&name, &text)
 }
 
 /// Serves until the process is told to stop; to be run in a `LocalSet`.
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -27,13 +27,6 @@
 const LATE_STOP_SHARE: f64 = 0.35;
 /// Time to come back for callers that reached a VM that is stopping.
 const ELSEWHERE: Millis = Millis(50);
-/// Shares of an idle time that a connection is kept.
-const KEEP_ALIVE_SHARE: f64 = 0.6;
-/// Longest time that an idle connection to an endpoint is kept.
-const MAX_KEEP_ALIVE: Millis = Millis(4_000);
-/// Time that an idle connection is kept if the endpoint does not say how long it keeps it.
-const DEFAULT_KEEP_ALIVE: Millis = Millis(300);
-
 pub(crate) type Answer = Response<ResponseBody>;
 
 /// Answers a caller's request.
@@ -178,18 +171,6 @@
     Ok(answer.map(ResponseBody::from))
 }
 
-/// Keeps a connection after a whole answer, if the endpoint does.
-pub(crate) fn keep(exchange: sw_http::Exchange, marks: &crate::AnswerHead) {
-    if marks.closes {
-        return;
-    }
-    let keep_alive = marks
-        .keep_alive
-        .map(|keep| Millis((keep.0 as f64 * KEEP_ALIVE_SHARE) as u64));
-    let limit = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE).min(MAX_KEEP_ALIVE);
-    exchange.give_back_for(Duration::from_millis(limit.0));
-}
-
 /// Refuses, late in a planned stop, what could not end before the process does.
 fn check_stopping<D: Dialect, F>(core: &Core<D, F>, admitted: &Admitted) -> Result<(), Refusal> {
     let late = Millis((core.options().stop_grace.0 as f64 * LATE_STOP_SHARE) as u64);
--- a/crates/sw-proxy/src/reserve.rs
+++ b/crates/sw-proxy/src/reserve.rs
@@ -1,10 +1,12 @@
 //! Asking the coordinator of an engine for a place in its queue.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use spdlog::prelude::*;
 use sw_relay::{Coordinator, Granted, Outcome, Tried};
+use sw_unit::EndpointId;
 
 use crate::attempt::Call;
 use crate::core::Core;
@@ -16,7 +18,8 @@
 /// A place in an engine's queue, which is freed when it is dropped.
 pub(crate) struct Reserved<D: Dialect, F: 'static> {
     core: Rc<Core<D, F>>,
-    coordinator: Coordinator,
+    address: SocketAddr,
+    endpoint: EndpointId,
     granted: Granted,
     absent: bool,
 }
@@ -36,8 +39,7 @@
 impl<D: Dialect, F: 'static> Drop for Reserved<D, F> {
     fn drop(&mut self) {
         let peers = self.core.peers.clone();
-        let address = self.coordinator.address;
-        let endpoint = self.coordinator.reservation.endpoint.clone();
+        let (address, endpoint) = (self.address, self.endpoint.clone());
         let (ticket, absent) = (self.granted.ticket, self.absent);
         tokio::task::spawn_local(async move {
             // A place that is not freed is dropped by the coordinator after a while.
@@ -67,7 +69,8 @@
             relay.learn_wait(coordinator, granted.wait, read_ms, now);
             Ok(Some(Reserved {
                 core: Rc::clone(core),
-                coordinator: coordinator.clone(),
+                address: coordinator.address,
+                endpoint: reservation.endpoint.clone(),
                 granted,
                 absent: false,
             }))
--- a/crates/sw-proxy/src/source.rs
+++ b/crates/sw-proxy/src/source.rs
@@ -10,12 +10,19 @@
 use sw_http::Exchange;
 use sw_peer::relay::RelayEvent;
 use sw_relay::{Attempt, Outcome};
+use sw_unit::Millis;
 use tokio::sync::mpsc;
 
 use crate::attempt::Running;
-use crate::request::keep;
 use crate::{AnswerHead, Dialect};
 
+/// Share of an idle time that a connection is kept.
+const KEEP_ALIVE_SHARE: f64 = 0.6;
+/// Longest time that an idle connection to an endpoint is kept.
+const MAX_KEEP_ALIVE: Millis = Millis(4_000);
+/// Time that an idle connection is kept if the endpoint does not say how long it keeps it.
+const DEFAULT_KEEP_ALIVE: Millis = Millis(300);
+
 /// An answer whose head has come.
 pub(crate) struct Opened<D: Dialect, F: 'static> {
     pub(crate) head: Response<()>,
@@ -139,3 +146,15 @@
         }
     }
 }
+
+/// Keeps a connection after a whole answer, if the endpoint does.
+fn keep(exchange: Exchange, marks: &AnswerHead) {
+    if marks.closes {
+        return;
+    }
+    let keep_alive = marks
+        .keep_alive
+        .map(|keep| Millis((keep.0 as f64 * KEEP_ALIVE_SHARE) as u64));
+    let limit = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE).min(MAX_KEEP_ALIVE);
+    exchange.give_back_for(Duration::from_millis(limit.0));
+}
--- a/crates/sw-proxy/src/sse.rs
+++ b/crates/sw-proxy/src/sse.rs
@@ -15,14 +15,6 @@
 }
 
 impl EventSplitter {
-    /// A splitter for a stream that goes on after `last_id`.
-    pub fn new(last_id: Option<String>) -> Self {
-        Self {
-            buf: BytesMut::new(),
-            last_id,
-        }
-    }
-
     /// Takes in a chunk, and returns the events that are whole now; empty if there are none.
     pub fn feed(&mut self, chunk: &Bytes) -> Bytes {
         let whole = if self.buf.is_empty() && chunk.ends_with(EVENT_END) {
--- a/crates/sw-relay/src/types.rs
+++ b/crates/sw-relay/src/types.rs
@@ -100,8 +100,6 @@
     pub left: Option<Millis>,
     /// The prompt, for requests to model engines.
     pub prompt: Option<Prompt>,
-    /// The last event that the caller has, if it resumes a stream.
-    pub last_event: Option<String>,
 }
 
 /// What an endpoint's registration says.
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -158,7 +158,6 @@
         path: format!("/{route}/x"),
         left: Some(Millis(10_000)),
         prompt,
-        last_event: None,
     }
 }
 
