--- a/crates/shallotwing-daemon/tests/soak.rs
+++ b/crates/shallotwing-daemon/tests/soak.rs
@@ -24,7 +24,7 @@
 
 use support::server::{EVENTS, Seen, StandinServer};
 use support::store::StandinStore;
-use support::{client, entry, run};
+use support::{client, entry, events, run};
 
 const DEFAULT_SECONDS: u64 = 8;
 /// Seeds that once failed, each with its cause.
@@ -309,10 +309,7 @@
 /// Checks an answer that looks whole.
 fn check_body(asked: &Asked, body: &str) {
     if asked.path.starts_with("/stream/") || asked.path.starts_with("/resumable/") {
-        let ids: Vec<u64> = body
-            .lines()
-            .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
-            .collect();
+        let ids = events(body);
         assert_eq!(ids, (1..=EVENTS).collect::<Vec<_>>(), "{} {}", asked.id, asked.path);
     } else {
         let whole = SERVERS.iter().any(|(name, _)| body == *name);
--- a/crates/sw-relay/tests/admission.rs
+++ b/crates/sw-relay/tests/admission.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use support::{admit, endpoint, prompt, register, relay};
+use support::{admit, answered_in, endpoint, prompt, register, relay, slow_engine};
 use sw_error::Kind;
 use sw_relay::{Choice, Outcome, Relay, Tried};
-use sw_unit::{EndpointId, Millis, Time, Tokens};
+use sw_unit::{EndpointId, Millis, Time};
 
 /// Sends prompts of `tokens` to the only engine until one is refused, and returns how many were sent.
 fn fill(relay: &mut Relay, route: &str, tokens: u64, now: Time) -> usize {
@@ -63,24 +63,8 @@
     assert!(relay.choose(&admitted, &tried, Time(0)).is_ok());
 }
 
-/// A relay whose only engine takes `gap_ms` between two events of a stream.
-fn slow_engine(gap_ms: u64) -> Relay {
-    let mut relay = relay();
-    let engine = endpoint("e-1", "engines", "north");
-    register(&mut relay, engine.clone(), Time(0));
-    let admitted = admit(&mut relay, "digest", Some(prompt(1, 0, 500)), Time(0));
-    let mut attempt = relay.begin(&admitted, &engine, None, Time(0)).expect("an attempt");
-    relay.first_event(&mut attempt, Time(50));
-    for _ in 0..40 {
-        relay.event_gap(&mut attempt, Millis(gap_ms), Time(100));
-    }
-    relay
-}
-
 fn long_answer(relay: &mut Relay, output: u64, tried: &Tried) -> Result<Choice, sw_error::Refusal> {
-    let mut prompt = prompt(1, 0, 500);
-    prompt.output_max = Tokens(output);
-    let admitted = admit(relay, "digest", Some(prompt), Time(100));
+    let admitted = admit(relay, "digest", Some(answered_in(output)), Time(100));
     relay.choose(&admitted, tried, Time(100))
 }
 
--- a/crates/sw-relay/tests/spill.rs
+++ b/crates/sw-relay/tests/spill.rs
@@ -6,22 +6,13 @@
 
 mod support;
 
-use support::{admit, beat, endpoint, prompt, register, relay, row, service};
+use support::{admit, answered_in, beat, row, service, slow_engine};
 use sw_relay::{Choice, Relay, ServiceLoad, Tried};
-use sw_unit::{Millis, Time, Tokens};
+use sw_unit::Time;
 
 /// A VM whose only engine takes `gap_ms` between events, and which hears that the engines in the south are idle.
 fn vm(gap_ms: u64) -> Relay {
-    let mut relay = relay();
-    register(&mut relay, endpoint("e-1", "engines", "north"), Time(0));
-    let admitted = admit(&mut relay, "digest", Some(prompt(1, 0, 500)), Time(0));
-    let mut attempt = relay
-        .begin(&admitted, &endpoint("e-1", "engines", "north"), None, Time(0))
-        .expect("an attempt");
-    relay.first_event(&mut attempt, Time(50));
-    for _ in 0..40 {
-        relay.event_gap(&mut attempt, Millis(gap_ms), Time(100));
-    }
+    let mut relay = slow_engine(gap_ms);
     let idle = ServiceLoad {
         service: service("engines"),
         usable: 4,
@@ -34,9 +25,7 @@
 
 /// Whether a request for `output` tokens goes south.
 fn goes_south(relay: &mut Relay, output: u64) -> bool {
-    let mut prompt = prompt(1, 0, 500);
-    prompt.output_max = Tokens(output);
-    let admitted = admit(relay, "digest", Some(prompt), Time(100));
+    let admitted = admit(relay, "digest", Some(answered_in(output)), Time(100));
     let choice = relay.choose(&admitted, &Tried::default(), Time(100));
     matches!(choice, Ok(Choice::Vm { .. }))
 }
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -150,6 +150,28 @@
     }
 }
 
+/// A short prompt whose answer has up to `output` tokens.
+pub fn answered_in(output: u64) -> Prompt {
+    Prompt {
+        output_max: Tokens(output),
+        ..prompt(1, 0, 500)
+    }
+}
+
+/// A VM whose only engine takes `gap_ms` between two events of a stream, as seen until 100 ms.
+pub fn slow_engine(gap_ms: u64) -> Relay {
+    let mut relay = relay();
+    let engine = endpoint("e-1", "engines", "north");
+    register(&mut relay, engine.clone(), Time(0));
+    let admitted = admit(&mut relay, "digest", Some(prompt(1, 0, 500)), Time(0));
+    let mut attempt = relay.begin(&admitted, &engine, None, Time(0)).expect("an attempt");
+    relay.first_event(&mut attempt, Time(50));
+    for _ in 0..40 {
+        relay.event_gap(&mut attempt, Millis(gap_ms), Time(100));
+    }
+    relay
+}
+
 /// The head of a request on `route`.
 pub fn head(route: &str, prompt: Option<Prompt>) -> RequestHead {
     RequestHead {
