fix(daemon): a stopping VM ends only after other VMs have the ends of their streams

The entry VM then added an error event behind a stream that the caller already had up to its end mark. Ruled out: the drain's own time (the process ended as soon as nothing was counted). Change: both paths wait with sw_peer::delivered for the parts and the reply; the entry VM passes whole events on and adds nothing behind the one that ends the answer.

--- a/crates/shallotwing-daemon/src/request/forward.rs
+++ b/crates/shallotwing-daemon/src/request/forward.rs
@@ -6,7 +6,7 @@
 use bytes::BytesMut;
 use sw_error::{Kind, Ran, Refusal};
 use sw_gate::{Envelope, Plan, Purpose};
-use sw_http::channel;
+use sw_http::{SseReader, channel};
 use sw_member::{VmRow, VmState};
 use sw_once::{KeptAnswer, Ticket};
 use sw_peer::{Event, Forward};
@@ -102,8 +102,9 @@
         Some(Event::Head { status, content_type }) => {
             if content_type.starts_with(EVENT_STREAM) && job.admitted.idempotent {
                 let (tx, body) = channel();
+                let reader = SseReader::new(&job.call.id, 0);
                 tokio::spawn(async move {
-                    if relay(rx, &tx, deadline).await
+                    if relay(rx, reader, &tx, deadline).await
                         && let Some(in_flight) = in_flight
                     {
                         in_flight.answered();
@@ -174,8 +175,10 @@
     }
 }
 
-/// Passes a streamed answer on to the caller, and returns whether it was whole.
-async fn relay(mut rx: mpsc::Receiver<Event>, tx: &BodySender, deadline: Instant) -> bool {
+/// Passes the whole events of a streamed answer on to the caller, and returns whether it was whole.
+///
+/// Nothing is added behind the event that ends the answer, whatever becomes of the other VM.
+async fn relay(mut rx: mpsc::Receiver<Event>, mut reader: SseReader, tx: &BodySender, deadline: Instant) -> bool {
     let mut next_by = deadline;
     loop {
         let event = tokio::select! {
@@ -184,12 +187,12 @@
         };
         next_by = Instant::now() + MAX_SILENCE;
         match event {
-            Ok(Some(Event::Chunk(data))) => {
-                if tx.send(Ok(data)).await.is_err() {
+            Ok(Some(Event::Chunk(data))) if let Ok(events) = reader.feed(&data) => {
+                if !events.is_empty() && tx.send(Ok(events)).await.is_err() {
                     return false;
                 }
             }
-            Ok(Some(Event::End(Ok(())))) => return true,
+            _ if reader.ended() => return true,
             _ => {
                 stream::break_off(tx).await;
                 return false;
--- a/crates/shallotwing-daemon/src/request/received.rs
+++ b/crates/shallotwing-daemon/src/request/received.rs
@@ -108,6 +108,7 @@
             };
             // The other VM may be gone; then nobody is left to tell.
             let _gone = pipe(reply, &events).await;
+            sw_peer::delivered(&events).await;
             drop(active);
         });
     }
--- a/crates/sw-peer/src/lib.rs
+++ b/crates/sw-peer/src/lib.rs
@@ -28,11 +28,13 @@
 
 mod client;
 mod convert;
+mod delivery;
 mod links;
 pub mod relay;
 mod server;
 mod service;
 mod types;
 
+pub use delivery::delivered;
 pub use service::{Peers, start};
 pub use types::{Event, Forward, Handler, PeerError};
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
@@ -20,9 +19,6 @@
 use crate::request::{Answer, answer};
 use crate::{Dialect, exchange, telemetry};
 
-/// Time for a reply to reach another VM.
-const REPLY_TIME: Duration = Duration::from_millis(400);
-
 /// Answers calls from other VMs with the state of this one.
 pub(crate) struct PeerHandler<D, F>(pub(crate) Rc<Core<D, F>>);
 
@@ -75,11 +71,8 @@
             // Fails only if the other VM has given the request up.
             let _closed = events.send(end).await;
         }
-        // The parts have arrived when the channel closes; the reply that follows needs a little longer, and a VM that
-        // stops must not end before.
-        events.closed().await;
         tokio::task::spawn_local(async move {
-            tokio::time::sleep(REPLY_TIME).await;
+            sw_peer::delivered(&events).await;
             drop(active);
         });
     }
