feat(relay): endpoints that leave or turn requests away; stalled and endless answers are given up

Cause, by reading and by tests: an endpoint's word in an answer that it is leaving, and the time for which it wants nothing after a 503, were not read; a resumable stream whose endpoint fell silent after the head, or sent bytes but no event, was waited for until the caller's deadline; an endpoint that always had more bytes outlasted the deadline, because the time was looked at only when no bytes were there, and looking for the end of an endless event took time that grew with its square. Ruled out: a limit by bytes (a byte now and then would keep a dead stream alive). Change: one state in the registry, sticky for a life, also over a lapsed registration; StallWatch judges streams by whole events against the route's pause and the pace seen; time is looked at first; an event has a longest length, a head 64 KiB.

--- a/crates/sw-http/src/connect.rs
+++ b/crates/sw-http/src/connect.rs
@@ -20,6 +20,8 @@
 const MAX_IDLE: Duration = Duration::from_secs(2);
 /// Idle connections that are kept to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
+/// Longest head of an answer, in bytes.
+const MAX_HEAD: usize = 64 << 10;
 
 /// A connection on which nothing comes is probed after this time,
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
@@ -166,8 +168,10 @@
     SockRef::from(&stream)
         .set_tcp_keepalive(&keepalive)
         .map_err(|_closed| CallError::Connect)?;
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = handshake.map_err(|_closed| CallError::Connect)?;
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_HEAD)
+        .handshake(TokioIo::new(stream));
+    let (sender, connection) = handshake.await.map_err(|_closed| CallError::Connect)?;
     let task = tokio::spawn(connection).abort_handle();
     Ok(Open { sender, task })
 }
--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -21,10 +21,6 @@
 /// A connection that was idle for this long may have been closed by the endpoint at the same moment; requests that
 /// must not run twice are not sent on it.
 const FRESH_IDLE: Duration = Duration::from_millis(400);
-/// An answer that does not begin within this many objectives is given up if the request can be sent elsewhere.
-const STALLED_AFTER_OBJECTIVES: u64 = 3;
-/// Or within this many times what was expected.
-const STALLED_AFTER_EXPECTED: f64 = 3.0;
 
 /// A request that was read whole.
 #[derive(Debug, Clone)]
@@ -53,9 +49,7 @@
         if !may_go_elsewhere {
             return left;
         }
-        let expected = Millis((expected_ms * STALLED_AFTER_EXPECTED) as u64);
-        let objective = Millis(self.admitted.route.objective.0 * STALLED_AFTER_OBJECTIVES);
-        left.min(objective.max(expected))
+        left.min(self.admitted.begin_patience(expected_ms))
     }
 }
 
@@ -126,6 +120,7 @@
     let attempt = core.relay.borrow_mut().begin(admitted, endpoint, granted, core.now());
     let attempt = attempt.ok_or(Outcome::Unsent)?;
     let expected_ms = attempt.backlog_ms + attempt.read_ms;
+    let begins_by = core.now() + admitted.begin_patience(expected_ms);
     let mut running = Running {
         core: Rc::clone(core),
         id: Arc::clone(&admitted.id),
@@ -145,7 +140,11 @@
             }));
             let mut head = Response::from_parts(parts, ());
             strip_hop_headers(head.headers_mut());
-            Ok(Opened { head, source })
+            Ok(Opened {
+                head,
+                source,
+                begins_by,
+            })
         }
         Err((outcome, status)) => {
             running.status = status;
@@ -172,7 +171,7 @@
     let mut exchange = connection.map_err(|_no_connection| (Outcome::Unreachable, 0))?;
     // Connecting takes time: the endpoint may have begun to leave, or the caller's time may be over.
     let left = admitted.left(core.now());
-    if left == Millis(0) || !core.relay.borrow().registry().may_send(endpoint) {
+    if left == Millis(0) || !core.relay.borrow().registry().may_send(endpoint, core.now()) {
         return Err((Outcome::Unsent, 0));
     }
     let request = outbound(core, call, endpoint, left);
@@ -186,13 +185,26 @@
     })?;
     let head = core.dialect.answer_head(response.status(), response.headers());
     let status = response.status().as_u16();
+    learn_report(core, admitted, endpoint, &head);
     check(admitted, &head, &response, exchange.is_reused()).map_err(|outcome| (outcome, status))?;
-    let mut relay = core.relay.borrow_mut();
-    relay.reported(&endpoint.id, head.load, head.cold_for, core.now());
-    drop(relay);
     Ok((exchange, response, head))
 }
 
+/// Takes in what an endpoint says about itself, if the answer is its own.
+fn learn_report<D: Dialect, F>(core: &Core<D, F>, admitted: &Admitted, endpoint: &EndpointEntry, head: &AnswerHead) {
+    let is_other_id = head.id.as_ref().is_some_and(|id| **id != *admitted.id);
+    if is_other_id || head.claim == Claim::WrongEndpoint {
+        return;
+    }
+    let news = core.relay.borrow_mut().reported(endpoint, &head.report, core.now());
+    if news {
+        telemetry::leaving(&admitted.id, &endpoint.id);
+    }
+    if let Some(wait) = head.report.retry_after {
+        telemetry::turned_away(&admitted.id, &endpoint.id, wait);
+    }
+}
+
 /// Whether the head of an answer belongs to the request and may be passed on.
 fn check(admitted: &Admitted, head: &AnswerHead, response: &Response<Incoming>, reused: bool) -> Result<(), Outcome> {
     if head.id.as_ref().is_some_and(|id| **id != *admitted.id) {
--- a/crates/sw-proxy/src/dialect.rs
+++ b/crates/sw-proxy/src/dialect.rs
@@ -7,7 +7,7 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, StatusCode, Uri};
 use sw_member::VmRow;
-use sw_relay::{Fact, LoadReport, RequestHead};
+use sw_relay::{EndpointReport, Fact, RequestHead};
 use sw_unit::{DomainId, EndpointId, Millis, RegionId};
 
 /// A request's headers cannot be understood.
@@ -57,10 +57,8 @@
     pub signed: bool,
     /// What the endpoint states about a request that it did not run.
     pub claim: Claim,
-    /// The endpoint's load.
-    pub load: Option<LoadReport>,
-    /// How much longer the endpoint is cold.
-    pub cold_for: Option<Millis>,
+    /// What the endpoint says about itself.
+    pub report: EndpointReport,
     /// How long the endpoint keeps the connection when it is idle.
     pub keep_alive: Option<Millis>,
     /// Whether the endpoint closes the connection.
--- a/crates/sw-proxy/src/forward.rs
+++ b/crates/sw-proxy/src/forward.rs
@@ -65,13 +65,18 @@
         resume_after: call.resume_after.clone(),
     };
     let mut events = core.peers.relay(address, relayed);
+    let begins_by = core.now() + call.admitted.begin_patience(expected_ms) + FORWARD_MARGIN;
     let wait = call.head_wait(expected_ms, may_go_elsewhere, left) + FORWARD_MARGIN;
     let first = tokio::time::timeout(Duration::from_millis(wait.min(left).0), events.recv()).await;
     let outcome = match first {
         Ok(Some(RelayEvent::Head { status, headers })) => match answer_head(status, headers) {
             Some(head) => {
                 let source = Source::Vm(events);
-                return Ok(Opened { head, source });
+                return Ok(Opened {
+                    head,
+                    source,
+                    begins_by,
+                });
             }
             None => Outcome::Broken,
         },
--- a/crates/sw-proxy/src/lib.rs
+++ b/crates/sw-proxy/src/lib.rs
@@ -27,4 +27,4 @@
 pub use dialect::{AnswerHead, Claim, Dialect, DirectoryQuery, HeadError, Outbound};
 pub use options::Options;
 pub use proxy::Proxy;
-pub use sse::EventSplitter;
+pub use sse::{EndlessEvent, EventSplitter};
--- a/crates/sw-proxy/src/source.rs
+++ b/crates/sw-proxy/src/source.rs
@@ -10,7 +10,7 @@
 use sw_http::Exchange;
 use sw_peer::relay::RelayEvent;
 use sw_relay::{Attempt, Outcome};
-use sw_unit::Millis;
+use sw_unit::{Millis, Time};
 use tokio::sync::mpsc;
 
 use crate::attempt::Running;
@@ -27,6 +27,8 @@
 pub(crate) struct Opened<D: Dialect, F: 'static> {
     pub(crate) head: Response<()>,
     pub(crate) source: Source<D, F>,
+    /// When the first event is to be there.
+    pub(crate) begins_by: Time,
 }
 
 /// What gives the body of an answer.
--- a/crates/sw-proxy/src/sse.rs
+++ b/crates/sw-proxy/src/sse.rs
@@ -1,38 +1,75 @@
 //! Cutting a stream into whole events.
 
+use std::fmt;
+
 use bytes::{Bytes, BytesMut};
 
 const EVENT_END: &[u8] = b"\n\n";
 const ID_FIELD: &[u8] = b"id:";
-/// An event longer than this is passed on in pieces.
+/// Longest event, in bytes; what is longer is no event.
 const MAX_EVENT: usize = 256 << 10;
 
+/// Bytes came that do not end in an event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EndlessEvent;
+
+impl fmt::Display for EndlessEvent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "an event is longer than {MAX_EVENT} bytes")
+    }
+}
+
+impl std::error::Error for EndlessEvent {}
+
 /// Passes whole events on, and remembers the id of the last.
 #[derive(Debug, Clone, Default)]
 pub struct EventSplitter {
     buf: BytesMut,
     last_id: Option<String>,
+    /// Bytes since the end of the last event, of a stream that is only measured.
+    open_len: usize,
 }
 
 impl EventSplitter {
     /// Takes in a chunk, and returns the events that are whole now; empty if there are none.
-    pub fn feed(&mut self, chunk: &Bytes) -> Bytes {
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EndlessEvent`] if an event is too long to be one.
+    pub fn feed(&mut self, chunk: &Bytes) -> Result<Bytes, EndlessEvent> {
         let whole = if self.buf.is_empty() && chunk.ends_with(EVENT_END) {
             chunk.clone()
         } else {
+            // What was held back before ends no event, but may end with a part of the mark.
+            let searched = self.buf.len().saturating_sub(EVENT_END.len() - 1);
             self.buf.extend_from_slice(chunk);
-            let end = rfind(&self.buf, EVENT_END).map_or(0, |at| at + EVENT_END.len());
-            let end = if self.buf.len() - end > MAX_EVENT {
-                self.buf.len()
-            } else {
-                end
-            };
+            let end = rfind(&self.buf[searched..], EVENT_END).map_or(0, |at| searched + at + EVENT_END.len());
+            if self.buf.len() - end > MAX_EVENT {
+                return Err(EndlessEvent);
+            }
             self.buf.split_to(end).freeze()
         };
         if let Some(id) = last_id(&whole) {
             self.last_id = Some(id);
         }
-        whole
+        Ok(whole)
+    }
+
+    /// Measures a chunk that is passed on as it is.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EndlessEvent`] if an event is too long to be one.
+    pub fn measure(&mut self, chunk: &Bytes) -> Result<(), EndlessEvent> {
+        self.open_len = match rfind(chunk, EVENT_END) {
+            Some(at) => chunk.len() - at - EVENT_END.len(),
+            None => self.open_len + chunk.len(),
+        };
+        if self.open_len > MAX_EVENT {
+            Err(EndlessEvent)
+        } else {
+            Ok(())
+        }
     }
 
     /// The id of the last whole event.
--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -1,14 +1,15 @@
 //! Passing on an answer as it comes.
 //!
 //! A task of its own reads from the endpoint and writes to the caller, so that a pause or the end of either is seen
-//! at once. A stream that may be resumed is passed on by whole events, and goes on at another endpoint if it breaks.
+//! at once. A stream that may be resumed is passed on by whole events, and goes on at another endpoint if it breaks or
+//! stalls.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use sw_http::{BodyError, channel};
-use sw_relay::{Outcome, RouteKind, Tried};
+use sw_relay::{Choice, Outcome, RouteKind, StallWatch, Tried};
 use sw_unit::{Millis, Time};
 use tokio::sync::mpsc;
 
@@ -33,6 +34,7 @@
         core: Rc::clone(core),
         events: EventSplitter::default(),
         last_chunk: None,
+        stall: by_event.then(|| StallWatch::new(opened.begins_by)),
         _active: Active::new(core),
         by_event,
         call,
@@ -49,6 +51,8 @@
     tried: Tried,
     events: EventSplitter,
     last_chunk: Option<Time>,
+    /// Tells whether the stream has stalled; `None` if it cannot go on elsewhere.
+    stall: Option<StallWatch>,
     /// Whether only whole events are passed on, so that the stream can be resumed.
     by_event: bool,
 }
@@ -56,49 +60,128 @@
 /// What happened next.
 enum Next {
     Part(Part),
+    Stalled,
     Timeout,
     CallerLeft,
 }
 
+/// Why a source is given up.
+struct End {
+    reason: &'static str,
+    outcome: Outcome,
+    /// Where the stream goes on, if that is decided.
+    choice: Option<Choice>,
+}
+
+impl End {
+    fn broken(reason: &'static str) -> Self {
+        Self {
+            reason,
+            outcome: Outcome::Broken,
+            choice: None,
+        }
+    }
+}
+
+/// What became of a chunk.
+enum Passed {
+    /// The caller gets it, or it is kept until its event is whole.
+    On,
+    /// It belongs to no event.
+    Endless,
+    CallerLeft,
+}
+
 impl<D: Dialect, F: 'static> Pump<D, F> {
     async fn run(mut self, mut source: Source<D, F>, tx: Sender) {
         loop {
-            let reason = match self.next(&mut source, &tx).await {
+            let end = match self.next(&mut source, &tx).await {
                 Next::Part(Part::Chunk(data)) => {
                     self.observe(&mut source);
-                    let data = if self.by_event { self.events.feed(&data) } else { data };
-                    if !data.is_empty() && tx.send(Ok(data)).await.is_err() {
-                        return;
+                    match self.pass(&data, &tx).await {
+                        Passed::On => continue,
+                        Passed::Endless => End::broken("endless_event"),
+                        Passed::CallerLeft => return,
                     }
-                    continue;
                 }
                 Next::Part(Part::End) if !self.events.has_partial() => return source.finish(Outcome::Whole),
-                Next::Part(Part::End) => "incomplete_event",
-                Next::Part(Part::Broken) => "broken",
+                Next::Part(Part::End) => End::broken("incomplete_event"),
+                Next::Part(Part::Broken) => End::broken("broken"),
+                Next::Stalled => match self.stalled() {
+                    Some(end) => end,
+                    None => continue,
+                },
                 Next::Timeout => {
                     source.finish(Outcome::Timeout);
                     return self.break_off("timeout", &tx).await;
                 }
                 Next::CallerLeft => return,
             };
-            source.finish(Outcome::Broken);
-            match self.resume(&tx).await {
+            source.finish(end.outcome);
+            match self.resume(end.choice, &tx).await {
                 Some(next) => source = next,
-                None => return self.break_off(reason, &tx).await,
+                None => return self.break_off(end.reason, &tx).await,
             }
         }
     }
 
     async fn next(&self, source: &mut Source<D, F>, tx: &Sender) -> Next {
-        let left = Duration::from_millis(self.call.admitted.left(self.core.now()).0);
+        let now = self.core.now();
+        let left = self.call.admitted.left(now);
+        let stall = self.stall.map(|stall| stall.stalls_at().since(now));
+        let (wait, late) = match stall.filter(|stall| *stall < left) {
+            Some(stall) => (stall, Next::Stalled),
+            None => (left, Next::Timeout),
+        };
+        // A source that always has more must not outlast the time.
+        if wait == Millis(0) {
+            return late;
+        }
         tokio::select! {
             biased;
             () = tx.closed() => Next::CallerLeft,
             part = source.next() => Next::Part(part),
-            () = tokio::time::sleep(left) => Next::Timeout,
+            () = tokio::time::sleep(Duration::from_millis(wait.0)) => late,
+        }
+    }
+
+    /// Passes on what is whole of a chunk.
+    async fn pass(&mut self, data: &Bytes, tx: &Sender) -> Passed {
+        let whole = if self.by_event {
+            self.events.feed(data)
+        } else if self.call.admitted.route.kind.streams() {
+            self.events.measure(data).map(|()| data.clone())
+        } else {
+            Ok(data.clone())
+        };
+        let Ok(whole) = whole else {
+            return Passed::Endless;
+        };
+        if whole.is_empty() {
+            return Passed::On;
+        }
+        if let Some(stall) = &mut self.stall {
+            stall.event(&self.call.admitted, self.core.now());
+        }
+        match tx.send(Ok(whole)).await {
+            Ok(()) => Passed::On,
+            Err(_caller_left) => Passed::CallerLeft,
         }
     }
 
+    /// Decides where a stalled stream goes on; `None` if it is better waited for where it is.
+    fn stalled(&mut self) -> Option<End> {
+        let choice = self.elsewhere().filter(|choice| !self.tried.has(choice));
+        if choice.is_none() {
+            self.stall = None;
+        }
+        Some(End {
+            reason: "stalled",
+            outcome: Outcome::Timeout,
+            choice: Some(choice?),
+        })
+    }
+
     /// Learns from the time at which a chunk came.
     fn observe(&mut self, source: &mut Source<D, F>) {
         let now = self.core.now();
@@ -119,8 +202,8 @@
         self.last_chunk = Some(now);
     }
 
-    /// Goes on with a broken stream elsewhere; `None` if that is not possible or the caller left.
-    async fn resume(&mut self, tx: &Sender) -> Option<Source<D, F>> {
+    /// Goes on elsewhere, first where `choice` says; `None` if that is not possible or the caller left.
+    async fn resume(&mut self, mut choice: Option<Choice>, tx: &Sender) -> Option<Source<D, F>> {
         if !self.by_event {
             return None;
         }
@@ -128,28 +211,34 @@
         self.last_chunk = None;
         self.call.resume_after = self.events.last_id().map(str::to_owned);
         while self.call.admitted.left(self.core.now()) > Millis(0) {
-            if let Some(opened) = self.reopen(tx).await? {
+            let choice = match choice.take() {
+                Some(choice) => choice,
+                None => self.elsewhere()?,
+            };
+            if let Some(opened) = self.reopen(&choice, tx).await? {
+                self.stall = Some(StallWatch::new(opened.begins_by));
                 return Some(opened.source);
             }
         }
         None
     }
 
-    /// Sends the request once more; the outer `None` if that is not allowed or the caller left, the inner one if it
-    /// failed.
-    async fn reopen(&mut self, tx: &Sender) -> Option<Option<Opened<D, F>>> {
+    /// Takes a retry and chooses where to go on; `None` if there is none of either.
+    fn elsewhere(&self) -> Option<Choice> {
         let admitted = &self.call.admitted;
-        let choice = {
-            let mut relay = self.core.relay.borrow_mut();
-            if !relay.take_retry(admitted, &self.tried) {
-                return None;
-            }
-            relay.choose(admitted, &self.tried, self.core.now()).ok()?
-        };
+        let mut relay = self.core.relay.borrow_mut();
+        if !relay.take_retry(admitted, &self.tried) {
+            return None;
+        }
+        relay.choose(admitted, &self.tried, self.core.now()).ok()
+    }
+
+    /// Sends the request once more; the outer `None` if the caller left, the inner one if it failed.
+    async fn reopen(&mut self, choice: &Choice, tx: &Sender) -> Option<Option<Opened<D, F>>> {
         let last_event = self.call.resume_after.as_deref().unwrap_or_default();
-        telemetry::resumed(admitted, &choice, last_event);
+        telemetry::resumed(&self.call.admitted, choice, last_event);
         let opened = tokio::select! {
-            opened = open(&self.core, &self.call, &choice, &mut self.tried) => opened,
+            opened = open(&self.core, &self.call, choice, &mut self.tried) => opened,
             () = tx.closed() => return None,
         };
         Some(opened.ok().filter(|opened| opened.head.status().is_success()))
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -7,7 +7,7 @@
 use spdlog::prelude::*;
 use sw_error::Refusal;
 use sw_relay::{Admitted, Attempt, Choice, Outcome, Reservation, Wait};
-use sw_unit::{Millis, Time};
+use sw_unit::{EndpointId, Millis, Time};
 
 /// Milliseconds in a second.
 const MILLIS_PER_SECOND: f64 = 1_000.0;
@@ -71,6 +71,19 @@
     counter!("shallotwing_forwards_failed_total", "outcome" => ended).increment(1);
 }
 
+/// Logs that the answer to the request `id` says that an endpoint is leaving.
+pub(crate) fn leaving(id: &str, endpoint: &EndpointId) {
+    let endpoint = endpoint.as_str();
+    info!("endpoint_leaving", kv: { id, endpoint });
+}
+
+/// Logs that an endpoint turned the request `id` away and wants nothing from this VM for a while.
+pub(crate) fn turned_away(id: &str, endpoint: &EndpointId, wait: Millis) {
+    let (endpoint, wait_ms) = (endpoint.as_str(), wait.0);
+    info!("endpoint_closed", kv: { id, endpoint, wait_ms });
+    counter!("shallotwing_turned_away_total").increment(1);
+}
+
 /// Logs that an endpoint is paused.
 pub(crate) fn paused(endpoint: &str, for_ms: Millis) {
     let pause_ms = for_ms.0;
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -90,7 +90,7 @@
             (None, None) => {
                 let (kind, wait_ms) = match tried.least_declined() {
                     Some(wait_ms) => (Kind::DeadlineUnreachable, wait_ms),
-                    None => (Kind::NoEndpoint, 0.0),
+                    None => (Kind::NoEndpoint, self.reopens_in_ms(&admitted.service, now)),
                 };
                 return Err(Refusal::after(kind, self.come_back(admitted, wait_ms, now)));
             }
@@ -119,7 +119,8 @@
             return Ok(choice);
         }
         let Some(local) = local else {
-            return Err(Refusal::after(Kind::NoEndpoint, self.come_back(admitted, 0.0, now)));
+            let wait_ms = self.reopens_in_ms(&admitted.service, now);
+            return Err(Refusal::after(Kind::NoEndpoint, self.come_back(admitted, wait_ms, now)));
         };
         let decline_ms = Self::decline_above(admitted, tried, local.expected_ms, local.ahead_ms, limit_ms);
         Ok(Choice::Endpoint {
@@ -308,7 +309,16 @@
         let running = self.loads.get(&endpoint.id).map_or(0, |load| load.running);
         let connections = self.service(service).map_or(1, |service| service.max_connections);
         let share = f64::from(connections) * CONNECTION_SHARE / self.senders() as f64;
-        f64::from(running) < share.max(1.0) && self.pace_allows(endpoint, now)
+        let has_room = f64::from(running) < share.max(1.0) && self.pace_allows(endpoint, now);
+        has_room && self.registry.closed_until(endpoint, now).is_none()
+    }
+
+    /// Milliseconds until the first of the own endpoints of a service that turned this VM away takes requests again;
+    /// 0 if none did.
+    fn reopens_in_ms(&self, service: &ServiceId, now: Time) -> f64 {
+        let closed = self.own_endpoints(service);
+        let until = closed.filter_map(|endpoint| self.registry.closed_until(&endpoint.entry, now));
+        until.min().map_or(0.0, |until| until.since(now).0 as f64)
     }
 
     fn is_paused(&self, endpoint: &EndpointEntry, now: Time) -> bool {
--- a/crates/sw-relay/src/coordinate.rs
+++ b/crates/sw-relay/src/coordinate.rs
@@ -102,7 +102,7 @@
             limit_ms,
         } = reservation;
         let known = self.registry.get(endpoint);
-        if !known.is_some_and(|known| self.registry.may_send(&known.entry)) {
+        if !known.is_some_and(|known| self.registry.may_send(&known.entry, now)) {
             return Err(Wait {
                 expected_ms: UNKNOWN_MS,
                 backlog_ms: UNKNOWN_MS,
--- a/crates/sw-relay/src/registry.rs
+++ b/crates/sw-relay/src/registry.rs
@@ -1,15 +1,19 @@
 //! The endpoints that are registered.
 //!
-//! A life that was seen leaving stays so. While the store is away, and shortly after, registrations lapse of
+//! A life that was seen leaving stays so, whether its registration, an answer or a lost registration said it, and
+//! also if the endpoint registers anew. An endpoint that turned this VM away gets nothing until its time is over.
+//! While the store is away, and shortly after, registrations lapse of
 //! endpoints that are well; such an endpoint stays in use until the grace is over.
 
 use indexmap::{IndexMap, IndexSet};
-use sw_unit::{DomainId, EndpointId, Millis, Time};
+use sw_unit::{DomainId, EndpointId, Incarnation, Millis, Time};
 
 use crate::{EndpointEntry, ServiceId};
 
 /// Time after the store's return within which live endpoints register again.
 const RETURN_GRACE: Millis = Millis(2_300);
+/// Lives that are remembered as having left; the oldest are forgotten.
+const MAX_LEFT: usize = 4_096;
 
 /// A registered endpoint.
 #[derive(Debug, Clone, PartialEq)]
@@ -27,12 +31,20 @@
 pub struct Registry {
     endpoints: IndexMap<EndpointId, Endpoint>,
     evacuated: IndexSet<DomainId>,
+    /// The newest life of each endpoint that was seen leaving.
+    left: IndexMap<EndpointId, Incarnation>,
+    /// Lives that want nothing from this VM until a time.
+    closed: IndexMap<EndpointId, (Incarnation, Time)>,
     returned: Option<Time>,
 }
 
 impl Registry {
     /// Takes in a registration, and returns whether anything but its heartbeat changed.
     pub fn learn(&mut self, mut entry: EndpointEntry, now: Time) -> bool {
+        entry.leaving |= self.left.get(&entry.id).is_some_and(|left| entry.life <= *left);
+        if entry.leaving {
+            self.remember_left(&entry.id, entry.life);
+        }
         let cold_until = now + entry.cold_for;
         let Some(known) = self.endpoints.get_mut(&entry.id) else {
             let endpoint = Endpoint {
@@ -43,9 +55,7 @@
             self.endpoints.insert(endpoint.entry.id.clone(), endpoint);
             return true;
         };
-        if entry.life == known.entry.life {
-            entry.leaving |= known.entry.leaving;
-        } else if entry.life < known.entry.life {
+        if entry.life < known.entry.life {
             return false;
         }
         let cold = entry.cold_for > Millis(0);
@@ -74,6 +84,42 @@
         }
     }
 
+    /// Takes in that an endpoint said in an answer that it is leaving, and returns whether that is new.
+    pub fn leaving(&mut self, entry: &EndpointEntry) -> bool {
+        self.remember_left(&entry.id, entry.life);
+        let known = self.endpoints.get_mut(&entry.id);
+        let Some(known) = known.filter(|known| known.entry.life <= entry.life) else {
+            return false;
+        };
+        !std::mem::replace(&mut known.entry.leaving, true)
+    }
+
+    /// Takes in that an endpoint wants nothing from this VM for a while.
+    pub fn turned_away(&mut self, entry: &EndpointEntry, wait: Millis, now: Time) {
+        let until = now + wait;
+        let (life, closed_until) = self.closed.entry(entry.id.clone()).or_insert((entry.life, until));
+        *closed_until = if *life == entry.life {
+            until.max(*closed_until)
+        } else {
+            until
+        };
+        *life = entry.life;
+    }
+
+    /// Until when an endpoint wants nothing from this VM; `None` if it takes requests.
+    pub fn closed_until(&self, entry: &EndpointEntry, now: Time) -> Option<Time> {
+        let (life, until) = self.closed.get(&entry.id)?;
+        (*life == entry.life && *until > now).then_some(*until)
+    }
+
+    fn remember_left(&mut self, id: &EndpointId, life: Incarnation) {
+        let left = self.left.entry(id.clone()).or_insert(life);
+        *left = life.max(*left);
+        if self.left.len() > MAX_LEFT {
+            self.left.shift_remove_index(0);
+        }
+    }
+
     /// Records that the store answers again after an outage.
     pub fn store_returned(&mut self, now: Time) {
         self.returned = Some(now);
@@ -81,6 +127,7 @@
 
     /// Drops endpoints that did not register again in time, and returns them.
     pub fn expire(&mut self, now: Time) -> Vec<EndpointId> {
+        self.closed.retain(|_, (_, until)| *until > now);
         let over = |endpoint: &Endpoint| endpoint.lapses.is_some_and(|lapses| lapses <= now);
         let gone: Vec<_> = self.endpoints.values().filter(|endpoint| over(endpoint)).collect();
         let gone: Vec<_> = gone.into_iter().map(|endpoint| endpoint.entry.id.clone()).collect();
@@ -106,9 +153,10 @@
     }
 
     /// Whether this life of an endpoint may be sent to.
-    pub fn may_send(&self, entry: &EndpointEntry) -> bool {
+    pub fn may_send(&self, entry: &EndpointEntry, now: Time) -> bool {
         let known = self.endpoints.get(&entry.id);
-        known.is_some_and(|known| known.entry.life == entry.life && self.is_usable(known))
+        let usable = known.is_some_and(|known| known.entry.life == entry.life && self.is_usable(known));
+        usable && self.closed_until(entry, now).is_none()
     }
 
     /// The endpoint with an id.
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -13,7 +13,7 @@
 use crate::region::Regions;
 use crate::registry::Endpoint;
 use crate::{
-    Attempt, EndpointEntry, EngineModel, Fact, Load, LoadReport, Outcome, PaceShare, Prompt, Registry, RequestHead,
+    Attempt, EndpointEntry, EndpointReport, EngineModel, Fact, Load, Outcome, PaceShare, Prompt, Registry, RequestHead,
     Route, Service, ServiceId, Table, Tried,
 };
 
@@ -118,6 +118,8 @@
     pub(crate) coordinators: Coordinators,
     /// Coordinators that did not answer, with the time until which they are not asked.
     pub(crate) silent: IndexMap<VmId, Time>,
+    /// Watchers of the store that did not help, with the time until which they are not asked.
+    pub(crate) unhelpful: IndexMap<VmId, Time>,
     budgets: IndexMap<ServiceId, RetryBudget>,
     /// Requests of the last seconds by service.
     recent: IndexMap<ServiceId, Recent>,
@@ -141,6 +143,7 @@
             views: IndexMap::new(),
             coordinators: Coordinators::new(),
             silent: IndexMap::new(),
+            unhelpful: IndexMap::new(),
             budgets: IndexMap::new(),
             recent: IndexMap::new(),
             rng: fastrand::Rng::with_seed(options.seed),
@@ -206,6 +209,7 @@
         }
         let gone = self.registry.expire(now);
         self.assign_coordinators(now);
+        self.unhelpful.retain(|_, until| *until > now);
         for load in self.loads.values_mut() {
             load.drop_lost(now);
         }
@@ -265,7 +269,7 @@
         granted: Option<&Granted>,
         now: Time,
     ) -> Option<Attempt> {
-        if !self.registry.may_send(endpoint) || !self.pace_allows(endpoint, now) {
+        if !self.registry.may_send(endpoint, now) || !self.pace_allows(endpoint, now) {
             return None;
         }
         let unread = match (granted, &admitted.prompt) {
@@ -321,14 +325,18 @@
         }
     }
 
-    /// Records what an endpoint says with an answer.
-    pub fn reported(&mut self, endpoint: &EndpointId, report: Option<LoadReport>, cold_for: Option<Millis>, now: Time) {
-        if let (Some(report), Some(load)) = (report, self.loads.get_mut(endpoint)) {
+    /// Records what an endpoint says about itself with an answer, and returns whether it is news that it is leaving.
+    pub fn reported(&mut self, endpoint: &EndpointEntry, report: &EndpointReport, now: Time) -> bool {
+        if let (Some(report), Some(load)) = (report.load, self.loads.get_mut(&endpoint.id)) {
             load.reported(report, now);
         }
-        if let Some(cold_for) = cold_for {
-            self.registry.set_cold(endpoint, cold_for, now);
+        if let Some(cold_for) = report.cold_for {
+            self.registry.set_cold(&endpoint.id, cold_for, now);
         }
+        if let Some(wait) = report.retry_after {
+            self.registry.turned_away(endpoint, wait, now);
+        }
+        report.leaving && self.registry.leaving(endpoint)
     }
 
     /// Ends an attempt, and returns the end of the pause if the endpoint is paused for its failures.
--- a/crates/sw-relay/src/types.rs
+++ b/crates/sw-relay/src/types.rs
@@ -136,6 +136,19 @@
     pub slots: u32,
 }
 
+/// What the head of an endpoint's answer says about the endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct EndpointReport {
+    /// Its load.
+    pub load: Option<LoadReport>,
+    /// How much longer it is cold.
+    pub cold_for: Option<Millis>,
+    /// Whether it is leaving and takes no new work.
+    pub leaving: bool,
+    /// How long it wants nothing more from this VM, if it turned the request away.
+    pub retry_after: Option<Millis>,
+}
+
 /// What a key of the platform's store says.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Fact {
