--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -52,6 +52,17 @@
   revision @2 :UInt64;
 }
 
+struct Change {
+  item @0 :Item;
+  removed @1 :Bool;
+}
+
+enum Watched {
+  notCurrent @0;
+  historyGone @1;
+  changes @2;
+}
+
 struct Call {
   method @0 :Text;
   target @1 :Text;
@@ -93,4 +104,5 @@
   relay @2 (call :Call, sink :AnswerSink) -> (length :UInt64, refused :Bool, refusal :Peer.Refusal);
   reserve @3 (reservation :Reservation) -> (granted :Bool, ticket :UInt64, unread :UInt64, wait :Wait);
   release @4 (endpoint :Text, ticket :UInt64, absent :Bool) -> ();
+  watch @5 (after :UInt64, waitMs :UInt32) -> (watched :Watched, revision :UInt64, changes :List(Change), returnedMs :UInt32);
 }
--- a/crates/sw-peer/src/relay/client.rs
+++ b/crates/sw-peer/src/relay/client.rs
@@ -14,13 +14,15 @@
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
-use super::{RelayCall, RelayEvent, convert};
+use super::{RelayCall, RelayEvent, Watched, convert};
 use crate::PeerError;
 use crate::links::{self, Links};
 use crate::relay_capnp::{answer_sink, relay_peer};
 
 /// Time for a short call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time for the answer to a call that waits for changes, beside the wait.
+const WATCH_MARGIN: Duration = Duration::from_millis(400);
 /// A connection on which a call was lost is closed if nothing comes on it for this long.
 const SILENCE: Duration = Duration::from_secs(3);
 /// Events of an answer that wait for a slow reader.
@@ -107,6 +109,23 @@
         self.links.call(address, CALL_TIMEOUT, call).await
     }
 
+    /// Waits up to `wait` until the store changes after the revision `after`, as another VM sees it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] if there is no answer in time.
+    pub async fn watch(&self, address: SocketAddr, after: u64, wait: Duration) -> Result<Watched, PeerError> {
+        let call = async |link: &Link| {
+            let mut request = link.client.watch_request();
+            let mut params = request.get();
+            params.set_after(after);
+            params.set_wait_ms(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX));
+            let response = request.send().promise.await?;
+            convert::watched(response.get()?)
+        };
+        self.links.call(address, wait + WATCH_MARGIN, call).await
+    }
+
     /// Asks for a place in the queue of an engine.
     ///
     /// # Errors
--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -2,15 +2,18 @@
 
 use bytes::Bytes;
 use sw_relay::{Beat, DomainView, EndpointLoad, Granted, Part, Prompt, Reservation, ServiceLoad, VmAge, Wait};
-use sw_store::{Item, Snapshot};
+use sw_store::{Change, Changes, Item, Snapshot};
 use sw_unit::{Incarnation, Millis, Tokens};
 
-use super::RelayCall;
+use super::{RelayCall, Watched};
 use crate::convert::{len, parse, set_vm_row, text, vm_row};
 use crate::relay_capnp as wire;
 
 type Result<T> = std::result::Result<T, capnp::Error>;
 
+/// Stands for an outage of the store that is long over, or never was.
+const NOT_LATELY: u32 = u32::MAX;
+
 /// The headers of a call or an answer.
 type Headers = [(String, Bytes)];
 
@@ -239,23 +242,80 @@
 
 pub(super) fn set_items(mut to: capnp::struct_list::Builder<'_, wire::item::Owned>, items: &[Item]) {
     for (i, item) in (0..).zip(items) {
-        let mut to = to.reborrow().get(i);
-        to.set_key(item.key.as_str());
-        to.set_value(&item.value);
-        to.set_revision(item.revision);
+        set_item(to.reborrow().get(i), item);
     }
 }
 
 pub(super) fn snapshot(revision: u64, items: capnp::struct_list::Reader<'_, wire::item::Owned>) -> Result<Snapshot> {
-    let items = items.iter().map(|item| {
-        Ok(Item {
-            key: text(item.get_key())?,
-            value: item.get_value()?.to_vec(),
-            revision: item.get_revision(),
-        })
-    });
+    let items = items.iter().map(item);
     Ok(Snapshot {
         revision,
         items: items.collect::<Result<_>>()?,
     })
 }
+
+pub(super) fn set_watched(mut to: wire::relay_peer::watch_results::Builder<'_>, watched: &Watched) {
+    let (changes, returned) = match watched {
+        Watched::NotCurrent => return to.set_watched(wire::Watched::NotCurrent),
+        Watched::HistoryGone => return to.set_watched(wire::Watched::HistoryGone),
+        Watched::Changes { changes, returned } => (changes, returned),
+    };
+    to.set_watched(wire::Watched::Changes);
+    to.set_revision(changes.revision);
+    let returned_ms = returned.map_or(NOT_LATELY, millis);
+    to.set_returned_ms(returned_ms);
+    let mut list = to.init_changes(len(&changes.changes));
+    for (i, change) in (0..).zip(&changes.changes) {
+        let mut to = list.reborrow().get(i);
+        match change {
+            Change::Put(item) => set_item(to.init_item(), item),
+            Change::Removed { key, revision } => {
+                to.set_removed(true);
+                let mut item = to.init_item();
+                item.set_key(key.as_str());
+                item.set_revision(*revision);
+            }
+        }
+    }
+}
+
+pub(super) fn watched(from: wire::relay_peer::watch_results::Reader<'_>) -> Result<Watched> {
+    match from.get_watched()? {
+        wire::Watched::NotCurrent => return Ok(Watched::NotCurrent),
+        wire::Watched::HistoryGone => return Ok(Watched::HistoryGone),
+        wire::Watched::Changes => {}
+    }
+    let changes = from.get_changes()?.iter().map(|change| {
+        let item = item(change.get_item()?)?;
+        Ok(if change.get_removed() {
+            Change::Removed {
+                key: item.key,
+                revision: item.revision,
+            }
+        } else {
+            Change::Put(item)
+        })
+    });
+    let returned_ms = from.get_returned_ms();
+    Ok(Watched::Changes {
+        changes: Changes {
+            revision: from.get_revision(),
+            changes: changes.collect::<Result<_>>()?,
+        },
+        returned: (returned_ms != NOT_LATELY).then(|| Millis(u64::from(returned_ms))),
+    })
+}
+
+fn set_item(mut to: wire::item::Builder<'_>, item: &Item) {
+    to.set_key(item.key.as_str());
+    to.set_value(&item.value);
+    to.set_revision(item.revision);
+}
+
+fn item(from: wire::item::Reader<'_>) -> Result<Item> {
+    Ok(Item {
+        key: text(from.get_key())?,
+        value: from.get_value()?.to_vec(),
+        revision: from.get_revision(),
+    })
+}
--- a/crates/sw-peer/src/relay/server.rs
+++ b/crates/sw-peer/src/relay/server.rs
@@ -1,6 +1,7 @@
 //! Incoming calls.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use capnp::capability::Rc;
 use futures::stream::{FuturesUnordered, StreamExt as _};
@@ -69,6 +70,18 @@
         Ok(())
     }
 
+    async fn watch(
+        self: Rc<Self>,
+        params: relay_peer::WatchParams,
+        mut results: relay_peer::WatchResults,
+    ) -> Result<()> {
+        let params = params.get()?;
+        let wait = Duration::from_millis(u64::from(params.get_wait_ms()));
+        let watched = self.handler.watch(params.get_after(), wait).await;
+        convert::set_watched(results.get(), &watched);
+        Ok(())
+    }
+
     async fn reserve(
         self: Rc<Self>,
         params: relay_peer::ReserveParams,
--- a/crates/sw-peer/src/relay/types.rs
+++ b/crates/sw-peer/src/relay/types.rs
@@ -1,9 +1,11 @@
 //! Messages about discovered services.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use sw_error::Refusal;
 use sw_relay::{Beat, Granted, Reservation, Wait};
-use sw_store::Snapshot;
+use sw_store::{Changes, Snapshot};
 use sw_unit::{EndpointId, Millis};
 use tokio::sync::mpsc;
 
@@ -46,6 +48,22 @@
     NotSent,
 }
 
+/// What a VM answers to one that follows the store through it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Watched {
+    /// What changed, which may be nothing.
+    Changes {
+        /// The changes.
+        changes: Changes,
+        /// Time since the store answered again after an outage, if that is not long ago.
+        returned: Option<Millis>,
+    },
+    /// The VM no longer knows what changed; its snapshot is needed.
+    HistoryGone,
+    /// The VM is not in touch with the store itself.
+    NotCurrent,
+}
+
 /// Answers calls from other VMs.
 pub trait RelayHandler: Clone + 'static {
     /// Takes in a heartbeat and returns the own one.
@@ -54,6 +72,9 @@
     /// What this VM knows of the platform's store.
     fn snapshot(&self) -> Snapshot;
 
+    /// Waits up to `wait` until the store changes after the revision `after`, and returns the changes.
+    fn watch(&self, after: u64, wait: Duration) -> impl Future<Output = Watched>;
+
     /// Grants a place in the queue of an engine.
     ///
     /// # Errors
--- a/crates/sw-peer/src/relay_capnp.rs
+++ b/crates/sw-peer/src/relay_capnp.rs
@@ -2186,6 +2186,316 @@
     }
 }
 
+pub mod change {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_item(self) -> ::capnp::Result<crate::relay_capnp::item::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_item(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_removed(self) -> bool {
+            self.reader.get_bool_field(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_item(self) -> ::capnp::Result<crate::relay_capnp::item::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_item(&mut self, value: crate::relay_capnp::item::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_item(self, ) -> crate::relay_capnp::item::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_item(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_removed(self) -> bool {
+            self.builder.get_bool_field(0)
+        }
+        #[inline]
+        pub fn set_removed(&mut self, value: bool)  {
+            self.builder.set_bool_field(0, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_item(&self) -> crate::relay_capnp::item::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(221, 168, 31, 192, 35, 242, 198, 255),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 67, 104, 97, 110),
+            ::capnp::word(103, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 116, 101, 109, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(222, 112, 27, 104, 20, 169, 224, 175),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 109, 111, 118, 101, 100, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::relay_capnp::item::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) const TYPE_ID: u64 = 0xffc6_f223_c01f_a8dd;
+    }
+}
+
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Watched {
+    NotCurrent = 0,
+    HistoryGone = 1,
+    Changes = 2,
+}
+
+impl ::capnp::introspect::Introspect for Watched {
+    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&watched::ARENA, watched::get_annotation_types)).into() }
+}
+impl ::core::convert::From<Watched> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: Watched) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&watched::ARENA, watched::get_annotation_types).into()).into() }
+}
+impl ::core::convert::TryFrom<u16> for Watched {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(value: u16) -> ::core::result::Result<Self, <Watched as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::NotCurrent),
+            1 => ::core::result::Result::Ok(Self::HistoryGone),
+            2 => ::core::result::Result::Ok(Self::Changes),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<Watched> for u16 {
+    #[inline]
+    fn from(x: Watched) -> u16 { x as u16 }
+}
+impl ::capnp::traits::HasTypeId for Watched {
+    const TYPE_ID: u64 = 0xbc7b_06fc_22a6_7103u64;
+}
+mod watched {
+pub(crate) static ENCODED_NODE: [::capnp::Word; 31] = [
+    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+    ::capnp::word(3, 113, 166, 34, 252, 6, 123, 188),
+    ::capnp::word(12, 0, 0, 0, 2, 0, 0, 0),
+    ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 79, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+    ::capnp::word(112, 110, 112, 58, 87, 97, 116, 99),
+    ::capnp::word(104, 101, 100, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+    ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 98, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(110, 111, 116, 67, 117, 114, 114, 101),
+    ::capnp::word(110, 116, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(104, 105, 115, 116, 111, 114, 121, 71),
+    ::capnp::word(111, 110, 101, 0, 0, 0, 0, 0),
+    ::capnp::word(99, 104, 97, 110, 103, 101, 115, 0),
+];
+pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+}
+pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
 pub mod call {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -4364,6 +4674,8 @@
     pub type ReserveResults<> = ::capnp::capability::Results<crate::relay_capnp::relay_peer::reserve_results::Owned>;
     pub type ReleaseParams<> = ::capnp::capability::Params<crate::relay_capnp::relay_peer::release_params::Owned>;
     pub type ReleaseResults<> = ::capnp::capability::Results<crate::relay_capnp::relay_peer::release_results::Owned>;
+    pub type WatchParams<> = ::capnp::capability::Params<crate::relay_capnp::relay_peer::watch_params::Owned>;
+    pub type WatchResults<> = ::capnp::capability::Results<crate::relay_capnp::relay_peer::watch_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -4428,6 +4740,9 @@
         pub fn release_request(&self) -> ::capnp::capability::Request<crate::relay_capnp::relay_peer::release_params::Owned,crate::relay_capnp::relay_peer::release_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
+        pub fn watch_request(&self) -> ::capnp::capability::Request<crate::relay_capnp::relay_peer::watch_params::Owned,crate::relay_capnp::relay_peer::watch_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn exchange(self: ::capnp::capability::Rc<Self>, _: ExchangeParams<>, _: ExchangeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay_peer::Server::exchange not implemented".to_string()))) }
@@ -4435,6 +4750,7 @@
         fn relay(self: ::capnp::capability::Rc<Self>, _: RelayParams<>, _: RelayResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay_peer::Server::relay not implemented".to_string()))) }
         fn reserve(self: ::capnp::capability::Rc<Self>, _: ReserveParams<>, _: ReserveResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay_peer::Server::reserve not implemented".to_string()))) }
         fn release(self: ::capnp::capability::Rc<Self>, _: ReleaseParams<>, _: ReleaseResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay_peer::Server::release not implemented".to_string()))) }
+        fn watch(self: ::capnp::capability::Rc<Self>, _: WatchParams<>, _: WatchResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay_peer::Server::watch not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -4469,6 +4785,7 @@
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::relay(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::reserve(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::release(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::watch(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -6758,4 +7075,526 @@
             pub(crate) const TYPE_ID: u64 = 0xbffd_93c1_9249_69b2;
         }
     }
+
+    pub mod watch_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_after(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_wait_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(2)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_after(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_after(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_wait_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(2)
+            }
+            #[inline]
+            pub fn set_wait_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(2, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(5, 145, 227, 210, 171, 167, 103, 151),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 80, 101, 101, 114, 46, 119, 97),
+                ::capnp::word(116, 99, 104, 36, 80, 97, 114, 97),
+                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 102, 116, 101, 114, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 105, 116, 77, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) const TYPE_ID: u64 = 0x9767_a7ab_d2e3_9105;
+        }
+    }
+
+    pub mod watch_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_watched(self) -> ::core::result::Result<crate::relay_capnp::Watched,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
+            }
+            #[inline]
+            pub fn get_revision(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn get_changes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::change::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_changes(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_returned_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(1)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_watched(self) -> ::core::result::Result<crate::relay_capnp::Watched,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
+            }
+            #[inline]
+            pub fn set_watched(&mut self, value: crate::relay_capnp::Watched)  {
+                self.builder.set_data_field::<u16>(0, value as u16);
+            }
+            #[inline]
+            pub fn get_revision(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_revision(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+            #[inline]
+            pub fn get_changes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::change::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_changes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::change::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_changes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::change::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_changes(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_returned_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(1)
+            }
+            #[inline]
+            pub fn set_returned_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(1, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 84] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(80, 151, 3, 153, 43, 48, 118, 253),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 80, 101, 101, 114, 46, 119, 97),
+                ::capnp::word(116, 99, 104, 36, 82, 101, 115, 117),
+                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(119, 97, 116, 99, 104, 101, 100, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 113, 166, 34, 252, 6, 123, 188),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 104, 97, 110, 103, 101, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(221, 168, 31, 192, 35, 242, 198, 255),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 116, 117, 114, 110, 101, 100),
+                ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::relay_capnp::Watched as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::struct_list::Owned<crate::relay_capnp::change::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,0];
+            pub(crate) const TYPE_ID: u64 = 0xfd76_302b_9903_9750;
+        }
+    }
 }
--- a/crates/sw-proxy/src/core.rs
+++ b/crates/sw-proxy/src/core.rs
@@ -66,6 +66,12 @@
     pub(crate) active: Cell<usize>,
     /// Signalled when the last active request ends.
     pub(crate) idle: Notify,
+    /// Whether another VM's copy of the store is being read.
+    pub(crate) copying: Cell<bool>,
+    /// Signalled when the copy of the store changed, or the store was lost.
+    pub(crate) changed: Notify,
+    /// When the store itself last answered this VM.
+    pub(crate) store_answered: Cell<Option<Time>>,
     /// When the store was lost; `None` while it answers.
     pub(crate) store_lost: Cell<Option<Time>>,
     /// When the process started, or the store answered again after an outage.
@@ -88,6 +94,9 @@
             body_bytes: Cell::new(0),
             active: Cell::new(0),
             idle: Notify::new(),
+            copying: Cell::new(false),
+            changed: Notify::new(),
+            store_answered: Cell::new(None),
             store_lost: Cell::new(None),
             store_returned: Cell::new(clock.now()),
         }
--- a/crates/sw-proxy/src/exchange.rs
+++ b/crates/sw-proxy/src/exchange.rs
@@ -26,8 +26,6 @@
 const DOMAIN_PERIOD: Millis = Millis(900);
 /// Time after which the second delegate speaks with another domain.
 const DOMAIN_PATIENCE: Millis = Millis(2_400);
-/// Without the store for this long, a neighbour is asked what it knows.
-const STORE_PATIENCE: Millis = Millis(1_000);
 
 /// Calls under way and states that were logged.
 #[derive(Debug, Default)]
@@ -46,9 +44,7 @@
         core.connector.prune();
         log_states(&core, &seen);
         call_due(&core, &seen);
-        if let Some((vm, address)) = store::neighbour_ahead(&core, STORE_PATIENCE) {
-            tokio::task::spawn_local(store::copy_from(Rc::clone(&core), vm, address));
-        }
+        store::copy_if_due(&core);
     }
 }
 
@@ -60,7 +56,7 @@
 }
 
 /// Takes in another VM's heartbeat.
-pub(crate) fn heard<D, F>(core: &Core<D, F>, beat: Beat) {
+pub(crate) fn heard<D: Dialect, F: 'static>(core: &Rc<Core<D, F>>, beat: Beat) {
     let now = core.now();
     let from = beat.from.clone();
     if core.relay.borrow_mut().heard(beat, now) {
@@ -68,6 +64,7 @@
         let version = from.version.0;
         info!("vm_heard", kv: { vm, incarnation, leaving, version });
     }
+    store::copy_if_due(core);
 }
 
 fn call_due<D: Dialect, F: 'static>(core: &Rc<Core<D, F>>, seen: &Rc<RefCell<Seen>>) {
--- /dev/null
+++ b/crates/sw-proxy/src/learn.rs
@@ -0,0 +1,67 @@
+//! Taking in what the store holds.
+
+use spdlog::prelude::*;
+use sw_relay::Fact;
+use sw_store::Change;
+
+use crate::Dialect;
+use crate::core::Core;
+
+/// Takes in changes of the store, as `source` told them.
+pub(crate) fn apply<D: Dialect, F>(core: &Core<D, F>, changes: &[Change], source: &str) {
+    let revision = core.mirror.borrow().revision();
+    let now = core.now();
+    for change in changes {
+        let (key, value) = match change {
+            Change::Put(item) => (&item.key, Some(item.value.as_slice())),
+            Change::Removed { key, .. } => (key, None),
+        };
+        let fact = core.dialect.fact(key, value);
+        if let Fact::Unreadable { reason, .. } = &fact {
+            let (key, reason) = (key.as_str(), reason.as_str());
+            warn!("store_item_unreadable", kv: { key, revision, reason });
+        }
+        learn(core, fact, source, revision);
+    }
+    core.changed.notify_waiters();
+    let mut relay = core.relay.borrow_mut();
+    relay.set_revision(revision);
+    for endpoint in relay.tick(now) {
+        let endpoint = endpoint.as_str();
+        info!("endpoint_gone", kv: { endpoint, revision });
+    }
+}
+
+fn learn<D, F>(core: &Core<D, F>, fact: Fact, source: &str, revision: u64) {
+    let now = core.now();
+    let described = describe(&fact);
+    if core.relay.borrow_mut().learn(fact, now)
+        && let Some((what, id, state)) = described
+    {
+        let (id, state) = (id.as_str(), state.as_str());
+        info!("learned", kv: { what, id, state, source, revision });
+    }
+}
+
+/// What a fact is about, for the log.
+fn describe(fact: &Fact) -> Option<(&'static str, String, String)> {
+    match fact {
+        Fact::Table(table) => {
+            let routes = format!("{} routes", table.routes().count());
+            Some(("configuration", table.version.to_string(), routes))
+        }
+        Fact::Endpoint(id, Some(entry)) => {
+            let state = if entry.leaving { "leaving" } else { "ready" };
+            let state = format!("{state}, cold for {} ms", entry.cold_for);
+            Some(("endpoint", id.to_string(), state))
+        }
+        Fact::Endpoint(id, None) | Fact::Unreadable { endpoint: Some(id), .. } => {
+            Some(("endpoint", id.to_string(), "gone".to_owned()))
+        }
+        Fact::Evacuated(domain, on) => {
+            let state = if *on { "evacuated" } else { "open" };
+            Some(("failure_domain", domain.to_string(), state.to_owned()))
+        }
+        Fact::Unreadable { endpoint: None, .. } | Fact::Other => None,
+    }
+}
--- a/crates/sw-proxy/src/lib.rs
+++ b/crates/sw-proxy/src/lib.rs
@@ -13,6 +13,7 @@
 mod exchange;
 mod forward;
 mod front;
+mod learn;
 mod options;
 mod peer;
 mod proxy;
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -2,12 +2,13 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::{Method, Request, Uri};
 use sw_error::{Kind, Refusal};
-use sw_peer::relay::{RelayCall, RelayEvent, RelayHandler};
+use sw_peer::relay::{RelayCall, RelayEvent, RelayHandler, Watched};
 use sw_relay::{Beat, Granted, Reservation, Wait};
 use sw_store::Snapshot;
 use sw_unit::EndpointId;
@@ -17,7 +18,7 @@
 use crate::core::{Active, Core};
 use crate::forward::{FIRST_HOP, header_list, header_map};
 use crate::request::{Answer, answer};
-use crate::{Dialect, exchange, telemetry};
+use crate::{Dialect, exchange, store, telemetry};
 
 /// Answers calls from other VMs with the state of this one.
 pub(crate) struct PeerHandler<D, F>(pub(crate) Rc<Core<D, F>>);
@@ -43,6 +44,10 @@
         }
     }
 
+    async fn watch(&self, after: u64, wait: Duration) -> Watched {
+        store::watch(&self.0, after, wait).await
+    }
+
     fn reserve(&self, reservation: &Reservation) -> Result<Granted, Wait> {
         let mut relay = self.0.relay.borrow_mut();
         relay.reserve(reservation, self.0.now())
--- a/crates/sw-store/src/mirror.rs
+++ b/crates/sw-store/src/mirror.rs
@@ -3,8 +3,15 @@
 //! The copy only moves forward: an item that is older than the known one is ignored. A full read replaces the copy,
 //! but for what was written after the read began.
 
+use std::collections::VecDeque;
+
 use indexmap::IndexMap;
 
+use crate::Changes;
+
+/// Removals that are remembered; the oldest are forgotten.
+const MAX_REMOVED: usize = 1_024;
+
 /// A key with its value.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Item {
@@ -30,11 +37,25 @@
     },
 }
 
+impl Change {
+    /// The store's revision after the change.
+    pub fn revision(&self) -> u64 {
+        match self {
+            Self::Put(item) => item.revision,
+            Self::Removed { revision, .. } => *revision,
+        }
+    }
+}
+
 /// A copy of the store's items.
 #[derive(Debug, Clone, Default)]
 pub struct Mirror {
     items: IndexMap<String, Item>,
     revision: u64,
+    /// Keys that were removed, oldest first.
+    removed: VecDeque<(String, u64)>,
+    /// The revision after which no removal is forgotten.
+    complete_after: u64,
 }
 
 impl Mirror {
@@ -48,6 +69,25 @@
         self.items.values()
     }
 
+    /// What changed after a revision; `None` if that is no longer known.
+    pub fn since(&self, after: u64) -> Option<Changes> {
+        if after < self.complete_after || self.revision == 0 {
+            return None;
+        }
+        let puts = self.items.values().filter(|item| item.revision > after);
+        let removed = self.removed.iter().filter(|(_, revision)| *revision > after);
+        let removed = removed.map(|(key, revision)| Change::Removed {
+            key: key.clone(),
+            revision: *revision,
+        });
+        let mut changes: Vec<_> = removed.chain(puts.cloned().map(Change::Put)).collect();
+        changes.sort_by_key(Change::revision);
+        Some(Changes {
+            revision: self.revision,
+            changes,
+        })
+    }
+
     /// Takes in changes up to `revision`, and returns those that were new.
     pub fn apply(&mut self, changes: Vec<Change>, revision: u64) -> Vec<Change> {
         let mut new = Vec::new();
@@ -74,10 +114,22 @@
             revision,
         });
         let mut changes: Vec<_> = gone.collect();
+        if self.revision == 0 {
+            self.complete_after = revision;
+        }
         changes.extend(items.into_iter().map(Change::Put));
         self.apply(changes, revision)
     }
 
+    fn remember_removed(&mut self, key: &str, revision: u64) {
+        self.removed.push_back((key.to_owned(), revision));
+        if self.removed.len() > MAX_REMOVED
+            && let Some((_, oldest)) = self.removed.pop_front()
+        {
+            self.complete_after = self.complete_after.max(oldest);
+        }
+    }
+
     fn apply_one(&mut self, change: &Change) -> bool {
         match change {
             Change::Put(item) => {
@@ -94,6 +146,7 @@
                 let older = self.items.get(key).is_some_and(|known| known.revision <= *revision);
                 if older {
                     self.items.swap_remove(key);
+                    self.remember_removed(key, *revision);
                 }
                 older
             }
