perf(relay): engines get time to answer, plain services have coordinators

Ruled out: late first events (on time); the store (regained long before). Change: the coordinator of an engine counts reading for a quarter more than it takes, beyond a burst of half a second; plain endpoints have coordinators, which count what runs and waits there, and like endpoints are drawn by the request's id.

--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -31,6 +31,10 @@
 const OVERRUN_SURCHARGE: f64 = 1.0;
 /// Share of the objective above which another region is considered.
 const SPILL_SHARE: f64 = 0.6;
+/// The same for a plain service, whose endpoints reject what exceeds a short queue.
+const PLAIN_SPILL_SHARE: f64 = 0.3;
+/// Largest surcharge that spreads requests over like endpoints, as a share of the time that one takes.
+const SPREAD_SHARE: f64 = 0.5;
 /// Advantage that another region must have, as a share of the objective.
 const SPILL_MARGIN: f64 = 0.1;
 /// Share of an endpoint's connections that the VMs plan to use.
@@ -202,7 +206,7 @@
         let unread = admitted.prompt.as_ref().map(|prompt| self.unread(id, prompt));
         let expected_ms = match unread {
             Some(unread) => self.prompt_ms(&admitted.service, id, unread, now),
-            None => self.answer_ms(&admitted.service, &endpoint.entry, now),
+            None => self.answer_ms(&admitted.service, &endpoint.entry, now) + self.spread_ms(admitted, id),
         };
         let declined_ms = tried.declined_at(id).unwrap_or_default();
         let expected_ms = expected_ms.max(declined_ms);
@@ -228,11 +232,25 @@
         }
     }
 
+    /// A surcharge that spreads the requests of all VMs over endpoints of a plain service that are alike.
+    fn spread_ms(&self, admitted: &Admitted, endpoint: &EndpointId) -> f64 {
+        let drawn = sw_member::score(&*admitted.id, endpoint.as_str()) as f64 / u64::MAX as f64;
+        self.service_ms(&admitted.service) * SPREAD_SHARE * drawn
+    }
+
     /// Milliseconds until the answer of a plain service.
-    fn answer_ms(&self, service: &ServiceId, endpoint: &EndpointEntry, now: Time) -> f64 {
-        let running = self.loads.get(&endpoint.id).map_or(0, |load| load.all_running(now));
+    pub(crate) fn answer_ms(&self, service: &ServiceId, endpoint: &EndpointEntry, now: Time) -> f64 {
+        let load = self.loads.get(&endpoint.id);
+        let running = load.map_or(0, |load| load.all_running(now));
         let ahead = f64::from(running + 1) / f64::from(endpoint.slots.max(1));
-        self.model(service).service_ms() * ahead.max(1.0)
+        let service_ms = self.service_ms(service);
+        let told_ms = load.map_or(0.0, |load| load.backlog_ms(now));
+        (service_ms * ahead.max(1.0)).max(service_ms + told_ms)
+    }
+
+    /// Milliseconds that a request to a plain service takes without a queue.
+    pub(crate) fn service_ms(&self, service: &ServiceId) -> f64 {
+        self.model(service).service_ms()
     }
 
     /// Milliseconds until the first event for a prompt of which `unread` has to be read.
@@ -275,7 +293,7 @@
     fn whole_read_ms(&self, admitted: &Admitted) -> f64 {
         match &admitted.prompt {
             Some(prompt) => self.read_ms(&admitted.service, prompt.input),
-            None => self.model(&admitted.service).service_ms(),
+            None => self.service_ms(&admitted.service),
         }
     }
 
@@ -338,7 +356,8 @@
 fn spills(admitted: &Admitted, local: &Local, remote: &Remote, now: Time) -> bool {
     let objective = admitted.route.objective.0 as f64;
     let elapsed = now.since(admitted.received).0 as f64;
-    let busy = local.expected_ms + elapsed > objective * SPILL_SHARE || local.overrun_ms > 0.0;
+    let share = if admitted.prompt.is_some() { SPILL_SHARE } else { PLAIN_SPILL_SHARE };
+    let busy = local.expected_ms + elapsed > objective * share || local.overrun_ms > 0.0;
     let (here, there) = (
         local.expected_ms + local.overrun_ms,
         remote.expected_ms + remote.overrun_ms,
--- a/crates/sw-relay/src/coordinate.rs
+++ b/crates/sw-relay/src/coordinate.rs
@@ -41,7 +41,7 @@
     pub endpoint: EndpointId,
     /// The service that the prompt is for.
     pub service: ServiceId,
-    /// The prompt.
+    /// The prompt; empty for a plain service.
     pub prompt: Prompt,
     /// Milliseconds to the first event beyond which the coordinator declines.
     pub limit_ms: f64,
@@ -85,7 +85,12 @@
     }
 }
 
-/// The coordinators of engines.
+/// When a place is dropped that is not released.
+fn lost_at(wait: Wait, now: Time) -> Time {
+    now + LOST_AFTER + Millis((wait.expected_ms * LOST_AFTER_EXPECTED) as u64)
+}
+
+/// The coordinators of endpoints.
 pub(crate) type Coordinators = IndexMap<EndpointId, VmId>;
 
 impl Relay {
@@ -108,9 +113,11 @@
                 backlog_ms: UNKNOWN_MS,
             });
         }
+        let Some(memory) = self.engine_memory(service) else {
+            return self.reserve_place(reservation, now);
+        };
         let unread = self.unread(endpoint, prompt);
         let read_ms = self.read_ms(service, unread);
-        let memory = self.engine_memory(service);
         let expected_ms = self.prompt_ms(service, endpoint, unread, now);
         let load = self.loads.entry(endpoint.clone()).or_default();
         let pause_ms = load.pause_left_ms(now);
@@ -121,11 +128,30 @@
         if wait.expected_ms > *limit_ms {
             return Err(wait);
         }
-        if let Some(memory) = memory {
-            load.cache.read(prompt, memory, now);
+        load.cache.read(prompt, memory, now);
+        let ticket = load.reserve(read_ms, lost_at(wait, now), now);
+        Ok(Granted { ticket, unread, wait })
+    }
+
+    /// Grants a place at an endpoint of a plain service.
+    fn reserve_place(&mut self, reservation: &Reservation, now: Time) -> Result<Granted, Wait> {
+        let Reservation { endpoint, service, .. } = reservation;
+        let answer_ms = self
+            .registry
+            .get(endpoint)
+            .map_or(UNKNOWN_MS, |known| self.answer_ms(service, &known.entry, now));
+        let service_ms = self.service_ms(service);
+        let load = self.loads.entry(endpoint.clone()).or_default();
+        let pause_ms = load.pause_left_ms(now);
+        let wait = Wait {
+            expected_ms: pause_ms + answer_ms,
+            backlog_ms: pause_ms + answer_ms - service_ms,
+        };
+        if wait.expected_ms > reservation.limit_ms {
+            return Err(wait);
         }
-        let lost = now + LOST_AFTER + Millis((wait.expected_ms * LOST_AFTER_EXPECTED) as u64);
-        let ticket = load.reserve(read_ms, lost, now);
+        let ticket = load.reserve_place(lost_at(wait, now));
+        let unread = Tokens(0);
         Ok(Granted { ticket, unread, wait })
     }
 
@@ -153,7 +179,7 @@
         self.silent.insert(vm.clone(), now + SILENCE);
     }
 
-    /// Works out the coordinators of all engines of this region.
+    /// Works out the coordinators of all endpoints of this region.
     pub(crate) fn assign_coordinators(&mut self, now: Time) {
         let own = &self.options.own.region;
         let domains = self.options.regions.iter().filter(|(_, region)| *region == own);
@@ -170,7 +196,6 @@
         limit_ms: f64,
         now: Time,
     ) -> Option<Coordinator> {
-        let prompt = admitted.prompt.as_ref()?;
         let vm = self.coordinators.get(&endpoint.id)?;
         if !self.is_live(vm, now) || *vm == self.options.own.vm || self.silent.get(vm).is_some_and(|until| *until > now)
         {
@@ -183,7 +208,7 @@
             reservation: Reservation {
                 endpoint: endpoint.id.clone(),
                 service: admitted.service.clone(),
-                prompt: prompt.clone(),
+                prompt: admitted.prompt.clone().unwrap_or_default(),
                 limit_ms,
             },
         })
@@ -215,29 +240,28 @@
         }
     }
 
-    /// The coordinators of the engines of one failure domain, about as many for each of its live VMs.
+    /// The coordinators of the endpoints of one failure domain, about as many for each of its live VMs.
     fn coordinators_in(&self, domain: &DomainId, now: Time) -> Vec<(EndpointId, VmId)> {
         let vms: Vec<_> = self.members.live(domain, now).map(|row| &row.vm).collect();
-        let mut engines: Vec<_> = self.engines_in(domain).collect();
-        engines.sort();
-        let room = engines.len().div_ceil(vms.len().max(1));
+        let mut endpoints: Vec<_> = self.endpoints_in(domain).collect();
+        endpoints.sort();
+        let room = endpoints.len().div_ceil(vms.len().max(1));
         let mut assigned: IndexMap<&VmId, usize> = IndexMap::new();
         let mut coordinators = Vec::new();
-        for engine in engines {
-            let ranked = top(engine, vms.iter().copied(), vms.len());
+        for endpoint in endpoints {
+            let ranked = top(endpoint, vms.iter().copied(), vms.len());
             let has_room = |vm: &&VmId| assigned.get(vm).copied().unwrap_or_default() < room;
             if let Some(vm) = ranked.into_iter().find(has_room) {
                 *assigned.entry(vm).or_default() += 1;
-                coordinators.push((engine.clone(), vm.clone()));
+                coordinators.push((endpoint.clone(), vm.clone()));
             }
         }
         coordinators
     }
 
-    fn engines_in<'a>(&'a self, domain: &'a DomainId) -> impl Iterator<Item = &'a EndpointId> {
-        let services = self.table.iter().flat_map(|table| &table.services);
-        let engines = services.filter(|(_, service)| service.engine.is_some());
-        let usable = engines.flat_map(|(id, _)| self.registry.usable(id));
+    fn endpoints_in<'a>(&'a self, domain: &'a DomainId) -> impl Iterator<Item = &'a EndpointId> {
+        let services = self.table.iter().flat_map(|table| table.services.keys());
+        let usable = services.flat_map(|id| self.registry.usable(id));
         usable
             .filter(move |endpoint| endpoint.entry.domain == *domain)
             .map(|endpoint| &endpoint.entry.id)
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -4,7 +4,8 @@
 use sw_unit::{DomainId, Millis, RegionId, Time, VmId};
 
 use crate::load::Sender;
-use crate::{Beat, DomainView, EndpointLoad, Load, Relay, ServiceLoad, Tried, VmAge};
+use crate::registry::Endpoint;
+use crate::{Beat, DomainView, EndpointLoad, Load, Relay, ServiceId, ServiceLoad, Tried, VmAge};
 
 /// Members of a failure domain that a directory answer names at least, if its region has as many.
 const MIN_ENTRIES: usize = 2;
@@ -267,22 +268,30 @@
         loads.filter(EndpointLoad::is_busy).collect()
     }
 
+    /// Milliseconds until an endpoint begins a new request, and between two events of its streams.
+    fn wait_and_gap_ms(&self, service: &ServiceId, endpoint: &Endpoint, now: Time) -> (f64, f64) {
+        if self.engine_memory(service).is_none() {
+            let wait_ms = self.answer_ms(service, &endpoint.entry, now) - self.service_ms(service);
+            return (wait_ms, 0.0);
+        }
+        let idle = Load::default();
+        let load = self.loads.get(&endpoint.entry.id).unwrap_or(&idle);
+        (load.backlog_ms(now), load.gap_ms(now))
+    }
+
     fn service_loads(&self, now: Time) -> Vec<ServiceLoad> {
         let services = self.table.iter().flat_map(|table| table.services.keys());
         let loads = services.map(|service| {
-            let idle = Load::default();
             let own = self.own_endpoints(service);
-            let loads: Vec<_> = own
-                .map(|endpoint| self.loads.get(&endpoint.entry.id).unwrap_or(&idle))
-                .collect();
-            let mut waits: Vec<_> = loads.iter().map(|load| load.backlog_ms(now)).collect();
+            let loads: Vec<_> = own.map(|endpoint| self.wait_and_gap_ms(service, endpoint, now)).collect();
+            let (mut waits, gaps): (Vec<_>, Vec<_>) = loads.into_iter().unzip();
             waits.sort_by(f64::total_cmp);
             let least_busy = (waits.len() as f64 * LEAST_BUSY_SHARE).ceil() as usize;
             ServiceLoad {
                 service: service.clone(),
-                usable: u32::try_from(loads.len()).unwrap_or(u32::MAX),
+                usable: u32::try_from(waits.len()).unwrap_or(u32::MAX),
                 wait_ms: mean(&waits[..least_busy]),
-                gap_ms: mean(&loads.iter().map(|load| load.gap_ms(now)).collect::<Vec<_>>()),
+                gap_ms: mean(&gaps),
             }
         });
         loads.collect()
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -25,6 +25,7 @@
 mod region;
 mod registry;
 mod relay;
+mod share;
 mod table;
 mod types;
 mod watcher;
--- a/crates/sw-relay/src/load.rs
+++ b/crates/sw-relay/src/load.rs
@@ -9,6 +9,7 @@
 use indexmap::IndexMap;
 use sw_unit::{DomainId, EndpointId, Millis, Time, VmId};
 
+use crate::share::ReadingShare;
 use crate::{EndpointLoad, LoadReport, Pace, PromptCache};
 
 /// Pause between two events on an idle engine, in milliseconds.
@@ -23,6 +24,8 @@
 const PEER_DRAIN: f64 = 0.3;
 /// A report or beat older than this is not used.
 const REPORT_MEMORY: Millis = Millis(2_500);
+/// A prompt that is done within this share of the time that reading it takes was not read.
+const UNREAD_SHARE: f64 = 0.5;
 /// Failures in a row after which an endpoint is paused.
 const FAILURES_TO_PAUSE: u32 = 3;
 /// First pause; each further failure doubles it.
@@ -44,10 +47,18 @@
 struct Unread {
     ticket: u64,
     read_ms: f64,
+    since: Time,
     /// When the place of another VM's prompt is dropped if it was not released.
     lost: Option<Time>,
 }
 
+/// A request of another VM that runs or waits at a plain service.
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    ticket: u64,
+    lost: Time,
+}
+
 /// The load of one endpoint.
 #[derive(Debug, Clone, Default)]
 pub struct Load {
@@ -61,6 +72,9 @@
     unread: VecDeque<Unread>,
     /// When the engine began with the oldest of them.
     reading_since: Time,
+    reading: ReadingShare,
+    /// Requests of other VMs for which this VM granted a place at a plain service.
+    places: Vec<Place>,
     next_ticket: u64,
     gap: Option<(f64, Time)>,
     report: Option<(LoadReport, Time)>,
@@ -81,8 +95,13 @@
 
     /// Milliseconds of reading that this VM sent or granted and that are not done.
     ///
-    /// An engine that takes longer than expected for the oldest is expected to be as late for the next.
+    /// An engine that takes longer than expected for the oldest is expected to be as late for the next. One that has
+    /// read for more than its share of the time counts as busy until it has made up for that.
     pub fn own_backlog_ms(&self, now: Time) -> f64 {
+        self.unread_ms(now).max(self.reading.excess_ms(now))
+    }
+
+    fn unread_ms(&self, now: Time) -> f64 {
         let Some(oldest) = self.unread.front() else {
             return 0.0;
         };
@@ -95,7 +114,9 @@
     /// Requests that run there, of all VMs.
     pub fn all_running(&self, now: Time) -> u32 {
         let peers: u32 = self.fresh_peers(now).map(|(load, _)| load.running).sum();
-        let known = self.running + peers;
+        let places = u32::try_from(self.places.len()).unwrap_or(u32::MAX);
+        // Other VMs tell of the requests for which they have a place, too, but later.
+        let known = self.running + peers.max(places);
         self.fresh_report(now)
             .map_or(known, |report| known.max(report.running + report.waiting))
     }
@@ -135,11 +156,15 @@
 
     /// Records that the prompt of `ticket` was read.
     pub fn read(&mut self, ticket: u64, now: Time) {
-        let before = self.unread.len();
-        self.unread.retain(|unread| unread.ticket != ticket);
-        if self.unread.len() < before {
-            self.reading_since = now;
+        self.places.retain(|place| place.ticket != ticket);
+        let Some(at) = self.unread.iter().position(|unread| unread.ticket == ticket) else {
+            return;
+        };
+        let done = self.unread.remove(at);
+        if let Some(done) = done.filter(|done| (now.since(done.since).0 as f64) < done.read_ms * UNREAD_SHARE) {
+            self.reading.given_up(done.read_ms);
         }
+        self.reading_since = now;
     }
 
     /// Records the end of the request of `ticket`.
@@ -169,8 +194,17 @@
         self.wait_for(read_ms, Some(lost), now)
     }
 
-    /// Drops prompts of other VMs that were not released.
+    /// Records a request that another VM sends to a plain service, until it ends or is lost, and returns the ticket that
+    /// stands for it.
+    pub(crate) fn reserve_place(&mut self, lost: Time) -> u64 {
+        let ticket = self.ticket();
+        self.places.push(Place { ticket, lost });
+        ticket
+    }
+
+    /// Drops requests of other VMs that were not released.
     pub(crate) fn drop_lost(&mut self, now: Time) {
+        self.places.retain(|place| place.lost > now);
         let lost = |unread: &Unread| unread.lost.is_some_and(|lost| lost <= now);
         if self.unread.iter().any(lost) {
             self.unread.retain(|unread| !lost(unread));
@@ -196,7 +230,13 @@
             self.reading_since = now;
         }
         let ticket = self.ticket();
-        self.unread.push_back(Unread { ticket, read_ms, lost });
+        self.reading.begun(read_ms, now);
+        self.unread.push_back(Unread {
+            ticket,
+            read_ms,
+            since: now,
+            lost,
+        });
         ticket
     }
 
