perf(relay): a VM forwards to the same VM of a region; dead connections between VMs are found

Cause, from the same log: a forward took 236 ms at the median to be routed in the other region, four times the way there, because it went to one of 65 VMs at random, to which no connection had answered lately. Ruled out: longer trust in idle connections (they go silent). Change: VMs of a region are spread over those of the other in order; detect_dead sets keep-alive and the user time-out on connections to endpoints and between VMs. Tests: tests/forwarding.rs.

--- a/crates/sw-http/src/connect.rs
+++ b/crates/sw-http/src/connect.rs
@@ -12,7 +12,6 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -23,13 +22,6 @@
 /// Longest head of an answer, in bytes.
 const MAX_HEAD: usize = 64 << 10;
 
-/// A connection on which nothing comes is probed after this time,
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
-/// this often,
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// and breaks after this many probes without an answer.
-const KEEPALIVE_RETRIES: u32 = 2;
-
 type Sender = SendRequest<Full<Bytes>>;
 
 /// How a call failed.
@@ -161,13 +153,7 @@
         .await
         .map_err(|_refused| CallError::Connect)?;
     stream.set_nodelay(true).map_err(|_closed| CallError::Connect)?;
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_IDLE)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES);
-    SockRef::from(&stream)
-        .set_tcp_keepalive(&keepalive)
-        .map_err(|_closed| CallError::Connect)?;
+    crate::detect_dead(&stream).map_err(|_closed| CallError::Connect)?;
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_HEAD)
         .handshake(TokioIo::new(stream));
--- a/crates/sw-http/src/lib.rs
+++ b/crates/sw-http/src/lib.rs
@@ -6,11 +6,13 @@
 mod answer;
 mod body;
 mod connect;
+mod dead;
 mod json;
 mod sse;
 
 pub use answer::{EntryRow, RAN_HEADER, REQUEST_ID_HEADER, error_answer, json_answer};
 pub use body::{BodyError, ReadBodyError, ResponseBody, channel, read_body};
 pub use connect::{CallError, Connector, Exchange, Reuse};
+pub use dead::detect_dead;
 pub use json::{Caller, JsonError, JsonLines};
 pub use sse::{SseError, SseReader};
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -9,6 +9,7 @@
 use std::cmp::Reverse;
 
 use sw_error::{Kind, Refusal};
+use sw_member::VmRow;
 use sw_unit::{EndpointId, Millis, RegionId, Time, Tokens};
 
 use crate::cache::shared_key;
@@ -126,7 +127,7 @@
             let wait_ms = self.reopens_in_ms(&admitted.service, now);
             return Err(Refusal::after(Kind::NoEndpoint, self.come_back(admitted, wait_ms, now)));
         };
-        let decline_ms = Self::decline_above(admitted, tried, local.expected_ms, local.ahead_ms, limit_ms);
+        let decline_ms = self.decline_above(admitted, tried, local.expected_ms, local.ahead_ms, limit_ms);
         Ok(Choice::Endpoint {
             coordinator: self.coordinator(admitted, &local.endpoint, decline_ms, now),
             endpoint: local.endpoint,
@@ -305,9 +306,7 @@
         tried: &Tried,
         now: Time,
     ) -> Option<Choice> {
-        let draw = self.rng.usize(..);
-        let peers: Vec<_> = self.peers_in(&remote.region, tried, now).collect();
-        let row = peers.get(draw.checked_rem(peers.len())?)?;
+        let row = self.forward_target(&remote.region, tried, now)?;
         let (vm, address) = (row.vm.clone(), row.peer_listen);
         let read_ms = self.whole_read_ms(admitted);
         if let Some(view) = self.regions.get_mut(&remote.region) {
@@ -322,6 +321,24 @@
         })
     }
 
+    /// The VM of a region that this one forwards to.
+    ///
+    /// It is the same one each time, so that the connection stays in use: making one takes another round trip between
+    /// the regions. The VMs of this region are spread over those of the other.
+    fn forward_target<'a>(&'a self, region: &'a RegionId, tried: &'a Tried, now: Time) -> Option<&'a VmRow> {
+        let mut targets: Vec<_> = self.peers_in(region, tried, now).collect();
+        targets.sort_by(|a, b| a.vm.cmp(&b.vm));
+        let own = self.members.own();
+        let others = self.members.others();
+        let senders = others.filter(|row| row.region == own.region && self.is_live(&row.vm, now));
+        let (mut count, mut place) = (1, 0);
+        for row in senders {
+            count += 1;
+            place += usize::from(row.vm < own.vm);
+        }
+        targets.get(place * targets.len() / count).copied()
+    }
+
     /// Whether this VM's share of an endpoint's connections and of a cold endpoint's rate has room.
     fn is_open(&self, endpoint: &EndpointEntry, service: &ServiceId, now: Time) -> bool {
         let running = self.loads.get(&endpoint.id).map_or(0, |load| load.running);
@@ -356,7 +373,11 @@
 fn spills(admitted: &Admitted, local: &Local, remote: &Remote, now: Time) -> bool {
     let objective = admitted.route.objective.0 as f64;
     let elapsed = now.since(admitted.received).0 as f64;
-    let share = if admitted.prompt.is_some() { SPILL_SHARE } else { PLAIN_SPILL_SHARE };
+    let share = if admitted.prompt.is_some() {
+        SPILL_SHARE
+    } else {
+        PLAIN_SPILL_SHARE
+    };
     let busy = local.expected_ms + elapsed > objective * share || local.overrun_ms > 0.0;
     let (here, there) = (
         local.expected_ms + local.overrun_ms,
--- a/crates/sw-relay/src/coordinate.rs
+++ b/crates/sw-relay/src/coordinate.rs
@@ -21,6 +21,8 @@
 const DECLINE_MARGIN_MS: f64 = 40.0;
 /// Share of the objective within which an engine begins soon enough, whatever others would.
 const SOON_SHARE: f64 = 0.3;
+/// The same for a plain service, in times that an answer takes.
+const SOON_ANSWERS: f64 = 2.0;
 /// Declines after which any engine will do that begins within the objective.
 const MAX_CHOOSY_DECLINES: u32 = 2;
 /// Declines after which a region is taken to be full.
@@ -217,6 +219,7 @@
     /// Milliseconds to the first event beyond which the coordinator of the best engine shall decline, if the next best
     /// one is `ahead_ms` behind it and the request must begin within `limit_ms`.
     pub(crate) fn decline_above(
+        &self,
         admitted: &Admitted,
         tried: &Tried,
         expected_ms: f64,
@@ -226,7 +229,11 @@
         if tried.declines() >= MAX_CHOOSY_DECLINES {
             return limit_ms;
         }
-        let soon = admitted.route.objective.0 as f64 * SOON_SHARE;
+        let soon = if admitted.prompt.is_some() {
+            admitted.route.objective.0 as f64 * SOON_SHARE
+        } else {
+            self.service_ms(&admitted.service) * SOON_ANSWERS
+        };
         let better_elsewhere = expected_ms + ahead_ms + DECLINE_MARGIN_MS;
         limit_ms.min(better_elsewhere.max(soon))
     }
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -283,7 +283,9 @@
         let services = self.table.iter().flat_map(|table| table.services.keys());
         let loads = services.map(|service| {
             let own = self.own_endpoints(service);
-            let loads: Vec<_> = own.map(|endpoint| self.wait_and_gap_ms(service, endpoint, now)).collect();
+            let loads: Vec<_> = own
+                .map(|endpoint| self.wait_and_gap_ms(service, endpoint, now))
+                .collect();
             let (mut waits, gaps): (Vec<_>, Vec<_>) = loads.into_iter().unzip();
             waits.sort_by(f64::total_cmp);
             let least_busy = (waits.len() as f64 * LEAST_BUSY_SHARE).ceil() as usize;
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -280,8 +280,13 @@
         let read_ms = self.read_ms(&admitted.service, unread);
         let memory = self.engine_memory(&admitted.service);
         let cold = self.cold_share(endpoint, now);
+        let queue_ms = if admitted.prompt.is_none() {
+            self.answer_ms(&admitted.service, endpoint, now) - self.service_ms(&admitted.service)
+        } else {
+            0.0
+        };
         let load = self.loads.entry(endpoint.id.clone()).or_default();
-        let backlog_ms = granted.map_or_else(|| load.backlog_ms(now), |granted| granted.wait.backlog_ms);
+        let backlog_ms = granted.map_or_else(|| load.backlog_ms(now).max(queue_ms), |granted| granted.wait.backlog_ms);
         // A place in the queue is in the coordinator's account already.
         let ticket = load.sent(if granted.is_some() { 0.0 } else { read_ms }, now);
         if let (Some(prompt), Some(memory)) = (&admitted.prompt, memory) {
@@ -345,7 +350,7 @@
             let model = self.models.entry(attempt.service.clone()).or_default();
             if attempt.events > 0 {
                 model.streamed(attempt.output, attempt.events);
-            } else {
+            } else if attempt.backlog_ms < 1.0 {
                 model.answered(attempt.age(now));
             }
         }
--- /dev/null
+++ b/crates/sw-relay/tests/forwarding.rs
@@ -0,0 +1,78 @@
+//! To which VM of another region a VM forwards.
+//!
+//! The pattern: a region at its peak sends a third of its requests to another one. With a VM drawn at random for each
+//! of them, nearly every one waits until a connection between the regions is made.
+
+mod support;
+
+use std::collections::HashMap;
+
+use support::{admit, beat, relay_in, row, service};
+use sw_relay::{Choice, Outcome, Relay, ServiceLoad, Tried};
+use sw_unit::{Millis, Time, VmId};
+
+const HERE: usize = 30;
+const THERE: usize = 45;
+
+fn sender(place: usize) -> Relay {
+    let mut relay = relay_in(&format!("north-{place:02}"), "north");
+    for other in (0..HERE).filter(|other| *other != place) {
+        relay.heard(beat(row(&format!("north-{other:02}"), "north"), Vec::new()), Time(0));
+    }
+    for other in 0..THERE {
+        let load = ServiceLoad {
+            service: service("app"),
+            usable: 2,
+            wait_ms: 0.0,
+            gap_ms: 0.0,
+        };
+        relay.heard(beat(row(&format!("south-{other:02}"), "south"), vec![load]), Time(0));
+    }
+    relay
+}
+
+fn target(relay: &mut Relay, tried: &Tried, now: Time) -> VmId {
+    let admitted = admit(relay, "pay", None, now);
+    match relay.choose(&admitted, tried, now) {
+        Ok(Choice::Vm { vm, .. }) => vm,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_vm_forwards_to_the_same_one_each_time_and_the_vms_are_spread() {
+    let mut received: HashMap<VmId, usize> = HashMap::new();
+    for place in 0..HERE {
+        let mut relay = sender(place);
+        let first = target(&mut relay, &Tried::default(), Time(10));
+        for at in 20..40 {
+            assert_eq!(target(&mut relay, &Tried::default(), Time(at)), first);
+        }
+        *received.entry(first).or_default() += 1;
+    }
+    assert_eq!(received.values().max(), Some(&1), "{received:?}");
+}
+
+#[test]
+fn a_vm_that_failed_a_request_or_is_lost_is_passed_over() {
+    let mut relay = sender(3);
+    let first = target(&mut relay, &Tried::default(), Time(10));
+    let mut tried = Tried::default();
+    tried.sent_to_vm(&first, 1, Some(Outcome::Unreachable));
+    assert_ne!(target(&mut relay, &tried, Time(20)), first);
+    let later = Time(0) + Millis(2_400);
+    for other in 0..THERE {
+        let name = format!("south-{other:02}");
+        if *first.as_str() != name {
+            let load = ServiceLoad {
+                service: service("app"),
+                usable: 2,
+                wait_ms: 0.0,
+                gap_ms: 0.0,
+            };
+            relay.heard(beat(row(&name, "south"), vec![load]), later);
+        }
+    }
+    let later = later + Millis(200);
+    assert_ne!(target(&mut relay, &Tried::default(), later), first);
+}
--- /dev/null
+++ b/crates/sw-relay/tests/plain.rs
@@ -0,0 +1,146 @@
+//! Plain services before many VMs.
+//!
+//! The pattern: some hundred VMs send to two endpoints with few slots and a short queue. Each VM's own share is a
+//! request or two at a time, so none sees that an endpoint is full before it rejects.
+
+mod support;
+
+use std::collections::HashMap;
+
+use support::{admit, beat, endpoint, register, relay_of, row, service};
+use sw_relay::{Choice, Outcome, Relay, Reservation, Tried};
+use sw_unit::{Millis, Time};
+
+const VMS: usize = 60;
+/// Slots and queue of an endpoint.
+const SLOTS: usize = 6;
+const QUEUE: usize = 24;
+/// Time that a request takes.
+const SERVICE_MS: u64 = 60;
+
+fn name(vm: usize) -> String {
+    format!("vm-{vm:03}")
+}
+
+fn vms() -> Vec<Relay> {
+    let mut vms: Vec<_> = (0..VMS).map(|vm| relay_of(&name(vm))).collect();
+    for (place, relay) in vms.iter_mut().enumerate() {
+        for of in ["a-1", "a-2"] {
+            register(relay, endpoint(of, "app", "north"), Time(0));
+        }
+        for other in (0..VMS).filter(|other| *other != place) {
+            relay.heard(beat(row(&name(other), "north"), Vec::new()), Time(0));
+        }
+        relay.tick(Time(0));
+    }
+    vms
+}
+
+/// A request that runs: the VM that sent it, the one that granted it, and until when.
+struct Running {
+    vm: usize,
+    granted: Option<(usize, u64)>,
+    attempt: sw_relay::Attempt,
+    until: u64,
+}
+
+/// Sends `per_s` requests a second for ten seconds, and returns the most that were at one endpoint at a time after half
+/// of that, when the VMs have seen what a request takes, and how many each endpoint got.
+fn offer(per_s: u64) -> (usize, HashMap<String, usize>) {
+    let mut vms = vms();
+    let (mut running, mut most) = (Vec::<Running>::new(), 0);
+    let mut got: HashMap<String, usize> = HashMap::new();
+    let mut busy_until: HashMap<String, Vec<u64>> = HashMap::new();
+    for at in 0..10 * per_s {
+        let ms = at * 1_000 / per_s;
+        let now = Time(ms);
+        for done in running.extract_if(.., |running| running.until <= ms) {
+            vms[done.vm].end(&done.attempt, Outcome::Whole, now);
+            if let Some((vm, ticket)) = done.granted {
+                vms[vm].release(&done.attempt.endpoint.id, ticket, false, now);
+            }
+        }
+        let vm = at as usize * 7 % VMS;
+        let admitted = admit(&mut vms[vm], "pay", None, now);
+        let mut tried = Tried::default();
+        while let Ok(Choice::Endpoint {
+            endpoint, coordinator, ..
+        }) = vms[vm].choose(&admitted, &tried, now)
+        {
+            let mut granted = None;
+            if let Some(coordinator) = &coordinator {
+                let asked: usize = coordinator.vm.as_str()["vm-".len()..].parse().expect("a number");
+                match vms[asked].reserve(&coordinator.reservation, now) {
+                    Ok(place) => granted = Some((asked, place)),
+                    Err(wait) => {
+                        vms[vm].learn_wait(coordinator, wait, 0.0, now);
+                        tried.declined(&endpoint.id, wait.expected_ms);
+                        continue;
+                    }
+                }
+            }
+            let place = granted.as_ref().map(|(_, place)| place);
+            let attempt = vms[vm].begin(&admitted, &endpoint, place, now).expect("an attempt");
+            // The endpoint runs as many at a time as it has slots.
+            let slots = busy_until.entry(endpoint.id.to_string()).or_insert(vec![0; SLOTS]);
+            let slot = slots.iter_mut().min().expect("a slot");
+            *slot = ms.max(*slot) + SERVICE_MS;
+            *got.entry(endpoint.id.to_string()).or_default() += 1;
+            running.push(Running {
+                vm,
+                granted: granted.map(|(vm, place)| (vm, place.ticket)),
+                attempt,
+                until: *slot,
+            });
+            break;
+        }
+        for of in ["a-1", "a-2"].into_iter().filter(|_| ms > 5_000) {
+            let at = running
+                .iter()
+                .filter(|running| running.attempt.endpoint.id.as_str() == of);
+            most = most.max(at.count());
+        }
+    }
+    (most, got)
+}
+
+#[test]
+fn no_endpoint_is_full_while_there_is_room() {
+    let (most, got) = offer(170);
+    assert!(most < SLOTS + QUEUE / 2, "{most} at one endpoint");
+    let (least, most) = (got.values().min(), got.values().max());
+    assert!(
+        got.len() == 2 && most < least.map(|least| least * 3 / 2).as_ref(),
+        "{got:?}"
+    );
+}
+
+#[test]
+fn a_coordinator_counts_what_others_run_until_it_is_released_or_lost() {
+    let mut relay = relay_of("vm-0");
+    register(&mut relay, endpoint("a-1", "app", "north"), Time(0));
+    let id = "a-1".parse().expect("an id");
+    let ask = |relay: &mut Relay, limit_ms, now| {
+        let reservation = Reservation {
+            endpoint: "a-1".parse().expect("an id"),
+            service: service("app"),
+            prompt: sw_relay::Prompt::default(),
+            limit_ms,
+        };
+        relay.reserve(&reservation, now)
+    };
+    let places: Vec<_> = (0..2 * SLOTS)
+        .map(|_| ask(&mut relay, 10_000.0, Time(0)).expect("a place"))
+        .collect();
+    let idle_ms = places[0].wait.expected_ms;
+    assert!(places[2 * SLOTS - 1].wait.expected_ms > idle_ms * 1.9);
+    assert!(ask(&mut relay, idle_ms * 1.5, Time(0)).is_err());
+    for place in places {
+        relay.release(&id, place.ticket, false, Time(10));
+    }
+    let place = ask(&mut relay, idle_ms * 1.1, Time(10)).expect("room again");
+    assert!(place.wait.backlog_ms < 1.0);
+    let lost = Time(10) + Millis(3_000);
+    relay.tick(lost);
+    assert_eq!(relay.load(&id).expect("a load").all_running(lost), 0);
+}
--- /dev/null
+++ b/crates/sw-relay/tests/reading.rs
@@ -0,0 +1,97 @@
+//! Engines that are sent more than they can read and answer.
+//!
+//! The pattern: a region at its peak offers its engines prompts without a pause. An engine that reads all the time
+//! begins every answer soon and ends none of the long ones, so the coordinator leaves it time to answer.
+
+mod support;
+
+use support::{endpoint, prompt, register, relay_of, service};
+use sw_relay::{Relay, Reservation};
+use sw_unit::{EndpointId, Time};
+
+/// Most of the time that an engine may read for over some seconds.
+const MOST_READING: f64 = 0.87;
+/// Milliseconds within which a prompt must begin.
+const LIMIT_MS: f64 = 400.0;
+
+fn vm() -> Relay {
+    let mut relay = relay_of("vm-0");
+    register(&mut relay, endpoint("e-1", "engines", "north"), Time(0));
+    relay
+}
+
+fn engine() -> EndpointId {
+    "e-1".parse().expect("an id")
+}
+
+fn reservation(tokens: u64) -> Reservation {
+    Reservation {
+        endpoint: engine(),
+        service: service("engines"),
+        prompt: prompt(1, 0, tokens),
+        limit_ms: LIMIT_MS,
+    }
+}
+
+/// Milliseconds of reading that a coordinator grants in `span_ms` if a prompt that takes `read_ms` is offered each
+/// `period_ms`, and the engine reads one after the other.
+fn granted_ms(read_ms: u64, period_ms: u64, span_ms: u64) -> f64 {
+    const TOKENS_PER_MS: u64 = 40;
+    let mut relay = vm();
+    let (mut free_at, mut granted_ms) = (0, 0);
+    let mut reading = Vec::new();
+    for now in 0..span_ms {
+        reading.retain(|(ticket, done)| {
+            let is_done = *done <= now;
+            if is_done {
+                relay.release(&engine(), *ticket, false, Time(now));
+            }
+            !is_done
+        });
+        if now % period_ms != 0 {
+            continue;
+        }
+        if let Ok(granted) = relay.reserve(&reservation(read_ms * TOKENS_PER_MS), Time(now)) {
+            free_at = now.max(free_at) + read_ms;
+            granted_ms += read_ms;
+            reading.push((granted.ticket, free_at));
+        }
+    }
+    granted_ms as f64
+}
+
+#[test]
+fn an_engine_that_is_offered_more_reads_for_its_share_of_the_time() {
+    for (read_ms, period_ms) in [(100, 100), (100, 50), (40, 20), (150, 60)] {
+        let share = granted_ms(read_ms, period_ms, 10_000) / 10_000.0;
+        assert!(
+            (0.7..MOST_READING).contains(&share),
+            "{read_ms} each {period_ms}: {share}"
+        );
+    }
+}
+
+#[test]
+fn an_engine_that_is_offered_less_takes_all_of_it() {
+    let granted = granted_ms(70, 100, 10_000);
+    assert!((granted - 7_000.0).abs() < 1.0, "{granted}");
+}
+
+#[test]
+fn a_short_burst_is_read_at_once() {
+    let mut relay = vm();
+    let granted = (0..4).filter(|_| relay.reserve(&reservation(3_200), Time(0)).is_ok());
+    assert_eq!(granted.count(), 4, "80 ms each, within 400 ms");
+}
+
+#[test]
+fn prompts_that_were_not_read_leave_no_mark() {
+    let mut relay = vm();
+    for at in 0..100 {
+        let now = Time(at * 10);
+        let granted = relay.reserve(&reservation(8_000), now).expect("an idle engine");
+        relay.release(&engine(), granted.ticket, false, now);
+        let load = relay.load(&engine()).expect("a load");
+        assert!(load.own_backlog_ms(now) < 1.0);
+    }
+}
