--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -298,6 +298,19 @@
         }
     }
 
+    /// Milliseconds by which a request delays the next one at its endpoint.
+    fn work_ms(&self, admitted: &Admitted) -> f64 {
+        let whole_ms = self.whole_read_ms(admitted);
+        if admitted.prompt.is_some() {
+            return whole_ms;
+        }
+        let slots = self
+            .registry
+            .usable(&admitted.service)
+            .map(|endpoint| endpoint.entry.slots);
+        whole_ms / f64::from(slots.max().unwrap_or(1).max(1))
+    }
+
     fn peer_choice(
         &mut self,
         admitted: &Admitted,
@@ -308,9 +321,9 @@
     ) -> Option<Choice> {
         let row = self.forward_target(&remote.region, tried, now)?;
         let (vm, address) = (row.vm.clone(), row.peer_listen);
-        let read_ms = self.whole_read_ms(admitted);
+        let work_ms = self.work_ms(admitted);
         if let Some(view) = self.regions.get_mut(&remote.region) {
-            view.sent(&admitted.service, read_ms);
+            view.sent(&admitted.service, work_ms);
         }
         Some(Choice::Vm {
             region: remote.region,
--- a/crates/sw-relay/src/model.rs
+++ b/crates/sw-relay/src/model.rs
@@ -25,6 +25,8 @@
 pub struct EngineModel {
     read_rate: f64,
     service_ms: f64,
+    /// Plain requests that were observed.
+    answers: u32,
     events_per_token: f64,
 }
 
@@ -33,6 +35,7 @@
         Self {
             read_rate: DEFAULT_READ_RATE,
             service_ms: DEFAULT_SERVICE_MS,
+            answers: 0,
             events_per_token: DEFAULT_EVENTS_PER_TOKEN,
         }
     }
@@ -73,8 +76,12 @@
         self.read_rate += NEWEST * (seen - self.read_rate);
     }
 
-    /// Records that a plain request took `taken`.
+    /// Records that a plain request took `taken` at an endpoint without a queue.
+    ///
+    /// The first ones count for more, as nothing is known before.
     pub fn answered(&mut self, taken: Millis) {
-        self.service_ms += NEWEST * (taken.0 as f64 - self.service_ms);
+        self.answers = self.answers.saturating_add(1);
+        let weight = NEWEST.max(1.0 / f64::from(self.answers));
+        self.service_ms += weight * (taken.0 as f64 - self.service_ms);
     }
 }
