--- a/crates/shallotwing-daemon/tests/stop.rs
+++ b/crates/shallotwing-daemon/tests/stop.rs
@@ -65,10 +65,11 @@
     .await;
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn forwarded_requests_finish_too() {
+/// Stops the VM that serves a forwarded stream, with a link of `link_delay` each way between the VMs.
+async fn stop_during_a_forwarded_stream(link_delay: Option<Duration>) {
     let mut fleet = Fleet::start(DeploymentOptions {
         regions: 2,
+        link_delay,
         ..DeploymentOptions::default()
     })
     .await;
@@ -84,23 +85,13 @@
     assert!(fleet.processes[1].ended().await);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn forwarded_requests_finish_too() {
+    stop_during_a_forwarded_stream(None).await;
+}
+
 /// The pattern: the link between two VMs still holds the end of an answer when the VM that made it has nothing to do.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_end_of_a_forwarded_stream_arrives_over_a_slow_link() {
-    let mut fleet = Fleet::start(DeploymentOptions {
-        regions: 2,
-        link_delay: Some(Duration::from_millis(120)),
-        ..DeploymentOptions::default()
-    })
-    .await;
-    drop(fleet.deployment.engines.remove(0));
-    let sending = Sending::question("m-forwarded;", 120, true);
-    let (entry, to) = (sending.clone(), fleet.vm(0).listen);
-    let task = tokio::spawn(async move { entry.send(to).await });
-    eventually("running", async || fleet.runs_of("m-forwarded;") > 0).await;
-    let drained = call("POST", fleet.vm(1).operator_listen, "/drain").await;
-    assert_eq!(drained.status, 202);
-    let answer = task.await.unwrap().unwrap();
-    assert!(answer.whole && sending.is_right(&answer), "{answer:?}");
-    assert!(fleet.processes[1].ended().await);
+    stop_during_a_forwarded_stream(Some(Duration::from_millis(120))).await;
 }
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -9,11 +9,11 @@
 use std::cmp::Reverse;
 
 use sw_error::{Kind, Refusal};
-use sw_member::VmRow;
-use sw_unit::{EndpointId, Millis, RegionId, Time, Tokens};
+use sw_unit::{EndpointId, Millis, Time, Tokens};
 
 use crate::cache::shared_key;
 use crate::registry::Endpoint;
+use crate::spill::{Remote, spills};
 use crate::{Admitted, Choice, EndpointEntry, EngineModel, Load, Prompt, Relay, ServiceId, Tried};
 
 /// Surcharge for reading a shared part once more, in units of the time that it takes.
@@ -30,14 +30,8 @@
 const HOPELESS_SHARE: f64 = 0.4;
 /// Surcharge for ending later than that, in units of the time beyond it.
 const OVERRUN_SURCHARGE: f64 = 1.0;
-/// Share of the objective above which another region is considered.
-const SPILL_SHARE: f64 = 0.6;
-/// The same for a plain service, whose endpoints reject what exceeds a short queue.
-const PLAIN_SPILL_SHARE: f64 = 0.3;
 /// Largest surcharge that spreads requests over like endpoints, as a share of the time that one takes.
 const SPREAD_SHARE: f64 = 0.5;
-/// Advantage that another region must have, as a share of the objective.
-const SPILL_MARGIN: f64 = 0.1;
 /// Share of an endpoint's connections that the VMs plan to use.
 const CONNECTION_SHARE: f64 = 0.9;
 /// Time that each waiting request adds at an engine, in milliseconds.
@@ -58,21 +52,15 @@
 }
 
 /// The best endpoint of the own region.
-struct Local {
+pub(crate) struct Local {
     endpoint: EndpointEntry,
-    expected_ms: f64,
-    overrun_ms: f64,
+    pub(crate) expected_ms: f64,
+    pub(crate) overrun_ms: f64,
     /// By how much the next best one is worse.
     ahead_ms: f64,
     considered: usize,
 }
 
-struct Remote {
-    region: RegionId,
-    expected_ms: f64,
-    overrun_ms: f64,
-}
-
 impl Relay {
     /// Decides where a request goes next.
     ///
@@ -263,7 +251,7 @@
     }
 
     /// Milliseconds by which an answer is expected to end too late that begins after `expected_ms`.
-    fn overrun_ms(&self, admitted: &Admitted, expected_ms: f64, gap_ms: f64, now: Time) -> f64 {
+    pub(crate) fn overrun_ms(&self, admitted: &Admitted, expected_ms: f64, gap_ms: f64, now: Time) -> f64 {
         let Some(prompt) = &admitted.prompt else {
             return 0.0;
         };
@@ -272,86 +260,13 @@
         (ends_ms - admitted.left(now).0 as f64 * END_SHARE).max(0.0)
     }
 
-    fn best_remote(&self, admitted: &Admitted, tried: &Tried, now: Time) -> Option<Remote> {
-        let read_ms = self.whole_read_ms(admitted);
-        let regions = self.regions.iter();
-        let permitted = regions.filter(|(region, _)| admitted.route.permits(region) && !tried.is_full(region));
-        let reachable = permitted.filter(|(region, _)| self.peers_in(region, tried, now).next().is_some());
-        let expected = reachable.filter_map(|(region, view)| {
-            let wait_ms = view.wait_ms(&admitted.service, now)?;
-            let expected_ms = wait_ms + read_ms;
-            let gap_ms = view.gap_ms(&admitted.service).unwrap_or_default();
-            Some(Remote {
-                region: region.clone(),
-                expected_ms,
-                overrun_ms: self.overrun_ms(admitted, expected_ms, gap_ms, now),
-            })
-        });
-        let cost = |remote: &Remote| remote.expected_ms + remote.overrun_ms;
-        expected.min_by(|a, b| cost(a).total_cmp(&cost(b)))
-    }
-
-    fn whole_read_ms(&self, admitted: &Admitted) -> f64 {
+    pub(crate) fn whole_read_ms(&self, admitted: &Admitted) -> f64 {
         match &admitted.prompt {
             Some(prompt) => self.read_ms(&admitted.service, prompt.input),
             None => self.service_ms(&admitted.service),
         }
     }
 
-    /// Milliseconds by which a request delays the next one at its endpoint.
-    fn work_ms(&self, admitted: &Admitted) -> f64 {
-        let whole_ms = self.whole_read_ms(admitted);
-        if admitted.prompt.is_some() {
-            return whole_ms;
-        }
-        let slots = self
-            .registry
-            .usable(&admitted.service)
-            .map(|endpoint| endpoint.entry.slots);
-        whole_ms / f64::from(slots.max().unwrap_or(1).max(1))
-    }
-
-    fn peer_choice(
-        &mut self,
-        admitted: &Admitted,
-        remote: Remote,
-        local_ms: Option<f64>,
-        tried: &Tried,
-        now: Time,
-    ) -> Option<Choice> {
-        let row = self.forward_target(&remote.region, tried, now)?;
-        let (vm, address) = (row.vm.clone(), row.peer_listen);
-        let work_ms = self.work_ms(admitted);
-        if let Some(view) = self.regions.get_mut(&remote.region) {
-            view.sent(&admitted.service, work_ms);
-        }
-        Some(Choice::Vm {
-            region: remote.region,
-            vm,
-            address,
-            expected_ms: remote.expected_ms,
-            local_ms,
-        })
-    }
-
-    /// The VM of a region that this one forwards to.
-    ///
-    /// It is the same one each time, so that the connection stays in use: making one takes another round trip between
-    /// the regions. The VMs of this region are spread over those of the other.
-    fn forward_target<'a>(&'a self, region: &'a RegionId, tried: &'a Tried, now: Time) -> Option<&'a VmRow> {
-        let mut targets: Vec<_> = self.peers_in(region, tried, now).collect();
-        targets.sort_by(|a, b| a.vm.cmp(&b.vm));
-        let own = self.members.own();
-        let others = self.members.others();
-        let senders = others.filter(|row| row.region == own.region && self.is_live(&row.vm, now));
-        let (mut count, mut place) = (1, 0);
-        for row in senders {
-            count += 1;
-            place += usize::from(row.vm < own.vm);
-        }
-        targets.get(place * targets.len() / count).copied()
-    }
-
     /// Whether this VM's share of an endpoint's connections and of a cold endpoint's rate has room.
     fn is_open(&self, endpoint: &EndpointEntry, service: &ServiceId, now: Time) -> bool {
         let running = self.loads.get(&endpoint.id).map_or(0, |load| load.running);
@@ -382,23 +297,6 @@
     }
 }
 
-/// Whether a request goes to another region.
-fn spills(admitted: &Admitted, local: &Local, remote: &Remote, now: Time) -> bool {
-    let objective = admitted.route.objective.0 as f64;
-    let elapsed = now.since(admitted.received).0 as f64;
-    let share = if admitted.prompt.is_some() {
-        SPILL_SHARE
-    } else {
-        PLAIN_SPILL_SHARE
-    };
-    let busy = local.expected_ms + elapsed > objective * share || local.overrun_ms > 0.0;
-    let (here, there) = (
-        local.expected_ms + local.overrun_ms,
-        remote.expected_ms + remote.overrun_ms,
-    );
-    busy && there + objective * SPILL_MARGIN < here
-}
-
 /// Milliseconds within which a request must be expected to begin, so that it is worth sending.
 ///
 /// A stream that begins later than its objective makes those behind it late too, and its caller may leave before.
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -26,6 +26,7 @@
 mod registry;
 mod relay;
 mod share;
+mod spill;
 mod table;
 mod types;
 mod watcher;
--- /dev/null
+++ b/crates/sw-relay/src/spill.rs
@@ -0,0 +1,117 @@
+//! The choice of another region.
+//!
+//! Another region is asked when the own one is expected to be late and the other one is not.
+
+use sw_member::VmRow;
+use sw_unit::{RegionId, Time};
+
+use crate::choose::Local;
+use crate::{Admitted, Choice, Relay, Tried};
+
+/// Share of the objective above which another region is considered.
+const SPILL_SHARE: f64 = 0.6;
+/// The same for a plain service, whose endpoints reject what exceeds a short queue.
+const PLAIN_SPILL_SHARE: f64 = 0.3;
+/// Advantage that another region must have, as a share of the objective.
+const SPILL_MARGIN: f64 = 0.1;
+
+/// What another region is expected to do.
+pub(crate) struct Remote {
+    region: RegionId,
+    pub(crate) expected_ms: f64,
+    pub(crate) overrun_ms: f64,
+}
+
+impl Relay {
+    /// The region in which a request is expected to end soonest; `None` if it may go to none.
+    pub(crate) fn best_remote(&self, admitted: &Admitted, tried: &Tried, now: Time) -> Option<Remote> {
+        let read_ms = self.whole_read_ms(admitted);
+        let regions = self.regions.iter();
+        let permitted = regions.filter(|(region, _)| admitted.route.permits(region) && !tried.is_full(region));
+        let reachable = permitted.filter(|(region, _)| self.peers_in(region, tried, now).next().is_some());
+        let expected = reachable.filter_map(|(region, view)| {
+            let wait_ms = view.wait_ms(&admitted.service, now)?;
+            let expected_ms = wait_ms + read_ms;
+            let gap_ms = view.gap_ms(&admitted.service).unwrap_or_default();
+            Some(Remote {
+                region: region.clone(),
+                expected_ms,
+                overrun_ms: self.overrun_ms(admitted, expected_ms, gap_ms, now),
+            })
+        });
+        let cost = |remote: &Remote| remote.expected_ms + remote.overrun_ms;
+        expected.min_by(|a, b| cost(a).total_cmp(&cost(b)))
+    }
+
+    /// Milliseconds by which a request delays the next one at its endpoint.
+    fn work_ms(&self, admitted: &Admitted) -> f64 {
+        let whole_ms = self.whole_read_ms(admitted);
+        if admitted.prompt.is_some() {
+            return whole_ms;
+        }
+        let slots = self
+            .registry
+            .usable(&admitted.service)
+            .map(|endpoint| endpoint.entry.slots);
+        whole_ms / f64::from(slots.max().unwrap_or(1).max(1))
+    }
+
+    /// Sends a request to a VM of another region; `None` if none is left that did not refuse it.
+    pub(crate) fn peer_choice(
+        &mut self,
+        admitted: &Admitted,
+        remote: Remote,
+        local_ms: Option<f64>,
+        tried: &Tried,
+        now: Time,
+    ) -> Option<Choice> {
+        let row = self.forward_target(&remote.region, tried, now)?;
+        let (vm, address) = (row.vm.clone(), row.peer_listen);
+        let work_ms = self.work_ms(admitted);
+        if let Some(view) = self.regions.get_mut(&remote.region) {
+            view.sent(&admitted.service, work_ms);
+        }
+        Some(Choice::Vm {
+            region: remote.region,
+            vm,
+            address,
+            expected_ms: remote.expected_ms,
+            local_ms,
+        })
+    }
+
+    /// The VM of a region that this one forwards to.
+    ///
+    /// It is the same one each time, so that the connection stays in use: making one takes another round trip between
+    /// the regions. The VMs of this region are spread over those of the other.
+    fn forward_target<'a>(&'a self, region: &'a RegionId, tried: &'a Tried, now: Time) -> Option<&'a VmRow> {
+        let mut targets: Vec<_> = self.peers_in(region, tried, now).collect();
+        targets.sort_by(|a, b| a.vm.cmp(&b.vm));
+        let own = self.members.own();
+        let others = self.members.others();
+        let senders = others.filter(|row| row.region == own.region && self.is_live(&row.vm, now));
+        let (mut count, mut place) = (1, 0);
+        for row in senders {
+            count += 1;
+            place += usize::from(row.vm < own.vm);
+        }
+        targets.get(place * targets.len() / count).copied()
+    }
+}
+
+/// Whether a request goes to another region.
+pub(crate) fn spills(admitted: &Admitted, local: &Local, remote: &Remote, now: Time) -> bool {
+    let objective = admitted.route.objective.0 as f64;
+    let elapsed = now.since(admitted.received).0 as f64;
+    let share = if admitted.prompt.is_some() {
+        SPILL_SHARE
+    } else {
+        PLAIN_SPILL_SHARE
+    };
+    let busy = local.expected_ms + elapsed > objective * share || local.overrun_ms > 0.0;
+    let (here, there) = (
+        local.expected_ms + local.overrun_ms,
+        remote.expected_ms + remote.overrun_ms,
+    );
+    busy && there + objective * SPILL_MARGIN < here
+}
