perf(relay): short queues before plain services

Cause, from a trial: endpoints rejected when their queue stood for 130 to 310 ms, while coordinators granted places up to the caller's deadline. Change: no place is granted for an answer that takes longer than 2.5 times one without a queue; the request goes to another region, or is refused at once.

--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -148,7 +148,9 @@
         }
         let own = self.own_endpoints(&admitted.service);
         let open = own.filter(|endpoint| self.is_open(&endpoint.entry, &admitted.service, now));
-        let open: Vec<_> = open.collect();
+        let open: Vec<_> = open
+            .filter(|endpoint| !self.has_long_queue(admitted, &endpoint.entry, tried, now))
+            .collect();
         let fresh = |endpoint: &&&Endpoint| !tried.has_endpoint(&endpoint.entry.id);
         let well = |endpoint: &&&Endpoint| !self.is_paused(&endpoint.entry, now);
         let mut candidates: Vec<_> = open.iter().filter(fresh).filter(well).copied().collect();
--- a/crates/sw-relay/src/coordinate.rs
+++ b/crates/sw-relay/src/coordinate.rs
@@ -23,6 +23,9 @@
 const SOON_SHARE: f64 = 0.3;
 /// The same for a plain service, in times that an answer takes.
 const SOON_ANSWERS: f64 = 2.0;
+/// The longest answer for which a place at a plain service is granted, in times that one takes without a queue; a
+/// longer queue makes no endpoint faster, and endpoints reject what exceeds theirs.
+const MAX_QUEUE_ANSWERS: f64 = 2.5;
 /// Declines after which any engine will do that begins within the objective.
 const MAX_CHOOSY_DECLINES: u32 = 2;
 /// Declines after which a region is taken to be full.
@@ -149,7 +152,7 @@
             expected_ms: pause_ms + answer_ms,
             backlog_ms: pause_ms + answer_ms - service_ms,
         };
-        if wait.expected_ms > reservation.limit_ms {
+        if wait.expected_ms > reservation.limit_ms.min(service_ms * MAX_QUEUE_ANSWERS) {
             return Err(wait);
         }
         let ticket = load.reserve_place(lost_at(wait, now));
@@ -238,6 +241,24 @@
         limit_ms.min(better_elsewhere.max(soon))
     }
 
+    /// Whether an endpoint of a plain service has a queue that is long enough, as far as this VM is sure: it keeps the
+    /// account itself, or was told so for this request.
+    pub(crate) fn has_long_queue(
+        &self,
+        admitted: &Admitted,
+        endpoint: &EndpointEntry,
+        tried: &Tried,
+        now: Time,
+    ) -> bool {
+        if admitted.prompt.is_some() {
+            return false;
+        }
+        let is_own = self.coordinators.get(&endpoint.id) == Some(&self.options.own.vm);
+        let limit_ms = self.service_ms(&admitted.service) * MAX_QUEUE_ANSWERS;
+        tried.declined_at(&endpoint.id).is_some()
+            || is_own && self.answer_ms(&admitted.service, endpoint, now) > limit_ms
+    }
+
     /// Under which name heartbeats tell what a VM has waiting.
     fn sender(&self, row: &VmRow) -> Sender {
         if row.domain == self.options.own.domain {
