fix(relay): endpoints whose answers take a millisecond are not taken for busy

Cause: an_outage_of_the_store_is_outlived_with_all_servers failed 2 times in 5 with a refusal of an idle endpoint: 2.5 times a millisecond is less than the rounding of what coordinators tell and the time until a place is released. Change: answers within 50 ms are granted in any case. Test: an_endpoint_with_short_answers_is_not_taken_for_busy.

--- a/crates/sw-relay/src/coordinate.rs
+++ b/crates/sw-relay/src/coordinate.rs
@@ -26,6 +26,8 @@
 /// The longest answer for which a place at a plain service is granted, in times that one takes without a queue; a
 /// longer queue makes no endpoint faster, and endpoints reject what exceeds theirs.
 const MAX_QUEUE_ANSWERS: f64 = 2.5;
+/// An answer within this many milliseconds is granted in any case; places are not released that exactly.
+const SHORT_ANSWER_MS: f64 = 50.0;
 /// Declines after which any engine will do that begins within the objective.
 const MAX_CHOOSY_DECLINES: u32 = 2;
 /// Declines after which a region is taken to be full.
@@ -90,6 +92,11 @@
     }
 }
 
+/// The longest answer for which a place is granted at a plain service that takes `service_ms` without a queue.
+fn longest_answer_ms(service_ms: f64) -> f64 {
+    (service_ms * MAX_QUEUE_ANSWERS).max(SHORT_ANSWER_MS)
+}
+
 /// When a place is dropped that is not released.
 fn lost_at(wait: Wait, now: Time) -> Time {
     now + LOST_AFTER + Millis((wait.expected_ms * LOST_AFTER_EXPECTED) as u64)
@@ -152,7 +159,7 @@
             expected_ms: pause_ms + answer_ms,
             backlog_ms: pause_ms + answer_ms - service_ms,
         };
-        if wait.expected_ms > reservation.limit_ms.min(service_ms * MAX_QUEUE_ANSWERS) {
+        if wait.expected_ms > reservation.limit_ms.min(longest_answer_ms(service_ms)) {
             return Err(wait);
         }
         let ticket = load.reserve_place(lost_at(wait, now));
@@ -254,7 +261,7 @@
             return false;
         }
         let is_own = self.coordinators.get(&endpoint.id) == Some(&self.options.own.vm);
-        let limit_ms = self.service_ms(&admitted.service) * MAX_QUEUE_ANSWERS;
+        let limit_ms = longest_answer_ms(self.service_ms(&admitted.service));
         tried.declined_at(&endpoint.id).is_some()
             || is_own && self.answer_ms(&admitted.service, endpoint, now) > limit_ms
     }
--- a/crates/sw-relay/tests/plain.rs
+++ b/crates/sw-relay/tests/plain.rs
@@ -153,3 +153,31 @@
     relay.tick(lost);
     assert_eq!(relay.load(&id).expect("a load").all_running(lost), 0);
 }
+
+/// The pattern: answers come within a millisecond, and the places of those before are released a little later.
+#[test]
+fn an_endpoint_with_short_answers_is_not_taken_for_busy() {
+    let mut relay = relay_of("vm-0");
+    register(&mut relay, endpoint("a-1", "app", "north"), Time(0));
+    for at in 0..200 {
+        let admitted = admit(&mut relay, "pay", None, Time(at));
+        let choice = relay
+            .choose(&admitted, &Tried::default(), Time(at))
+            .expect("an idle endpoint");
+        let Choice::Endpoint { endpoint, .. } = choice else {
+            panic!("{choice:?}");
+        };
+        let attempt = relay.begin(&admitted, &endpoint, None, Time(at)).expect("an attempt");
+        relay.end(&attempt, Outcome::Whole, Time(at + 1));
+        let place = Reservation {
+            endpoint: endpoint.id.clone(),
+            service: service("app"),
+            prompt: sw_relay::Prompt::default(),
+            limit_ms: 10_000.0,
+        };
+        let place = relay.reserve(&place, Time(at)).expect("a place");
+        if at % 8 == 0 {
+            relay.release(&endpoint.id, place.ticket, false, Time(at));
+        }
+    }
+}
