fix(relay): a coordinator trusts its own account of a plain endpoint

An endpoint that once reported a full queue was taken for full for 2.5 s by its coordinator, too, which kept everyone away, so that no newer report came; and what neighbours told later was counted beside places. Change: the coordinator counts its own requests and the places that it granted; reports of a queue count for half a second elsewhere.

--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -231,12 +231,18 @@
 
     /// Milliseconds until the answer of a plain service.
     pub(crate) fn answer_ms(&self, service: &ServiceId, endpoint: &EndpointEntry, now: Time) -> f64 {
-        let load = self.loads.get(&endpoint.id);
-        let running = load.map_or(0, |load| load.all_running(now));
-        let ahead = f64::from(running + 1) / f64::from(endpoint.slots.max(1));
         let service_ms = self.service_ms(service);
-        let told_ms = load.map_or(0.0, |load| load.backlog_ms(now));
-        (service_ms * ahead.max(1.0)).max(service_ms + told_ms)
+        let Some(load) = self.loads.get(&endpoint.id) else {
+            return service_ms;
+        };
+        let queued_ms = |running: u32| {
+            let ahead = f64::from(running + 1) / f64::from(endpoint.slots.max(1));
+            service_ms * ahead.max(1.0)
+        };
+        if self.coordinates(&endpoint.id) {
+            return queued_ms(load.accounted());
+        }
+        queued_ms(load.all_running(now)).max(service_ms + load.backlog_ms(now))
     }
 
     /// Milliseconds that a request to a plain service takes without a queue.
--- a/crates/sw-relay/src/coordinate.rs
+++ b/crates/sw-relay/src/coordinate.rs
@@ -260,12 +260,17 @@
         if admitted.prompt.is_some() {
             return false;
         }
-        let is_own = self.coordinators.get(&endpoint.id) == Some(&self.options.own.vm);
+        let is_own = self.coordinates(&endpoint.id);
         let limit_ms = longest_answer_ms(self.service_ms(&admitted.service));
         tried.declined_at(&endpoint.id).is_some()
             || is_own && self.answer_ms(&admitted.service, endpoint, now) > limit_ms
     }
 
+    /// Whether this VM is the coordinator of an endpoint.
+    pub(crate) fn coordinates(&self, endpoint: &EndpointId) -> bool {
+        self.coordinators.get(endpoint) == Some(&self.options.own.vm)
+    }
+
     /// Under which name heartbeats tell what a VM has waiting.
     fn sender(&self, row: &VmRow) -> Sender {
         if row.domain == self.options.own.domain {
--- a/crates/sw-relay/src/load.rs
+++ b/crates/sw-relay/src/load.rs
@@ -26,6 +26,8 @@
 const REPORT_MEMORY: Millis = Millis(2_500);
 /// A prompt that is done within this share of the time that reading it takes was not read.
 const UNREAD_SHARE: f64 = 0.5;
+/// What a plain service reported of its queue longer ago than this is over.
+const QUEUE_MEMORY: Millis = Millis(500);
 /// Failures in a row after which an endpoint is paused.
 const FAILURES_TO_PAUSE: u32 = 3;
 /// First pause; each further failure doubles it.
@@ -114,11 +116,15 @@
     /// Requests that run there, of all VMs.
     pub fn all_running(&self, now: Time) -> u32 {
         let peers: u32 = self.fresh_peers(now).map(|(load, _)| load.running).sum();
+        let known = self.running + peers;
+        let report = self.report.filter(|(_, at)| now.since(*at) < QUEUE_MEMORY);
+        report.map_or(known, |(report, _)| known.max(report.running + report.waiting))
+    }
+
+    /// Requests that run there, as the VM knows that grants the places: its own, and those that it granted.
+    pub(crate) fn accounted(&self) -> u32 {
         let places = u32::try_from(self.places.len()).unwrap_or(u32::MAX);
-        // Other VMs tell of the requests for which they have a place, too, but later.
-        let known = self.running + peers.max(places);
-        self.fresh_report(now)
-            .map_or(known, |report| known.max(report.running + report.waiting))
+        self.running + places
     }
 
     /// Requests that wait there.
