fix(proxy): only an outage counts as a return of the store; events are found however they are cut

Cause, by reading the diff: a watcher that had just started told its followers that the store had returned, so they kept endpoints whose registrations went for up to 2.3 s; and a stream that may not be resumed, whose chunks end within the mark of an event's end, was taken for one endless event after 256 KiB. Test: sw-proxy/tests/sse.rs (a_long_stream_of_short_events… fails before).

--- a/crates/sw-proxy/src/core.rs
+++ b/crates/sw-proxy/src/core.rs
@@ -72,6 +72,8 @@
     pub(crate) changed: Notify,
     /// When the store itself last answered this VM.
     pub(crate) store_answered: Cell<Option<Time>>,
+    /// When the store answered again after its last outage; `None` if there was none.
+    pub(crate) store_regained: Cell<Option<Time>>,
     /// When the store was lost; `None` while it answers.
     pub(crate) store_lost: Cell<Option<Time>>,
     /// When the process started, or the store answered again after an outage.
@@ -97,6 +99,7 @@
             copying: Cell::new(false),
             changed: Notify::new(),
             store_answered: Cell::new(None),
+            store_regained: Cell::new(None),
             store_lost: Cell::new(None),
             store_returned: Cell::new(clock.now()),
         }
--- a/crates/sw-proxy/src/sse.rs
+++ b/crates/sw-proxy/src/sse.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 
 const EVENT_END: &[u8] = b"\n\n";
+const LINE_END: &[u8] = b"\n";
 const ID_FIELD: &[u8] = b"id:";
 /// Longest event, in bytes; what is longer is no event.
 const MAX_EVENT: usize = 256 << 10;
@@ -28,6 +29,8 @@
     last_id: Option<String>,
     /// Bytes since the end of the last event, of a stream that is only measured.
     open_len: usize,
+    /// Whether such a stream is at the end of a line.
+    line_ended: bool,
 }
 
 impl EventSplitter {
@@ -63,8 +66,10 @@
     pub fn measure(&mut self, chunk: &Bytes) -> Result<(), EndlessEvent> {
         self.open_len = match rfind(chunk, EVENT_END) {
             Some(at) => chunk.len() - at - EVENT_END.len(),
+            None if self.line_ended && chunk.starts_with(LINE_END) => chunk.len() - LINE_END.len(),
             None => self.open_len + chunk.len(),
         };
+        self.line_ended = chunk.ends_with(LINE_END);
         if self.open_len > MAX_EVENT {
             Err(EndlessEvent)
         } else {
--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -136,11 +136,11 @@
 }
 
 fn changes_since<D, F>(core: &Core<D, F>, after: u64) -> Watched {
-    let returned = core.now().since(core.store_returned.get());
+    let returned = core.store_regained.get().map(|at| core.now().since(at));
     let changes = core.mirror.borrow().since(after);
     changes.map_or(Watched::HistoryGone, |changes| Watched::Changes {
         changes,
-        returned: (returned < TOLD_RETURN).then_some(returned),
+        returned: returned.filter(|age| *age < TOLD_RETURN),
     })
 }
 
@@ -225,6 +225,7 @@
         let now = core.now();
         let away_ms = now.since(since).0;
         core.store_returned.set(now);
+        core.store_regained.set(Some(now));
         core.relay.borrow_mut().store_returned(now);
         info!("store_regained", kv: { away_ms });
     }
--- /dev/null
+++ b/crates/sw-proxy/tests/sse.rs
@@ -0,0 +1,47 @@
+//! Cutting streams into events.
+
+use bytes::Bytes;
+use sw_proxy::{EndlessEvent, EventSplitter};
+
+/// Longer than any event.
+const ENDLESS: usize = 300 << 10;
+
+/// The chunks of `text`, of `len` bytes each.
+fn chunks(text: &str, len: usize) -> impl Iterator<Item = Bytes> + '_ {
+    text.as_bytes().chunks(len).map(Bytes::copy_from_slice)
+}
+
+#[test]
+fn whole_events_are_passed_on_however_they_are_cut() {
+    let text: String = (1..=40).map(|id| format!("id: {id}\ndata: {id}\n\n")).collect();
+    for len in [1, 2, 3, 7, 1_000] {
+        let mut splitter = EventSplitter::default();
+        let passed: Vec<u8> = chunks(&text, len)
+            .flat_map(|chunk| splitter.feed(&chunk).expect("events"))
+            .collect();
+        assert_eq!(passed, text.as_bytes(), "cut by {len}");
+        assert_eq!(splitter.last_id(), Some("40"));
+        assert!(!splitter.has_partial());
+    }
+}
+
+#[test]
+fn a_long_stream_of_short_events_is_sound_however_it_is_cut() {
+    let text = "data: 12\n\n".repeat(ENDLESS / 10);
+    for len in [1, 2, 3, 7, 1_000] {
+        let mut splitter = EventSplitter::default();
+        let measured = chunks(&text, len).try_for_each(|chunk| splitter.measure(&chunk));
+        assert_eq!(measured, Ok(()), "cut by {len}");
+    }
+}
+
+#[test]
+fn an_event_without_end_is_none() {
+    let text = "x\n".repeat(ENDLESS / 2);
+    let mut splitter = EventSplitter::default();
+    let fed = chunks(&text, 1_000).try_for_each(|chunk| splitter.feed(&chunk).map(|_events| ()));
+    assert_eq!(fed, Err(EndlessEvent));
+    let mut splitter = EventSplitter::default();
+    let measured = chunks(&text, 1_000).try_for_each(|chunk| splitter.measure(&chunk));
+    assert_eq!(measured, Err(EndlessEvent));
+}
