perf(relay): urgent requests may use the time that is left for answers

Change: the coordinator holds only less urgent requests to the share; what reads more counts against them. Test: an_urgent_prompt_may_use_the_time_that_is_left_for_answers.

--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -86,6 +86,7 @@
   output @3 :UInt64;
   parts @4 :List(Part);
   limitMs @5 :UInt32;
+  urgent @6 :Bool;
 }
 
 struct Wait {
--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -172,6 +172,7 @@
     to.set_input(prompt.input.0);
     to.set_output(prompt.output().0);
     to.set_limit_ms(reservation.limit_ms as u32);
+    to.set_urgent(reservation.urgent);
     let mut parts = to.init_parts(len(&prompt.parts));
     for (i, part) in (0..).zip(&prompt.parts) {
         let mut to = parts.reborrow().get(i);
@@ -195,6 +196,7 @@
             parts: parts.collect(),
         },
         limit_ms: f64::from(from.get_limit_ms()),
+        urgent: from.get_urgent(),
     })
 }
 
--- a/crates/sw-peer/src/relay_capnp.rs
+++ b/crates/sw-peer/src/relay_capnp.rs
@@ -3273,6 +3273,10 @@
         pub fn get_limit_ms(self) -> u32 {
             self.reader.get_data_field::<u32>(4)
         }
+        #[inline]
+        pub fn get_urgent(self) -> bool {
+            self.reader.get_bool_field(160)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -3399,6 +3403,14 @@
         pub fn set_limit_ms(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(4, value);
         }
+        #[inline]
+        pub fn get_urgent(self) -> bool {
+            self.builder.get_bool_field(160)
+        }
+        #[inline]
+        pub fn set_urgent(&mut self, value: bool)  {
+            self.builder.set_bool_field(160, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3410,7 +3422,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 112] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 127] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(118, 33, 231, 62, 158, 27, 47, 184),
             ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
@@ -3420,56 +3432,63 @@
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 82, 101, 115, 101),
             ::capnp::word(114, 118, 97, 116, 105, 111, 110, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 160, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -3523,6 +3542,14 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 114, 103, 101, 110, 116, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3532,6 +3559,7 @@
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::struct_list::Owned<crate::relay_capnp::part::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3545,9 +3573,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,5,3,4,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,5,3,4,1,6];
         pub(crate) const TYPE_ID: u64 = 0xb82f_1b9e_3ee7_2176;
     }
 }
--- a/crates/sw-proxy/tests/sse.rs
+++ b/crates/sw-proxy/tests/sse.rs
@@ -13,7 +13,8 @@
 
 #[test]
 fn whole_events_are_passed_on_however_they_are_cut() {
-    let text: String = (1..=40).map(|id| format!("id: {id}\ndata: {id}\n\n")).collect();
+    let events: Vec<_> = (1..=40).map(|id| format!("id: {id}\ndata: {id}\n\n")).collect();
+    let text = events.concat();
     for len in [1, 2, 3, 7, 1_000] {
         let mut splitter = EventSplitter::default();
         let passed: Vec<u8> = chunks(&text, len)
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -40,6 +40,9 @@
 const MIN_RETRY_AFTER: Millis = Millis(100);
 /// Share of the caller's time within which it may be asked to come back.
 const RETRY_AFTER_SHARE: u64 = 3;
+/// Times the limit up to which an urgent request is offered to a coordinator: what other VMs know of an engine includes
+/// the time that is left for answers.
+const URGENT_LEEWAY: f64 = 1.5;
 /// Part of the objective up to which the time to read the own prompt counts when a request is admitted; the rest of a
 /// long prompt does not count against it.
 const OWN_READ_SHARE: f64 = 0.6;
@@ -94,7 +97,13 @@
         } else {
             admission_limit(admitted, self.whole_read_ms(admitted), now)
         };
-        if expected_ms > limit_ms {
+        let is_asked = |local: &Local| self.coordinator_row(&local.endpoint.id, now).is_some();
+        let leeway = if is_spared(admitted) && local.as_ref().is_some_and(is_asked) {
+            URGENT_LEEWAY
+        } else {
+            1.0
+        };
+        if expected_ms > limit_ms * leeway {
             let after = self.come_back(admitted, expected_ms, now);
             return Err(Refusal::after(Kind::DeadlineUnreachable, after));
         }
@@ -196,7 +205,7 @@
         let id = &endpoint.entry.id;
         let unread = admitted.prompt.as_ref().map(|prompt| self.unread(id, prompt));
         let expected_ms = match unread {
-            Some(unread) => self.prompt_ms(&admitted.service, id, unread, now),
+            Some(unread) => self.prompt_ms(&admitted.service, id, unread, now) - self.spared_ms(admitted, id, now),
             None => self.answer_ms(&admitted.service, &endpoint.entry, now) + self.spread_ms(admitted, id),
         };
         let declined_ms = tried.declined_at(id).unwrap_or_default();
@@ -223,6 +232,14 @@
         }
     }
 
+    /// By how much less a request has to wait at an engine whose account this VM keeps.
+    fn spared_ms(&self, admitted: &Admitted, endpoint: &EndpointId, now: Time) -> f64 {
+        if !is_spared(admitted) || !self.coordinates(endpoint) {
+            return 0.0;
+        }
+        self.loads.get(endpoint).map_or(0.0, |load| load.spared_ms(now))
+    }
+
     /// A surcharge that spreads the requests of all VMs over endpoints of a plain service that are alike.
     fn spread_ms(&self, admitted: &Admitted, endpoint: &EndpointId) -> f64 {
         let drawn = sw_member::score(&*admitted.id, endpoint.as_str()) as f64 / u64::MAX as f64;
@@ -305,6 +322,11 @@
     }
 }
 
+/// Whether a request need not leave the engine time to answer others.
+fn is_spared(admitted: &Admitted) -> bool {
+    admitted.is_urgent() && admitted.prompt.is_some()
+}
+
 /// Milliseconds within which a request must be expected to begin, so that it is worth sending.
 ///
 /// A stream that begins later than its objective makes those behind it late too, and its caller may leave before.
--- a/crates/sw-relay/src/coordinate.rs
+++ b/crates/sw-relay/src/coordinate.rs
@@ -52,6 +52,8 @@
     pub prompt: Prompt,
     /// Milliseconds to the first event beyond which the coordinator declines.
     pub limit_ms: f64,
+    /// Whether the request is of the most urgent kind, which may use the time that is left for answers.
+    pub urgent: bool,
 }
 
 /// The VM to ask for a place in an engine's queue.
@@ -117,6 +119,7 @@
             service,
             prompt,
             limit_ms,
+            urgent,
         } = reservation;
         let known = self.registry.get(endpoint);
         if !known.is_some_and(|known| self.registry.may_send(&known.entry, now)) {
@@ -132,10 +135,12 @@
         let read_ms = self.read_ms(service, unread);
         let expected_ms = self.prompt_ms(service, endpoint, unread, now);
         let load = self.loads.entry(endpoint.clone()).or_default();
-        let pause_ms = load.pause_left_ms(now);
+        let backlog_ms = load.backlog_ms(now);
+        let spared_ms = if *urgent { load.spared_ms(now) } else { 0.0 };
+        let ahead_ms = load.pause_left_ms(now) - spared_ms;
         let wait = Wait {
-            expected_ms: pause_ms + expected_ms,
-            backlog_ms: pause_ms + load.backlog_ms(now),
+            expected_ms: ahead_ms + expected_ms,
+            backlog_ms: ahead_ms + backlog_ms,
         };
         if wait.expected_ms > *limit_ms {
             return Err(wait);
@@ -208,24 +213,28 @@
         limit_ms: f64,
         now: Time,
     ) -> Option<Coordinator> {
-        let vm = self.coordinators.get(&endpoint.id)?;
-        if !self.is_live(vm, now) || *vm == self.options.own.vm || self.silent.get(vm).is_some_and(|until| *until > now)
-        {
-            return None;
-        }
-        let row = self.members.row(vm)?;
+        let row = self.coordinator_row(&endpoint.id, now)?;
         Some(Coordinator {
-            vm: vm.clone(),
+            vm: row.vm.clone(),
             address: row.peer_listen,
             reservation: Reservation {
                 endpoint: endpoint.id.clone(),
                 service: admitted.service.clone(),
                 prompt: admitted.prompt.clone().unwrap_or_default(),
                 limit_ms,
+                urgent: admitted.is_urgent(),
             },
         })
     }
 
+    /// Another VM that coordinates an endpoint and answers.
+    pub(crate) fn coordinator_row(&self, endpoint: &EndpointId, now: Time) -> Option<&VmRow> {
+        let vm = self.coordinators.get(endpoint)?;
+        let is_silent = self.silent.get(vm).is_some_and(|until| *until > now);
+        let is_asked = *vm != self.options.own.vm && self.is_live(vm, now) && !is_silent;
+        if is_asked { self.members.row(vm) } else { None }
+    }
+
     /// Milliseconds to the first event beyond which the coordinator of the best engine shall decline, if the next best
     /// one is `ahead_ms` behind it and the request must begin within `limit_ms`.
     pub(crate) fn decline_above(
--- a/crates/sw-relay/src/load.rs
+++ b/crates/sw-relay/src/load.rs
@@ -88,11 +88,19 @@
 impl Load {
     /// Milliseconds of reading that are ahead of a new prompt.
     pub fn backlog_ms(&self, now: Time) -> f64 {
-        let peers: f64 = self
-            .fresh_peers(now)
+        self.own_backlog_ms(now) + self.peers_backlog_ms(now)
+    }
+
+    /// By how much less a prompt has to wait that need not leave the engine time to answer others.
+    pub(crate) fn spared_ms(&self, now: Time) -> f64 {
+        self.own_backlog_ms(now) - self.unread_ms(now)
+    }
+
+    fn peers_backlog_ms(&self, now: Time) -> f64 {
+        let peers = self.fresh_peers(now);
+        peers
             .map(|(load, age)| (load.backlog_ms - age * PEER_DRAIN).max(0.0))
-            .sum();
-        self.own_backlog_ms(now) + peers
+            .sum()
     }
 
     /// Milliseconds of reading that this VM sent or granted and that are not done.
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -91,6 +91,11 @@
 }
 
 impl Admitted {
+    /// Whether the request is of the most urgent kind.
+    pub(crate) fn is_urgent(&self) -> bool {
+        self.route.priority == 0
+    }
+
     /// Time until the final answer is due.
     pub fn left(&self, now: Time) -> Millis {
         self.due.since(now)
--- a/crates/sw-relay/tests/coordination.rs
+++ b/crates/sw-relay/tests/coordination.rs
@@ -53,6 +53,7 @@
         service: support::service("engines"),
         prompt: prompt(1, 0, own),
         limit_ms,
+        urgent: false,
     }
 }
 
--- a/crates/sw-relay/tests/reading.rs
+++ b/crates/sw-relay/tests/reading.rs
@@ -30,6 +30,7 @@
         service: service("engines"),
         prompt: prompt(1, 0, tokens),
         limit_ms: LIMIT_MS,
+        urgent: false,
     }
 }
 
@@ -95,3 +96,22 @@
         assert!(load.own_backlog_ms(now) < 1.0);
     }
 }
+
+/// The pattern: long answers keep an engine busy to its share when a short question comes.
+#[test]
+fn an_urgent_prompt_may_use_the_time_that_is_left_for_answers() {
+    let mut relay = vm();
+    let mut at = 0;
+    while let Ok(granted) = relay.reserve(&reservation(4_000), Time(at)) {
+        // It is read as fast as it comes.
+        at += 100;
+        relay.release(&engine(), granted.ticket, false, Time(at));
+        assert!(at < 60_000, "an engine that reads all the time is declined in the end");
+    }
+    let urgent = Reservation {
+        urgent: true,
+        ..reservation(400)
+    };
+    let granted = relay.reserve(&urgent, Time(at)).expect("nothing waits there");
+    assert!(granted.wait.backlog_ms < 1.0);
+}
