fix(relay): a plain endpoint is declined for its queue alone

Ruled out: the outage (all VMs had the endpoint). Change: the coordinator of a plain endpoint declines by the length of its queue, not by what the asking VM expected of it. Test: an_idle_endpoint_is_not_declined_for_what_a_vm_expects_of_it, which fails before. The soak has seven VMs, so that some follow the store through others, a silent store, and servers that fall silent, turn away or send without end.

--- a/crates/shallotwing-daemon/tests/soak.rs
+++ b/crates/shallotwing-daemon/tests/soak.rs
@@ -29,9 +29,12 @@
 const DEFAULT_SECONDS: u64 = 8;
 /// Seeds that once failed, each with its cause.
 const REGRESSIONS: [(u64, &str); 0] = [];
-const VMS: [(&str, &str); 4] = [
+const VMS: [(&str, &str); 7] = [
     ("vm-n1", "north"),
     ("vm-n2", "north"),
+    ("vm-n3", "north"),
+    ("vm-n4", "north"),
+    ("vm-n5", "north"),
     ("vm-s1", "south"),
     ("vm-s2", "south"),
 ];
@@ -41,7 +44,7 @@
 const RECOVERY: Duration = Duration::from_secs(12);
 /// Time from SIGTERM to the end of a process.
 const STOP_GRACE: Duration = Duration::from_secs(9);
-const PATHS: [&str; 16] = [
+const PATHS: [&str; 21] = [
     "/pay/ok",
     "/pay/ok",
     "/pay/close",
@@ -58,6 +61,11 @@
     "/stream/break",
     "/resumable/events",
     "/resumable/break",
+    "/resumable/mute",
+    "/resumable/drip-later",
+    "/read/away",
+    "/stream/endless-event",
+    "/pay/endless-head",
 ];
 
 /// What a client asked for and got.
@@ -181,7 +189,7 @@
     async fn fault(&mut self) {
         let at = self.rng.usize(..self.vms.len());
         let vm = &mut self.vms[at];
-        match self.rng.u32(..11) {
+        match self.rng.u32(..12) {
             0 => {
                 vm.child.kill().expect("a child");
                 vm.child.wait().expect("a child");
@@ -206,6 +214,7 @@
             6 => vm.store.set(LinkState::Frozen),
             7 => self.store.set_down(true),
             8 => self.store.compact(),
+            10 => self.store.set_silent(true),
             9 => {
                 self.version += 1 + self.rng.u64(..3);
                 self.store.put_config(self.version);
@@ -228,6 +237,7 @@
 
     fn heal(&mut self) {
         self.store.set_down(false);
+        self.store.set_silent(false);
         for vm in &mut self.vms {
             vm.store.set(LinkState::Up);
             if vm.paused {
@@ -281,8 +291,8 @@
             );
         }
         for asked in self.asked.borrow().iter() {
-            let shed = asked.path.ends_with("/shed");
-            let ran = seen.iter().filter(|(_, request)| request.id == asked.id && !shed);
+            let rejected = asked.path.ends_with("/shed") || asked.path.ends_with("/away");
+            let ran = seen.iter().filter(|(_, request)| request.id == asked.id && !rejected);
             let runs = ran.clone().count();
             let once = asked.path.starts_with("/pay/") || asked.path.starts_with("/stream/");
             assert!(!once || runs <= 1, "{} {} ran {runs} times", asked.id, asked.path);
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -124,7 +124,7 @@
             let wait_ms = self.reopens_in_ms(&admitted.service, now);
             return Err(Refusal::after(Kind::NoEndpoint, self.come_back(admitted, wait_ms, now)));
         };
-        let decline_ms = self.decline_above(admitted, tried, local.expected_ms, local.ahead_ms, limit_ms);
+        let decline_ms = Self::decline_above(admitted, tried, local.expected_ms, local.ahead_ms, limit_ms);
         Ok(Choice::Endpoint {
             coordinator: self.coordinator(admitted, &local.endpoint, decline_ms, now),
             endpoint: local.endpoint,
--- a/crates/sw-relay/src/coordinate.rs
+++ b/crates/sw-relay/src/coordinate.rs
@@ -21,8 +21,6 @@
 const DECLINE_MARGIN_MS: f64 = 40.0;
 /// Share of the objective within which an engine begins soon enough, whatever others would.
 const SOON_SHARE: f64 = 0.3;
-/// The same for a plain service, in times that an answer takes.
-const SOON_ANSWERS: f64 = 2.0;
 /// The longest answer for which a place at a plain service is granted, in times that one takes without a queue; a
 /// longer queue makes no endpoint faster, and endpoints reject what exceeds theirs.
 const MAX_QUEUE_ANSWERS: f64 = 2.5;
@@ -238,21 +236,17 @@
     /// Milliseconds to the first event beyond which the coordinator of the best engine shall decline, if the next best
     /// one is `ahead_ms` behind it and the request must begin within `limit_ms`.
     pub(crate) fn decline_above(
-        &self,
         admitted: &Admitted,
         tried: &Tried,
         expected_ms: f64,
         ahead_ms: f64,
         limit_ms: f64,
     ) -> f64 {
-        if tried.declines() >= MAX_CHOOSY_DECLINES {
+        // The coordinator of a plain endpoint declines by the length of its queue alone, which it knows best.
+        if admitted.prompt.is_none() || tried.declines() >= MAX_CHOOSY_DECLINES {
             return limit_ms;
         }
-        let soon = if admitted.prompt.is_some() {
-            admitted.route.objective.0 as f64 * SOON_SHARE
-        } else {
-            self.service_ms(&admitted.service) * SOON_ANSWERS
-        };
+        let soon = admitted.route.objective.0 as f64 * SOON_SHARE;
         let better_elsewhere = expected_ms + ahead_ms + DECLINE_MARGIN_MS;
         limit_ms.min(better_elsewhere.max(soon))
     }
--- a/crates/sw-relay/tests/plain.rs
+++ b/crates/sw-relay/tests/plain.rs
@@ -208,3 +208,36 @@
     assert_eq!(load.all_running(Time(100)), 30);
     assert_eq!(load.all_running(Time(600)), 0);
 }
+
+/// The pattern: one VM has seen short answers and the coordinator long ones, as after a slow start.
+#[test]
+fn an_idle_endpoint_is_not_declined_for_what_a_vm_expects_of_it() {
+    let mut vms = vms();
+    let admitted = admit(&mut vms[0], "pay", None, Time(10));
+    let learn = |relay: &mut Relay, taken: u64| {
+        let admitted = admit(relay, "pay", None, Time(10));
+        let entry = endpoint("a-1", "app", "north");
+        let attempt = relay.begin(&admitted, &entry, None, Time(10)).expect("an attempt");
+        relay.end(&attempt, Outcome::Whole, Time(10 + taken));
+    };
+    for (place, relay) in vms.iter_mut().enumerate() {
+        learn(relay, if place == 0 { 1 } else { 150 });
+    }
+    for _ in 0..40 {
+        let choice = vms[0]
+            .choose(&admitted, &Tried::default(), Time(200))
+            .expect("an idle endpoint");
+        let Choice::Endpoint {
+            coordinator: Some(coordinator),
+            ..
+        } = choice
+        else {
+            panic!("{choice:?}");
+        };
+        let asked: usize = coordinator.vm.as_str()["vm-".len()..].parse().expect("a number");
+        let place = vms[asked]
+            .reserve(&coordinator.reservation, Time(200))
+            .expect("a place");
+        vms[asked].release(&coordinator.reservation.endpoint, place.ticket, false, Time(200));
+    }
+}
