fix(relay): a VM with an older configuration denies no route to another VM's caller

Ruled out: the entry VM's own configuration (it had answered on the route before). Change: what another VM refuses for its configuration is no answer; the request goes to another VM, or is refused as not run with a time to come back. Test: a_vm_with_an_older_configuration_does_not_deny_a_route, which fails before.

--- a/crates/sw-relay/src/candidate.rs
+++ b/crates/sw-relay/src/candidate.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use indexmap::{IndexMap, IndexSet};
-use sw_error::{Kind, Refusal};
+use sw_error::{Kind, Refusal, Retry};
 use sw_unit::{EndpointId, RegionId, VmId};
 
 use crate::{Coordinator, EndpointEntry, Outcome};
@@ -71,7 +71,10 @@
     /// Records that a VM of `region` refused the request.
     pub fn refused_by_vm(&mut self, vm: &VmId, region: &RegionId, refusal: Refusal) {
         self.sent_to_vm(vm, 1, Some(Outcome::of_refusal(refusal)));
-        self.refusal = Some(refusal);
+        // What the other VM says of routes and regions is no answer for the caller: its configuration may be older.
+        if refusal.kind.answer().retry == Retry::Later {
+            self.refusal = Some(refusal);
+        }
         if refusal.kind == Kind::DeadlineUnreachable {
             self.full.insert(region.clone());
         }
--- a/crates/sw-relay/tests/tried.rs
+++ b/crates/sw-relay/tests/tried.rs
@@ -36,6 +36,26 @@
     }
 }
 
+/// The pattern: a configuration reaches the VM of another region a second after this one, and a caller uses a new route.
+#[test]
+fn a_vm_with_an_older_configuration_does_not_deny_a_route() {
+    let region = "south".parse().expect("a valid id");
+    for kind in [
+        Kind::UnknownRoute,
+        Kind::WrongRegion,
+        Kind::NoConfiguration,
+        Kind::BadRequest,
+    ] {
+        let mut tried = Tried::default();
+        tried.refused_by_vm(&vm(), &region, kind.into());
+        assert_eq!(tried.given_up(None).kind.answer().status, 503, "{kind}");
+        assert!(!tried.may_have_run(), "{kind}");
+    }
+    let mut tried = Tried::default();
+    tried.refused_by_vm(&vm(), &region, Kind::Overloaded.into());
+    assert_eq!(tried.given_up(None).kind, Kind::Overloaded);
+}
+
 /// The other VM sends a failed request once more by itself; the entry VM must not do so again.
 #[test]
 fn endpoints_that_another_vm_may_have_used_count_as_tried() {
