fix(proxy): a stream is left as stalled only for a place that is sure

And a VM that had itself been held up took its streams for stalled before it read the events that had come meanwhile. Ruled out: a lost connection (the events came 0.5 s later). Change: a late stream gets a second look, its events go first, and it is left only when another endpoint of the region has granted a place; a stop waits. A forwarded stream that has begun elsewhere is not refused for beginning late.

--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -111,6 +111,7 @@
     let mut admitted = core.relay.borrow_mut().admit(head, core.now(), true)?;
     // The VM that forwarded it sends it elsewhere.
     admitted.attempts = 1;
+    admitted.begun = call.resume_after.is_some();
     let call = Call {
         admitted,
         method: parts.method,
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -11,13 +11,13 @@
 use hyper::{Request, Response, Uri};
 use sw_error::{Kind, Refusal};
 use sw_http::{ReadBodyError, ResponseBody, read_body};
-use sw_relay::{Admitted, Choice, Outcome, RequestHead, Tried};
+use sw_relay::{Admitted, Choice, EndpointEntry, Outcome, RequestHead, Tried};
 use sw_unit::{Millis, Time};
 
 use crate::answer::{refusal_answer, strip_hop_headers};
 use crate::attempt::{self, Call};
 use crate::core::{Active, Core};
-use crate::reserve::reserve;
+use crate::reserve::{Reserved, reserve};
 use crate::source::Opened;
 use crate::{Dialect, HeadError, forward, stream, telemetry};
 
@@ -120,8 +120,7 @@
     choice: &Choice,
     tried: &mut Tried,
 ) -> Result<Opened<D, F>, Outcome> {
-    let may_go_elsewhere = call.may_go_elsewhere(tried);
-    let opened = match choice {
+    match choice {
         Choice::Endpoint {
             endpoint, coordinator, ..
         } => {
@@ -129,9 +128,7 @@
                 Some(coordinator) => reserve(core, call, coordinator, tried).await?,
                 None => None,
             };
-            let opened = attempt::open(core, call, endpoint, reserved, may_go_elsewhere).await;
-            tried.sent_to_endpoint(&endpoint.id, opened.as_ref().err().copied());
-            opened
+            open_endpoint(core, call, endpoint, reserved, tried).await
         }
         Choice::Vm {
             region,
@@ -140,14 +137,39 @@
             expected_ms,
             ..
         } => {
+            let may_go_elsewhere = call.may_go_elsewhere(tried);
             let opened = forward::open(core, call, *address, *expected_ms, may_go_elsewhere).await;
             match &opened {
                 Err(forward::Failure::Refused(refusal)) => tried.refused_by_vm(vm, region, *refusal),
                 _ => tried.sent_to_vm(vm, 1, opened.as_ref().err().map(forward::Failure::outcome)),
             }
-            opened.map_err(|failure| failure.outcome())
+            log_opened(core, call, opened.map_err(|failure| failure.outcome()))
         }
-    };
+    }
+}
+
+/// Sends a request to an endpoint, in whose queue a place may be reserved, and waits for the head of the answer.
+///
+/// # Errors
+///
+/// Returns how the attempt ended.
+pub(crate) async fn open_endpoint<D: Dialect, F: 'static>(
+    core: &Rc<Core<D, F>>,
+    call: &Call,
+    endpoint: &EndpointEntry,
+    reserved: Option<Reserved<D, F>>,
+    tried: &mut Tried,
+) -> Result<Opened<D, F>, Outcome> {
+    let opened = attempt::open(core, call, endpoint, reserved, call.may_go_elsewhere(tried)).await;
+    tried.sent_to_endpoint(&endpoint.id, opened.as_ref().err().copied());
+    log_opened(core, call, opened)
+}
+
+fn log_opened<D: Dialect, F: 'static>(
+    core: &Core<D, F>,
+    call: &Call,
+    opened: Result<Opened<D, F>, Outcome>,
+) -> Result<Opened<D, F>, Outcome> {
     if let Ok(opened) = &opened {
         let age = core.now().since(call.admitted.received);
         telemetry::answered(&call.admitted, opened.head.status().as_u16(), age);
--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -9,13 +9,14 @@
 
 use bytes::Bytes;
 use sw_http::{BodyError, channel};
-use sw_relay::{Choice, Outcome, RouteKind, StallWatch, Tried};
+use sw_relay::{Choice, EndpointEntry, Outcome, RouteKind, StallWatch, Tried};
 use sw_unit::{Millis, Time};
 use tokio::sync::mpsc;
 
 use crate::attempt::Call;
 use crate::core::{Active, Core};
-use crate::request::{Answer, open};
+use crate::request::{Answer, open, open_endpoint};
+use crate::reserve::{Reserved, reserve};
 use crate::source::{Opened, Part, Source};
 use crate::{Dialect, EventSplitter, telemetry};
 
@@ -58,27 +59,42 @@
 }
 
 /// What happened next.
-enum Next {
+enum Next<D: Dialect, F: 'static> {
     Part(Part),
-    Stalled,
+    /// The stream has stalled; the place is where it can go on, if there is one.
+    Stalled(Option<Place<D, F>>),
     Timeout,
     CallerLeft,
 }
 
+/// A place at another endpoint.
+struct Place<D: Dialect, F: 'static> {
+    endpoint: EndpointEntry,
+    reserved: Option<Reserved<D, F>>,
+}
+
 /// Why a source is given up.
-struct End {
+struct End<D: Dialect, F: 'static> {
     reason: &'static str,
     outcome: Outcome,
     /// Where the stream goes on, if that is decided.
-    choice: Option<Choice>,
+    place: Option<Place<D, F>>,
 }
 
-impl End {
+impl<D: Dialect, F> End<D, F> {
     fn broken(reason: &'static str) -> Self {
         Self {
             reason,
             outcome: Outcome::Broken,
-            choice: None,
+            place: None,
+        }
+    }
+
+    fn stalled(place: Place<D, F>) -> Self {
+        Self {
+            reason: "stalled",
+            outcome: Outcome::Timeout,
+            place: Some(place),
         }
     }
 }
@@ -107,10 +123,11 @@
                 Next::Part(Part::End) if !self.events.has_partial() => return source.finish(Outcome::Whole),
                 Next::Part(Part::End) => End::broken("incomplete_event"),
                 Next::Part(Part::Broken) => End::broken("broken"),
-                Next::Stalled => match self.stalled() {
-                    Some(end) => end,
-                    None => continue,
-                },
+                Next::Stalled(Some(place)) => End::stalled(place),
+                Next::Stalled(None) => {
+                    self.stall = None;
+                    continue;
+                }
                 Next::Timeout => {
                     source.finish(Outcome::Timeout);
                     return self.break_off("timeout", &tx).await;
@@ -118,31 +135,67 @@
                 Next::CallerLeft => return,
             };
             source.finish(end.outcome);
-            match self.resume(end.choice, &tx).await {
+            match self.resume(end.place, &tx).await {
                 Some(next) => source = next,
                 None => return self.break_off(end.reason, &tx).await,
             }
         }
     }
 
-    async fn next(&self, source: &mut Source<D, F>, tx: &Sender) -> Next {
-        let now = self.core.now();
-        let left = self.call.admitted.left(now);
-        let stall = self.stall.map(|stall| stall.stalls_at().since(now));
-        let (wait, late) = match stall.filter(|stall| *stall < left) {
-            Some(stall) => (stall, Next::Stalled),
-            None => (left, Next::Timeout),
-        };
+    async fn next(&mut self, source: &mut Source<D, F>, tx: &Sender) -> Next<D, F> {
+        let left = self.call.admitted.left(self.core.now());
         // A source that always has more must not outlast the time.
-        if wait == Millis(0) {
-            return late;
+        if left == Millis(0) {
+            return Next::Timeout;
         }
         tokio::select! {
             biased;
             () = tx.closed() => Next::CallerLeft,
             part = source.next() => Next::Part(part),
-            () = tokio::time::sleep(Duration::from_millis(wait.0)) => late,
+            () = tokio::time::sleep(Duration::from_millis(left.0)) => Next::Timeout,
+            place = self.stalled() => Next::Stalled(place),
+        }
+    }
+
+    /// Waits until the stream has stalled, and returns the place where it can go on.
+    async fn stalled(&mut self) -> Option<Place<D, F>> {
+        let Some(stall) = &mut self.stall else {
+            return std::future::pending().await;
+        };
+        loop {
+            let wait = stall.patience(self.core.now());
+            if wait == Millis(0) {
+                return self.place().await;
+            }
+            tokio::time::sleep(Duration::from_millis(wait.0)).await;
+        }
+    }
+
+    /// A place in the queue of another endpoint of this region; `None` if the stream is better waited for.
+    ///
+    /// The stream is left only for a place that is sure: what is left cannot be taken up again. A stop waits for it.
+    async fn place(&self) -> Option<Place<D, F>> {
+        if self.core.leaving_for().is_some() {
+            return None;
         }
+        let Some(Choice::Endpoint {
+            endpoint, coordinator, ..
+        }) = self.elsewhere()
+        else {
+            return None;
+        };
+        if self.tried.has_endpoint(&endpoint.id) {
+            return None;
+        }
+        let Some(coordinator) = coordinator else {
+            return Some(Place {
+                endpoint,
+                reserved: None,
+            });
+        };
+        let reserved = reserve(&self.core, &self.call, &coordinator, &mut self.tried.clone()).await;
+        let reserved = reserved.ok().flatten();
+        reserved.is_some().then_some(Place { endpoint, reserved })
     }
 
     /// Passes on what is whole of a chunk.
@@ -169,19 +222,6 @@
         }
     }
 
-    /// Decides where a stalled stream goes on; `None` if it is better waited for where it is.
-    fn stalled(&mut self) -> Option<End> {
-        let choice = self.elsewhere().filter(|choice| !self.tried.has(choice));
-        if choice.is_none() {
-            self.stall = None;
-        }
-        Some(End {
-            reason: "stalled",
-            outcome: Outcome::Timeout,
-            choice: Some(choice?),
-        })
-    }
-
     /// Learns from the time at which a chunk came.
     fn observe(&mut self, source: &mut Source<D, F>) {
         let now = self.core.now();
@@ -202,8 +242,8 @@
         self.last_chunk = Some(now);
     }
 
-    /// Goes on elsewhere, first where `choice` says; `None` if that is not possible or the caller left.
-    async fn resume(&mut self, mut choice: Option<Choice>, tx: &Sender) -> Option<Source<D, F>> {
+    /// Goes on elsewhere, first at `place`; `None` if that is not possible or the caller left.
+    async fn resume(&mut self, mut place: Option<Place<D, F>>, tx: &Sender) -> Option<Source<D, F>> {
         if !self.by_event {
             return None;
         }
@@ -211,11 +251,11 @@
         self.last_chunk = None;
         self.call.resume_after = self.events.last_id().map(str::to_owned);
         while self.call.admitted.left(self.core.now()) > Millis(0) {
-            let choice = match choice.take() {
-                Some(choice) => choice,
-                None => self.elsewhere()?,
+            let reopened = tokio::select! {
+                reopened = self.reopen(place.take()) => reopened?,
+                () = tx.closed() => return None,
             };
-            if let Some(opened) = self.reopen(&choice, tx).await? {
+            if let Some(opened) = reopened {
                 self.stall = Some(StallWatch::new(opened.begins_by));
                 return Some(opened.source);
             }
@@ -233,17 +273,24 @@
         relay.choose(admitted, &self.tried, self.core.now()).ok()
     }
 
-    /// Sends the request once more; the outer `None` if the caller left, the inner one if it failed.
-    async fn reopen(&mut self, choice: &Choice, tx: &Sender) -> Option<Option<Opened<D, F>>> {
-        let last_event = self.call.resume_after.as_deref().unwrap_or_default();
-        telemetry::resumed(&self.call.admitted, choice, last_event);
-        let opened = tokio::select! {
-            opened = open(&self.core, &self.call, choice, &mut self.tried) => opened,
-            () = tx.closed() => return None,
+    /// Sends the request once more; the outer `None` if it may not be sent, the inner one if it failed.
+    async fn reopen(&mut self, place: Option<Place<D, F>>) -> Option<Option<Opened<D, F>>> {
+        let opened = if let Some(Place { endpoint, reserved }) = place {
+            self.log_resumed(endpoint.id.as_str());
+            open_endpoint(&self.core, &self.call, &endpoint, reserved, &mut self.tried).await
+        } else {
+            let choice = self.elsewhere()?;
+            self.log_resumed(choice.target());
+            open(&self.core, &self.call, &choice, &mut self.tried).await
         };
         Some(opened.ok().filter(|opened| opened.head.status().is_success()))
     }
 
+    fn log_resumed(&self, target: &str) {
+        let last_event = self.call.resume_after.as_deref().unwrap_or_default();
+        telemetry::resumed(&self.call.admitted, target, last_event);
+    }
+
     async fn break_off(&self, reason: &'static str, tx: &Sender) {
         let age = self.core.now().since(self.call.admitted.received);
         telemetry::broke_off(&self.call.admitted, reason, age);
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -114,12 +114,8 @@
 }
 
 /// Logs that a stream goes on elsewhere.
-pub(crate) fn resumed(admitted: &Admitted, choice: &Choice, after: &str) {
+pub(crate) fn resumed(admitted: &Admitted, target: &str, after: &str) {
     let id = &*admitted.id;
-    let target = match choice {
-        Choice::Endpoint { endpoint, .. } => endpoint.id.as_str(),
-        Choice::Vm { vm, .. } => vm.as_str(),
-    };
     info!("stream_resumed", kv: { id, target, after });
     counter!("shallotwing_streams_resumed_total").increment(1);
 }
--- a/crates/sw-relay/src/candidate.rs
+++ b/crates/sw-relay/src/candidate.rs
@@ -37,6 +37,16 @@
     },
 }
 
+impl Choice {
+    /// The endpoint or the VM.
+    pub fn target(&self) -> &str {
+        match self {
+            Self::Endpoint { endpoint, .. } => endpoint.id.as_str(),
+            Self::Vm { vm, .. } => vm.as_str(),
+        }
+    }
+}
+
 /// What one request tried before.
 #[derive(Debug, Clone, Default)]
 pub struct Tried {
@@ -138,14 +148,6 @@
         self.vms.contains_key(vm)
     }
 
-    /// Whether the endpoint or the VM of a choice got the request before.
-    pub fn has(&self, choice: &Choice) -> bool {
-        match choice {
-            Choice::Endpoint { endpoint, .. } => self.has_endpoint(&endpoint.id),
-            Choice::Vm { vm, .. } => self.has_vm(vm),
-        }
-    }
-
     /// The final answer for a request that is given up, with the reason for which it is not sent once more.
     pub fn given_up(&self, reason: Option<Refusal>) -> Refusal {
         if self.may_have_run() {
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -91,26 +91,24 @@
                 return Err(Refusal::after(kind, self.come_back(admitted, wait_ms, now)));
             }
         };
-        let limit_ms = if tried.may_have_run() {
-            // What has begun is worth finishing late.
+        // What has begun is worth finishing late.
+        let begun = admitted.begun || tried.may_have_run();
+        let limit_ms = if begun {
             admitted.left(now).0 as f64
         } else {
             admission_limit(admitted, self.whole_read_ms(admitted), now)
         };
         let is_asked = |local: &Local| self.coordinator_row(&local.endpoint.id, now).is_some();
-        let leeway = if is_spared(admitted) && local.as_ref().is_some_and(is_asked) {
-            URGENT_LEEWAY
-        } else {
-            1.0
-        };
-        if expected_ms > limit_ms * leeway {
+        let may_ask = is_spared(admitted) && expected_ms <= limit_ms * URGENT_LEEWAY;
+        let is_late = expected_ms > limit_ms && !(may_ask && local.as_ref().is_some_and(is_asked));
+        if is_late {
             let after = self.come_back(admitted, expected_ms, now);
             return Err(Refusal::after(Kind::DeadlineUnreachable, after));
         }
         let overruns = local.iter().map(|local| local.overrun_ms);
         let overruns = overruns.chain(remote.iter().map(|remote| remote.overrun_ms));
         let overrun_ms = overruns.fold(f64::INFINITY, f64::min);
-        if !tried.may_have_run() && overrun_ms > admitted.left(now).0 as f64 * HOPELESS_SHARE {
+        if !begun && overrun_ms > admitted.left(now).0 as f64 * HOPELESS_SHARE {
             let after = self.come_back(admitted, expected_ms + overrun_ms, now);
             return Err(Refusal::after(Kind::DeadlineUnreachable, after));
         }
--- a/crates/sw-relay/src/patience.rs
+++ b/crates/sw-relay/src/patience.rs
@@ -14,6 +14,8 @@
 /// A stream whose next event takes this many times the longest pause that its route wants, or that it made before, has
 /// stalled.
 const STALLED_AFTER_GAPS: u64 = 3;
+/// Time for events to be read that came while this VM was held up, before their stream is taken for stalled.
+const SECOND_LOOK: Millis = Millis(200);
 
 impl Admitted {
     /// How long an answer, or its first event, may take that is expected after `expected_ms`.
@@ -36,6 +38,8 @@
     stalls_at: Time,
     last_event: Option<Time>,
     longest_gap: Millis,
+    /// Whether the stream was seen to be late, and is looked at once more.
+    is_late: bool,
 }
 
 impl StallWatch {
@@ -45,6 +49,7 @@
             stalls_at: begins_by,
             last_event: None,
             longest_gap: Millis(0),
+            is_late: false,
         }
     }
 
@@ -54,10 +59,17 @@
             self.longest_gap = self.longest_gap.max(now.since(last));
         }
         self.stalls_at = now + admitted.event_patience(self.longest_gap);
+        self.is_late = false;
     }
 
-    /// When the stream has stalled, if no event comes before.
-    pub fn stalls_at(&self) -> Time {
-        self.stalls_at
+    /// How long the next event may take from now; nothing if the stream has stalled.
+    ///
+    /// A stream that is found to be late is given a little longer, from when that is found.
+    pub fn patience(&mut self, now: Time) -> Millis {
+        if now >= self.stalls_at && !self.is_late {
+            self.is_late = true;
+            self.stalls_at = now + SECOND_LOOK;
+        }
+        self.stalls_at.since(now)
     }
 }
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -86,6 +86,8 @@
     pub attempts: u32,
     /// Whether another VM forwarded it.
     pub forwarded: bool,
+    /// Whether its answer has begun elsewhere, so that it is worth finishing late.
+    pub begun: bool,
     /// The version of the configuration that admitted it.
     pub version: sw_unit::Version,
 }
@@ -253,6 +255,7 @@
             attempts: route.max_attempts.max(1),
             received,
             forwarded,
+            begun: false,
             version: table.version,
         })
     }
--- a/crates/sw-relay/tests/admission.rs
+++ b/crates/sw-relay/tests/admission.rs
@@ -91,3 +91,16 @@
     tried.sent_to_endpoint(&"e-0".parse().expect("an id"), Some(Outcome::Broken));
     assert!(long_answer(&mut slow_engine(600), 400, &tried).is_ok());
 }
+
+/// The pattern: a stream breaks in another region, whose VM forwards what is left of it to a region that is busy.
+#[test]
+fn a_forwarded_stream_that_has_begun_elsewhere_is_not_refused_for_beginning_late() {
+    let mut relay = relay();
+    register(&mut relay, endpoint("e-1", "engines", "north"), Time(0));
+    fill(&mut relay, "digest", 4_000, Time(0));
+    let head = support::head("digest", Some(prompt(1, 0, 4_000)));
+    let mut admitted = relay.admit(head, Time(0), true).expect("admitted");
+    assert!(relay.choose(&admitted, &Tried::default(), Time(0)).is_err());
+    admitted.begun = true;
+    assert!(relay.choose(&admitted, &Tried::default(), Time(0)).is_ok());
+}
