--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -192,8 +192,7 @@
 
 /// Takes in what an endpoint says about itself, if the answer is its own.
 fn learn_report<D: Dialect, F>(core: &Core<D, F>, admitted: &Admitted, endpoint: &EndpointEntry, head: &AnswerHead) {
-    let is_other_id = head.id.as_ref().is_some_and(|id| **id != *admitted.id);
-    if is_other_id || head.claim == Claim::WrongEndpoint {
+    if head.is_for_another(&admitted.id) || head.claim == Claim::WrongEndpoint {
         return;
     }
     let news = core.relay.borrow_mut().reported(endpoint, &head.report, core.now());
@@ -207,7 +206,7 @@
 
 /// Whether the head of an answer belongs to the request and may be passed on.
 fn check(admitted: &Admitted, head: &AnswerHead, response: &Response<Incoming>, reused: bool) -> Result<(), Outcome> {
-    if head.id.as_ref().is_some_and(|id| **id != *admitted.id) {
+    if head.is_for_another(&admitted.id) {
         return Err(Outcome::Broken);
     }
     // On a connection that was used before, an answer without the id may be a late one to an earlier request.
--- a/crates/sw-proxy/src/core.rs
+++ b/crates/sw-proxy/src/core.rs
@@ -76,8 +76,7 @@
     pub(crate) store_regained: Cell<Option<Time>>,
     /// When the store was lost; `None` while it answers.
     pub(crate) store_lost: Cell<Option<Time>>,
-    /// When the process started, or the store answered again after an outage.
-    pub(crate) store_returned: Cell<Time>,
+    started: Time,
 }
 
 impl<D, F> Core<D, F> {
@@ -101,7 +100,7 @@
             store_answered: Cell::new(None),
             store_regained: Cell::new(None),
             store_lost: Cell::new(None),
-            store_returned: Cell::new(clock.now()),
+            started: clock.now(),
         }
     }
 
@@ -117,6 +116,11 @@
         self.clock.now()
     }
 
+    /// Time since the store answered again after an outage, or since the start if there was none.
+    pub(crate) fn store_there_for(&self) -> Millis {
+        self.now().since(self.store_regained.get().unwrap_or(self.started))
+    }
+
     /// Time since the planned stop began; `None` while requests are served.
     pub(crate) fn leaving_for(&self) -> Option<Millis> {
         match self.stage.get() {
--- a/crates/sw-proxy/src/dialect.rs
+++ b/crates/sw-proxy/src/dialect.rs
@@ -65,6 +65,13 @@
     pub closes: bool,
 }
 
+impl AnswerHead {
+    /// Whether it names another request than `id`.
+    pub fn is_for_another(&self, id: &str) -> bool {
+        self.id.as_ref().is_some_and(|answered| **answered != *id)
+    }
+}
+
 /// A caller asks where to connect.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct DirectoryQuery {
--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -146,7 +146,7 @@
 
 /// The pause after changes.
 fn gather<D, F>(core: &Core<D, F>, is_watcher: bool) -> Duration {
-    let is_fresh = core.now().since(core.store_returned.get()) < FRESH;
+    let is_fresh = core.store_there_for() < FRESH;
     if is_fresh && is_watcher { FRESH_GATHER } else { GATHER }
 }
 
@@ -224,7 +224,6 @@
     if let Some(since) = core.store_lost.take() {
         let now = core.now();
         let away_ms = now.since(since).0;
-        core.store_returned.set(now);
         core.store_regained.set(Some(now));
         core.relay.borrow_mut().store_returned(now);
         info!("store_regained", kv: { away_ms });
--- a/crates/sw-relay/src/coordinate.rs
+++ b/crates/sw-relay/src/coordinate.rs
@@ -120,14 +120,15 @@
             urgent,
         } = reservation;
         let known = self.registry.get(endpoint);
-        if !known.is_some_and(|known| self.registry.may_send(&known.entry, now)) {
+        let Some(known) = known.filter(|known| self.registry.may_send(&known.entry, now)) else {
             return Err(Wait {
                 expected_ms: UNKNOWN_MS,
                 backlog_ms: UNKNOWN_MS,
             });
-        }
+        };
         let Some(memory) = self.engine_memory(service) else {
-            return self.reserve_place(reservation, now);
+            let answer_ms = self.answer_ms(service, &known.entry, now);
+            return self.reserve_place(reservation, answer_ms, now);
         };
         let unread = self.unread(endpoint, prompt);
         let read_ms = self.read_ms(service, unread);
@@ -148,15 +149,10 @@
         Ok(Granted { ticket, unread, wait })
     }
 
-    /// Grants a place at an endpoint of a plain service.
-    fn reserve_place(&mut self, reservation: &Reservation, now: Time) -> Result<Granted, Wait> {
-        let Reservation { endpoint, service, .. } = reservation;
-        let answer_ms = self
-            .registry
-            .get(endpoint)
-            .map_or(UNKNOWN_MS, |known| self.answer_ms(service, &known.entry, now));
-        let service_ms = self.service_ms(service);
-        let load = self.loads.entry(endpoint.clone()).or_default();
+    /// Grants a place at an endpoint of a plain service that is expected to answer after `answer_ms`.
+    fn reserve_place(&mut self, reservation: &Reservation, answer_ms: f64, now: Time) -> Result<Granted, Wait> {
+        let service_ms = self.service_ms(&reservation.service);
+        let load = self.loads.entry(reservation.endpoint.clone()).or_default();
         let pause_ms = load.pause_left_ms(now);
         let wait = Wait {
             expected_ms: pause_ms + answer_ms,
@@ -165,9 +161,11 @@
         if wait.expected_ms > reservation.limit_ms.min(longest_answer_ms(service_ms)) {
             return Err(wait);
         }
-        let ticket = load.reserve_place(lost_at(wait, now));
-        let unread = Tokens(0);
-        Ok(Granted { ticket, unread, wait })
+        Ok(Granted {
+            ticket: load.reserve_place(lost_at(wait, now)),
+            unread: Tokens(0),
+            wait,
+        })
     }
 
     /// Frees a place in an engine's queue, when its prompt was read or given up; `absent` if the engine was not there.
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -413,6 +413,14 @@
         1 + others.count()
     }
 
+    /// The place of this VM among the senders.
+    pub(crate) fn place(&self) -> usize {
+        let own = self.members.own();
+        let others = self.members.others();
+        let before = others.filter(|row| row.region == own.region && row.vm < own.vm);
+        before.count()
+    }
+
     /// This VM's part of an endpoint's rate while it is cold, and how long it is; `None` if it is warm.
     fn cold_share(&self, endpoint: &EndpointEntry, now: Time) -> Option<(PaceShare, Millis)> {
         let known = self.registry.get(&endpoint.id)?;
@@ -420,17 +428,12 @@
         if cold_for == Millis(0) {
             return None;
         }
-        let own = self.members.own();
-        let before = self
-            .members
-            .others()
-            .filter(|row| row.region == own.region && row.vm < own.vm);
         let share = PaceShare {
             rate: self
                 .service(&endpoint.service)
                 .map_or(Rate(0.0), |service| service.cold_rate),
             senders: self.senders(),
-            place: before.count(),
+            place: self.place(),
         };
         Some((share, cold_for))
     }
--- a/crates/sw-relay/src/spill.rs
+++ b/crates/sw-relay/src/spill.rs
@@ -87,15 +87,7 @@
     fn forward_target<'a>(&'a self, region: &'a RegionId, tried: &'a Tried, now: Time) -> Option<&'a VmRow> {
         let mut targets: Vec<_> = self.peers_in(region, tried, now).collect();
         targets.sort_by(|a, b| a.vm.cmp(&b.vm));
-        let own = self.members.own();
-        let others = self.members.others();
-        let senders = others.filter(|row| row.region == own.region && self.is_live(&row.vm, now));
-        let (mut count, mut place) = (1, 0);
-        for row in senders {
-            count += 1;
-            place += usize::from(row.vm < own.vm);
-        }
-        targets.get(place * targets.len() / count).copied()
+        targets.get(self.place() * targets.len() / self.senders()).copied()
     }
 }
 
