--- /dev/null
+++ b/crates/sw-relay/src/intake.rs
@@ -0,0 +1,187 @@
+//! What an engine does with a prompt before it begins to answer.
+//!
+//! It reads the prompt, but for the parts that it keeps, and for the shared parts that another engine keeps and that it
+//! copies from there. The next engine that keeps them is taken. An engine reads other prompts while it copies. Between
+//! regions a copy can take longer than reading; it spares the engine's time all the same, and is made where the engine is
+//! busy for that long, or the answer still begins well within the objective.
+
+use std::cmp::Reverse;
+
+use strum::{EnumCount, FromRepr};
+use sw_unit::{EndpointId, Millis, RegionId, Time, Tokens};
+
+use crate::cache::shared_key;
+use crate::registry::Endpoint;
+use crate::{Admitted, EndpointEntry, Prompt, Relay, ServiceId};
+
+/// Shared parts that are read faster than this are not worth a copy, in milliseconds.
+const MIN_READ_MS: f64 = 20.0;
+/// Part of the objective within which a prompt must be copied and read, if copying takes longer than reading.
+const SLOW_COPY_SHARE: f64 = 0.6;
+
+/// How far a copy travels between two engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, EnumCount, FromRepr)]
+#[repr(u8)]
+pub enum Distance {
+    /// Within a failure domain.
+    Domain,
+    /// Between two failure domains of a region.
+    Region,
+    /// Between two regions.
+    Beyond,
+}
+
+/// What an engine does with a prompt before it begins to answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Intake {
+    /// Tokens that it reads.
+    pub read: Tokens,
+    /// Tokens that it copies from another engine.
+    pub copied: Tokens,
+    /// How far they travel, if there is another engine that keeps them.
+    pub distance: Option<Distance>,
+}
+
+/// An engine that keeps the shared parts of a prompt.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Source {
+    /// The engine.
+    pub endpoint: EndpointEntry,
+    /// How far it is from the one that copies.
+    pub distance: Distance,
+}
+
+impl Relay {
+    /// What an engine has to do for a prompt, if one that keeps the shared parts is at `source`.
+    pub(crate) fn intake(&self, endpoint: &EndpointId, prompt: &Prompt, source: Option<Distance>) -> Intake {
+        let load = self.loads.get(endpoint);
+        let cached = load.map_or(Tokens(0), |load| load.cache.cached(prompt));
+        let unread = prompt.input.saturating_sub(cached);
+        let copied = source.map_or(Tokens(0), |_| prompt.shared().saturating_sub(cached));
+        Intake {
+            read: unread.saturating_sub(copied),
+            copied,
+            distance: source,
+        }
+    }
+
+    /// Milliseconds that an engine takes to copy what it lacks of a prompt.
+    pub(crate) fn intake_copy_ms(&self, service: &ServiceId, intake: Intake) -> f64 {
+        let copy_ms = |distance| self.copy_ms(service, intake.copied, distance);
+        intake.distance.map_or(0.0, copy_ms)
+    }
+
+    /// Milliseconds that an engine of a service takes to copy `tokens` from another one.
+    pub(crate) fn copy_ms(&self, service: &ServiceId, tokens: Tokens, distance: Distance) -> f64 {
+        if tokens == Tokens(0) {
+            return 0.0;
+        }
+        let engine = self.service(service).and_then(|service| service.engine);
+        let nominal_ms = engine.and_then(|engine| engine.copy_ms(tokens));
+        nominal_ms.map_or(f64::INFINITY, |nominal_ms| {
+            self.model(service).copy_ms(nominal_ms, distance)
+        })
+    }
+
+    /// Stands for the shared parts of a prompt; `None` if they are not worth a copy.
+    pub(crate) fn copied_key(&self, service: &ServiceId, prompt: &Prompt) -> Option<u64> {
+        let shared = prompt.shared();
+        let read_ms = self.read_ms(service, shared);
+        let is_worth = read_ms > MIN_READ_MS && self.copy_ms(service, shared, Distance::Domain) < read_ms;
+        if is_worth { shared_key(prompt) } else { None }
+    }
+
+    /// The engines from which the shared parts of a prompt can be copied, the one that used them last first.
+    pub(crate) fn sources(&self, admitted: &Admitted, now: Time) -> Vec<&Endpoint> {
+        let prompt = admitted.prompt.as_ref();
+        let Some(key) = prompt.and_then(|prompt| self.copied_key(&admitted.service, prompt)) else {
+            return Vec::new();
+        };
+        let holders = self.kept.holders(key, now).filter_map(|(id, used)| {
+            let endpoint = self.registry.get(id)?;
+            self.is_source(admitted, endpoint, now).then_some((used, endpoint))
+        });
+        let mut sources: Vec<_> = holders.collect();
+        sources.sort_by_key(|(used, _)| Reverse(*used));
+        sources.into_iter().map(|(_, endpoint)| endpoint).collect()
+    }
+
+    /// Which of the engines that keep the shared parts of a prompt is copied from by the engine `to`.
+    pub(crate) fn next_source<'a>(
+        &self,
+        admitted: &Admitted,
+        sources: &[&'a Endpoint],
+        to: &EndpointEntry,
+        now: Time,
+    ) -> Option<(&'a Endpoint, Distance)> {
+        let others = sources.iter().filter(|source| source.entry.id != to.id);
+        let at = others.filter_map(|source| Some((*source, self.distance(&source.entry, to)?)));
+        let (source, distance) = at.min_by_key(|(_, distance)| *distance)?;
+        self.is_soon(admitted, to, distance, now).then_some((source, distance))
+    }
+
+    /// The engine from which `to` copies the shared parts of a prompt.
+    pub(crate) fn source(&self, admitted: &Admitted, to: &EndpointEntry, now: Time) -> Option<Source> {
+        let sources = self.sources(admitted, now);
+        let (endpoint, distance) = self.next_source(admitted, &sources, to, now)?;
+        Some(Source {
+            endpoint: endpoint.entry.clone(),
+            distance,
+        })
+    }
+
+    /// Records that an engine reads a prompt, which takes `expected_ms`.
+    pub(crate) fn reads(
+        &mut self,
+        service: &ServiceId,
+        endpoint: &EndpointId,
+        prompt: &Prompt,
+        expected_ms: f64,
+        now: Time,
+    ) {
+        if let Some(key) = self.copied_key(service, prompt) {
+            let read_by = now + Millis(expected_ms as u64);
+            self.kept.reads(key, endpoint, read_by, now);
+        }
+    }
+
+    /// Whether an engine has copied the shared parts of a prompt sooner than it would have read them, or soon enough.
+    fn is_soon(&self, admitted: &Admitted, to: &EndpointEntry, distance: Distance, now: Time) -> bool {
+        let Some(prompt) = &admitted.prompt else {
+            return false;
+        };
+        let shared = prompt.shared();
+        let copy_ms = self.copy_ms(&admitted.service, shared, distance);
+        let own_ms = self.read_ms(&admitted.service, prompt.input.saturating_sub(shared));
+        let backlog_ms = self.loads.get(&to.id).map_or(0.0, |load| load.backlog_ms(now));
+        copy_ms < backlog_ms + self.read_ms(&admitted.service, shared)
+            || copy_ms + own_ms < admitted.route.objective.0 as f64 * SLOW_COPY_SHARE
+    }
+
+    /// Whether an engine may be copied from: it stays, is well, and the request's data may be where it is.
+    fn is_source(&self, admitted: &Admitted, endpoint: &Endpoint, now: Time) -> bool {
+        let entry = &endpoint.entry;
+        let is_paused = self.loads.get(&entry.id).is_some_and(|load| load.is_paused(now));
+        let region = self.region_of(&entry.domain);
+        let is_permitted = region.is_some_and(|region| admitted.route.permits(region));
+        let is_reached = region.is_some_and(|region| self.is_region_reached(region, now));
+        entry.service == admitted.service
+            && self.registry.may_send(entry, now)
+            && !is_paused
+            && is_permitted
+            && is_reached
+    }
+
+    fn is_region_reached(&self, region: &RegionId, now: Time) -> bool {
+        let is_heard = || self.regions.get(region).is_some_and(|view| view.is_heard(now));
+        *region == self.options.own.region || is_heard()
+    }
+
+    fn distance(&self, from: &EndpointEntry, to: &EndpointEntry) -> Option<Distance> {
+        if from.domain == to.domain {
+            return Some(Distance::Domain);
+        }
+        let (from, to) = (self.region_of(&from.domain)?, self.region_of(&to.domain)?);
+        Some(if from == to { Distance::Region } else { Distance::Beyond })
+    }
+}
--- /dev/null
+++ b/crates/sw-relay/tests/copies.rs
@@ -0,0 +1,327 @@
+//! From where engines copy the shared parts of prompts.
+//!
+//! The pattern: a few hundred subjects with long shared parts, each asked for every few seconds in all regions, before
+//! engines whose memory holds only a few of them. Each engine that takes a prompt for the first time, or that pushed
+//! its part out, would read what another engine keeps.
+
+mod support;
+
+use proptest::prelude::*;
+use support::{admit, beat, endpoint, prompt, register, relay_in, relay_of, row};
+use sw_relay::{Beat, Choice, EndpointEntry, Fact, KeptPart, Relay, Tried};
+use sw_unit::{Incarnation, Millis, Time};
+
+const SHARED: u64 = 13_000;
+const OWN: u64 = 1_000;
+
+/// A VM that knows engines of two regions, and hears from the other one.
+fn vm(name: &str, region: &str) -> Relay {
+    let mut relay = relay_in(name, region);
+    for (engine, of) in [("n-1", "north"), ("n-2", "north"), ("s-1", "south"), ("w-1", "west")] {
+        register(&mut relay, endpoint(engine, "engines", of), Time(0));
+    }
+    relay
+}
+
+/// Hears of another region, so that it counts as reachable.
+fn hear(relay: &mut Relay, region: &str, now: Time) {
+    let services = vec![sw_relay::ServiceLoad {
+        service: support::service("engines"),
+        usable: 1,
+        wait_ms: 5_000.0,
+        gap_ms: 45.0,
+    }];
+    relay.heard(beat(row(&format!("vm-{region}"), region), services), now);
+}
+
+/// Sends a request about `subject` to an engine, and returns the engine that it may copy from.
+fn send(relay: &mut Relay, route: &str, subject: u64, to: &EndpointEntry, now: Time) -> Option<String> {
+    let admitted = admit(relay, route, Some(prompt(subject, SHARED, OWN)), now);
+    let mut attempt = relay.begin(&admitted, to, None, now).expect("an attempt");
+    relay.first_event(&mut attempt, now + Millis(300));
+    attempt.source.map(|source| source.endpoint.id.to_string())
+}
+
+/// What `from` tells `to` in a heartbeat.
+fn tell(from: &Relay, to: &mut Relay, now: Time) {
+    let row = to.members().own().clone();
+    to.heard(from.beat(Some(&row), now), now);
+}
+
+#[test]
+fn a_part_is_copied_from_the_engine_that_read_it() {
+    let mut relay = vm("vm-0", "north");
+    let (one, other) = (endpoint("n-1", "engines", "north"), endpoint("n-2", "engines", "north"));
+    assert_eq!(send(&mut relay, "digest", 7, &one, Time(1_000)), None);
+    assert_eq!(
+        send(&mut relay, "digest", 7, &other, Time(3_000)).as_deref(),
+        Some("n-1")
+    );
+    // An engine that may have pushed the part out can have it back.
+    assert_eq!(send(&mut relay, "digest", 7, &one, Time(5_000)).as_deref(), Some("n-2"));
+    assert_eq!(send(&mut relay, "digest", 8, &other, Time(5_000)), None);
+}
+
+#[test]
+fn a_part_that_is_still_being_read_is_not_copied() {
+    let mut relay = vm("vm-0", "north");
+    let (one, other) = (endpoint("n-1", "engines", "north"), endpoint("n-2", "engines", "north"));
+    send(&mut relay, "digest", 7, &one, Time(1_000));
+    assert_eq!(send(&mut relay, "digest", 7, &other, Time(1_050)), None);
+}
+
+#[test]
+fn copying_takes_a_fraction_of_reading() {
+    let mut relay = vm("vm-0", "north");
+    let (one, other) = (endpoint("n-1", "engines", "north"), endpoint("n-2", "engines", "north"));
+    let admitted = admit(&mut relay, "digest", Some(prompt(7, SHARED, OWN)), Time(1_000));
+    let first = relay.begin(&admitted, &one, None, Time(1_000)).expect("an attempt");
+    let admitted = admit(&mut relay, "digest", Some(prompt(7, SHARED, OWN)), Time(3_000));
+    let second = relay.begin(&admitted, &other, None, Time(3_000)).expect("an attempt");
+    assert_eq!((second.intake.read.0, second.intake.copied.0), (OWN, SHARED));
+    assert!(second.expected_ms() < first.expected_ms() / 2.0, "{second:?}");
+}
+
+#[test]
+fn short_shared_parts_are_read() {
+    let mut relay = vm("vm-0", "north");
+    for (at, engine) in [(1_000, "n-1"), (3_000, "n-2")] {
+        let admitted = admit(&mut relay, "digest", Some(prompt(7, 300, OWN)), Time(at));
+        let engine = endpoint(engine, "engines", "north");
+        let attempt = relay.begin(&admitted, &engine, None, Time(at)).expect("an attempt");
+        assert_eq!(attempt.source, None);
+    }
+}
+
+#[test]
+fn neighbours_and_other_regions_are_told() {
+    let mut reader = vm("vm-0", "north");
+    send(
+        &mut reader,
+        "digest",
+        7,
+        &endpoint("n-1", "engines", "north"),
+        Time(1_000),
+    );
+    let mut neighbour = vm("vm-1", "north");
+    tell(&reader, &mut neighbour, Time(2_000));
+    let to = endpoint("n-2", "engines", "north");
+    assert_eq!(
+        send(&mut neighbour, "digest", 7, &to, Time(2_100)).as_deref(),
+        Some("n-1")
+    );
+    // The neighbour passes it on to another region, as a delegate does.
+    let mut neighbour = vm("vm-1", "north");
+    tell(&reader, &mut neighbour, Time(2_000));
+    let mut remote = vm("vm-9", "south");
+    hear(&mut remote, "north", Time(2_400));
+    tell(&neighbour, &mut remote, Time(2_500));
+    let to = endpoint("s-1", "engines", "south");
+    assert_eq!(send(&mut remote, "digest", 7, &to, Time(2_600)).as_deref(), Some("n-1"));
+}
+
+#[test]
+fn what_was_told_is_told_again_only_when_it_is_used_later() {
+    let mut reader = vm("vm-0", "north");
+    let engine = endpoint("n-1", "engines", "north");
+    let told = |relay: &Relay, at: u64| relay.beat(Some(&row("vm-1", "north")), Time(at)).kept.len();
+    send(&mut reader, "digest", 7, &engine, Time(1_000));
+    assert_eq!(told(&reader, 1_500), 1);
+    send(&mut reader, "digest", 7, &engine, Time(3_500));
+    assert_eq!(told(&reader, 3_600), 0, "it is known");
+    send(&mut reader, "digest", 7, &engine, Time(6_000));
+    assert_eq!(told(&reader, 6_100), 1, "it is still kept");
+}
+
+/// The pattern: links between regions carry a copy in more time than an engine takes to read.
+#[test]
+fn a_slow_copy_is_made_only_where_the_answer_begins_well_in_time() {
+    for (own, source) in [(1_000, Some("s-1")), (9_000, None)] {
+        let mut relay = vm("vm-0", "north");
+        hear(&mut relay, "south", Time(1_800));
+        hear_kept(&mut relay, "s-1", Time(1_900));
+        let admitted = admit(&mut relay, "digest", Some(prompt(7, SHARED, own)), Time(2_000));
+        let here = endpoint("n-1", "engines", "north");
+        let attempt = relay.begin(&admitted, &here, None, Time(2_000)).expect("an attempt");
+        let named = attempt.source.map(|source| source.endpoint.id.to_string());
+        assert_eq!(named.as_deref(), source, "{own}");
+    }
+}
+
+#[test]
+fn the_nearest_engine_is_copied_from() {
+    let mut relay = vm("vm-0", "north");
+    hear(&mut relay, "south", Time(1_800));
+    send(
+        &mut relay,
+        "digest",
+        7,
+        &endpoint("n-2", "engines", "north"),
+        Time(1_000),
+    );
+    hear_kept(&mut relay, "s-1", Time(1_900));
+    let here = endpoint("n-1", "engines", "north");
+    assert_eq!(
+        send(&mut relay, "digest", 7, &here, Time(2_000)).as_deref(),
+        Some("n-2")
+    );
+}
+
+#[test]
+fn how_long_copies_take_is_learned() {
+    const ROUNDS: u64 = 100;
+    let mut relay = vm("vm-0", "north");
+    let engines = [endpoint("n-1", "engines", "north"), endpoint("n-2", "engines", "north")];
+    let mut expected = Vec::new();
+    for round in 0..ROUNDS {
+        let (now, subject) = (Time(10_000 * (round + 1)), round);
+        send(&mut relay, "digest", subject, &engines[0], now);
+        let admitted = admit(
+            &mut relay,
+            "digest",
+            Some(prompt(subject, SHARED, OWN)),
+            now + Millis(2_000),
+        );
+        let begun = relay.begin(&admitted, &engines[1], None, now + Millis(2_000));
+        let mut attempt = begun.expect("an attempt");
+        expected.push(attempt.copy_ms);
+        relay.first_event(&mut attempt, now + Millis(2_000 + 250));
+        relay.end(&attempt, sw_relay::Outcome::Whole, now + Millis(3_000));
+    }
+    assert!(expected[0] < 150.0, "{expected:?}");
+    let last = expected.last().expect("a round");
+    assert!((last - 180.0).abs() < 15.0, "{expected:?}");
+}
+
+/// Hears that an engine of the south keeps the shared part of subject 7.
+fn hear_kept(relay: &mut Relay, engine: &str, now: Time) {
+    let part = KeptPart {
+        key: key_of(7),
+        endpoint: engine.parse().expect("an id"),
+        age: Millis(100),
+    };
+    let mut told = beat(row("vm-south", "south"), Vec::new());
+    told.domains[0].kept.push(part);
+    relay.heard(told, now);
+}
+
+/// An engine that leaves, closed, restarted or is paused, and one in a region that is not heard, is no source.
+#[test]
+fn only_engines_that_stay_and_are_reached_are_copied_from() {
+    type Change = fn(&mut Relay, &EndpointEntry);
+    let changes: [(&str, Change); 4] = [
+        ("leaving", |relay, entry| {
+            let leaving = EndpointEntry {
+                leaving: true,
+                ..entry.clone()
+            };
+            register(relay, leaving, Time(2_000));
+        }),
+        ("gone", |relay, entry| {
+            relay.learn(Fact::Endpoint(entry.id.clone(), None), Time(2_000));
+        }),
+        ("restarted", |relay, entry| {
+            let restarted = EndpointEntry {
+                life: Incarnation(2),
+                ..entry.clone()
+            };
+            register(relay, restarted, Time(2_000));
+        }),
+        ("evacuated", |relay, entry| {
+            relay.learn(Fact::Evacuated(entry.domain.clone(), true), Time(2_000));
+        }),
+    ];
+    let here = endpoint("n-1", "engines", "north");
+    for (what, change) in changes {
+        let mut relay = vm("vm-0", "north");
+        hear(&mut relay, "south", Time(1_800));
+        hear_kept(&mut relay, "s-1", Time(1_900));
+        change(&mut relay, &endpoint("s-1", "engines", "south"));
+        assert_eq!(send(&mut relay, "digest", 7, &here, Time(2_100)), None, "{what}");
+    }
+    for (what, at, source) in [("heard", 2_100, Some("s-1")), ("cut off", 6_000, None)] {
+        let mut relay = vm("vm-0", "north");
+        hear(&mut relay, "south", Time(1_800));
+        hear_kept(&mut relay, "s-1", Time(1_900));
+        assert_eq!(
+            send(&mut relay, "digest", 7, &here, Time(at)).as_deref(),
+            source,
+            "{what}"
+        );
+    }
+}
+
+/// The key under which VMs speak of the shared part of `subject`.
+fn key_of(subject: u64) -> u64 {
+    let mut relay = vm("vm-0", "north");
+    send(
+        &mut relay,
+        "digest",
+        subject,
+        &endpoint("n-1", "engines", "north"),
+        Time(0),
+    );
+    relay.beat(Some(&row("vm-1", "north")), Time(1_000)).kept[0].key
+}
+
+#[test]
+fn an_engine_with_a_source_is_preferred_to_a_late_one() {
+    let mut relay = vm("vm-0", "north");
+    let admitted = admit(&mut relay, "digest", Some(prompt(7, SHARED, OWN)), Time(1_000));
+    let chosen = |relay: &mut Relay, admitted: &sw_relay::Admitted, now| match relay
+        .choose(admitted, &Tried::default(), now)
+        .expect("a choice")
+    {
+        Choice::Endpoint { endpoint, .. } => endpoint,
+        choice @ Choice::Vm { .. } => panic!("{choice:?} leaves the region"),
+    };
+    let home = chosen(&mut relay, &admitted, Time(1_000));
+    let mut attempt = relay.begin(&admitted, &home, None, Time(1_000)).expect("an attempt");
+    relay.first_event(&mut attempt, Time(1_300));
+    // Other prompts keep the engine busy for most of the objective.
+    for subject in 100..103 {
+        let other = admit(&mut relay, "digest", Some(prompt(subject, SHARED, OWN)), Time(3_000));
+        relay.begin(&other, &home, None, Time(3_000)).expect("an attempt");
+    }
+    let again = admit(&mut relay, "digest", Some(prompt(7, SHARED, OWN)), Time(3_000));
+    assert_ne!(chosen(&mut relay, &again, Time(3_000)).id, home.id);
+}
+
+proptest! {
+    /// Whatever VMs told each other, a prompt is copied only from engines in regions that its route permits.
+    #[test]
+    fn data_is_copied_within_the_permitted_regions(
+        told in proptest::collection::vec((0..5_u64, prop_oneof![Just("n-2"), Just("s-1"), Just("w-1")]), 1..20),
+        subject in 0..5_u64,
+    ) {
+        let mut relay = vm("vm-0", "north");
+        for region in ["south", "west"] {
+            hear(&mut relay, region, Time(1_000));
+        }
+        let kept = told.iter().map(|(subject, engine)| KeptPart {
+            key: key_of(*subject),
+            endpoint: engine.parse().expect("an id"),
+            age: Millis(0),
+        });
+        let told = Beat { kept: kept.collect(), ..beat(row("vm-1", "north"), Vec::new()) };
+        relay.heard(told, Time(1_000));
+        let here = endpoint("n-1", "engines", "north");
+        // The route of queries permits north and south.
+        let source = send(&mut relay, "query", subject, &here, Time(1_500));
+        prop_assert_ne!(source.as_deref(), Some("w-1"));
+    }
+}
+
+#[test]
+fn what_is_remembered_is_bounded_and_forgotten() {
+    let mut relay = relay_of("vm-0");
+    let engine = endpoint("n-1", "engines", "north");
+    register(&mut relay, engine.clone(), Time(0));
+    for subject in 0..6_000 {
+        send(&mut relay, "digest", subject, &engine, Time(1_000));
+    }
+    let told = |relay: &Relay, at| relay.beat(Some(&row("vm-1", "north")), at).kept.len();
+    assert!(told(&relay, Time(1_500)) <= 128);
+    relay.tick(Time(30_000));
+    assert_eq!(told(&relay, Time(30_000)), 0);
+}
