--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -28,6 +28,12 @@
   ageMs @2 :UInt32;
 }
 
+struct KeptPart {
+  key @0 :UInt64;
+  endpoint @1 :Text;
+  ageMs @2 :UInt32;
+}
+
 struct DomainView {
   domain @0 :Text;
   region @1 :Text;
@@ -35,6 +41,7 @@
   vms @3 :List(VmAge);
   endpoints @4 :List(EndpointLoad);
   services @5 :List(ServiceLoad);
+  kept @6 :List(KeptPart);
 }
 
 struct Beat {
@@ -44,6 +51,7 @@
   revision @3 :UInt64;
   endpoints @4 :List(EndpointLoad);
   domains @5 :List(DomainView);
+  kept @6 :List(KeptPart);
 }
 
 struct Item {
@@ -87,6 +95,8 @@
   parts @4 :List(Part);
   limitMs @5 :UInt32;
   urgent @6 :Bool;
+  # 1 more than the distance of an engine that keeps the shared parts; 0 if there is none.
+  source @7 :UInt8;
 }
 
 struct Wait {
@@ -103,7 +113,7 @@
   exchange @0 (beat :Beat) -> (beat :Beat);
   snapshot @1 () -> (revision :UInt64, items :List(Item));
   relay @2 (call :Call, sink :AnswerSink) -> (length :UInt64, refused :Bool, refusal :Peer.Refusal);
-  reserve @3 (reservation :Reservation) -> (granted :Bool, ticket :UInt64, unread :UInt64, wait :Wait);
+  reserve @3 (reservation :Reservation) -> (granted :Bool, ticket :UInt64, unread :UInt64, wait :Wait, copied :UInt64, source :UInt8);
   release @4 (endpoint :Text, ticket :UInt64, absent :Bool) -> ();
   watch @5 (after :UInt64, waitMs :UInt32) -> (watched :Watched, revision :UInt64, changes :List(Change), returnedMs :UInt32);
 }
--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -1,7 +1,10 @@
 //! Conversion between the wire's structs and the project's types.
 
 use bytes::Bytes;
-use sw_relay::{Beat, DomainView, EndpointLoad, Granted, Part, Prompt, Reservation, ServiceLoad, VmAge, Wait};
+use sw_relay::{
+    Beat, Distance, DomainView, EndpointLoad, Granted, Intake, KeptPart, Part, Prompt, Reservation, ServiceLoad, VmAge,
+    Wait,
+};
 use sw_store::{Change, Changes, Item, Snapshot};
 use sw_unit::{Incarnation, Millis, Tokens};
 
@@ -18,6 +21,8 @@
 type Headers = [(String, Bytes)];
 
 type EndpointLoads<'a> = capnp::struct_list::Reader<'a, wire::endpoint_load::Owned>;
+type KeptParts<'a> = capnp::struct_list::Reader<'a, wire::kept_part::Owned>;
+type KeptPartsTo<'a> = capnp::struct_list::Builder<'a, wire::kept_part::Owned>;
 type EndpointLoadsTo<'a> = capnp::struct_list::Builder<'a, wire::endpoint_load::Owned>;
 
 pub(super) fn set_beat(mut to: wire::beat::Builder<'_>, beat: &Beat) {
@@ -29,6 +34,7 @@
         set_vm_row(known.reborrow().get(i), row);
     }
     set_endpoints(to.reborrow().init_endpoints(len(&beat.endpoints)), &beat.endpoints);
+    set_kept(to.reborrow().init_kept(len(&beat.kept)), &beat.kept);
     let mut domains = to.init_domains(len(&beat.domains));
     for (i, view) in (0..).zip(&beat.domains) {
         set_view(domains.reborrow().get(i), view);
@@ -47,6 +53,7 @@
         to.set_age_ms(millis(vm.age));
     }
     set_endpoints(to.reborrow().init_endpoints(len(&view.endpoints)), &view.endpoints);
+    set_kept(to.reborrow().init_kept(len(&view.kept)), &view.kept);
     let mut services = to.init_services(len(&view.services));
     for (i, load) in (0..).zip(&view.services) {
         let mut to = services.reborrow().get(i);
@@ -67,6 +74,26 @@
     }
 }
 
+fn set_kept(mut to: KeptPartsTo<'_>, parts: &[KeptPart]) {
+    for (i, part) in (0..).zip(parts) {
+        let mut to = to.reborrow().get(i);
+        to.set_key(part.key);
+        to.set_endpoint(part.endpoint.as_str());
+        to.set_age_ms(millis(part.age));
+    }
+}
+
+fn kept(from: KeptParts<'_>) -> Result<Vec<KeptPart>> {
+    let parts = from.iter().map(|part| {
+        Ok(KeptPart {
+            key: part.get_key(),
+            endpoint: parse(part.get_endpoint())?,
+            age: Millis(u64::from(part.get_age_ms())),
+        })
+    });
+    parts.collect()
+}
+
 fn millis(span: Millis) -> u32 {
     u32::try_from(span.0).unwrap_or(u32::MAX)
 }
@@ -81,6 +108,7 @@
         revision: from.get_revision(),
         endpoints: endpoints(from.get_endpoints()?)?,
         domains: domains.collect::<Result<_>>()?,
+        kept: kept(from.get_kept()?)?,
     })
 }
 
@@ -107,6 +135,7 @@
         vms: vms.collect::<Result<_>>()?,
         endpoints: endpoints(from.get_endpoints()?)?,
         services: services.collect::<Result<_>>()?,
+        kept: kept(from.get_kept()?)?,
     })
 }
 
@@ -173,6 +202,7 @@
     to.set_output(prompt.output().0);
     to.set_limit_ms(reservation.limit_ms as u32);
     to.set_urgent(reservation.urgent);
+    to.set_source(reservation.source.map_or(0, |distance| distance as u8 + 1));
     let mut parts = to.init_parts(len(&prompt.parts));
     for (i, part) in (0..).zip(&prompt.parts) {
         let mut to = parts.reborrow().get(i);
@@ -197,6 +227,7 @@
         },
         limit_ms: f64::from(from.get_limit_ms()),
         urgent: from.get_urgent(),
+        source: from.get_source().checked_sub(1).and_then(Distance::from_repr),
     })
 }
 
@@ -209,7 +240,11 @@
     }
     Ok(Ok(Granted {
         ticket: from.get_ticket(),
-        unread: Tokens(from.get_unread()),
+        intake: Intake {
+            read: Tokens(from.get_unread()),
+            copied: Tokens(from.get_copied()),
+            distance: from.get_source().checked_sub(1).and_then(Distance::from_repr),
+        },
         wait,
     }))
 }
@@ -222,7 +257,9 @@
         Ok(granted) => {
             to.set_granted(true);
             to.set_ticket(granted.ticket);
-            to.set_unread(granted.unread.0);
+            to.set_unread(granted.intake.read.0);
+            to.set_copied(granted.intake.copied.0);
+            to.set_source(granted.intake.distance.map_or(0, |distance| distance as u8 + 1));
             granted.wait
         }
         Err(wait) => wait,
--- a/crates/sw-peer/src/relay_capnp.rs
+++ b/crates/sw-peer/src/relay_capnp.rs
@@ -1101,6 +1101,270 @@
     }
 }
 
+pub mod kept_part {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_key(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_key(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_key(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(214, 100, 106, 62, 152, 27, 207, 141),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 75, 101, 112, 116),
+            ::capnp::word(80, 97, 114, 116, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+        pub(crate) const TYPE_ID: u64 = 0x8dcf_1b98_3e6a_64d6;
+    }
+}
+
 pub mod domain_view {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -1206,11 +1470,19 @@
         pub fn has_services(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
+        #[inline]
+        pub fn get_kept(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::kept_part::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_kept(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1348,6 +1620,22 @@
         pub fn has_services(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
+        #[inline]
+        pub fn get_kept(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::kept_part::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_kept(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::kept_part::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
+        }
+        #[inline]
+        pub fn init_kept(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::kept_part::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
+        }
+        #[inline]
+        pub fn has_kept(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1359,66 +1647,73 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 121] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 140] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(115, 136, 146, 174, 102, 110, 67, 236),
             ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 68, 111, 109, 97),
             ::capnp::word(105, 110, 86, 105, 101, 119, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(100, 111, 109, 97, 105, 110, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1481,6 +1776,18 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 101, 112, 116, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(214, 100, 106, 62, 152, 27, 207, 141),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1490,6 +1797,7 @@
                 3 => <::capnp::struct_list::Owned<crate::relay_capnp::vm_age::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::struct_list::Owned<crate::relay_capnp::endpoint_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::relay_capnp::service_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::relay_capnp::kept_part::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1503,9 +1811,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,4,1,5,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,4,6,1,5,3];
         pub(crate) const TYPE_ID: u64 = 0xec43_6e66_ae92_8873;
     }
 }
@@ -1611,11 +1919,19 @@
         pub fn has_domains(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_kept(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::kept_part::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_kept(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1745,6 +2061,22 @@
         pub fn has_domains(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_kept(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::kept_part::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_kept(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::kept_part::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+        }
+        #[inline]
+        pub fn init_kept(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::kept_part::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
+        }
+        #[inline]
+        pub fn has_kept(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1759,66 +2091,73 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 121] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 140] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(133, 4, 211, 207, 138, 222, 52, 236),
             ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 66, 101, 97, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(26, 128, 190, 178, 67, 7, 133, 240),
@@ -1881,6 +2220,18 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 101, 112, 116, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(214, 100, 106, 62, 152, 27, 207, 141),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1890,6 +2241,7 @@
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::struct_list::Owned<crate::relay_capnp::endpoint_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::relay_capnp::domain_view::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::relay_capnp::kept_part::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1903,9 +2255,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,4,0,2,1,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,4,0,6,2,1,3];
         pub(crate) const TYPE_ID: u64 = 0xec34_de8a_cfd3_0485;
     }
 }
@@ -3277,6 +3629,10 @@
         pub fn get_urgent(self) -> bool {
             self.reader.get_bool_field(160)
         }
+        #[inline]
+        pub fn get_source(self) -> u8 {
+            self.reader.get_data_field::<u8>(21)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -3411,6 +3767,14 @@
         pub fn set_urgent(&mut self, value: bool)  {
             self.builder.set_bool_field(160, value);
         }
+        #[inline]
+        pub fn get_source(self) -> u8 {
+            self.builder.get_data_field::<u8>(21)
+        }
+        #[inline]
+        pub fn set_source(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(21, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3422,7 +3786,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 127] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 142] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(118, 33, 231, 62, 158, 27, 47, 184),
             ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
@@ -3432,63 +3796,70 @@
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 82, 101, 115, 101),
             ::capnp::word(114, 118, 97, 116, 105, 111, 110, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 160, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 21, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -3550,6 +3921,14 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 111, 117, 114, 99, 101, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3560,6 +3939,7 @@
                 4 => <::capnp::struct_list::Owned<crate::relay_capnp::part::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3573,9 +3953,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,5,3,4,1,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,5,3,4,1,7,6];
         pub(crate) const TYPE_ID: u64 = 0xb82f_1b9e_3ee7_2176;
     }
 }
@@ -6460,11 +6840,19 @@
             pub fn has_wait(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_copied(self) -> u64 {
+                self.reader.get_data_field::<u64>(3)
+            }
+            #[inline]
+            pub fn get_source(self) -> u8 {
+                self.reader.get_data_field::<u8>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6554,6 +6942,22 @@
             pub fn has_wait(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_copied(self) -> u64 {
+                self.builder.get_data_field::<u64>(3)
+            }
+            #[inline]
+            pub fn set_copied(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(3, value);
+            }
+            #[inline]
+            pub fn get_source(self) -> u8 {
+                self.builder.get_data_field::<u8>(1)
+            }
+            #[inline]
+            pub fn set_source(&mut self, value: u8)  {
+                self.builder.set_data_field::<u8>(1, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6568,17 +6972,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(254, 134, 171, 3, 6, 132, 15, 220),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 3, 0),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
@@ -6586,35 +6990,49 @@
                 ::capnp::word(121, 80, 101, 101, 114, 46, 114, 101),
                 ::capnp::word(115, 101, 114, 118, 101, 36, 82, 101),
                 ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(165, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6647,6 +7065,22 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 112, 105, 101, 100, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 111, 117, 114, 99, 101, 0, 0),
+                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -6654,6 +7088,8 @@
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     3 => <crate::relay_capnp::wait::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6667,9 +7103,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2,3];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,5,1,2,3];
             pub(crate) const TYPE_ID: u64 = 0xdc0f_8406_03ab_86fe;
         }
     }
--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at an endpoint, up to the head of its answer.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -119,7 +120,8 @@
     let granted = reserved.as_ref().map(Reserved::granted);
     let attempt = core.relay.borrow_mut().begin(admitted, endpoint, granted, core.now());
     let attempt = attempt.ok_or(Outcome::Unsent)?;
-    let expected_ms = attempt.backlog_ms + attempt.read_ms;
+    let expected_ms = attempt.expected_ms();
+    let source = attempt.source.as_ref().map(|source| source.endpoint.address);
     let begins_by = core.now() + admitted.begin_patience(expected_ms);
     let mut running = Running {
         core: Rc::clone(core),
@@ -128,7 +130,8 @@
         reserved,
         status: 0,
     };
-    match exchange_heads(core, call, endpoint, expected_ms, may_go_elsewhere).await {
+    let target = Target { endpoint, source };
+    match exchange_heads(core, call, &target, expected_ms, may_go_elsewhere).await {
         Ok((exchange, response, head)) => {
             running.status = response.status().as_u16();
             let (parts, body) = response.into_parts();
@@ -154,14 +157,22 @@
     }
 }
 
+/// Where an attempt goes.
+struct Target<'a> {
+    endpoint: &'a EndpointEntry,
+    /// From where the endpoint may copy shared parts of the prompt.
+    source: Option<SocketAddr>,
+}
+
 async fn exchange_heads<D: Dialect, F: 'static>(
     core: &Rc<Core<D, F>>,
     call: &Call,
-    endpoint: &EndpointEntry,
+    target: &Target<'_>,
     expected_ms: f64,
     may_go_elsewhere: bool,
 ) -> Result<(Exchange, Response<Incoming>, AnswerHead), (Outcome, u16)> {
     let admitted = &call.admitted;
+    let endpoint = target.endpoint;
     let reuse = if admitted.route.kind.repeatable() {
         Reuse::Allowed
     } else {
@@ -174,7 +185,7 @@
     if left == Millis(0) || !core.relay.borrow().registry().may_send(endpoint, core.now()) {
         return Err((Outcome::Unsent, 0));
     }
-    let request = outbound(core, call, endpoint, left);
+    let request = outbound(core, call, target, left);
     let wait = call.head_wait(expected_ms, may_go_elsewhere, left);
     let response = exchange.send(request, Duration::from_millis(wait.0)).await;
     let response = response.map_err(|error| match error {
@@ -225,18 +236,14 @@
     Ok(())
 }
 
-fn outbound<D: Dialect, F>(
-    core: &Core<D, F>,
-    call: &Call,
-    endpoint: &EndpointEntry,
-    left: Millis,
-) -> Request<Full<Bytes>> {
+fn outbound<D: Dialect, F>(core: &Core<D, F>, call: &Call, target: &Target<'_>, left: Millis) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.target.clone();
     *request.headers_mut() = call.headers.clone();
     let outbound = Outbound {
-        endpoint: &endpoint.id,
+        endpoint: &target.endpoint.id,
+        source: target.source,
         left,
         last_event: call.resume_after.as_deref(),
     };
--- a/crates/sw-proxy/src/dialect.rs
+++ b/crates/sw-proxy/src/dialect.rs
@@ -1,6 +1,7 @@
 //! The names and formats of a platform.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -34,6 +35,8 @@
     pub left: Millis,
     /// The last event that the caller has, if the stream is resumed.
     pub last_event: Option<&'a str>,
+    /// The engine from which the shared parts of the prompt may be copied.
+    pub source: Option<SocketAddr>,
 }
 
 /// What an endpoint states about a request that it did not run.
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -48,10 +48,15 @@
 pub(crate) fn attempt_ended(id: &str, attempt: &Attempt, outcome: Outcome, status: u16, now: Time) {
     let endpoint = attempt.endpoint.id.as_str();
     let ended: &'static str = outcome.into();
-    let (unread, read_ms, backlog_ms) = (attempt.unread.0, attempt.read_ms as u64, attempt.backlog_ms as u64);
+    let (unread, copied) = (attempt.intake.read.0, attempt.intake.copied.0);
+    let (read_ms, copy_ms) = (attempt.read_ms as u64, attempt.copy_ms as u64);
+    let backlog_ms = attempt.backlog_ms as u64;
+    let source = attempt.source.as_ref().map_or("", |source| source.endpoint.id.as_str());
     let first_ms = attempt.first_event.map_or(0, |first| first.since(attempt.began).0);
     let age_ms = attempt.age(now).0;
-    info!("attempt_ended", kv: { id, endpoint, ended, status, unread, read_ms, backlog_ms, first_ms, age_ms });
+    info!("attempt_ended", kv: {
+        id, endpoint, ended, status, unread, copied, source, read_ms, copy_ms, backlog_ms, first_ms, age_ms
+    });
     counter!("shallotwing_attempts_total", "outcome" => ended).increment(1);
 }
 
--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -4,7 +4,7 @@
 use sw_error::{Kind, Ran, Refusal};
 use sw_unit::{Millis, Time, Tokens};
 
-use crate::{EndpointEntry, ServiceId};
+use crate::{EndpointEntry, Intake, ServiceId, Source};
 
 /// An attempt that is under way.
 #[derive(Debug, Clone, PartialEq)]
@@ -17,10 +17,14 @@
     pub began: Time,
     /// Stands for it in the endpoint's load.
     pub ticket: u64,
-    /// Tokens that the engine has to read.
-    pub unread: Tokens,
-    /// Milliseconds that reading them is expected to take.
+    /// What the engine does before it begins to answer.
+    pub intake: Intake,
+    /// Milliseconds that reading is expected to take.
     pub read_ms: f64,
+    /// Milliseconds that copying is expected to take, beside the reading that is ahead of it.
+    pub copy_ms: f64,
+    /// The engine from which it may copy the shared parts of the prompt.
+    pub source: Option<Source>,
     /// Milliseconds of reading that were ahead of it.
     pub backlog_ms: f64,
     /// When the first event of its answer came.
@@ -32,6 +36,11 @@
 }
 
 impl Attempt {
+    /// Milliseconds until its first event, as expected when it began.
+    pub fn expected_ms(&self) -> f64 {
+        self.backlog_ms.max(self.copy_ms) + self.read_ms
+    }
+
     /// Time since it began.
     pub fn age(&self, now: Time) -> Millis {
         now.since(self.began)
--- a/crates/sw-relay/src/beat.rs
+++ b/crates/sw-relay/src/beat.rs
@@ -7,7 +7,7 @@
 use sw_member::VmRow;
 use sw_unit::{DomainId, EndpointId, Incarnation, Millis, RegionId, VmId};
 
-use crate::ServiceId;
+use crate::{KeptPart, ServiceId};
 
 /// What one VM, or the VMs of one failure domain, sent to an endpoint.
 #[derive(Debug, Clone, PartialEq)]
@@ -68,6 +68,8 @@
     pub endpoints: Vec<EndpointLoad>,
     /// How busy its region is.
     pub services: Vec<ServiceLoad>,
+    /// Shared parts of prompts that its VMs saw read lately.
+    pub kept: Vec<KeptPart>,
 }
 
 /// A heartbeat between two VMs.
@@ -85,4 +87,6 @@
     pub endpoints: Vec<EndpointLoad>,
     /// To another domain the sender's own, to neighbours those that it heard of as a delegate.
     pub domains: Vec<DomainView>,
+    /// Shared parts of prompts that the sender saw read lately; empty between domains.
+    pub kept: Vec<KeptPart>,
 }
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -14,10 +14,12 @@
 use crate::cache::shared_key;
 use crate::registry::Endpoint;
 use crate::spill::{Remote, spills};
-use crate::{Admitted, Choice, EndpointEntry, EngineModel, Load, Prompt, Relay, ServiceId, Tried};
+use crate::{Admitted, Choice, Distance, EndpointEntry, EngineModel, Intake, Load, Prompt, Relay, ServiceId, Tried};
 
 /// Surcharge for reading a shared part once more, in units of the time that it takes.
 const REREAD_SURCHARGE: f64 = 14.0;
+/// Surcharge for copying a shared part once more, in units of the time that it takes.
+const COPY_SURCHARGE: f64 = 4.0;
 /// Share of the objective up to which a request waits for the endpoint that has its shared part.
 const AFFINITY_SHARE: f64 = 1.0;
 /// Surcharge for waiting longer than that, in units of the time beyond it.
@@ -131,20 +133,13 @@
         })
     }
 
-    /// Tokens of a prompt that an endpoint probably has to read.
-    pub(crate) fn unread(&self, endpoint: &EndpointId, prompt: &Prompt) -> Tokens {
-        let load = self.loads.get(endpoint);
-        let cached = load.map_or(Tokens(0), |load| load.cache.cached(prompt));
-        prompt.input.saturating_sub(cached)
-    }
-
     /// Milliseconds that an engine of a service takes to read `tokens`.
     pub(crate) fn read_ms(&self, service: &ServiceId, tokens: Tokens) -> f64 {
         self.model(service).read_ms(tokens)
     }
 
     /// How fast the endpoints of a service are.
-    fn model(&self, service: &ServiceId) -> EngineModel {
+    pub(crate) fn model(&self, service: &ServiceId) -> EngineModel {
         self.models.get(service).copied().unwrap_or_default()
     }
 
@@ -172,11 +167,14 @@
             // All VMs prefer the endpoints for the shared parts of a prompt in this order.
             candidates.sort_by_cached_key(|endpoint| Reverse(sw_member::score(key, endpoint.entry.id.as_str())));
         }
+        let sources = self.sources(admitted, now);
         let ranked = candidates.into_iter().enumerate();
         let mut scored: Vec<_> = ranked
             .map(|(place, endpoint)| {
                 let rank = if key.is_some() { place } else { 0 };
-                self.score(admitted, endpoint, rank, tried, now)
+                let source = self.next_source(admitted, &sources, &endpoint.entry, now);
+                let source = source.map(|(_, distance)| distance);
+                self.score(admitted, endpoint, rank, source, tried, now)
             })
             .collect();
         let next = scored.len().checked_sub(1)?.min(1);
@@ -191,28 +189,28 @@
         })
     }
 
-    /// Weighs an endpoint that has the place `rank` among those for the shared parts of a prompt.
+    /// Weighs an endpoint that has the place `rank` among those for the shared parts of a prompt; `source` is how far
+    /// the engine is from which it can copy them.
     fn score<'a>(
         &self,
         admitted: &Admitted,
         endpoint: &'a Endpoint,
         rank: usize,
+        source: Option<Distance>,
         tried: &Tried,
         now: Time,
     ) -> Scored<'a> {
         let id = &endpoint.entry.id;
-        let unread = admitted.prompt.as_ref().map(|prompt| self.unread(id, prompt));
-        let expected_ms = match unread {
-            Some(unread) => self.prompt_ms(&admitted.service, id, unread, now) - self.spared_ms(admitted, id, now),
+        let prompt = admitted.prompt.as_ref();
+        let intake = prompt.map(|prompt| self.intake(id, prompt, source));
+        let expected_ms = match intake {
+            Some(intake) => self.prompt_ms(&admitted.service, id, intake, now) - self.spared_ms(admitted, id, now),
             None => self.answer_ms(&admitted.service, &endpoint.entry, now) + self.spread_ms(admitted, id),
         };
         let declined_ms = tried.declined_at(id).unwrap_or_default();
         let expected_ms = expected_ms.max(declined_ms);
-        let reread_ms = match (&admitted.prompt, unread) {
-            (Some(prompt), Some(unread)) if rank > 0 => {
-                let own = prompt.input.saturating_sub(prompt.shared());
-                self.read_ms(&admitted.service, unread.saturating_sub(own))
-            }
+        let again_ms = match (prompt, intake) {
+            (Some(prompt), Some(intake)) if rank > 0 => self.again_ms(admitted, prompt, intake),
             _ => 0.0,
         };
         let gap_ms = self.loads.get(id).map(|load| load.gap_ms(now));
@@ -225,11 +223,20 @@
             score: expected_ms
                 + LATE_SURCHARGE * late_ms
                 + OVERRUN_SURCHARGE * overrun_ms
-                + REREAD_SURCHARGE * reread_ms
+                + again_ms
                 + RANK_SURCHARGE_MS * rank as f64,
         }
     }
 
+    /// The surcharge for shared parts that an engine reads or copies although another one keeps them.
+    fn again_ms(&self, admitted: &Admitted, prompt: &Prompt, intake: Intake) -> f64 {
+        let own = prompt.input.saturating_sub(prompt.shared());
+        let again = intake.read.saturating_sub(own);
+        let read_ms = self.read_ms(&admitted.service, again);
+        let copy_ms = self.intake_copy_ms(&admitted.service, intake);
+        REREAD_SURCHARGE * read_ms + COPY_SURCHARGE * copy_ms
+    }
+
     /// By how much less a request has to wait at an engine whose account this VM keeps.
     fn spared_ms(&self, admitted: &Admitted, endpoint: &EndpointId, now: Time) -> f64 {
         if !is_spared(admitted) || !self.coordinates(endpoint) {
@@ -265,12 +272,13 @@
         self.model(service).service_ms()
     }
 
-    /// Milliseconds until the first event for a prompt of which `unread` has to be read.
-    pub(crate) fn prompt_ms(&self, service: &ServiceId, endpoint: &EndpointId, unread: Tokens, now: Time) -> f64 {
+    /// Milliseconds until the first event for a prompt for which an engine has `intake` to do.
+    pub(crate) fn prompt_ms(&self, service: &ServiceId, endpoint: &EndpointId, intake: Intake, now: Time) -> f64 {
         let idle = Load::default();
         let load = self.loads.get(endpoint).unwrap_or(&idle);
         let waiting = f64::from(load.waiting(now)) * WAITING_MS;
-        load.backlog_ms(now) + waiting + self.read_ms(service, unread) + load.gap_ms(now)
+        let begins_ms = load.backlog_ms(now).max(self.intake_copy_ms(service, intake));
+        begins_ms + waiting + self.read_ms(service, intake.read) + load.gap_ms(now)
     }
 
     /// Milliseconds by which an answer is expected to end too late that begins after `expected_ms`.
--- a/crates/sw-relay/src/coordinate.rs
+++ b/crates/sw-relay/src/coordinate.rs
@@ -12,10 +12,10 @@
 
 use indexmap::IndexMap;
 use sw_member::{VmRow, top};
-use sw_unit::{DomainId, EndpointId, Millis, Time, Tokens, VmId};
+use sw_unit::{DomainId, EndpointId, Millis, Time, VmId};
 
 use crate::load::Sender;
-use crate::{Admitted, EndpointEntry, Prompt, Relay, ServiceId, Tried};
+use crate::{Admitted, Distance, EndpointEntry, Intake, Prompt, Relay, ServiceId, Tried};
 
 /// Delay beyond what was expected for which a coordinator does not decline yet, in milliseconds.
 const DECLINE_MARGIN_MS: f64 = 40.0;
@@ -52,6 +52,8 @@
     pub limit_ms: f64,
     /// Whether the request is of the most urgent kind, which may use the time that is left for answers.
     pub urgent: bool,
+    /// How far another engine is that is believed to keep the shared parts of the prompt.
+    pub source: Option<Distance>,
 }
 
 /// The VM to ask for a place in an engine's queue.
@@ -79,8 +81,8 @@
 pub struct Granted {
     /// Stands for it when it is released.
     pub ticket: u64,
-    /// Tokens of the prompt that the engine has to read.
-    pub unread: Tokens,
+    /// What the engine has to do for the prompt.
+    pub intake: Intake,
     /// How busy the engine is.
     pub wait: Wait,
 }
@@ -118,6 +120,7 @@
             prompt,
             limit_ms,
             urgent,
+            source,
         } = reservation;
         let known = self.registry.get(endpoint);
         let Some(known) = known.filter(|known| self.registry.may_send(&known.entry, now)) else {
@@ -130,9 +133,10 @@
             let answer_ms = self.answer_ms(service, &known.entry, now);
             return self.reserve_place(reservation, answer_ms, now);
         };
-        let unread = self.unread(endpoint, prompt);
-        let read_ms = self.read_ms(service, unread);
-        let expected_ms = self.prompt_ms(service, endpoint, unread, now);
+        let intake = self.intake(endpoint, prompt, *source);
+        let read_ms = self.read_ms(service, intake.read);
+        let copied_in = Millis(self.intake_copy_ms(service, intake) as u64);
+        let expected_ms = self.prompt_ms(service, endpoint, intake, now);
         let load = self.loads.entry(endpoint.clone()).or_default();
         let backlog_ms = load.backlog_ms(now);
         let spared_ms = if *urgent { load.spared_ms(now) } else { 0.0 };
@@ -145,8 +149,9 @@
             return Err(wait);
         }
         load.cache.read(prompt, memory, now);
-        let ticket = load.reserve(read_ms, lost_at(wait, now), now);
-        Ok(Granted { ticket, unread, wait })
+        let ticket = load.reserve(read_ms, now + copied_in, lost_at(wait, now), now);
+        self.reads(service, endpoint, prompt, wait.expected_ms, now);
+        Ok(Granted { ticket, intake, wait })
     }
 
     /// Grants a place at an endpoint of a plain service that is expected to answer after `answer_ms`.
@@ -163,7 +168,7 @@
         }
         Ok(Granted {
             ticket: load.reserve_place(lost_at(wait, now)),
-            unread: Tokens(0),
+            intake: Intake::default(),
             wait,
         })
     }
@@ -219,6 +224,7 @@
                 prompt: admitted.prompt.clone().unwrap_or_default(),
                 limit_ms,
                 urgent: admitted.is_urgent(),
+                source: self.source(admitted, endpoint, now).map(|source| source.distance),
             },
         })
     }
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -3,6 +3,7 @@
 use sw_member::{VmRow, VmState, score};
 use sw_unit::{DomainId, Millis, RegionId, Time, VmId};
 
+use crate::kept::Witness;
 use crate::load::Sender;
 use crate::registry::Endpoint;
 use crate::{Beat, DomainView, EndpointLoad, Load, Relay, ServiceId, ServiceLoad, Tried, VmAge};
@@ -57,6 +58,7 @@
             } else {
                 vec![self.own_view(same_region, now)]
             },
+            kept: if neighbour { self.kept.own_news(now) } else { Vec::new() },
         }
     }
 
@@ -72,6 +74,9 @@
             let known = self.loads.entry(load.endpoint.clone()).or_default();
             known.heard(Sender::Vm(vm.clone()), load, now);
         }
+        for part in &beat.kept {
+            self.kept.heard(part, now, Witness::Neighbour, now);
+        }
         let firsthand = beat.from.domain != self.options.own.domain;
         let changed = self.members.heard(beat.from, now);
         for view in beat.domains {
@@ -119,6 +124,9 @@
                 self.members.vouched(row, vm.age + view.age, now);
             }
         }
+        for part in &view.kept {
+            self.kept.heard(part, at, Witness::Remote, now);
+        }
         let own_region = view.region == self.options.own.region;
         if own_region {
             for load in &view.endpoints {
@@ -173,6 +181,7 @@
             } else {
                 self.service_loads(now)
             },
+            kept: self.kept.domain_news(now),
         }
     }
 
--- a/crates/sw-relay/src/load.rs
+++ b/crates/sw-relay/src/load.rs
@@ -49,6 +49,7 @@
 struct Unread {
     ticket: u64,
     read_ms: f64,
+    /// From when it can be read; before, its shared parts are being copied.
     since: Time,
     /// When the place of another VM's prompt is dropped if it was not released.
     lost: Option<Time>,
@@ -112,11 +113,11 @@
     }
 
     fn unread_ms(&self, now: Time) -> f64 {
-        let Some(oldest) = self.unread.front() else {
-            return 0.0;
-        };
         let total: f64 = self.unread.iter().map(|unread| unread.read_ms).sum();
-        let reading = now.since(self.reading_since).0 as f64;
+        let Some(oldest) = self.unread.iter().find(|unread| unread.since <= now) else {
+            return total;
+        };
+        let reading = now.since(self.reading_since.max(oldest.since)).0 as f64;
         let late = (reading - oldest.read_ms - LATE_MARGIN_MS).max(0.0);
         total - reading.min(oldest.read_ms) + late
     }
@@ -158,11 +159,11 @@
             .and_then(|(load, _)| load.gap_ms)
     }
 
-    /// Records a request whose prompt takes `read_ms` to read, and returns the ticket that stands for it.
-    pub fn sent(&mut self, read_ms: f64, now: Time) -> u64 {
+    /// Records a request whose prompt takes `read_ms` to read from `since` on, and returns the ticket that stands for it.
+    pub fn sent(&mut self, read_ms: f64, since: Time, now: Time) -> u64 {
         self.running += 1;
         if read_ms > 0.0 {
-            self.wait_for(read_ms, None, now)
+            self.wait_for(read_ms, since, None, now)
         } else {
             self.ticket()
         }
@@ -203,9 +204,10 @@
         self.peers.insert(sender, (load, now));
     }
 
-    /// Records a prompt that another VM sends there, until it is read or lost, and returns the ticket that stands for it.
-    pub(crate) fn reserve(&mut self, read_ms: f64, lost: Time, now: Time) -> u64 {
-        self.wait_for(read_ms, Some(lost), now)
+    /// Records a prompt that another VM sends there, which can be read from `since` on, until it is read or lost, and
+    /// returns the ticket that stands for it.
+    pub(crate) fn reserve(&mut self, read_ms: f64, since: Time, lost: Time, now: Time) -> u64 {
+        self.wait_for(read_ms, since, Some(lost), now)
     }
 
     /// Records a request that another VM sends to a plain service, until it ends or is lost, and returns the ticket that
@@ -239,7 +241,7 @@
         *at = now;
     }
 
-    fn wait_for(&mut self, read_ms: f64, lost: Option<Time>, now: Time) -> u64 {
+    fn wait_for(&mut self, read_ms: f64, since: Time, lost: Option<Time>, now: Time) -> u64 {
         if self.unread.is_empty() {
             self.reading_since = now;
         }
@@ -248,7 +250,7 @@
         self.unread.push_back(Unread {
             ticket,
             read_ms,
-            since: now,
+            since,
             lost,
         });
         ticket
--- a/crates/sw-relay/src/model.rs
+++ b/crates/sw-relay/src/model.rs
@@ -3,8 +3,11 @@
 //! All figures are learned from answers: tokens of a prompt that are read in a millisecond, and for plain services
 //! the time that a request takes.
 
+use strum::EnumCount as _;
 use sw_unit::{Millis, Tokens};
 
+use crate::Distance;
+
 /// Tokens read in a millisecond before any answer was seen.
 const DEFAULT_READ_RATE: f64 = 40.0;
 /// Bounds of the tokens that are read in a millisecond.
@@ -20,6 +23,15 @@
 /// Prompts shorter than this say little about the speed of reading.
 const MIN_OBSERVED_TOKENS: u64 = 1_500;
 
+/// Time until a copy begins, in milliseconds.
+const COPY_SETUP_MS: f64 = 5.0;
+/// How much longer a copy takes than the configuration says, before any was seen, by distance.
+const DEFAULT_COPY_STRETCH: [f64; Distance::COUNT] = [1.0, 2.0, 10.0];
+/// Bounds of the same.
+const COPY_STRETCH_BOUNDS: (f64, f64) = (0.5, 100.0);
+/// Copies shorter than this say little, in milliseconds.
+const MIN_OBSERVED_COPY_MS: f64 = 5.0;
+
 /// Learned speed of the endpoints of one service.
 #[derive(Debug, Clone, Copy)]
 pub struct EngineModel {
@@ -28,6 +40,7 @@
     /// Plain requests that were observed.
     answers: u32,
     events_per_token: f64,
+    copy_stretch: [f64; Distance::COUNT],
 }
 
 impl Default for EngineModel {
@@ -37,6 +50,7 @@
             service_ms: DEFAULT_SERVICE_MS,
             answers: 0,
             events_per_token: DEFAULT_EVENTS_PER_TOKEN,
+            copy_stretch: DEFAULT_COPY_STRETCH,
         }
     }
 }
@@ -47,6 +61,11 @@
         tokens.0 as f64 / self.read_rate
     }
 
+    /// Milliseconds that a copy takes that takes `nominal_ms` by the configuration.
+    pub fn copy_ms(&self, nominal_ms: f64, distance: Distance) -> f64 {
+        COPY_SETUP_MS + nominal_ms * self.copy_stretch[distance as usize]
+    }
+
     /// Milliseconds that a plain request takes.
     pub fn service_ms(&self) -> f64 {
         self.service_ms
@@ -76,6 +95,19 @@
         self.read_rate += NEWEST * (seen - self.read_rate);
     }
 
+    /// Records that the first event came after `taken` on an engine without a queue that read `tokens` and made a copy
+    /// that takes `nominal_ms` by the configuration.
+    pub fn first_event_after_copy(&mut self, tokens: Tokens, nominal_ms: f64, distance: Distance, taken: Millis) {
+        if nominal_ms < MIN_OBSERVED_COPY_MS {
+            return;
+        }
+        let copy_ms = taken.0 as f64 - FIRST_EVENT_MS - self.read_ms(tokens) - COPY_SETUP_MS;
+        let (low, high) = COPY_STRETCH_BOUNDS;
+        let seen = (copy_ms / nominal_ms).clamp(low, high);
+        let stretch = &mut self.copy_stretch[distance as usize];
+        *stretch += NEWEST * (seen - *stretch);
+    }
+
     /// Records that a plain request took `taken` at an endpoint without a queue.
     ///
     /// The first ones count for more, as nothing is known before.
--- a/crates/sw-relay/src/region.rs
+++ b/crates/sw-relay/src/region.rs
@@ -69,6 +69,12 @@
         Some(self.services.get(service)?.load.gap_ms)
     }
 
+    /// Whether the region was heard lately.
+    pub(crate) fn is_heard(&self, now: Time) -> bool {
+        let mut summaries = self.services.values();
+        summaries.any(|summary| now.since(summary.at) < SUMMARY_MEMORY)
+    }
+
     /// Milliseconds until a request to `service` is begun there; `None` if it has no usable endpoint or is not heard.
     pub fn wait_ms(&self, service: &ServiceId, now: Time) -> Option<f64> {
         let summary = self.services.get(service)?;
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -10,11 +10,12 @@
 
 use crate::coordinate::{Coordinators, Granted};
 use crate::exchange::HeardView;
+use crate::kept::Kept;
 use crate::region::Regions;
 use crate::registry::Endpoint;
 use crate::{
-    Attempt, EndpointEntry, EndpointReport, EngineModel, Fact, Load, Outcome, PaceShare, Prompt, Registry, RequestHead,
-    Route, Service, ServiceId, Table, Tried,
+    Attempt, EndpointEntry, EndpointReport, EngineModel, Fact, Intake, Load, Outcome, PaceShare, Prompt, Registry,
+    RequestHead, Route, Service, ServiceId, Table, Tried,
 };
 
 /// Share of the retries that all VMs together are allowed that they plan to use, so that views that differ do not
@@ -122,6 +123,8 @@
     pub(crate) digests: IndexMap<VmId, u64>,
     /// What other failure domains say of themselves.
     pub(crate) views: IndexMap<DomainId, HeardView>,
+    /// Which engines keep the shared parts of prompts.
+    pub(crate) kept: Kept,
     pub(crate) coordinators: Coordinators,
     /// Coordinators that did not answer, with the time until which they are not asked.
     pub(crate) silent: IndexMap<VmId, Time>,
@@ -148,6 +151,7 @@
             peer_revisions: IndexMap::new(),
             digests: IndexMap::new(),
             views: IndexMap::new(),
+            kept: Kept::default(),
             coordinators: Coordinators::new(),
             silent: IndexMap::new(),
             unhelpful: IndexMap::new(),
@@ -214,6 +218,7 @@
         for requests in self.traffic.values_mut() {
             *requests *= TRAFFIC_DECAY;
         }
+        self.kept.prune(now);
         let gone = self.registry.expire(now);
         self.assign_coordinators(now);
         self.unhelpful.retain(|_, until| *until > now);
@@ -280,12 +285,14 @@
         if !self.registry.may_send(endpoint, now) || !self.pace_allows(endpoint, now) {
             return None;
         }
-        let unread = match (granted, &admitted.prompt) {
-            (Some(granted), _) => granted.unread,
-            (None, Some(prompt)) => self.unread(&endpoint.id, prompt),
-            (None, None) => Tokens(0),
+        let source = self.source(admitted, endpoint, now);
+        let intake = match (granted, &admitted.prompt) {
+            (Some(granted), _) => granted.intake,
+            (None, Some(prompt)) => self.intake(&endpoint.id, prompt, source.as_ref().map(|source| source.distance)),
+            (None, None) => Intake::default(),
         };
-        let read_ms = self.read_ms(&admitted.service, unread);
+        let read_ms = self.read_ms(&admitted.service, intake.read);
+        let copy_ms = self.intake_copy_ms(&admitted.service, intake);
         let memory = self.engine_memory(&admitted.service);
         let cold = self.cold_share(endpoint, now);
         let queue_ms = if admitted.prompt.is_none() {
@@ -296,10 +303,19 @@
         let load = self.loads.entry(endpoint.id.clone()).or_default();
         let backlog_ms = granted.map_or_else(|| load.backlog_ms(now).max(queue_ms), |granted| granted.wait.backlog_ms);
         // A place in the queue is in the coordinator's account already.
-        let ticket = load.sent(if granted.is_some() { 0.0 } else { read_ms }, now);
+        let unread_ms = if granted.is_some() { 0.0 } else { read_ms };
+        let ticket = load.sent(unread_ms, now + Millis(copy_ms as u64), now);
         if let (Some(prompt), Some(memory)) = (&admitted.prompt, memory) {
             load.cache.read(prompt, memory, now);
+            self.reads(
+                &admitted.service,
+                &endpoint.id,
+                prompt,
+                backlog_ms.max(copy_ms) + read_ms,
+                now,
+            );
         }
+        let load = self.loads.entry(endpoint.id.clone()).or_default();
         if let Some((share, cold_for)) = cold {
             load.pace.sent(share, cold_for);
         }
@@ -308,8 +324,10 @@
             service: admitted.service.clone(),
             began: now,
             ticket,
-            unread,
+            intake,
             read_ms,
+            copy_ms,
+            source,
             backlog_ms,
             first_event: None,
             events: 0,
@@ -325,8 +343,21 @@
             load.read(attempt.ticket, now);
         }
         if attempt.backlog_ms < 1.0 {
-            let model = self.models.entry(attempt.service.clone()).or_default();
-            model.first_event(attempt.unread, attempt.age(now));
+            self.learn_intake(attempt, now);
+        }
+    }
+
+    /// Learns from the first event of an engine without a queue.
+    fn learn_intake(&mut self, attempt: &Attempt, now: Time) {
+        let Intake { read, copied, distance } = attempt.intake;
+        let engine = self.service(&attempt.service).and_then(|service| service.engine);
+        let nominal_ms = engine.and_then(|engine| engine.copy_ms(copied));
+        let model = self.models.entry(attempt.service.clone()).or_default();
+        match (distance, nominal_ms) {
+            (Some(distance), Some(nominal_ms)) if copied > Tokens(0) => {
+                model.first_event_after_copy(read, nominal_ms, distance, attempt.age(now));
+            }
+            _ => model.first_event(read, attempt.age(now)),
         }
     }
 
@@ -465,6 +496,9 @@
             load.cache.clear();
             load.succeeded();
         }
+        if restarted {
+            self.kept.lost(&entry.id);
+        }
         self.registry.learn(entry, now)
     }
 
--- a/crates/sw-relay/src/table.rs
+++ b/crates/sw-relay/src/table.rs
@@ -97,6 +97,16 @@
     pub slots: u32,
     /// Tokens that its memory holds.
     pub memory: Tokens,
+    /// Tokens a second that it copies from another engine; 0 if it cannot.
+    pub copies: Rate,
+}
+
+impl EngineSpec {
+    /// Milliseconds that an engine takes to copy `tokens` from another one next to it; `None` if it cannot.
+    pub(crate) fn copy_ms(&self, tokens: Tokens) -> Option<f64> {
+        const MILLIS_PER_SECOND: f64 = 1_000.0;
+        (self.copies.0 > 0.0).then(|| tokens.0 as f64 * MILLIS_PER_SECOND / self.copies.0)
+    }
 }
 
 /// A service.
--- a/crates/sw-relay/tests/coordination.rs
+++ b/crates/sw-relay/tests/coordination.rs
@@ -54,6 +54,7 @@
         prompt: prompt(1, 0, own),
         limit_ms,
         urgent: false,
+        source: None,
     }
 }
 
--- a/crates/sw-relay/tests/load.rs
+++ b/crates/sw-relay/tests/load.rs
@@ -6,8 +6,8 @@
 #[test]
 fn prompts_that_wait_are_ahead_of_the_next() {
     let mut load = Load::default();
-    let first = load.sent(100.0, Time(0));
-    load.sent(200.0, Time(0));
+    let first = load.sent(100.0, Time(0), Time(0));
+    load.sent(200.0, Time(0), Time(0));
     assert!((load.backlog_ms(Time(0)) - 300.0).abs() < 1.0);
     assert!((load.backlog_ms(Time(60)) - 240.0).abs() < 1.0);
     load.read(first, Time(100));
@@ -18,15 +18,27 @@
 #[test]
 fn an_engine_that_is_late_is_expected_to_stay_late() {
     let mut load = Load::default();
-    load.sent(50.0, Time(0));
+    load.sent(50.0, Time(0), Time(0));
     assert!(load.backlog_ms(Time(1_500)) > 1_000.0);
 }
 
 #[test]
 fn a_request_that_ends_without_an_event_is_not_ahead_any_more() {
     let mut load = Load::default();
-    let ticket = load.sent(100.0, Time(0));
+    let ticket = load.sent(100.0, Time(0), Time(0));
     load.ended(ticket, Time(10));
     assert!(load.backlog_ms(Time(10)) < 1.0);
     assert_eq!(load.running, 0);
 }
+
+/// An engine reads what is behind a prompt whose shared parts it still copies.
+#[test]
+fn a_prompt_that_is_being_copied_is_not_late() {
+    let mut load = Load::default();
+    load.sent(50.0, Time(600), Time(0));
+    let behind = load.sent(100.0, Time(0), Time(0));
+    assert!((load.backlog_ms(Time(80)) - 70.0).abs() < 1.0);
+    load.read(behind, Time(100));
+    assert!((load.backlog_ms(Time(500)) - 50.0).abs() < 1.0);
+    assert!((load.backlog_ms(Time(620)) - 30.0).abs() < 1.0);
+}
--- a/crates/sw-relay/tests/plain.rs
+++ b/crates/sw-relay/tests/plain.rs
@@ -137,6 +137,7 @@
             prompt: sw_relay::Prompt::default(),
             limit_ms,
             urgent: false,
+            source: None,
         };
         relay.reserve(&reservation, now)
     };
@@ -178,6 +179,7 @@
             prompt: sw_relay::Prompt::default(),
             limit_ms: 10_000.0,
             urgent: false,
+            source: None,
         };
         let place = relay.reserve(&place, Time(at)).expect("a place");
         if at % 8 == 0 {
--- a/crates/sw-relay/tests/reading.rs
+++ b/crates/sw-relay/tests/reading.rs
@@ -31,6 +31,7 @@
         prompt: prompt(1, 0, tokens),
         limit_ms: LIMIT_MS,
         urgent: false,
+        source: None,
     }
 }
 
@@ -110,6 +111,7 @@
     }
     let urgent = Reservation {
         urgent: true,
+        source: None,
         ..reservation(400)
     };
     let granted = relay.reserve(&urgent, Time(at)).expect("nothing waits there");
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -16,6 +16,8 @@
 pub const HOST: &str = "shop.example";
 /// Requests a second that a cold endpoint bears.
 pub const COLD_RATE: f64 = 2.4;
+/// Tokens a second that an engine copies from another one.
+pub const COPY_RATE: f64 = 200_000.0;
 
 /// A service by name.
 pub fn service(name: &str) -> ServiceId {
@@ -112,6 +114,7 @@
         engine: Some(EngineSpec {
             slots: 64,
             memory: Tokens(400_000),
+            copies: Rate(COPY_RATE),
         }),
     };
     let services = IndexMap::from([(service("app"), plain), (service("engines"), engines)]);
@@ -202,7 +205,9 @@
             vms: Vec::new(),
             endpoints: Vec::new(),
             services,
+            kept: Vec::new(),
         }],
+        kept: Vec::new(),
         from,
     }
 }
