--- a/crates/sw-relay/src/intake.rs
+++ b/crates/sw-relay/src/intake.rs
@@ -12,7 +12,7 @@
 
 use crate::cache::shared_key;
 use crate::registry::Endpoint;
-use crate::{Admitted, EndpointEntry, Prompt, Relay, ServiceId};
+use crate::{Admitted, Attempt, EndpointEntry, Prompt, Relay, ServiceId};
 
 /// Shared parts that are read faster than this are not worth a copy, in milliseconds.
 const MIN_READ_MS: f64 = 20.0;
@@ -145,6 +145,20 @@
         }
     }
 
+    /// Learns from the first event of an engine without a queue.
+    pub(crate) fn learn_intake(&mut self, attempt: &Attempt, now: Time) {
+        let Intake { read, copied, distance } = attempt.intake;
+        let engine = self.service(&attempt.service).and_then(|service| service.engine);
+        let nominal_ms = engine.and_then(|engine| engine.copy_ms(copied));
+        let model = self.models.entry(attempt.service.clone()).or_default();
+        match (distance, nominal_ms) {
+            (Some(distance), Some(nominal_ms)) if copied > Tokens(0) => {
+                model.first_event_after_copy(read, nominal_ms, distance, attempt.age(now));
+            }
+            _ => model.first_event(read, attempt.age(now)),
+        }
+    }
+
     /// Whether an engine has copied the shared parts of a prompt sooner than it would have read them, or soon enough.
     fn is_soon(&self, admitted: &Admitted, to: &EndpointEntry, distance: Distance, now: Time) -> bool {
         let Some(prompt) = &admitted.prompt else {
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod region;
 mod registry;
 mod relay;
+mod retry;
 mod share;
 mod spill;
 mod table;
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -13,40 +13,19 @@
 use crate::kept::Kept;
 use crate::region::Regions;
 use crate::registry::Endpoint;
+use crate::retry::Recent;
 use crate::{
     Attempt, EndpointEntry, EndpointReport, EngineModel, Fact, Intake, Load, Outcome, PaceShare, Prompt, Registry,
-    RequestHead, Route, Service, ServiceId, Table, Tried,
+    RequestHead, Route, Service, ServiceId, Table,
 };
 
-/// Share of the retries that all VMs together are allowed that they plan to use, so that views that differ do not
-/// add up to too many.
-const RETRY_SAFETY: f64 = 0.5;
-/// Span whose requests earn the retries that may be saved up; shorter than the window in which retries are counted.
-const RETRY_SPAN: Millis = Millis(5_000);
 /// What is left of the count of recent requests after each tick.
 const TRAFFIC_DECAY: f64 = 0.97;
 /// Time after the start in which a VM may not know all others yet.
 const JOIN_TIME: Millis = Millis(2_000);
-/// Sends of one request, those that endpoints rejected included.
-const MAX_SENDS: u32 = 4;
 /// Time that a caller without a deadline is taken to wait.
 const DEFAULT_PATIENCE: Millis = Millis(30_000);
 
-/// A count of requests that forgets older ones.
-#[derive(Debug, Clone, Copy, Default)]
-struct Recent {
-    requests: f64,
-    at: Time,
-}
-
-impl Recent {
-    fn add(&mut self, now: Time) {
-        let age = now.since(self.at).0 as f64;
-        self.requests = self.requests * (-age / RETRY_SPAN.0 as f64).exp() + 1.0;
-        self.at = now;
-    }
-}
-
 /// Bounds of [`Relay`].
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -130,9 +109,9 @@
     pub(crate) silent: IndexMap<VmId, Time>,
     /// Watchers of the store that did not help, with the time until which they are not asked.
     pub(crate) unhelpful: IndexMap<VmId, Time>,
-    budgets: IndexMap<ServiceId, RetryBudget>,
+    pub(crate) budgets: IndexMap<ServiceId, RetryBudget>,
     /// Requests of the last seconds by service.
-    recent: IndexMap<ServiceId, Recent>,
+    pub(crate) recent: IndexMap<ServiceId, Recent>,
     pub(crate) rng: fastrand::Rng,
 }
 
@@ -200,13 +179,6 @@
         self.registry.store_returned(now);
     }
 
-    /// Changes the bounds of retries of all VMs together.
-    pub fn set_retry_bounds(&mut self, ratio: f64, slack: f64) {
-        self.options.retry_ratio = ratio;
-        self.options.retry_slack = slack;
-        self.budgets.clear();
-    }
-
     /// Announces that this VM is stopping.
     pub fn leave(&mut self) {
         self.members.leave();
@@ -246,8 +218,7 @@
         let service = route.target(self.rng.u64(..)).ok_or(Kind::NoEndpoint)?.clone();
         if !forwarded {
             *self.traffic.entry(route.name.clone()).or_default() += 1.0;
-            self.recent.entry(service.clone()).or_default().add(received);
-            self.budget(&service).attempted();
+            self.earn_retries(&service, received);
         }
         let deadline = received + head.left.unwrap_or(DEFAULT_PATIENCE);
         Ok(Admitted {
@@ -265,14 +236,6 @@
         })
     }
 
-    /// Whether a request may be sent once more; takes it out of the budget if the last send arrived somewhere.
-    pub fn take_retry(&mut self, admitted: &Admitted, tried: &Tried) -> bool {
-        let runs_left = tried.runs() < admitted.attempts && tried.sends() < MAX_SENDS;
-        let repeatable = !tried.may_have_run() || admitted.route.kind.repeatable();
-        let free = tried.last().is_some_and(Outcome::not_arrived);
-        runs_left && repeatable && (free || self.budget(&admitted.service).take())
-    }
-
     /// Begins an attempt at an endpoint that was chosen, and in whose queue a place may have been `granted`; `None` if
     /// nothing may be sent there any more.
     pub fn begin(
@@ -347,20 +310,6 @@
         }
     }
 
-    /// Learns from the first event of an engine without a queue.
-    fn learn_intake(&mut self, attempt: &Attempt, now: Time) {
-        let Intake { read, copied, distance } = attempt.intake;
-        let engine = self.service(&attempt.service).and_then(|service| service.engine);
-        let nominal_ms = engine.and_then(|engine| engine.copy_ms(copied));
-        let model = self.models.entry(attempt.service.clone()).or_default();
-        match (distance, nominal_ms) {
-            (Some(distance), Some(nominal_ms)) if copied > Tokens(0) => {
-                model.first_event_after_copy(read, nominal_ms, distance, attempt.age(now));
-            }
-            _ => model.first_event(read, attempt.age(now)),
-        }
-    }
-
     /// Records a pause between two events of a stream.
     pub fn event_gap(&mut self, attempt: &mut Attempt, gap: Millis, now: Time) {
         attempt.events += 1;
@@ -501,15 +450,4 @@
         }
         self.registry.learn(entry, now)
     }
-
-    fn budget(&mut self, service: &ServiceId) -> &mut RetryBudget {
-        let vms = self.members.known_count() as f64;
-        let share = self.options.retry_ratio * RETRY_SAFETY;
-        let recent = self.recent.get(service).map_or(0.0, |recent| recent.requests);
-        let saved = self.options.retry_slack * RETRY_SAFETY / vms + share * recent;
-        let new = || RetryBudget::new(share, saved.max(1.0));
-        let budget = self.budgets.entry(service.clone()).or_insert_with(new);
-        budget.set_max_saved(saved.max(1.0));
-        budget
-    }
 }
