perf(relay): what other VMs say of kept parts counts at the choice of an engine

Hypothesis: a VM knows its own sends only, and takes an engine for one that must read or copy a part that it keeps since another VM's prompt. Change: for engines whose places other VMs grant, a part that any VM used there within 5 s counts as kept; a wrong belief costs a copy.

--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -206,7 +206,7 @@
     ) -> Scored<'a> {
         let id = &endpoint.entry.id;
         let prompt = admitted.prompt.as_ref();
-        let intake = prompt.map(|prompt| self.intake(id, prompt, source));
+        let intake = prompt.map(|prompt| self.intake(&admitted.service, id, prompt, source, now));
         let expected_ms = match intake {
             Some(intake) => self.prompt_ms(&admitted.service, id, intake, now) - self.spared_ms(admitted, id, now),
             None => self.answer_ms(&admitted.service, &endpoint.entry, now) + self.spread_ms(admitted, id),
--- a/crates/sw-relay/src/coordinate.rs
+++ b/crates/sw-relay/src/coordinate.rs
@@ -133,7 +133,7 @@
             let answer_ms = self.answer_ms(service, &known.entry, now);
             return self.reserve_place(reservation, answer_ms, now);
         };
-        let intake = self.intake(endpoint, prompt, *source);
+        let intake = self.intake(service, endpoint, prompt, *source, now);
         let read_ms = self.read_ms(service, intake.read);
         let copied_in = Millis(self.intake_copy_ms(service, intake) as u64);
         let expected_ms = self.prompt_ms(service, endpoint, intake, now);
--- a/crates/sw-relay/src/intake.rs
+++ b/crates/sw-relay/src/intake.rs
@@ -16,6 +16,8 @@
 
 /// Shared parts that are read faster than this are not worth a copy, in milliseconds.
 const MIN_READ_MS: f64 = 20.0;
+/// Time after its last use by any VM for which a part is taken to be in the memory of an engine.
+const CACHED_FOR: Millis = Millis(5_000);
 /// Part of the objective within which a prompt must be copied and read, if copying takes longer than reading.
 const SLOW_COPY_SHARE: f64 = 0.6;
 
@@ -53,9 +55,15 @@
 
 impl Relay {
     /// What an engine has to do for a prompt, if one that keeps the shared parts is at `source`.
-    pub(crate) fn intake(&self, endpoint: &EndpointId, prompt: &Prompt, source: Option<Distance>) -> Intake {
-        let load = self.loads.get(endpoint);
-        let cached = load.map_or(Tokens(0), |load| load.cache.cached(prompt));
+    pub(crate) fn intake(
+        &self,
+        service: &ServiceId,
+        endpoint: &EndpointId,
+        prompt: &Prompt,
+        source: Option<Distance>,
+        now: Time,
+    ) -> Intake {
+        let cached = self.cached(service, endpoint, prompt, now);
         let unread = prompt.input.saturating_sub(cached);
         let copied = source.map_or(Tokens(0), |_| prompt.shared().saturating_sub(cached));
         Intake {
@@ -65,6 +73,20 @@
         }
     }
 
+    /// Tokens at the start of a prompt that an engine probably keeps.
+    ///
+    /// The VM that grants the places at an engine knows what was sent there; others know of each other's sends.
+    fn cached(&self, service: &ServiceId, endpoint: &EndpointId, prompt: &Prompt, now: Time) -> Tokens {
+        let load = self.loads.get(endpoint);
+        let cached = load.map_or(Tokens(0), |load| load.cache.cached(prompt));
+        if self.coordinates(endpoint) {
+            return cached;
+        }
+        let key = self.copied_key(service, prompt);
+        let is_kept = key.is_some_and(|key| self.kept.was_used(key, endpoint, CACHED_FOR, now));
+        if is_kept { cached.max(prompt.shared()) } else { cached }
+    }
+
     /// Milliseconds that an engine takes to copy what it lacks of a prompt.
     pub(crate) fn intake_copy_ms(&self, service: &ServiceId, intake: Intake) -> f64 {
         let copy_ms = |distance| self.copy_ms(service, intake.copied, distance);
--- a/crates/sw-relay/src/kept.rs
+++ b/crates/sw-relay/src/kept.rs
@@ -74,6 +74,12 @@
         holdings.map(|(endpoint, holding)| (endpoint, holding.used))
     }
 
+    /// Whether an engine keeps a part that was used within `span`.
+    pub(crate) fn was_used(&self, key: u64, endpoint: &EndpointId, span: Millis, now: Time) -> bool {
+        let holding = self.holding(key, endpoint);
+        holding.is_some_and(|holding| holding.used <= now && now.since(holding.used) < span)
+    }
+
     /// What this VM saw itself lately.
     pub(crate) fn own_news(&self, now: Time) -> Vec<KeptPart> {
         self.news(|witness| witness == Witness::Own, now)
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -251,7 +251,10 @@
         let source = self.source(admitted, endpoint, now);
         let intake = match (granted, &admitted.prompt) {
             (Some(granted), _) => granted.intake,
-            (None, Some(prompt)) => self.intake(&endpoint.id, prompt, source.as_ref().map(|source| source.distance)),
+            (None, Some(prompt)) => {
+                let distance = source.as_ref().map(|source| source.distance);
+                self.intake(&admitted.service, &endpoint.id, prompt, distance, now)
+            }
             (None, None) => Intake::default(),
         };
         let read_ms = self.read_ms(&admitted.service, intake.read);
