perf(relay): a coordinator counts what runs on an engine, and when a slot is free

Change: the VM that was granted a place says when the request runs and when it has ended; a coordinator counts both, and a new prompt has to wait until the queue of reading is done and a slot is free, by how long streams take a slot. Other VMs and regions hear of that wait.

--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -114,6 +114,6 @@
   snapshot @1 () -> (revision :UInt64, items :List(Item));
   relay @2 (call :Call, sink :AnswerSink) -> (length :UInt64, refused :Bool, refusal :Peer.Refusal);
   reserve @3 (reservation :Reservation) -> (granted :Bool, ticket :UInt64, unread :UInt64, wait :Wait, copied :UInt64, source :UInt8);
-  release @4 (endpoint :Text, ticket :UInt64, absent :Bool) -> ();
+  release @4 (endpoint :Text, ticket :UInt64, absent :Bool, runs :Bool) -> ();
   watch @5 (after :UInt64, waitMs :UInt32) -> (watched :Watched, revision :UInt64, changes :List(Change), returnedMs :UInt32);
 }
--- a/crates/sw-peer/src/relay/client.rs
+++ b/crates/sw-peer/src/relay/client.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use capnp::capability::Rc;
-use sw_relay::{Beat, Granted, Reservation, Wait};
+use sw_relay::{Beat, Granted, Release, Reservation, Wait};
 use sw_store::Snapshot;
 use sw_unit::EndpointId;
 use tokio::sync::mpsc;
@@ -148,7 +148,7 @@
         answer.unwrap_or(Err(PeerError))
     }
 
-    /// Frees a place in the queue of an engine; `absent` if the engine was not there.
+    /// Tells how far a request came for which a place in the queue of an engine was granted.
     ///
     /// # Errors
     ///
@@ -158,14 +158,15 @@
         address: SocketAddr,
         endpoint: &EndpointId,
         ticket: u64,
-        absent: bool,
+        release: Release,
     ) -> Result<(), PeerError> {
         let call = async |link: &Link| {
             let mut request = link.client.release_request();
             let mut params = request.get();
             params.set_endpoint(endpoint.as_str());
             params.set_ticket(ticket);
-            params.set_absent(absent);
+            params.set_absent(release == Release::Absent);
+            params.set_runs(release == Release::Runs);
             request.send().promise.await.map(|_empty| ())
         };
         self.links.call(address, CALL_TIMEOUT, call).await
--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 use sw_relay::{
-    Beat, Distance, DomainView, EndpointLoad, Granted, Intake, KeptPart, Part, Prompt, Reservation, ServiceLoad, VmAge,
-    Wait,
+    Beat, Distance, DomainView, EndpointLoad, Granted, Intake, KeptPart, Part, Prompt, Release, Reservation,
+    ServiceLoad, VmAge, Wait,
 };
 use sw_store::{Change, Changes, Item, Snapshot};
 use sw_unit::{Incarnation, Millis, Tokens};
@@ -267,6 +267,14 @@
     set_wait(to.init_wait(), wait);
 }
 
+pub(super) fn release(from: wire::relay_peer::release_params::Reader<'_>) -> Release {
+    match (from.get_absent(), from.get_runs()) {
+        (true, _) => Release::Absent,
+        (false, true) => Release::Runs,
+        (false, false) => Release::Ended,
+    }
+}
+
 fn set_wait(mut to: wire::wait::Builder<'_>, wait: Wait) {
     to.set_expected_ms(wait.expected_ms as u32);
     to.set_backlog_ms(wait.backlog_ms as u32);
--- a/crates/sw-peer/src/relay/server.rs
+++ b/crates/sw-peer/src/relay/server.rs
@@ -95,8 +95,8 @@
     async fn release(self: Rc<Self>, params: relay_peer::ReleaseParams, _: relay_peer::ReleaseResults) -> Result<()> {
         let params = params.get()?;
         let endpoint = parse(params.get_endpoint())?;
-        self.handler
-            .release(&endpoint, params.get_ticket(), params.get_absent());
+        let release = convert::release(params);
+        self.handler.release(&endpoint, params.get_ticket(), release);
         Ok(())
     }
 
--- a/crates/sw-peer/src/relay/types.rs
+++ b/crates/sw-peer/src/relay/types.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use sw_error::Refusal;
-use sw_relay::{Beat, Granted, Reservation, Wait};
+use sw_relay::{Beat, Granted, Release, Reservation, Wait};
 use sw_store::{Changes, Snapshot};
 use sw_unit::{EndpointId, Millis};
 use tokio::sync::mpsc;
@@ -82,8 +82,8 @@
     /// Returns how busy the engine is if that is more than the reservation allows.
     fn reserve(&self, reservation: &Reservation) -> Result<Granted, Wait>;
 
-    /// Frees a place in an engine's queue; `absent` if the engine was not there.
-    fn release(&self, endpoint: &EndpointId, ticket: u64, absent: bool);
+    /// Takes in how far a request came for which a place in an engine's queue was granted.
+    fn release(&self, endpoint: &EndpointId, ticket: u64, release: Release);
 
     /// Runs a forwarded request; its answer goes to `events`. It is given up when the future is dropped.
     fn relay(&self, call: RelayCall, events: mpsc::Sender<RelayEvent>) -> impl Future<Output = ()>;
--- a/crates/sw-peer/src/relay_capnp.rs
+++ b/crates/sw-peer/src/relay_capnp.rs
@@ -7187,6 +7187,10 @@
             pub fn get_absent(self) -> bool {
                 self.reader.get_bool_field(64)
             }
+            #[inline]
+            pub fn get_runs(self) -> bool {
+                self.reader.get_bool_field(65)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -7273,6 +7277,14 @@
             pub fn set_absent(&mut self, value: bool)  {
                 self.builder.set_bool_field(64, value);
             }
+            #[inline]
+            pub fn get_runs(self) -> bool {
+                self.builder.get_bool_field(65)
+            }
+            #[inline]
+            pub fn set_runs(&mut self, value: bool)  {
+                self.builder.set_bool_field(65, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7284,7 +7296,7 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(135, 181, 213, 244, 137, 190, 248, 250),
                 ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
@@ -7294,7 +7306,7 @@
                 ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
@@ -7302,28 +7314,35 @@
                 ::capnp::word(121, 80, 101, 101, 114, 46, 114, 101),
                 ::capnp::word(108, 101, 97, 115, 101, 36, 80, 97),
                 ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 65, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(113, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -7349,12 +7368,21 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 117, 110, 115, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7368,9 +7396,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,3,1];
             pub(crate) const TYPE_ID: u64 = 0xfaf8_be89_f4d5_b587;
         }
     }
--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -59,7 +59,7 @@
     core: Rc<Core<D, F>>,
     id: Arc<str>,
     attempt: Option<Attempt>,
-    /// Its place in the engine's queue, until the prompt is read.
+    /// Its place in the engine's queue.
     reserved: Option<Reserved<D, F>>,
     status: u16,
 }
@@ -70,11 +70,6 @@
         self.attempt.as_mut()
     }
 
-    /// Frees its place in the engine's queue, as the first event came.
-    pub(crate) fn began(&mut self) {
-        self.reserved = None;
-    }
-
     /// Ends the attempt.
     pub(crate) fn finish(mut self, outcome: Outcome) {
         self.end(outcome);
@@ -98,6 +93,15 @@
     }
 }
 
+impl<D: Dialect, F: 'static> Running<D, F> {
+    /// Records that the first event came: the prompt is read, and the request runs.
+    pub(crate) fn began(&self) {
+        if let Some(reserved) = &self.reserved {
+            reserved.runs();
+        }
+    }
+}
+
 impl<D: Dialect, F> Drop for Running<D, F> {
     fn drop(&mut self) {
         self.end(Outcome::Cancelled);
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -9,7 +9,7 @@
 use hyper::{Method, Request, Uri};
 use sw_error::{Kind, Refusal};
 use sw_peer::relay::{RelayCall, RelayEvent, RelayHandler, Watched};
-use sw_relay::{Beat, Granted, Reservation, Wait};
+use sw_relay::{Beat, Granted, Release, Reservation, Wait};
 use sw_store::Snapshot;
 use sw_unit::EndpointId;
 use tokio::sync::mpsc;
@@ -53,9 +53,9 @@
         relay.reserve(reservation, self.0.now())
     }
 
-    fn release(&self, endpoint: &EndpointId, ticket: u64, absent: bool) {
+    fn release(&self, endpoint: &EndpointId, ticket: u64, release: Release) {
         let now = self.0.now();
-        let paused = self.0.relay.borrow_mut().release(endpoint, ticket, absent, now);
+        let paused = self.0.relay.borrow_mut().release(endpoint, ticket, release, now);
         if let Some(until) = paused {
             telemetry::paused(endpoint.as_str(), until.since(now));
         }
--- a/crates/sw-proxy/src/reserve.rs
+++ b/crates/sw-proxy/src/reserve.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use spdlog::prelude::*;
-use sw_relay::{Coordinator, Granted, Outcome, Tried};
+use sw_relay::{Coordinator, Granted, Outcome, Release, Tried};
 use sw_unit::EndpointId;
 
 use crate::attempt::Call;
@@ -21,7 +21,8 @@
     address: SocketAddr,
     endpoint: EndpointId,
     granted: Granted,
-    absent: bool,
+    /// What to tell the coordinator at the end.
+    end: Release,
 }
 
 impl<D: Dialect, F> Reserved<D, F> {
@@ -32,22 +33,32 @@
 
     /// Frees the place, as the engine is not there.
     pub(crate) fn absent(mut self) {
-        self.absent = true;
+        self.end = Release::Absent;
     }
 }
 
-impl<D: Dialect, F: 'static> Drop for Reserved<D, F> {
-    fn drop(&mut self) {
+impl<D: Dialect, F: 'static> Reserved<D, F> {
+    /// Tells the coordinator that the prompt was read and the request runs.
+    pub(crate) fn runs(&self) {
+        self.tell(Release::Runs);
+    }
+
+    fn tell(&self, release: Release) {
         let peers = self.core.peers.clone();
-        let (address, endpoint) = (self.address, self.endpoint.clone());
-        let (ticket, absent) = (self.granted.ticket, self.absent);
+        let (address, endpoint, ticket) = (self.address, self.endpoint.clone(), self.granted.ticket);
         tokio::task::spawn_local(async move {
             // A place that is not freed is dropped by the coordinator after a while.
-            let _lost = peers.release(address, &endpoint, ticket, absent).await;
+            let _lost = peers.release(address, &endpoint, ticket, release).await;
         });
     }
 }
 
+impl<D: Dialect, F: 'static> Drop for Reserved<D, F> {
+    fn drop(&mut self) {
+        self.tell(self.end);
+    }
+}
+
 /// Asks for a place in an engine's queue; `None` if its coordinator does not answer.
 ///
 /// # Errors
@@ -72,7 +83,7 @@
                 address: coordinator.address,
                 endpoint: reservation.endpoint.clone(),
                 granted,
-                absent: false,
+                end: Release::Ended,
             }))
         }
         Ok(Err(wait)) => {
--- a/crates/sw-proxy/src/source.rs
+++ b/crates/sw-proxy/src/source.rs
@@ -110,8 +110,8 @@
         }
     }
 
-    /// Frees the prompt's place in the engine's queue, as the first event came.
-    pub(crate) fn began(&mut self) {
+    /// Records that the first event came.
+    pub(crate) fn began(&self) {
         if let Self::Endpoint(answer) = self {
             answer.running.began();
         }
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -208,7 +208,10 @@
         let prompt = admitted.prompt.as_ref();
         let intake = prompt.map(|prompt| self.intake(&admitted.service, id, prompt, source, now));
         let expected_ms = match intake {
-            Some(intake) => self.prompt_ms(&admitted.service, id, intake, now) - self.spared_ms(admitted, id, now),
+            Some(intake) => {
+                let queue_ms = self.queue_ms(&admitted.service, id, is_spared(admitted), now);
+                self.prompt_ms(&admitted.service, id, intake, queue_ms, now)
+            }
             None => self.answer_ms(&admitted.service, &endpoint.entry, now) + self.spread_ms(admitted, id),
         };
         let declined_ms = tried.declined_at(id).unwrap_or_default();
@@ -241,14 +244,6 @@
         REREAD_SURCHARGE * read_ms + COPY_SURCHARGE * copy_ms
     }
 
-    /// By how much less a request has to wait at an engine whose account this VM keeps.
-    fn spared_ms(&self, admitted: &Admitted, endpoint: &EndpointId, now: Time) -> f64 {
-        if !is_spared(admitted) || !self.coordinates(endpoint) {
-            return 0.0;
-        }
-        self.loads.get(endpoint).map_or(0.0, |load| load.spared_ms(now))
-    }
-
     /// A surcharge that spreads the requests of all VMs over endpoints of a plain service that are alike.
     fn spread_ms(&self, admitted: &Admitted, endpoint: &EndpointId) -> f64 {
         let drawn = sw_member::score(&*admitted.id, endpoint.as_str()) as f64 / u64::MAX as f64;
@@ -276,16 +271,49 @@
         self.model(service).service_ms()
     }
 
-    /// Milliseconds until the first event for a prompt for which an engine has `intake` to do.
-    pub(crate) fn prompt_ms(&self, service: &ServiceId, endpoint: &EndpointId, intake: Intake, now: Time) -> f64 {
-        let idle = Load::default();
-        let load = self.loads.get(endpoint).unwrap_or(&idle);
+    /// Milliseconds until an engine begins with a new prompt.
+    pub(crate) fn queue_ms(&self, service: &ServiceId, endpoint: &EndpointId, is_urgent: bool, now: Time) -> f64 {
+        if self.coordinates(endpoint) {
+            return self.account_ms(service, endpoint, is_urgent, now);
+        }
+        self.loads.get(endpoint).map_or(0.0, |load| load.backlog_ms(now))
+    }
+
+    /// The same by the account of a VM that grants the places there: the engine has read what is ahead, and a slot is
+    /// free. An urgent prompt need not leave the engine time to answer others.
+    pub(crate) fn account_ms(&self, service: &ServiceId, endpoint: &EndpointId, is_urgent: bool, now: Time) -> f64 {
+        let Some(load) = self.loads.get(endpoint) else {
+            return 0.0;
+        };
+        let spared_ms = if is_urgent { load.spared_ms(now) } else { 0.0 };
+        (load.backlog_ms(now) - spared_ms).max(self.slot_ms(service, load))
+    }
+
+    /// Milliseconds until a slot of an engine is free whose places this VM grants.
+    pub(crate) fn slot_ms(&self, service: &ServiceId, load: &Load) -> f64 {
+        let engine = self.service(service).and_then(|service| service.engine);
+        let slots = engine.map_or(u32::MAX, |engine| engine.slots.max(1));
+        let excess = (load.accounted() + 1).saturating_sub(slots);
+        f64::from(excess) * self.model(service).run_ms() / f64::from(slots)
+    }
+
+    /// Milliseconds until the first event for a prompt that has `queue_ms` ahead of it at an engine that has `intake` to
+    /// do for it.
+    pub(crate) fn prompt_ms(
+        &self,
+        service: &ServiceId,
+        endpoint: &EndpointId,
+        intake: Intake,
+        queue_ms: f64,
+        now: Time,
+    ) -> f64 {
+        let load = self.loads.get(endpoint);
         let waiting_ms = if self.is_coordinated(endpoint) {
             0.0
         } else {
-            f64::from(load.waiting(now)) * WAITING_MS
+            load.map_or(0.0, |load| f64::from(load.waiting(now)) * WAITING_MS)
         };
-        let ready_ms = load.backlog_ms(now).max(self.intake_copy_ms(service, intake));
+        let ready_ms = queue_ms.max(self.intake_copy_ms(service, intake));
         ready_ms + waiting_ms + self.read_ms(service, intake.read) + FIRST_EVENT_MS
     }
 
--- a/crates/sw-relay/src/coordinate.rs
+++ b/crates/sw-relay/src/coordinate.rs
@@ -34,6 +34,8 @@
 const LOST_AFTER_EXPECTED: f64 = 3.0;
 /// and this much more.
 const LOST_AFTER: Millis = Millis(2_000);
+/// Time after its first event after which a request is taken to have ended, if nobody says so.
+const LONGEST_RUN: Millis = Millis(10_000);
 /// Time for which a coordinator that did not answer is not asked.
 const SILENCE: Millis = Millis(1_000);
 /// What an engine that its coordinator does not know or use is said to take, in milliseconds.
@@ -87,6 +89,17 @@
     pub wait: Wait,
 }
 
+/// How far a request came for which a place was granted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Release {
+    /// Its prompt was read; it runs.
+    Runs,
+    /// It ended, or was not sent.
+    Ended,
+    /// The endpoint was not there.
+    Absent,
+}
+
 impl Tried {
     /// Whether enough coordinators declined a request for the own region to be full.
     pub(crate) fn is_declined(&self) -> bool {
@@ -136,14 +149,13 @@
         let intake = self.intake(service, endpoint, prompt, *source, now);
         let read_ms = self.read_ms(service, intake.read);
         let copied_in = Millis(self.intake_copy_ms(service, intake) as u64);
-        let expected_ms = self.prompt_ms(service, endpoint, intake, now);
+        let queue_ms = self.account_ms(service, endpoint, *urgent, now);
+        let expected_ms = self.prompt_ms(service, endpoint, intake, queue_ms, now);
         let load = self.loads.entry(endpoint.clone()).or_default();
-        let backlog_ms = load.backlog_ms(now);
-        let spared_ms = if *urgent { load.spared_ms(now) } else { 0.0 };
-        let ahead_ms = load.pause_left_ms(now) - spared_ms;
+        let pause_ms = load.pause_left_ms(now);
         let wait = Wait {
-            expected_ms: ahead_ms + expected_ms,
-            backlog_ms: ahead_ms + backlog_ms,
+            expected_ms: pause_ms + expected_ms,
+            backlog_ms: pause_ms + queue_ms,
         };
         if wait.expected_ms > *limit_ms {
             return Err(wait);
@@ -173,13 +185,18 @@
         })
     }
 
-    /// Frees a place in an engine's queue, when its prompt was read or given up; `absent` if the engine was not there.
+    /// Takes in how far a request came for which this VM granted a place.
     ///
-    /// Returns the end of the pause if the engine is paused for that.
-    pub fn release(&mut self, endpoint: &EndpointId, ticket: u64, absent: bool, now: Time) -> Option<Time> {
+    /// Returns the end of the pause if the endpoint is paused for being absent.
+    pub fn release(&mut self, endpoint: &EndpointId, ticket: u64, release: Release, now: Time) -> Option<Time> {
         let load = self.loads.get_mut(endpoint)?;
         load.read(ticket, now);
-        if absent { load.failed(true, now) } else { None }
+        match release {
+            Release::Runs => load.runs(ticket, now + LONGEST_RUN),
+            Release::Ended => {}
+            Release::Absent => return load.failed(true, now),
+        }
+        None
     }
 
     /// Records what the coordinator of an engine said of its queue, `reserved_ms` for a place in it included.
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -1,7 +1,7 @@
 //! What this VM tells others and hears from them.
 
 use sw_member::{VmRow, VmState, score};
-use sw_unit::{DomainId, Millis, RegionId, Time, VmId};
+use sw_unit::{DomainId, EndpointId, Millis, RegionId, Time, VmId};
 
 use crate::kept::Witness;
 use crate::load::Sender;
@@ -267,10 +267,20 @@
     }
 
     fn own_loads(&self, now: Time) -> Vec<EndpointLoad> {
-        let loads = self.loads.iter().map(|(id, load)| load.of_own(id, now));
+        let loads = self.loads.iter().map(|(id, load)| EndpointLoad {
+            backlog_ms: self.told_queue_ms(id, load, now),
+            ..load.of_own(id, now)
+        });
         loads.filter(EndpointLoad::is_busy).collect()
     }
 
+    /// Milliseconds that this VM tells others of an endpoint's queue: for a free slot, too, where it grants the places.
+    fn told_queue_ms(&self, id: &EndpointId, load: &Load, now: Time) -> f64 {
+        let own_ms = load.of_own(id, now).backlog_ms;
+        let known = self.registry.get(id).filter(|_| self.coordinates(id));
+        known.map_or(own_ms, |known| own_ms.max(self.slot_ms(&known.entry.service, load)))
+    }
+
     /// What the VMs of this domain sent, as far as it is known.
     fn domain_loads(&self, now: Time) -> Vec<EndpointLoad> {
         let loads = self.loads.iter().map(|(id, load)| load.of_neighbours(id, now));
@@ -285,7 +295,7 @@
         }
         let idle = Load::default();
         let load = self.loads.get(&endpoint.entry.id).unwrap_or(&idle);
-        (load.backlog_ms(now), load.gap_ms(now))
+        (self.queue_ms(service, &endpoint.entry.id, false, now), load.gap_ms(now))
     }
 
     fn service_loads(&self, now: Time) -> Vec<ServiceLoad> {
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -38,7 +38,7 @@
 pub use beat::{Beat, DomainView, EndpointLoad, ServiceLoad, VmAge};
 pub use cache::PromptCache;
 pub use candidate::{Choice, Tried};
-pub use coordinate::{Coordinator, Granted, Reservation, Wait};
+pub use coordinate::{Coordinator, Granted, Release, Reservation, Wait};
 pub use exchange::Caller;
 pub use intake::{Distance, Intake, Source};
 pub use kept::KeptPart;
--- a/crates/sw-relay/src/load.rs
+++ b/crates/sw-relay/src/load.rs
@@ -55,7 +55,7 @@
     lost: Option<Time>,
 }
 
-/// A request of another VM that runs or waits at a plain service.
+/// A request of another VM that runs, or waits at a plain service.
 #[derive(Debug, Clone, Copy)]
 struct Place {
     ticket: u64,
@@ -76,7 +76,7 @@
     /// When the engine began with the oldest of them.
     reading_since: Time,
     reading: ReadingShare,
-    /// Requests of other VMs for which this VM granted a place at a plain service.
+    /// Requests of other VMs for which this VM granted a place, and that run, or wait at a plain service.
     places: Vec<Place>,
     next_ticket: u64,
     gap: Option<(f64, Time)>,
@@ -132,8 +132,9 @@
 
     /// Requests that run there, as the VM knows that grants the places: its own, and those that it granted.
     pub(crate) fn accounted(&self) -> u32 {
-        let places = u32::try_from(self.places.len()).unwrap_or(u32::MAX);
-        self.running + places
+        let unread = self.unread.iter().filter(|unread| unread.lost.is_some());
+        let places = self.places.len() + unread.count();
+        self.running + u32::try_from(places).unwrap_or(u32::MAX)
     }
 
     /// Requests that wait there.
@@ -218,6 +219,11 @@
         ticket
     }
 
+    /// Records that the request of another VM runs, until it ends or is lost.
+    pub(crate) fn runs(&mut self, ticket: u64, lost: Time) {
+        self.places.push(Place { ticket, lost });
+    }
+
     /// Drops requests of other VMs that were not released.
     pub(crate) fn drop_lost(&mut self, now: Time) {
         self.places.retain(|place| place.lost > now);
--- a/crates/sw-relay/src/model.rs
+++ b/crates/sw-relay/src/model.rs
@@ -23,6 +23,8 @@
 /// Prompts shorter than this say little about the speed of reading.
 const MIN_OBSERVED_TOKENS: u64 = 1_500;
 
+/// Time for which a stream takes a slot before any ended, in milliseconds.
+const DEFAULT_RUN_MS: f64 = 500.0;
 /// Time until a copy begins, in milliseconds.
 const COPY_SETUP_MS: f64 = 5.0;
 /// How much longer a copy takes than the configuration says, before any was seen, by distance.
@@ -41,6 +43,7 @@
     answers: u32,
     events_per_token: f64,
     copy_stretch: [f64; Distance::COUNT],
+    run_ms: f64,
 }
 
 impl Default for EngineModel {
@@ -51,6 +54,7 @@
             answers: 0,
             events_per_token: DEFAULT_EVENTS_PER_TOKEN,
             copy_stretch: DEFAULT_COPY_STRETCH,
+            run_ms: DEFAULT_RUN_MS,
         }
     }
 }
@@ -71,6 +75,17 @@
         self.service_ms
     }
 
+    /// Milliseconds for which a stream takes a slot.
+    pub fn run_ms(&self) -> f64 {
+        self.run_ms
+    }
+
+    /// Records that a stream that took `read_ms` to read ended `run` after its first event.
+    pub fn ran(&mut self, read_ms: f64, run: Millis) {
+        let seen = FIRST_EVENT_MS + read_ms + run.0 as f64;
+        self.run_ms += NEWEST * (seen - self.run_ms);
+    }
+
     /// Events of a stream that may have `tokens`.
     pub fn events(&self, tokens: Tokens) -> f64 {
         tokens.0 as f64 * self.events_per_token
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -339,8 +339,9 @@
     pub fn end(&mut self, attempt: &Attempt, outcome: Outcome, now: Time) -> Option<Time> {
         if outcome == Outcome::Whole {
             let model = self.models.entry(attempt.service.clone()).or_default();
-            if attempt.events > 0 {
+            if let Some(first_event) = attempt.first_event {
                 model.streamed(attempt.output, attempt.events);
+                model.ran(attempt.read_ms, now.since(first_event));
             } else if attempt.backlog_ms < 1.0 {
                 model.answered(attempt.age(now));
             }
--- a/crates/sw-relay/tests/coordination.rs
+++ b/crates/sw-relay/tests/coordination.rs
@@ -8,7 +8,7 @@
 use proptest::prelude::*;
 use support::{admit, beat, endpoint, prompt, register, relay_of, row};
 use sw_error::Kind;
-use sw_relay::{Admitted, Choice, Coordinator, Relay, Reservation, Tried, Wait};
+use sw_relay::{Admitted, Choice, Coordinator, Relay, Release, Reservation, Tried, Wait};
 use sw_unit::{Incarnation, Millis, Time};
 
 const VMS: usize = 4;
@@ -97,7 +97,7 @@
         .expect_err("declined");
     assert!(wait.expected_ms > second.wait.expected_ms);
     for granted in [first, second] {
-        relay.release(&"e-1".parse().expect("an id"), granted.ticket, false, Time(10));
+        relay.release(&"e-1".parse().expect("an id"), granted.ticket, Release::Ended, Time(10));
     }
     let again = relay
         .reserve(&reservation("e-1", 8_000, 1_000.0), Time(10))
@@ -124,7 +124,7 @@
     let granted = relay
         .reserve(&reservation("e-1", 800, 1_000.0), Time(0))
         .expect("granted");
-    relay.release(&"e-1".parse().expect("an id"), granted.ticket, true, Time(0));
+    relay.release(&"e-1".parse().expect("an id"), granted.ticket, Release::Absent, Time(0));
     let wait = relay
         .reserve(&reservation("e-1", 800, 800.0), Time(0))
         .expect_err("paused");
@@ -227,7 +227,7 @@
                 }
                 Step::Release(at) => {
                     if let Some(ticket) = tickets.get(at) {
-                        relay.release(&id, *ticket, false, now);
+                        relay.release(&id, *ticket, Release::Ended, now);
                     }
                 }
                 Step::Restart => {
--- a/crates/sw-relay/tests/plain.rs
+++ b/crates/sw-relay/tests/plain.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 
 use support::{admit, beat, endpoint, register, relay_of, row, service};
-use sw_relay::{Choice, Outcome, Relay, Reservation, Tried};
+use sw_relay::{Choice, Outcome, Relay, Release, Reservation, Tried};
 use sw_unit::{Millis, Time};
 
 const VMS: usize = 60;
@@ -62,7 +62,7 @@
         for done in running.extract_if(.., |running| running.until <= ms) {
             vms[done.vm].end(&done.attempt, Outcome::Whole, now);
             if let Some((vm, ticket)) = done.granted {
-                vms[vm].release(&done.attempt.endpoint.id, ticket, false, now);
+                vms[vm].release(&done.attempt.endpoint.id, ticket, Release::Ended, now);
             }
         }
         if at % per_s == 0 {
@@ -148,7 +148,7 @@
     assert!(places[2 * SLOTS - 1].wait.expected_ms > idle_ms * 1.9);
     assert!(ask(&mut relay, idle_ms * 1.5, Time(0)).is_err());
     for place in places {
-        relay.release(&id, place.ticket, false, Time(10));
+        relay.release(&id, place.ticket, Release::Ended, Time(10));
     }
     let place = ask(&mut relay, idle_ms * 1.1, Time(10)).expect("room again");
     assert!(place.wait.backlog_ms < 1.0);
@@ -183,7 +183,7 @@
         };
         let place = relay.reserve(&place, Time(at)).expect("a place");
         if at % 8 == 0 {
-            relay.release(&endpoint.id, place.ticket, false, Time(at));
+            relay.release(&endpoint.id, place.ticket, Release::Ended, Time(at));
         }
     }
 }
@@ -240,6 +240,11 @@
         let place = vms[asked]
             .reserve(&coordinator.reservation, Time(200))
             .expect("a place");
-        vms[asked].release(&coordinator.reservation.endpoint, place.ticket, false, Time(200));
+        vms[asked].release(
+            &coordinator.reservation.endpoint,
+            place.ticket,
+            Release::Ended,
+            Time(200),
+        );
     }
 }
--- a/crates/sw-relay/tests/reading.rs
+++ b/crates/sw-relay/tests/reading.rs
@@ -6,7 +6,7 @@
 mod support;
 
 use support::{endpoint, prompt, register, relay_of, service};
-use sw_relay::{EndpointReport, LoadReport, Relay, Reservation};
+use sw_relay::{EndpointReport, LoadReport, Relay, Release, Reservation};
 use sw_unit::{EndpointId, Millis, Time};
 
 /// Most of the time that an engine may read for over some seconds.
@@ -46,7 +46,7 @@
         reading.retain(|(ticket, done)| {
             let is_done = *done <= now;
             if is_done {
-                relay.release(&engine(), *ticket, false, Time(now));
+                relay.release(&engine(), *ticket, Release::Ended, Time(now));
             }
             !is_done
         });
@@ -92,7 +92,7 @@
     for at in 0..100 {
         let now = Time(at * 10);
         let granted = relay.reserve(&reservation(8_000), now).expect("an idle engine");
-        relay.release(&engine(), granted.ticket, false, now);
+        relay.release(&engine(), granted.ticket, Release::Ended, now);
         let load = relay.load(&engine()).expect("a load");
         assert!(load.own_backlog_ms(now) < 1.0);
     }
@@ -106,7 +106,7 @@
     while let Ok(granted) = relay.reserve(&reservation(4_000), Time(at)) {
         // It is read as fast as it comes.
         at += 100;
-        relay.release(&engine(), granted.ticket, false, Time(at));
+        relay.release(&engine(), granted.ticket, Release::Ended, Time(at));
         assert!(at < 60_000, "an engine that reads all the time is declined in the end");
     }
     let urgent = Reservation {
@@ -144,3 +144,28 @@
     let granted = relay.reserve(&reservation(200), Time(100)).expect("it begins soon");
     assert!(granted.wait.expected_ms < 100.0, "{granted:?}");
 }
+
+/// The pattern: engines with few slots answer many short questions; a question waits for a slot, not for reading.
+#[test]
+fn a_prompt_waits_for_a_slot_of_an_engine_that_runs_as_many_as_it_can() {
+    const SLOTS: usize = 64;
+    let mut relay = vm();
+    relay.tick(Time(0));
+    let mut running = Vec::new();
+    for _ in 0..SLOTS {
+        let granted = relay.reserve(&reservation(200), Time(0)).expect("a free slot");
+        relay.release(&engine(), granted.ticket, Release::Runs, Time(10));
+        running.push(granted.ticket);
+    }
+    let waits = |relay: &mut Relay, at| {
+        let granted = relay.reserve(&reservation(200), Time(at)).expect("a place");
+        relay.release(&engine(), granted.ticket, Release::Ended, Time(at));
+        granted.wait.backlog_ms
+    };
+    assert!(waits(&mut relay, 20) > 1.0);
+    relay.release(&engine(), running[0], Release::Ended, Time(30));
+    assert!(waits(&mut relay, 30) < 1.0);
+    // What nobody says the end of is taken to have ended after a while.
+    relay.tick(Time(20_000));
+    assert!(waits(&mut relay, 20_000) < 1.0);
+}
