--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -9,13 +9,12 @@
 use std::cmp::Reverse;
 
 use sw_error::{Kind, Refusal};
-use sw_unit::{EndpointId, Millis, Time, Tokens};
+use sw_unit::{EndpointId, Millis, Time};
 
 use crate::cache::shared_key;
-use crate::model::FIRST_EVENT_MS;
 use crate::registry::Endpoint;
 use crate::spill::{Remote, spills};
-use crate::{Admitted, Choice, Distance, EndpointEntry, EngineModel, Intake, Load, Prompt, Relay, ServiceId, Tried};
+use crate::{Admitted, Choice, Distance, EndpointEntry, Intake, Prompt, Relay, ServiceId, Tried};
 
 /// Surcharge for reading a shared part once more, in units of the time that it takes.
 const REREAD_SURCHARGE: f64 = 14.0;
@@ -27,8 +26,6 @@
 const LATE_SURCHARGE: f64 = 20.0;
 /// Surcharge for each place in the ranking of a shared part, in milliseconds.
 const RANK_SURCHARGE_MS: f64 = 8.0;
-/// Part of the time that is left within which an answer should end; engines that are busy reading make few tokens.
-const END_SHARE: f64 = 0.7;
 /// Part of the time that is left by which an answer may be expected to end later than that, so that it is begun.
 const HOPELESS_SHARE: f64 = 0.4;
 /// Surcharge for ending later than that, in units of the time beyond it.
@@ -37,8 +34,6 @@
 const SPREAD_SHARE: f64 = 0.5;
 /// Share of an endpoint's connections that the VMs plan to use.
 const CONNECTION_SHARE: f64 = 0.9;
-/// Time that each waiting request adds at an engine of whose queue no VM keeps account, in milliseconds.
-const WAITING_MS: f64 = 60.0;
 /// Shortest time to come back.
 const MIN_RETRY_AFTER: Millis = Millis(100);
 /// Share of the caller's time within which it may be asked to come back.
@@ -137,16 +132,6 @@
         })
     }
 
-    /// Milliseconds that an engine of a service takes to read `tokens`.
-    pub(crate) fn read_ms(&self, service: &ServiceId, tokens: Tokens) -> f64 {
-        self.model(service).read_ms(tokens)
-    }
-
-    /// How fast the endpoints of a service are.
-    pub(crate) fn model(&self, service: &ServiceId) -> EngineModel {
-        self.models.get(service).copied().unwrap_or_default()
-    }
-
     fn best_local(&self, admitted: &Admitted, tried: &Tried, now: Time) -> Option<Local> {
         let region = &self.options.own.region;
         if !admitted.route.permits(region) || tried.is_full(region) || tried.is_declined() {
@@ -250,90 +235,6 @@
         self.service_ms(&admitted.service) * SPREAD_SHARE * drawn
     }
 
-    /// Milliseconds until the answer of a plain service.
-    pub(crate) fn answer_ms(&self, service: &ServiceId, endpoint: &EndpointEntry, now: Time) -> f64 {
-        let service_ms = self.service_ms(service);
-        let Some(load) = self.loads.get(&endpoint.id) else {
-            return service_ms;
-        };
-        let queued_ms = |running: u32| {
-            let ahead = f64::from(running + 1) / f64::from(endpoint.slots.max(1));
-            service_ms * ahead.max(1.0)
-        };
-        if self.coordinates(&endpoint.id) {
-            return queued_ms(load.accounted());
-        }
-        queued_ms(load.all_running(now)).max(service_ms + load.backlog_ms(now))
-    }
-
-    /// Milliseconds that a request to a plain service takes without a queue.
-    pub(crate) fn service_ms(&self, service: &ServiceId) -> f64 {
-        self.model(service).service_ms()
-    }
-
-    /// Milliseconds until an engine begins with a new prompt.
-    pub(crate) fn queue_ms(&self, service: &ServiceId, endpoint: &EndpointId, is_urgent: bool, now: Time) -> f64 {
-        if self.coordinates(endpoint) {
-            return self.account_ms(service, endpoint, is_urgent, now);
-        }
-        self.loads.get(endpoint).map_or(0.0, |load| load.backlog_ms(now))
-    }
-
-    /// The same by the account of a VM that grants the places there: the engine has read what is ahead, and a slot is
-    /// free. An urgent prompt need not leave the engine time to answer others.
-    pub(crate) fn account_ms(&self, service: &ServiceId, endpoint: &EndpointId, is_urgent: bool, now: Time) -> f64 {
-        let Some(load) = self.loads.get(endpoint) else {
-            return 0.0;
-        };
-        let spared_ms = if is_urgent { load.spared_ms(now) } else { 0.0 };
-        (load.backlog_ms(now) - spared_ms).max(self.slot_ms(service, load))
-    }
-
-    /// Milliseconds until a slot of an engine is free whose places this VM grants.
-    pub(crate) fn slot_ms(&self, service: &ServiceId, load: &Load) -> f64 {
-        let engine = self.service(service).and_then(|service| service.engine);
-        let slots = engine.map_or(u32::MAX, |engine| engine.slots.max(1));
-        let excess = (load.accounted() + 1).saturating_sub(slots);
-        f64::from(excess) * self.model(service).run_ms() / f64::from(slots)
-    }
-
-    /// Milliseconds until the first event for a prompt that has `queue_ms` ahead of it at an engine that has `intake` to
-    /// do for it.
-    pub(crate) fn prompt_ms(
-        &self,
-        service: &ServiceId,
-        endpoint: &EndpointId,
-        intake: Intake,
-        queue_ms: f64,
-        now: Time,
-    ) -> f64 {
-        let load = self.loads.get(endpoint);
-        let waiting_ms = if self.is_coordinated(endpoint) {
-            0.0
-        } else {
-            load.map_or(0.0, |load| f64::from(load.waiting(now)) * WAITING_MS)
-        };
-        let ready_ms = queue_ms.max(self.intake_copy_ms(service, intake));
-        ready_ms + waiting_ms + self.read_ms(service, intake.read) + FIRST_EVENT_MS
-    }
-
-    /// Milliseconds by which an answer is expected to end too late that begins after `expected_ms`.
-    pub(crate) fn overrun_ms(&self, admitted: &Admitted, expected_ms: f64, gap_ms: f64, now: Time) -> f64 {
-        let Some(prompt) = &admitted.prompt else {
-            return 0.0;
-        };
-        let events = self.model(&admitted.service).events(prompt.output());
-        let ends_ms = expected_ms + (events - 1.0).max(0.0) * gap_ms;
-        (ends_ms - admitted.left(now).0 as f64 * END_SHARE).max(0.0)
-    }
-
-    pub(crate) fn whole_read_ms(&self, admitted: &Admitted) -> f64 {
-        match &admitted.prompt {
-            Some(prompt) => self.read_ms(&admitted.service, prompt.input),
-            None => self.service_ms(&admitted.service),
-        }
-    }
-
     /// Whether this VM's share of an endpoint's connections and of a cold endpoint's rate has room.
     fn is_open(&self, endpoint: &EndpointEntry, service: &ServiceId, now: Time) -> bool {
         let running = self.loads.get(&endpoint.id).map_or(0, |load| load.running);
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod candidate;
 mod choose;
 mod coordinate;
+mod estimate;
 mod exchange;
 mod intake;
 mod kept;
--- a/crates/sw-relay/src/retry.rs
+++ b/crates/sw-relay/src/retry.rs
@@ -15,6 +15,7 @@
 const RETRY_SPAN: Millis = Millis(5_000);
 /// Sends of one request, those that endpoints rejected included.
 const MAX_SENDS: u32 = 4;
+
 /// A count of requests that forgets older ones.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Recent {
