--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -34,6 +34,18 @@
   ageMs @2 :UInt32;
 }
 
+struct RateLimit {
+  incarnation @0 :UInt64;
+  # Requests per second; negative if a limit has ended.
+  perSecond @1 :Float64;
+  ageMs @2 :UInt32;
+}
+
+struct EndpointRateLimit {
+  endpoint @0 :Text;
+  state @1 :RateLimit;
+}
+
 struct DomainView {
   domain @0 :Text;
   region @1 :Text;
@@ -42,6 +54,7 @@
   endpoints @4 :List(EndpointLoad);
   services @5 :List(ServiceLoad);
   kept @6 :List(KeptPart);
+  rateLimits @7 :List(EndpointRateLimit);
 }
 
 struct Beat {
@@ -52,6 +65,7 @@
   endpoints @4 :List(EndpointLoad);
   domains @5 :List(DomainView);
   kept @6 :List(KeptPart);
+  rateLimits @7 :List(EndpointRateLimit);
 }
 
 struct Item {
@@ -97,11 +111,17 @@
   urgent @6 :Bool;
   # Distance of an engine with the shared parts cached, plus 1; 0 if there is none.
   source @7 :UInt8;
+  # Not set if the sender knows no limit.
+  rateLimit @8 :RateLimit;
 }
 
 struct Wait {
   expectedMs @0 :UInt32;
   backlogMs @1 :UInt32;
+  # Not set if the coordinator knows no limit.
+  rateLimit @2 :RateLimit;
+  # Time until the rate limit admits the request, plus 1; 0 if the limit is not the reason.
+  tokenWaitMs @3 :UInt32;
 }
 
 interface AnswerSink {
--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -2,11 +2,11 @@
 
 use bytes::Bytes;
 use sw_relay::{
-    CachedPart, Distance, DomainView, EndpointLoad, Grant, Heartbeat, PrefillPlan, Prompt, PromptPart, QueueEstimate,
-    Reservation, ReservationUpdate, ServiceLoad, VmAge,
+    CachedPart, Distance, DomainView, EndpointLoad, EndpointRateLimit, Grant, Heartbeat, PrefillPlan, Prompt,
+    PromptPart, QueueEstimate, RateLimitState, Reservation, ReservationUpdate, ServiceLoad, VmAge,
 };
 use sw_store::{Change, Changes, Item, Snapshot};
-use sw_unit::{Incarnation, Millis, Tokens};
+use sw_unit::{Incarnation, Millis, Rate, Tokens};
 
 use super::{RelayCall, WatchOutcome};
 use crate::convert::{len, parse, set_vm_row, text, vm_row};
@@ -17,12 +17,17 @@
 /// Encodes that the store has not recovered from an outage recently.
 const NO_RECENT_RECOVERY: u32 = u32::MAX;
 
+/// Encodes that an endpoint no longer has a rate limit.
+const RATE_LIMIT_ENDED: f64 = -1.0;
+
 /// The headers of a request or response.
 type Headers = [(String, Bytes)];
 
 type EndpointLoadsReader<'a> = capnp::struct_list::Reader<'a, wire::endpoint_load::Owned>;
 type CachedPartsReader<'a> = capnp::struct_list::Reader<'a, wire::kept_part::Owned>;
 type CachedPartsBuilder<'a> = capnp::struct_list::Builder<'a, wire::kept_part::Owned>;
+type RateLimitsReader<'a> = capnp::struct_list::Reader<'a, wire::endpoint_rate_limit::Owned>;
+type RateLimitsBuilder<'a> = capnp::struct_list::Builder<'a, wire::endpoint_rate_limit::Owned>;
 type EndpointLoadsBuilder<'a> = capnp::struct_list::Builder<'a, wire::endpoint_load::Owned>;
 
 pub(super) fn set_heartbeat(mut to: wire::beat::Builder<'_>, heartbeat: &Heartbeat) {
@@ -41,6 +46,10 @@
         to.reborrow().init_kept(len(&heartbeat.cached_parts)),
         &heartbeat.cached_parts,
     );
+    set_rate_limits(
+        to.reborrow().init_rate_limits(len(&heartbeat.rate_limits)),
+        &heartbeat.rate_limits,
+    );
     let mut domains = to.init_domains(len(&heartbeat.domains));
     for (i, view) in (0..).zip(&heartbeat.domains) {
         set_domain_view(domains.reborrow().get(i), view);
@@ -60,6 +69,10 @@
     }
     set_endpoint_loads(to.reborrow().init_endpoints(len(&view.endpoints)), &view.endpoints);
     set_cached_parts(to.reborrow().init_kept(len(&view.cached_parts)), &view.cached_parts);
+    set_rate_limits(
+        to.reborrow().init_rate_limits(len(&view.rate_limits)),
+        &view.rate_limits,
+    );
     let mut services = to.init_services(len(&view.services));
     for (i, load) in (0..).zip(&view.services) {
         let mut to = services.reborrow().get(i);
@@ -100,6 +113,38 @@
     parts.collect()
 }
 
+fn set_rate_limits(mut to: RateLimitsBuilder<'_>, limits: &[EndpointRateLimit]) {
+    for (i, limit) in (0..).zip(limits) {
+        let mut to = to.reborrow().get(i);
+        to.set_endpoint(limit.endpoint.as_str());
+        set_rate_limit(to.init_state(), limit.state);
+    }
+}
+
+fn rate_limits(from: RateLimitsReader<'_>) -> Result<Vec<EndpointRateLimit>> {
+    let limits = from.iter().map(|limit| {
+        Ok(EndpointRateLimit {
+            endpoint: parse(limit.get_endpoint())?,
+            state: rate_limit(limit.get_state()?),
+        })
+    });
+    limits.collect()
+}
+
+fn set_rate_limit(mut to: wire::rate_limit::Builder<'_>, limit: RateLimitState) {
+    to.set_incarnation(limit.incarnation.0);
+    to.set_per_second(limit.rate.map_or(RATE_LIMIT_ENDED, |rate| rate.0));
+    to.set_age_ms(millis(limit.age));
+}
+
+fn rate_limit(from: wire::rate_limit::Reader<'_>) -> RateLimitState {
+    RateLimitState {
+        incarnation: Incarnation(from.get_incarnation()),
+        rate: Some(from.get_per_second()).filter(|rate| *rate >= 0.0).map(Rate),
+        age: Millis(u64::from(from.get_age_ms())),
+    }
+}
+
 fn millis(duration: Millis) -> u32 {
     u32::try_from(duration.0).unwrap_or(u32::MAX)
 }
@@ -115,6 +160,7 @@
         endpoints: endpoint_loads(from.get_endpoints()?)?,
         domains: domains.collect::<Result<_>>()?,
         cached_parts: cached_parts(from.get_kept()?)?,
+        rate_limits: rate_limits(from.get_rate_limits()?)?,
     })
 }
 
@@ -142,6 +188,7 @@
         endpoints: endpoint_loads(from.get_endpoints()?)?,
         services: services.collect::<Result<_>>()?,
         cached_parts: cached_parts(from.get_kept()?)?,
+        rate_limits: rate_limits(from.get_rate_limits()?)?,
     })
 }
 
--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -11,7 +11,7 @@
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use sw_http::{CallError, Exchange, Reuse};
 use sw_relay::{AdmittedRequest, Attempt, AttemptHistory, AttemptOutcome, EndpointEntry};
-use sw_unit::Millis;
+use sw_unit::{Millis, Time};
 
 use crate::incoming::{BodySource, EndpointResponse, IncomingResponse};
 use crate::reservation::ReservationGuard;
@@ -198,6 +198,7 @@
     }
     let http_request = build_request(state, request, target, remaining);
     let wait = request.head_timeout(expected_ms, can_retry_elsewhere, remaining);
+    let sent_at = state.now();
     let response = exchange.send(http_request, Duration::from_millis(wait.0)).await;
     let response = response.map_err(|error| match error {
         CallError::Connect => (AttemptOutcome::Unreachable, 0),
@@ -207,7 +208,7 @@
     })?;
     let head = state.dialect.response_head(response.status(), response.headers());
     let status = response.status().as_u16();
-    apply_report(state, admitted, endpoint, &head);
+    apply_report(state, admitted, endpoint, &head, sent_at);
     check_head(admitted, &head, &response, exchange.is_reused()).map_err(|outcome| (outcome, status))?;
     Ok((exchange, response, head))
 }
@@ -218,6 +219,7 @@
     admitted: &AdmittedRequest,
     endpoint: &EndpointEntry,
     head: &ResponseHead,
+    sent_at: Time,
 ) {
     if head.is_for_other_request(&admitted.id) || head.rejection == Rejection::WrongEndpoint {
         return;
@@ -232,6 +234,14 @@
     if let Some(wait) = head.report.retry_after {
         telemetry::log_rejection(&admitted.id, &endpoint.id, wait);
     }
+    let is_own_answer = head.request_id.is_some() && head.has_signature_header;
+    state.relay.borrow_mut().on_rate_limit_statement(
+        endpoint,
+        head.rate_limit,
+        is_own_answer.then_some(sent_at),
+        state.now(),
+    );
+    telemetry::log_rate_limit_changes(state, &admitted.id);
 }
 
 /// Checks that the head of a response belongs to this request and may be relayed to the caller.
--- a/crates/sw-proxy/src/dialect.rs
+++ b/crates/sw-proxy/src/dialect.rs
@@ -8,7 +8,7 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, StatusCode, Uri};
 use sw_member::VmRow;
-use sw_relay::{EndpointReport, RequestHead, StoreRecord};
+use sw_relay::{EndpointReport, RateLimitStatement, RequestHead, StoreRecord};
 use sw_unit::{DomainId, EndpointId, Millis, RegionId};
 
 /// Error for request headers that are missing or malformed.
@@ -52,7 +52,7 @@
 }
 
 /// Decoded head of an endpoint's response.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct ResponseHead {
     /// Id of the request that the response belongs to.
     pub request_id: Option<Arc<str>>,
@@ -62,6 +62,8 @@
     pub rejection: Rejection,
     /// The endpoint's report about itself.
     pub report: EndpointReport,
+    /// The endpoint's statement about its rate limit.
+    pub rate_limit: RateLimitStatement,
     /// Time for which the endpoint keeps an idle connection open.
     pub keep_alive: Option<Millis>,
     /// Whether the endpoint closes the connection.
--- a/crates/sw-proxy/src/heartbeat.rs
+++ b/crates/sw-proxy/src/heartbeat.rs
@@ -15,7 +15,7 @@
 use sw_unit::{Millis, Time, VmId};
 
 use crate::state::ProxyState;
-use crate::{Dialect, store};
+use crate::{Dialect, store, telemetry};
 
 /// Base period of heartbeats.
 pub(crate) const HEARTBEAT_PERIOD: Millis = Millis(500);
@@ -67,6 +67,7 @@
         let version = from.version.0;
         info!("vm_heard", kv: { vm, incarnation, leaving, version });
     }
+    telemetry::log_rate_limit_changes(state, "");
     store::copy_if_due(state);
 }
 
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -3,12 +3,14 @@
 //! Each decision about a request and each change of this VM's view of the system is logged in one line with its inputs.
 //! Lines never contain request content.
 
-use metrics::{counter, histogram};
+use metrics::{counter, gauge, histogram};
 use spdlog::prelude::*;
 use sw_error::Refusal;
-use sw_relay::{AdmittedRequest, Attempt, AttemptOutcome, Choice, QueueEstimate, Reservation};
+use sw_relay::{AdmittedRequest, Attempt, AttemptOutcome, Choice, QueueEstimate, RateLimitStatement, Reservation};
 use sw_unit::{EndpointId, Millis, Time};
 
+use crate::state::ProxyState;
+
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 /// Logs the routing choice for a request, made at the store revision `revision`.
@@ -94,6 +96,27 @@
     counter!("shallotwing_turned_away_total").increment(1);
 }
 
+/// Logs the changes of the rate limits that this VM knows; `id` is the request whose response changed them, or empty.
+pub(crate) fn log_rate_limit_changes<D, F>(state: &ProxyState<D, F>, id: &str) {
+    let mut relay = state.relay.borrow_mut();
+    let changes = relay.take_rate_limit_changes();
+    if changes.is_empty() {
+        return;
+    }
+    gauge!("shallotwing_rate_limited_endpoints").set(relay.limited_endpoints() as f64);
+    for change in changes {
+        let (endpoint, source, age_ms) = (change.endpoint.as_str(), <&str>::from(change.source), change.age.0);
+        match change.statement {
+            RateLimitStatement::Named(rate) => {
+                let per_second = rate.0;
+                info!("rate_limit_named", kv: { id, endpoint, per_second, source, age_ms });
+            }
+            RateLimitStatement::NotNamed => info!("rate_limit_ended", kv: { id, endpoint, source, age_ms }),
+            RateLimitStatement::Malformed => warn!("rate_limit_malformed", kv: { id, endpoint }),
+        }
+    }
+}
+
 /// Logs that an endpoint is in backoff.
 pub(crate) fn log_backoff(endpoint: &str, backoff: Millis) {
     let pause_ms = backoff.0;
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -7,7 +7,8 @@
 use crate::load::Sender;
 use crate::registry::Endpoint;
 use crate::{
-    AttemptHistory, DomainView, EndpointLoad, EndpointTracker, Heartbeat, Relay, ServiceId, ServiceLoad, VmAge,
+    AttemptHistory, DomainView, EndpointLoad, EndpointTracker, Heartbeat, RateLimitState, Relay, ServiceId,
+    ServiceLoad, VmAge,
 };
 
 /// Minimum number of entry VMs of the caller's failure domain; with fewer, those of the whole region are named.
@@ -65,6 +66,11 @@
             } else {
                 Vec::new()
             },
+            rate_limits: if neighbour {
+                self.rate_limits.to_pass_on(now)
+            } else {
+                Vec::new()
+            },
         }
     }
 
@@ -83,6 +89,9 @@
         for part in &heartbeat.cached_parts {
             self.cache_directory.record_reported(part, now, Origin::Neighbour, now);
         }
+        for limit in &heartbeat.rate_limits {
+            self.rate_limits.on_peer(&limit.endpoint, limit.state, now);
+        }
         let is_direct = heartbeat.from.domain != self.options.local.domain;
         let changed = self.members.on_heartbeat(heartbeat.from, now);
         for view in heartbeat.domains {
@@ -148,6 +157,13 @@
                 let known = self.loads.entry(load.endpoint.clone()).or_default();
                 known.record_peer_load(Sender::Domain(view.domain.clone()), load.clone(), received_at);
             }
+            for limit in &view.rate_limits {
+                let state = RateLimitState {
+                    age: limit.state.age + view.age,
+                    ..limit.state
+                };
+                self.rate_limits.on_peer(&limit.endpoint, state, now);
+            }
         } else {
             let region = self.regions.entry(view.region.clone()).or_default();
             region.record_loads(view.services.clone(), received_at);
@@ -201,6 +217,11 @@
                 self.service_loads(now)
             },
             cached_parts: self.cache_directory.domain_updates(now),
+            rate_limits: if same_region {
+                self.rate_limits.to_pass_on(now)
+            } else {
+                Vec::new()
+            },
         }
     }
 
--- a/crates/sw-relay/src/heartbeat.rs
+++ b/crates/sw-relay/src/heartbeat.rs
@@ -8,7 +8,7 @@
 use sw_member::VmRow;
 use sw_unit::{DomainId, EndpointId, Incarnation, Millis, RegionId, VmId};
 
-use crate::{CachedPart, ServiceId};
+use crate::{CachedPart, EndpointRateLimit, ServiceId};
 
 /// Load that one VM, or all VMs of one failure domain, put on an endpoint.
 #[derive(Debug, Clone, PartialEq)]
@@ -71,6 +71,8 @@
     pub services: Vec<ServiceLoad>,
     /// Shared prompt parts that its VMs recently saw cached.
     pub cached_parts: Vec<CachedPart>,
+    /// Rate limits of endpoints of its region; empty if the receiver is in another region.
+    pub rate_limits: Vec<EndpointRateLimit>,
 }
 
 /// A heartbeat between two VMs.
@@ -92,4 +94,6 @@
     pub domains: Vec<DomainView>,
     /// Shared prompt parts that the sender recently saw cached; empty between domains.
     pub cached_parts: Vec<CachedPart>,
+    /// Rate limits of endpoints that the sender knows; empty between domains.
+    pub rate_limits: Vec<EndpointRateLimit>,
 }
--- /dev/null
+++ b/crates/sw-relay/src/rate_limit.rs
@@ -0,0 +1,236 @@
+//! Rate limits that endpoints name in their responses.
+//!
+//! An endpoint in need names the requests per second that it takes from all VMs together, for as long as its responses
+//! say so. Only the VM that receives a response learns of it at once; VMs exchange what they know in heartbeats and
+//! reservations, with its age.
+//!
+//! Responses can overtake each other. A statement that tightens the limit therefore counts from the arrival of its
+//! response, and one that loosens or ends it from the moment its request was sent: it says nothing about limits that
+//! were named since.
+
+use indexmap::{IndexMap, IndexSet};
+use strum::IntoStaticStr;
+use sw_unit::{EndpointId, Incarnation, Millis, Rate, Time};
+
+use crate::EndpointEntry;
+
+/// Time by which news of a loosened limit may be older than its stated age, because it was in transit.
+const MAX_TRANSIT: Millis = Millis(300);
+/// Time for which the end of a limit is passed on.
+const ENDED_PASSED_ON_FOR: Millis = Millis(10_000);
+/// Time for which the limit of an endpoint is remembered that is no longer registered.
+const UNREGISTERED_KEPT_FOR: Millis = Millis(60_000);
+/// Maximum number of changes that are kept for logging.
+const MAX_CHANGES: usize = 64;
+
+/// What a response says about the rate limit of its endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub enum RateLimitStatement {
+    /// The endpoint has no limit.
+    #[default]
+    NotNamed,
+    /// The endpoint takes this many requests per second from all VMs together.
+    Named(Rate),
+    /// The limit cannot be decoded; what was known before stays in force.
+    Malformed,
+}
+
+/// What a VM knows of the rate limit of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RateLimitState {
+    /// The incarnation of the endpoint.
+    pub incarnation: Incarnation,
+    /// Requests per second from all VMs together; `None` if a limit has ended.
+    pub rate: Option<Rate>,
+    /// Time since the endpoint stated it.
+    pub age: Millis,
+}
+
+/// The rate limit of an endpoint, as one VM reports it to another.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EndpointRateLimit {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its limit.
+    pub state: RateLimitState,
+}
+
+/// How a VM learned of a rate limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum RateLimitSource {
+    /// From a response of the endpoint.
+    Response,
+    /// From another VM.
+    Peer,
+}
+
+/// A change of what a VM knows of a rate limit.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RateLimitChange {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// What it states now.
+    pub statement: RateLimitStatement,
+    /// How this VM learned of it.
+    pub source: RateLimitSource,
+    /// Age of the statement.
+    pub age: Millis,
+}
+
+/// The newest statement of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Observation {
+    incarnation: Incarnation,
+    rate: Option<Rate>,
+    stated_at: Time,
+}
+
+impl Observation {
+    /// Returns whether `rate` allows more requests than this observation.
+    fn is_loosened_by(&self, rate: Option<Rate>) -> bool {
+        match (self.rate, rate) {
+            (None, _) => false,
+            (Some(_), None) => true,
+            (Some(known), Some(rate)) => rate > known,
+        }
+    }
+}
+
+/// The rate limits that this VM knows.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct RateLimits {
+    observations: IndexMap<EndpointId, Observation>,
+    /// Endpoints whose last statement was malformed.
+    malformed: IndexSet<EndpointId>,
+    changes: Vec<RateLimitChange>,
+}
+
+impl RateLimits {
+    /// Returns the number of endpoints that have a limit.
+    pub(crate) fn limited_count(&self) -> usize {
+        self.observations.values().filter(|known| known.rate.is_some()).count()
+    }
+
+    /// Records what a response to this VM says.
+    ///
+    /// `sent_at` is when its request was sent; `None` if the response may belong to another request, so that it can
+    /// only tighten the limit.
+    pub(crate) fn on_response(
+        &mut self,
+        entry: &EndpointEntry,
+        statement: RateLimitStatement,
+        sent_at: Option<Time>,
+        now: Time,
+    ) {
+        let rate = match statement {
+            RateLimitStatement::NotNamed => None,
+            RateLimitStatement::Named(rate) => Some(rate),
+            RateLimitStatement::Malformed => return self.on_malformed(entry),
+        };
+        self.malformed.swap_remove(&entry.id);
+        let known = self
+            .observations
+            .get(&entry.id)
+            .filter(|known| known.incarnation == entry.incarnation);
+        let is_loosened = known.is_some_and(|known| known.is_loosened_by(rate));
+        if rate.is_none() && !is_loosened {
+            return;
+        }
+        let stated_at = if is_loosened { sent_at } else { Some(now) };
+        if let Some(stated_at) = stated_at {
+            let observation = Observation {
+                incarnation: entry.incarnation,
+                rate,
+                stated_at,
+            };
+            self.merge(&entry.id, observation, RateLimitSource::Response, now);
+        }
+    }
+
+    /// Records what another VM knows.
+    pub(crate) fn on_peer(&mut self, endpoint: &EndpointId, state: RateLimitState, now: Time) {
+        let known = self.observations.get(endpoint);
+        let is_loosened = known.is_some_and(|known| known.is_loosened_by(state.rate));
+        let transit = if is_loosened { MAX_TRANSIT } else { Millis(0) };
+        let observation = Observation {
+            incarnation: state.incarnation,
+            rate: state.rate,
+            stated_at: now - state.age - transit,
+        };
+        self.merge(endpoint, observation, RateLimitSource::Peer, now);
+    }
+
+    /// Returns the limits, and the ends of limits, that other VMs should learn of.
+    pub(crate) fn to_pass_on(&self, now: Time) -> Vec<EndpointRateLimit> {
+        let is_news = |known: &Observation| known.rate.is_some() || now.since(known.stated_at) < ENDED_PASSED_ON_FOR;
+        let news = self.observations.iter().filter(|(_, known)| is_news(known));
+        news.map(|(endpoint, known)| EndpointRateLimit {
+            endpoint: endpoint.clone(),
+            state: state_of(known, now),
+        })
+        .collect()
+    }
+
+    /// Removes the limits of endpoints that have not been registered for a while.
+    pub(crate) fn prune(&mut self, is_registered: impl Fn(&EndpointId) -> bool, now: Time) {
+        let is_recent = |known: &Observation| now.since(known.stated_at) < UNREGISTERED_KEPT_FOR;
+        self.observations
+            .retain(|endpoint, known| is_registered(endpoint) || is_recent(known));
+        self.malformed.retain(|endpoint| is_registered(endpoint));
+    }
+
+    /// Returns the changes since the last call, oldest first; beyond [`MAX_CHANGES`], later ones are left out.
+    pub(crate) fn take_changes(&mut self) -> Vec<RateLimitChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    fn merge(&mut self, endpoint: &EndpointId, new: Observation, source: RateLimitSource, now: Time) {
+        let known = self.observations.get(endpoint).copied();
+        let is_newer = known.is_none_or(|known| {
+            (new.incarnation, new.stated_at) > (known.incarnation, known.stated_at)
+                || (new.incarnation, new.stated_at) == (known.incarnation, known.stated_at)
+                    && !known.is_loosened_by(new.rate)
+        });
+        if !is_newer {
+            return;
+        }
+        self.observations.insert(endpoint.clone(), new);
+        if known.and_then(|known| known.rate) != new.rate {
+            let statement = new.rate.map_or(RateLimitStatement::NotNamed, RateLimitStatement::Named);
+            self.push_change(endpoint, statement, source, now.since(new.stated_at));
+        }
+    }
+
+    fn on_malformed(&mut self, entry: &EndpointEntry) {
+        if self.malformed.insert(entry.id.clone()) {
+            let statement = RateLimitStatement::Malformed;
+            self.push_change(&entry.id, statement, RateLimitSource::Response, Millis(0));
+        }
+    }
+
+    fn push_change(
+        &mut self,
+        endpoint: &EndpointId,
+        statement: RateLimitStatement,
+        source: RateLimitSource,
+        age: Millis,
+    ) {
+        if self.changes.len() < MAX_CHANGES {
+            self.changes.push(RateLimitChange {
+                endpoint: endpoint.clone(),
+                statement,
+                source,
+                age,
+            });
+        }
+    }
+}
+
+fn state_of(known: &Observation, now: Time) -> RateLimitState {
+    RateLimitState {
+        incarnation: known.incarnation,
+        rate: known.rate,
+        age: now.since(known.stated_at),
+    }
+}
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -11,12 +11,14 @@
 use crate::cache_directory::CacheDirectory;
 use crate::coordinator::{Coordinators, Grant};
 use crate::exchange::RemoteView;
+use crate::rate_limit::RateLimits;
 use crate::region::RemoteRegions;
 use crate::registry::Endpoint;
 use crate::retry::RecentRequests;
 use crate::{
     Attempt, AttemptOutcome, EndpointEntry, EndpointReport, EndpointTracker, LatencyModel, PrefillPlan, Prompt,
-    Registry, RequestHead, Route, RouteTable, Service, ServiceId, SlowStartShare, StoreRecord,
+    RateLimitChange, RateLimitStatement, Registry, RequestHead, Route, RouteTable, Service, ServiceId, SlowStartShare,
+    StoreRecord,
 };
 
 /// Factor by which the count of recent requests decays at each tick.
@@ -105,6 +107,7 @@
     /// Which engines have which shared prompt parts cached.
     pub(crate) cache_directory: CacheDirectory,
     pub(crate) coordinators: Coordinators,
+    pub(crate) rate_limits: RateLimits,
     /// Unresponsive coordinators, with the time until which they are not asked.
     pub(crate) unresponsive: IndexMap<VmId, Time>,
     /// Failed watchers of the store, with the time until which they are not used.
@@ -132,6 +135,7 @@
             remote_views: IndexMap::new(),
             cache_directory: CacheDirectory::default(),
             coordinators: Coordinators::new(),
+            rate_limits: RateLimits::default(),
             unresponsive: IndexMap::new(),
             failed_watchers: IndexMap::new(),
             budgets: IndexMap::new(),
@@ -196,6 +200,8 @@
         let expired = self.registry.expire(now);
         self.assign_coordinators(now);
         self.failed_watchers.retain(|_, until| *until > now);
+        self.rate_limits
+            .prune(|endpoint| self.registry.get(endpoint).is_some(), now);
         for load in self.loads.values_mut() {
             load.expire_reservations(now);
         }
@@ -340,6 +346,29 @@
         report.leaving && self.registry.on_leaving(endpoint)
     }
 
+    /// Records what a response says about the rate limit of its endpoint.
+    ///
+    /// `sent_at` is when its request was sent; `None` if the response may belong to another request.
+    pub fn on_rate_limit_statement(
+        &mut self,
+        endpoint: &EndpointEntry,
+        statement: RateLimitStatement,
+        sent_at: Option<Time>,
+        now: Time,
+    ) {
+        self.rate_limits.on_response(endpoint, statement, sent_at, now);
+    }
+
+    /// Returns the changes of the rate limits that this VM knows since the last call, to be logged.
+    pub fn take_rate_limit_changes(&mut self) -> Vec<RateLimitChange> {
+        self.rate_limits.take_changes()
+    }
+
+    /// Returns the number of endpoints with a rate limit.
+    pub fn limited_endpoints(&self) -> usize {
+        self.rate_limits.limited_count()
+    }
+
     /// Ends an attempt, and returns the end of the backoff if the endpoint is put into backoff for its failures.
     pub fn end_attempt(&mut self, attempt: &Attempt, outcome: AttemptOutcome, now: Time) -> Option<Time> {
         if outcome == AttemptOutcome::Complete {
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -208,8 +208,10 @@
             endpoints: Vec::new(),
             services,
             cached_parts: Vec::new(),
+            rate_limits: Vec::new(),
         }],
         cached_parts: Vec::new(),
+        rate_limits: Vec::new(),
         from,
     }
 }
