fix(relay): the rate limit that an endpoint names holds for all VMs together

What callers saw: nothing; the servers in need got 43 and 46 requests in 4 s with 12 and 11 allowed, and could fail with all that they run. Cause: no VM acted on the limit that a response names. The same class as leaving endpoints before's time: an endpoint's own word that one VM hears and the others do not act on.

Change: the coordinator of an endpoint, which is asked for each send anyway, keeps one token bucket for the requests of all VMs. A VM that knows the limit sends only with a token, and not at all without the coordinator's answer; retries, resumed streams and forwarded requests pass the same place. What is known goes with heartbeats, reservations and their answers; a statement that loosens a limit counts from the moment its request was sent, so an overtaken answer ends none. A coordinator that is new, or was paused, starts empty at half the rate for 4 s; its share shrinks with the live VMs, so two sides of a cut stay within the bound. The rest goes to other endpoints and regions or is refused at once, with returns spread over the limits.

Ruled out: a share for each VM (less than one request at small limits), time slots as for cold endpoints (idle slots waste most of a small limit).

--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -145,6 +145,14 @@
     }
 }
 
+fn optional_rate_limit(is_set: bool, from: Result<wire::rate_limit::Reader<'_>>) -> Result<Option<RateLimitState>> {
+    if is_set {
+        from.map(rate_limit).map(Some)
+    } else {
+        Ok(None)
+    }
+}
+
 fn millis(duration: Millis) -> u32 {
     u32::try_from(duration.0).unwrap_or(u32::MAX)
 }
@@ -260,6 +268,9 @@
             .cache_source_distance
             .map_or(0, |distance| distance as u8 + 1),
     );
+    if let Some(limit) = reservation.rate_limit {
+        set_rate_limit(to.reborrow().init_rate_limit(), limit);
+    }
     let mut parts = to.init_parts(len(&prompt.parts));
     for (i, part) in (0..).zip(&prompt.parts) {
         let mut to = parts.reborrow().get(i);
@@ -285,13 +296,14 @@
         limit_ms: f64::from(from.get_limit_ms()),
         urgent: from.get_urgent(),
         cache_source_distance: from.get_source().checked_sub(1).and_then(Distance::from_repr),
+        rate_limit: optional_rate_limit(from.has_rate_limit(), from.get_rate_limit())?,
     })
 }
 
 pub(super) fn reserve_outcome(
     from: wire::relay_peer::reserve_results::Reader<'_>,
 ) -> Result<std::result::Result<Grant, QueueEstimate>> {
-    let estimate = queue_estimate(from.get_wait()?);
+    let estimate = queue_estimate(from.get_wait()?)?;
     if !from.get_granted() {
         return Ok(Err(estimate));
     }
@@ -335,13 +347,20 @@
 fn set_queue_estimate(mut to: wire::wait::Builder<'_>, estimate: QueueEstimate) {
     to.set_expected_ms(estimate.expected_ms as u32);
     to.set_backlog_ms(estimate.backlog_ms as u32);
+    to.set_token_wait_ms(estimate.token_wait.map_or(0, |wait| millis(wait).saturating_add(1)));
+    if let Some(limit) = estimate.rate_limit {
+        set_rate_limit(to.init_rate_limit(), limit);
+    }
 }
 
-fn queue_estimate(from: wire::wait::Reader<'_>) -> QueueEstimate {
-    QueueEstimate {
+fn queue_estimate(from: wire::wait::Reader<'_>) -> Result<QueueEstimate> {
+    let token_wait = from.get_token_wait_ms().checked_sub(1);
+    Ok(QueueEstimate {
         expected_ms: f64::from(from.get_expected_ms()),
         backlog_ms: f64::from(from.get_backlog_ms()),
-    }
+        rate_limit: optional_rate_limit(from.has_rate_limit(), from.get_rate_limit())?,
+        token_wait: token_wait.map(|wait| Millis(u64::from(wait))),
+    })
 }
 
 pub(super) fn set_items(mut to: capnp::struct_list::Builder<'_, wire::item::Owned>, items: &[Item]) {
--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -131,6 +131,7 @@
         .start_attempt(admitted, endpoint, grant, state.now());
     let attempt = attempt.ok_or(AttemptOutcome::Unsent)?;
     let expected_ms = attempt.expected_ms();
+    let token_taken_at = attempt.token_taken_at;
     let cache_source = attempt.cache_source.as_ref().map(|source| source.endpoint.address);
     let first_event_deadline = state.now() + admitted.first_event_timeout(expected_ms);
     let mut guard = AttemptGuard {
@@ -140,7 +141,11 @@
         reservation,
         status: 0,
     };
-    let target = Target { endpoint, cache_source };
+    let target = Target {
+        endpoint,
+        cache_source,
+        token_taken_at,
+    };
     match send_request(state, request, &target, expected_ms, can_retry_elsewhere).await {
         Ok((exchange, response, response_head)) => {
             guard.status = response.status().as_u16();
@@ -172,6 +177,8 @@
     endpoint: &'a EndpointEntry,
     /// Engine from whose cache the endpoint may transfer shared parts of the prompt.
     cache_source: Option<SocketAddr>,
+    /// When a token of the endpoint's rate limit was taken.
+    token_taken_at: Option<Time>,
 }
 
 async fn send_request<D: Dialect, F: 'static>(
@@ -191,9 +198,13 @@
     let connection = state.connector.connect(endpoint.address, reuse).await;
     let mut exchange = connection.map_err(|_no_connection| (AttemptOutcome::Unreachable, 0))?;
     // While the connection was made, the response may have become due, or the endpoint may have become unusable: it
-    // restarted, is leaving, evacuated or rejects requests of this VM.
+    // restarted, is leaving, evacuated, rejects requests of this VM, or named a rate limit.
     let remaining = admitted.remaining(state.now());
-    if remaining == Millis(0) || !state.relay.borrow().registry().may_send(endpoint, state.now()) {
+    let may_send = state
+        .relay
+        .borrow()
+        .may_send(endpoint, target.token_taken_at, state.now());
+    if remaining == Millis(0) || !may_send {
         return Err((AttemptOutcome::Unsent, 0));
     }
     let http_request = build_request(state, request, target, remaining);
--- a/crates/sw-proxy/src/reservation.rs
+++ b/crates/sw-proxy/src/reservation.rs
@@ -6,7 +6,7 @@
 
 use spdlog::prelude::*;
 use sw_relay::{AttemptHistory, AttemptOutcome, Coordinator, Grant, ReservationUpdate};
-use sw_unit::EndpointId;
+use sw_unit::{EndpointId, Millis};
 
 use crate::attempt::BufferedRequest;
 use crate::state::ProxyState;
@@ -15,6 +15,10 @@
 /// Timeout for a coordinator's response; the request is sent without a reservation if it expires.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time after which a grant with a token of the endpoint's rate limit is too old to be used. It is exceeded if this VM
+/// was paused while it waited for the coordinator.
+const MAX_GRANT_AGE: Millis = Millis(500);
+
 /// Granted reservation in an endpoint's queue, released when dropped.
 pub(crate) struct ReservationGuard<D: Dialect, F: 'static> {
     state: Rc<ProxyState<D, F>>,
@@ -73,25 +77,40 @@
     history: &mut AttemptHistory,
 ) -> Result<Option<ReservationGuard<D, F>>, AttemptOutcome> {
     let reservation = &coordinator.reservation;
+    let asked_at = state.now();
     let response = state
         .peers
         .reserve(coordinator.address, reservation, RESERVE_TIMEOUT)
         .await;
     let now = state.now();
     let mut relay = state.relay.borrow_mut();
+    if let Ok(Ok(Grant { estimate, .. }) | Err(estimate)) = &response {
+        relay.record_rate_limit(reservation, estimate, now);
+    }
     match response {
         Ok(Ok(grant)) => {
             let reserved_ms = grant.estimate.expected_ms - grant.estimate.backlog_ms;
             relay.record_queue_estimate(coordinator, grant.estimate, reserved_ms, now);
-            Ok(Some(ReservationGuard {
+            let guard = ReservationGuard {
                 state: Rc::clone(state),
                 address: coordinator.address,
                 endpoint: reservation.endpoint.clone(),
                 grant,
                 final_update: ReservationUpdate::Ended,
-            }))
+            };
+            if now.since(asked_at) > MAX_GRANT_AGE && guard.grant.has_token() {
+                history.record_rate_limited(&reservation.endpoint, MAX_GRANT_AGE);
+                telemetry::log_rate_limited(&request.admitted, &reservation.endpoint, MAX_GRANT_AGE);
+                return Err(AttemptOutcome::Declined);
+            }
+            Ok(Some(guard))
         }
         Ok(Err(estimate)) => {
+            if let Some(wait) = estimate.token_wait {
+                history.record_rate_limited(&reservation.endpoint, wait);
+                telemetry::log_rate_limited(&request.admitted, &reservation.endpoint, wait);
+                return Err(AttemptOutcome::Declined);
+            }
             relay.record_queue_estimate(coordinator, estimate, 0.0, now);
             history.record_declined(&reservation.endpoint, estimate.expected_ms);
             telemetry::log_declined(&request.admitted, reservation, estimate);
--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -63,7 +63,7 @@
 enum StreamEvent<D: Dialect, F: 'static> {
     Part(BodyPart),
     /// The stream has stalled; contains the target for resuming it, if there is one.
-    Stalled(Option<ResumeTarget<D, F>>),
+    Stalled(Option<Box<ResumeTarget<D, F>>>),
     Timeout,
     CallerGone,
 }
@@ -126,7 +126,7 @@
                 }
                 StreamEvent::Part(BodyPart::End) => SourceFailure::broken("incomplete_event"),
                 StreamEvent::Part(BodyPart::Broken) => SourceFailure::broken("broken"),
-                StreamEvent::Stalled(Some(target)) => SourceFailure::stalled(target),
+                StreamEvent::Stalled(Some(target)) => SourceFailure::stalled(*target),
                 StreamEvent::Stalled(None) => {
                     self.stall = None;
                     continue;
@@ -156,7 +156,7 @@
             () = tx.closed() => StreamEvent::CallerGone,
             part = source.next() => StreamEvent::Part(part),
             () = tokio::time::sleep(Duration::from_millis(remaining.0)) => StreamEvent::Timeout,
-            target = self.wait_stalled() => StreamEvent::Stalled(target),
+            target = self.wait_stalled() => StreamEvent::Stalled(target.map(Box::new)),
         }
     }
 
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -75,6 +75,13 @@
     counter!("shallotwing_declined_total").increment(1);
 }
 
+/// Logs that the rate limit of an endpoint admits a request only after the time `wait`.
+pub(crate) fn log_rate_limited(admitted: &AdmittedRequest, endpoint: &EndpointId, wait: Millis) {
+    let (id, endpoint, wait_ms) = (&*admitted.id, endpoint.as_str(), wait.0);
+    info!("rate_limited", kv: { id, endpoint, wait_ms });
+    counter!("shallotwing_rate_limited_total").increment(1);
+}
+
 /// Logs that a forwarded request got no response.
 pub(crate) fn log_forward_failure(admitted: &AdmittedRequest, outcome: AttemptOutcome, age: Millis) {
     let id = &*admitted.id;
--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -17,6 +17,8 @@
     pub started_at: Time,
     /// Id of its entry in the endpoint's [`EndpointTracker`](crate::EndpointTracker).
     pub entry_id: u64,
+    /// When a token of the endpoint's rate limit was taken for it; `None` if the endpoint had no limit.
+    pub token_taken_at: Option<Time>,
     /// The prefill and cache transfer that precede the first event.
     pub plan: PrefillPlan,
     /// Expected duration of the prefill in milliseconds.
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -92,16 +92,7 @@
             (Some(local), Some(remote)) => local.min(remote.expected_ms),
             (Some(local), None) => local,
             (None, Some(remote)) => remote.expected_ms,
-            (None, None) => {
-                let (kind, wait_ms) = match history.min_declined_wait_ms() {
-                    Some(wait_ms) => (Kind::DeadlineUnreachable, wait_ms),
-                    None => (Kind::NoEndpoint, self.accepts_in_ms(&admitted.service, now)),
-                };
-                return Err(Refusal::with_retry_after(
-                    kind,
-                    self.retry_after(admitted, wait_ms, now),
-                ));
-            }
+            (None, None) => return Err(self.refusal_without_endpoint(admitted, history, now)),
         };
         // A request that was already started is worth completing even if it is late.
         let is_started = admitted.resumed || history.may_have_run();
@@ -136,15 +127,13 @@
             return Ok(choice);
         }
         let Some(local) = local else {
-            let wait_ms = self.accepts_in_ms(&admitted.service, now);
-            return Err(Refusal::with_retry_after(
-                Kind::NoEndpoint,
-                self.retry_after(admitted, wait_ms, now),
-            ));
+            return Err(self.refusal_without_endpoint(admitted, history, now));
         };
         let decline_ms = Self::decline_limit_ms(admitted, history, local.expected_ms, local.margin_ms, limit_ms);
         Ok(Choice::Endpoint {
-            coordinator: self.coordinator(admitted, &local.endpoint, decline_ms, now),
+            coordinator: self
+                .coordinator(admitted, &local.endpoint, decline_ms, now)
+                .map(Box::new),
             endpoint: local.endpoint,
             expected_ms: local.expected_ms,
             considered: local.considered,
@@ -158,6 +147,10 @@
         }
         let local = self.local_endpoints(&admitted.service);
         let available = local.filter(|endpoint| self.has_capacity(&endpoint.entry, &admitted.service, now));
+        let available = available.filter(|endpoint| {
+            self.rate_limit_admits(&endpoint.entry, admitted.is_urgent(), now)
+                && !history.is_rate_limited(&endpoint.entry.id)
+        });
         let available: Vec<_> = available
             .filter(|endpoint| !self.has_long_queue(admitted, &endpoint.entry, history, now))
             .collect();
@@ -265,6 +258,19 @@
         has_room && self.registry.rejects_until(endpoint, now).is_none()
     }
 
+    /// Returns the refusal of a request for which there is no endpoint now.
+    fn refusal_without_endpoint(&mut self, admitted: &AdmittedRequest, history: &AttemptHistory, now: Time) -> Refusal {
+        let longest = longest_retry_after(admitted, now);
+        if let Some(after) = self.rate_limited_return(admitted, longest, now) {
+            return Refusal::with_retry_after(Kind::DeadlineUnreachable, after.max(MIN_RETRY_AFTER));
+        }
+        let (kind, wait_ms) = match history.min_declined_wait_ms() {
+            Some(wait_ms) => (Kind::DeadlineUnreachable, wait_ms),
+            None => (Kind::NoEndpoint, self.accepts_in_ms(&admitted.service, now)),
+        };
+        Refusal::with_retry_after(kind, self.retry_after(admitted, wait_ms, now))
+    }
+
     /// Returns the milliseconds until the first rejecting local endpoint of a service accepts requests from this VM
     /// again; 0 if none rejects.
     fn accepts_in_ms(&self, service: &ServiceId, now: Time) -> f64 {
@@ -281,11 +287,15 @@
     fn retry_after(&mut self, admitted: &AdmittedRequest, expected_ms: f64, now: Time) -> Millis {
         let late_ms = (expected_ms - admitted.route.objective.0 as f64).max(0.0);
         let after = sw_admit::retry_after(Millis(late_ms as u64).max(MIN_RETRY_AFTER), self.rng.f64());
-        let longest = Millis(admitted.deadline.since(now).0 / RETRY_AFTER_DIVISOR);
-        after.min(longest.max(MIN_RETRY_AFTER))
+        after.min(longest_retry_after(admitted, now))
     }
 }
 
+/// Returns the longest time after which a refused caller may be asked to retry.
+fn longest_retry_after(admitted: &AdmittedRequest, now: Time) -> Millis {
+    Millis(admitted.deadline.since(now).0 / RETRY_AFTER_DIVISOR).max(MIN_RETRY_AFTER)
+}
+
 /// Whether the request may use engine time beyond the prefill budget.
 fn bypasses_prefill_budget(admitted: &AdmittedRequest) -> bool {
     admitted.is_urgent() && admitted.prompt.is_some()
--- a/crates/sw-relay/src/coordinator.rs
+++ b/crates/sw-relay/src/coordinator.rs
@@ -16,7 +16,9 @@
 use sw_unit::{DomainId, EndpointId, Millis, Time, VmId};
 
 use crate::load::Sender;
-use crate::{AdmittedRequest, AttemptHistory, Distance, EndpointEntry, PrefillPlan, Prompt, Relay, ServiceId};
+use crate::{
+    AdmittedRequest, AttemptHistory, Distance, EndpointEntry, PrefillPlan, Prompt, RateLimitState, Relay, ServiceId,
+};
 
 /// Time in milliseconds by which a coordinator may expect the first event of a prompt later than the asking VM does,
 /// beyond the endpoint's advantage over the next best one, before it declines.
@@ -61,6 +63,8 @@
     pub urgent: bool,
     /// Distance from the endpoint to an engine that probably has the shared parts of the prompt cached.
     pub cache_source_distance: Option<Distance>,
+    /// What the asking VM knows of the endpoint's rate limit; `None` if it knows none.
+    pub rate_limit: Option<RateLimitState>,
 }
 
 /// The VM to ask for a slot in an endpoint's queue.
@@ -75,12 +79,27 @@
 }
 
 /// A coordinator's estimate of an endpoint's queue.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct QueueEstimate {
     /// Milliseconds to the first event, or to the response, of the request.
     pub expected_ms: f64,
     /// Milliseconds of work that are queued in front of it.
     pub backlog_ms: f64,
+    /// What the coordinator knows of the endpoint's rate limit; `None` if it knows none.
+    pub rate_limit: Option<RateLimitState>,
+    /// Time after which to ask again, if the rate limit is the reason for declining.
+    pub token_wait: Option<Millis>,
+}
+
+impl QueueEstimate {
+    /// Returns the estimate for a request that the rate limit does not admit for the time `wait`.
+    fn without_token(self, wait: Millis) -> Self {
+        Self {
+            expected_ms: self.expected_ms.max(wait.0 as f64),
+            token_wait: Some(wait),
+            ..self
+        }
+    }
 }
 
 /// A granted slot in an endpoint's queue.
@@ -94,6 +113,14 @@
     pub estimate: QueueEstimate,
 }
 
+impl Grant {
+    /// Returns whether a token of the endpoint's rate limit was taken for the request.
+    pub fn has_token(&self) -> bool {
+        let limit = self.estimate.rate_limit;
+        limit.is_some_and(|limit| limit.rate.is_some())
+    }
+}
+
 /// Progress of a request that holds a granted reservation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReservationUpdate {
@@ -133,9 +160,25 @@
     /// # Errors
     ///
     /// Declines with the estimate of the queue if the first event or the response is expected after the limit of the
-    /// reservation, if the queue of a plain endpoint is at its own limit, or if this VM does not know the endpoint or
-    /// may not send to it.
+    /// reservation, if the queue of a plain endpoint is at its own limit, if the rate limit of the endpoint admits no
+    /// request now, or if this VM does not know the endpoint or may not send to it.
     pub fn reserve(&mut self, reservation: &Reservation, now: Time) -> Result<Grant, QueueEstimate> {
+        let endpoint = &reservation.endpoint;
+        if let Some(state) = reservation.rate_limit {
+            self.rate_limits.on_peer(endpoint, state, now);
+        }
+        let rate_limit = self.rate_limits.state(endpoint, now);
+        let with_limit = |estimate: QueueEstimate| QueueEstimate { rate_limit, ..estimate };
+        match self.reserve_in_queue(reservation, now) {
+            Ok(grant) => Ok(Grant {
+                estimate: with_limit(grant.estimate),
+                ..grant
+            }),
+            Err(estimate) => Err(with_limit(estimate)),
+        }
+    }
+
+    fn reserve_in_queue(&mut self, reservation: &Reservation, now: Time) -> Result<Grant, QueueEstimate> {
         let Reservation {
             endpoint,
             service,
@@ -143,17 +186,20 @@
             limit_ms,
             urgent,
             cache_source_distance,
+            rate_limit: _,
         } = reservation;
         let known = self.registry.get(endpoint);
         let Some(known) = known.filter(|known| self.registry.may_send(&known.entry, now)) else {
             return Err(QueueEstimate {
                 expected_ms: UNKNOWN_MS,
                 backlog_ms: UNKNOWN_MS,
+                ..QueueEstimate::default()
             });
         };
+        let entry = known.entry.clone();
         let Some(cache_capacity) = self.cache_capacity(service) else {
-            let response_ms = self.response_ms(service, &known.entry, now);
-            return self.reserve_plain(reservation, response_ms, now);
+            let response_ms = self.response_ms(service, &entry, now);
+            return self.reserve_plain(reservation, &entry, response_ms, now);
         };
         let plan = self.prefill_plan(service, endpoint, prompt, *cache_source_distance, now);
         let prefill_ms = self.prefill_ms(service, plan.prefill);
@@ -165,10 +211,14 @@
         let estimate = QueueEstimate {
             expected_ms: backoff_ms + expected_ms,
             backlog_ms: backoff_ms + queue_ms,
+            ..QueueEstimate::default()
         };
         if estimate.expected_ms > *limit_ms {
             return Err(estimate);
         }
+        self.take_token(&entry, *urgent, now)
+            .map_err(|wait| estimate.without_token(wait))?;
+        let load = self.loads.entry(endpoint.clone()).or_default();
         load.cache.insert(prompt, cache_capacity, now);
         let entry_id = load.reserve_prefill(prefill_ms, now + transfer, expires_at(estimate, now), now);
         self.record_prefill(service, endpoint, prompt, estimate.expected_ms, now);
@@ -183,6 +233,7 @@
     fn reserve_plain(
         &mut self,
         reservation: &Reservation,
+        entry: &EndpointEntry,
         response_ms: f64,
         now: Time,
     ) -> Result<Grant, QueueEstimate> {
@@ -192,10 +243,14 @@
         let estimate = QueueEstimate {
             expected_ms: backoff_ms + response_ms,
             backlog_ms: backoff_ms + response_ms - service_ms,
+            ..QueueEstimate::default()
         };
         if estimate.expected_ms > reservation.limit_ms.min(max_response_ms(service_ms)) {
             return Err(estimate);
         }
+        self.take_token(entry, reservation.urgent, now)
+            .map_err(|wait| estimate.without_token(wait))?;
+        let load = self.loads.entry(reservation.endpoint.clone()).or_default();
         Ok(Grant {
             entry_id: load.reserve_slot(expires_at(estimate, now)),
             plan: PrefillPlan::default(),
@@ -255,6 +310,7 @@
         let assigned = domains.flat_map(|(domain, _)| self.coordinators_in(domain, now));
         self.coordinators = assigned.collect();
         self.unresponsive.retain(|_, until| *until > now);
+        self.update_rate_limiter(now);
     }
 
     /// Returns the coordinator to ask before a request is sent to `endpoint`; `None` to send without asking, because
@@ -277,6 +333,7 @@
                 limit_ms,
                 urgent: admitted.is_urgent(),
                 cache_source_distance: self.cache_source(admitted, endpoint, now).map(|source| source.distance),
+                rate_limit: self.rate_limits.state(&endpoint.id, now),
             },
         })
     }
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -330,13 +330,15 @@
 
     /// Returns the queue wait of a new request and the gap between stream events at an endpoint, in milliseconds.
     fn wait_and_gap_ms(&self, service: &ServiceId, endpoint: &Endpoint, now: Time) -> (f64, f64) {
+        let limit_ms = self.rate_limit_interval_ms(&endpoint.entry);
         if self.cache_capacity(service).is_none() {
             let wait_ms = self.response_ms(service, &endpoint.entry, now) - self.service_ms(service);
-            return (wait_ms, 0.0);
+            return (wait_ms.max(limit_ms), 0.0);
         }
         let idle = EndpointTracker::default();
         let load = self.loads.get(&endpoint.entry.id).unwrap_or(&idle);
-        (self.queue_ms(service, &endpoint.entry.id, false, now), load.gap_ms(now))
+        let queue_ms = self.queue_ms(service, &endpoint.entry.id, false, now);
+        (queue_ms.max(limit_ms), load.gap_ms(now))
     }
 
     fn service_loads(&self, now: Time) -> Vec<ServiceLoad> {
--- a/crates/sw-relay/src/history.rs
+++ b/crates/sw-relay/src/history.rs
@@ -4,7 +4,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use sw_error::{Kind, Refusal, Retry};
-use sw_unit::{EndpointId, RegionId, VmId};
+use sw_unit::{EndpointId, Millis, RegionId, VmId};
 
 use crate::{AttemptOutcome, Coordinator, EndpointEntry};
 
@@ -20,7 +20,7 @@
         /// Number of endpoints that were compared.
         considered: usize,
         /// The coordinator to ask for a slot first; `None` if the request is sent without asking.
-        coordinator: Option<Coordinator>,
+        coordinator: Option<Box<Coordinator>>,
     },
     /// To a VM of another region, which selects an endpoint there.
     Vm {
@@ -58,6 +58,8 @@
     full_regions: IndexSet<RegionId>,
     /// Endpoints whose coordinator declined, with the wait in milliseconds that it reported.
     declined: IndexMap<EndpointId, f64>,
+    /// Endpoints whose rate limit did not admit the request.
+    rate_limited: IndexSet<EndpointId>,
     declines: u32,
     sends: u32,
     last: Option<AttemptOutcome>,
@@ -99,6 +101,18 @@
         self.declined.insert(endpoint.clone(), expected_ms);
     }
 
+    /// Records that the rate limit of an endpoint admits the request only after the time `wait`.
+    pub fn record_rate_limited(&mut self, endpoint: &EndpointId, wait: Millis) {
+        self.last = Some(AttemptOutcome::Declined);
+        self.declined.insert(endpoint.clone(), wait.0 as f64);
+        self.rate_limited.insert(endpoint.clone());
+    }
+
+    /// Returns whether the rate limit of an endpoint did not admit the request.
+    pub fn is_rate_limited(&self, endpoint: &EndpointId) -> bool {
+        self.rate_limited.contains(endpoint)
+    }
+
     /// Returns how often coordinators declined the request.
     pub fn declines(&self) -> u32 {
         self.declines
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -25,6 +25,7 @@
 mod prefill;
 mod prefill_budget;
 mod rate_limit;
+mod rate_limiter;
 mod region;
 mod registry;
 mod relay;
@@ -33,6 +34,7 @@
 mod spill;
 mod stall;
 mod table;
+mod token_bucket;
 mod types;
 mod watcher;
 
--- a/crates/sw-relay/src/prefill.rs
+++ b/crates/sw-relay/src/prefill.rs
@@ -214,7 +214,7 @@
             || transfer_ms + unshared_ms < admitted.route.objective.0 as f64 * SLOW_TRANSFER_SHARE
     }
 
-    /// Whether an engine may supply cached parts: it accepts requests, is not in backoff, and is in a reachable region
+    /// Whether an engine may supply cached parts: it accepts requests, is neither in backoff nor limited in its rate, and is in a reachable region
     /// that the route permits.
     fn can_supply(&self, admitted: &AdmittedRequest, endpoint: &Endpoint, now: Time) -> bool {
         let entry = &endpoint.entry;
@@ -223,6 +223,7 @@
         let is_permitted = region.is_some_and(|region| admitted.route.permits(region));
         let is_reachable = region.is_some_and(|region| self.is_region_reachable(region, now));
         entry.service == admitted.service
+            && self.rate_limits.rate(entry).is_none()
             && self.registry.may_send(entry, now)
             && !is_in_backoff
             && is_permitted
--- a/crates/sw-relay/src/rate_limit.rs
+++ b/crates/sw-relay/src/rate_limit.rs
@@ -107,6 +107,17 @@
 }
 
 impl RateLimits {
+    /// Returns the limit in force at this incarnation of an endpoint.
+    pub(crate) fn rate(&self, entry: &EndpointEntry) -> Option<Rate> {
+        let known = self.observations.get(&entry.id)?;
+        known.rate.filter(|_| known.incarnation == entry.incarnation)
+    }
+
+    /// Returns what is known of an endpoint's limit; `None` if it never had one.
+    pub(crate) fn state(&self, endpoint: &EndpointId, now: Time) -> Option<RateLimitState> {
+        self.observations.get(endpoint).map(|known| state_of(known, now))
+    }
+
     /// Returns the number of endpoints that have a limit.
     pub(crate) fn limited_count(&self) -> usize {
         self.observations.values().filter(|known| known.rate.is_some()).count()
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -12,6 +12,7 @@
 use crate::coordinator::{Coordinators, Grant};
 use crate::exchange::RemoteView;
 use crate::rate_limit::RateLimits;
+use crate::rate_limiter::RateLimiter;
 use crate::region::RemoteRegions;
 use crate::registry::Endpoint;
 use crate::retry::RecentRequests;
@@ -24,7 +25,7 @@
 /// Factor by which the count of recent requests decays at each tick.
 const TRAFFIC_DECAY: f64 = 0.97;
 /// Time after the start during which a VM may not know all other VMs yet.
-const JOIN_TIME: Millis = Millis(2_000);
+pub(crate) const JOIN_TIME: Millis = Millis(2_000);
 /// Assumed deadline of a caller that gives none.
 const DEFAULT_CALLER_TIMEOUT: Millis = Millis(30_000);
 
@@ -108,6 +109,7 @@
     pub(crate) cache_directory: CacheDirectory,
     pub(crate) coordinators: Coordinators,
     pub(crate) rate_limits: RateLimits,
+    pub(crate) rate_limiter: RateLimiter,
     /// Unresponsive coordinators, with the time until which they are not asked.
     pub(crate) unresponsive: IndexMap<VmId, Time>,
     /// Failed watchers of the store, with the time until which they are not used.
@@ -136,6 +138,7 @@
             cache_directory: CacheDirectory::default(),
             coordinators: Coordinators::new(),
             rate_limits: RateLimits::default(),
+            rate_limiter: RateLimiter::default(),
             unresponsive: IndexMap::new(),
             failed_watchers: IndexMap::new(),
             budgets: IndexMap::new(),
@@ -247,7 +250,8 @@
 
     /// Starts an attempt at a chosen endpoint, with the `grant` if its coordinator granted a slot.
     ///
-    /// Returns `None` if no request may be sent to the endpoint any more, or its slow start allows none now.
+    /// Returns `None` if no request may be sent to the endpoint any more, or its slow start or rate limit allows none
+    /// now.
     pub fn start_attempt(
         &mut self,
         admitted: &AdmittedRequest,
@@ -258,6 +262,14 @@
         if !self.registry.may_send(endpoint, now) || !self.slow_start_allows(endpoint, now) {
             return None;
         }
+        let token_taken_at = match (self.rate_limits.rate(endpoint), grant) {
+            (None, _) => None,
+            (Some(_), Some(grant)) => Some(now).filter(|_| grant.has_token()),
+            (Some(_), None) => Some(now).filter(|_| self.take_token(endpoint, admitted.is_urgent(), now).is_ok()),
+        };
+        if !self.may_send(endpoint, token_taken_at, now) {
+            return None;
+        }
         let cache_source = self.cache_source(admitted, endpoint, now);
         let plan = match (grant, &admitted.prompt) {
             (Some(grant), _) => grant.plan,
@@ -300,6 +312,7 @@
             service: admitted.service.clone(),
             started_at: now,
             entry_id,
+            token_taken_at,
             plan,
             prefill_ms,
             transfer_ms,
--- a/crates/sw-relay/tests/coordination.rs
+++ b/crates/sw-relay/tests/coordination.rs
@@ -50,7 +50,7 @@
     else {
         panic!("{choice:?} leaves the region");
     };
-    (endpoint.id.to_string(), coordinator)
+    (endpoint.id.to_string(), coordinator.map(|coordinator| *coordinator))
 }
 
 fn reservation(engine: &str, unshared: u64, limit_ms: f64) -> Reservation {
@@ -61,6 +61,7 @@
         limit_ms,
         urgent: false,
         cache_source_distance: None,
+        rate_limit: None,
     }
 }
 
@@ -205,6 +206,7 @@
     let estimate = QueueEstimate {
         expected_ms: 900.0,
         backlog_ms: 850.0,
+        ..QueueEstimate::default()
     };
     relay.record_queue_estimate(&coordinator, estimate, 0.0, Time(100));
     let load = relay.load(&engine.parse().expect("an id")).expect("a load");
--- a/crates/sw-relay/tests/plain_services.rs
+++ b/crates/sw-relay/tests/plain_services.rs
@@ -140,6 +140,7 @@
             limit_ms,
             urgent: false,
             cache_source_distance: None,
+            rate_limit: None,
         };
         relay.reserve(&reservation, now)
     };
@@ -185,6 +186,7 @@
             limit_ms: 10_000.0,
             urgent: false,
             cache_source_distance: None,
+            rate_limit: None,
         };
         let grant = relay.reserve(&reservation, Time(at)).expect("a granted slot");
         if at % 8 == 0 {
--- a/crates/sw-relay/tests/prefill_budget.rs
+++ b/crates/sw-relay/tests/prefill_budget.rs
@@ -33,6 +33,7 @@
         limit_ms: LIMIT_MS,
         urgent: false,
         cache_source_distance: None,
+        rate_limit: None,
     }
 }
 
@@ -116,6 +117,7 @@
     let urgent = Reservation {
         urgent: true,
         cache_source_distance: None,
+        rate_limit: None,
         ..reservation(400)
     };
     let grant = relay.reserve(&urgent, Time(at)).expect("an empty queue");
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod region;
+
 use std::sync::Arc;
 
 use indexmap::IndexMap;
@@ -51,9 +53,22 @@
 
 /// A VM in a region that knows the configuration.
 pub fn relay_in(name: &str, region: &str) -> Relay {
+    relay_with(options(row(name, region)))
+}
+
+/// A VM that knows the configuration.
+pub fn relay_with(options: Options) -> Relay {
+    let started_at = options.started_at;
+    let mut relay = Relay::new(options);
+    relay.apply(StoreRecord::Table(Arc::new(table(1))), started_at);
+    relay
+}
+
+/// Options of a VM that starts at time 0 in a deployment of three regions with one failure domain each.
+pub fn options(local: VmRow) -> Options {
     let regions = ["north", "south", "west"].map(|name| (name.parse().expect("an id"), name.parse().expect("an id")));
-    let mut relay = Relay::new(Options {
-        local: row(name, region),
+    Options {
+        local,
         members: sw_member::Options {
             min_period: Millis(500),
             period_per_neighbour: Millis(0),
@@ -67,9 +82,7 @@
         retry_slack: 54.0,
         started_at: Time(0),
         seed: 7,
-    });
-    relay.apply(StoreRecord::Table(Arc::new(table(1))), Time(0));
-    relay
+    }
 }
 
 /// A route to `service`.
@@ -100,6 +113,10 @@
         route("pay", RouteKind::NonIdempotent, "app", &[]),
         route("read", RouteKind::Idempotent, "app", &[]),
         route("idle", RouteKind::Idempotent, "app", &["west"]),
+        Route {
+            priority: 3,
+            ..route("status", RouteKind::Idempotent, "app", &[])
+        },
     ];
     let plain = Service {
         max_connections: 100,
