fix(relay): a delayed report does not end a newer rate limit

Found while reading the exchange of limits: an end that was reported by a heartbeat counted as up to 0.3 s older than it said. A heartbeat that was delayed by retransmission, or waited in the buffers of a paused VM, could end a limit that had been named since, and every VM that knew it would send freely until the next response. Reports now count as 1.5 s older (the time limit of a call is 1.2 s), replies to reservations 0.3 s, and a VM that was paused takes only tighter limits for a second. So that an end is still learned, the VM that saw it renews it with each further response.

--- a/crates/sw-relay/src/coordinator.rs
+++ b/crates/sw-relay/src/coordinator.rs
@@ -16,6 +16,7 @@
 use sw_unit::{DomainId, EndpointId, Millis, Time, VmId};
 
 use crate::load::Sender;
+use crate::rate_limit::MAX_CALL_TRANSIT;
 use crate::{
     AdmittedRequest, AttemptHistory, Distance, EndpointEntry, PrefillPlan, Prompt, RateLimitState, Relay, ServiceId,
 };
@@ -165,7 +166,8 @@
     pub fn reserve(&mut self, reservation: &Reservation, now: Time) -> Result<Grant, QueueEstimate> {
         let endpoint = &reservation.endpoint;
         if let Some(state) = reservation.rate_limit {
-            self.rate_limits.on_peer(endpoint, state, now);
+            let transit = self.peer_transit(MAX_CALL_TRANSIT, now);
+            self.rate_limits.on_peer(endpoint, state, transit, now);
         }
         let rate_limit = self.rate_limits.state(endpoint, now);
         let with_limit = |estimate: QueueEstimate| QueueEstimate { rate_limit, ..estimate };
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -5,6 +5,7 @@
 
 use crate::cache_directory::Origin;
 use crate::load::Sender;
+use crate::rate_limit::MAX_CALL_TRANSIT;
 use crate::registry::Endpoint;
 use crate::{
     AttemptHistory, DomainView, EndpointLoad, EndpointTracker, Heartbeat, RateLimitState, Relay, ServiceId,
@@ -89,8 +90,9 @@
         for part in &heartbeat.cached_parts {
             self.cache_directory.record_reported(part, now, Origin::Neighbour, now);
         }
+        let transit = self.peer_transit(MAX_CALL_TRANSIT, now);
         for limit in &heartbeat.rate_limits {
-            self.rate_limits.on_peer(&limit.endpoint, limit.state, now);
+            self.rate_limits.on_peer(&limit.endpoint, limit.state, transit, now);
         }
         let is_direct = heartbeat.from.domain != self.options.local.domain;
         let changed = self.members.on_heartbeat(heartbeat.from, now);
@@ -162,7 +164,8 @@
                     age: limit.state.age + view.age,
                     ..limit.state
                 };
-                self.rate_limits.on_peer(&limit.endpoint, state, now);
+                let transit = self.peer_transit(MAX_CALL_TRANSIT, now);
+                self.rate_limits.on_peer(&limit.endpoint, state, transit, now);
             }
         } else {
             let region = self.regions.entry(view.region.clone()).or_default();
--- a/crates/sw-relay/src/rate_limit.rs
+++ b/crates/sw-relay/src/rate_limit.rs
@@ -14,8 +14,10 @@
 
 use crate::EndpointEntry;
 
-/// Time by which news of a loosened limit may be older than its stated age, because it was in transit.
-const MAX_TRANSIT: Millis = Millis(300);
+/// Longest transit time of a call between VMs, and of the reply to a reservation; a report may be older than its stated
+/// age by as much.
+pub(crate) const MAX_CALL_TRANSIT: Millis = Millis(1_500);
+pub(crate) const MAX_REPLY_TRANSIT: Millis = Millis(300);
 /// Time for which the end of a limit is passed on.
 const ENDED_PASSED_ON_FOR: Millis = Millis(10_000);
 /// Time for which the limit of an endpoint is remembered that is no longer registered.
@@ -84,9 +86,16 @@
     incarnation: Incarnation,
     rate: Option<Rate>,
     stated_at: Time,
+    /// When this VM learned of this rate.
+    changed_at: Time,
 }
 
 impl Observation {
+    /// Returns whether a statement of `rate` leaves the limit as it is.
+    fn is_renewed_by(&self, incarnation: Incarnation, rate: Option<Rate>) -> bool {
+        self.incarnation == incarnation && self.rate == rate
+    }
+
     /// Returns whether `rate` allows more requests than this observation.
     fn is_loosened_by(&self, rate: Option<Rate>) -> bool {
         match (self.rate, rate) {
@@ -145,36 +154,50 @@
             .get(&entry.id)
             .filter(|known| known.incarnation == entry.incarnation);
         let is_loosened = known.is_some_and(|known| known.is_loosened_by(rate));
-        if rate.is_none() && !is_loosened {
+        if rate.is_none() && known.is_none() {
             return;
         }
-        let stated_at = if is_loosened { sent_at } else { Some(now) };
+        let stated_at = if is_loosened || rate.is_none() {
+            sent_at
+        } else {
+            Some(now)
+        };
         if let Some(stated_at) = stated_at {
             let observation = Observation {
                 incarnation: entry.incarnation,
                 rate,
                 stated_at,
+                changed_at: now,
             };
             self.merge(&entry.id, observation, RateLimitSource::Response, now);
         }
     }
 
-    /// Records what another VM knows.
-    pub(crate) fn on_peer(&mut self, endpoint: &EndpointId, state: RateLimitState, now: Time) {
+    /// Records what another VM knows. Its report may be older than it says by `transit`; `None` if this VM cannot tell by
+    /// how much, so that the report can only tighten the limit.
+    pub(crate) fn on_peer(&mut self, endpoint: &EndpointId, state: RateLimitState, transit: Option<Millis>, now: Time) {
         let known = self.observations.get(endpoint);
         let is_loosened = known.is_some_and(|known| known.is_loosened_by(state.rate));
-        let transit = if is_loosened { MAX_TRANSIT } else { Millis(0) };
+        let transit = if is_loosened || state.rate.is_none() {
+            transit
+        } else {
+            Some(Millis(0))
+        };
+        let Some(transit) = transit else {
+            return;
+        };
         let observation = Observation {
             incarnation: state.incarnation,
             rate: state.rate,
             stated_at: now - state.age - transit,
+            changed_at: now,
         };
         self.merge(endpoint, observation, RateLimitSource::Peer, now);
     }
 
     /// Returns the limits, and the ends of limits, that other VMs should learn of.
     pub(crate) fn to_pass_on(&self, now: Time) -> Vec<EndpointRateLimit> {
-        let is_news = |known: &Observation| known.rate.is_some() || now.since(known.stated_at) < ENDED_PASSED_ON_FOR;
+        let is_news = |known: &Observation| known.rate.is_some() || now.since(known.changed_at) < ENDED_PASSED_ON_FOR;
         let news = self.observations.iter().filter(|(_, known)| is_news(known));
         news.map(|(endpoint, known)| EndpointRateLimit {
             endpoint: endpoint.clone(),
@@ -206,7 +229,10 @@
         if !is_newer {
             return;
         }
-        self.observations.insert(endpoint.clone(), new);
+        let renewed = known.filter(|known| known.is_renewed_by(new.incarnation, new.rate));
+        let changed_at = renewed.map_or(new.changed_at, |known| known.changed_at);
+        self.observations
+            .insert(endpoint.clone(), Observation { changed_at, ..new });
         if known.and_then(|known| known.rate) != new.rate {
             let statement = new.rate.map_or(RateLimitStatement::NotNamed, RateLimitStatement::Named);
             self.push_change(endpoint, statement, source, now.since(new.stated_at));
--- a/crates/sw-relay/src/rate_limiter.rs
+++ b/crates/sw-relay/src/rate_limiter.rs
@@ -12,6 +12,7 @@
 use indexmap::IndexMap;
 use sw_unit::{EndpointId, Millis, Rate, Time};
 
+use crate::rate_limit::MAX_REPLY_TRANSIT;
 use crate::relay::JOIN_TIME;
 use crate::token_bucket::{RefillRate, TokenBucket, token_interval_ms};
 use crate::{AdmittedRequest, EndpointEntry, QueueEstimate, Relay, Reservation, ServiceId};
@@ -24,6 +25,8 @@
 const NOT_READY_WAIT: Millis = Millis(500);
 /// Time after which a token that was not used is void; its request may have been held by a paused VM.
 const TOKEN_TTL: Millis = Millis(500);
+/// Time after a pause within which this VM has received the calls that arrived during the pause.
+const CATCH_UP_TIME: Millis = Millis(1_000);
 /// Factor on the share of live VMs; two sides that cannot see each other grant at most this multiple of the limit.
 const SPLIT_FACTOR: f64 = 1.4;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
@@ -45,6 +48,8 @@
     /// When the last refused caller of a service was asked to return.
     last_return: IndexMap<ServiceId, Time>,
     last_tick: Time,
+    /// When this VM last noticed that it had been paused; its start counts as such.
+    resumed_at: Time,
 }
 
 impl RateLimiter {
@@ -52,6 +57,7 @@
     fn tick(&mut self, coordinated: impl Iterator<Item = (EndpointId, bool)>, now: Time) {
         if now.since(self.last_tick) >= MAX_TICK_GAP {
             self.coordinated_since.clear();
+            self.resumed_at = now;
         }
         self.last_tick = now;
         let before = std::mem::take(&mut self.coordinated_since);
@@ -110,7 +116,8 @@
     /// Applies what a coordinator answered to `reservation` about the rate limit of the endpoint.
     pub fn record_rate_limit(&mut self, reservation: &Reservation, estimate: &QueueEstimate, now: Time) {
         if let Some(state) = estimate.rate_limit {
-            self.rate_limits.on_peer(&reservation.endpoint, state, now);
+            let transit = self.peer_transit(MAX_REPLY_TRANSIT, now);
+            self.rate_limits.on_peer(&reservation.endpoint, state, transit, now);
         }
         let Some(wait) = estimate.token_wait else {
             return;
@@ -126,6 +133,15 @@
         }
     }
 
+    /// Returns the time by which a report of another VM may be older than it says, usually up to `transit`; `None` if this
+    /// VM was paused a moment ago, so that reports may have waited for it.
+    pub(crate) fn peer_transit(&self, transit: Millis, now: Time) -> Option<Millis> {
+        let limiter = &self.rate_limiter;
+        let is_paused = now.since(limiter.last_tick) >= MAX_TICK_GAP;
+        let has_caught_up = now.since(limiter.resumed_at) >= CATCH_UP_TIME;
+        (!is_paused && has_caught_up).then_some(transit)
+    }
+
     /// Returns whether a request may still be sent to an endpoint; `token_taken_at` is when a token was taken for it, if
     /// the endpoint had a rate limit.
     pub fn may_send(&self, endpoint: &EndpointEntry, token_taken_at: Option<Time>, now: Time) -> bool {
