--- a/crates/sw-relay/tests/rate_limits.rs
+++ b/crates/sw-relay/tests/rate_limits.rs
@@ -6,7 +6,7 @@
 mod support;
 
 use proptest::prelude::*;
-use support::region::{MAX_DOMAINS, Region, STEP, allowed};
+use support::region::{MAX_DOMAINS, Region, SPAN, STEP, allowed};
 use sw_unit::{Millis, Time};
 
 /// Time from the moment an endpoint names a limit until it must hold.
@@ -130,6 +130,122 @@
     assert!(urgent > 4 * others, "{urgent} urgent requests and {others} others");
 }
 
+/// Returns the largest number of requests that an endpoint received in a span after `from`, of all VMs.
+fn most_received(region: &Region, endpoint: usize, from: Time) -> usize {
+    let arrivals = region.arrivals.iter();
+    let times: Vec<_> = arrivals
+        .filter(|arrival| arrival.endpoint == endpoint && arrival.at >= from)
+        .map(|arrival| arrival.at)
+        .collect();
+    let in_span = |start: usize| {
+        times[start..]
+            .iter()
+            .take_while(|at| at.since(times[start]) < SPAN)
+            .count()
+    };
+    (0..times.len()).map(in_span).max().unwrap_or_default()
+}
+
+/// A region of `vms` VMs in one failure domain, whose only endpoint has named `limit` for 10 s.
+fn limited_region(vms: usize, limit: f64, rng: &mut fastrand::Rng) -> Region {
+    let mut region = Region::new(vms, 1, 1);
+    region.set_limit(0, Some(limit));
+    load(&mut region, limit * 3.0, 1.0, Millis(10_000), rng);
+    region
+}
+
+/// Guards against two sides of a cut that each use the whole limit, although both reach the endpoint.
+#[test]
+fn limit_holds_on_both_sides_of_a_cut() {
+    for cut_off in [vec![0], vec![0, 1], vec![1, 2, 3]] {
+        let mut rng = fastrand::Rng::with_seed(7);
+        let mut region = limited_region(5, 20.0, &mut rng);
+        let from = region.now;
+        for vm in &cut_off {
+            region.set_group(*vm, 1);
+        }
+        load(&mut region, 100.0, 1.0, Millis(30_000), &mut rng);
+        let most = most_received(&region, 0, from);
+        assert!(most <= allowed(20.0), "{cut_off:?}: {most}");
+        let used = received_per_second(&region, 0, from + Millis(15_000)) / 20.0;
+        assert!(used >= 0.8, "{cut_off:?}: {used}");
+    }
+}
+
+/// Guards against a paused coordinator that spends the tokens of its pause, which its successor granted meanwhile.
+#[test]
+fn coordinator_that_was_paused_starts_anew() {
+    let mut rng = fastrand::Rng::with_seed(8);
+    let mut region = limited_region(1, 200.0, &mut rng);
+    region.set_paused(0, true);
+    for _ in 0..500 {
+        region.step();
+    }
+    region.set_paused(0, false);
+    let resumed_at = region.now;
+    (0..100).for_each(|_| region.request(0, true));
+    assert_eq!(received_since(&region, resumed_at), 0, "before its first tick");
+    load(&mut region, 1_000.0, 1.0, Millis(1_000), &mut rng);
+    let received = received_since(&region, resumed_at);
+    assert!(received <= 100, "half the rate: {received}");
+}
+
+/// Guards against a request that a paused VM chose before the pause, and sends with an old token after it.
+#[test]
+fn request_that_was_held_by_a_paused_vm_is_not_sent() {
+    for pause_steps in [10, 300] {
+        let mut rng = fastrand::Rng::with_seed(9);
+        let mut region = limited_region(1, 20.0, &mut rng);
+        for _ in 0..100 {
+            region.step();
+        }
+        region.request_before_pause(0);
+        region.set_paused(0, true);
+        for _ in 0..pause_steps {
+            region.step();
+        }
+        let resumed_at = region.now;
+        region.set_paused(0, false);
+        let sent = received_since(&region, resumed_at);
+        assert_eq!(sent, usize::from(pause_steps < 50), "after {pause_steps} steps");
+    }
+}
+
+/// Guards against a VM that has just started, takes itself for the only one, and grants beside the coordinator.
+#[test]
+fn vm_that_has_just_started_grants_nothing() {
+    let mut rng = fastrand::Rng::with_seed(10);
+    let mut region = limited_region(3, 20.0, &mut rng);
+    region.set_running(0, false);
+    region.set_group(0, 1);
+    region.set_running(0, true);
+    let started_at = region.now;
+    while region.now < started_at + Millis(1_900) {
+        region.step();
+        region.request(0, true);
+    }
+    let sent = received_since(&region, started_at + Millis(500));
+    assert_eq!(sent, 0, "it knows the limit from its first response");
+}
+
+/// Guards against requests that are sent without a token because the coordinator does not answer.
+#[test]
+fn nothing_is_sent_while_the_coordinator_does_not_answer() {
+    let mut rng = fastrand::Rng::with_seed(11);
+    let mut region = limited_region(3, 20.0, &mut rng);
+    let from = region.now;
+    for vm in 0..3 {
+        region.set_group(vm, vm as u32);
+    }
+    load(&mut region, 200.0, 1.0, Millis(2_000), &mut rng);
+    let most = most_received(&region, 0, from);
+    assert!(most <= 50, "only the coordinator itself sends: {most}");
+}
+
+fn received_since(region: &Region, from: Time) -> usize {
+    region.arrivals.iter().filter(|arrival| arrival.at >= from).count()
+}
+
 /// A fault of the VMs of a region.
 #[derive(Debug, Clone)]
 enum Fault {
