refactor(relay): the rate limiter in one module; log changes learned with reservations

A change that came with a reservation was logged with the next response, under the id of another request; it now has its own line.

--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -49,8 +49,9 @@
     }
 
     fn reserve(&self, reservation: &Reservation) -> Result<Grant, QueueEstimate> {
-        let mut relay = self.0.relay.borrow_mut();
-        relay.reserve(reservation, self.0.now())
+        let outcome = self.0.relay.borrow_mut().reserve(reservation, self.0.now());
+        telemetry::log_rate_limit_changes(&self.0, "");
+        outcome
     }
 
     fn on_reservation_update(&self, endpoint: &EndpointId, entry_id: u64, update: ReservationUpdate) {
--- a/crates/sw-proxy/src/reservation.rs
+++ b/crates/sw-proxy/src/reservation.rs
@@ -83,10 +83,11 @@
         .reserve(coordinator.address, reservation, RESERVE_TIMEOUT)
         .await;
     let now = state.now();
-    let mut relay = state.relay.borrow_mut();
     if let Ok(Ok(Grant { estimate, .. }) | Err(estimate)) = &response {
-        relay.record_rate_limit(reservation, estimate, now);
+        state.relay.borrow_mut().record_rate_limit(reservation, estimate, now);
+        telemetry::log_rate_limit_changes(state, &request.admitted.id);
     }
+    let mut relay = state.relay.borrow_mut();
     match response {
         Ok(Ok(grant)) => {
             let reserved_ms = grant.estimate.expected_ms - grant.estimate.backlog_ms;
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -159,12 +159,12 @@
                 let known = self.loads.entry(load.endpoint.clone()).or_default();
                 known.record_peer_load(Sender::Domain(view.domain.clone()), load.clone(), received_at);
             }
+            let transit = self.peer_transit(MAX_CALL_TRANSIT, now);
             for limit in &view.rate_limits {
                 let state = RateLimitState {
                     age: limit.state.age + view.age,
                     ..limit.state
                 };
-                let transit = self.peer_transit(MAX_CALL_TRANSIT, now);
                 self.rate_limits.on_peer(&limit.endpoint, state, transit, now);
             }
         } else {
--- a/crates/sw-relay/src/rate_limiter.rs
+++ b/crates/sw-relay/src/rate_limiter.rs
@@ -15,7 +15,10 @@
 use crate::rate_limit::MAX_REPLY_TRANSIT;
 use crate::relay::JOIN_TIME;
 use crate::token_bucket::{RefillRate, TokenBucket, token_interval_ms};
-use crate::{AdmittedRequest, EndpointEntry, QueueEstimate, Relay, Reservation, ServiceId};
+use crate::{
+    AdmittedRequest, EndpointEntry, Grant, QueueEstimate, RateLimitChange, RateLimitStatement, Relay, Reservation,
+    ServiceId,
+};
 
 /// Time after which the requests that an earlier coordinator granted no longer count.
 const SETTLE_TIME: Millis = Millis(4_000);
@@ -81,6 +84,29 @@
 }
 
 impl Relay {
+    /// Records what a response says about the rate limit of its endpoint.
+    ///
+    /// `sent_at` is when its request was sent; `None` if the response may belong to another request.
+    pub fn on_rate_limit_statement(
+        &mut self,
+        endpoint: &EndpointEntry,
+        statement: RateLimitStatement,
+        sent_at: Option<Time>,
+        now: Time,
+    ) {
+        self.rate_limits.on_response(endpoint, statement, sent_at, now);
+    }
+
+    /// Returns the changes of the rate limits that this VM knows since the last call, to be logged.
+    pub fn take_rate_limit_changes(&mut self) -> Vec<RateLimitChange> {
+        self.rate_limits.take_changes()
+    }
+
+    /// Returns the number of endpoints with a rate limit.
+    pub fn limited_endpoints(&self) -> usize {
+        self.rate_limits.limited_count()
+    }
+
     /// Returns whether the rate limit of an endpoint admits a request now, as far as this VM knows.
     pub(crate) fn rate_limit_admits(&self, endpoint: &EndpointEntry, urgent: bool, now: Time) -> bool {
         let Some(limit) = self.rate_limits.rate(endpoint) else {
@@ -113,6 +139,23 @@
         bucket.or_insert_with(|| TokenBucket::new(now)).take(rate, urgent, now)
     }
 
+    /// Returns when a token was taken for a request to an endpoint: by the coordinator with its `grant`, or now by this VM
+    /// as the coordinator. Returns `None` if the endpoint has no limit or there is no token.
+    pub(crate) fn obtain_token(
+        &mut self,
+        endpoint: &EndpointEntry,
+        grant: Option<&Grant>,
+        urgent: bool,
+        now: Time,
+    ) -> Option<Time> {
+        self.rate_limits.rate(endpoint)?;
+        let is_taken = match grant {
+            Some(grant) => grant.has_token(),
+            None => self.take_token(endpoint, urgent, now).is_ok(),
+        };
+        is_taken.then_some(now)
+    }
+
     /// Applies what a coordinator answered to `reservation` about the rate limit of the endpoint.
     pub fn record_rate_limit(&mut self, reservation: &Reservation, estimate: &QueueEstimate, now: Time) {
         if let Some(state) = estimate.rate_limit {
@@ -127,7 +170,7 @@
             .ask_again
             .entry(reservation.endpoint.clone())
             .or_default();
-        ask.other_at = now + wait;
+        ask.other_at = ask.other_at.max(now + wait);
         if reservation.urgent {
             ask.urgent_at = now + wait;
         }
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -18,8 +18,7 @@
 use crate::retry::RecentRequests;
 use crate::{
     Attempt, AttemptOutcome, EndpointEntry, EndpointReport, EndpointTracker, LatencyModel, PrefillPlan, Prompt,
-    RateLimitChange, RateLimitStatement, Registry, RequestHead, Route, RouteTable, Service, ServiceId, SlowStartShare,
-    StoreRecord,
+    Registry, RequestHead, Route, RouteTable, Service, ServiceId, SlowStartShare, StoreRecord,
 };
 
 /// Factor by which the count of recent requests decays at each tick.
@@ -262,11 +261,7 @@
         if !self.registry.may_send(endpoint, now) || !self.slow_start_allows(endpoint, now) {
             return None;
         }
-        let token_taken_at = match (self.rate_limits.rate(endpoint), grant) {
-            (None, _) => None,
-            (Some(_), Some(grant)) => Some(now).filter(|_| grant.has_token()),
-            (Some(_), None) => Some(now).filter(|_| self.take_token(endpoint, admitted.is_urgent(), now).is_ok()),
-        };
+        let token_taken_at = self.obtain_token(endpoint, grant, admitted.is_urgent(), now);
         if !self.may_send(endpoint, token_taken_at, now) {
             return None;
         }
@@ -359,29 +354,6 @@
         report.leaving && self.registry.on_leaving(endpoint)
     }
 
-    /// Records what a response says about the rate limit of its endpoint.
-    ///
-    /// `sent_at` is when its request was sent; `None` if the response may belong to another request.
-    pub fn on_rate_limit_statement(
-        &mut self,
-        endpoint: &EndpointEntry,
-        statement: RateLimitStatement,
-        sent_at: Option<Time>,
-        now: Time,
-    ) {
-        self.rate_limits.on_response(endpoint, statement, sent_at, now);
-    }
-
-    /// Returns the changes of the rate limits that this VM knows since the last call, to be logged.
-    pub fn take_rate_limit_changes(&mut self) -> Vec<RateLimitChange> {
-        self.rate_limits.take_changes()
-    }
-
-    /// Returns the number of endpoints with a rate limit.
-    pub fn limited_endpoints(&self) -> usize {
-        self.rate_limits.limited_count()
-    }
-
     /// Ends an attempt, and returns the end of the backoff if the endpoint is put into backoff for its failures.
     pub fn end_attempt(&mut self, attempt: &Attempt, outcome: AttemptOutcome, now: Time) -> Option<Time> {
         if outcome == AttemptOutcome::Complete {
