fix(relay): VMs that know different endpoints agree on the coordinator of a limited one

Found by thinking through a VM that is cut off from the store: coordinators are spread evenly, so that of one endpoint depends on all others. The coordinator of an endpoint with a limit is now the first of the ranking, whatever else is registered; 0.8 of each limit is used in the test, and each span holds.

--- a/crates/sw-relay/src/coordinator.rs
+++ b/crates/sw-relay/src/coordinator.rs
@@ -407,6 +407,9 @@
     }
 
     /// Returns the coordinators of the endpoints of one failure domain, spread evenly over its live VMs.
+    ///
+    /// That of an endpoint with a rate limit does not depend on the other endpoints, because VMs that know different ones
+    /// must agree on it.
     fn coordinators_in(&self, domain: &DomainId, now: Time) -> Vec<(EndpointId, VmId)> {
         let vms: Vec<_> = self.members.live_vms(domain, now).map(|row| &row.vm).collect();
         let mut endpoints: Vec<_> = self.endpoints_in(domain).collect();
@@ -416,11 +419,14 @@
         let mut coordinators = Vec::new();
         for endpoint in endpoints {
             let ranked = rendezvous_top(endpoint, vms.iter().copied(), vms.len());
+            let first = ranked.first().copied();
             let has_room = |vm: &&VmId| assigned.get(vm).copied().unwrap_or_default() < max_per_vm;
-            if let Some(vm) = ranked.into_iter().find(has_room) {
-                *assigned.entry(vm).or_default() += 1;
-                coordinators.push((endpoint.clone(), vm.clone()));
-            }
+            let Some(vm) = ranked.into_iter().find(has_room) else {
+                continue;
+            };
+            *assigned.entry(vm).or_default() += 1;
+            let vm = first.filter(|_| self.has_rate_limit(endpoint)).unwrap_or(vm);
+            coordinators.push((endpoint.clone(), vm.clone()));
         }
         coordinators
     }
--- a/crates/sw-relay/src/rate_limiter.rs
+++ b/crates/sw-relay/src/rate_limiter.rs
@@ -57,7 +57,7 @@
 
 impl RateLimiter {
     /// Updates the endpoints that this VM coordinates, and creates the buckets of those with a limit.
-    fn tick(&mut self, coordinated: impl Iterator<Item = (EndpointId, bool)>, now: Time) {
+    fn tick(&mut self, coordinated: Vec<(EndpointId, bool)>, now: Time) {
         if now.since(self.last_tick) >= MAX_TICK_GAP {
             self.coordinated_since.clear();
             self.resumed_at = now;
@@ -200,14 +200,18 @@
     pub(crate) fn update_rate_limiter(&mut self, now: Time) {
         let local = &self.options.local.vm;
         let coordinated = self.coordinators.iter().filter(|(_, vm)| *vm == local);
-        let coordinated = coordinated.map(|(endpoint, _)| {
-            let known = self.registry.get(endpoint);
-            let limit = known.and_then(|known| self.rate_limits.rate(&known.entry));
-            (endpoint.clone(), limit.is_some())
-        });
+        let coordinated: Vec<_> = coordinated
+            .map(|(endpoint, _)| (endpoint.clone(), self.has_rate_limit(endpoint)))
+            .collect();
         self.rate_limiter.tick(coordinated, now);
     }
 
+    /// Returns whether a registered endpoint has a rate limit.
+    pub(crate) fn has_rate_limit(&self, endpoint: &EndpointId) -> bool {
+        let known = self.registry.get(endpoint);
+        known.is_some_and(|known| self.rate_limits.rate(&known.entry).is_some())
+    }
+
     /// Returns the longest time between two requests to an endpoint that its rate limit causes, in milliseconds.
     pub(crate) fn rate_limit_interval_ms(&self, endpoint: &EndpointEntry) -> f64 {
         self.rate_limits.rate(endpoint).map_or(0.0, token_interval_ms)
--- a/crates/sw-relay/tests/rate_limits.rs
+++ b/crates/sw-relay/tests/rate_limits.rs
@@ -245,6 +245,28 @@
     }
 }
 
+/// Guards against two VMs that both grant for as long as they know different endpoints, because one of them is cut off
+/// from the store. The endpoints of a coordinator depended on all others.
+#[test]
+fn limit_holds_while_vms_know_different_endpoints() {
+    const ENDPOINTS: usize = 8;
+    let mut rng = fastrand::Rng::with_seed(13);
+    let mut region = Region::new(3, ENDPOINTS, 1);
+    for extra in 0..4 {
+        region.register_at(0, &format!("z-{extra}"));
+    }
+    for endpoint in 0..ENDPOINTS {
+        region.set_limit(endpoint, Some(10.0));
+    }
+    load(&mut region, 900.0, 1.0, Millis(20_000), &mut rng);
+    for endpoint in 0..ENDPOINTS {
+        let most = most_received(&region, endpoint, Time(5_000));
+        assert!(most <= allowed(10.0), "endpoint {endpoint}: {most}");
+        let used = received_per_second(&region, endpoint, Time(8_000)) / 10.0;
+        assert!(used >= 0.8, "endpoint {endpoint}: {used}");
+    }
+}
+
 /// Guards against requests that are sent without a token because the coordinator does not answer.
 #[test]
 fn nothing_is_sent_while_the_coordinator_does_not_answer() {
--- a/crates/sw-relay/tests/support/region.rs
+++ b/crates/sw-relay/tests/support/region.rs
@@ -8,8 +8,8 @@
 use indexmap::IndexMap;
 use sw_member::VmRow;
 use sw_relay::{
-    AdmittedRequest, Attempt, AttemptHistory, AttemptOutcome, Choice, Coordinator, EndpointEntry, Grant, Options,
-    RateLimitStatement, Relay, RequestHead,
+    AdmittedRequest, Attempt, AttemptHistory, AttemptOutcome, Choice, Coordinator, EndpointEntry, EndpointReport,
+    Grant, Options, RateLimitStatement, Relay, RequestHead,
 };
 use sw_unit::{DomainId, Incarnation, Millis, Rate, Time};
 
@@ -189,6 +189,21 @@
         self.vms[index].disturbed_at = Some(self.now);
     }
 
+    /// Registers an endpoint that rejects all requests, and that the other VMs do not know.
+    pub fn register_at(&mut self, index: usize, name: &str) {
+        let entry = EndpointEntry {
+            domain: domain(0),
+            ..endpoint(name, "app", "north")
+        };
+        let relay = &mut self.vms[index].relay;
+        register(relay, entry.clone(), self.now);
+        let report = EndpointReport {
+            retry_after: Some(Millis(u64::MAX)),
+            ..EndpointReport::default()
+        };
+        relay.on_endpoint_report(&entry, &report, self.now);
+    }
+
     /// Announces that a VM is leaving.
     pub fn leave(&mut self, index: usize) {
         self.vms[index].relay.announce_leaving();
