feat(proxy): log how far a broken attempt had come, and the shared parts of its prompt

Change: attempt_broken names the shared parts (ids, never text), whether the head had arrived and how many events. Prompt part ids have a type of their own.

--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use sw_relay::{
-    CachedPart, Distance, DomainView, EndpointLoad, EndpointRateLimit, Grant, Heartbeat, PrefillPlan, Prompt,
+    CachedPart, Distance, DomainView, EndpointLoad, EndpointRateLimit, Grant, Heartbeat, PartId, PrefillPlan, Prompt,
     PromptPart, QueueEstimate, RateLimitState, Reservation, ReservationUpdate, ServiceLoad, VmAge,
 };
 use sw_store::{Change, Changes, Item, Snapshot};
@@ -274,14 +274,14 @@
     let mut parts = to.init_parts(len(&prompt.parts));
     for (i, part) in (0..).zip(&prompt.parts) {
         let mut to = parts.reborrow().get(i);
-        to.set_id(part.id);
+        to.set_id(part.id.0);
         to.set_length(part.len.0);
     }
 }
 
 pub(super) fn reservation(from: wire::reservation::Reader<'_>) -> Result<Reservation> {
     let parts = from.get_parts()?.iter().map(|part| PromptPart {
-        id: part.get_id(),
+        id: PartId(part.get_id()),
         len: Tokens(part.get_length()),
     });
     Ok(Reservation {
--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -72,6 +72,14 @@
         self.attempt.as_mut()
     }
 
+    /// Records that the head of the response arrived with `status`.
+    fn on_head(&mut self, status: u16) {
+        self.status = status;
+        if let Some(attempt) = &mut self.attempt {
+            self.state.relay.borrow_mut().on_head(attempt, self.state.now());
+        }
+    }
+
     /// Ends the attempt with `outcome`.
     pub(crate) fn finish(mut self, outcome: AttemptOutcome) {
         self.end(outcome);
@@ -89,6 +97,9 @@
         }
         let now = self.state.now();
         telemetry::log_attempt_end(&self.id, &attempt, outcome, self.status, now);
+        if outcome == AttemptOutcome::Broken {
+            telemetry::log_attempt_broken(&self.id, &attempt);
+        }
         let backoff_until = self.state.relay.borrow_mut().end_attempt(&attempt, outcome, now);
         if let Some(until) = backoff_until {
             telemetry::log_backoff(attempt.endpoint.id.as_str(), until.since(now));
@@ -148,7 +159,7 @@
     };
     match send_request(state, request, &target, expected_ms, can_retry_elsewhere).await {
         Ok((exchange, response, response_head)) => {
-            guard.status = response.status().as_u16();
+            guard.on_head(response.status().as_u16());
             let (parts, body) = response.into_parts();
             let source = BodySource::Endpoint(Box::new(EndpointResponse {
                 guard,
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -6,7 +6,9 @@
 use metrics::{counter, gauge, histogram};
 use spdlog::prelude::*;
 use sw_error::Refusal;
-use sw_relay::{AdmittedRequest, Attempt, AttemptOutcome, Choice, QueueEstimate, RateLimitStatement, Reservation};
+use sw_relay::{
+    AdmittedRequest, Attempt, AttemptOutcome, Choice, PartId, QueueEstimate, RateLimitStatement, Reservation,
+};
 use sw_unit::{EndpointId, Millis, Time};
 
 use crate::state::ProxyState;
@@ -67,6 +69,20 @@
     counter!("shallotwing_attempts_total", "outcome" => ended).increment(1);
 }
 
+/// Logs how far an attempt had come whose connection broke, and which shared parts its prompt had.
+pub(crate) fn log_attempt_broken(id: &str, attempt: &Attempt) {
+    let (endpoint, incarnation) = (attempt.endpoint.id.as_str(), attempt.endpoint.incarnation.0);
+    let (head, events) = (attempt.head_at.is_some(), attempt.events);
+    let parts = part_list(&attempt.shared_parts);
+    info!("attempt_broken", kv: { id, endpoint, incarnation, head, events, parts = parts.as_str() });
+}
+
+/// Formats the ids of prompt parts for the log.
+fn part_list(parts: &[PartId]) -> String {
+    let parts: Vec<_> = parts.iter().map(PartId::to_string).collect();
+    parts.join(",")
+}
+
 /// Logs that the coordinator of an endpoint declined a reservation.
 pub(crate) fn log_declined(admitted: &AdmittedRequest, reservation: &Reservation, estimate: QueueEstimate) {
     let (id, endpoint) = (&*admitted.id, reservation.endpoint.as_str());
--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -4,7 +4,7 @@
 use sw_error::{Kind, Ran, Refusal};
 use sw_unit::{Millis, Time, Tokens};
 
-use crate::{CacheSource, EndpointEntry, PrefillPlan, ServiceId};
+use crate::{CacheSource, EndpointEntry, PartId, PrefillPlan, ServiceId};
 
 /// An attempt in progress.
 #[derive(Debug, Clone, PartialEq)]
@@ -29,6 +29,10 @@
     pub cache_source: Option<CacheSource>,
     /// Work queued in front of the request at its start, in milliseconds.
     pub backlog_ms: f64,
+    /// The parts of the prompt that other requests may share.
+    pub shared_parts: Vec<PartId>,
+    /// When the head of the response arrived.
+    pub head_at: Option<Time>,
     /// When the first event of the response arrived.
     pub first_event_at: Option<Time>,
     /// Number of events received.
--- a/crates/sw-relay/src/cache.rs
+++ b/crates/sw-relay/src/cache.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use sw_unit::{Time, Tokens};
 
-use crate::{Prompt, PromptPart};
+use crate::{PartId, Prompt, PromptPart};
 
 /// Share of an engine's memory that is assumed to hold cached parts.
 const CACHE_SHARE: f64 = 0.5;
@@ -83,9 +83,9 @@
 }
 
 /// Returns the key of the part `id` that follows the chain with the key `prefix`.
-fn extend_key(prefix: u64, id: u64) -> u64 {
+fn extend_key(prefix: u64, id: PartId) -> u64 {
     let mut hasher = std::hash::DefaultHasher::new();
-    (prefix, id).hash(&mut hasher);
+    (prefix, id.0).hash(&mut hasher);
     hasher.finish()
 }
 
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -55,5 +55,7 @@
 pub use slow_start::{SlowStart, SlowStartShare};
 pub use stall::StallDetector;
 pub use table::{CallerLimits, EngineSpec, Route, RouteKind, RouteTable, Service, Target};
-pub use types::{EndpointEntry, EndpointReport, LoadReport, Prompt, PromptPart, RequestHead, ServiceId, StoreRecord};
+pub use types::{
+    EndpointEntry, EndpointReport, LoadReport, PartId, Prompt, PromptPart, RequestHead, ServiceId, StoreRecord,
+};
 pub use watcher::StoreSource;
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -17,7 +17,7 @@
 use crate::registry::Endpoint;
 use crate::retry::RecentRequests;
 use crate::{
-    Attempt, AttemptOutcome, EndpointEntry, EndpointReport, EndpointTracker, LatencyModel, PrefillPlan, Prompt,
+    Attempt, AttemptOutcome, EndpointEntry, EndpointReport, EndpointTracker, LatencyModel, PartId, PrefillPlan, Prompt,
     Registry, RequestHead, Route, RouteTable, Service, ServiceId, SlowStartShare, StoreRecord,
 };
 
@@ -313,12 +313,19 @@
             transfer_ms,
             cache_source,
             backlog_ms,
+            shared_parts: shared_part_ids(admitted),
+            head_at: None,
             first_event_at: None,
             events: 0,
             expected_output: admitted.prompt.as_ref().map_or(Tokens(0), Prompt::expected_output),
         })
     }
 
+    /// Records that the head of the response arrived.
+    pub fn on_head(&mut self, attempt: &mut Attempt, now: Time) {
+        attempt.head_at = Some(now);
+    }
+
     /// Records the first event of a stream.
     pub fn on_first_event(&mut self, attempt: &mut Attempt, now: Time) {
         attempt.first_event_at = Some(now);
@@ -479,3 +486,9 @@
         self.registry.apply(entry, now)
     }
 }
+
+/// Returns the parts of a request's prompt that other requests may share.
+fn shared_part_ids(admitted: &AdmittedRequest) -> Vec<PartId> {
+    let shared = admitted.prompt.as_ref().map_or(&[][..], Prompt::shared_parts);
+    shared.iter().map(|part| part.id).collect()
+}
--- a/crates/sw-relay/src/types.rs
+++ b/crates/sw-relay/src/types.rs
@@ -52,11 +52,30 @@
     }
 }
 
+/// Identifier of the text of a prompt part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PartId(pub u64);
+
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::LowerHex::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for PartId {
+    type Err = std::num::ParseIntError;
+
+    /// Parses a hexadecimal number.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// A part of a prompt that several requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
     /// Identifier of its text.
-    pub id: u64,
+    pub id: PartId,
     /// Its length in tokens.
     pub len: Tokens,
 }
@@ -80,10 +99,14 @@
         self.output_hint.unwrap_or(self.output_max)
     }
 
+    /// Returns the parts that other requests may share.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Returns the total length of the parts that other requests may share.
     pub fn shared_tokens(&self) -> Tokens {
-        let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        Tokens(shared.iter().map(|part| part.len.0).sum())
+        Tokens(self.shared_parts().iter().map(|part| part.len.0).sum())
     }
 }
 
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -9,8 +9,8 @@
 use indexmap::IndexMap;
 use sw_member::VmRow;
 use sw_relay::{
-    AdmittedRequest, CallerLimits, DomainView, EndpointEntry, EngineSpec, Heartbeat, Options, Prompt, PromptPart,
-    Relay, RequestHead, Route, RouteKind, RouteTable, Service, ServiceId, ServiceLoad, StoreRecord, Target,
+    AdmittedRequest, CallerLimits, DomainView, EndpointEntry, EngineSpec, Heartbeat, Options, PartId, Prompt,
+    PromptPart, Relay, RequestHead, Route, RouteKind, RouteTable, Service, ServiceId, ServiceLoad, StoreRecord, Target,
 };
 use sw_unit::{Incarnation, Millis, Rate, Time, Tokens, Version};
 
@@ -161,7 +161,10 @@
 
 /// A prompt of `shared` tokens that the requests of `subject` have in common, followed by `unshared` tokens.
 pub fn prompt(subject: u64, shared: u64, unshared: u64) -> Prompt {
-    let part = |id, len| PromptPart { id, len: Tokens(len) };
+    let part = |id, len| PromptPart {
+        id: PartId(id),
+        len: Tokens(len),
+    };
     Prompt {
         input: Tokens(shared + unshared),
         output_max: Tokens(400),
