--- a/crates/sw-error/src/kind.rs
+++ b/crates/sw-error/src/kind.rs
@@ -74,6 +74,8 @@
     DeadlineUnreachable,
     /// No live endpoint in the permitted regions serves the request.
     NoEndpoint,
+    /// A part of the prompt crashes endpoints.
+    QuarantinedPrompt,
     /// The endpoint could not be reached, and nothing was sent to it.
     EndpointUnreachable,
     /// This VM has no configuration yet.
@@ -129,6 +131,7 @@
             Self::Overloaded          => (503, No, Later, LIMIT, "There is more work than capacity."),
             Self::DeadlineUnreachable => (503, No, Later, LIMIT, "The request cannot be answered before its deadline."),
             Self::NoEndpoint          => (503, No, Later, SERVER, "No live endpoint in the permitted regions serves the request."),
+            Self::QuarantinedPrompt   => (503, No, Later, SERVER, "A part of the prompt made endpoints crash; it is quarantined."),
             Self::EndpointUnreachable => (503, No, Later, SERVER, "The endpoint could not be reached."),
             Self::NoConfiguration     => (503, No, Elsewhere, SERVER, "This VM has no configuration yet."),
             Self::OlderConfiguration  => (503, No, Elsewhere, SERVER, "The receiving VM has an older configuration."),
--- a/crates/sw-http/src/connect.rs
+++ b/crates/sw-http/src/connect.rs
@@ -148,6 +148,14 @@
     }
 }
 
+/// Returns whether `address` refuses connections; one that does not answer within `timeout` does not refuse.
+pub async fn is_refused(address: SocketAddr, timeout: Duration) -> bool {
+    match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
+        Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
+
 async fn open(address: SocketAddr) -> Result<OpenConnection, CallError> {
     let stream = TcpStream::connect(address)
         .await
--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -46,6 +46,19 @@
   state @1 :RateLimit;
 }
 
+struct Crash {
+  endpoint @0 :Text;
+  incarnation @1 :UInt64;
+  # Ids of the prompt parts that the endpoint had begun to answer.
+  suspects @2 :List(UInt64);
+  ageMs @3 :UInt32;
+}
+
+struct AnsweredPart {
+  id @0 :UInt64;
+  ageMs @1 :UInt32;
+}
+
 struct DomainView {
   domain @0 :Text;
   region @1 :Text;
@@ -55,6 +68,8 @@
   services @5 :List(ServiceLoad);
   kept @6 :List(KeptPart);
   rateLimits @7 :List(EndpointRateLimit);
+  crashes @8 :List(Crash);
+  answeredParts @9 :List(AnsweredPart);
 }
 
 struct Beat {
@@ -66,6 +81,8 @@
   domains @5 :List(DomainView);
   kept @6 :List(KeptPart);
   rateLimits @7 :List(EndpointRateLimit);
+  crashes @8 :List(Crash);
+  answeredParts @9 :List(AnsweredPart);
 }
 
 struct Item {
--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -2,8 +2,9 @@
 
 use bytes::Bytes;
 use sw_relay::{
-    CachedPart, Distance, DomainView, EndpointLoad, EndpointRateLimit, Grant, Heartbeat, PartId, PrefillPlan, Prompt,
-    PromptPart, QueueEstimate, RateLimitState, Reservation, ReservationUpdate, ServiceLoad, VmAge,
+    AnsweredPart, CachedPart, CrashReport, Distance, DomainView, EndpointLoad, EndpointRateLimit, Grant, Heartbeat,
+    PartId, PrefillPlan, Prompt, PromptPart, QueueEstimate, RateLimitState, Reservation, ReservationUpdate,
+    ServiceLoad, VmAge,
 };
 use sw_store::{Change, Changes, Item, Snapshot};
 use sw_unit::{Incarnation, Millis, Rate, Tokens};
@@ -28,6 +29,10 @@
 type CachedPartsBuilder<'a> = capnp::struct_list::Builder<'a, wire::kept_part::Owned>;
 type RateLimitsReader<'a> = capnp::struct_list::Reader<'a, wire::endpoint_rate_limit::Owned>;
 type RateLimitsBuilder<'a> = capnp::struct_list::Builder<'a, wire::endpoint_rate_limit::Owned>;
+type CrashesReader<'a> = capnp::struct_list::Reader<'a, wire::crash::Owned>;
+type CrashesBuilder<'a> = capnp::struct_list::Builder<'a, wire::crash::Owned>;
+type AnsweredPartsReader<'a> = capnp::struct_list::Reader<'a, wire::answered_part::Owned>;
+type AnsweredPartsBuilder<'a> = capnp::struct_list::Builder<'a, wire::answered_part::Owned>;
 type EndpointLoadsBuilder<'a> = capnp::struct_list::Builder<'a, wire::endpoint_load::Owned>;
 
 pub(super) fn set_heartbeat(mut to: wire::beat::Builder<'_>, heartbeat: &Heartbeat) {
@@ -50,6 +55,11 @@
         to.reborrow().init_rate_limits(len(&heartbeat.rate_limits)),
         &heartbeat.rate_limits,
     );
+    set_crashes(to.reborrow().init_crashes(len(&heartbeat.crashes)), &heartbeat.crashes);
+    set_answered_parts(
+        to.reborrow().init_answered_parts(len(&heartbeat.answered_parts)),
+        &heartbeat.answered_parts,
+    );
     let mut domains = to.init_domains(len(&heartbeat.domains));
     for (i, view) in (0..).zip(&heartbeat.domains) {
         set_domain_view(domains.reborrow().get(i), view);
@@ -73,6 +83,11 @@
         to.reborrow().init_rate_limits(len(&view.rate_limits)),
         &view.rate_limits,
     );
+    set_crashes(to.reborrow().init_crashes(len(&view.crashes)), &view.crashes);
+    set_answered_parts(
+        to.reborrow().init_answered_parts(len(&view.answered_parts)),
+        &view.answered_parts,
+    );
     let mut services = to.init_services(len(&view.services));
     for (i, load) in (0..).zip(&view.services) {
         let mut to = services.reborrow().get(i);
@@ -113,6 +128,47 @@
     parts.collect()
 }
 
+fn set_crashes(mut to: CrashesBuilder<'_>, crashes: &[CrashReport]) {
+    for (i, crash) in (0..).zip(crashes) {
+        let mut to = to.reborrow().get(i);
+        to.set_endpoint(crash.endpoint.as_str());
+        to.set_incarnation(crash.incarnation.0);
+        to.set_age_ms(millis(crash.age));
+        let mut suspects = to.init_suspects(len(&crash.suspects));
+        for (i, part) in (0..).zip(&crash.suspects) {
+            suspects.set(i, part.0);
+        }
+    }
+}
+
+fn crashes(from: CrashesReader<'_>) -> Result<Vec<CrashReport>> {
+    let crashes = from.iter().map(|crash| {
+        Ok(CrashReport {
+            endpoint: parse(crash.get_endpoint())?,
+            incarnation: Incarnation(crash.get_incarnation()),
+            suspects: crash.get_suspects()?.iter().map(PartId).collect(),
+            age: Millis(u64::from(crash.get_age_ms())),
+        })
+    });
+    crashes.collect()
+}
+
+fn set_answered_parts(mut to: AnsweredPartsBuilder<'_>, parts: &[AnsweredPart]) {
+    for (i, answered) in (0..).zip(parts) {
+        let mut to = to.reborrow().get(i);
+        to.set_id(answered.part.0);
+        to.set_age_ms(millis(answered.age));
+    }
+}
+
+fn answered_parts(from: AnsweredPartsReader<'_>) -> Vec<AnsweredPart> {
+    let parts = from.iter().map(|answered| AnsweredPart {
+        part: PartId(answered.get_id()),
+        age: Millis(u64::from(answered.get_age_ms())),
+    });
+    parts.collect()
+}
+
 fn set_rate_limits(mut to: RateLimitsBuilder<'_>, limits: &[EndpointRateLimit]) {
     for (i, limit) in (0..).zip(limits) {
         let mut to = to.reborrow().get(i);
@@ -169,6 +225,8 @@
         domains: domains.collect::<Result<_>>()?,
         cached_parts: cached_parts(from.get_kept()?)?,
         rate_limits: rate_limits(from.get_rate_limits()?)?,
+        crashes: crashes(from.get_crashes()?)?,
+        answered_parts: answered_parts(from.get_answered_parts()?),
     })
 }
 
@@ -197,6 +255,8 @@
         services: services.collect::<Result<_>>()?,
         cached_parts: cached_parts(from.get_kept()?)?,
         rate_limits: rate_limits(from.get_rate_limits()?)?,
+        crashes: crashes(from.get_crashes()?)?,
+        answered_parts: answered_parts(from.get_answered_parts()?),
     })
 }
 
--- a/crates/sw-peer/src/relay_capnp.rs
+++ b/crates/sw-peer/src/relay_capnp.rs
@@ -1870,6 +1870,540 @@
     }
 }
 
+pub mod crash {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_suspects(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_suspects(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_suspects(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_suspects(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_suspects(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_suspects(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 84] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(242, 127, 136, 173, 247, 21, 44, 176),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 67, 114, 97, 115),
+            ::capnp::word(104, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 117, 115, 112, 101, 99, 116, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,1,2];
+        pub(crate) const TYPE_ID: u64 = 0xb02c_15f7_ad88_7ff2;
+    }
+}
+
+pub mod answered_part {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_id(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(162, 45, 213, 230, 160, 96, 238, 228),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 65, 110, 115, 119),
+            ::capnp::word(101, 114, 101, 100, 80, 97, 114, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xe4ee_60a0_e6d5_2da2;
+    }
+}
+
 pub mod domain_view {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -1991,11 +2525,27 @@
         pub fn has_rate_limits(&self) -> bool {
             !self.reader.get_pointer_field(6).is_null()
         }
+        #[inline]
+        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::crash::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
+        #[inline]
+        pub fn get_answered_parts(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::answered_part::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_answered_parts(&self) -> bool {
+            !self.reader.get_pointer_field(8).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 7 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 9 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2165,6 +2715,38 @@
         pub fn has_rate_limits(&self) -> bool {
             !self.builder.is_pointer_field_null(6)
         }
+        #[inline]
+        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::crash::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_crashes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::crash::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(7), value, false)
+        }
+        #[inline]
+        pub fn init_crashes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::crash::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), size)
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
+        #[inline]
+        pub fn get_answered_parts(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::answered_part::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_answered_parts(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::answered_part::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(8), value, false)
+        }
+        #[inline]
+        pub fn init_answered_parts(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::answered_part::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(8), size)
+        }
+        #[inline]
+        pub fn has_answered_parts(&self) -> bool {
+            !self.builder.is_pointer_field_null(8)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2176,80 +2758,94 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 160] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 199] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(115, 136, 146, 174, 102, 110, 67, 236),
             ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
-            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 68, 111, 109, 97),
             ::capnp::word(105, 110, 86, 105, 101, 119, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(100, 111, 109, 97, 105, 110, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2337,6 +2933,31 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(242, 127, 136, 173, 247, 21, 44, 176),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
+            ::capnp::word(80, 97, 114, 116, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(162, 45, 213, 230, 160, 96, 238, 228),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2348,6 +2969,8 @@
                 5 => <::capnp::struct_list::Owned<crate::relay_capnp::service_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::struct_list::Owned<crate::relay_capnp::kept_part::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::struct_list::Owned<crate::relay_capnp::endpoint_rate_limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::struct_list::Owned<crate::relay_capnp::crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::struct_list::Owned<crate::relay_capnp::answered_part::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2361,9 +2984,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,4,6,7,1,5,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,9,8,0,4,6,7,1,5,3];
         pub(crate) const TYPE_ID: u64 = 0xec43_6e66_ae92_8873;
     }
 }
@@ -2485,11 +3108,27 @@
         pub fn has_rate_limits(&self) -> bool {
             !self.reader.get_pointer_field(5).is_null()
         }
+        #[inline]
+        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::crash::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
+        #[inline]
+        pub fn get_answered_parts(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::answered_part::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_answered_parts(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 8 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2651,6 +3290,38 @@
         pub fn has_rate_limits(&self) -> bool {
             !self.builder.is_pointer_field_null(5)
         }
+        #[inline]
+        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::crash::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_crashes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::crash::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(6), value, false)
+        }
+        #[inline]
+        pub fn init_crashes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::crash::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(6), size)
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
+        #[inline]
+        pub fn get_answered_parts(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::answered_part::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_answered_parts(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::answered_part::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(7), value, false)
+        }
+        #[inline]
+        pub fn init_answered_parts(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::answered_part::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), size)
+        }
+        #[inline]
+        pub fn has_answered_parts(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2665,80 +3336,94 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 160] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 199] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(133, 4, 211, 207, 138, 222, 52, 236),
             ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
-            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 66, 101, 97, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(153, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(26, 128, 190, 178, 67, 7, 133, 240),
@@ -2826,6 +3511,31 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(242, 127, 136, 173, 247, 21, 44, 176),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
+            ::capnp::word(80, 97, 114, 116, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(162, 45, 213, 230, 160, 96, 238, 228),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2837,6 +3547,8 @@
                 5 => <::capnp::struct_list::Owned<crate::relay_capnp::domain_view::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::struct_list::Owned<crate::relay_capnp::kept_part::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::struct_list::Owned<crate::relay_capnp::endpoint_rate_limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::struct_list::Owned<crate::relay_capnp::crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::struct_list::Owned<crate::relay_capnp::answered_part::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2850,9 +3562,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,4,0,6,2,1,7,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,8,5,4,0,6,2,1,7,3];
         pub(crate) const TYPE_ID: u64 = 0xec34_de8a_cfd3_0485;
     }
 }
--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -7,7 +7,8 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use sw_http::{CallError, Exchange, Reuse};
 use sw_relay::{AdmittedRequest, Attempt, AttemptHistory, AttemptOutcome, EndpointEntry};
@@ -17,7 +18,7 @@
 use crate::reservation::ReservationGuard;
 use crate::response::strip_hop_headers;
 use crate::state::ProxyState;
-use crate::{AttemptHeaders, Dialect, Rejection, ResponseHead, telemetry};
+use crate::{AttemptHeaders, Dialect, Rejection, ResponseHead, crash, telemetry};
 
 /// Maximum idle time of a connection that is reused for a request that must not run twice.
 ///
@@ -72,14 +73,20 @@
         self.attempt.as_mut()
     }
 
-    /// Records that the head of the response arrived with `status`.
-    fn on_head(&mut self, status: u16) {
-        self.status = status;
+    /// Records that the head of a response arrived.
+    fn on_head(&mut self, response: &Response<Incoming>) {
+        self.status = response.status().as_u16();
         if let Some(attempt) = &mut self.attempt {
-            self.state.relay.borrow_mut().on_head(attempt, self.state.now());
+            let now = self.state.now();
+            self.state.relay.borrow_mut().on_head(attempt, is_framed(response), now);
         }
     }
 
+    /// Returns whether the response has a length or chunks.
+    pub(crate) fn is_framed(&self) -> bool {
+        self.attempt.as_ref().is_some_and(|attempt| attempt.is_framed)
+    }
+
     /// Ends the attempt with `outcome`.
     pub(crate) fn finish(mut self, outcome: AttemptOutcome) {
         self.end(outcome);
@@ -99,11 +106,15 @@
         telemetry::log_attempt_end(&self.id, &attempt, outcome, self.status, now);
         if outcome == AttemptOutcome::Broken {
             telemetry::log_attempt_broken(&self.id, &attempt);
+            if self.state.relay.borrow_mut().on_broken_attempt(&attempt, now) {
+                crash::check_endpoint(&self.state, &attempt.endpoint);
+            }
         }
         let backoff_until = self.state.relay.borrow_mut().end_attempt(&attempt, outcome, now);
         if let Some(until) = backoff_until {
             telemetry::log_backoff(attempt.endpoint.id.as_str(), until.since(now));
         }
+        crash::on_evidence(&self.state);
     }
 }
 
@@ -159,7 +170,7 @@
     };
     match send_request(state, request, &target, expected_ms, can_retry_elsewhere).await {
         Ok((exchange, response, response_head)) => {
-            guard.on_head(response.status().as_u16());
+            guard.on_head(&response);
             let (parts, body) = response.into_parts();
             let source = BodySource::Endpoint(Box::new(EndpointResponse {
                 guard,
@@ -209,19 +220,25 @@
     let connection = state.connector.connect(endpoint.address, reuse).await;
     let mut exchange = connection.map_err(|_no_connection| (AttemptOutcome::Unreachable, 0))?;
     // While the connection was made, the response may have become due, or the endpoint may have become unusable: it
-    // restarted, is leaving, evacuated, rejects requests of this VM, or named a rate limit.
+    // restarted, is leaving, evacuated, rejects requests of this VM, or named a rate limit. Or a part of the prompt was
+    // quarantined.
     let remaining = admitted.remaining(state.now());
     let may_send = state
         .relay
         .borrow()
         .may_send(endpoint, target.token_taken_at, state.now());
-    if remaining == Millis(0) || !may_send {
+    let quarantined = state.relay.borrow().quarantined_part(admitted, state.now()).is_some();
+    if remaining == Millis(0) || !may_send || quarantined {
         return Err((AttemptOutcome::Unsent, 0));
     }
     let http_request = build_request(state, request, target, remaining);
     let wait = request.head_timeout(expected_ms, can_retry_elsewhere, remaining);
     let sent_at = state.now();
-    let response = exchange.send(http_request, Duration::from_millis(wait.0)).await;
+    let response = tokio::select! {
+        response = exchange.send(http_request, Duration::from_millis(wait.0)) => response,
+        // The endpoint may still have the request in its queue; closing the connection withdraws it.
+        () = state.wait_quarantined(admitted) => return Err((AttemptOutcome::Cancelled, 0)),
+    };
     let response = response.map_err(|error| match error {
         CallError::Connect => (AttemptOutcome::Unreachable, 0),
         CallError::Unsent => (AttemptOutcome::Unsent, 0),
@@ -235,6 +252,12 @@
     Ok((exchange, response, head))
 }
 
+/// Returns whether the body of a response has a length or chunks.
+fn is_framed(response: &Response<Incoming>) -> bool {
+    let headers = response.headers();
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING) || response.body().is_end_stream()
+}
+
 /// Applies the endpoint's report about itself, unless the response belongs to another request or another endpoint.
 fn apply_report<D: Dialect, F>(
     state: &ProxyState<D, F>,
--- a/crates/sw-proxy/src/heartbeat.rs
+++ b/crates/sw-proxy/src/heartbeat.rs
@@ -11,11 +11,11 @@
 use indexmap::{IndexMap, IndexSet};
 use spdlog::prelude::*;
 use sw_member::{VmRow, VmState};
-use sw_relay::{Heartbeat, Relay};
+use sw_relay::{Heartbeat, NewsScope, Relay};
 use sw_unit::{Millis, Time, VmId};
 
 use crate::state::ProxyState;
-use crate::{Dialect, store, telemetry};
+use crate::{Dialect, crash, store, telemetry};
 
 /// Base period of heartbeats.
 pub(crate) const HEARTBEAT_PERIOD: Millis = Millis(500);
@@ -28,6 +28,9 @@
 /// Time without heartbeats after which the second delegate takes over the exchange with another failure domain.
 const DELEGATE_FAILOVER_AFTER: Millis = Millis(2_400);
 
+/// Shortest time between two series of heartbeats that announce crashes; later ones go with the regular heartbeats.
+const CRASH_NEWS_PERIOD: Millis = Millis(250);
+
 /// Heartbeat calls in flight and last logged state of each VM.
 #[derive(Debug, Default)]
 struct ExchangeState {
@@ -42,6 +45,7 @@
     loop {
         ticks.tick().await;
         state.relay.borrow_mut().tick(state.now());
+        crash::on_evidence(&state);
         state.connector.prune();
         log_states(&state, &exchanges);
         call_due_peers(&state, &exchanges);
@@ -58,6 +62,29 @@
     futures::future::join_all(exchanges).await;
 }
 
+/// Exchanges heartbeats at once with the VMs that should learn of a crash.
+pub(crate) fn announce_crash<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, scope: NewsScope) {
+    let now = state.now();
+    let announced_at = state.crash_announced_at.get();
+    if announced_at.is_some_and(|at| now.since(at) < CRASH_NEWS_PERIOD) {
+        return;
+    }
+    state.crash_announced_at.set(Some(now));
+    let rows = {
+        let mut relay = state.relay.borrow_mut();
+        let mut rows: Vec<_> = relay.members().neighbours().cloned().collect();
+        if scope == NewsScope::All {
+            let domains: Vec<_> = relay.remote_domains().cloned().collect();
+            rows.extend(domains.iter().filter_map(|domain| relay.remote_delegate(domain, now)));
+        }
+        rows
+    };
+    for row in rows {
+        let state = Rc::clone(state);
+        tokio::task::spawn_local(async move { exchange_with(&state, row.peer_listen, Some(row)).await });
+    }
+}
+
 /// Applies a heartbeat of another VM.
 pub(crate) fn on_heartbeat<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, heartbeat: Heartbeat) {
     let now = state.now();
@@ -68,6 +95,7 @@
         info!("vm_heard", kv: { vm, incarnation, leaving, version });
     }
     telemetry::log_rate_limit_changes(state, "");
+    crash::on_evidence(state);
     store::copy_if_due(state);
 }
 
--- a/crates/sw-proxy/src/incoming.rs
+++ b/crates/sw-proxy/src/incoming.rs
@@ -121,6 +121,14 @@
         }
     }
 
+    /// Returns whether the end of the body can be told from a broken connection.
+    pub(crate) fn is_framed(&self) -> bool {
+        match self {
+            Self::Endpoint(response) => response.guard.is_framed(),
+            Self::Vm(_) => true,
+        }
+    }
+
     /// Returns the attempt, to record its progress; `None` if another VM makes it.
     pub(crate) fn attempt_mut(&mut self) -> Option<&mut Attempt> {
         match self {
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -102,7 +102,12 @@
         let choice = state.relay.borrow_mut().choose(&request.admitted, &history, now);
         let choice = match choice {
             Ok(choice) => choice,
-            Err(refusal) => return failure.ok_or_else(|| history.final_refusal(Some(refusal))),
+            Err(refusal) => {
+                if refusal.kind == Kind::QuarantinedPrompt {
+                    telemetry::log_quarantined(state, &request.admitted);
+                }
+                return failure.ok_or_else(|| history.final_refusal(Some(refusal)));
+            }
         };
         let revision = state.mirror.borrow().revision();
         telemetry::log_choice(&request.admitted, &choice, revision, now);
--- a/crates/sw-proxy/src/state.rs
+++ b/crates/sw-proxy/src/state.rs
@@ -6,7 +6,7 @@
 
 use sw_http::Connector;
 use sw_peer::relay::RelayClient;
-use sw_relay::Relay;
+use sw_relay::{AdmittedRequest, Relay};
 use sw_store::Mirror;
 use sw_time::{BootClock, Clock as _, TimerService};
 use sw_unit::{Millis, Time};
@@ -67,6 +67,10 @@
     pub(crate) active_requests: Cell<usize>,
     /// Notified when the last active request ends.
     pub(crate) idle: Notify,
+    /// Notified when a prompt part is quarantined or released.
+    pub(crate) quarantine_changed: Notify,
+    /// When this VM last sent news of crashes to others.
+    pub(crate) crash_announced_at: Cell<Option<Time>>,
     /// Whether a snapshot of the store is being copied from another VM.
     pub(crate) is_copying: Cell<bool>,
     /// Notified when the mirror changes or the store becomes unavailable.
@@ -96,6 +100,8 @@
             body_bytes: Cell::new(0),
             active_requests: Cell::new(0),
             idle: Notify::new(),
+            quarantine_changed: Notify::new(),
+            crash_announced_at: Cell::new(None),
             is_copying: Cell::new(false),
             store_changed: Notify::new(),
             store_responded_at: Cell::new(None),
@@ -131,6 +137,20 @@
         }
     }
 
+    /// Waits until a part of a request's prompt is quarantined.
+    pub(crate) async fn wait_quarantined(&self, admitted: &AdmittedRequest) {
+        if admitted.prompt.is_none() {
+            return std::future::pending().await;
+        }
+        loop {
+            let changed = self.quarantine_changed.notified();
+            if self.relay.borrow().quarantined_part(admitted, self.now()).is_some() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Waits until no request is active.
     pub(crate) async fn wait_drained(&self) {
         while self.active_requests.get() > 0 {
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -7,7 +7,8 @@
 use spdlog::prelude::*;
 use sw_error::Refusal;
 use sw_relay::{
-    AdmittedRequest, Attempt, AttemptOutcome, Choice, PartId, QueueEstimate, RateLimitStatement, Reservation,
+    AdmittedRequest, Attempt, AttemptOutcome, Choice, EndpointEntry, PartId, QuarantineChange, QueueEstimate,
+    RateLimitStatement, Reservation,
 };
 use sw_unit::{EndpointId, Millis, Time};
 
@@ -77,6 +78,38 @@
     info!("attempt_broken", kv: { id, endpoint, incarnation, head, events, parts = parts.as_str() });
 }
 
+/// Logs whether an endpoint that broke off before the first event of a response refuses connections.
+pub(crate) fn log_crash_check(endpoint: &EndpointEntry, refused: bool) {
+    let (endpoint, incarnation) = (endpoint.id.as_str(), endpoint.incarnation.0);
+    info!("endpoint_checked", kv: { endpoint, incarnation, refused });
+}
+
+/// Logs the prompt parts that were quarantined or released.
+pub(crate) fn log_quarantine_changes<D, F>(state: &ProxyState<D, F>, changes: &[QuarantineChange]) {
+    let now = state.now();
+    gauge!("shallotwing_quarantined_parts").set(state.relay.borrow().quarantined_parts() as f64);
+    for change in changes {
+        let part = change.part.to_string();
+        let part = part.as_str();
+        if let Some(verdict) = change.verdict {
+            let (crashes, for_ms) = (verdict.crashes, verdict.until.since(now).0);
+            warn!("part_quarantined", kv: { part, crashes, for_ms });
+        } else {
+            info!("part_released", kv: { part });
+        }
+    }
+}
+
+/// Logs why a request was refused for a part of its prompt.
+pub(crate) fn log_quarantined<D, F>(state: &ProxyState<D, F>, admitted: &AdmittedRequest) {
+    let now = state.now();
+    if let Some((part, verdict)) = state.relay.borrow().quarantined_part(admitted, now) {
+        let (id, part) = (&*admitted.id, part.to_string());
+        let (crashes, for_ms) = (verdict.crashes, verdict.until.since(now).0);
+        info!("prompt_quarantined", kv: { id, part = part.as_str(), crashes, for_ms });
+    }
+}
+
 /// Formats the ids of prompt parts for the log.
 fn part_list(parts: &[PartId]) -> String {
     let parts: Vec<_> = parts.iter().map(PartId::to_string).collect();
--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -33,6 +33,8 @@
     pub shared_parts: Vec<PartId>,
     /// When the head of the response arrived.
     pub head_at: Option<Time>,
+    /// Whether the response has a length or chunks, so that its end can be told from a broken connection.
+    pub is_framed: bool,
     /// When the first event of the response arrived.
     pub first_event_at: Option<Time>,
     /// Number of events received.
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -72,7 +72,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Kind::NoEndpoint`] if no reachable endpoint may run the request. Returns [`Kind::DeadlineUnreachable`]
+    /// Returns [`Kind::QuarantinedPrompt`] if the prompt has a part that crashes endpoints, and [`Kind::NoEndpoint`] if no
+    /// reachable endpoint may run the request. Returns [`Kind::DeadlineUnreachable`]
     /// if none is expected to start it, or to end the response to a new request, in time, or if coordinators declined
     /// it and nothing else is left.
     pub fn choose(
@@ -81,6 +82,9 @@
         history: &AttemptHistory,
         now: Time,
     ) -> Result<Choice, Refusal> {
+        if let Some(refusal) = self.quarantine_refusal(admitted, now) {
+            return Err(refusal);
+        }
         let local = self.best_local(admitted, history, now);
         let remote = if admitted.forwarded {
             None
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -8,8 +8,8 @@
 use crate::rate_limit::MAX_CALL_TRANSIT;
 use crate::registry::Endpoint;
 use crate::{
-    AttemptHistory, DomainView, EndpointLoad, EndpointTracker, Heartbeat, RateLimitState, Relay, ServiceId,
-    ServiceLoad, VmAge,
+    AnsweredPart, AttemptHistory, CrashReport, DomainView, EndpointLoad, EndpointTracker, Heartbeat, RateLimitState,
+    Relay, ServiceId, ServiceLoad, VmAge,
 };
 
 /// Minimum number of entry VMs of the caller's failure domain; with fewer, those of the whole region are named.
@@ -72,6 +72,16 @@
             } else {
                 Vec::new()
             },
+            crashes: if neighbour {
+                self.quarantine.evidence.crash_reports(!agree, now)
+            } else {
+                Vec::new()
+            },
+            answered_parts: if neighbour {
+                self.quarantine.evidence.answered_reports(!agree, now)
+            } else {
+                Vec::new()
+            },
         }
     }
 
@@ -94,6 +104,7 @@
         for limit in &heartbeat.rate_limits {
             self.rate_limits.on_peer(&limit.endpoint, limit.state, transit, now);
         }
+        self.on_crash_reports(&heartbeat.crashes, &heartbeat.answered_parts, false, now);
         let is_direct = heartbeat.from.domain != self.options.local.domain;
         let changed = self.members.on_heartbeat(heartbeat.from, now);
         for view in heartbeat.domains {
@@ -153,6 +164,16 @@
             self.cache_directory
                 .record_reported(part, received_at, Origin::Remote, now);
         }
+        let answered = view.answered_parts.iter().map(|report| AnsweredPart {
+            age: report.age + view.age,
+            ..*report
+        });
+        let crashes = view.crashes.iter().map(|report| CrashReport {
+            age: report.age + view.age,
+            ..report.clone()
+        });
+        let (crashes, answered): (Vec<_>, Vec<_>) = (crashes.collect(), answered.collect());
+        self.on_crash_reports(&crashes, &answered, is_direct, now);
         let is_local_region = view.region == self.options.local.region;
         if is_local_region {
             for load in &view.endpoints {
@@ -225,6 +246,8 @@
             } else {
                 Vec::new()
             },
+            crashes: self.quarantine.evidence.crash_reports(is_new, now),
+            answered_parts: self.quarantine.evidence.answered_reports(is_new, now),
         }
     }
 
--- a/crates/sw-relay/src/heartbeat.rs
+++ b/crates/sw-relay/src/heartbeat.rs
@@ -8,7 +8,7 @@
 use sw_member::VmRow;
 use sw_unit::{DomainId, EndpointId, Incarnation, Millis, RegionId, VmId};
 
-use crate::{CachedPart, EndpointRateLimit, ServiceId};
+use crate::{AnsweredPart, CachedPart, CrashReport, EndpointRateLimit, ServiceId};
 
 /// Load that one VM, or all VMs of one failure domain, put on an endpoint.
 #[derive(Debug, Clone, PartialEq)]
@@ -73,6 +73,10 @@
     pub cached_parts: Vec<CachedPart>,
     /// Rate limits of endpoints of its region; empty if the receiver is in another region.
     pub rate_limits: Vec<EndpointRateLimit>,
+    /// Crashes of endpoints that its VMs know.
+    pub crashes: Vec<CrashReport>,
+    /// Suspected prompt parts that were answered completely.
+    pub answered_parts: Vec<AnsweredPart>,
 }
 
 /// A heartbeat between two VMs.
@@ -96,4 +100,8 @@
     pub cached_parts: Vec<CachedPart>,
     /// Rate limits of endpoints that the sender knows; empty between domains.
     pub rate_limits: Vec<EndpointRateLimit>,
+    /// Crashes of endpoints that the sender knows; empty between domains.
+    pub crashes: Vec<CrashReport>,
+    /// Suspected prompt parts that were answered completely; empty between domains.
+    pub answered_parts: Vec<AnsweredPart>,
 }
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -11,6 +11,7 @@
 use crate::cache_directory::CacheDirectory;
 use crate::coordinator::{Coordinators, Grant};
 use crate::exchange::RemoteView;
+use crate::quarantine::Quarantine;
 use crate::rate_limit::RateLimits;
 use crate::rate_limiter::RateLimiter;
 use crate::region::RemoteRegions;
@@ -109,6 +110,7 @@
     pub(crate) coordinators: Coordinators,
     pub(crate) rate_limits: RateLimits,
     pub(crate) rate_limiter: RateLimiter,
+    pub(crate) quarantine: Quarantine,
     /// Unresponsive coordinators, with the time until which they are not asked.
     pub(crate) unresponsive: IndexMap<VmId, Time>,
     /// Failed watchers of the store, with the time until which they are not used.
@@ -138,6 +140,7 @@
             coordinators: Coordinators::new(),
             rate_limits: RateLimits::default(),
             rate_limiter: RateLimiter::default(),
+            quarantine: Quarantine::default(),
             unresponsive: IndexMap::new(),
             failed_watchers: IndexMap::new(),
             budgets: IndexMap::new(),
@@ -170,7 +173,7 @@
             StoreRecord::Table(table) => self.apply_table(table),
             StoreRecord::Endpoint(_, Some(entry)) => self.apply_endpoint(entry, now),
             StoreRecord::Endpoint(id, None) | StoreRecord::Malformed { endpoint: Some(id), .. } => {
-                self.registry.on_registration_removed(&id, now)
+                self.remove_endpoint(&id, now)
             }
             StoreRecord::Evacuated(domain, on) => self.registry.set_evacuated(domain, on),
             StoreRecord::Malformed { endpoint: None, .. } | StoreRecord::Other => false,
@@ -200,6 +203,7 @@
         }
         self.cache_directory.prune(now);
         let expired = self.registry.expire(now);
+        self.update_quarantine(now);
         self.assign_coordinators(now);
         self.failed_watchers.retain(|_, until| *until > now);
         self.rate_limits
@@ -249,8 +253,8 @@
 
     /// Starts an attempt at a chosen endpoint, with the `grant` if its coordinator granted a slot.
     ///
-    /// Returns `None` if no request may be sent to the endpoint any more, or its slow start or rate limit allows none
-    /// now.
+    /// Returns `None` if no request may be sent to the endpoint any more, its slow start or rate limit allows none now, or
+    /// a part of the prompt is quarantined.
     pub fn start_attempt(
         &mut self,
         admitted: &AdmittedRequest,
@@ -261,6 +265,9 @@
         if !self.registry.may_send(endpoint, now) || !self.slow_start_allows(endpoint, now) {
             return None;
         }
+        if self.quarantined_part(admitted, now).is_some() {
+            return None;
+        }
         let token_taken_at = self.obtain_token(endpoint, grant, admitted.is_urgent(), now);
         if !self.may_send(endpoint, token_taken_at, now) {
             return None;
@@ -315,15 +322,17 @@
             backlog_ms,
             shared_parts: shared_part_ids(admitted),
             head_at: None,
+            is_framed: false,
             first_event_at: None,
             events: 0,
             expected_output: admitted.prompt.as_ref().map_or(Tokens(0), Prompt::expected_output),
         })
     }
 
-    /// Records that the head of the response arrived.
-    pub fn on_head(&mut self, attempt: &mut Attempt, now: Time) {
+    /// Records that the head of the response arrived, which is `framed` if its body has a length or chunks.
+    pub fn on_head(&mut self, attempt: &mut Attempt, framed: bool, now: Time) {
         attempt.head_at = Some(now);
+        attempt.is_framed = framed;
     }
 
     /// Records the first event of a stream.
@@ -372,6 +381,7 @@
                 model.record_service_time(attempt.age(now));
             }
         }
+        self.clear_answered(attempt, outcome, now);
         let load = self.loads.get_mut(&attempt.endpoint.id)?;
         load.on_end(attempt.entry_id, now);
         if outcome == AttemptOutcome::Complete {
@@ -482,9 +492,22 @@
         }
         if restarted {
             self.cache_directory.remove_endpoint(&entry.id);
+            self.on_registered_incarnation_ended(&entry.id, now);
         }
         self.registry.apply(entry, now)
     }
+
+    fn remove_endpoint(&mut self, id: &EndpointId, now: Time) -> bool {
+        self.on_registered_incarnation_ended(id, now);
+        self.registry.on_registration_removed(id, now)
+    }
+
+    fn on_registered_incarnation_ended(&mut self, id: &EndpointId, now: Time) {
+        if let Some(known) = self.registry.get(id) {
+            let incarnation = known.entry.incarnation;
+            self.on_endpoint_ended(id, incarnation, now);
+        }
+    }
 }
 
 /// Returns the parts of a request's prompt that other requests may share.
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -229,9 +229,13 @@
             services,
             cached_parts: Vec::new(),
             rate_limits: Vec::new(),
+            crashes: Vec::new(),
+            answered_parts: Vec::new(),
         }],
         cached_parts: Vec::new(),
         rate_limits: Vec::new(),
+        crashes: Vec::new(),
+        answered_parts: Vec::new(),
         from,
     }
 }
