fix(proxy): a stream without a length or chunks that ends inside an event, or before the first, is broken off

What callers saw: an engine that breaks off such a stream ends its connection; the gateway relayed that as a complete, chunked response, also an empty one. Cause: the end of the connection was taken for the end of the response. Events of streams that may not be resumed were checked for their length, but not for being complete. Change: an unframed stream is complete only at the border of an event and after at least one. Responses with a length or chunks are judged as before.

--- a/crates/sw-proxy/src/sse.rs
+++ b/crates/sw-proxy/src/sse.rs
@@ -83,14 +83,15 @@
         self.last_id.as_deref()
     }
 
-    /// Returns whether a partial event is buffered.
+    /// Returns whether the stream is inside an event.
     pub fn has_partial(&self) -> bool {
-        !self.buf.is_empty()
+        !self.buf.is_empty() || self.partial_len > 0
     }
 
     /// Discards the buffered partial event, before the stream is resumed.
     pub fn discard_partial(&mut self) {
         self.buf.clear();
+        self.partial_len = 0;
     }
 }
 
--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -121,10 +121,10 @@
                         ChunkOutcome::CallerGone => return,
                     }
                 }
-                StreamEvent::Part(BodyPart::End) if !self.events.has_partial() => {
-                    return source.finish(AttemptOutcome::Complete);
-                }
-                StreamEvent::Part(BodyPart::End) => SourceFailure::broken("incomplete_event"),
+                StreamEvent::Part(BodyPart::End) => match self.end_fault(&source) {
+                    None => return source.finish(AttemptOutcome::Complete),
+                    Some(reason) => SourceFailure::broken(reason),
+                },
                 StreamEvent::Part(BodyPart::Broken) => SourceFailure::broken("broken"),
                 StreamEvent::Stalled(Some(target)) => SourceFailure::stalled(*target),
                 StreamEvent::Stalled(None) => {
@@ -226,6 +226,18 @@
         }
     }
 
+    /// Returns why the end of the body is not the end of the response; `None` if it is.
+    ///
+    /// A body without a length and chunks ends with its connection, whether the endpoint finished it or broke off.
+    fn end_fault(&self, source: &BodySource<D, F>) -> Option<&'static str> {
+        let is_stream = self.request.admitted.route.kind.is_streaming();
+        let may_have_broken = is_stream && !source.is_framed();
+        if self.events.has_partial() && (self.is_resumable || may_have_broken) {
+            return Some("incomplete_event");
+        }
+        (may_have_broken && self.last_chunk_at.is_none()).then_some("no_event")
+    }
+
     /// Records the arrival time of a chunk.
     fn record_chunk_time(&mut self, source: &mut BodySource<D, F>) {
         let now = self.state.now();
