fix(relay): parts beside a deadly one do not stay quarantined

Change: a prompt with some of the parts that cannot be told apart, but not all, is let through, one at a time by one VM of a region; the same for a part that was answered before the crashes. Its response or its crash tells.

--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -89,13 +89,19 @@
     let now = state.now();
     gauge!("shallotwing_quarantined_parts").set(state.relay.borrow().quarantined_parts() as f64);
     for change in changes {
-        let part = change.part.to_string();
-        let part = part.as_str();
-        if let Some(verdict) = change.verdict {
-            let (crashes, for_ms) = (verdict.crashes, verdict.until.since(now).0);
-            warn!("part_quarantined", kv: { part, crashes, for_ms });
-        } else {
-            info!("part_released", kv: { part });
+        match change {
+            QuarantineChange::Quarantined { part, verdict } => {
+                let (part, crashes, for_ms) = (part.to_string(), verdict.crashes, verdict.until.since(now).0);
+                warn!("part_quarantined", kv: { part = part.as_str(), crashes, for_ms });
+            }
+            QuarantineChange::Released { part } => {
+                let part = part.to_string();
+                info!("part_released", kv: { part = part.as_str() });
+            }
+            QuarantineChange::OnTrial { part, request } => {
+                let (id, part) = (&**request, part.to_string());
+                info!("part_on_trial", kv: { id, part = part.as_str() });
+            }
         }
     }
 }
--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -1,5 +1,7 @@
 //! One attempt to run a request on an endpoint.
 
+use std::sync::Arc;
+
 use strum::{Display, IntoStaticStr};
 use sw_error::{Kind, Ran, Refusal};
 use sw_unit::{Millis, Time, Tokens};
@@ -9,6 +11,8 @@
 /// An attempt in progress.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Attempt {
+    /// The id of the request.
+    pub request: Arc<str>,
     /// The endpoint.
     pub endpoint: EndpointEntry,
     /// The service that the endpoint was chosen for.
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -309,7 +309,9 @@
         if let Some((share, cold_for)) = cold {
             load.slow_start.on_dispatch(share, cold_for);
         }
+        self.on_trial_sent(&admitted.id);
         Some(Attempt {
+            request: Arc::clone(&admitted.id),
             endpoint: endpoint.clone(),
             service: admitted.service.clone(),
             started_at: now,
--- /dev/null
+++ b/crates/sw-relay/tests/support/fleet.rs
@@ -0,0 +1,485 @@
+//! VMs and engines of several regions, and prompts with parts that crash engines.
+//!
+//! Time passes in steps. A prompt with a deadly part crashes its engine shortly after the head of its response; all
+//! other responses of that engine break off with it. Messages between VMs arrive within the step in which they are sent,
+//! unless a VM is down or cut off.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use sw_member::VmRow;
+use sw_relay::{
+    AdmittedRequest, Attempt, AttemptHistory, AttemptOutcome, Choice, EndpointEntry, NewsScope, Options, PartId,
+    Prompt, PromptPart, Relay, RequestHead,
+};
+use sw_unit::{DomainId, Incarnation, Millis, RegionId, Time, Tokens};
+
+use super::{endpoint, head, options, register, relay_with, row};
+
+pub const STEP: Millis = Millis(10);
+/// Time from the arrival of a prompt to the head of its response, to a crash, and to the end of a sound response.
+const HEAD_AFTER: Millis = Millis(60);
+const CRASH_AFTER: Millis = Millis(90);
+const END_AFTER: Millis = Millis(700);
+/// Time for which a crashed engine is down.
+const DOWNTIME: Millis = Millis(2_000);
+/// Time for which a VM that was down or cut off is excused.
+pub const EXCUSED_FOR: Millis = Millis(5_000);
+const TICK_PERIOD: Millis = Millis(500);
+const DOMAIN_PERIOD: Millis = Millis(900);
+const TAKEOVER_AFTER: Millis = Millis(2_400);
+/// The part that all prompts share.
+const FIRST_PART: u64 = 1;
+/// First id of the parts that some prompts share, and their number.
+const SUBJECT: u64 = 100;
+const SUBJECTS: u64 = 40;
+
+/// A prompt that an engine received.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival {
+    pub at: Time,
+    /// The deadly part that it has.
+    pub deadly: Option<u64>,
+    /// Whether its VM is excused.
+    pub excused: bool,
+}
+
+/// How a sound prompt ended.
+#[derive(Debug, Clone, Copy)]
+pub struct SoundPrompt {
+    pub at: Time,
+    /// Whether it was refused because of its parts.
+    pub quarantined: bool,
+}
+
+struct RunningAttempt {
+    vm: usize,
+    incarnation: Incarnation,
+    engine: usize,
+    attempt: Attempt,
+    admitted: AdmittedRequest,
+    history: AttemptHistory,
+    deadly: Option<u64>,
+    arrived_at: Time,
+}
+
+struct Vm {
+    relay: Relay,
+    running: bool,
+    group: u32,
+    disturbed_at: Option<Time>,
+}
+
+struct Engine {
+    entry: EndpointEntry,
+    region: usize,
+    down_until: Option<Time>,
+}
+
+/// Layout of a [`Fleet`].
+#[derive(Debug, Clone, Copy)]
+pub struct Layout {
+    pub regions: usize,
+    pub domains_per_region: usize,
+    pub vms: usize,
+    pub engines_per_region: usize,
+}
+
+/// VMs and engines of several regions.
+pub struct Fleet {
+    pub now: Time,
+    layout: Layout,
+    vms: Vec<Vm>,
+    engines: Vec<Engine>,
+    running: Vec<RunningAttempt>,
+    pub arrivals: Vec<Arrival>,
+    pub sound: Vec<SoundPrompt>,
+    /// Times of the crashes under each deadly part; 0 stands for crashes without a cause.
+    pub crashes: IndexMap<u64, Vec<Time>>,
+    admitted: usize,
+}
+
+fn region_id(region: usize) -> RegionId {
+    format!("r{region}").parse().expect("an id")
+}
+
+fn vm_name(index: usize) -> String {
+    format!("vm-{index:03}")
+}
+
+fn index_of(vm: &str) -> usize {
+    vm.trim_start_matches("vm-").parse().expect("an index")
+}
+
+impl Layout {
+    fn domains(self) -> usize {
+        self.regions * self.domains_per_region
+    }
+
+    fn domain_id(self, domain: usize) -> DomainId {
+        format!("d{domain}").parse().expect("an id")
+    }
+
+    fn region_of(self, domain: usize) -> usize {
+        domain % self.regions
+    }
+
+    fn vm_row(self, index: usize, incarnation: u64) -> VmRow {
+        let domain = index % self.domains();
+        VmRow {
+            incarnation: Incarnation(incarnation),
+            domain: self.domain_id(domain),
+            region: region_id(self.region_of(domain)),
+            ..row(&vm_name(index), "north")
+        }
+    }
+
+    fn options(self, index: usize, incarnation: u64, now: Time) -> Options {
+        let domains = (0..self.domains()).map(|domain| (self.domain_id(domain), region_id(self.region_of(domain))));
+        Options {
+            domain_regions: domains.collect(),
+            started_at: now,
+            seed: index as u64 + incarnation,
+            ..options(self.vm_row(index, incarnation))
+        }
+    }
+}
+
+impl Fleet {
+    /// Creates VMs that know each other.
+    pub fn new(layout: Layout) -> Self {
+        let engines = (0..layout.regions).flat_map(|region| (0..layout.engines_per_region).map(move |n| (region, n)));
+        let engines = engines.map(|(region, n)| Engine {
+            entry: EndpointEntry {
+                domain: layout.domain_id(region),
+                ..endpoint(&format!("e-{region}-{n}"), "engines", "north")
+            },
+            region,
+            down_until: None,
+        });
+        let mut fleet = Self {
+            now: Time(0),
+            layout,
+            vms: Vec::new(),
+            engines: engines.collect(),
+            running: Vec::new(),
+            arrivals: Vec::new(),
+            sound: Vec::new(),
+            crashes: IndexMap::new(),
+            admitted: 0,
+        };
+        fleet.vms = (0..layout.vms).map(|index| fleet.start_vm(index, 1)).collect();
+        for (from, to) in (0..layout.vms).flat_map(|from| (0..layout.vms).map(move |to| (from, to))) {
+            if from != to {
+                fleet.exchange(from, to);
+            }
+        }
+        fleet
+    }
+
+    fn start_vm(&self, index: usize, incarnation: u64) -> Vm {
+        let mut relay = relay_with(self.layout.options(index, incarnation, self.now));
+        for engine in &self.engines {
+            register(&mut relay, engine.entry.clone(), self.now);
+        }
+        Vm {
+            relay,
+            running: true,
+            group: 0,
+            disturbed_at: None,
+        }
+    }
+
+    /// Kills the process of a VM, or starts it again.
+    pub fn set_running(&mut self, index: usize, running: bool) {
+        let index = index % self.vms.len();
+        let vm = &self.vms[index];
+        if running && !vm.running {
+            let incarnation = vm.relay.members().local().incarnation.0 + 1;
+            let group = vm.group;
+            self.vms[index] = Vm {
+                group,
+                ..self.start_vm(index, incarnation)
+            };
+        }
+        self.vms[index].running = running;
+        self.vms[index].disturbed_at = Some(self.now);
+    }
+
+    /// Moves a VM to a group; only VMs of one group reach each other.
+    pub fn set_group(&mut self, index: usize, group: u32) {
+        let index = index % self.vms.len();
+        self.vms[index].group = group;
+        self.vms[index].disturbed_at = Some(self.now);
+    }
+
+    /// Lets all VMs run and reach each other.
+    pub fn heal(&mut self) {
+        for index in 0..self.vms.len() {
+            self.set_running(index, true);
+            self.set_group(index, 0);
+        }
+    }
+
+    /// Crashes an engine whatever it runs.
+    pub fn crash_engine(&mut self, engine: usize) {
+        self.crash(engine % self.engines.len(), 0);
+    }
+
+    /// Crashes all engines of a region at the same moment.
+    pub fn crash_region(&mut self, region: usize) {
+        let region = region % self.layout.regions;
+        for engine in 0..self.engines.len() {
+            if self.engines[engine].region == region {
+                self.crash(engine, 0);
+            }
+        }
+    }
+
+    /// A caller sends a prompt to a VM.
+    pub fn request(&mut self, vm: usize, deadly: Option<u64>, subject: u64) {
+        let vm = vm % self.vms.len();
+        if !self.vms[vm].running {
+            return;
+        }
+        self.admitted += 1;
+        let ids = [Some(FIRST_PART), Some(SUBJECT + subject % SUBJECTS), deadly];
+        let unique = 1_000_000 + self.admitted as u64;
+        let part = |id, len| PromptPart {
+            id: PartId(id),
+            len: Tokens(len),
+        };
+        let shared = ids.into_iter().flatten().map(|id| part(id, 50));
+        let prompt = Prompt {
+            input: Tokens(200),
+            output_max: Tokens(50),
+            output_hint: None,
+            parts: shared.chain([part(unique, 50)]).collect(),
+        };
+        let head = RequestHead {
+            id: Arc::from(format!("a{}", self.admitted)),
+            ..head("digest", Some(prompt))
+        };
+        let admitted = self.vms[vm].relay.admit(head, self.now, false).expect("a known route");
+        if deadly.is_none() {
+            let quarantined = self.vms[vm].relay.quarantined_part(&admitted, self.now).is_some();
+            self.sound.push(SoundPrompt {
+                at: self.now,
+                quarantined,
+            });
+        }
+        self.send(vm, admitted, AttemptHistory::default(), deadly);
+    }
+
+    /// Returns the deadly prompts that reached engines, sent later than `notice` after the fifth crash under their part by
+    /// VMs that are not excused.
+    pub fn late_arrivals(&self, part: u64, notice: Millis) -> usize {
+        let Some(fifth) = self.crashes.get(&part).and_then(|crashes| crashes.get(4)) else {
+            return 0;
+        };
+        let late =
+            |arrival: &&Arrival| arrival.deadly == Some(part) && arrival.at > *fifth + notice && !arrival.excused;
+        self.arrivals.iter().filter(late).count()
+    }
+
+    /// Returns the number of crashes under a part.
+    pub fn crash_count(&self, part: u64) -> usize {
+        self.crashes.get(&part).map_or(0, Vec::len)
+    }
+
+    /// Returns the number of crashes that a VM reports to one that it does not know.
+    pub fn reported_crashes(&self, vm: usize) -> usize {
+        self.vms[vm].relay.heartbeat(None, self.now).domains[0].crashes.len()
+    }
+
+    /// Returns the share of the sound prompts since `from` that were refused because of their parts.
+    pub fn quarantined_share(&self, from: Time) -> f64 {
+        let sound: Vec<_> = self.sound.iter().filter(|prompt| prompt.at >= from).collect();
+        let quarantined = sound.iter().filter(|prompt| prompt.quarantined).count();
+        quarantined as f64 / sound.len().max(1) as f64
+    }
+
+    fn send(&mut self, vm: usize, admitted: AdmittedRequest, mut history: AttemptHistory, deadly: Option<u64>) {
+        for _ in 0..4 {
+            let relay = &mut self.vms[vm].relay;
+            let endpoint = match relay.choose(&admitted, &history, self.now) {
+                Ok(Choice::Endpoint { endpoint, .. }) => endpoint,
+                // Forwarded requests are sent by the VMs of their region in these tests.
+                Ok(Choice::Vm { .. }) | Err(_) => return,
+            };
+            let Some(attempt) = relay.start_attempt(&admitted, &endpoint, None, self.now) else {
+                return;
+            };
+            let engine = self.engines.iter().position(|engine| engine.entry.id == endpoint.id);
+            let engine = engine.expect("a known engine");
+            if self.engines[engine].down_until.is_some() {
+                history.record_endpoint(&endpoint.id, Some(AttemptOutcome::Unreachable));
+                relay.end_attempt(&attempt, AttemptOutcome::Unreachable, self.now);
+                continue;
+            }
+            let excused = self.vms[vm]
+                .disturbed_at
+                .is_some_and(|at| self.now.since(at) < EXCUSED_FOR);
+            self.arrivals.push(Arrival {
+                at: self.now,
+                deadly,
+                excused,
+            });
+            self.running.push(RunningAttempt {
+                vm,
+                incarnation: self.vms[vm].relay.members().local().incarnation,
+                engine,
+                attempt,
+                admitted,
+                history,
+                deadly,
+                arrived_at: self.now,
+            });
+            return;
+        }
+    }
+
+    /// Advances the time by one step.
+    pub fn step(&mut self) {
+        self.now = self.now + STEP;
+        self.restart_engines();
+        self.advance_attempts();
+        for index in 0..self.vms.len() {
+            // VMs tick at different moments.
+            if self.vms[index].running && (self.now.0 + 10 * index as u64).is_multiple_of(TICK_PERIOD.0) {
+                self.vms[index].relay.tick(self.now);
+                self.send_heartbeats(index);
+            }
+            if !self.vms[index].running || self.vms[index].group != 0 {
+                self.vms[index].disturbed_at = Some(self.now);
+            }
+            self.send_news(index);
+        }
+    }
+
+    fn restart_engines(&mut self) {
+        for engine in &mut self.engines {
+            if engine.down_until.is_some_and(|until| until <= self.now) {
+                engine.down_until = None;
+                engine.entry.incarnation.0 += 1;
+                for vm in self.vms.iter_mut().filter(|vm| vm.running) {
+                    register(&mut vm.relay, engine.entry.clone(), self.now);
+                }
+            }
+        }
+    }
+
+    fn advance_attempts(&mut self) {
+        let now = self.now;
+        let mut crashed = Vec::new();
+        let mut ended = Vec::new();
+        for (at, running) in self.running.iter_mut().enumerate() {
+            let vm = &mut self.vms[running.vm];
+            if !vm.running || vm.relay.members().local().incarnation != running.incarnation {
+                ended.push(at);
+                continue;
+            }
+            let age = now.since(running.arrived_at);
+            if age >= HEAD_AFTER && running.attempt.head_at.is_none() {
+                vm.relay.on_head(&mut running.attempt, true, now);
+            }
+            if let Some(part) = running.deadly {
+                if age >= CRASH_AFTER {
+                    crashed.push((running.engine, part));
+                }
+            } else if age >= CRASH_AFTER && running.attempt.first_event_at.is_none() {
+                vm.relay.on_first_event(&mut running.attempt, now);
+            }
+            if running.deadly.is_none() && age >= END_AFTER {
+                vm.relay.end_attempt(&running.attempt, AttemptOutcome::Complete, now);
+                ended.push(at);
+            }
+        }
+        for at in ended.into_iter().rev() {
+            self.running.swap_remove(at);
+        }
+        for (engine, part) in crashed {
+            self.crash(engine, part);
+        }
+    }
+
+    fn crash(&mut self, engine: usize, part: u64) {
+        if self.engines[engine].down_until.is_some() {
+            return;
+        }
+        self.engines[engine].down_until = Some(self.now + DOWNTIME);
+        self.crashes.entry(part).or_default().push(self.now);
+        let broken: Vec<_> = self
+            .running
+            .extract_if(.., |running| running.engine == engine)
+            .collect();
+        for mut running in broken {
+            let relay = &mut self.vms[running.vm].relay;
+            let entry = running.attempt.endpoint.clone();
+            relay.end_attempt(&running.attempt, AttemptOutcome::Broken, self.now);
+            if relay.on_broken_attempt(&running.attempt, self.now) {
+                // The engine refuses connections.
+                relay.on_endpoint_ended(&entry.id, entry.incarnation, self.now);
+            }
+            running.history.record_endpoint(&entry.id, Some(AttemptOutcome::Broken));
+            if relay.withdraw_retry(&running.admitted, &running.history) {
+                self.send(running.vm, running.admitted, running.history, running.deadly);
+            }
+        }
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        self.vms[from].running && self.vms[to].running && self.vms[from].group == self.vms[to].group
+    }
+
+    fn send_heartbeats(&mut self, from: usize) {
+        let (now, seeds) = (self.now, self.vms.len().min(3));
+        let relay = &mut self.vms[from].relay;
+        let local = relay.members().local().clone();
+        let neighbours = relay.members().neighbours().filter(|row| local.vm < row.vm);
+        let mut vms: Vec<_> = neighbours.map(|row| row.vm.clone()).collect();
+        for domain in (0..self.layout.domains()).map(|domain| self.layout.domain_id(domain)) {
+            if domain != local.domain && relay.is_heartbeat_due(&domain, DOMAIN_PERIOD, TAKEOVER_AFTER, now) {
+                vms.extend(relay.remote_delegate(&domain, now).map(|row| row.vm));
+            }
+        }
+        // A VM that has just started knows only its seeds.
+        let seeds = (0..seeds).filter(|seed| *seed != from);
+        let unknown = seeds.map(|seed| self.layout.vm_row(seed, 1).vm);
+        vms.extend(unknown.filter(|vm| relay.members().row(vm).is_none()));
+        for vm in vms {
+            self.exchange(from, index_of(vm.as_str()));
+        }
+    }
+
+    fn send_news(&mut self, from: usize) {
+        let relay = &mut self.vms[from].relay;
+        let Some(scope) = relay.take_crash_news() else {
+            return;
+        };
+        let mut vms: Vec<_> = relay.members().neighbours().map(|row| row.vm.clone()).collect();
+        if scope == NewsScope::All {
+            let domains: Vec<_> = relay.remote_domains().cloned().collect();
+            let delegates = domains
+                .iter()
+                .filter_map(|domain| relay.remote_delegate(domain, self.now));
+            vms.extend(delegates.map(|row| row.vm));
+        }
+        for vm in vms {
+            self.exchange(from, index_of(vm.as_str()));
+        }
+    }
+
+    fn exchange(&mut self, from: usize, to: usize) {
+        if !self.reaches(from, to) {
+            return;
+        }
+        let now = self.now;
+        let row = |fleet: &Self, index: usize| fleet.vms[index].relay.members().local().clone();
+        let (from_row, to_row) = (row(self, from), row(self, to));
+        let heartbeat = self.vms[from].relay.heartbeat(Some(&to_row), now);
+        self.vms[to].relay.on_heartbeat(heartbeat, now);
+        let reply = self.vms[to].relay.heartbeat(Some(&from_row), now);
+        self.vms[from].relay.on_heartbeat(reply, now);
+    }
+}
