--- a/crates/sw-relay/tests/support/fleet.rs
+++ b/crates/sw-relay/tests/support/fleet.rs
@@ -103,6 +103,10 @@
     format!("r{region}").parse().expect("an id")
 }
 
+fn domain_id(domain: usize) -> DomainId {
+    format!("d{domain}").parse().expect("an id")
+}
+
 fn vm_name(index: usize) -> String {
     format!("vm-{index:03}")
 }
@@ -116,10 +120,6 @@
         self.regions * self.domains_per_region
     }
 
-    fn domain_id(self, domain: usize) -> DomainId {
-        format!("d{domain}").parse().expect("an id")
-    }
-
     fn region_of(self, domain: usize) -> usize {
         domain % self.regions
     }
@@ -128,14 +128,14 @@
         let domain = index % self.domains();
         VmRow {
             incarnation: Incarnation(incarnation),
-            domain: self.domain_id(domain),
+            domain: domain_id(domain),
             region: region_id(self.region_of(domain)),
             ..row(&vm_name(index), "north")
         }
     }
 
     fn options(self, index: usize, incarnation: u64, now: Time) -> Options {
-        let domains = (0..self.domains()).map(|domain| (self.domain_id(domain), region_id(self.region_of(domain))));
+        let domains = (0..self.domains()).map(|domain| (domain_id(domain), region_id(self.region_of(domain))));
         Options {
             domain_regions: domains.collect(),
             started_at: now,
@@ -151,7 +151,7 @@
         let engines = (0..layout.regions).flat_map(|region| (0..layout.engines_per_region).map(move |n| (region, n)));
         let engines = engines.map(|(region, n)| Engine {
             entry: EndpointEntry {
-                domain: layout.domain_id(region),
+                domain: domain_id(region),
                 ..endpoint(&format!("e-{region}-{n}"), "engines", "north")
             },
             region,
@@ -438,7 +438,7 @@
         let local = relay.members().local().clone();
         let neighbours = relay.members().neighbours().filter(|row| local.vm < row.vm);
         let mut vms: Vec<_> = neighbours.map(|row| row.vm.clone()).collect();
-        for domain in (0..self.layout.domains()).map(|domain| self.layout.domain_id(domain)) {
+        for domain in (0..self.layout.domains()).map(domain_id) {
             if domain != local.domain && relay.is_heartbeat_due(&domain, DOMAIN_PERIOD, TAKEOVER_AFTER, now) {
                 vms.extend(relay.remote_delegate(&domain, now).map(|row| row.vm));
             }
