feat(proxy): read and log software versions and the streams that callers take up

Change: registrations are decoded with their version, request heads with the stream that they take up; routed and attempt_ended name the version, stream_taken_up the stream. Nothing acts on them yet.

--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -59,11 +59,15 @@
 ) -> Result<HttpResponse, (Refusal, String)> {
     let without_route = |refusal: Refusal| (refusal, String::new());
     let head = head.map_err(|_malformed| without_route(Kind::BadRequest.into()))?;
+    let resumption = head.resumption.clone();
     let admitted = state
         .relay
         .borrow_mut()
         .admit(head, received, false)
         .map_err(without_route)?;
+    if let Some(resumption) = &resumption {
+        telemetry::log_taken_up(&admitted, resumption);
+    }
     let route = admitted.route.name.clone();
     let response = async {
         check_draining(state, &admitted)?;
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -8,7 +8,7 @@
 use sw_error::Refusal;
 use sw_relay::{
     AdmittedRequest, Attempt, AttemptOutcome, Choice, EndpointEntry, PartId, QuarantineChange, QueueEstimate,
-    RateLimitStatement, Reservation,
+    RateLimitStatement, Reservation, Resumption, SoftwareVersion,
 };
 use sw_unit::{EndpointId, Millis, Time};
 
@@ -31,7 +31,10 @@
         } => {
             let (expected_ms, considered) = (*expected_ms as u64, *considered as u64);
             let target = endpoint.id.as_str();
-            info!("routed", kv: { id, route, version, left_ms, target, expected_ms, considered, revision });
+            let software = software_name(endpoint.software.as_ref());
+            info!("routed", kv: {
+                id, route, version, left_ms, target, software, expected_ms, considered, revision
+            });
         }
         Choice::Vm {
             region,
@@ -48,9 +51,22 @@
     counter!("shallotwing_decisions_total", "route" => admitted.route.name.clone()).increment(1);
 }
 
+/// Returns the name of a software version for the log; empty if it is not known.
+fn software_name(software: Option<&SoftwareVersion>) -> &str {
+    software.map_or("", SoftwareVersion::as_str)
+}
+
+/// Logs that a caller takes up a stream again that broke off.
+pub(crate) fn log_taken_up(admitted: &AdmittedRequest, resumption: &Resumption) {
+    let (id, stream) = (&*admitted.id, resumption.stream.as_deref().unwrap_or_default());
+    info!("stream_taken_up", kv: { id, stream });
+    counter!("shallotwing_streams_taken_up_total").increment(1);
+}
+
 /// Logs the outcome of an attempt at an endpoint, with the values that were expected.
 pub(crate) fn log_attempt_end(id: &str, attempt: &Attempt, outcome: AttemptOutcome, status: u16, now: Time) {
     let endpoint = attempt.endpoint.id.as_str();
+    let software = software_name(attempt.endpoint.software.as_ref());
     let ended: &'static str = outcome.into();
     let (prefill_tokens, transfer_tokens) = (attempt.plan.prefill.0, attempt.plan.transfer.0);
     let (prefill_ms, transfer_ms) = (attempt.prefill_ms as u64, attempt.transfer_ms as u64);
@@ -64,7 +80,7 @@
         .map_or(0, |first| first.since(attempt.started_at).0);
     let age_ms = attempt.age(now).0;
     info!("attempt_ended", kv: {
-        id, endpoint, ended, status, unread = prefill_tokens, copied = transfer_tokens, source, read_ms = prefill_ms,
+        id, endpoint, software, ended, status, unread = prefill_tokens, copied = transfer_tokens, source, read_ms = prefill_ms,
         copy_ms = transfer_ms, backlog_ms, first_ms, age_ms
     });
     counter!("shallotwing_attempts_total", "outcome" => ended).increment(1);
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -60,6 +60,7 @@
 pub use stall::StallDetector;
 pub use table::{CallerLimits, EngineSpec, Route, RouteKind, RouteTable, Service, Target};
 pub use types::{
-    EndpointEntry, EndpointReport, LoadReport, PartId, Prompt, PromptPart, RequestHead, ServiceId, StoreRecord,
+    EndpointEntry, EndpointReport, LoadReport, PartId, Prompt, PromptPart, RequestHead, Resumption, ServiceId,
+    SoftwareVersion, StoreRecord,
 };
 pub use watcher::StoreSource;
--- a/crates/sw-relay/src/types.rs
+++ b/crates/sw-relay/src/types.rs
@@ -52,6 +52,49 @@
     }
 }
 
+/// Maximum length of a software version in bytes.
+const MAX_SOFTWARE_VERSION_LEN: usize = 100;
+
+/// The version of an endpoint's software; versions of one service can be compared for equality only.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct SoftwareVersion(Arc<str>);
+
+/// The error returned when parsing a [`SoftwareVersion`] fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ParseSoftwareVersionError;
+
+impl fmt::Display for ParseSoftwareVersionError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "software version must have 1 to {MAX_SOFTWARE_VERSION_LEN} bytes")
+    }
+}
+
+impl std::error::Error for ParseSoftwareVersionError {}
+
+impl SoftwareVersion {
+    /// Returns the version as a string slice.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(&self.0)
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = ParseSoftwareVersionError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text.is_empty() || text.len() > MAX_SOFTWARE_VERSION_LEN {
+            return Err(ParseSoftwareVersionError);
+        }
+        Ok(Self(Arc::from(text)))
+    }
+}
+
 /// Identifier of the text of a prompt part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct PartId(pub u64);
@@ -123,6 +166,15 @@
     pub remaining: Option<Millis>,
     /// The prompt, for requests to model engines.
     pub prompt: Option<Prompt>,
+    /// The stream that the request takes up again, if it is not a new one.
+    pub resumption: Option<Resumption>,
+}
+
+/// A stream that broke off, and that its caller takes up again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Resumption {
+    /// Id of the request that brought the caller the first event of the stream; `None` if the caller does not name it.
+    pub stream: Option<Arc<str>>,
 }
 
 /// Registration of an endpoint.
@@ -134,6 +186,8 @@
     pub incarnation: Incarnation,
     /// The service that it belongs to.
     pub service: ServiceId,
+    /// The version of its software; `None` if it does not state one.
+    pub software: Option<SoftwareVersion>,
     /// The address that it listens on.
     pub address: SocketAddr,
     /// Its failure domain.
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -146,6 +146,7 @@
         id: name.parse().expect("an id"),
         incarnation: Incarnation(1),
         service: service(of),
+        software: Some("v1".parse().expect("a version")),
         address: ([10, 1, 0, 1], port).into(),
         domain: region.parse().expect("an id"),
         slots: if of == "app" { 6 } else { 64 },
@@ -206,6 +207,7 @@
         path: format!("/{route}/x"),
         remaining: Some(Millis(10_000)),
         prompt,
+        resumption: None,
     }
 }
 
