@@ -7373,67 +9338,129 @@
             }
         }
         impl Pipeline  {
+            pub fn get_wait(&self) -> crate::relay_capnp::wait::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 53] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(114, 122, 153, 131, 88, 16, 49, 218),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(254, 134, 171, 3, 6, 132, 15, 220),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
-                ::capnp::word(121, 80, 101, 101, 114, 46, 115, 110),
-                ::capnp::word(97, 112, 115, 104, 111, 116, 36, 82),
-                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(121, 80, 101, 101, 114, 46, 114, 101),
+                ::capnp::word(115, 101, 114, 118, 101, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(165, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 105, 99, 107, 101, 116, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(117, 110, 114, 101, 97, 100, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
+                ::capnp::word(119, 97, 105, 116, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(192, 220, 140, 237, 234, 190, 169, 199),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 112, 105, 101, 100, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 116, 101, 109, 115, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(222, 112, 27, 104, 20, 169, 224, 175),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 111, 117, 114, 99, 101, 0, 0),
+                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::struct_list::Owned<crate::relay_capnp::item::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <crate::relay_capnp::wait::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7447,14 +9474,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
-            pub(crate) const TYPE_ID: u64 = 0xda31_1058_8399_7a72;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,5,1,2,3];
+            pub(crate) const TYPE_ID: u64 = 0xdc0f_8406_03ab_86fe;
         }
     }
 
-    pub mod relay_params {
+    pub mod release_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -7516,26 +9543,30 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_call(self) -> ::capnp::Result<crate::relay_capnp::call::Reader<'a>> {
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_call(&self) -> bool {
+            pub fn has_endpoint(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_sink(self) -> ::capnp::Result<crate::relay_capnp::answer_sink::Client> {
-                match self.reader.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            pub fn get_ticket(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn has_sink(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
+            pub fn get_absent(self) -> bool {
+                self.reader.get_bool_field(64)
+            }
+            #[inline]
+            pub fn get_runs(self) -> bool {
+                self.reader.get_bool_field(65)
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7586,32 +9617,44 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_call(self) -> ::capnp::Result<crate::relay_capnp::call::Builder<'a>> {
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_call(&mut self, value: crate::relay_capnp::call::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
             }
             #[inline]
-            pub fn init_call(self, ) -> crate::relay_capnp::call::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
             }
             #[inline]
-            pub fn has_call(&self) -> bool {
+            pub fn has_endpoint(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_sink(self) -> ::capnp::Result<crate::relay_capnp::answer_sink::Client> {
-                match self.builder.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            pub fn get_ticket(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_sink(&mut self, value: crate::relay_capnp::answer_sink::Client)  {
-                self.builder.reborrow().get_pointer_field(1).set_capability(value.client.hook);
+            pub fn set_ticket(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
-            pub fn has_sink(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
+            pub fn get_absent(self) -> bool {
+                self.builder.get_bool_field(64)
+            }
+            #[inline]
+            pub fn set_absent(&mut self, value: bool)  {
+                self.builder.set_bool_field(64, value);
+            }
+            #[inline]
+            pub fn get_runs(self) -> bool {
+                self.builder.get_bool_field(65)
+            }
+            #[inline]
+            pub fn set_runs(&mut self, value: bool)  {
+                self.builder.set_bool_field(65, value);
             }
         }
 
@@ -7622,68 +9665,95 @@
             }
         }
         impl Pipeline  {
-            pub fn get_call(&self) -> crate::relay_capnp::call::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
-            pub fn get_sink(&self) -> crate::relay_capnp::answer_sink::Client {
-                ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(1).as_cap())
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(158, 191, 188, 185, 198, 224, 131, 233),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(135, 181, 213, 244, 137, 190, 248, 250),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
                 ::capnp::word(121, 80, 101, 101, 114, 46, 114, 101),
-                ::capnp::word(108, 97, 121, 36, 80, 97, 114, 97),
-                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(108, 101, 97, 115, 101, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(99, 97, 108, 108, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(145, 219, 65, 67, 31, 202, 143, 255),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 65, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(113, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(115, 105, 110, 107, 0, 0, 0, 0),
-                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 17, 211, 229, 133, 84, 231, 177),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 105, 99, 107, 101, 116, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 98, 115, 101, 110, 116, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 117, 110, 115, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::relay_capnp::call::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <crate::relay_capnp::answer_sink::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7697,14 +9767,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-            pub(crate) const TYPE_ID: u64 = 0xe983_e0c6_b9bc_bf9e;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,3,1];
+            pub(crate) const TYPE_ID: u64 = 0xfaf8_be89_f4d5_b587;
         }
     }
 
-    pub mod relay_results {
+    pub mod release_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -7757,7 +9827,7 @@
             }
         }
 
-        impl <'a,> Reader<'a,>  {
+        impl <> Reader<'_,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -7765,27 +9835,11 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
-            #[inline]
-            pub fn get_length(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn get_refused(self) -> bool {
-                self.reader.get_bool_field(64)
-            }
-            #[inline]
-            pub fn get_refusal(self) -> ::capnp::Result<crate::peer_capnp::refusal::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_refusal(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7813,59 +9867,27 @@
                 builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
             }
             fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-            }
-        }
-
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
-        }
-
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-            #[inline]
-            pub fn get_length(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_length(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
-            }
-            #[inline]
-            pub fn get_refused(self) -> bool {
-                self.builder.get_bool_field(64)
-            }
-            #[inline]
-            pub fn set_refused(&mut self, value: bool)  {
-                self.builder.set_bool_field(64, value);
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
             }
-            #[inline]
-            pub fn get_refusal(self) -> ::capnp::Result<crate::peer_capnp::refusal::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
             }
-            #[inline]
-            pub fn set_refusal(&mut self, value: crate::peer_capnp::refusal::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
             }
-            #[inline]
-            pub fn init_refusal(self, ) -> crate::peer_capnp::refusal::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
             }
-            #[inline]
-            pub fn has_refusal(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
             }
         }
 
@@ -7876,83 +9898,29 @@
             }
         }
         impl Pipeline  {
-            pub fn get_refusal(&self) -> crate::peer_capnp::refusal::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(218, 75, 19, 38, 208, 12, 160, 140),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(178, 105, 73, 146, 193, 147, 253, 191),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
                 ::capnp::word(121, 80, 101, 101, 114, 46, 114, 101),
-                ::capnp::word(108, 97, 121, 36, 82, 101, 115, 117),
-                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(108, 101, 110, 103, 116, 104, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 101, 102, 117, 115, 101, 100, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 101, 102, 117, 115, 97, 108, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(141, 174, 242, 153, 225, 82, 190, 227),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 101, 97, 115, 101, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <crate::peer_capnp::refusal::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
+                ::capnp::introspect::panic_invalid_field_index(index)
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -7964,14 +9932,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
-            pub(crate) const TYPE_ID: u64 = 0x8ca0_0cd0_2613_4bda;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xbffd_93c1_9249_69b2;
         }
     }
 
-    pub mod reserve_params {
+    pub mod watch_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -8024,7 +9992,7 @@
             }
         }
 
-        impl <'a,> Reader<'a,>  {
+        impl <> Reader<'_,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -8033,18 +10001,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_reservation(self) -> ::capnp::Result<crate::relay_capnp::reservation::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            pub fn get_after(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn has_reservation(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
+            pub fn get_wait_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(2)
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8095,20 +10063,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_reservation(self) -> ::capnp::Result<crate::relay_capnp::reservation::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            pub fn get_after(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_reservation(&mut self, value: crate::relay_capnp::reservation::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            pub fn set_after(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
-            pub fn init_reservation(self, ) -> crate::relay_capnp::reservation::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn get_wait_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(2)
             }
             #[inline]
-            pub fn has_reservation(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
+            pub fn set_wait_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(2, value);
             }
         }
 
@@ -8119,50 +10087,62 @@
             }
         }
         impl Pipeline  {
-            pub fn get_reservation(&self) -> crate::relay_capnp::reservation::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(227, 106, 154, 171, 145, 242, 200, 208),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(5, 145, 227, 210, 171, 167, 103, 151),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
-                ::capnp::word(121, 80, 101, 101, 114, 46, 114, 101),
-                ::capnp::word(115, 101, 114, 118, 101, 36, 80, 97),
-                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(121, 80, 101, 101, 114, 46, 119, 97),
+                ::capnp::word(116, 99, 104, 36, 80, 97, 114, 97),
+                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(114, 101, 115, 101, 114, 118, 97, 116),
-                ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(118, 33, 231, 62, 158, 27, 47, 184),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 102, 116, 101, 114, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 105, 116, 77, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::relay_capnp::reservation::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8176,14 +10156,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xd0c8_f291_ab9a_6ae3;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) const TYPE_ID: u64 = 0x9767_a7ab_d2e3_9105;
         }
     }
 
-    pub mod reserve_results {
+    pub mod watch_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -8245,38 +10225,30 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_granted(self) -> bool {
-                self.reader.get_bool_field(0)
+            pub fn get_watched(self) -> ::core::result::Result<crate::relay_capnp::Watched,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
             }
             #[inline]
-            pub fn get_ticket(self) -> u64 {
+            pub fn get_revision(self) -> u64 {
                 self.reader.get_data_field::<u64>(1)
             }
             #[inline]
-            pub fn get_unread(self) -> u64 {
-                self.reader.get_data_field::<u64>(2)
-            }
-            #[inline]
-            pub fn get_wait(self) -> ::capnp::Result<crate::relay_capnp::wait::Reader<'a>> {
+            pub fn get_changes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::change::Owned>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_wait(&self) -> bool {
+            pub fn has_changes(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_copied(self) -> u64 {
-                self.reader.get_data_field::<u64>(3)
-            }
-            #[inline]
-            pub fn get_source(self) -> u8 {
-                self.reader.get_data_field::<u8>(1)
+            pub fn get_returned_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(1)
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8327,60 +10299,44 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_granted(self) -> bool {
-                self.builder.get_bool_field(0)
+            pub fn get_watched(self) -> ::core::result::Result<crate::relay_capnp::Watched,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
             }
             #[inline]
-            pub fn set_granted(&mut self, value: bool)  {
-                self.builder.set_bool_field(0, value);
+            pub fn set_watched(&mut self, value: crate::relay_capnp::Watched)  {
+                self.builder.set_data_field::<u16>(0, value as u16);
             }
             #[inline]
-            pub fn get_ticket(self) -> u64 {
+            pub fn get_revision(self) -> u64 {
                 self.builder.get_data_field::<u64>(1)
             }
             #[inline]
-            pub fn set_ticket(&mut self, value: u64)  {
+            pub fn set_revision(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(1, value);
             }
-            #[inline]
-            pub fn get_unread(self) -> u64 {
-                self.builder.get_data_field::<u64>(2)
-            }
-            #[inline]
-            pub fn set_unread(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(2, value);
-            }
-            #[inline]
-            pub fn get_wait(self) -> ::capnp::Result<crate::relay_capnp::wait::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_wait(&mut self, value: crate::relay_capnp::wait::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
-            }
-            #[inline]
-            pub fn init_wait(self, ) -> crate::relay_capnp::wait::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            #[inline]
+            pub fn get_changes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::change::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_wait(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
+            pub fn set_changes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::change::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn get_copied(self) -> u64 {
-                self.builder.get_data_field::<u64>(3)
+            pub fn init_changes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::change::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
             }
             #[inline]
-            pub fn set_copied(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(3, value);
+            pub fn has_changes(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_source(self) -> u8 {
-                self.builder.get_data_field::<u8>(1)
+            pub fn get_returned_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(1)
             }
             #[inline]
-            pub fn set_source(&mut self, value: u8)  {
-                self.builder.set_data_field::<u8>(1, value);
+            pub fn set_returned_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(1, value);
             }
         }
 
@@ -8391,89 +10347,65 @@
             }
         }
         impl Pipeline  {
-            pub fn get_wait(&self) -> crate::relay_capnp::wait::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 84] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(254, 134, 171, 3, 6, 132, 15, 220),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 4, 0),
+                ::capnp::word(80, 151, 3, 153, 43, 48, 118, 253),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
-                ::capnp::word(121, 80, 101, 101, 114, 46, 114, 101),
-                ::capnp::word(115, 101, 114, 118, 101, 36, 82, 101),
-                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
-                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(121, 80, 101, 101, 114, 46, 119, 97),
+                ::capnp::word(116, 99, 104, 36, 82, 101, 115, 117),
+                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(165, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 90, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(116, 105, 99, 107, 101, 116, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(119, 97, 116, 99, 104, 101, 100, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 113, 166, 34, 252, 6, 123, 188),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(117, 110, 114, 101, 97, 100, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8481,39 +10413,34 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(119, 97, 105, 116, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(192, 220, 140, 237, 234, 190, 169, 199),
+                ::capnp::word(99, 104, 97, 110, 103, 101, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(221, 168, 31, 192, 35, 242, 198, 255),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(99, 111, 112, 105, 101, 100, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(115, 111, 117, 114, 99, 101, 0, 0),
-                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 116, 117, 114, 110, 101, 100),
+                ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::relay_capnp::Watched as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <crate::relay_capnp::wait::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    5 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::struct_list::Owned<crate::relay_capnp::change::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8527,14 +10454,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,5,1,2,3];
-            pub(crate) const TYPE_ID: u64 = 0xdc0f_8406_03ab_86fe;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,0];
+            pub(crate) const TYPE_ID: u64 = 0xfd76_302b_9903_9750;
         }
     }
 
-    pub mod release_params {
+    pub mod note_origins_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -8596,30 +10523,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            pub fn get_origins(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::stream_origin::Owned>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_endpoint(&self) -> bool {
+            pub fn has_origins(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
-            #[inline]
-            pub fn get_ticket(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn get_absent(self) -> bool {
-                self.reader.get_bool_field(64)
-            }
-            #[inline]
-            pub fn get_runs(self) -> bool {
-                self.reader.get_bool_field(65)
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8670,143 +10585,75 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            pub fn get_origins(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::stream_origin::Owned>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
-            }
-            #[inline]
-            pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(0).init_text(size)
-            }
-            #[inline]
-            pub fn has_endpoint(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
-            #[inline]
-            pub fn get_ticket(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_ticket(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
-            }
-            #[inline]
-            pub fn get_absent(self) -> bool {
-                self.builder.get_bool_field(64)
-            }
-            #[inline]
-            pub fn set_absent(&mut self, value: bool)  {
-                self.builder.set_bool_field(64, value);
-            }
-            #[inline]
-            pub fn get_runs(self) -> bool {
-                self.builder.get_bool_field(65)
+            pub fn set_origins(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::stream_origin::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn set_runs(&mut self, value: bool)  {
-                self.builder.set_bool_field(65, value);
-            }
-        }
-
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
-            }
-        }
-        impl Pipeline  {
-        }
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(135, 181, 213, 244, 137, 190, 248, 250),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
-                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
-                ::capnp::word(121, 80, 101, 101, 114, 46, 114, 101),
-                ::capnp::word(108, 101, 97, 115, 101, 36, 80, 97),
-                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 65, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(113, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            pub fn init_origins(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::stream_origin::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_origins(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 38] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(176, 62, 43, 235, 41, 189, 226, 180),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(116, 105, 99, 107, 101, 116, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 74, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 98, 115, 101, 110, 116, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 80, 101, 101, 114, 46, 110, 111),
+                ::capnp::word(116, 101, 79, 114, 105, 103, 105, 110),
+                ::capnp::word(115, 36, 80, 97, 114, 97, 109, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(111, 114, 105, 103, 105, 110, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 117, 110, 115, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(250, 22, 21, 42, 88, 149, 245, 228),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::struct_list::Owned<crate::relay_capnp::stream_origin::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8820,14 +10667,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,3,1];
-            pub(crate) const TYPE_ID: u64 = 0xfaf8_be89_f4d5_b587;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xb4e2_bd29_eb2b_3eb0;
         }
     }
 
-    pub mod release_results {
+    pub mod note_origins_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -8953,14 +10800,14 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 18] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(178, 105, 73, 146, 193, 147, 253, 191),
+                ::capnp::word(148, 208, 129, 212, 202, 52, 117, 133),
                 ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 82, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8968,9 +10815,10 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
-                ::capnp::word(121, 80, 101, 101, 114, 46, 114, 101),
-                ::capnp::word(108, 101, 97, 115, 101, 36, 82, 101),
-                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(121, 80, 101, 101, 114, 46, 110, 111),
+                ::capnp::word(116, 101, 79, 114, 105, 103, 105, 110),
+                ::capnp::word(115, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_field_index(index)
@@ -8988,11 +10836,11 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xbffd_93c1_9249_69b2;
+            pub(crate) const TYPE_ID: u64 = 0x8575_34ca_d481_d094;
         }
     }
 
-    pub mod watch_params {
+    pub mod find_origin_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -9045,7 +10893,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -9054,18 +10902,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_after(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
+            pub fn get_stream(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn get_wait_ms(self) -> u32 {
-                self.reader.get_data_field::<u32>(2)
+            pub fn has_stream(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9116,20 +10964,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_after(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
+            pub fn get_stream(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_after(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
+            pub fn set_stream(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
             }
             #[inline]
-            pub fn get_wait_ms(self) -> u32 {
-                self.builder.get_data_field::<u32>(2)
+            pub fn init_stream(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
             }
             #[inline]
-            pub fn set_wait_ms(&mut self, value: u32)  {
-                self.builder.set_data_field::<u32>(2, value);
+            pub fn has_stream(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -9142,60 +10990,44 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(5, 145, 227, 210, 171, 167, 103, 151),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(150, 62, 142, 235, 5, 75, 139, 210),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 66, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
-                ::capnp::word(121, 80, 101, 101, 114, 46, 119, 97),
-                ::capnp::word(116, 99, 104, 36, 80, 97, 114, 97),
-                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(121, 80, 101, 101, 114, 46, 102, 105),
+                ::capnp::word(110, 100, 79, 114, 105, 103, 105, 110),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(97, 102, 116, 101, 114, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(119, 97, 105, 116, 77, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 116, 114, 101, 97, 109, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -9209,14 +11041,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-            pub(crate) const TYPE_ID: u64 = 0x9767_a7ab_d2e3_9105;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xd28b_4b05_eb8e_3e96;
         }
     }
 
-    pub mod watch_results {
+    pub mod find_origin_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -9278,30 +11110,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_watched(self) -> ::core::result::Result<crate::relay_capnp::Watched,::capnp::NotInSchema> {
-                ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
-            }
-            #[inline]
-            pub fn get_revision(self) -> u64 {
-                self.reader.get_data_field::<u64>(1)
-            }
-            #[inline]
-            pub fn get_changes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::change::Owned>> {
+            pub fn get_origin(self) -> ::capnp::Result<crate::relay_capnp::stream_origin::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_changes(&self) -> bool {
+            pub fn has_origin(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
-            #[inline]
-            pub fn get_returned_ms(self) -> u32 {
-                self.reader.get_data_field::<u32>(1)
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9352,45 +11172,21 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_watched(self) -> ::core::result::Result<crate::relay_capnp::Watched,::capnp::NotInSchema> {
-                ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
-            }
-            #[inline]
-            pub fn set_watched(&mut self, value: crate::relay_capnp::Watched)  {
-                self.builder.set_data_field::<u16>(0, value as u16);
-            }
-            #[inline]
-            pub fn get_revision(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
-            }
-            #[inline]
-            pub fn set_revision(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(1, value);
-            }
-            #[inline]
-            pub fn get_changes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::change::Owned>> {
+            pub fn get_origin(self) -> ::capnp::Result<crate::relay_capnp::stream_origin::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_changes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::change::Owned>) -> ::capnp::Result<()> {
+            pub fn set_origin(&mut self, value: crate::relay_capnp::stream_origin::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_changes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::change::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            pub fn init_origin(self, ) -> crate::relay_capnp::stream_origin::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_changes(&self) -> bool {
+            pub fn has_origin(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
-            #[inline]
-            pub fn get_returned_ms(self) -> u32 {
-                self.builder.get_data_field::<u32>(1)
-            }
-            #[inline]
-            pub fn set_returned_ms(&mut self, value: u32)  {
-                self.builder.set_data_field::<u32>(1, value);
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9400,100 +11196,50 @@
             }
         }
         impl Pipeline  {
+            pub fn get_origin(&self) -> crate::relay_capnp::stream_origin::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 84] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(80, 151, 3, 153, 43, 48, 118, 253),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(224, 23, 92, 63, 175, 232, 172, 166),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 74, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
-                ::capnp::word(121, 80, 101, 101, 114, 46, 119, 97),
-                ::capnp::word(116, 99, 104, 36, 82, 101, 115, 117),
-                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(129, 0, 0, 0, 90, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(119, 97, 116, 99, 104, 101, 100, 0),
-                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(3, 113, 166, 34, 252, 6, 123, 188),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(121, 80, 101, 101, 114, 46, 102, 105),
+                ::capnp::word(110, 100, 79, 114, 105, 103, 105, 110),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(99, 104, 97, 110, 103, 101, 115, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(111, 114, 105, 103, 105, 110, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(221, 168, 31, 192, 35, 242, 198, 255),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 101, 116, 117, 114, 110, 101, 100),
-                ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(250, 22, 21, 42, 88, 149, 245, 228),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::relay_capnp::Watched as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <::capnp::struct_list::Owned<crate::relay_capnp::change::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::relay_capnp::stream_origin::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -9507,10 +11253,10 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,0];
-            pub(crate) const TYPE_ID: u64 = 0xfd76_302b_9903_9750;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xa6ac_e8af_3f5c_17e0;
         }
     }
 }
--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -183,6 +183,7 @@
             Ok(IncomingResponse {
                 head,
                 source,
+                software: endpoint.software.clone(),
                 first_event_deadline,
             })
         }
--- a/crates/sw-proxy/src/forward.rs
+++ b/crates/sw-proxy/src/forward.rs
@@ -63,18 +63,24 @@
         hops: MAX_HOPS,
         can_retry_elsewhere,
         resume_after: request.last_event_id.clone(),
+        software: request.admitted.pinned_software.clone(),
     };
     let mut events = state.peers.forward(address, forwarded);
     let first_event_deadline = state.now() + request.admitted.first_event_timeout(expected_ms) + FORWARD_MARGIN;
     let wait = request.head_timeout(expected_ms, can_retry_elsewhere, remaining) + FORWARD_MARGIN;
     let first = tokio::time::timeout(Duration::from_millis(wait.min(remaining).0), events.recv()).await;
     let outcome = match first {
-        Ok(Some(RelayEvent::Head { status, headers })) => match response_head(status, headers) {
+        Ok(Some(RelayEvent::Head {
+            status,
+            headers,
+            software,
+        })) => match response_head(status, headers) {
             Some(head) => {
                 let source = BodySource::Vm(events);
                 return Ok(IncomingResponse {
                     head,
                     source,
+                    software,
                     first_event_deadline,
                 });
             }
--- a/crates/sw-proxy/src/incoming.rs
+++ b/crates/sw-proxy/src/incoming.rs
@@ -9,7 +9,7 @@
 use hyper::header::CONTENT_LENGTH;
 use sw_http::Exchange;
 use sw_peer::relay::RelayEvent;
-use sw_relay::{Attempt, AttemptOutcome};
+use sw_relay::{Attempt, AttemptOutcome, SoftwareVersion};
 use sw_unit::{Millis, Time};
 use tokio::sync::mpsc;
 
@@ -28,6 +28,8 @@
 pub(crate) struct IncomingResponse<D: Dialect, F: 'static> {
     pub(crate) head: Response<()>,
     pub(crate) source: BodySource<D, F>,
+    /// The software version of the endpoint; `None` if it does not state one.
+    pub(crate) software: Option<SoftwareVersion>,
     /// Time by which the first event is expected.
     pub(crate) first_event_deadline: Time,
 }
--- a/crates/sw-proxy/src/lib.rs
+++ b/crates/sw-proxy/src/lib.rs
@@ -20,6 +20,7 @@
 mod request;
 mod reservation;
 mod response;
+mod resumption;
 mod sse;
 mod state;
 mod store;
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -9,7 +9,7 @@
 use hyper::{Method, Request, Uri};
 use sw_error::{Kind, Refusal};
 use sw_peer::relay::{RelayCall, RelayEvent, RelayHandler, WatchOutcome};
-use sw_relay::{Grant, Heartbeat, QueueEstimate, Reservation, ReservationUpdate};
+use sw_relay::{Grant, Heartbeat, QueueEstimate, Reservation, ReservationUpdate, SoftwareVersion, StreamOrigin};
 use sw_store::Snapshot;
 use sw_unit::EndpointId;
 use tokio::sync::mpsc;
@@ -18,7 +18,7 @@
 use crate::forward::{MAX_HOPS, header_list, header_map};
 use crate::request::{HttpResponse, send_with_retries};
 use crate::state::{ActiveGuard, ProxyState};
-use crate::{Dialect, heartbeat, store, telemetry};
+use crate::{Dialect, heartbeat, resumption, store, telemetry};
 
 /// Handles calls from other VMs.
 pub(crate) struct PeerHandler<D, F>(pub(crate) Rc<ProxyState<D, F>>);
@@ -66,6 +66,17 @@
         }
     }
 
+    fn on_origins(&self, origins: Vec<StreamOrigin>) {
+        let mut relay = self.0.relay.borrow_mut();
+        for origin in origins {
+            relay.record_origin(origin, false, self.0.now());
+        }
+    }
+
+    fn find_origin(&self, stream: &str) -> Option<StreamOrigin> {
+        self.0.relay.borrow().stream_origin(stream)
+    }
+
     async fn on_forwarded_request(&self, call: RelayCall, events: mpsc::Sender<RelayEvent>) {
         let active = ActiveGuard::new(&self.0);
         let received = self.0.now();
@@ -113,10 +124,12 @@
         return Err(Kind::Stopping.into());
     }
     head.remaining = Some(call.remaining);
+    let resumption = head.resumption.clone();
     let mut admitted = state.relay.borrow_mut().admit(head, state.now(), true)?;
     // Retries are made by the VM that forwarded the request.
     admitted.max_attempts = 1;
-    admitted.resumed = call.resume_after.is_some();
+    admitted.resumed |= call.resume_after.is_some();
+    resumption::pin_forwarded(state, &mut admitted, resumption, call.software)?;
     let request = BufferedRequest {
         admitted,
         method: parts.method,
@@ -134,7 +147,13 @@
     let (head, mut body) = response.into_parts();
     let headers = header_list(&head.headers);
     let status = head.status.as_u16();
-    events.send(RelayEvent::Head { status, headers }).await.ok()?;
+    let software = head.extensions.get::<SoftwareVersion>().cloned();
+    let head = RelayEvent::Head {
+        status,
+        headers,
+        software,
+    };
+    events.send(head).await.ok()?;
     while let Some(frame) = body.frame().await {
         let data: Bytes = frame.ok()?.into_data().unwrap_or_default();
         events.send(RelayEvent::Chunk(data)).await.ok()?;
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -19,7 +19,7 @@
 use crate::reservation::{ReservationGuard, reserve};
 use crate::response::{refusal_response, strip_hop_headers};
 use crate::state::{ActiveGuard, ProxyState};
-use crate::{Dialect, HeadError, forward, stream, telemetry};
+use crate::{Dialect, HeadError, forward, resumption, stream, telemetry};
 
 /// Maximum body length in bytes of a response that is buffered before its head is sent to the caller. A buffered
 /// response that breaks off can still be retried.
@@ -60,17 +60,17 @@
     let without_route = |refusal: Refusal| (refusal, String::new());
     let head = head.map_err(|_malformed| without_route(Kind::BadRequest.into()))?;
     let resumption = head.resumption.clone();
-    let admitted = state
+    let mut admitted = state
         .relay
         .borrow_mut()
         .admit(head, received, false)
         .map_err(without_route)?;
-    if let Some(resumption) = &resumption {
-        telemetry::log_taken_up(&admitted, resumption);
-    }
     let route = admitted.route.name.clone();
     let response = async {
         check_draining(state, &admitted)?;
+        if let Some(resumption) = &resumption {
+            resumption::pin(state, &mut admitted, resumption).await?;
+        }
         let body = read_request_body(state, &admitted, body).await?;
         let request = BufferedRequest {
             admitted,
--- a/crates/sw-proxy/src/state.rs
+++ b/crates/sw-proxy/src/state.rs
@@ -71,6 +71,10 @@
     pub(crate) quarantine_changed: Notify,
     /// When this VM last sent news of crashes to others.
     pub(crate) crash_announced_at: Cell<Option<Time>>,
+    /// Whether other VMs are about to be told the origins of streams.
+    pub(crate) is_telling_origins: Cell<bool>,
+    /// When this VM last knew that it had all changes of the store, from the store itself or a watcher.
+    pub(crate) store_seen_at: Cell<Option<Time>>,
     /// Whether a snapshot of the store is being copied from another VM.
     pub(crate) is_copying: Cell<bool>,
     /// Notified when the mirror changes or the store becomes unavailable.
@@ -102,6 +106,8 @@
             idle: Notify::new(),
             quarantine_changed: Notify::new(),
             crash_announced_at: Cell::new(None),
+            is_telling_origins: Cell::new(false),
+            store_seen_at: Cell::new(None),
             is_copying: Cell::new(false),
             store_changed: Notify::new(),
             store_responded_at: Cell::new(None),
@@ -129,6 +135,11 @@
             .since(self.store_recovered_at.get().unwrap_or(self.started_at))
     }
 
+    /// Returns the time since this VM last knew that it had all changes of the store.
+    pub(crate) fn store_age(&self) -> Millis {
+        self.now().since(self.store_seen_at.get().unwrap_or(self.started_at))
+    }
+
     /// Returns the time since draining started, or `None` if this VM isn't draining.
     pub(crate) fn draining_for(&self) -> Option<Millis> {
         match self.lifecycle.get() {
--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -237,6 +237,7 @@
 }
 
 fn on_store_response<D, F>(state: &ProxyState<D, F>) {
+    state.store_seen_at.set(Some(state.now()));
     if let Some(since) = state.store_unavailable_since.take() {
         let now = state.now();
         let away_ms = now.since(since).0;
--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use sw_http::{BodyError, channel};
-use sw_relay::{AttemptHistory, AttemptOutcome, Choice, EndpointEntry, RouteKind, StallDetector};
+use sw_relay::{AttemptHistory, AttemptOutcome, Choice, EndpointEntry, RouteKind, SoftwareVersion, StallDetector};
 use sw_unit::{Millis, Time};
 use tokio::sync::mpsc;
 
@@ -18,7 +18,7 @@
 use crate::request::{HttpResponse, start_attempt, start_endpoint_attempt};
 use crate::reservation::{ReservationGuard, reserve};
 use crate::state::{ActiveGuard, ProxyState};
-use crate::{Dialect, EventSplitter, telemetry};
+use crate::{Dialect, EventSplitter, resumption, telemetry};
 
 type Sender = mpsc::Sender<Result<Bytes, BodyError>>;
 
@@ -31,8 +31,14 @@
 ) -> HttpResponse {
     let (tx, body) = channel();
     let is_resumable = request.admitted.route.kind == RouteKind::Resumable && response.head.status().is_success();
+    let mut head = response.head;
+    if let Some(software) = &response.software {
+        head.extensions_mut().insert(software.clone());
+    }
     let relay = StreamRelay {
         state: Rc::clone(state),
+        has_begun: false,
+        software: response.software,
         events: EventSplitter::default(),
         last_chunk_at: None,
         stall: is_resumable.then(|| StallDetector::new(response.first_event_deadline)),
@@ -42,7 +48,7 @@
         history,
     };
     tokio::task::spawn_local(relay.run(response.source, tx));
-    response.head.map(|()| body)
+    head.map(|()| body)
 }
 
 /// Task that relays a response body to the caller.
@@ -53,6 +59,10 @@
     history: AttemptHistory,
     events: EventSplitter,
     last_chunk_at: Option<Time>,
+    /// The software version of the current source; `None` if it does not state one.
+    software: Option<SoftwareVersion>,
+    /// Whether the caller got an event of this response.
+    has_begun: bool,
     /// Detects that the stream has stalled; `None` if it cannot be resumed elsewhere.
     stall: Option<StallDetector>,
     /// Whether the stream can be resumed; only complete events are relayed then.
@@ -179,7 +189,7 @@
     /// A stalled stream is abandoned only for a granted reservation (or an endpoint that needs none), because it cannot
     /// be picked up again. While draining, this VM keeps waiting for the stream.
     async fn resume_target(&self) -> Option<ResumeTarget<D, F>> {
-        if self.state.draining_for().is_some() {
+        if self.state.draining_for().is_some() || !self.may_go_on() {
             return None;
         }
         let Some(Choice::Endpoint {
@@ -220,12 +230,35 @@
         if let Some(stall) = &mut self.stall {
             stall.on_event(&self.request.admitted, self.state.now());
         }
+        if self.is_resumable && !std::mem::replace(&mut self.has_begun, true) {
+            self.pin_software();
+        }
         match tx.send(Ok(complete)).await {
             Ok(()) => ChunkOutcome::Accepted,
             Err(_caller_gone) => ChunkOutcome::CallerGone,
         }
     }
 
+    /// Pins the request to the software version whose first event goes to the caller.
+    fn pin_software(&mut self) {
+        let admitted = &mut self.request.admitted;
+        let Some(software) = self.software.clone().filter(|_| admitted.pinned_software.is_none()) else {
+            return;
+        };
+        // The VM to which the caller is connected records it for its region.
+        if !admitted.forwarded && !admitted.resumed {
+            resumption::on_stream_began(&self.state, admitted, &software);
+        }
+        admitted.pinned_software = Some(software);
+    }
+
+    /// Returns whether the rest of the stream may come from another endpoint.
+    fn may_go_on(&self) -> bool {
+        let admitted = &self.request.admitted;
+        let is_pinned = admitted.pinned_software.is_some();
+        !self.has_begun || is_pinned || self.state.relay.borrow().is_unversioned(&admitted.service)
+    }
+
     /// Returns why the end of the body is not the end of the response; `None` if it is.
     ///
     /// A body without a length and chunks ends with its connection, whether the endpoint finished it or broke off.
@@ -260,7 +293,7 @@
 
     /// Resumes the stream elsewhere, first at `target`; `None` if that is not possible or the caller is gone.
     async fn resume(&mut self, mut target: Option<ResumeTarget<D, F>>, tx: &Sender) -> Option<BodySource<D, F>> {
-        if !self.is_resumable {
+        if !self.is_resumable || !self.may_go_on() {
             return None;
         }
         self.events.discard_partial();
@@ -273,6 +306,7 @@
             };
             if let Some(response) = retried {
                 self.stall = Some(StallDetector::new(response.first_event_deadline));
+                self.software = response.software;
                 return Some(response.source);
             }
         }
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -12,6 +12,7 @@
 };
 use sw_unit::{EndpointId, Millis, Time};
 
+use crate::resumption::OriginSource;
 use crate::state::ProxyState;
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
@@ -57,10 +58,14 @@
 }
 
 /// Logs that a caller takes up a stream again that broke off.
-pub(crate) fn log_taken_up(admitted: &AdmittedRequest, resumption: &Resumption) {
+///
+/// `source` tells how the software version was found that began it.
+pub(crate) fn log_taken_up(admitted: &AdmittedRequest, resumption: &Resumption, source: OriginSource) {
     let (id, stream) = (&*admitted.id, resumption.stream.as_deref().unwrap_or_default());
-    info!("stream_taken_up", kv: { id, stream });
-    counter!("shallotwing_streams_taken_up_total").increment(1);
+    let software = software_name(admitted.pinned_software.as_ref());
+    let origin: &'static str = source.into();
+    info!("stream_taken_up", kv: { id, stream, software, origin });
+    counter!("shallotwing_streams_taken_up_total", "origin" => origin).increment(1);
 }
 
 /// Logs the outcome of an attempt at an endpoint, with the values that were expected.
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -10,7 +10,7 @@
 use std::cmp::Reverse;
 
 use sw_error::{Kind, Refusal};
-use sw_unit::{EndpointId, Millis, Time};
+use sw_unit::{EndpointId, Millis, RegionId, Time};
 
 use crate::cache::shared_prefix_key;
 use crate::registry::Endpoint;
@@ -38,6 +38,8 @@
 const CONNECTION_SHARE: f64 = 0.9;
 /// Shortest time after which a refused caller is asked to retry.
 const MIN_RETRY_AFTER: Millis = Millis(100);
+/// Retry delay for callers of streams that no endpoint can continue; they should not return.
+pub const HOPELESS_RETRY_AFTER: Millis = Millis(30_000);
 /// The longest retry delay is the caller's remaining time divided by this.
 const RETRY_AFTER_DIVISOR: u64 = 3;
 /// Factor on the limit up to which an urgent request is still offered to a coordinator. The load that other VMs know of
@@ -150,6 +152,7 @@
             return None;
         }
         let local = self.local_endpoints(&admitted.service);
+        let local = local.filter(|endpoint| admitted.may_run_at(&endpoint.entry));
         let available = local.filter(|endpoint| self.has_capacity(&endpoint.entry, &admitted.service, now));
         let available = available.filter(|endpoint| {
             self.rate_limit_admits(&endpoint.entry, admitted.is_urgent(), now)
@@ -264,6 +267,9 @@
 
     /// Returns the refusal of a request for which there is no endpoint now.
     fn refusal_without_endpoint(&mut self, admitted: &AdmittedRequest, history: &AttemptHistory, now: Time) -> Refusal {
+        if !self.has_pinned_endpoint(admitted) {
+            return Refusal::with_retry_after(Kind::StreamVersionGone, HOPELESS_RETRY_AFTER);
+        }
         let longest = longest_retry_after(admitted, now);
         if let Some(after) = self.rate_limited_return(admitted, longest, now) {
             return Refusal::with_retry_after(Kind::DeadlineUnreachable, after.max(MIN_RETRY_AFTER));
@@ -283,6 +289,26 @@
         until.min().map_or(0.0, |until| until.since(now).0 as f64)
     }
 
+    /// Returns whether a usable endpoint in any permitted region has the software version that the request is pinned to.
+    fn has_pinned_endpoint(&self, admitted: &AdmittedRequest) -> bool {
+        let regions = self.options.domain_regions.values();
+        admitted.pinned_software.is_none()
+            || regions
+                .filter(|region| admitted.route.permits(region))
+                .any(|region| self.may_run_in(admitted, region))
+    }
+
+    /// Returns whether a usable endpoint of a region has the software version that the request is pinned to, if any.
+    pub(crate) fn may_run_in(&self, admitted: &AdmittedRequest, region: &RegionId) -> bool {
+        if admitted.pinned_software.is_none() {
+            return true;
+        }
+        let mut usable = self.registry.usable(&admitted.service);
+        usable.any(|endpoint| {
+            self.region_of(&endpoint.entry.domain) == Some(region) && admitted.may_run_at(&endpoint.entry)
+        })
+    }
+
     fn is_in_backoff(&self, endpoint: &EndpointEntry, now: Time) -> bool {
         self.loads.get(&endpoint.id).is_some_and(|load| load.is_in_backoff(now))
     }
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -82,6 +82,7 @@
             } else {
                 Vec::new()
             },
+            versions: if agree { Vec::new() } else { self.versions.reports(now) },
         }
     }
 
@@ -105,6 +106,9 @@
             self.rate_limits.on_peer(&limit.endpoint, limit.state, transit, now);
         }
         self.on_crash_reports(&heartbeat.crashes, &heartbeat.answered_parts, false, now);
+        for report in &heartbeat.versions {
+            self.versions.merge(report, now);
+        }
         let is_direct = heartbeat.from.domain != self.options.local.domain;
         let changed = self.members.on_heartbeat(heartbeat.from, now);
         for view in heartbeat.domains {
--- a/crates/sw-relay/src/heartbeat.rs
+++ b/crates/sw-relay/src/heartbeat.rs
@@ -8,7 +8,7 @@
 use sw_member::VmRow;
 use sw_unit::{DomainId, EndpointId, Incarnation, Millis, RegionId, VmId};
 
-use crate::{AnsweredPart, CachedPart, CrashReport, EndpointRateLimit, ServiceId};
+use crate::{AnsweredPart, CachedPart, CrashReport, EndpointRateLimit, ServiceId, ServiceVersions};
 
 /// Load that one VM, or all VMs of one failure domain, put on an endpoint.
 #[derive(Debug, Clone, PartialEq)]
@@ -104,4 +104,6 @@
     pub crashes: Vec<CrashReport>,
     /// Suspected prompt parts that were answered completely; empty between domains.
     pub answered_parts: Vec<AnsweredPart>,
+    /// Software versions that the sender has seen registered, if the receiver may be new.
+    pub versions: Vec<ServiceVersions>,
 }
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -35,14 +35,17 @@
 mod slow_start;
 mod spill;
 mod stall;
+mod stream_origin;
 mod table;
 mod token_bucket;
 mod types;
+mod version_history;
 mod watcher;
 
 pub use attempt::{Attempt, AttemptOutcome};
 pub use cache::PromptCache;
 pub use cache_directory::CachedPart;
+pub use choose::HOPELESS_RETRY_AFTER;
 pub use coordinator::{Coordinator, Grant, QueueEstimate, Reservation, ReservationUpdate};
 pub use crash_evidence::{AnsweredPart, CrashReport};
 pub use exchange::EntryQuery;
@@ -58,9 +61,11 @@
 pub use relay::{AdmittedRequest, Options, Relay};
 pub use slow_start::{SlowStart, SlowStartShare};
 pub use stall::StallDetector;
+pub use stream_origin::StreamOrigin;
 pub use table::{CallerLimits, EngineSpec, Route, RouteKind, RouteTable, Service, Target};
 pub use types::{
     EndpointEntry, EndpointReport, LoadReport, PartId, Prompt, PromptPart, RequestHead, Resumption, ServiceId,
     SoftwareVersion, StoreRecord,
 };
+pub use version_history::{ServiceVersions, SoleVersion, VersionAge};
 pub use watcher::StoreSource;
--- a/crates/sw-relay/src/registry.rs
+++ b/crates/sw-relay/src/registry.rs
@@ -167,6 +167,18 @@
         self.endpoints.values().filter(usable)
     }
 
+    /// Returns all registered endpoints.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values()
+    }
+
+    /// Returns all registered endpoints of a service, usable or not.
+    pub(crate) fn of_service(&self, service: &ServiceId) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints
+            .values()
+            .filter(move |endpoint| endpoint.entry.service == *service)
+    }
+
     /// Returns whether requests may be sent to this incarnation of an endpoint: it is the registered one, usable, and
     /// does not reject requests of this VM.
     pub fn may_send(&self, entry: &EndpointEntry, now: Time) -> bool {
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -17,9 +17,11 @@
 use crate::region::RemoteRegions;
 use crate::registry::Endpoint;
 use crate::retry::RecentRequests;
+use crate::stream_origin::StreamOrigins;
+use crate::version_history::VersionHistory;
 use crate::{
     Attempt, AttemptOutcome, EndpointEntry, EndpointReport, EndpointTracker, LatencyModel, PartId, PrefillPlan, Prompt,
-    Registry, RequestHead, Route, RouteTable, Service, ServiceId, SlowStartShare, StoreRecord,
+    Registry, RequestHead, Route, RouteTable, Service, ServiceId, SlowStartShare, SoftwareVersion, StoreRecord,
 };
 
 /// Factor by which the count of recent requests decays at each tick.
@@ -71,6 +73,8 @@
     pub forwarded: bool,
     /// Whether it resumes a stream that another endpoint started, so that it is worth finishing even if late.
     pub resumed: bool,
+    /// The only software version at which it may run, because that version began the stream that it continues.
+    pub pinned_software: Option<SoftwareVersion>,
     /// The version of the configuration that admitted it.
     pub config_version: sw_unit::Version,
 }
@@ -81,6 +85,12 @@
         self.route.priority == 0
     }
 
+    /// Returns whether the request may run at the software version of an endpoint.
+    pub(crate) fn may_run_at(&self, endpoint: &EndpointEntry) -> bool {
+        let pinned = self.pinned_software.as_ref();
+        pinned.is_none_or(|pinned| endpoint.software.as_ref() == Some(pinned))
+    }
+
     /// Returns the time until the final response is due.
     pub fn remaining(&self, now: Time) -> Millis {
         self.due.since(now)
@@ -111,6 +121,10 @@
     pub(crate) rate_limits: RateLimits,
     pub(crate) rate_limiter: RateLimiter,
     pub(crate) quarantine: Quarantine,
+    /// Software versions of the services.
+    pub(crate) versions: VersionHistory,
+    /// Software versions that began streams.
+    pub(crate) origins: StreamOrigins,
     /// Unresponsive coordinators, with the time until which they are not asked.
     pub(crate) unresponsive: IndexMap<VmId, Time>,
     /// Failed watchers of the store, with the time until which they are not used.
@@ -141,6 +155,8 @@
             rate_limits: RateLimits::default(),
             rate_limiter: RateLimiter::default(),
             quarantine: Quarantine::default(),
+            versions: VersionHistory::default(),
+            origins: StreamOrigins::default(),
             unresponsive: IndexMap::new(),
             failed_watchers: IndexMap::new(),
             budgets: IndexMap::new(),
@@ -204,6 +220,8 @@
         self.cache_directory.prune(now);
         let expired = self.registry.expire(now);
         self.update_quarantine(now);
+        self.record_versions(now);
+        self.origins.prune(now);
         self.assign_coordinators(now);
         self.failed_watchers.retain(|_, until| *until > now);
         self.rate_limits
@@ -246,7 +264,8 @@
             max_attempts: route.max_attempts.max(1),
             received_at,
             forwarded,
-            resumed: false,
+            resumed: head.resumption.is_some(),
+            pinned_software: None,
             config_version: table.version,
         })
     }
@@ -265,7 +284,7 @@
         if !self.registry.may_send(endpoint, now) || !self.slow_start_allows(endpoint, now) {
             return None;
         }
-        if self.quarantined_part(admitted, now).is_some() {
+        if self.quarantined_part(admitted, now).is_some() || !admitted.may_run_at(endpoint) {
             return None;
         }
         let token_taken_at = self.obtain_token(endpoint, grant, admitted.is_urgent(), now);
@@ -496,6 +515,7 @@
             self.cache_directory.remove_endpoint(&entry.id);
             self.on_registered_incarnation_ended(&entry.id, now);
         }
+        self.versions.record(&entry, now);
         self.registry.apply(entry, now)
     }
 
--- a/crates/sw-relay/src/spill.rs
+++ b/crates/sw-relay/src/spill.rs
@@ -37,6 +37,7 @@
         let uncached_ms = self.uncached_ms(admitted);
         let regions = self.regions.iter();
         let permitted = regions.filter(|(region, _)| admitted.route.permits(region) && !history.is_full(region));
+        let permitted = permitted.filter(|(region, _)| self.may_run_in(admitted, region));
         let reachable = permitted.filter(|(region, _)| self.live_peers_in(region, history, now).next().is_some());
         let expected = reachable.filter_map(|(region, state)| {
             let wait_ms = state.wait_ms(&admitted.service, now)?;
--- a/crates/sw-relay/src/table.rs
+++ b/crates/sw-relay/src/table.rs
@@ -70,6 +70,11 @@
 }
 
 impl Route {
+    /// Returns whether the service is one of the route's targets.
+    pub fn leads_to(&self, service: &ServiceId) -> bool {
+        self.targets.iter().any(|target| target.service == *service)
+    }
+
     /// Returns whether requests may run in `region`.
     pub fn permits(&self, region: &RegionId) -> bool {
         self.regions.is_empty() || self.regions.contains(region)
--- /dev/null
+++ b/crates/sw-relay/src/version_history.rs
@@ -0,0 +1,192 @@
+//! Which software versions of a service have served.
+//!
+//! A stream may go on only at the software version that began it. If a VM does not know which one that was, it may still
+//! conclude it: if only one version has served for as long as a stream can live. For that each VM records which
+//! versions were registered, and a VM that has just started takes over what the others recorded.
+
+use indexmap::IndexMap;
+use sw_unit::{Millis, Time};
+
+use crate::{EndpointEntry, Relay, ServiceId, SoftwareVersion};
+
+/// Time after the timeout of its route after which a stream can no longer be taken up, including the time in which VMs
+/// learn that an endpoint has left.
+const STREAM_MARGIN: Millis = Millis(10_000);
+/// Lifetime of a stream of a service that no route leads to.
+const DEFAULT_STREAM_LIFE: Millis = Millis(30_000);
+/// Time for which a version is remembered that is no longer registered.
+const VERSION_KEPT_FOR: Millis = Millis(600_000);
+/// Maximum number of versions that are remembered of a service.
+const MAX_VERSIONS: usize = 32;
+
+/// A software version, and when it was last registered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VersionAge {
+    /// The version; `None` for endpoints that do not state one.
+    pub software: Option<SoftwareVersion>,
+    /// Time since an endpoint of the version was registered.
+    pub age: Millis,
+}
+
+/// The only software version of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SoleVersion {
+    /// This version.
+    Stated(SoftwareVersion),
+    /// Endpoints do not state their versions.
+    Unstated,
+}
+
+/// The software versions of a service, as VMs report them to each other.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceVersions {
+    /// The service.
+    pub service: ServiceId,
+    /// Time for which the sender, or a VM that it learned from, has followed the registrations.
+    pub observed_for: Millis,
+    /// Its versions.
+    pub versions: Vec<VersionAge>,
+}
+
+/// What a VM knows of the software versions of a service.
+#[derive(Debug, Clone)]
+struct ServiceHistory {
+    observed_since: Time,
+    /// When an endpoint of each version was last registered.
+    last_registered: IndexMap<Option<SoftwareVersion>, Time>,
+}
+
+/// The software versions of all services.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct VersionHistory {
+    services: IndexMap<ServiceId, ServiceHistory>,
+}
+
+impl VersionHistory {
+    /// Records that an endpoint is registered.
+    pub(crate) fn record(&mut self, entry: &EndpointEntry, now: Time) {
+        let history = self.history(&entry.service, now);
+        history.record(entry.software.clone(), now);
+    }
+
+    /// Merges what another VM knows.
+    pub(crate) fn merge(&mut self, report: &ServiceVersions, now: Time) {
+        let history = self.history(&report.service, now);
+        history.observed_since = history.observed_since.min(now - report.observed_for);
+        for version in &report.versions {
+            history.record(version.software.clone(), now - version.age);
+        }
+    }
+
+    /// Returns what this VM knows, to report it to another VM.
+    pub(crate) fn reports(&self, now: Time) -> Vec<ServiceVersions> {
+        let reports = self.services.iter().map(|(service, history)| ServiceVersions {
+            service: service.clone(),
+            observed_for: now.since(history.observed_since),
+            versions: history.versions(now).collect(),
+        });
+        reports.collect()
+    }
+
+    /// Returns whether several versions, or versions that are not stated, were registered within `life`.
+    pub(crate) fn is_mixed(&self, service: &ServiceId, life: Millis, now: Time) -> bool {
+        let history = self.services.get(service);
+        history.is_some_and(|history| history.within(life, now).count() > 1)
+    }
+
+    /// Returns the only version that was registered within `life`, if this VM can tell.
+    pub(crate) fn sole(&self, service: &ServiceId, life: Millis, now: Time) -> Option<SoleVersion> {
+        let history = self.services.get(service)?;
+        if now.since(history.observed_since) < life {
+            return None;
+        }
+        history.only_version(life, now)
+    }
+
+    /// Forgets versions that left long ago.
+    pub(crate) fn prune(&mut self, now: Time) {
+        for history in self.services.values_mut() {
+            history
+                .last_registered
+                .retain(|_, at| now.since(*at) < VERSION_KEPT_FOR);
+        }
+    }
+
+    fn history(&mut self, service: &ServiceId, now: Time) -> &mut ServiceHistory {
+        self.services.entry(service.clone()).or_insert_with(|| ServiceHistory {
+            observed_since: now,
+            last_registered: IndexMap::new(),
+        })
+    }
+}
+
+impl ServiceHistory {
+    fn record(&mut self, software: Option<SoftwareVersion>, at: Time) {
+        if let Some(known) = self.last_registered.get_mut(&software) {
+            *known = at.max(*known);
+        } else if self.last_registered.len() < MAX_VERSIONS {
+            self.last_registered.insert(software, at);
+        }
+    }
+
+    fn versions(&self, now: Time) -> impl Iterator<Item = VersionAge> + '_ {
+        self.last_registered.iter().map(move |(software, at)| VersionAge {
+            software: software.clone(),
+            age: now.since(*at),
+        })
+    }
+
+    fn within(&self, life: Millis, now: Time) -> impl Iterator<Item = &Option<SoftwareVersion>> {
+        let recent = self
+            .last_registered
+            .iter()
+            .filter(move |(_, at)| now.since(**at) < life);
+        recent.map(|(software, _)| software)
+    }
+
+    fn only_version(&self, life: Millis, now: Time) -> Option<SoleVersion> {
+        let mut within = self.within(life, now);
+        let only = match within.next()? {
+            Some(software) => SoleVersion::Stated(software.clone()),
+            None => SoleVersion::Unstated,
+        };
+        within.next().is_none().then_some(only)
+    }
+}
+
+impl Relay {
+    /// Returns the only software version of a service that can have begun a stream that still lives, if this VM can
+    /// tell.
+    pub fn sole_software(&self, service: &ServiceId, now: Time) -> Option<SoleVersion> {
+        self.versions.sole(service, self.stream_life(service), now)
+    }
+
+    /// Returns the services of which streams of several software versions may live.
+    pub(crate) fn mixed_services(&self, now: Time) -> Vec<ServiceId> {
+        let services = self.versions.services.keys();
+        let mixed = services.filter(|service| self.versions.is_mixed(service, self.stream_life(service), now));
+        mixed.cloned().collect()
+    }
+
+    /// Returns whether no endpoint of a service states its software version.
+    pub fn is_unversioned(&self, service: &ServiceId) -> bool {
+        let mut endpoints = self.registry.of_service(service).peekable();
+        endpoints.peek().is_some() && endpoints.all(|endpoint| endpoint.entry.software.is_none())
+    }
+
+    /// Records the versions that are registered now.
+    pub(crate) fn record_versions(&mut self, now: Time) {
+        for endpoint in self.registry.all() {
+            self.versions.record(&endpoint.entry, now);
+        }
+        self.versions.prune(now);
+    }
+
+    /// Returns the time for which a stream of a service can live, and be taken up again.
+    fn stream_life(&self, service: &ServiceId) -> Millis {
+        let routes = self.table.iter().flat_map(|table| table.routes());
+        let leading = routes.filter(|route| route.leads_to(service));
+        let longest = leading.map(|route| route.timeout).max();
+        longest.map_or(DEFAULT_STREAM_LIFE, |longest| longest + STREAM_MARGIN)
+    }
+}
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -239,6 +239,7 @@
         rate_limits: Vec::new(),
         crashes: Vec::new(),
         answered_parts: Vec::new(),
+        versions: Vec::new(),
         from,
     }
 }
