fix(proxy): streams of both versions go on after all VMs were killed

Cause: what began a stream was known to VMs only, and a VM that starts has followed the registrations for too short to conclude it.

The other VMs do not follow the origins. A write that was not confirmed is repeated. A version leaves the record only when a VM has followed the registrations for as long as a stream can live.

Weighed: a write by each VM (195 writers, and each write wakes the watchers), no store at all (what the rule forbids to refuse), holding back servers of a version that is not in the record yet (costs callers the first second of each release).

--- a/crates/sw-proxy/src/lib.rs
+++ b/crates/sw-proxy/src/lib.rs
@@ -15,6 +15,7 @@
 mod listener;
 mod options;
 mod peer;
+mod persist;
 mod proxy;
 mod records;
 mod request;
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -9,7 +9,9 @@
 use hyper::{Method, Request, Uri};
 use sw_error::{Kind, Refusal};
 use sw_peer::relay::{RelayCall, RelayEvent, RelayHandler, WatchOutcome};
-use sw_relay::{Grant, Heartbeat, QueueEstimate, Reservation, ReservationUpdate, SoftwareVersion, StreamOrigin};
+use sw_relay::{
+    Grant, Heartbeat, QueueEstimate, Reservation, ReservationUpdate, SoftwareVersion, StreamOrigin, Telling,
+};
 use sw_store::Snapshot;
 use sw_unit::EndpointId;
 use tokio::sync::mpsc;
@@ -69,7 +71,7 @@
     fn on_origins(&self, origins: Vec<StreamOrigin>) {
         let mut relay = self.0.relay.borrow_mut();
         for origin in origins {
-            relay.record_origin(origin, false, self.0.now());
+            relay.record_origin(origin, Telling::Unwritten, self.0.now());
         }
     }
 
--- a/crates/sw-proxy/src/records.rs
+++ b/crates/sw-proxy/src/records.rs
@@ -4,8 +4,8 @@
 use sw_relay::StoreRecord;
 use sw_store::Change;
 
-use crate::Dialect;
 use crate::state::ProxyState;
+use crate::{Dialect, persist};
 
 /// Applies changes of the store that were received from `source`.
 pub(crate) fn apply<D: Dialect, F>(state: &ProxyState<D, F>, changes: &[Change], source: &str) {
@@ -16,7 +16,7 @@
             Change::Put(item) => (&item.key, Some(item.value.as_slice())),
             Change::Removed { key, .. } => (key, None),
         };
-        let record = state.dialect.decode_record(key, value);
+        let record = persist::decode(key, value).unwrap_or_else(|| state.dialect.decode_record(key, value));
         if let StoreRecord::Malformed { reason, .. } = &record {
             let (key, reason) = (key.as_str(), reason.as_str());
             warn!("store_item_unreadable", kv: { key, revision, reason });
@@ -62,6 +62,11 @@
             let state = if *on { "evacuated" } else { "open" };
             Some(("failure_domain", domain.to_string(), state.to_owned()))
         }
-        StoreRecord::Malformed { endpoint: None, .. } | StoreRecord::Other => None,
+        StoreRecord::Software(services) => {
+            let versions = services.iter().map(|record| record.versions.len()).max();
+            let state = format!("{} at most", versions.unwrap_or_default());
+            Some(("software_versions", String::new(), state))
+        }
+        StoreRecord::Origins(_) | StoreRecord::Malformed { endpoint: None, .. } | StoreRecord::Other => None,
     }
 }
--- a/crates/sw-proxy/src/resumption.rs
+++ b/crates/sw-proxy/src/resumption.rs
@@ -7,7 +7,9 @@
 use futures::stream::{FuturesUnordered, StreamExt as _};
 use strum::IntoStaticStr;
 use sw_error::{Kind, Refusal};
-use sw_relay::{AdmittedRequest, HOPELESS_RETRY_AFTER, Resumption, SoftwareVersion, SoleVersion, StreamOrigin};
+use sw_relay::{
+    AdmittedRequest, HOPELESS_RETRY_AFTER, Resumption, SoftwareVersion, SoleVersion, StreamOrigin, Telling,
+};
 use sw_unit::Millis;
 
 use crate::state::ProxyState;
@@ -16,7 +18,7 @@
 /// Timeout of the calls that ask other VMs for the version that began a stream.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which origins are gathered before other VMs are told.
-const TELL_DELAY: Duration = Duration::from_millis(50);
+const TELL_DELAY: Duration = Duration::from_millis(150);
 /// Time since the last news of the store for which this VM can tell that no other version has served.
 const MAX_STORE_AGE: Millis = Millis(5_500);
 
@@ -59,7 +61,7 @@
         telemetry::log_taken_up(admitted, resumption, source);
         // The caller may take it up once more, at another VM.
         let now = state.now();
-        state.relay.borrow_mut().record_origin(origin, true, now);
+        state.relay.borrow_mut().record_origin(origin, Telling::Untold, now);
         tell_origins(state);
         return Ok(());
     }
--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -15,13 +15,15 @@
 use sw_unit::{Millis, VmId};
 
 use crate::state::ProxyState;
-use crate::{Dialect, records};
+use crate::{Dialect, persist, records};
 
 /// Long-poll timeout for changes.
 const WATCH_WAIT: Duration = Duration::from_secs(4);
 /// Long-poll timeout for a watcher with followers and for the followers themselves; short, so that followers soon
 /// notice that their watcher cannot reach the store.
 const SHORT_WATCH_WAIT: Duration = Duration::from_secs(1);
+/// Time within which a response to a call that waits for changes is early.
+const EARLY_RESPONSE: Millis = Millis(500);
 /// Time without a response of the store after which the mirror of a watcher is not current.
 const STALE_AFTER: Millis = Millis(2_000);
 /// Time after the end of a store outage during which it is reported to followers.
@@ -68,7 +70,7 @@
 
 /// Makes one call to the store, and returns whether the mirror is complete up to its revision.
 async fn poll_store<D: Dialect, F: Feed>(state: &ProxyState<D, F>, is_complete: bool, is_watcher: bool) -> bool {
-    let revision = state.mirror.borrow().revision();
+    let (revision, called_at) = (state.mirror.borrow().revision(), state.now());
     let has_followers = is_watcher && state.relay.borrow().has_followers(state.now());
     let result = match (is_complete, has_followers) {
         (false, _) => read_all(state).await,
@@ -80,7 +82,9 @@
             state.store_responded_at.set(Some(state.now()));
             on_store_response(state);
             records::apply(state, &changes, "store");
-            if is_complete && !changes.is_empty() {
+            // Changes that this VM does not follow end the wait as well.
+            let is_early = state.now().since(called_at) < EARLY_RESPONSE;
+            if is_complete && (is_early || !changes.is_empty()) {
                 tokio::time::sleep(batch_delay(state, is_watcher)).await;
             }
             true
@@ -222,7 +226,8 @@
     revision: u64,
     wait: Duration,
 ) -> Result<Vec<Change>, FeedError> {
-    let changes = state.feed.changes(revision, wait).await?;
+    let mut changes = state.feed.changes(revision, wait).await?;
+    changes.changes.retain(|change| !persist::is_origin_change(change));
     let mut mirror = state.mirror.borrow_mut();
     Ok(mirror.apply(changes.changes, changes.revision))
 }
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -61,11 +61,11 @@
 pub use relay::{AdmittedRequest, Options, Relay};
 pub use slow_start::{SlowStart, SlowStartShare};
 pub use stall::StallDetector;
-pub use stream_origin::StreamOrigin;
+pub use stream_origin::{StreamOrigin, Telling};
 pub use table::{CallerLimits, EngineSpec, Route, RouteKind, RouteTable, Service, Target};
 pub use types::{
     EndpointEntry, EndpointReport, LoadReport, PartId, Prompt, PromptPart, RequestHead, Resumption, ServiceId,
     SoftwareVersion, StoreRecord,
 };
-pub use version_history::{ServiceVersions, SoleVersion, VersionAge};
+pub use version_history::{ServiceSoftware, ServiceVersions, SoleVersion, VersionAge};
 pub use watcher::StoreSource;
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -22,6 +22,7 @@
 use crate::{
     Attempt, AttemptOutcome, EndpointEntry, EndpointReport, EndpointTracker, LatencyModel, PartId, PrefillPlan, Prompt,
     Registry, RequestHead, Route, RouteTable, Service, ServiceId, SlowStartShare, SoftwareVersion, StoreRecord,
+    Telling,
 };
 
 /// Factor by which the count of recent requests decays at each tick.
@@ -192,6 +193,16 @@
                 self.remove_endpoint(&id, now)
             }
             StoreRecord::Evacuated(domain, on) => self.registry.set_evacuated(domain, on),
+            StoreRecord::Software(services) => {
+                self.versions.on_recorded(services, now);
+                true
+            }
+            StoreRecord::Origins(origins) => {
+                for origin in origins {
+                    self.record_origin(origin, Telling::Told, now);
+                }
+                true
+            }
             StoreRecord::Malformed { endpoint: None, .. } | StoreRecord::Other => false,
         }
     }
--- a/crates/sw-relay/src/stream_origin.rs
+++ b/crates/sw-relay/src/stream_origin.rs
@@ -1,10 +1,10 @@
 //! Which software version began a stream.
 //!
 //! A caller whose stream broke off may take it up at any VM of any region. The VM that relayed the first event knows
-//! the version that began the stream. While streams of several versions of a service may live, it tells two other VMs,
-//! one in its region and one in another, which all VMs compute alike from the id of the stream; a VM that is
-//! asked to go on with a stream that it does not know asks these. A version that is not known is not assumed: the
-//! caller is refused.
+//! the version that began the stream. While streams of several versions of a service may live, it tells two other VMs:
+//! the one of its region that writes origins to the store, and one of another region. All VMs compute these alike, and a VM
+//! that is asked to go on with a stream that it does not know asks them. A version that is not known is not assumed:
+//! the caller is refused.
 
 use std::cmp::Reverse;
 use std::net::SocketAddr;
@@ -20,8 +20,10 @@
 const ORIGIN_KEPT_FOR: Millis = Millis(60_000);
 /// Maximum number of streams whose origin is remembered; the oldest are dropped.
 const MAX_ORIGINS: usize = 16_384;
-/// VMs of each region that are asked for an origin: the one that was told, and the next one if VMs joined or left.
-const ASKED_PER_REGION: usize = 2;
+/// Writers of each region that are asked for an origin: the first one, and the next one if VMs joined or left.
+const ASKED_WRITERS: usize = 2;
+/// Key by which the VMs of a region are ranked as writers.
+const WRITER_KEY: &str = "writer";
 
 /// The software version that began a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,8 +41,18 @@
     service: ServiceId,
     software: SoftwareVersion,
     known_since: Time,
-    /// Whether other VMs must be told if several versions serve.
-    untold: bool,
+    telling: Telling,
+}
+
+/// Who must still learn of an origin while several versions serve.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Telling {
+    /// Nobody.
+    Told,
+    /// The store, if this VM writes for its region.
+    Unwritten,
+    /// Two other VMs, and the store.
+    Untold,
 }
 
 impl KnownOrigin {
@@ -60,7 +72,7 @@
 }
 
 impl StreamOrigins {
-    fn record(&mut self, origin: StreamOrigin, untold: bool, now: Time) {
+    fn record(&mut self, origin: StreamOrigin, telling: Telling, now: Time) {
         if self.known.len() >= MAX_ORIGINS {
             self.known.shift_remove_index(0);
         }
@@ -68,18 +80,18 @@
             service: origin.service,
             software: origin.software,
             known_since: now,
-            untold,
+            telling,
         };
         // The first event counts; a stream has one origin.
         self.known.entry(origin.stream).or_insert(known);
     }
 
-    /// Returns the origins of these services that other VMs were not told, which they are then.
-    fn take_untold(&mut self, services: &[ServiceId]) -> Vec<StreamOrigin> {
+    /// Returns the origins of these services in the state `from`, and moves them to the state `to`.
+    fn take(&mut self, services: &[ServiceId], from: Telling, to: Telling) -> Vec<StreamOrigin> {
         let known = self.known.iter_mut();
-        let untold = known.filter(|(_, known)| known.untold && services.contains(&known.service));
-        let taken = untold.map(|(stream, known)| {
-            known.untold = false;
+        let pending = known.filter(|(_, known)| known.telling == from && services.contains(&known.service));
+        let taken = pending.map(|(stream, known)| {
+            known.telling = to;
             known.origin_of(stream)
         });
         taken.collect()
@@ -103,12 +115,12 @@
             service: admitted.service.clone(),
             software: software.clone(),
         };
-        self.origins.record(origin, true, now);
+        self.origins.record(origin, Telling::Untold, now);
     }
 
-    /// Records an origin that another VM knows. If `untold`, this VM will tell it to others.
-    pub fn record_origin(&mut self, origin: StreamOrigin, untold: bool, now: Time) {
-        self.origins.record(origin, untold, now);
+    /// Records an origin that another VM knows.
+    pub fn record_origin(&mut self, origin: StreamOrigin, telling: Telling, now: Time) {
+        self.origins.record(origin, telling, now);
     }
 
     /// Returns the origin of a stream, if this VM knows it.
@@ -124,7 +136,7 @@
         if mixed.is_empty() {
             return told;
         }
-        for origin in self.origins.take_untold(&mixed) {
+        for origin in self.origins.take(&mixed, Telling::Untold, Telling::Unwritten) {
             for row in self.origin_holders(&origin.stream, now) {
                 told.entry(row.peer_listen).or_default().push(origin.clone());
             }
@@ -132,31 +144,57 @@
         told
     }
 
+    /// Returns the origins to write to the store, if this VM writes for its region.
+    pub fn take_unwritten_origins(&mut self, now: Time) -> Vec<StreamOrigin> {
+        let mixed = self.mixed_services(now);
+        if mixed.is_empty() || !self.writes_for_region(now) {
+            return Vec::new();
+        }
+        self.origins.take(&mixed, Telling::Unwritten, Telling::Told)
+    }
+
+    /// Records that an origin could not be written to the store, so that it is written again.
+    pub fn on_origin_not_written(&mut self, stream: &str) {
+        if let Some(known) = self.origins.known.get_mut(stream) {
+            known.telling = known.telling.max(Telling::Unwritten);
+        }
+    }
+
+    /// Returns whether this VM writes to the store for its region.
+    pub(crate) fn writes_for_region(&self, now: Time) -> bool {
+        let local = self.members.local();
+        let score = |row: &VmRow| rendezvous_score(WRITER_KEY, row.vm.as_str());
+        let first = self.ranked_vms(WRITER_KEY, &local.region, now).into_iter().next();
+        !self.is_joining(now) && first.is_none_or(|first| score(&first) < score(local))
+    }
+
     /// Returns the addresses of the VMs to ask for the origin of a stream.
     pub fn vms_to_ask(&self, stream: &str, now: Time) -> Vec<SocketAddr> {
         let regions: IndexSet<_> = self.options.domain_regions.values().collect();
-        let ranked = regions
-            .into_iter()
-            .flat_map(|region| self.ranked_vms(stream, region, now).into_iter().take(ASKED_PER_REGION));
-        ranked.map(|row| row.peer_listen).collect()
+        let asked = regions.into_iter().flat_map(|region| {
+            let writers = self.ranked_vms(WRITER_KEY, region, now).into_iter().take(ASKED_WRITERS);
+            writers.chain(self.ranked_vms(stream, region, now).into_iter().take(1))
+        });
+        let asked: IndexSet<_> = asked.map(|row| row.peer_listen).collect();
+        asked.into_iter().collect()
     }
 
-    /// Returns the VMs that are told the origin of a stream: the first one of this region and of another one.
+    /// Returns the VMs that are told the origin of a stream: the writer of this region and one VM of another.
     fn origin_holders(&self, stream: &str, now: Time) -> Vec<VmRow> {
         let local = &self.options.local.region;
         let regions: IndexSet<_> = self.options.domain_regions.values().collect();
         let mut others: Vec<_> = regions.into_iter().filter(|region| *region != local).collect();
         others.sort_by_key(|region| rendezvous_score(stream, region.as_str()));
-        let first = |region: &RegionId| self.ranked_vms(stream, region, now).into_iter().next();
-        let remote = others.into_iter().find_map(first);
-        first(local).into_iter().chain(remote).collect()
+        let first = |key: &str, region: &RegionId| self.ranked_vms(key, region, now).into_iter().next();
+        let remote = others.into_iter().find_map(|region| first(stream, region));
+        first(WRITER_KEY, local).into_iter().chain(remote).collect()
     }
 
-    /// Returns the other live VMs of a region in the order in which they hold a stream's origin.
-    fn ranked_vms(&self, stream: &str, region: &RegionId, now: Time) -> Vec<VmRow> {
+    /// Returns the other live VMs of a region, ranked by `key`.
+    fn ranked_vms(&self, key: &str, region: &RegionId, now: Time) -> Vec<VmRow> {
         let peers = self.members.peers().filter(|row| row.region == *region);
         let mut live: Vec<_> = peers.filter(|row| self.is_live(&row.vm, now)).cloned().collect();
-        live.sort_by_cached_key(|row| Reverse(rendezvous_score(stream, row.vm.as_str())));
+        live.sort_by_cached_key(|row| Reverse(rendezvous_score(key, row.vm.as_str())));
         live
     }
 }
--- a/crates/sw-relay/src/types.rs
+++ b/crates/sw-relay/src/types.rs
@@ -7,7 +7,7 @@
 
 use sw_unit::{DomainId, EndpointId, Incarnation, Millis, Tokens};
 
-use crate::RouteTable;
+use crate::{RouteTable, ServiceSoftware, StreamOrigin};
 
 /// Maximum length of a service name in bytes.
 const MAX_SERVICE_LEN: usize = 200;
@@ -235,6 +235,10 @@
     Endpoint(EndpointId, Option<EndpointEntry>),
     /// Whether a failure domain is evacuated, so that its endpoints get no requests.
     Evacuated(DomainId, bool),
+    /// The software versions that VMs of this gateway have recorded.
+    Software(Vec<ServiceSoftware>),
+    /// Origins of streams that VMs of this gateway have recorded.
+    Origins(Vec<StreamOrigin>),
     /// The value cannot be decoded; a malformed registration counts as removed.
     Malformed {
         /// The endpoint, if the key is a registration.
--- a/crates/sw-relay/src/version_history.rs
+++ b/crates/sw-relay/src/version_history.rs
@@ -4,7 +4,7 @@
 //! conclude it: if only one version has served for as long as a stream can live. For that each VM records which
 //! versions were registered, and a VM that has just started takes over what the others recorded.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use sw_unit::{Millis, Time};
 
 use crate::{EndpointEntry, Relay, ServiceId, SoftwareVersion};
@@ -37,6 +37,15 @@
     Unstated,
 }
 
+/// The software versions of a service that may have begun streams that still live, as recorded in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceSoftware {
+    /// The service.
+    pub service: ServiceId,
+    /// Its versions; `None` for endpoints that do not state one.
+    pub versions: Vec<Option<SoftwareVersion>>,
+}
+
 /// The software versions of a service, as VMs report them to each other.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServiceVersions {
@@ -54,6 +63,8 @@
     observed_since: Time,
     /// When an endpoint of each version was last registered.
     last_registered: IndexMap<Option<SoftwareVersion>, Time>,
+    /// The versions that the store has recorded; `None` if it has no record.
+    recorded: Option<IndexSet<Option<SoftwareVersion>>>,
 }
 
 /// The software versions of all services.
@@ -78,6 +89,19 @@
         }
     }
 
+    /// Applies the record of the store. A version that this VM did not know counts as registered until now.
+    pub(crate) fn on_recorded(&mut self, services: Vec<ServiceSoftware>, now: Time) {
+        for ServiceSoftware { service, versions } in services {
+            let history = self.history(&service, now);
+            for software in &versions {
+                if !history.last_registered.contains_key(software) {
+                    history.record(software.clone(), now);
+                }
+            }
+            history.recorded = Some(versions.into_iter().collect());
+        }
+    }
+
     /// Returns what this VM knows, to report it to another VM.
     pub(crate) fn reports(&self, now: Time) -> Vec<ServiceVersions> {
         let reports = self.services.iter().map(|(service, history)| ServiceVersions {
@@ -97,7 +121,7 @@
     /// Returns the only version that was registered within `life`, if this VM can tell.
     pub(crate) fn sole(&self, service: &ServiceId, life: Millis, now: Time) -> Option<SoleVersion> {
         let history = self.services.get(service)?;
-        if now.since(history.observed_since) < life {
+        if now.since(history.observed_since) < life && history.recorded.is_none() {
             return None;
         }
         history.only_version(life, now)
@@ -116,11 +140,22 @@
         self.services.entry(service.clone()).or_insert_with(|| ServiceHistory {
             observed_since: now,
             last_registered: IndexMap::new(),
+            recorded: None,
         })
     }
 }
 
 impl ServiceHistory {
+    /// Returns the versions to record: those of the streams that may live. A version is only taken out of the record if
+    /// this VM has followed the registrations for long enough.
+    fn to_record(&self, life: Millis, now: Time) -> IndexSet<Option<SoftwareVersion>> {
+        let mut versions: IndexSet<_> = self.within(life, now).cloned().collect();
+        if now.since(self.observed_since) < life {
+            versions.extend(self.recorded.iter().flatten().cloned());
+        }
+        versions
+    }
+
     fn record(&mut self, software: Option<SoftwareVersion>, at: Time) {
         if let Some(known) = self.last_registered.get_mut(&software) {
             *known = at.max(*known);
@@ -168,6 +203,24 @@
         mixed.cloned().collect()
     }
 
+    /// Returns the software versions to record in the store, if the record is out of date and this VM writes it.
+    pub fn unrecorded_software(&self, now: Time) -> Option<Vec<ServiceSoftware>> {
+        if self.revision == 0 || !self.writes_for_region(now) {
+            return None;
+        }
+        let mut is_current = true;
+        let services = self.versions.services.iter().map(|(service, history)| {
+            let versions = history.to_record(self.stream_life(service), now);
+            is_current &= history.recorded.as_ref() == Some(&versions);
+            ServiceSoftware {
+                service: service.clone(),
+                versions: versions.into_iter().collect(),
+            }
+        });
+        let services: Vec<_> = services.collect();
+        (!is_current).then_some(services)
+    }
+
     /// Returns whether no endpoint of a service states its software version.
     pub fn is_unversioned(&self, service: &ServiceId) -> bool {
         let mut endpoints = self.registry.of_service(service).peekable();
--- a/crates/sw-store/src/feed.rs
+++ b/crates/sw-store/src/feed.rs
@@ -64,4 +64,11 @@
     ///
     /// Returns [`FeedError`].
     fn changes(&self, revision: u64, wait: Duration) -> impl Future<Output = Result<Changes, FeedError>>;
+
+    /// Writes an item, whatever it held before.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`]; after [`StoreError::Unknown`] it may be written, also some seconds later.
+    fn write(&self, key: &str, value: &[u8]) -> impl Future<Output = Result<(), StoreError>>;
 }
