test(daemon): the soak draws a deadly part, software versions, and kills of all VMs

Clients take broken streams up again at random VMs; servers are replaced by ones of another version; one resumable prompt in twenty crashes its server. Checked: at most two streams of two versions, and almost no deadly prompts 5 s after the faults end.

--- a/crates/shallotwing-daemon/tests/soak.rs
+++ b/crates/shallotwing-daemon/tests/soak.rs
@@ -16,13 +16,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::BodyExt as _;
 use rustix::process::{Pid, Signal, kill_process};
 use sw_http::{Connector, Reuse};
 use sw_standin::{Link, LinkState, free_address};
 use tokio::time::{Instant, sleep};
 
-use support::server::{EVENT_COUNT, ReceivedRequest, StandinServer};
+use support::server::{DeadlyPart, EVENT_COUNT, Instance, ReceivedRequest, StandinServer};
 use support::store::StandinStore;
 use support::{client, event_ids, registration, run};
 
@@ -47,6 +46,19 @@
 /// Time within which the requests under a limit are counted, and that from a VM's first response that names it.
 const LIMIT_SPAN: Duration = Duration::from_secs(4);
 const LIMIT_NOTICE: Duration = Duration::from_millis(500);
+/// Software versions of the servers.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+/// Number of streams that may hold events of two versions.
+const ALLOWED_MIXED: usize = 2;
+/// Part that crashes each server that begins to answer it, and the share of resumable prompts that have it.
+const DEADLY: &str = "dead";
+const DEADLY_SHARE: f64 = 0.05;
+/// Time without faults after which VMs are in touch, and that in which deadly prompts are counted then.
+const CONTACT: Duration = Duration::from_secs(5);
+const QUIET: Duration = Duration::from_secs(3);
+/// Number of deadly prompts that may reach servers in that time, if they have crashed often enough before.
+const ALLOWED_DEADLY: usize = 3;
+const KNOWN_CRASHES: usize = 5;
 /// Maximum time from SIGTERM to the exit of a process.
 const STOP_GRACE: Duration = Duration::from_secs(9);
 const PATHS: [&str; 21] = [
@@ -161,6 +173,10 @@
     servers: Vec<StandinServer>,
     vms: Vec<Vm>,
     records: Rc<RefCell<Vec<RequestRecord>>>,
+    /// Bodies of streams that broke off, each with what arrived when its client took it up again.
+    joined: Rc<RefCell<Vec<String>>>,
+    /// Number of instances that were started.
+    instances: u64,
     /// The limits that the servers name, and since when.
     limits: [Option<(f64, std::time::Instant)>; SERVERS.len()],
     rng: fastrand::Rng,
@@ -174,6 +190,11 @@
         let mut servers = Vec::new();
         for (name, region) in SERVERS {
             let server = StandinServer::start(name).await;
+            server.set_deadly_part(Some(DeadlyPart {
+                part: DEADLY,
+                store: store.clone(),
+                zone: region,
+            }));
             store.put(
                 &format!("servers/{name}"),
                 &registration(server.address, region, "ready"),
@@ -190,6 +211,8 @@
             servers,
             vms,
             records: Rc::default(),
+            joined: Rc::default(),
+            instances: 0,
             limits: [None; SERVERS.len()],
             rng: fastrand::Rng::with_seed(seed),
             version: 1,
@@ -200,7 +223,7 @@
     async fn inject_fault(&mut self) {
         let at = self.rng.usize(..self.vms.len());
         let vm = &mut self.vms[at];
-        match self.rng.u32(..13) {
+        match self.rng.u32(..16) {
             0 => {
                 vm.child.kill().expect("a child");
                 vm.child.wait().expect("a child");
@@ -227,6 +250,8 @@
             8 => self.store.compact(),
             10 => self.store.set_unresponsive(true),
             11 => self.toggle_limit(),
+            12 | 13 => self.replace_server(),
+            14 => self.kill_all(),
             9 => {
                 self.version += 1 + self.rng.u64(..3);
                 self.store.put_config(self.version);
@@ -235,6 +260,65 @@
         }
     }
 
+    /// Replaces a server by one with another id and perhaps another software version, at the same address.
+    fn replace_server(&mut self) {
+        let server = self.servers[self.rng.usize(..self.servers.len())].clone();
+        self.instances += 1;
+        let version = VERSIONS[self.rng.usize(..VERSIONS.len())];
+        self.store.remove(&format!("servers/{}", server.id()));
+        server.replace(Instance {
+            id: format!("{}-{}", server.name, self.instances),
+            version: version.to_owned(),
+        });
+    }
+
+    /// Kills all VMs at the same moment.
+    fn kill_all(&mut self) {
+        for vm in &mut self.vms {
+            vm.child.kill().expect("a child");
+        }
+        for vm in &mut self.vms {
+            vm.child.wait().expect("a child");
+            vm.restart();
+        }
+    }
+
+    /// Checks that streams hold events of one software version.
+    fn check_versions(&self) {
+        let mixed = |body: &&String| {
+            let lines = body.lines().filter_map(|line| line.strip_prefix("data: version "));
+            lines.collect::<std::collections::BTreeSet<_>>().len() > 1
+        };
+        let (records, joined) = (self.records.borrow(), self.joined.borrow());
+        let whole = records.iter().filter_map(|record| match &record.received {
+            Some((200, _, Ok(body))) => Some(body),
+            _ => None,
+        });
+        let mixed: Vec<_> = whole.chain(joined.iter()).filter(mixed).collect();
+        assert!(
+            mixed.len() <= ALLOWED_MIXED,
+            "{} streams of two versions: {mixed:?}",
+            mixed.len()
+        );
+    }
+
+    /// Checks that VMs in touch no longer send prompts with the part that crashed servers.
+    async fn check_deadly(&self) {
+        let crashes: usize = self.servers.iter().map(|server| server.crashes().len()).sum();
+        sleep(CONTACT).await;
+        let from = std::time::Instant::now();
+        sleep(QUIET).await;
+        let seen = self.seen();
+        let deadly = seen.iter().filter(|(_, request)| request.has_part(DEADLY));
+        let (before, late): (Vec<_>, Vec<_>) = deadly.partition(|(_, request)| request.received_at < from);
+        let known = before.len() >= KNOWN_CRASHES;
+        assert!(
+            !known || late.len() <= ALLOWED_DEADLY,
+            "{} deadly prompts in {QUIET:?} without faults, after {crashes} crashes",
+            late.len()
+        );
+    }
+
     /// Makes a server name a rate limit, or end it.
     fn toggle_limit(&mut self) {
         let server = self.rng.usize(..self.servers.len());
@@ -264,11 +348,12 @@
         let index = self.rng.usize(..self.servers.len());
         let server = &self.servers[index];
         let mut doc = registration(server.address, SERVERS[index].1, "draining");
+        doc["version"] = server.version().into();
         if self.rng.bool() {
             doc["state"] = "ready".into();
             doc["born"] = (1_000 + self.rng.u64(..1_000)).into();
         }
-        self.store.put(&format!("servers/{}", server.name), &doc);
+        self.store.put(&format!("servers/{}", server.id()), &doc);
     }
 
     fn heal(&mut self) {
@@ -285,10 +370,11 @@
 
     /// Registers all servers as ready, in new incarnations.
     fn restore_servers(&self) {
-        for (server, (name, region)) in self.servers.iter().zip(SERVERS) {
+        for (server, (_, region)) in self.servers.iter().zip(SERVERS) {
             let mut doc = registration(server.address, region, "ready");
             doc["born"] = 1_000_000.into();
-            self.store.put(&format!("servers/{name}"), &doc);
+            doc["version"] = server.version().into();
+            self.store.put(&format!("servers/{}", server.id()), &doc);
             server.set_limit(None);
         }
     }
@@ -375,40 +461,96 @@
     }
 }
 
-/// Sends requests to random VMs, reusing connections while they are open.
-async fn send_requests(addresses: Vec<SocketAddr>, records: Rc<RefCell<Vec<RequestRecord>>>, mut rng: fastrand::Rng) {
+/// A client that sends requests to random VMs, reusing connections while they are open.
+struct SoakClient {
+    addresses: Vec<SocketAddr>,
+    records: Rc<RefCell<Vec<RequestRecord>>>,
+    joined: Rc<RefCell<Vec<String>>>,
+    connector: Connector,
+    rng: fastrand::Rng,
+}
+
+impl SoakClient {
     const GAP: Duration = Duration::from_millis(25);
     const TIMEOUT: Duration = Duration::from_secs(3);
-    let connector = Connector::new(Duration::from_millis(500));
-    loop {
-        let listen = addresses[rng.usize(..addresses.len())];
-        let path = PATHS[rng.usize(..PATHS.len())];
-        let method = if path.starts_with("/read/") { "GET" } else { "POST" };
-        let id = client::next_id();
-        let mut received = None;
-        if let Ok(mut exchange) = connector.connect(listen, Reuse::Allowed).await {
-            let body = if method == "POST" { "five trolleys" } else { "" };
-            let request = client::request(&id, method, path, body, TIMEOUT);
-            if let Ok(response) = exchange.send(request, TIMEOUT + Duration::from_secs(1)).await {
-                let (head, body) = response.into_parts();
-                let body = tokio::time::timeout(TIMEOUT, body.collect()).await;
-                let body = body.map_err(|late| late.to_string());
-                let body = body.and_then(|body| body.map_err(|error| error.to_string()));
-                let complete = body.is_ok();
-                let body = body.map(|body| String::from_utf8_lossy(&body.to_bytes()).into_owned());
-                let closes = head.headers.get("connection").is_some_and(|value| value == "close");
-                received = Some((
-                    head.status.as_u16(),
-                    head.headers.contains_key("x-response-stamp"),
-                    body,
-                ));
-                if complete && !closes {
-                    exchange.give_back();
+    /// How often a stream that broke off is taken up.
+    const TAKE_UPS: u32 = 3;
+
+    async fn run(mut self) {
+        loop {
+            let path = PATHS[self.rng.usize(..PATHS.len())];
+            let id = client::next_id();
+            let mut request = Self::request(&id, path);
+            if path.starts_with("/resumable/") && self.rng.f64() < DEADLY_SHARE {
+                client::set_parts(&mut request, &format!("5c1e07a2:800,{DEADLY}:200,1{}:400", &id[1..]));
+            }
+            let received = self.send(request).await;
+            if path.starts_with("/resumable/")
+                && let Some((200, _, Err(part))) = &received
+                && part.contains("\n\n")
+            {
+                self.take_up(&id, path, part.clone()).await;
+            }
+            self.records.borrow_mut().push(RequestRecord { id, path, received });
+            sleep(Self::GAP).await;
+        }
+    }
+
+    fn request(id: &str, path: &str) -> hyper::Request<http_body_util::Full<bytes::Bytes>> {
+        let (method, body) = if path.starts_with("/read/") {
+            ("GET", "")
+        } else {
+            ("POST", "five trolleys")
+        };
+        client::request(id, method, path, body, Self::TIMEOUT)
+    }
+
+    /// Takes a stream up at random VMs after its last complete event, and records what was joined.
+    async fn take_up(&mut self, stream: &str, path: &'static str, mut body: String) {
+        for _ in 0..Self::TAKE_UPS {
+            body.truncate(body.rfind("\n\n").map_or(0, |end| end + 2));
+            let last_event = event_ids(&body).last().copied().unwrap_or_default();
+            let mut request = Self::request(&client::next_id(), path);
+            client::resume(&mut request, stream, last_event);
+            match self.send(request).await {
+                Some((200, _, Ok(rest))) => {
+                    body += &rest;
+                    break;
                 }
+                Some((200, _, Err(rest))) => body += &rest,
+                _ => {}
             }
         }
-        records.borrow_mut().push(RequestRecord { id, path, received });
-        sleep(GAP).await;
+        self.joined.borrow_mut().push(body);
+    }
+
+    /// Sends a request to a random VM; returns the status, whether it is signed, and the body, or what arrived of it.
+    async fn send(
+        &mut self,
+        request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
+    ) -> Option<(u16, bool, Result<String, String>)> {
+        let listen = self.addresses[self.rng.usize(..self.addresses.len())];
+        let mut exchange = self.connector.connect(listen, Reuse::Allowed).await.ok()?;
+        let response = exchange
+            .send(request, Self::TIMEOUT + Duration::from_secs(1))
+            .await
+            .ok()?;
+        let (head, body) = response.into_parts();
+        let mut read = client::PartialBody::default();
+        // A body that takes too long counts as broken off, with nothing received.
+        if let Ok(body) = tokio::time::timeout(Self::TIMEOUT, client::read_partial(body)).await {
+            read = body;
+        }
+        let closes = head.headers.get("connection").is_some_and(|value| value == "close");
+        if read.complete && !closes {
+            exchange.give_back();
+        }
+        let body = if read.complete { Ok(read.text) } else { Err(read.text) };
+        Some((
+            head.status.as_u16(),
+            head.headers.contains_key("x-response-stamp"),
+            body,
+        ))
     }
 }
 
@@ -425,11 +567,14 @@
     let addresses: Vec<_> = soak.vms.iter().map(|vm| vm.listen).collect();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|_| {
-            tokio::task::spawn_local(send_requests(
-                addresses.clone(),
-                Rc::clone(&soak.records),
-                soak.rng.fork(),
-            ))
+            let client = SoakClient {
+                addresses: addresses.clone(),
+                records: Rc::clone(&soak.records),
+                joined: Rc::clone(&soak.joined),
+                connector: Connector::new(Duration::from_millis(500)),
+                rng: soak.rng.fork(),
+            };
+            tokio::task::spawn_local(client.run())
         })
         .collect();
     let end = Instant::now() + Duration::from_secs(seconds);
@@ -441,14 +586,17 @@
         }
         soak.check();
         soak.check_limits();
+        soak.check_versions();
     }
     soak.heal();
     soak.restore_servers();
     soak.wait_until_recovered().await;
+    soak.check_deadly().await;
     for client in clients {
         client.abort();
     }
     soak.check();
+    soak.check_versions();
     for vm in &mut soak.vms {
         let exited = vm.child.try_wait().expect("a child");
         assert!(exited.is_none(), "{} exited by itself: {exited:?}", VMS[vm.index].0);
