fix(proxy): a VM that lags behind the store does not conclude which version began a stream

Found by the property no_version_is_assumed_wrongly: a VM that had not learned of a new version yet took the only one that it knew for the one that began a stream, while another VM had already begun streams at the new one (up to a second, longer if the VM is cut off from the others). Change: before it concludes anything, a VM reads all changes from the store; one call serves all that wait. Without an answer in 0.3 s the caller is refused. Origins are told at once instead of 150 ms later. Ruled out: holding new versions back until all VMs know them (a release that replaces all servers at once would leave none).

--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -126,12 +126,11 @@
         return Err(Kind::Stopping.into());
     }
     head.remaining = Some(call.remaining);
-    let resumption = head.resumption.clone();
     let mut admitted = state.relay.borrow_mut().admit(head, state.now(), true)?;
     // Retries are made by the VM that forwarded the request.
     admitted.max_attempts = 1;
     admitted.resumed |= call.resume_after.is_some();
-    resumption::pin_forwarded(state, &mut admitted, resumption, call.software)?;
+    resumption::pin_forwarded(state, &mut admitted, call.software)?;
     let request = BufferedRequest {
         admitted,
         method: parts.method,
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -12,6 +12,7 @@
 use sw_error::{Kind, Refusal};
 use sw_http::{ReadBodyError, ResponseBody, read_body};
 use sw_relay::{AdmittedRequest, AttemptHistory, AttemptOutcome, Choice, EndpointEntry, RequestHead};
+use sw_store::Feed;
 use sw_unit::{Millis, Time};
 
 use crate::attempt::{self, BufferedRequest};
@@ -33,7 +34,7 @@
 pub(crate) type HttpResponse = Response<ResponseBody>;
 
 /// Serves a request of a caller.
-pub(crate) async fn serve<D: Dialect, F: 'static>(state: Rc<ProxyState<D, F>>, req: Request<Incoming>) -> HttpResponse {
+pub(crate) async fn serve<D: Dialect, F: Feed>(state: Rc<ProxyState<D, F>>, req: Request<Incoming>) -> HttpResponse {
     let _active = ActiveGuard::new(&state);
     let received = state.now();
     let (parts, body) = req.into_parts();
@@ -50,7 +51,7 @@
     }
 }
 
-async fn handle<D: Dialect, F: 'static>(
+async fn handle<D: Dialect, F: Feed>(
     state: &Rc<ProxyState<D, F>>,
     parts: Parts,
     head: Result<RequestHead, HeadError>,
--- a/crates/sw-proxy/src/resumption.rs
+++ b/crates/sw-proxy/src/resumption.rs
@@ -10,17 +10,17 @@
 use sw_relay::{
     AdmittedRequest, HOPELESS_RETRY_AFTER, Resumption, SoftwareVersion, SoleVersion, StreamOrigin, Telling,
 };
-use sw_unit::Millis;
+use sw_store::Feed;
 
 use crate::state::ProxyState;
-use crate::{Dialect, telemetry};
+use crate::{Dialect, store, telemetry};
 
 /// Timeout of the calls that ask other VMs for the version that began a stream.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time for which origins are gathered before other VMs are told.
-const TELL_DELAY: Duration = Duration::from_millis(150);
-/// Time since the last news of the store for which this VM can tell that no other version has served.
-const MAX_STORE_AGE: Millis = Millis(5_500);
+/// Shortest time between two calls that tell another VM origins.
+const TELL_PERIOD: Duration = Duration::from_millis(150);
+/// Timeout of the call to the store that tells whether another version has registered meanwhile.
+const REFRESH_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// How the version that began a stream was found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
@@ -43,7 +43,7 @@
 /// # Errors
 ///
 /// Refuses with [`Kind::StreamVersionUnknown`] if the version is not known.
-pub(crate) async fn pin<D: Dialect, F: 'static>(
+pub(crate) async fn pin<D: Dialect, F: Feed>(
     state: &Rc<ProxyState<D, F>>,
     admitted: &mut AdmittedRequest,
     resumption: &Resumption,
@@ -65,61 +65,56 @@
         tell_origins(state);
         return Ok(());
     }
-    pin_to_sole_version(state, admitted, resumption)
+    // Another VM may have learned of a version that this one does not know yet.
+    let is_current = store::refresh(state, REFRESH_TIMEOUT).await;
+    let source = pin_to_sole_version(state, admitted, is_current);
+    telemetry::log_taken_up(admitted, resumption, source);
+    if source == OriginSource::Unknown {
+        return Err(unknown_version());
+    }
+    Ok(())
 }
 
-/// Pins a request to the only software version that can have begun its stream.
-///
-/// # Errors
-///
-/// Refuses with [`Kind::StreamVersionUnknown`] if there are several, or this VM cannot tell.
-pub(crate) fn pin_to_sole_version<D: Dialect, F>(
+/// Pins a request to the only software version that can have begun its stream, if this VM can tell; `is_current` if it
+/// has all changes of the registrations.
+fn pin_to_sole_version<D: Dialect, F>(
     state: &ProxyState<D, F>,
     admitted: &mut AdmittedRequest,
-    resumption: &Resumption,
-) -> Result<(), Refusal> {
-    let now = state.now();
+    is_current: bool,
+) -> OriginSource {
     let relay = state.relay.borrow();
-    let sole = relay.sole_software(&admitted.service, now);
-    let source = match sole.filter(|_| state.store_age() < MAX_STORE_AGE) {
-        Some(SoleVersion::Stated(software)) => {
+    match relay.sole_software(&admitted.service, state.now()) {
+        Some(SoleVersion::Stated(software)) if is_current => {
             admitted.pinned_software = Some(software);
             OriginSource::SoleVersion
         }
         Some(SoleVersion::Unstated) => OriginSource::Unversioned,
-        None if relay.is_unversioned(&admitted.service) => OriginSource::Unversioned,
-        None => OriginSource::Unknown,
-    };
-    telemetry::log_taken_up(admitted, resumption, source);
-    if source == OriginSource::Unknown {
-        return Err(Refusal::with_retry_after(
-            Kind::StreamVersionUnknown,
-            HOPELESS_RETRY_AFTER,
-        ));
+        _ if relay.is_unversioned(&admitted.service) => OriginSource::Unversioned,
+        _ => OriginSource::Unknown,
     }
-    Ok(())
 }
 
-/// Pins a request that another VM forwarded.
+/// Pins a request that another VM forwarded to the version that it named.
 ///
 /// # Errors
 ///
-/// Refuses with [`Kind::StreamVersionUnknown`] if the VM named no version and this one cannot tell it.
+/// Refuses with [`Kind::StreamVersionUnknown`] if the request takes up a stream, endpoints have versions and none was
+/// named.
 pub(crate) fn pin_forwarded<D: Dialect, F>(
     state: &ProxyState<D, F>,
     admitted: &mut AdmittedRequest,
-    resumption: Option<Resumption>,
     software: Option<SoftwareVersion>,
 ) -> Result<(), Refusal> {
-    if software.is_some() {
-        admitted.pinned_software = software;
-        return Ok(());
+    let needs_version = admitted.resumed && admitted.route.kind.is_streaming();
+    if needs_version && software.is_none() && !state.relay.borrow().is_unversioned(&admitted.service) {
+        return Err(unknown_version());
     }
-    if !admitted.resumed || !admitted.route.kind.is_streaming() {
-        return Ok(());
-    }
-    let resumption = resumption.unwrap_or(Resumption { stream: None });
-    pin_to_sole_version(state, admitted, &resumption)
+    admitted.pinned_software = software;
+    Ok(())
+}
+
+fn unknown_version() -> Refusal {
+    Refusal::with_retry_after(Kind::StreamVersionUnknown, HOPELESS_RETRY_AFTER)
 }
 
 /// Records the software version whose first event reached the caller, and tells other VMs if several versions serve.
@@ -133,26 +128,31 @@
     tell_origins(state);
 }
 
-/// Tells other VMs the origins that they should hold, a moment later so that several go in one call.
+/// Tells other VMs the origins that they should hold: at once, but several in one call if streams begin often.
 pub(crate) fn tell_origins<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>) {
     if state.is_telling_origins.replace(true) {
         return;
     }
     let state = Rc::clone(state);
     tokio::task::spawn_local(async move {
-        tokio::time::sleep(TELL_DELAY).await;
+        send_origins(&state);
+        tokio::time::sleep(TELL_PERIOD).await;
         state.is_telling_origins.set(false);
-        let told = state.relay.borrow_mut().take_untold_origins(state.now());
-        for (address, origins) in told {
-            let peers = state.peers.clone();
-            tokio::task::spawn_local(async move {
-                // Whoever takes up such a stream and does not find its origin is refused.
-                let _lost = peers.note_origins(address, &origins).await;
-            });
-        }
+        send_origins(&state);
     });
 }
 
+fn send_origins<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>) {
+    let told = state.relay.borrow_mut().take_untold_origins(state.now());
+    for (address, origins) in told {
+        let peers = state.peers.clone();
+        tokio::task::spawn_local(async move {
+            // Whoever takes up such a stream and does not find its origin is refused.
+            let _lost = peers.note_origins(address, &origins).await;
+        });
+    }
+}
+
 async fn find_origin<D: Dialect, F>(
     state: &Rc<ProxyState<D, F>>,
     stream: &Arc<str>,
--- a/crates/sw-proxy/src/state.rs
+++ b/crates/sw-proxy/src/state.rs
@@ -73,8 +73,10 @@
     pub(crate) crash_announced_at: Cell<Option<Time>>,
     /// Whether other VMs are about to be told the origins of streams.
     pub(crate) is_telling_origins: Cell<bool>,
-    /// When this VM last knew that it had all changes of the store, from the store itself or a watcher.
-    pub(crate) store_seen_at: Cell<Option<Time>>,
+    /// Held while the mirror is brought up to date for a request.
+    pub(crate) refresh_turn: tokio::sync::Mutex<()>,
+    /// When the last call that brought it up to date was made.
+    pub(crate) refreshed_at: Cell<Option<Time>>,
     /// Whether a snapshot of the store is being copied from another VM.
     pub(crate) is_copying: Cell<bool>,
     /// Notified when the mirror changes or the store becomes unavailable.
@@ -107,7 +109,8 @@
             quarantine_changed: Notify::new(),
             crash_announced_at: Cell::new(None),
             is_telling_origins: Cell::new(false),
-            store_seen_at: Cell::new(None),
+            refresh_turn: tokio::sync::Mutex::new(()),
+            refreshed_at: Cell::new(None),
             is_copying: Cell::new(false),
             store_changed: Notify::new(),
             store_responded_at: Cell::new(None),
@@ -135,11 +138,6 @@
             .since(self.store_recovered_at.get().unwrap_or(self.started_at))
     }
 
-    /// Returns the time since this VM last knew that it had all changes of the store.
-    pub(crate) fn store_age(&self) -> Millis {
-        self.now().since(self.store_seen_at.get().unwrap_or(self.started_at))
-    }
-
     /// Returns the time since draining started, or `None` if this VM isn't draining.
     pub(crate) fn draining_for(&self) -> Option<Millis> {
         match self.lifecycle.get() {
--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -101,6 +101,25 @@
     }
 }
 
+/// Brings the mirror up to date with the store, and returns whether it is. One call serves all that ask before it is made.
+pub(crate) async fn refresh<D: Dialect, F: Feed>(state: &ProxyState<D, F>, timeout: Duration) -> bool {
+    let asked_at = state.now();
+    let _turn = state.refresh_turn.lock().await;
+    if state.refreshed_at.get().is_some_and(|at| at > asked_at) {
+        return true;
+    }
+    let started_at = state.now();
+    let revision = state.mirror.borrow().revision();
+    let changes = tokio::time::timeout(timeout, wait_for_changes(state, revision, Duration::ZERO)).await;
+    let Ok(Ok(changes)) = changes else {
+        info!("store_not_refreshed", kv: { revision });
+        return false;
+    };
+    records::apply(state, &changes, "store");
+    state.refreshed_at.set(Some(started_at));
+    true
+}
+
 /// Makes one call to a watcher for changes of the store.
 async fn follow_watcher<D: Dialect, F>(state: &ProxyState<D, F>, vm: &VmId, address: SocketAddr) {
     let revision = state.mirror.borrow().revision();
@@ -242,7 +261,6 @@
 }
 
 fn on_store_response<D, F>(state: &ProxyState<D, F>) {
-    state.store_seen_at.set(Some(state.now()));
     if let Some(since) = state.store_unavailable_since.take() {
         let now = state.now();
         let away_ms = now.since(since).0;
--- /dev/null
+++ b/crates/sw-relay/tests/stream_versions.rs
@@ -0,0 +1,489 @@
+//! Which software version may go on with a stream: no VM assumes a wrong one, and most streams can be taken up.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use support::{admit, endpoint, head, options, prompt, relay, relay_with, row, service};
+use sw_member::VmRow;
+use sw_relay::{
+    AttemptHistory, Choice, EndpointEntry, Relay, ServiceSoftware, SoftwareVersion, SoleVersion, StoreRecord,
+    StreamOrigin, Telling,
+};
+use sw_unit::{Incarnation, Millis, Time};
+
+const STEP: Millis = Millis(100);
+/// Time for which a stream can be taken up.
+const STREAM_LIFE: Millis = Millis(12_000);
+/// Longest time until a VM learns of a change of the registrations.
+const LEARN_TIME: u64 = 1_000;
+/// Time in which news is told to other VMs, and written to the store.
+const TELL_PERIOD: Millis = Millis(200);
+const WRITE_PERIOD: Millis = Millis(500);
+const REGIONS: [&str; 3] = ["north", "south", "west"];
+
+fn software(name: &str) -> SoftwareVersion {
+    name.parse().expect("a version")
+}
+
+fn engine(name: &str, version: &str) -> EndpointEntry {
+    EndpointEntry {
+        software: Some(software(version)),
+        ..endpoint(name, "engines", "north")
+    }
+}
+
+fn register(relay: &mut Relay, entry: &EndpointEntry, now: Time) {
+    relay.apply(StoreRecord::Endpoint(entry.id.clone(), Some(entry.clone())), now);
+}
+
+/// Guards against a resumed stream that goes to an endpoint of another version, chosen or already chosen before.
+#[test]
+fn pinned_request_is_sent_to_its_version_only() {
+    let mut relay = relay();
+    for (name, version) in [("e-1", "old"), ("e-2", "new"), ("e-3", "new")] {
+        register(&mut relay, &engine(name, version), Time(0));
+    }
+    let mut admitted = admit(&mut relay, "digest", Some(prompt(1, 500, 500)), Time(0));
+    admitted.pinned_software = Some(software("old"));
+    let choice = relay.choose(&admitted, &AttemptHistory::default(), Time(0));
+    let Ok(Choice::Endpoint { endpoint, .. }) = choice else {
+        panic!("{choice:?}");
+    };
+    assert_eq!(endpoint.id.as_str(), "e-1");
+    assert!(
+        relay
+            .start_attempt(&admitted, &engine("e-2", "new"), None, Time(0))
+            .is_none()
+    );
+    relay.apply(StoreRecord::Endpoint(endpoint.id.clone(), None), Time(100));
+    let refusal = relay
+        .choose(&admitted, &AttemptHistory::default(), Time(100))
+        .expect_err("nobody can go on");
+    assert_eq!(refusal.kind, sw_error::Kind::StreamVersionGone);
+}
+
+/// Guards against a VM that concludes the version from what it has seen for too short.
+#[test]
+fn only_version_is_concluded_after_the_life_of_a_stream_or_from_the_record() {
+    let fresh = || {
+        let mut fresh = relay();
+        register(&mut fresh, &engine("e-1", "old"), Time(1_000));
+        fresh
+    };
+    let engines = service("engines");
+    assert_eq!(fresh().sole_software(&engines, Time(2_000)), None);
+    let mut later = fresh();
+    for second in 2..30 {
+        later.tick(Time(second * 1_000));
+    }
+    assert_eq!(
+        later.sole_software(&engines, Time(29_000)),
+        Some(SoleVersion::Stated(software("old")))
+    );
+    let record = |versions: &[&str]| {
+        let versions = versions.iter().map(|version| Some(software(version))).collect();
+        StoreRecord::Software(vec![ServiceSoftware {
+            service: service("engines"),
+            versions,
+        }])
+    };
+    let mut told = fresh();
+    told.apply(record(&["old"]), Time(1_000));
+    assert_eq!(
+        told.sole_software(&engines, Time(2_000)),
+        Some(SoleVersion::Stated(software("old")))
+    );
+    told.apply(record(&["old", "older"]), Time(2_000));
+    assert_eq!(
+        told.sole_software(&engines, Time(3_000)),
+        None,
+        "streams of the other one may live"
+    );
+}
+
+/// Guards against a restarted VM that refuses streams although its neighbours know that one version served.
+#[test]
+fn restarted_vm_takes_over_what_others_have_seen() {
+    let mut old = relay();
+    register(&mut old, &engine("e-1", "old"), Time(0));
+    for second in 0..60 {
+        old.tick(Time(second * 1_000));
+    }
+    let mut new = relay_with(support::options(VmRow {
+        incarnation: Incarnation(2),
+        ..row("vm-1", "north")
+    }));
+    register(&mut new, &engine("e-1", "old"), Time(60_000));
+    let local = new.members().local().clone();
+    new.on_heartbeat(old.heartbeat(Some(&local), Time(60_000)), Time(60_000));
+    let sole = new.sole_software(&service("engines"), Time(60_000));
+    assert_eq!(sole, Some(SoleVersion::Stated(software("old"))));
+}
+
+/// A stream that a caller may take up.
+struct Stream {
+    id: Arc<str>,
+    software: SoftwareVersion,
+    began_at: Time,
+}
+
+struct Vm {
+    relay: Relay,
+    running: bool,
+    group: u32,
+    /// Registrations that it will learn, with the time at which it does.
+    pending: Vec<(Time, EndpointEntry, bool)>,
+}
+
+/// VMs in three regions, and one service whose endpoints change their versions.
+struct Fleet {
+    now: Time,
+    vms: Vec<Vm>,
+    engines: Vec<EndpointEntry>,
+    started: usize,
+    recorded: Option<Vec<ServiceSoftware>>,
+    written: Vec<StreamOrigin>,
+    streams: Vec<Stream>,
+    taken_up: usize,
+    went_on: usize,
+    rng: fastrand::Rng,
+}
+
+impl Fleet {
+    fn new(vms: usize, seed: u64) -> Self {
+        let mut fleet = Self {
+            now: Time(0),
+            vms: Vec::new(),
+            engines: Vec::new(),
+            started: 0,
+            recorded: None,
+            written: Vec::new(),
+            streams: Vec::new(),
+            taken_up: 0,
+            went_on: 0,
+            rng: fastrand::Rng::with_seed(seed),
+        };
+        fleet.vms = (0..vms).map(|index| fleet.start_vm(index, 1)).collect();
+        (0..4).for_each(|_| fleet.start_engine("v0"));
+        fleet.run(Millis(40_000));
+        fleet.streams.clear();
+        (fleet.taken_up, fleet.went_on) = (0, 0);
+        fleet
+    }
+
+    fn start_vm(&self, index: usize, incarnation: u64) -> Vm {
+        let row = VmRow {
+            incarnation: Incarnation(incarnation),
+            ..row(&format!("vm-{index:02}"), REGIONS[index % REGIONS.len()])
+        };
+        let mut relay = relay_with(sw_relay::Options {
+            started_at: self.now,
+            ..options(row)
+        });
+        // Its first snapshot of the store.
+        for entry in &self.engines {
+            register(&mut relay, entry, self.now);
+        }
+        if let Some(recorded) = &self.recorded {
+            relay.apply(StoreRecord::Software(recorded.clone()), self.now);
+        }
+        relay.apply(StoreRecord::Origins(self.written.clone()), self.now);
+        relay.set_revision(1);
+        Vm {
+            relay,
+            running: true,
+            group: 0,
+            pending: Vec::new(),
+        }
+    }
+
+    fn start_engine(&mut self, version: &str) {
+        self.started += 1;
+        let entry = engine(&format!("e-{}", self.started), version);
+        self.engines.push(entry.clone());
+        self.announce(&entry, true);
+    }
+
+    fn stop_engine(&mut self) {
+        if self.engines.len() > 2 {
+            let entry = self.engines.remove(0);
+            self.announce(&entry, false);
+        }
+    }
+
+    fn announce(&mut self, entry: &EndpointEntry, on: bool) {
+        for vm in &mut self.vms {
+            let at = self.now + Millis(self.rng.u64(..LEARN_TIME));
+            vm.pending.push((at, entry.clone(), on));
+        }
+    }
+
+    fn kill(&mut self, index: usize) {
+        let index = index % self.vms.len();
+        let incarnation = self.vms[index].relay.members().local().incarnation.0;
+        self.vms[index] = self.start_vm(index, incarnation + 1);
+    }
+
+    fn kill_all(&mut self) {
+        (0..self.vms.len()).for_each(|index| self.kill(index));
+    }
+
+    /// Advances the time, with streams that begin, and streams that are taken up.
+    fn run(&mut self, duration: Millis) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.now = self.now + STEP;
+            self.learn();
+            self.exchange();
+            self.tell();
+            self.write();
+            self.begin_stream();
+            self.take_up();
+        }
+    }
+
+    fn learn(&mut self) {
+        let now = self.now;
+        for vm in &mut self.vms {
+            let (due, pending) = std::mem::take(&mut vm.pending)
+                .into_iter()
+                .partition(|(at, ..)| *at <= now);
+            vm.pending = pending;
+            for (_, entry, on) in due {
+                vm.relay
+                    .apply(StoreRecord::Endpoint(entry.id.clone(), on.then_some(entry)), now);
+            }
+            if now.0.is_multiple_of(500) {
+                vm.relay.tick(now);
+            }
+        }
+    }
+
+    fn exchange(&mut self) {
+        if !self.now.0.is_multiple_of(500) {
+            return;
+        }
+        let count = self.vms.len();
+        for (from, to) in (0..count).flat_map(|from| (0..count).map(move |to| (from, to))) {
+            if from != to && self.reaches(from, to) {
+                let row = self.vms[to].relay.members().local().clone();
+                let beat = self.vms[from].relay.heartbeat(Some(&row), self.now);
+                self.vms[to].relay.on_heartbeat(beat, self.now);
+            }
+        }
+    }
+
+    fn tell(&mut self) {
+        if !self.now.0.is_multiple_of(TELL_PERIOD.0) {
+            return;
+        }
+        for from in 0..self.vms.len() {
+            for (address, origins) in self.vms[from].relay.take_untold_origins(self.now) {
+                let to = self.index_of(address);
+                if self.reaches(from, to) {
+                    for origin in origins {
+                        self.vms[to].relay.record_origin(origin, Telling::Unwritten, self.now);
+                    }
+                }
+            }
+        }
+    }
+
+    fn write(&mut self) {
+        if !self.now.0.is_multiple_of(WRITE_PERIOD.0) {
+            return;
+        }
+        for index in 0..self.vms.len() {
+            let written = self.vms[index].relay.take_unwritten_origins(self.now);
+            self.written.extend(written);
+            if let Some(record) = self.vms[index].relay.unrecorded_software(self.now) {
+                self.recorded = Some(record.clone());
+                for vm in &mut self.vms {
+                    vm.relay.apply(StoreRecord::Software(record.clone()), self.now);
+                }
+            }
+        }
+    }
+
+    fn begin_stream(&mut self) {
+        let vm = self.rng.usize(..self.vms.len());
+        let relay = &mut self.vms[vm].relay;
+        let request = sw_relay::RequestHead {
+            id: Arc::from(format!("s{}", self.now.0)),
+            ..head("digest", Some(prompt(1, 500, 500)))
+        };
+        let admitted = relay.admit(request, self.now, false).expect("a known route");
+        let known: Vec<_> = self
+            .engines
+            .iter()
+            .filter(|entry| relay.registry().get(&entry.id).is_some())
+            .collect();
+        let Some(entry) = self.rng.choice(known) else {
+            return;
+        };
+        let software = entry.software.clone().expect("a version");
+        relay.on_stream_began(&admitted, &software, self.now);
+        self.streams.push(Stream {
+            id: admitted.id,
+            software,
+            began_at: self.now,
+        });
+    }
+
+    /// A caller takes a stream up at a random VM, which must not assume a wrong version.
+    fn take_up(&mut self) {
+        let now = self.now;
+        self.streams.retain(|stream| now.since(stream.began_at) < STREAM_LIFE);
+        let Some(stream) = self.rng.choice(&self.streams) else {
+            return;
+        };
+        let vm = self.rng.usize(..self.vms.len());
+        self.taken_up += 1;
+        let (id, software, began_at) = (Arc::clone(&stream.id), stream.software.clone(), stream.began_at);
+        if let Some(found) = self.find(vm, &id) {
+            assert_eq!(found, software, "{id} began at {}", began_at.0);
+            self.went_on += 1;
+        }
+    }
+
+    fn find(&mut self, vm: usize, stream: &str) -> Option<SoftwareVersion> {
+        let relay = &self.vms[vm].relay;
+        if let Some(origin) = relay.stream_origin(stream) {
+            return Some(origin.software);
+        }
+        for address in relay.vms_to_ask(stream, self.now) {
+            let asked = self.index_of(address);
+            if self.reaches(vm, asked)
+                && let Some(origin) = self.vms[asked].relay.stream_origin(stream)
+            {
+                return Some(origin.software);
+            }
+        }
+        // The VM asks the store for all changes before it concludes anything.
+        let vm = &mut self.vms[vm];
+        for (_, entry, on) in std::mem::take(&mut vm.pending) {
+            vm.relay
+                .apply(StoreRecord::Endpoint(entry.id.clone(), on.then_some(entry)), self.now);
+        }
+        match vm.relay.sole_software(&service("engines"), self.now) {
+            Some(SoleVersion::Stated(software)) => Some(software),
+            _ => None,
+        }
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        self.vms[from].running && self.vms[to].running && self.vms[from].group == self.vms[to].group
+    }
+
+    fn index_of(&self, address: std::net::SocketAddr) -> usize {
+        let addresses: BTreeMap<_, _> = self
+            .vms
+            .iter()
+            .enumerate()
+            .map(|(index, vm)| (vm.relay.members().local().peer_listen, index))
+            .collect();
+        addresses[&address]
+    }
+}
+
+/// Guards against most streams being refused while two versions serve, and VMs are killed one by one.
+#[test]
+fn most_streams_go_on_while_versions_change_and_single_vms_are_killed() {
+    let mut fleet = Fleet::new(9, 1);
+    for round in 1..6 {
+        fleet.start_engine(&format!("v{round}"));
+        fleet.start_engine(&format!("v{round}"));
+        fleet.run(Millis(3_000));
+        fleet.kill(round * 2);
+        fleet.kill(round * 2 + 1);
+        fleet.stop_engine();
+        fleet.stop_engine();
+        fleet.run(Millis(6_000));
+    }
+    let share = fleet.went_on as f64 / fleet.taken_up as f64;
+    assert!(share > 0.95, "{share}");
+}
+
+/// Guards against streams that are refused after all VMs were killed, beyond those of the last moment.
+#[test]
+fn most_streams_go_on_after_all_vms_were_killed() {
+    let mut fleet = Fleet::new(9, 2);
+    fleet.start_engine("v1");
+    fleet.start_engine("v1");
+    for _ in 0..4 {
+        fleet.run(Millis(9_000));
+        fleet.kill_all();
+    }
+    let share = fleet.went_on as f64 / fleet.taken_up as f64;
+    assert!(share > 0.85, "{share}");
+}
+
+/// Guards against memory that grows with the streams and versions that are seen.
+#[test]
+fn any_number_of_streams_and_versions_is_borne() {
+    let mut relay = relay();
+    for index in 0..40_000 {
+        let origin = StreamOrigin {
+            stream: Arc::from(format!("s{index}")),
+            service: service("engines"),
+            software: software("v1"),
+        };
+        relay.record_origin(origin, Telling::Told, Time(index));
+    }
+    assert!(relay.stream_origin("s0").is_none() && relay.stream_origin("s39999").is_some());
+    for index in 0..1_000 {
+        register(&mut relay, &engine("e-1", &format!("v{index}")), Time(50_000));
+    }
+    let versions = relay.heartbeat(None, Time(50_000)).versions;
+    assert!(versions.iter().all(|service| service.versions.len() <= 64));
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    StartEngine(u8),
+    StopEngine,
+    Kill(usize),
+    KillAll,
+    CutOff(usize),
+    Heal,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (0..4_u8).prop_map(Step::StartEngine),
+        3 => Just(Step::StopEngine),
+        3 => (0..16_usize).prop_map(Step::Kill),
+        1 => Just(Step::KillAll),
+        2 => (0..16_usize).prop_map(Step::CutOff),
+        2 => Just(Step::Heal),
+    ]
+}
+
+proptest! {
+    #![proptest_config(sw_fuzz::config())]
+
+    /// Whatever versions come and go, and VMs are killed or cut off, no VM assumes a wrong version.
+    #[test]
+    fn no_version_is_assumed_wrongly(
+        seed in any::<u64>(),
+        vms in 1..10_usize,
+        steps in proptest::collection::vec((0..6_000_u64, step()), 0..14),
+    ) {
+        let mut fleet = Fleet::new(vms, seed);
+        for (pause, step) in &steps {
+            match step {
+                Step::StartEngine(version) => fleet.start_engine(&format!("v{version}")),
+                Step::StopEngine => fleet.stop_engine(),
+                Step::Kill(vm) => fleet.kill(*vm),
+                Step::KillAll => fleet.kill_all(),
+                Step::CutOff(vm) => fleet.vms[vm % vms].group = 1,
+                Step::Heal => fleet.vms.iter_mut().for_each(|vm| vm.group = 0),
+            }
+            fleet.run(Millis(*pause));
+        }
+        fleet.run(Millis(3_000));
+    }
+}
