--- a/crates/shallotwing-daemon/src/relay.rs
+++ b/crates/shallotwing-daemon/src/relay.rs
@@ -105,5 +105,6 @@
         retry_ratio: settings.retry_ratio,
         retry_slack: settings.retry_slack,
         body_memory: settings.body_memory,
+        exempt_parts: settings.exempt_parts.clone(),
     }
 }
--- a/crates/shallotwing-daemon/tests/soak.rs
+++ b/crates/shallotwing-daemon/tests/soak.rs
@@ -21,7 +21,7 @@
 use sw_standin::{Link, LinkState, free_address};
 use tokio::time::{Instant, sleep};
 
-use support::server::{DeadlyPart, EVENT_COUNT, Instance, ReceivedRequest, StandinServer};
+use support::server::{CrashingPart, EVENT_COUNT, Instance, ReceivedRequest, StandinServer};
 use support::store::StandinStore;
 use support::{client, event_ids, registration, run};
 
@@ -51,13 +51,13 @@
 /// Number of streams that may hold events of two versions.
 const ALLOWED_MIXED: usize = 2;
 /// Part that crashes each server that begins to answer it, and the share of resumable prompts that have it.
-const DEADLY: &str = "dead";
-const DEADLY_SHARE: f64 = 0.05;
-/// Time without faults after which VMs are in touch, and that in which deadly prompts are counted then.
+const CRASHING_PART: &str = "dead";
+const CRASHING_SHARE: f64 = 0.05;
+/// Time without faults after which VMs are in touch, and that in which crashing prompts are counted then.
 const CONTACT: Duration = Duration::from_secs(5);
 const QUIET: Duration = Duration::from_secs(3);
-/// Number of deadly prompts that may reach servers in that time, if they have crashed often enough before.
-const ALLOWED_DEADLY: usize = 3;
+/// Number of crashing prompts that may reach servers in that time, if they have crashed often enough before.
+const ALLOWED_CRASHING: usize = 3;
 const KNOWN_CRASHES: usize = 5;
 /// Maximum time from SIGTERM to the exit of a process.
 const STOP_GRACE: Duration = Duration::from_secs(9);
@@ -190,8 +190,8 @@
         let mut servers = Vec::new();
         for (name, region) in SERVERS {
             let server = StandinServer::start(name).await;
-            server.set_deadly_part(Some(DeadlyPart {
-                part: DEADLY,
+            server.set_crashing_part(Some(CrashingPart {
+                part: CRASHING_PART,
                 store: store.clone(),
                 zone: region,
             }));
@@ -303,18 +303,18 @@
     }
 
     /// Checks that VMs in touch no longer send prompts with the part that crashed servers.
-    async fn check_deadly(&self) {
+    async fn check_crashing_part(&self) {
         let crashes: usize = self.servers.iter().map(|server| server.crashes().len()).sum();
         sleep(CONTACT).await;
         let from = std::time::Instant::now();
         sleep(QUIET).await;
         let seen = self.seen();
-        let deadly = seen.iter().filter(|(_, request)| request.has_part(DEADLY));
-        let (before, late): (Vec<_>, Vec<_>) = deadly.partition(|(_, request)| request.received_at < from);
+        let crashing = seen.iter().filter(|(_, request)| request.has_part(CRASHING_PART));
+        let (before, late): (Vec<_>, Vec<_>) = crashing.partition(|(_, request)| request.received_at < from);
         let known = before.len() >= KNOWN_CRASHES;
         assert!(
-            !known || late.len() <= ALLOWED_DEADLY,
-            "{} deadly prompts in {QUIET:?} without faults, after {crashes} crashes",
+            !known || late.len() <= ALLOWED_CRASHING,
+            "{} crashing prompts in {QUIET:?} without faults, after {crashes} crashes",
             late.len()
         );
     }
@@ -474,22 +474,25 @@
     const GAP: Duration = Duration::from_millis(25);
     const TIMEOUT: Duration = Duration::from_secs(3);
     /// How often a stream that broke off is taken up.
-    const TAKE_UPS: u32 = 3;
+    const RESUMES: u32 = 3;
 
     async fn run(mut self) {
         loop {
             let path = PATHS[self.rng.usize(..PATHS.len())];
             let id = client::next_id();
             let mut request = Self::request(&id, path);
-            if path.starts_with("/resumable/") && self.rng.f64() < DEADLY_SHARE {
-                client::set_parts(&mut request, &format!("5c1e07a2:800,{DEADLY}:200,1{}:400", &id[1..]));
+            if path.starts_with("/resumable/") && self.rng.f64() < CRASHING_SHARE {
+                client::set_parts(
+                    &mut request,
+                    &format!("5c1e07a2:800,{CRASHING_PART}:200,1{}:400", &id[1..]),
+                );
             }
             let received = self.send(request).await;
             if path.starts_with("/resumable/")
                 && let Some((200, _, Err(part))) = &received
                 && part.contains("\n\n")
             {
-                self.take_up(&id, path, part.clone()).await;
+                self.resume_stream(&id, path, part.clone()).await;
             }
             self.records.borrow_mut().push(RequestRecord { id, path, received });
             sleep(Self::GAP).await;
@@ -506,8 +509,8 @@
     }
 
     /// Takes a stream up at random VMs after its last complete event, and records what was joined.
-    async fn take_up(&mut self, stream: &str, path: &'static str, mut body: String) {
-        for _ in 0..Self::TAKE_UPS {
+    async fn resume_stream(&mut self, stream: &str, path: &'static str, mut body: String) {
+        for _ in 0..Self::RESUMES {
             body.truncate(body.rfind("\n\n").map_or(0, |end| end + 2));
             let last_event = event_ids(&body).last().copied().unwrap_or_default();
             let mut request = Self::request(&client::next_id(), path);
@@ -591,7 +594,7 @@
     soak.heal();
     soak.restore_servers();
     soak.wait_until_recovered().await;
-    soak.check_deadly().await;
+    soak.check_crashing_part().await;
     for client in clients {
         client.abort();
     }
--- a/crates/sw-conf/src/relay.rs
+++ b/crates/sw-conf/src/relay.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
-use sw_unit::{Bytes, DomainId, Millis, RegionId, VmId};
+use sw_unit::{Bytes, DomainId, Millis, PartId, RegionId, VmId};
 
 use crate::{ConfigErrors, Document, Section};
 
@@ -50,6 +50,8 @@
     pub retry_ratio: f64,
     /// Retries that all VMs together may send in addition to `retry_ratio`.
     pub retry_slack: f64,
+    /// Prompt parts that are never quarantined.
+    pub exempt_parts: Vec<PartId>,
     /// Region of each failure domain.
     pub regions: IndexMap<DomainId, RegionId>,
 }
@@ -81,6 +83,7 @@
         let body_memory = relay.optional_or("body_memory_bytes", DEFAULT_BODY_MEMORY);
         let retry_ratio = retries.optional_or("ratio", DEFAULT_RETRY_RATIO);
         let retry_slack = retries.optional_or("slack", DEFAULT_RETRY_SLACK);
+        let exempt_parts = relay.list("exempt_parts");
         vm.finish(&mut errors);
         relay.finish(&mut errors);
         retries.finish(&mut errors);
@@ -102,6 +105,7 @@
                 body_memory,
                 retry_ratio,
                 retry_slack,
+                exempt_parts,
                 regions,
             })
         })();
--- a/crates/sw-error/src/kind.rs
+++ b/crates/sw-error/src/kind.rs
@@ -76,9 +76,9 @@
     NoEndpoint,
     /// A part of the prompt crashes endpoints.
     QuarantinedPrompt,
-    /// The software version that began the stream to be resumed is not known.
+    /// The software version that started the stream is not known, so it cannot be resumed.
     StreamVersionUnknown,
-    /// No endpoint of the software version that began the stream to be resumed is left.
+    /// No endpoint of the software version that started the stream is left to resume it.
     StreamVersionGone,
     /// The endpoint could not be reached, and nothing was sent to it.
     EndpointUnreachable,
@@ -136,8 +136,8 @@
             Self::DeadlineUnreachable => (503, No, Later, LIMIT, "The request cannot be answered before its deadline."),
             Self::NoEndpoint          => (503, No, Later, SERVER, "No live endpoint in the permitted regions serves the request."),
             Self::QuarantinedPrompt   => (503, No, Later, SERVER, "A part of the prompt made endpoints crash; it is quarantined."),
-            Self::StreamVersionUnknown => (503, No, Later, SERVER, "The software version that began the stream is not known; start it anew."),
-            Self::StreamVersionGone   => (503, No, Later, SERVER, "No endpoint of the software version that began the stream is left; start it anew."),
+            Self::StreamVersionUnknown => (503, No, Later, SERVER, "The software version that started the stream is not known; send the request anew."),
+            Self::StreamVersionGone   => (503, No, Later, SERVER, "No endpoint of the software version that started the stream is left; send the request anew."),
             Self::EndpointUnreachable => (503, No, Later, SERVER, "The endpoint could not be reached."),
             Self::NoConfiguration     => (503, No, Elsewhere, SERVER, "This VM has no configuration yet."),
             Self::OlderConfiguration  => (503, No, Elsewhere, SERVER, "The receiving VM has an older configuration."),
--- a/crates/sw-peer/src/relay/client.rs
+++ b/crates/sw-peer/src/relay/client.rs
@@ -176,7 +176,7 @@
         self.pool.call(address, CALL_TIMEOUT, call).await
     }
 
-    /// Tells a peer which software versions began streams.
+    /// Tells a peer which software versions started streams.
     ///
     /// # Errors
     ///
@@ -193,7 +193,7 @@
         self.pool.call(address, CALL_TIMEOUT, call).await
     }
 
-    /// Asks a peer which software version began a stream; `None` if it does not know.
+    /// Asks a peer which software version started a stream; `None` if it does not know.
     ///
     /// # Errors
     ///
--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -3,11 +3,11 @@
 use bytes::Bytes;
 use sw_relay::{
     AnsweredPart, CachedPart, CrashReport, Distance, DomainView, EndpointLoad, EndpointRateLimit, Grant, Heartbeat,
-    PartId, PrefillPlan, Prompt, PromptPart, QueueEstimate, RateLimitState, Reservation, ReservationUpdate,
-    ServiceLoad, ServiceVersions, SoftwareVersion, StreamOrigin, VersionAge, VmAge,
+    PrefillPlan, Prompt, PromptPart, QueueEstimate, RateLimitState, Reservation, ReservationUpdate, ServiceLoad,
+    ServiceVersions, SoftwareVersion, StreamOrigin, VersionAge, VmAge,
 };
 use sw_store::{Change, Changes, Item, Snapshot};
-use sw_unit::{Incarnation, Millis, Rate, Tokens};
+use sw_unit::{Incarnation, Millis, PartId, Rate, Tokens};
 
 use super::{RelayCall, WatchOutcome};
 use crate::convert::{len, parse, set_vm_row, text, vm_row};
--- a/crates/sw-peer/src/relay/types.rs
+++ b/crates/sw-peer/src/relay/types.rs
@@ -89,10 +89,10 @@
     /// Processes the progress of a request with a granted reservation.
     fn on_reservation_update(&self, endpoint: &EndpointId, entry_id: u64, update: ReservationUpdate);
 
-    /// Records which software versions began streams.
+    /// Records which software versions started streams.
     fn on_origins(&self, origins: Vec<StreamOrigin>);
 
-    /// Returns which software version began a stream, if this VM knows it.
+    /// Returns which software version started a stream, if this VM knows it.
     fn find_origin(&self, stream: &str) -> Option<StreamOrigin>;
 
     /// Runs a forwarded request and sends the response to `events`; dropping the future cancels the request.
--- a/crates/sw-proxy/src/options.rs
+++ b/crates/sw-proxy/src/options.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
-use sw_unit::{Bytes, DomainId, Millis, RegionId, VmId};
+use sw_unit::{Bytes, DomainId, Millis, PartId, RegionId, VmId};
 
 /// Options of a [`Proxy`](crate::Proxy).
 #[derive(Debug, Clone)]
@@ -36,6 +36,8 @@
     pub retry_ratio: f64,
     /// Number of retries that all VMs together may make on top of `retry_ratio`.
     pub retry_slack: f64,
+    /// Prompt parts that are never quarantined.
+    pub exempt_parts: Vec<PartId>,
     /// Memory limit for request bodies that are being read.
     pub body_memory: Bytes,
 }
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -10,7 +10,7 @@
 use sw_error::{Kind, Refusal};
 use sw_peer::relay::{RelayCall, RelayEvent, RelayHandler, WatchOutcome};
 use sw_relay::{
-    Grant, Heartbeat, QueueEstimate, Reservation, ReservationUpdate, SoftwareVersion, StreamOrigin, Telling,
+    Grant, Heartbeat, QueueEstimate, Replication, Reservation, ReservationUpdate, SoftwareVersion, StreamOrigin,
 };
 use sw_store::Snapshot;
 use sw_unit::EndpointId;
@@ -71,7 +71,7 @@
     fn on_origins(&self, origins: Vec<StreamOrigin>) {
         let mut relay = self.0.relay.borrow_mut();
         for origin in origins {
-            relay.record_origin(origin, Telling::Unwritten, self.0.now());
+            relay.record_origin(origin, Replication::Replicated, self.0.now());
         }
     }
 
--- a/crates/sw-proxy/src/persist.rs
+++ b/crates/sw-proxy/src/persist.rs
@@ -1,7 +1,7 @@
 //! What the VMs keep in the platform's store, for the case that all of them end at the same moment.
 //!
 //! One VM of each region writes which software versions of each service have served lately, and, while there are
-//! several, which version began which stream. The VMs of a region tell that VM. A VM that starts reads both with its first
+//! several, which version started which stream. The VMs of a region tell that VM. A VM that starts reads both with its first
 //! snapshot of the store; streams that begin within the last moment before the end of all VMs are lost.
 
 use std::rc::Rc;
--- a/crates/sw-proxy/src/proxy.rs
+++ b/crates/sw-proxy/src/proxy.rs
@@ -63,7 +63,8 @@
         render_metrics: impl Fn() -> String + Copy + 'static,
     ) -> std::io::Result<Self> {
         let clock = BootClock::default();
-        let relay = Relay::new(relay_options(&options, clock));
+        let mut relay = Relay::new(relay_options(&options, clock));
+        relay.set_exempt_parts(options.exempt_parts.iter().copied(), clock.now());
         let (stop, stopped) = watch::channel(false);
         let peer_listener = sw_peer::relay::bind(options.peer_listen).await?;
         let (callers, ready) = (listener::bind(options.listen)?, listener::bind(options.ready_listen)?);
@@ -112,6 +113,7 @@
     pub fn reload(&self, options: Options) {
         let mut relay = self.state.relay.borrow_mut();
         relay.set_retry_bounds(options.retry_ratio, options.retry_slack);
+        relay.set_exempt_parts(options.exempt_parts.iter().copied(), self.state.now());
         self.state.set_options(options);
     }
 
--- a/crates/sw-proxy/src/resumption.rs
+++ b/crates/sw-proxy/src/resumption.rs
@@ -1,4 +1,4 @@
-//! Streams that callers take up again: finds the software version that began them.
+//! Streams that callers resume: finds the software version that began them.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -8,25 +8,25 @@
 use strum::IntoStaticStr;
 use sw_error::{Kind, Refusal};
 use sw_relay::{
-    AdmittedRequest, HOPELESS_RETRY_AFTER, Resumption, SoftwareVersion, SoleVersion, StreamOrigin, Telling,
+    AdmittedRequest, HOPELESS_RETRY_AFTER, Replication, Resumption, SoftwareVersion, SoleVersion, StreamOrigin,
 };
 use sw_store::Feed;
 
 use crate::state::ProxyState;
 use crate::{Dialect, store, telemetry};
 
-/// Timeout of the calls that ask other VMs for the version that began a stream.
+/// Timeout of the calls that ask other VMs for the version that started a stream.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
-/// Shortest time between two calls that tell another VM origins.
-const TELL_PERIOD: Duration = Duration::from_millis(150);
+/// Shortest time between two calls that replicate origins.
+const REPLICATE_PERIOD: Duration = Duration::from_millis(50);
 /// Timeout of the call to the store that tells whether another version has registered meanwhile.
 const REFRESH_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// How the version that began a stream was found.
+/// How the version that started a stream was found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub(crate) enum OriginSource {
-    /// This VM relayed the first event, or was told by the VM that did.
+    /// This VM relayed the first event, or has a replica from the VM that did.
     Known,
     /// Another VM knew it.
     Peer,
@@ -38,7 +38,7 @@
     Unknown,
 }
 
-/// Pins a request that takes up a stream to the software version that began the stream.
+/// Pins a request that resumes a stream to the software version that started the stream.
 ///
 /// # Errors
 ///
@@ -58,24 +58,27 @@
     if let Some(origin) = origin.filter(|origin| admitted.route.leads_to(&origin.service)) {
         admitted.service = origin.service.clone();
         admitted.pinned_software = Some(origin.software.clone());
-        telemetry::log_taken_up(admitted, resumption, source);
+        telemetry::log_resume_request(admitted, resumption, source);
         // The caller may take it up once more, at another VM.
         let now = state.now();
-        state.relay.borrow_mut().record_origin(origin, Telling::Untold, now);
-        tell_origins(state);
+        state
+            .relay
+            .borrow_mut()
+            .record_origin(origin, Replication::Pending, now);
+        replicate_origins(state);
         return Ok(());
     }
     // Another VM may have learned of a version that this one does not know yet.
     let is_current = store::refresh(state, REFRESH_TIMEOUT).await;
     let source = pin_to_sole_version(state, admitted, is_current);
-    telemetry::log_taken_up(admitted, resumption, source);
+    telemetry::log_resume_request(admitted, resumption, source);
     if source == OriginSource::Unknown {
         return Err(unknown_version());
     }
     Ok(())
 }
 
-/// Pins a request to the only software version that can have begun its stream, if this VM can tell; `is_current` if it
+/// Pins a request to the only software version that can have started its stream, if this VM can tell; `is_current` if it
 /// has all changes of the registrations.
 fn pin_to_sole_version<D: Dialect, F>(
     state: &ProxyState<D, F>,
@@ -98,7 +101,7 @@
 ///
 /// # Errors
 ///
-/// Refuses with [`Kind::StreamVersionUnknown`] if the request takes up a stream, endpoints have versions and none was
+/// Refuses with [`Kind::StreamVersionUnknown`] if the request resumes a stream, endpoints have versions and none was
 /// named.
 pub(crate) fn pin_forwarded<D: Dialect, F>(
     state: &ProxyState<D, F>,
@@ -117,7 +120,7 @@
     Refusal::with_retry_after(Kind::StreamVersionUnknown, HOPELESS_RETRY_AFTER)
 }
 
-/// Records the software version whose first event reached the caller, and tells other VMs if several versions serve.
+/// Records the software version whose first event reached the caller, and replicates it if several versions serve.
 pub(crate) fn on_stream_began<D: Dialect, F: 'static>(
     state: &Rc<ProxyState<D, F>>,
     admitted: &AdmittedRequest,
@@ -125,29 +128,29 @@
 ) {
     let now = state.now();
     state.relay.borrow_mut().on_stream_began(admitted, software, now);
-    tell_origins(state);
+    replicate_origins(state);
 }
 
-/// Tells other VMs the origins that they should hold: at once, but several in one call if streams begin often.
-pub(crate) fn tell_origins<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>) {
-    if state.is_telling_origins.replace(true) {
+/// Replicates the origins of streams: at once, but several in one call if streams begin often.
+pub(crate) fn replicate_origins<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>) {
+    if state.is_replicating_origins.replace(true) {
         return;
     }
     let state = Rc::clone(state);
     tokio::task::spawn_local(async move {
         send_origins(&state);
-        tokio::time::sleep(TELL_PERIOD).await;
-        state.is_telling_origins.set(false);
+        tokio::time::sleep(REPLICATE_PERIOD).await;
+        state.is_replicating_origins.set(false);
         send_origins(&state);
     });
 }
 
 fn send_origins<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>) {
-    let told = state.relay.borrow_mut().take_untold_origins(state.now());
-    for (address, origins) in told {
+    let replicas = state.relay.borrow_mut().take_pending_origins(state.now());
+    for (address, origins) in replicas {
         let peers = state.peers.clone();
         tokio::task::spawn_local(async move {
-            // Whoever takes up such a stream and does not find its origin is refused.
+            // A caller who resumes such a stream is refused if its origin is not found.
             let _lost = peers.note_origins(address, &origins).await;
         });
     }
--- a/crates/sw-proxy/src/state.rs
+++ b/crates/sw-proxy/src/state.rs
@@ -71,8 +71,8 @@
     pub(crate) quarantine_changed: Notify,
     /// When this VM last sent news of crashes to others.
     pub(crate) crash_announced_at: Cell<Option<Time>>,
-    /// Whether other VMs are about to be told the origins of streams.
-    pub(crate) is_telling_origins: Cell<bool>,
+    /// Whether origins of streams are being replicated.
+    pub(crate) is_replicating_origins: Cell<bool>,
     /// Held while the mirror is brought up to date for a request.
     pub(crate) refresh_turn: tokio::sync::Mutex<()>,
     /// When the last call that brought it up to date was made.
@@ -108,7 +108,7 @@
             idle: Notify::new(),
             quarantine_changed: Notify::new(),
             crash_announced_at: Cell::new(None),
-            is_telling_origins: Cell::new(false),
+            is_replicating_origins: Cell::new(false),
             refresh_turn: tokio::sync::Mutex::new(()),
             refreshed_at: Cell::new(None),
             is_copying: Cell::new(false),
--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -37,7 +37,7 @@
     }
     let relay = StreamRelay {
         state: Rc::clone(state),
-        has_begun: false,
+        has_started: false,
         software: response.software,
         events: EventSplitter::default(),
         last_chunk_at: None,
@@ -62,7 +62,7 @@
     /// The software version of the current source; `None` if it does not state one.
     software: Option<SoftwareVersion>,
     /// Whether the caller got an event of this response.
-    has_begun: bool,
+    has_started: bool,
     /// Detects that the stream has stalled; `None` if it cannot be resumed elsewhere.
     stall: Option<StallDetector>,
     /// Whether the stream can be resumed; only complete events are relayed then.
@@ -189,7 +189,7 @@
     /// A stalled stream is abandoned only for a granted reservation (or an endpoint that needs none), because it cannot
     /// be picked up again. While draining, this VM keeps waiting for the stream.
     async fn resume_target(&self) -> Option<ResumeTarget<D, F>> {
-        if self.state.draining_for().is_some() || !self.may_go_on() {
+        if self.state.draining_for().is_some() || !self.may_continue() {
             return None;
         }
         let Some(Choice::Endpoint {
@@ -230,7 +230,7 @@
         if let Some(stall) = &mut self.stall {
             stall.on_event(&self.request.admitted, self.state.now());
         }
-        if self.is_resumable && !std::mem::replace(&mut self.has_begun, true) {
+        if self.is_resumable && !std::mem::replace(&mut self.has_started, true) {
             self.pin_software();
         }
         match tx.send(Ok(complete)).await {
@@ -253,10 +253,10 @@
     }
 
     /// Returns whether the rest of the stream may come from another endpoint.
-    fn may_go_on(&self) -> bool {
+    fn may_continue(&self) -> bool {
         let admitted = &self.request.admitted;
         let is_pinned = admitted.pinned_software.is_some();
-        !self.has_begun || is_pinned || self.state.relay.borrow().is_unversioned(&admitted.service)
+        !self.has_started || is_pinned || self.state.relay.borrow().is_unversioned(&admitted.service)
     }
 
     /// Returns why the end of the body is not the end of the response; `None` if it is.
@@ -293,7 +293,7 @@
 
     /// Resumes the stream elsewhere, first at `target`; `None` if that is not possible or the caller is gone.
     async fn resume(&mut self, mut target: Option<ResumeTarget<D, F>>, tx: &Sender) -> Option<BodySource<D, F>> {
-        if !self.is_resumable || !self.may_go_on() {
+        if !self.is_resumable || !self.may_continue() {
             return None;
         }
         self.events.discard_partial();
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -7,10 +7,10 @@
 use spdlog::prelude::*;
 use sw_error::Refusal;
 use sw_relay::{
-    AdmittedRequest, Attempt, AttemptOutcome, Choice, EndpointEntry, PartId, QuarantineChange, QueueEstimate,
+    AdmittedRequest, Attempt, AttemptOutcome, Choice, EndpointEntry, QuarantineChange, QueueEstimate,
     RateLimitStatement, Reservation, Resumption, SoftwareVersion,
 };
-use sw_unit::{EndpointId, Millis, Time};
+use sw_unit::{EndpointId, Millis, PartId, Time};
 
 use crate::resumption::OriginSource;
 use crate::state::ProxyState;
@@ -57,15 +57,15 @@
     software.map_or("", SoftwareVersion::as_str)
 }
 
-/// Logs that a caller takes up a stream again that broke off.
+/// Logs that a caller resumes a stream that broke off.
 ///
-/// `source` tells how the software version was found that began it.
-pub(crate) fn log_taken_up(admitted: &AdmittedRequest, resumption: &Resumption, source: OriginSource) {
+/// `source` says how the software version that started it was found.
+pub(crate) fn log_resume_request(admitted: &AdmittedRequest, resumption: &Resumption, source: OriginSource) {
     let (id, stream) = (&*admitted.id, resumption.stream.as_deref().unwrap_or_default());
     let software = software_name(admitted.pinned_software.as_ref());
     let origin: &'static str = source.into();
-    info!("stream_taken_up", kv: { id, stream, software, origin });
-    counter!("shallotwing_streams_taken_up_total", "origin" => origin).increment(1);
+    info!("stream_resume_requested", kv: { id, stream, software, origin });
+    counter!("shallotwing_stream_resume_requests_total", "origin" => origin).increment(1);
 }
 
 /// Logs the outcome of an attempt at an endpoint, with the values that were expected.
@@ -111,17 +111,17 @@
     gauge!("shallotwing_quarantined_parts").set(state.relay.borrow().quarantined_parts() as f64);
     for change in changes {
         match change {
-            QuarantineChange::Quarantined { part, verdict } => {
-                let (part, crashes, for_ms) = (part.to_string(), verdict.crashes, verdict.until.since(now).0);
+            QuarantineChange::Quarantined { part, entry } => {
+                let (part, crashes, for_ms) = (part.to_string(), entry.crashes, entry.until.since(now).0);
                 warn!("part_quarantined", kv: { part = part.as_str(), crashes, for_ms });
             }
             QuarantineChange::Released { part } => {
                 let part = part.to_string();
                 info!("part_released", kv: { part = part.as_str() });
             }
-            QuarantineChange::OnTrial { part, request } => {
+            QuarantineChange::Probed { part, request } => {
                 let (id, part) = (&**request, part.to_string());
-                info!("part_on_trial", kv: { id, part = part.as_str() });
+                info!("part_probed", kv: { id, part = part.as_str() });
             }
         }
     }
@@ -130,9 +130,9 @@
 /// Logs why a request was refused for a part of its prompt.
 pub(crate) fn log_quarantined<D, F>(state: &ProxyState<D, F>, admitted: &AdmittedRequest) {
     let now = state.now();
-    if let Some((part, verdict)) = state.relay.borrow().quarantined_part(admitted, now) {
+    if let Some((part, entry)) = state.relay.borrow().quarantined_part(admitted, now) {
         let (id, part) = (&*admitted.id, part.to_string());
-        let (crashes, for_ms) = (verdict.crashes, verdict.until.since(now).0);
+        let (crashes, for_ms) = (entry.crashes, entry.until.since(now).0);
         info!("prompt_quarantined", kv: { id, part = part.as_str(), crashes, for_ms });
     }
 }
--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -1,12 +1,14 @@
-//! One attempt to run a request on an endpoint.
+//! One attempt to run a request on an endpoint, and its steps.
 
 use std::sync::Arc;
 
 use strum::{Display, IntoStaticStr};
 use sw_error::{Kind, Ran, Refusal};
-use sw_unit::{Millis, Time, Tokens};
+use sw_unit::{Millis, PartId, Time, Tokens};
 
-use crate::{CacheSource, EndpointEntry, PartId, PrefillPlan, ServiceId};
+use crate::{
+    AdmittedRequest, CacheSource, EndpointEntry, EndpointReport, Grant, PrefillPlan, Prompt, Relay, ServiceId,
+};
 
 /// An attempt in progress.
 #[derive(Debug, Clone, PartialEq)]
@@ -123,3 +125,157 @@
         matches!(self, Self::Failed | Self::Broken | Self::Timeout) || self.is_absent()
     }
 }
+
+impl Relay {
+    /// Starts an attempt at a chosen endpoint, with the `grant` if its coordinator granted a slot.
+    ///
+    /// Returns `None` if no request may be sent to the endpoint any more, its slow start or rate limit allows none now, or
+    /// a part of the prompt is quarantined.
+    pub fn start_attempt(
+        &mut self,
+        admitted: &AdmittedRequest,
+        endpoint: &EndpointEntry,
+        grant: Option<&Grant>,
+        now: Time,
+    ) -> Option<Attempt> {
+        if !self.registry.may_send(endpoint, now) || !self.slow_start_allows(endpoint, now) {
+            return None;
+        }
+        if self.quarantined_part(admitted, now).is_some() || !admitted.may_run_at(endpoint) {
+            return None;
+        }
+        let token_taken_at = self.obtain_token(endpoint, grant, admitted.is_urgent(), now);
+        if !self.may_send(endpoint, token_taken_at, now) {
+            return None;
+        }
+        let cache_source = self.cache_source(admitted, endpoint, now);
+        let plan = match (grant, &admitted.prompt) {
+            (Some(grant), _) => grant.plan,
+            (None, Some(prompt)) => {
+                let distance = cache_source.as_ref().map(|source| source.distance);
+                self.prefill_plan(&admitted.service, &endpoint.id, prompt, distance, now)
+            }
+            (None, None) => PrefillPlan::default(),
+        };
+        let prefill_ms = self.prefill_ms(&admitted.service, plan.prefill);
+        let transfer_ms = self.plan_transfer_ms(&admitted.service, plan);
+        let cache_capacity = self.cache_capacity(&admitted.service);
+        let cold = self.cold_share(endpoint, now);
+        let queue_ms = if admitted.prompt.is_none() {
+            self.response_ms(&admitted.service, endpoint, now) - self.service_ms(&admitted.service)
+        } else {
+            0.0
+        };
+        let load = self.loads.entry(endpoint.id.clone()).or_default();
+        let backlog_ms = grant.map_or_else(|| load.backlog_ms(now).max(queue_ms), |grant| grant.estimate.backlog_ms);
+        // A granted slot is already in the coordinator's account of the queue.
+        let queued_prefill_ms = if grant.is_some() { 0.0 } else { prefill_ms };
+        let entry_id = load.on_dispatch(queued_prefill_ms, now + Millis(transfer_ms as u64), now);
+        if let (Some(prompt), Some(cache_capacity)) = (&admitted.prompt, cache_capacity) {
+            load.cache.insert(prompt, cache_capacity, now);
+            self.record_prefill(
+                &admitted.service,
+                &endpoint.id,
+                prompt,
+                backlog_ms.max(transfer_ms) + prefill_ms,
+                now,
+            );
+        }
+        let load = self.loads.entry(endpoint.id.clone()).or_default();
+        if let Some((share, cold_for)) = cold {
+            load.slow_start.on_dispatch(share, cold_for);
+        }
+        self.on_probe_sent(&admitted.id);
+        Some(Attempt {
+            request: Arc::clone(&admitted.id),
+            endpoint: endpoint.clone(),
+            service: admitted.service.clone(),
+            started_at: now,
+            entry_id,
+            token_taken_at,
+            plan,
+            prefill_ms,
+            transfer_ms,
+            cache_source,
+            backlog_ms,
+            shared_parts: shared_part_ids(admitted),
+            head_at: None,
+            is_framed: false,
+            first_event_at: None,
+            events: 0,
+            expected_output: admitted.prompt.as_ref().map_or(Tokens(0), Prompt::expected_output),
+        })
+    }
+
+    /// Records that the head of the response arrived, which is `framed` if its body has a length or chunks.
+    pub fn on_head(&mut self, attempt: &mut Attempt, framed: bool, now: Time) {
+        attempt.head_at = Some(now);
+        attempt.is_framed = framed;
+    }
+
+    /// Records the first event of a stream.
+    pub fn on_first_event(&mut self, attempt: &mut Attempt, now: Time) {
+        attempt.first_event_at = Some(now);
+        attempt.events = 1;
+        if let Some(load) = self.loads.get_mut(&attempt.endpoint.id) {
+            load.on_prefill_done(attempt.entry_id, now);
+        }
+        if attempt.backlog_ms < 1.0 {
+            self.record_first_event(attempt, now);
+        }
+    }
+
+    /// Records the gap between two events of a stream.
+    pub fn record_gap(&mut self, attempt: &mut Attempt, gap: Millis, now: Time) {
+        attempt.events += 1;
+        if let Some(load) = self.loads.get_mut(&attempt.endpoint.id) {
+            load.record_gap(gap, now);
+        }
+    }
+
+    /// Applies the report that an endpoint sent with a response, and returns whether it newly announces that the
+    /// endpoint is leaving.
+    pub fn on_endpoint_report(&mut self, endpoint: &EndpointEntry, report: &EndpointReport, now: Time) -> bool {
+        if let (Some(report), Some(load)) = (report.load, self.loads.get_mut(&endpoint.id)) {
+            load.record_report(report, now);
+        }
+        if let Some(cold_for) = report.cold_for {
+            self.registry.extend_cold(&endpoint.id, cold_for, now);
+        }
+        if let Some(wait) = report.retry_after {
+            self.registry.on_rejected(endpoint, wait, now);
+        }
+        report.leaving && self.registry.on_leaving(endpoint)
+    }
+
+    /// Ends an attempt, and returns the end of the backoff if the endpoint is put into backoff for its failures.
+    pub fn end_attempt(&mut self, attempt: &Attempt, outcome: AttemptOutcome, now: Time) -> Option<Time> {
+        if outcome == AttemptOutcome::Complete {
+            let model = self.models.entry(attempt.service.clone()).or_default();
+            if let Some(first_event_at) = attempt.first_event_at {
+                model.record_events(attempt.expected_output, attempt.events);
+                model.record_stream(attempt.prefill_ms, now.since(first_event_at));
+            } else if attempt.backlog_ms < 1.0 {
+                model.record_service_time(attempt.age(now));
+            }
+        }
+        self.clear_answered(attempt, outcome, now);
+        let load = self.loads.get_mut(&attempt.endpoint.id)?;
+        load.on_end(attempt.entry_id, now);
+        if outcome == AttemptOutcome::Complete {
+            load.on_success();
+            return None;
+        }
+        if outcome.is_fault() {
+            load.on_failure(outcome.is_absent(), now)
+        } else {
+            None
+        }
+    }
+}
+
+/// Returns the parts of a request's prompt that other requests may share.
+fn shared_part_ids(admitted: &AdmittedRequest) -> Vec<PartId> {
+    let shared = admitted.prompt.as_ref().map_or(&[][..], Prompt::shared_parts);
+    shared.iter().map(|part| part.id).collect()
+}
--- a/crates/sw-relay/src/cache.rs
+++ b/crates/sw-relay/src/cache.rs
@@ -7,9 +7,9 @@
 use std::hash::{Hash as _, Hasher as _};
 
 use indexmap::IndexMap;
-use sw_unit::{Time, Tokens};
+use sw_unit::{PartId, Time, Tokens};
 
-use crate::{PartId, Prompt, PromptPart};
+use crate::{Prompt, PromptPart};
 
 /// Share of an engine's memory that is assumed to hold cached parts.
 const CACHE_SHARE: f64 = 0.5;
--- a/crates/sw-relay/src/crash_evidence.rs
+++ b/crates/sw-relay/src/crash_evidence.rs
@@ -10,9 +10,9 @@
 //! and answered parts in heartbeats, so that evidence adds up over VMs, regions and services.
 
 use indexmap::{IndexMap, IndexSet};
-use sw_unit::{EndpointId, Incarnation, Millis, Time};
+use sw_unit::{EndpointId, Incarnation, Millis, PartId, Time};
 
-use crate::{EndpointEntry, PartId};
+use crate::EndpointEntry;
 
 /// Time for which a crash is remembered.
 const CRASH_KEPT_FOR: Millis = Millis(600_000);
@@ -40,7 +40,7 @@
     pub endpoint: EndpointId,
     /// The incarnation that crashed.
     pub incarnation: Incarnation,
-    /// Shared parts of the prompts that it had begun to answer.
+    /// Shared parts of the prompts that it had started to answer.
     pub suspects: Vec<PartId>,
     /// Time since the crash.
     pub age: Millis,
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -54,18 +54,18 @@
 pub use latency::LatencyModel;
 pub use load::EndpointTracker;
 pub use prefill::{CacheSource, Distance, PrefillPlan};
-pub use quarantine::{NewsScope, QuarantineChange, Verdict};
+pub use quarantine::{NewsScope, QuarantineChange, QuarantineEntry};
 pub use rate_limit::{EndpointRateLimit, RateLimitChange, RateLimitSource, RateLimitState, RateLimitStatement};
 pub use region::RemoteRegion;
 pub use registry::{Endpoint, Registry};
 pub use relay::{AdmittedRequest, Options, Relay};
 pub use slow_start::{SlowStart, SlowStartShare};
 pub use stall::StallDetector;
-pub use stream_origin::{StreamOrigin, Telling};
+pub use stream_origin::{Replication, StreamOrigin};
 pub use table::{CallerLimits, EngineSpec, Route, RouteKind, RouteTable, Service, Target};
 pub use types::{
-    EndpointEntry, EndpointReport, LoadReport, PartId, Prompt, PromptPart, RequestHead, Resumption, ServiceId,
-    SoftwareVersion, StoreRecord,
+    EndpointEntry, EndpointReport, LoadReport, Prompt, PromptPart, RequestHead, Resumption, ServiceId, SoftwareVersion,
+    StoreRecord,
 };
 pub use version_history::{ServiceSoftware, ServiceVersions, SoleVersion, VersionAge};
 pub use watcher::StoreSource;
--- a/crates/sw-relay/src/quarantine.rs
+++ b/crates/sw-relay/src/quarantine.rs
@@ -1,49 +1,49 @@
 //! Quarantine of prompt parts that crash endpoints.
 //!
-//! Prompts with a quarantined part are refused by all VMs, whether they are new, retried, resumed or forwarded. The verdict
+//! Prompts with a quarantined part are refused by all VMs, whether they are new, retried, resumed or forwarded. The entry
 //! follows from the [evidence](crate::crash_evidence) alone, so VMs with the same evidence quarantine the same parts. The
 //! part that explains most crashes is quarantined first, and the crashes that it explains no longer count against others.
 //! A part that was answered before the crashes needs more of them: it is more likely to have been beside the cause.
 //!
-//! Parts that were in each of the prompts that crashed endpoints cannot be told apart. A prompt with some of them, but not
-//! all, tells: one VM of a region lets one such prompt through at a time. A complete response clears its parts, a crash
-//! clears the others. Otherwise the first part of all prompts of a route could stay quarantined, and with it the route.
+//! Parts that were in each of the prompts that crashed endpoints cannot be distinguished. A prompt with some of them, but not
+//! all, serves as a probe: one VM of a region sends one such prompt at a time. A complete response clears its parts, a
+//! crash clears the others. Otherwise the first part of all prompts of a route could stay quarantined, and with it the route.
 
 use std::sync::Arc;
 
 use indexmap::{IndexMap, IndexSet};
 use sw_error::{Kind, Refusal};
 use sw_member::rendezvous_score;
-use sw_unit::{EndpointId, Incarnation, Millis, Time, VmId};
+use sw_unit::{EndpointId, Incarnation, Millis, PartId, Time, VmId};
 
 use crate::crash_evidence::{Crash, CrashEvidence, distinct_moments};
 use crate::rate_limit::MAX_REPLY_TRANSIT;
-use crate::{AdmittedRequest, AnsweredPart, Attempt, AttemptOutcome, CrashReport, PartId, Prompt, Relay};
+use crate::{AdmittedRequest, AnsweredPart, Attempt, AttemptOutcome, CrashReport, Prompt, Relay};
 
 /// Crashes after which a part is quarantined that was never answered completely.
 const MIN_CRASHES: u32 = 2;
 /// Crashes after which a part is quarantined that was answered completely before them.
 const MIN_CRASHES_IF_ANSWERED: u32 = 4;
 /// Crashes after which a part that was answered before is no longer tried alone.
-const MAX_CRASHES_FOR_TRIAL: u32 = 8;
+const MAX_CRASHES_FOR_PROBE: u32 = 8;
 /// Time since the last crash for which a part with [`MIN_CRASHES`] is quarantined; doubled with each further crash.
 const MIN_QUARANTINE: Millis = Millis(60_000);
 /// Longest time since the last crash for which a part is quarantined.
 const MAX_QUARANTINE: Millis = Millis(600_000);
 
-/// Time after which a prompt that was let through to tell parts apart no longer keeps others from it.
-const TRIAL_TIME: Millis = Millis(8_000);
-/// The same for a prompt that was not sent to an endpoint.
-const UNSENT_TRIAL_TIME: Millis = Millis(500);
+/// Time after which a probe no longer prevents another one.
+const PROBE_TIME: Millis = Millis(8_000);
+/// The same for a probe that was not sent to an endpoint.
+const UNSENT_PROBE_TIME: Millis = Millis(500);
 
 /// Why and until when a part is quarantined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Verdict {
+pub struct QuarantineEntry {
     /// Crashes that the part explains.
     pub crashes: u32,
     /// End of the quarantine.
     pub until: Time,
-    /// The lowest id of the parts that explain the same crashes and cannot be told apart from this one.
+    /// The lowest id of the parts that explain the same crashes and cannot be distinguished from this one.
     group: PartId,
     /// Number of these parts, including this one.
     alike: usize,
@@ -59,15 +59,15 @@
         /// The part.
         part: PartId,
         /// Why and until when.
-        verdict: Verdict,
+        entry: QuarantineEntry,
     },
     /// A part is no longer quarantined.
     Released {
         /// The part.
         part: PartId,
     },
-    /// A prompt with a quarantined part is let through, to tell parts apart.
-    OnTrial {
+    /// A prompt with a quarantined part is sent as a probe.
+    Probed {
         /// The part.
         part: PartId,
         /// The id of the request.
@@ -75,18 +75,18 @@
     },
 }
 
-/// A prompt that is let through to tell parts apart.
+/// A prompt that is sent to distinguish parts.
 #[derive(Debug, Clone)]
-struct Trial {
+struct Probe {
     request: Arc<str>,
     started_at: Time,
     /// Whether it was sent to an endpoint.
     sent: bool,
 }
 
-impl Trial {
+impl Probe {
     fn is_over(&self, now: Time) -> bool {
-        let limit = if self.sent { TRIAL_TIME } else { UNSENT_TRIAL_TIME };
+        let limit = if self.sent { PROBE_TIME } else { UNSENT_PROBE_TIME };
         now.since(self.started_at) >= limit
     }
 }
@@ -104,27 +104,30 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Quarantine {
     pub(crate) evidence: CrashEvidence,
-    verdicts: IndexMap<PartId, Verdict>,
-    /// Prompts that were let through, by the group of parts that they tell apart.
-    trials: IndexMap<PartId, Trial>,
+    entries: IndexMap<PartId, QuarantineEntry>,
+    /// Parts that an operator has taken out of the quarantine.
+    exempt: IndexSet<PartId>,
+    /// Probes by the group of parts that they distinguish.
+    probes: IndexMap<PartId, Probe>,
     changes: Vec<QuarantineChange>,
     news: Option<NewsScope>,
 }
 
 impl Quarantine {
-    /// Derives the verdicts from the evidence.
+    /// Derives the entries from the evidence.
     fn update(&mut self, now: Time) {
-        let verdicts = convict(&self.evidence, now);
-        let released = self.verdicts.keys().filter(|part| !verdicts.contains_key(*part));
+        let mut entries = derive_entries(&self.evidence, now);
+        entries.retain(|part, _| !self.exempt.contains(part));
+        let released = self.entries.keys().filter(|part| !entries.contains_key(*part));
         let released = released.map(|part| QuarantineChange::Released { part: *part });
-        let convicted = verdicts.iter().filter(|(part, _)| !self.verdicts.contains_key(*part));
-        let convicted = convicted.map(|(part, verdict)| QuarantineChange::Quarantined {
+        let added = entries.iter().filter(|(part, _)| !self.entries.contains_key(*part));
+        let added = added.map(|(part, entry)| QuarantineChange::Quarantined {
             part: *part,
-            verdict: *verdict,
+            entry: *entry,
         });
-        let changes: Vec<_> = released.chain(convicted).collect();
+        let changes: Vec<_> = released.chain(added).collect();
         self.changes.extend(changes);
-        self.verdicts = verdicts;
+        self.entries = entries;
     }
 
     fn announce(&mut self, scope: NewsScope) {
@@ -132,54 +135,61 @@
     }
 
     /// Returns the quarantined part of a prompt that keeps it longest from being sent.
-    fn verdict(&self, prompt: &Prompt, now: Time) -> Option<(PartId, Verdict)> {
-        if self.verdicts.is_empty() {
+    fn entry(&self, prompt: &Prompt, now: Time) -> Option<(PartId, QuarantineEntry)> {
+        if self.entries.is_empty() {
             return None;
         }
         let parts = prompt.shared_parts().iter().map(|part| part.id);
-        let verdicts = parts.filter_map(|part| Some((part, *self.verdicts.get(&part)?)));
-        verdicts
-            .filter(|(_, verdict)| verdict.until > now)
-            .max_by_key(|(_, verdict)| verdict.until)
+        let entries = parts.filter_map(|part| Some((part, *self.entries.get(&part)?)));
+        entries
+            .filter(|(_, entry)| entry.until > now)
+            .max_by_key(|(_, entry)| entry.until)
     }
 
-    /// Returns whether a prompt tells the parts of a verdict's group apart, because it has some of them only, or tells them
-    /// from the other parts of the prompts that crashed endpoints.
-    fn tells_apart(&self, prompt: &Prompt, verdict: Verdict) -> bool {
+    /// Returns whether a prompt distinguishes the parts of an entry's group, because it has some of them only, or
+    /// distinguishes them from the other parts of the prompts that crashed endpoints.
+    fn is_discriminating(&self, prompt: &Prompt, entry: QuarantineEntry) -> bool {
         let parts = prompt.shared_parts().iter();
-        let verdicts = parts.filter_map(|part| self.verdicts.get(&part.id));
-        let (in_group, others): (Vec<&Verdict>, Vec<&Verdict>) =
-            verdicts.partition(|other| other.group == verdict.group);
-        let may_be_sound = verdict.was_answered && verdict.crashes < MAX_CRASHES_FOR_TRIAL;
-        others.is_empty() && (in_group.len() < verdict.alike || may_be_sound)
+        let entries = parts.filter_map(|part| self.entries.get(&part.id));
+        let (in_group, others): (Vec<&QuarantineEntry>, Vec<&QuarantineEntry>) =
+            entries.partition(|other| other.group == entry.group);
+        let may_be_sound = entry.was_answered && entry.crashes < MAX_CRASHES_FOR_PROBE;
+        others.is_empty() && (in_group.len() < entry.alike || may_be_sound)
     }
 
-    fn is_on_trial(&self, admitted: &AdmittedRequest, verdict: Verdict) -> bool {
-        let trial = self.trials.get(&verdict.group);
-        trial.is_some_and(|trial| trial.request == admitted.id) && (verdict.alike > 1 || verdict.was_answered)
+    fn is_probe(&self, admitted: &AdmittedRequest, entry: QuarantineEntry) -> bool {
+        let probe = self.probes.get(&entry.group);
+        probe.is_some_and(|probe| probe.request == admitted.id) && (entry.alike > 1 || entry.was_answered)
     }
 }
 
 impl Relay {
     /// Returns the quarantined part of a request's prompt, if it has one.
     ///
-    /// A prompt that was let through to tell parts apart counts as having none.
-    pub fn quarantined_part(&self, admitted: &AdmittedRequest, now: Time) -> Option<(PartId, Verdict)> {
-        let (part, verdict) = self.quarantine.verdict(admitted.prompt.as_ref()?, now)?;
-        (!self.quarantine.is_on_trial(admitted, verdict)).then_some((part, verdict))
+    /// A probe counts as having none.
+    pub fn quarantined_part(&self, admitted: &AdmittedRequest, now: Time) -> Option<(PartId, QuarantineEntry)> {
+        let (part, entry) = self.quarantine.entry(admitted.prompt.as_ref()?, now)?;
+        (!self.quarantine.is_probe(admitted, entry)).then_some((part, entry))
+    }
+
+    /// Sets the parts that are never quarantined.
+    pub fn set_exempt_parts(&mut self, parts: impl Iterator<Item = PartId>, now: Time) {
+        self.quarantine.exempt = parts.collect();
+        self.quarantine.update(now);
     }
 
     /// Returns the number of quarantined parts.
     pub fn quarantined_parts(&self) -> usize {
-        self.quarantine.verdicts.len()
+        self.quarantine.entries.len()
     }
 
     /// Records that an attempt broke off; returns whether the endpoint should be checked for a crash.
     ///
-    /// A response without an event tells the prompt that the endpoint had begun to answer from those beside it.
+    /// A response with a head and no event distinguishes the prompt that the endpoint had just started to answer from the
+    /// others that it was running.
     pub fn on_broken_attempt(&mut self, attempt: &Attempt, now: Time) -> bool {
-        let has_begun = attempt.head_at.is_some() && attempt.events == 0;
-        if !has_begun || attempt.shared_parts.is_empty() || self.is_leaving(&attempt.endpoint.id) {
+        let has_started = attempt.head_at.is_some() && attempt.events == 0;
+        if !has_started || attempt.shared_parts.is_empty() || self.is_leaving(&attempt.endpoint.id) {
             return false;
         }
         let evidence = &mut self.quarantine.evidence;
@@ -207,21 +217,21 @@
     }
 
     /// Records that a request is sent to an endpoint.
-    pub(crate) fn on_trial_sent(&mut self, request: &str) {
-        let trials = self.quarantine.trials.values_mut();
-        for trial in trials.filter(|trial| *trial.request == *request) {
-            trial.sent = true;
+    pub(crate) fn on_probe_sent(&mut self, request: &str) {
+        let probes = self.quarantine.probes.values_mut();
+        for probe in probes.filter(|probe| *probe.request == *request) {
+            probe.sent = true;
         }
     }
 
-    /// Clears the parts of a response that is complete, which only the end of a framed one tells.
+    /// Clears the parts of a complete response; only a framed one is known to be complete.
     pub(crate) fn clear_answered(&mut self, attempt: &Attempt, outcome: AttemptOutcome, now: Time) {
         self.quarantine
-            .trials
-            .retain(|_, trial| trial.request != attempt.request);
+            .probes
+            .retain(|_, probe| probe.request != attempt.request);
         if outcome == AttemptOutcome::Complete && attempt.is_framed && !attempt.shared_parts.is_empty() {
             self.quarantine.evidence.on_answered(&attempt.shared_parts, now);
-            if !self.quarantine.verdicts.is_empty() {
+            if !self.quarantine.entries.is_empty() {
                 self.quarantine.update(now);
             }
         }
@@ -253,28 +263,26 @@
         self.quarantine.update(now);
     }
 
-    /// Returns the refusal of a prompt with a quarantined part, unless it is let through to tell parts apart.
+    /// Returns the refusal of a prompt with a quarantined part, unless it is sent as a probe.
     pub(crate) fn quarantine_refusal(&mut self, admitted: &AdmittedRequest, now: Time) -> Option<Refusal> {
-        let (part, verdict) = self.quarantined_part(admitted, now)?;
+        let (part, entry) = self.quarantined_part(admitted, now)?;
         let prompt = admitted.prompt.as_ref()?;
-        self.quarantine.trials.retain(|_, trial| !trial.is_over(now));
-        let is_free = !self.quarantine.trials.contains_key(&verdict.group);
-        if is_free && self.quarantine.tells_apart(prompt, verdict) && self.holds_trials(verdict.group, now) {
+        self.quarantine.probes.retain(|_, probe| !probe.is_over(now));
+        let is_free = !self.quarantine.probes.contains_key(&entry.group);
+        if is_free && self.quarantine.is_discriminating(prompt, entry) && self.sends_probes(entry.group, now) {
             let request = Arc::clone(&admitted.id);
-            let trial = Trial {
+            let probe = Probe {
                 request: Arc::clone(&request),
                 started_at: now,
                 sent: false,
             };
-            self.quarantine.trials.insert(verdict.group, trial);
-            self.quarantine
-                .changes
-                .push(QuarantineChange::OnTrial { part, request });
+            self.quarantine.probes.insert(entry.group, probe);
+            self.quarantine.changes.push(QuarantineChange::Probed { part, request });
             return None;
         }
         Some(Refusal::with_retry_after(
             Kind::QuarantinedPrompt,
-            verdict.until.since(now),
+            entry.until.since(now),
         ))
     }
 
@@ -283,8 +291,8 @@
         self.quarantine.update(now);
     }
 
-    /// Returns whether this VM is the one of its region that lets prompts through to tell the parts of a group apart.
-    fn holds_trials(&self, group: PartId, now: Time) -> bool {
+    /// Returns whether this VM is the one of its region that sends probes for a group.
+    fn sends_probes(&self, group: PartId, now: Time) -> bool {
         let local = self.members.local();
         let score = |vm: &VmId| rendezvous_score(group.0, vm.as_str());
         let peers = self.members.peers().filter(|row| row.region == local.region);
@@ -298,30 +306,30 @@
     }
 }
 
-/// Returns the parts that explain enough crashes, with their verdicts.
-fn convict(evidence: &CrashEvidence, now: Time) -> IndexMap<PartId, Verdict> {
+/// Returns the parts that explain enough crashes, with their entries.
+fn derive_entries(evidence: &CrashEvidence, now: Time) -> IndexMap<PartId, QuarantineEntry> {
     let mut open = evidence.open_crashes();
-    let mut verdicts = IndexMap::new();
-    while let Some((part, crashes)) = prime_suspect(evidence, &open) {
+    let mut entries = IndexMap::new();
+    while let Some((part, crashes)) = most_suspected(evidence, &open) {
         let explained: Vec<_> = open.extract_if(.., |crash| crash.suspects.contains(&part)).collect();
         let last = explained.last().map_or(now, |crash| crash.at);
         let until = last + quarantine_time(crashes);
         if until > now {
             let alike = parts_alike(evidence, part, &explained);
-            let verdict = Verdict {
+            let entry = QuarantineEntry {
                 crashes,
                 until,
                 group: alike.iter().copied().min().unwrap_or(part),
                 alike: alike.len(),
                 was_answered: evidence.was_answered(part),
             };
-            verdicts.extend(alike.into_iter().map(|part| (part, verdict)));
+            entries.extend(alike.into_iter().map(|part| (part, entry)));
         }
     }
-    verdicts
+    entries
 }
 
-/// Returns the parts, with `part` itself, that were in each of the crashes and cannot be told apart.
+/// Returns the parts, with `part` itself, that were in each of the crashes and cannot be distinguished.
 fn parts_alike(evidence: &CrashEvidence, part: PartId, crashes: &[Crash]) -> Vec<PartId> {
     let was_answered = evidence.was_answered(part);
     let suspects = crashes.first().into_iter().flat_map(|crash| &crash.suspects).copied();
@@ -333,13 +341,13 @@
 }
 
 /// Returns the part that explains most of the crashes, with their number, if they are enough to quarantine it.
-fn prime_suspect(evidence: &CrashEvidence, open: &[Crash]) -> Option<(PartId, u32)> {
+fn most_suspected(evidence: &CrashEvidence, open: &[Crash]) -> Option<(PartId, u32)> {
     let suspects: IndexSet<_> = open.iter().flat_map(|crash| &crash.suspects).copied().collect();
     let counted = suspects.into_iter().map(|part| {
         let crashes = open.iter().filter(|crash| crash.suspects.contains(&part));
         (part, distinct_moments(crashes.map(|crash| crash.at)))
     });
-    let convicted = counted.filter(|(part, crashes)| {
+    let added = counted.filter(|(part, crashes)| {
         *crashes
             >= if evidence.was_answered(*part) {
                 MIN_CRASHES_IF_ANSWERED
@@ -347,7 +355,7 @@
                 MIN_CRASHES
             }
     });
-    convicted.max_by_key(|(part, crashes)| (*crashes, !evidence.was_answered(*part)))
+    added.max_by_key(|(part, crashes)| (*crashes, !evidence.was_answered(*part)))
 }
 
 fn quarantine_time(crashes: u32) -> Millis {
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -9,7 +9,7 @@
 use sw_unit::{DomainId, EndpointId, Millis, Rate, RegionId, Time, Tokens, VmId};
 
 use crate::cache_directory::CacheDirectory;
-use crate::coordinator::{Coordinators, Grant};
+use crate::coordinator::Coordinators;
 use crate::exchange::RemoteView;
 use crate::quarantine::Quarantine;
 use crate::rate_limit::RateLimits;
@@ -20,9 +20,8 @@
 use crate::stream_origin::StreamOrigins;
 use crate::version_history::VersionHistory;
 use crate::{
-    Attempt, AttemptOutcome, EndpointEntry, EndpointReport, EndpointTracker, LatencyModel, PartId, PrefillPlan, Prompt,
-    Registry, RequestHead, Route, RouteTable, Service, ServiceId, SlowStartShare, SoftwareVersion, StoreRecord,
-    Telling,
+    EndpointEntry, EndpointTracker, LatencyModel, Prompt, Registry, Replication, RequestHead, Route, RouteTable,
+    Service, ServiceId, SlowStartShare, SoftwareVersion, StoreRecord,
 };
 
 /// Factor by which the count of recent requests decays at each tick.
@@ -124,7 +123,7 @@
     pub(crate) quarantine: Quarantine,
     /// Software versions of the services.
     pub(crate) versions: VersionHistory,
-    /// Software versions that began streams.
+    /// Software versions that started streams.
     pub(crate) origins: StreamOrigins,
     /// Unresponsive coordinators, with the time until which they are not asked.
     pub(crate) unresponsive: IndexMap<VmId, Time>,
@@ -199,7 +198,7 @@
             }
             StoreRecord::Origins(origins) => {
                 for origin in origins {
-                    self.record_origin(origin, Telling::Told, now);
+                    self.record_origin(origin, Replication::Written, now);
                 }
                 true
             }
@@ -281,152 +280,6 @@
         })
     }
 
-    /// Starts an attempt at a chosen endpoint, with the `grant` if its coordinator granted a slot.
-    ///
-    /// Returns `None` if no request may be sent to the endpoint any more, its slow start or rate limit allows none now, or
-    /// a part of the prompt is quarantined.
-    pub fn start_attempt(
-        &mut self,
-        admitted: &AdmittedRequest,
-        endpoint: &EndpointEntry,
-        grant: Option<&Grant>,
-        now: Time,
-    ) -> Option<Attempt> {
-        if !self.registry.may_send(endpoint, now) || !self.slow_start_allows(endpoint, now) {
-            return None;
-        }
-        if self.quarantined_part(admitted, now).is_some() || !admitted.may_run_at(endpoint) {
-            return None;
-        }
-        let token_taken_at = self.obtain_token(endpoint, grant, admitted.is_urgent(), now);
-        if !self.may_send(endpoint, token_taken_at, now) {
-            return None;
-        }
-        let cache_source = self.cache_source(admitted, endpoint, now);
-        let plan = match (grant, &admitted.prompt) {
-            (Some(grant), _) => grant.plan,
-            (None, Some(prompt)) => {
-                let distance = cache_source.as_ref().map(|source| source.distance);
-                self.prefill_plan(&admitted.service, &endpoint.id, prompt, distance, now)
-            }
-            (None, None) => PrefillPlan::default(),
-        };
-        let prefill_ms = self.prefill_ms(&admitted.service, plan.prefill);
-        let transfer_ms = self.plan_transfer_ms(&admitted.service, plan);
-        let cache_capacity = self.cache_capacity(&admitted.service);
-        let cold = self.cold_share(endpoint, now);
-        let queue_ms = if admitted.prompt.is_none() {
-            self.response_ms(&admitted.service, endpoint, now) - self.service_ms(&admitted.service)
-        } else {
-            0.0
-        };
-        let load = self.loads.entry(endpoint.id.clone()).or_default();
-        let backlog_ms = grant.map_or_else(|| load.backlog_ms(now).max(queue_ms), |grant| grant.estimate.backlog_ms);
-        // A granted slot is already in the coordinator's account of the queue.
-        let queued_prefill_ms = if grant.is_some() { 0.0 } else { prefill_ms };
-        let entry_id = load.on_dispatch(queued_prefill_ms, now + Millis(transfer_ms as u64), now);
-        if let (Some(prompt), Some(cache_capacity)) = (&admitted.prompt, cache_capacity) {
-            load.cache.insert(prompt, cache_capacity, now);
-            self.record_prefill(
-                &admitted.service,
-                &endpoint.id,
-                prompt,
-                backlog_ms.max(transfer_ms) + prefill_ms,
-                now,
-            );
-        }
-        let load = self.loads.entry(endpoint.id.clone()).or_default();
-        if let Some((share, cold_for)) = cold {
-            load.slow_start.on_dispatch(share, cold_for);
-        }
-        self.on_trial_sent(&admitted.id);
-        Some(Attempt {
-            request: Arc::clone(&admitted.id),
-            endpoint: endpoint.clone(),
-            service: admitted.service.clone(),
-            started_at: now,
-            entry_id,
-            token_taken_at,
-            plan,
-            prefill_ms,
-            transfer_ms,
-            cache_source,
-            backlog_ms,
-            shared_parts: shared_part_ids(admitted),
-            head_at: None,
-            is_framed: false,
-            first_event_at: None,
-            events: 0,
-            expected_output: admitted.prompt.as_ref().map_or(Tokens(0), Prompt::expected_output),
-        })
-    }
-
-    /// Records that the head of the response arrived, which is `framed` if its body has a length or chunks.
-    pub fn on_head(&mut self, attempt: &mut Attempt, framed: bool, now: Time) {
-        attempt.head_at = Some(now);
-        attempt.is_framed = framed;
-    }
-
-    /// Records the first event of a stream.
-    pub fn on_first_event(&mut self, attempt: &mut Attempt, now: Time) {
-        attempt.first_event_at = Some(now);
-        attempt.events = 1;
-        if let Some(load) = self.loads.get_mut(&attempt.endpoint.id) {
-            load.on_prefill_done(attempt.entry_id, now);
-        }
-        if attempt.backlog_ms < 1.0 {
-            self.record_first_event(attempt, now);
-        }
-    }
-
-    /// Records the gap between two events of a stream.
-    pub fn record_gap(&mut self, attempt: &mut Attempt, gap: Millis, now: Time) {
-        attempt.events += 1;
-        if let Some(load) = self.loads.get_mut(&attempt.endpoint.id) {
-            load.record_gap(gap, now);
-        }
-    }
-
-    /// Applies the report that an endpoint sent with a response, and returns whether it newly announces that the
-    /// endpoint is leaving.
-    pub fn on_endpoint_report(&mut self, endpoint: &EndpointEntry, report: &EndpointReport, now: Time) -> bool {
-        if let (Some(report), Some(load)) = (report.load, self.loads.get_mut(&endpoint.id)) {
-            load.record_report(report, now);
-        }
-        if let Some(cold_for) = report.cold_for {
-            self.registry.extend_cold(&endpoint.id, cold_for, now);
-        }
-        if let Some(wait) = report.retry_after {
-            self.registry.on_rejected(endpoint, wait, now);
-        }
-        report.leaving && self.registry.on_leaving(endpoint)
-    }
-
-    /// Ends an attempt, and returns the end of the backoff if the endpoint is put into backoff for its failures.
-    pub fn end_attempt(&mut self, attempt: &Attempt, outcome: AttemptOutcome, now: Time) -> Option<Time> {
-        if outcome == AttemptOutcome::Complete {
-            let model = self.models.entry(attempt.service.clone()).or_default();
-            if let Some(first_event_at) = attempt.first_event_at {
-                model.record_events(attempt.expected_output, attempt.events);
-                model.record_stream(attempt.prefill_ms, now.since(first_event_at));
-            } else if attempt.backlog_ms < 1.0 {
-                model.record_service_time(attempt.age(now));
-            }
-        }
-        self.clear_answered(attempt, outcome, now);
-        let load = self.loads.get_mut(&attempt.endpoint.id)?;
-        load.on_end(attempt.entry_id, now);
-        if outcome == AttemptOutcome::Complete {
-            load.on_success();
-            return None;
-        }
-        if outcome.is_fault() {
-            load.on_failure(outcome.is_absent(), now)
-        } else {
-            None
-        }
-    }
-
     /// Returns the load of an endpoint; `None` if it is not tracked.
     pub fn load(&self, endpoint: &EndpointId) -> Option<&EndpointTracker> {
         self.loads.get(endpoint)
@@ -475,7 +328,7 @@
 
     /// Returns this VM's share of an endpoint's rate during its slow start, and the time until it is warm; `None` if it
     /// is warm.
-    fn cold_share(&self, endpoint: &EndpointEntry, now: Time) -> Option<(SlowStartShare, Millis)> {
+    pub(crate) fn cold_share(&self, endpoint: &EndpointEntry, now: Time) -> Option<(SlowStartShare, Millis)> {
         let known = self.registry.get(&endpoint.id)?;
         let cold_for = known.cold_until.since(now);
         if cold_for == Millis(0) {
@@ -542,9 +395,3 @@
         }
     }
 }
-
-/// Returns the parts of a request's prompt that other requests may share.
-fn shared_part_ids(admitted: &AdmittedRequest) -> Vec<PartId> {
-    let shared = admitted.prompt.as_ref().map_or(&[][..], Prompt::shared_parts);
-    shared.iter().map(|part| part.id).collect()
-}
--- a/crates/sw-relay/src/stream_origin.rs
+++ b/crates/sw-relay/src/stream_origin.rs
@@ -1,10 +1,10 @@
-//! Which software version began a stream.
+//! Which software version started a stream.
 //!
-//! A caller whose stream broke off may take it up at any VM of any region. The VM that relayed the first event knows
-//! the version that began the stream. While streams of several versions of a service may live, it tells two other VMs:
-//! the one of its region that writes origins to the store, and one of another region. All VMs compute these alike, and a VM
-//! that is asked to go on with a stream that it does not know asks them. A version that is not known is not assumed:
-//! the caller is refused.
+//! A caller whose stream broke off may resume it at any VM of any region. The VM that relayed the first event knows
+//! the version that started the stream. While streams of several versions of a service may live, it replicates this to two
+//! other VMs: the one of its region that writes origins to the store, and one of another region. All VMs compute these
+//! alike, and a VM that is asked to resume a stream that it does not know asks them. A version that is not known is not
+//! assumed: the caller is refused.
 
 use std::cmp::Reverse;
 use std::net::SocketAddr;
@@ -22,10 +22,12 @@
 const MAX_ORIGINS: usize = 16_384;
 /// Writers of each region that are asked for an origin: the first one, and the next one if VMs joined or left.
 const ASKED_WRITERS: usize = 2;
+/// Number of live VMs up to which all are asked, also those that do not hold a replica yet.
+const MAX_ASKED: usize = 12;
 /// Key by which the VMs of a region are ranked as writers.
 const WRITER_KEY: &str = "writer";
 
-/// The software version that began a stream.
+/// The software version that started a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StreamOrigin {
     /// Id of the request that brought the first event.
@@ -41,18 +43,18 @@
     service: ServiceId,
     software: SoftwareVersion,
     known_since: Time,
-    telling: Telling,
+    replication: Replication,
 }
 
-/// Who must still learn of an origin while several versions serve.
+/// How far an origin has been replicated; none is replicated while a service has one version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Telling {
-    /// Nobody.
-    Told,
-    /// The store, if this VM writes for its region.
-    Unwritten,
-    /// Two other VMs, and the store.
-    Untold,
+pub enum Replication {
+    /// Other VMs and the store have it.
+    Written,
+    /// Other VMs have it; the store has not.
+    Replicated,
+    /// Only this VM has it.
+    Pending,
 }
 
 impl KnownOrigin {
@@ -72,7 +74,7 @@
 }
 
 impl StreamOrigins {
-    fn record(&mut self, origin: StreamOrigin, telling: Telling, now: Time) {
+    fn record(&mut self, origin: StreamOrigin, replication: Replication, now: Time) {
         if self.known.len() >= MAX_ORIGINS {
             self.known.shift_remove_index(0);
         }
@@ -80,18 +82,18 @@
             service: origin.service,
             software: origin.software,
             known_since: now,
-            telling,
+            replication,
         };
         // The first event counts; a stream has one origin.
         self.known.entry(origin.stream).or_insert(known);
     }
 
     /// Returns the origins of these services in the state `from`, and moves them to the state `to`.
-    fn take(&mut self, services: &[ServiceId], from: Telling, to: Telling) -> Vec<StreamOrigin> {
+    fn take(&mut self, services: &[ServiceId], from: Replication, to: Replication) -> Vec<StreamOrigin> {
         let known = self.known.iter_mut();
-        let pending = known.filter(|(_, known)| known.telling == from && services.contains(&known.service));
+        let pending = known.filter(|(_, known)| known.replication == from && services.contains(&known.service));
         let taken = pending.map(|(stream, known)| {
-            known.telling = to;
+            known.replication = to;
             known.origin_of(stream)
         });
         taken.collect()
@@ -115,12 +117,12 @@
             service: admitted.service.clone(),
             software: software.clone(),
         };
-        self.origins.record(origin, Telling::Untold, now);
+        self.origins.record(origin, Replication::Pending, now);
     }
 
     /// Records an origin that another VM knows.
-    pub fn record_origin(&mut self, origin: StreamOrigin, telling: Telling, now: Time) {
-        self.origins.record(origin, telling, now);
+    pub fn record_origin(&mut self, origin: StreamOrigin, replication: Replication, now: Time) {
+        self.origins.record(origin, replication, now);
     }
 
     /// Returns the origin of a stream, if this VM knows it.
@@ -129,19 +131,19 @@
         Some(known.origin_of(stream))
     }
 
-    /// Returns the origins to tell other VMs, with their addresses. There are none while each service has one version.
-    pub fn take_untold_origins(&mut self, now: Time) -> IndexMap<SocketAddr, Vec<StreamOrigin>> {
-        let mut told: IndexMap<_, Vec<_>> = IndexMap::new();
+    /// Returns the origins to replicate to other VMs, with their addresses. There are none while each service has one version.
+    pub fn take_pending_origins(&mut self, now: Time) -> IndexMap<SocketAddr, Vec<StreamOrigin>> {
+        let mut replicas: IndexMap<_, Vec<_>> = IndexMap::new();
         let mixed = self.mixed_services(now);
         if mixed.is_empty() {
-            return told;
+            return replicas;
         }
-        for origin in self.origins.take(&mixed, Telling::Untold, Telling::Unwritten) {
+        for origin in self.origins.take(&mixed, Replication::Pending, Replication::Replicated) {
             for row in self.origin_holders(&origin.stream, now) {
-                told.entry(row.peer_listen).or_default().push(origin.clone());
+                replicas.entry(row.peer_listen).or_default().push(origin.clone());
             }
         }
-        told
+        replicas
     }
 
     /// Returns the origins to write to the store, if this VM writes for its region.
@@ -150,13 +152,13 @@
         if mixed.is_empty() || !self.writes_for_region(now) {
             return Vec::new();
         }
-        self.origins.take(&mixed, Telling::Unwritten, Telling::Told)
+        self.origins.take(&mixed, Replication::Replicated, Replication::Written)
     }
 
     /// Records that an origin could not be written to the store, so that it is written again.
     pub fn on_origin_not_written(&mut self, stream: &str) {
         if let Some(known) = self.origins.known.get_mut(stream) {
-            known.telling = known.telling.max(Telling::Unwritten);
+            known.replication = known.replication.max(Replication::Replicated);
         }
     }
 
@@ -170,6 +172,11 @@
 
     /// Returns the addresses of the VMs to ask for the origin of a stream.
     pub fn vms_to_ask(&self, stream: &str, now: Time) -> Vec<SocketAddr> {
+        let peers = self.members.peers().filter(|row| self.is_live(&row.vm, now));
+        let live: Vec<_> = peers.map(|row| row.peer_listen).collect();
+        if live.len() <= MAX_ASKED {
+            return live;
+        }
         let regions: IndexSet<_> = self.options.domain_regions.values().collect();
         let asked = regions.into_iter().flat_map(|region| {
             let writers = self.ranked_vms(WRITER_KEY, region, now).into_iter().take(ASKED_WRITERS);
@@ -179,7 +186,7 @@
         asked.into_iter().collect()
     }
 
-    /// Returns the VMs that are told the origin of a stream: the writer of this region and one VM of another.
+    /// Returns the VMs that hold replicas of the origin of a stream: the writer of this region and one VM of another.
     fn origin_holders(&self, stream: &str, now: Time) -> Vec<VmRow> {
         let local = &self.options.local.region;
         let regions: IndexSet<_> = self.options.domain_regions.values().collect();
--- a/crates/sw-relay/src/types.rs
+++ b/crates/sw-relay/src/types.rs
@@ -5,7 +5,7 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
-use sw_unit::{DomainId, EndpointId, Incarnation, Millis, Tokens};
+use sw_unit::{DomainId, EndpointId, Incarnation, Millis, PartId, Tokens};
 
 use crate::{RouteTable, ServiceSoftware, StreamOrigin};
 
@@ -95,25 +95,6 @@
     }
 }
 
-/// Identifier of the text of a prompt part.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct PartId(pub u64);
-
-impl fmt::Display for PartId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        fmt::LowerHex::fmt(&self.0, f)
-    }
-}
-
-impl FromStr for PartId {
-    type Err = std::num::ParseIntError;
-
-    /// Parses a hexadecimal number.
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        u64::from_str_radix(text, 16).map(Self)
-    }
-}
-
 /// A part of a prompt that several requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
@@ -166,11 +147,11 @@
     pub remaining: Option<Millis>,
     /// The prompt, for requests to model engines.
     pub prompt: Option<Prompt>,
-    /// The stream that the request takes up again, if it is not a new one.
+    /// The stream that the request resumes, if it is not a new one.
     pub resumption: Option<Resumption>,
 }
 
-/// A stream that broke off, and that its caller takes up again.
+/// A stream that broke off, and that its caller resumes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Resumption {
     /// Id of the request that brought the caller the first event of the stream; `None` if the caller does not name it.
--- a/crates/sw-relay/src/version_history.rs
+++ b/crates/sw-relay/src/version_history.rs
@@ -1,6 +1,6 @@
 //! Which software versions of a service have served.
 //!
-//! A stream may go on only at the software version that began it. If a VM does not know which one that was, it may still
+//! A stream may continue only at the software version that started it. If a VM does not know which one that was, it may still
 //! conclude it: if only one version has served for as long as a stream can live. For that each VM records which
 //! versions were registered, and a VM that has just started takes over what the others recorded.
 
@@ -9,7 +9,7 @@
 
 use crate::{EndpointEntry, Relay, ServiceId, SoftwareVersion};
 
-/// Time after the timeout of its route after which a stream can no longer be taken up, including the time in which VMs
+/// Time after the timeout of its route after which a stream can no longer be resumed, including the time in which VMs
 /// learn that an endpoint has left.
 const STREAM_MARGIN: Millis = Millis(10_000);
 /// Lifetime of a stream of a service that no route leads to.
@@ -37,7 +37,7 @@
     Unstated,
 }
 
-/// The software versions of a service that may have begun streams that still live, as recorded in the store.
+/// The software versions of a service that may have started streams that still live, as recorded in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServiceSoftware {
     /// The service.
@@ -190,7 +190,7 @@
 }
 
 impl Relay {
-    /// Returns the only software version of a service that can have begun a stream that still lives, if this VM can
+    /// Returns the only software version of a service that can have started a stream that still lives, if this VM can
     /// tell.
     pub fn sole_software(&self, service: &ServiceId, now: Time) -> Option<SoleVersion> {
         self.versions.sole(service, self.stream_life(service), now)
@@ -235,7 +235,7 @@
         self.versions.prune(now);
     }
 
-    /// Returns the time for which a stream of a service can live, and be taken up again.
+    /// Returns the time for which a stream of a service can live, and be resumed.
     fn stream_life(&self, service: &ServiceId) -> Millis {
         let routes = self.table.iter().flat_map(|table| table.routes());
         let leading = routes.filter(|route| route.leads_to(service));
--- a/crates/sw-relay/tests/quarantine.rs
+++ b/crates/sw-relay/tests/quarantine.rs
@@ -10,7 +10,7 @@
 const CONTACT: Millis = Millis(5_000);
 /// Number of prompts that may reach engines after that time.
 const ALLOWED_LATE: usize = 3;
-const DEADLY: u64 = 666;
+const CRASHING_PART: u64 = 666;
 
 const NINE_VMS: Layout = Layout {
     regions: 3,
@@ -19,8 +19,8 @@
     engines_per_region: 6,
 };
 
-/// Sends `per_second` prompts a second to the VMs at random, a share of which has one of the `deadly` parts.
-fn load(fleet: &mut Fleet, per_second: f64, deadly: &[u64], share: f64, duration: Millis, rng: &mut fastrand::Rng) {
+/// Sends `per_second` prompts a second to the VMs at random, a share of which has one of the `crashing` parts.
+fn load(fleet: &mut Fleet, per_second: f64, crashing: &[u64], share: f64, duration: Millis, rng: &mut fastrand::Rng) {
     let end = fleet.now + duration;
     let mut owed = 0.0;
     while fleet.now < end {
@@ -28,7 +28,7 @@
         owed += per_second * STEP.0 as f64 / 1_000.0;
         while owed >= 1.0 {
             owed -= 1.0;
-            let part = rng.choice(deadly).copied().filter(|_| rng.f64() < share);
+            let part = rng.choice(crashing).copied().filter(|_| rng.f64() < share);
             fleet.request(rng.usize(..1_000), part, rng.u64(..));
         }
     }
@@ -36,20 +36,24 @@
 
 /// Guards against the incident BUDGET: one prompt in twenty crashes the engine that answers it, on nine VMs in three regions.
 #[test]
-fn deadly_part_is_quarantined_by_all_vms_after_a_few_crashes() {
+fn crashing_part_is_quarantined_by_all_vms_after_a_few_crashes() {
     let mut rng = fastrand::Rng::with_seed(1);
     let mut fleet = Fleet::new(NINE_VMS);
     load(&mut fleet, 60.0, &[], 0.0, Millis(3_000), &mut rng);
-    load(&mut fleet, 60.0, &[DEADLY], 0.05, Millis(20_000), &mut rng);
-    assert!(fleet.crash_count(DEADLY) <= 6, "{} crashes", fleet.crash_count(DEADLY));
-    assert!(fleet.late_arrivals(DEADLY, Millis(1_000)) == 0);
+    load(&mut fleet, 60.0, &[CRASHING_PART], 0.05, Millis(20_000), &mut rng);
+    assert!(
+        fleet.crash_count(CRASHING_PART) <= 6,
+        "{} crashes",
+        fleet.crash_count(CRASHING_PART)
+    );
+    assert!(fleet.late_arrivals(CRASHING_PART, Millis(1_000)) == 0);
     let share = fleet.quarantined_share(Time(8_000));
     assert!(share < 0.01, "{share} of the sound prompts are quarantined");
 }
 
-/// Guards against a second deadly part that goes unnoticed beside the first one, at the same time or later.
+/// Guards against a second crashing part that goes unnoticed beside the first one, at the same time or later.
 #[test]
-fn each_of_several_deadly_parts_is_found() {
+fn each_of_several_crashing_parts_is_found() {
     for parts in [[666, 667], [666, 668]] {
         let mut rng = fastrand::Rng::with_seed(2);
         let mut fleet = Fleet::new(NINE_VMS);
@@ -67,7 +71,7 @@
 
 /// Guards against prompts that are quarantined because engines crash for another reason, one by one or a region at once.
 #[test]
-fn crashes_without_a_guilty_part_quarantine_nothing() {
+fn crashes_without_a_crashing_part_quarantine_nothing() {
     let mut rng = fastrand::Rng::with_seed(3);
     let mut fleet = Fleet::new(NINE_VMS);
     for round in 0..20 {
@@ -87,14 +91,14 @@
 fn evidence_adds_up_over_vms_and_regions() {
     let mut fleet = Fleet::new(NINE_VMS);
     for second in 0..3 {
-        fleet.request(second, Some(DEADLY), 0);
+        fleet.request(second, Some(CRASHING_PART), 0);
         for _ in 0..200 {
             fleet.step();
         }
     }
     let before = fleet.arrivals.len();
     for vm in 0..9 {
-        fleet.request(vm, Some(DEADLY), 0);
+        fleet.request(vm, Some(CRASHING_PART), 0);
     }
     assert_eq!(fleet.arrivals.len(), before, "each VM knows");
 }
@@ -106,25 +110,25 @@
     let mut fleet = Fleet::new(NINE_VMS);
     fleet.set_group(4, 1);
     fleet.set_running(7, false);
-    load(&mut fleet, 40.0, &[DEADLY], 0.1, Millis(6_000), &mut rng);
+    load(&mut fleet, 40.0, &[CRASHING_PART], 0.1, Millis(6_000), &mut rng);
     fleet.heal();
     for _ in 0..300 {
         fleet.step();
     }
     let before = fleet.arrivals.len();
-    fleet.request(4, Some(DEADLY), 0);
-    fleet.request(7, Some(DEADLY), 0);
+    fleet.request(4, Some(CRASHING_PART), 0);
+    fleet.request(7, Some(CRASHING_PART), 0);
     assert_eq!(fleet.arrivals.len(), before);
 }
 
-/// Guards against a sound part that stays quarantined because it was in the same prompts as the deadly one: a complete response
+/// Guards against a sound part that stays quarantined because it was in the same prompts as the crashing one: a complete response
 /// to another prompt clears it.
 #[test]
-fn part_beside_a_deadly_one_is_released_by_a_complete_response() {
+fn part_beside_a_crashing_one_is_released_by_a_complete_response() {
     let mut rng = fastrand::Rng::with_seed(5);
     let mut fleet = Fleet::new(NINE_VMS);
     for _ in 0..3 {
-        fleet.request(0, Some(DEADLY), 5);
+        fleet.request(0, Some(CRASHING_PART), 5);
         for _ in 0..100 {
             fleet.step();
         }
@@ -134,6 +138,28 @@
     assert!(share == 0.0, "{share} of the sound prompts are quarantined");
 }
 
+/// Guards against a part that stays quarantined although an operator has exempted it.
+#[test]
+fn exempt_part_is_released_and_not_quarantined_again() {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut fleet = Fleet::new(NINE_VMS);
+    load(&mut fleet, 60.0, &[], 0.0, Millis(3_000), &mut rng);
+    for _ in 0..2 {
+        fleet.request(0, Some(CRASHING_PART), 0);
+        for _ in 0..300 {
+            fleet.step();
+        }
+    }
+    let arrivals = |fleet: &mut Fleet| {
+        let before = fleet.arrivals.len();
+        fleet.request(0, Some(CRASHING_PART), 0);
+        fleet.arrivals.len() - before
+    };
+    assert_eq!(arrivals(&mut fleet), 0);
+    fleet.exempt(0, CRASHING_PART);
+    assert_eq!(arrivals(&mut fleet), 1);
+}
+
 /// Guards against memory that grows with what callers send.
 #[test]
 fn any_number_of_parts_and_crashes_is_borne() {
@@ -193,7 +219,7 @@
 proptest! {
     #![proptest_config(sw_fuzz::config())]
 
-    /// For any faults, the rule's figure holds for the deadly part, and almost all sound prompts may be served.
+    /// For any faults, the rule's figure holds for the crashing part, and almost all sound prompts may be served.
     #[test]
     fn rule_holds_under_faults(
         seed in any::<u64>(),
@@ -209,11 +235,11 @@
         load(&mut fleet, 40.0, &[], 0.0, Millis(2_000), &mut rng);
         for (pause, fault) in &faults {
             inject(&mut fleet, fault, vms);
-            load(&mut fleet, 40.0, &[DEADLY], share, Millis(*pause), &mut rng);
+            load(&mut fleet, 40.0, &[CRASHING_PART], share, Millis(*pause), &mut rng);
         }
         fleet.heal();
-        load(&mut fleet, 40.0, &[DEADLY], share, Millis(12_000), &mut rng);
-        let late = fleet.late_arrivals(DEADLY, CONTACT);
+        load(&mut fleet, 40.0, &[CRASHING_PART], share, Millis(12_000), &mut rng);
+        let late = fleet.late_arrivals(CRASHING_PART, CONTACT);
         prop_assert!(late <= ALLOWED_LATE, "{late} of {} arrivals late", fleet.arrivals.len());
         let quarantined = fleet.quarantined_share(fleet.now - Millis(4_000));
         prop_assert!(quarantined < 0.1, "{quarantined} of the sound prompts are quarantined");
--- a/crates/sw-relay/tests/stream_versions.rs
+++ b/crates/sw-relay/tests/stream_versions.rs
@@ -9,8 +9,8 @@
 use support::{admit, endpoint, head, options, prompt, relay, relay_with, row, service};
 use sw_member::VmRow;
 use sw_relay::{
-    AttemptHistory, Choice, EndpointEntry, Relay, ServiceSoftware, SoftwareVersion, SoleVersion, StoreRecord,
-    StreamOrigin, Telling,
+    AttemptHistory, Choice, EndpointEntry, Relay, Replication, ServiceSoftware, SoftwareVersion, SoleVersion,
+    StoreRecord, StreamOrigin,
 };
 use sw_unit::{Incarnation, Millis, Time};
 
@@ -20,7 +20,7 @@
 /// Longest time until a VM learns of a change of the registrations.
 const LEARN_TIME: u64 = 1_000;
 /// Time in which news is told to other VMs, and written to the store.
-const TELL_PERIOD: Millis = Millis(200);
+const REPLICATE_PERIOD: Millis = Millis(200);
 const WRITE_PERIOD: Millis = Millis(500);
 const REGIONS: [&str; 3] = ["north", "south", "west"];
 
@@ -147,8 +147,8 @@
     recorded: Option<Vec<ServiceSoftware>>,
     written: Vec<StreamOrigin>,
     streams: Vec<Stream>,
-    taken_up: usize,
-    went_on: usize,
+    resumed_count: usize,
+    continued: usize,
     rng: fastrand::Rng,
 }
 
@@ -162,15 +162,15 @@
             recorded: None,
             written: Vec::new(),
             streams: Vec::new(),
-            taken_up: 0,
-            went_on: 0,
+            resumed_count: 0,
+            continued: 0,
             rng: fastrand::Rng::with_seed(seed),
         };
         fleet.vms = (0..vms).map(|index| fleet.start_vm(index, 1)).collect();
         (0..4).for_each(|_| fleet.start_engine("v0"));
         fleet.run(Millis(40_000));
         fleet.streams.clear();
-        (fleet.taken_up, fleet.went_on) = (0, 0);
+        (fleet.resumed_count, fleet.continued) = (0, 0);
         fleet
     }
 
@@ -241,7 +241,7 @@
             self.tell();
             self.write();
             self.begin_stream();
-            self.take_up();
+            self.resume_stream();
         }
     }
 
@@ -277,15 +277,17 @@
     }
 
     fn tell(&mut self) {
-        if !self.now.0.is_multiple_of(TELL_PERIOD.0) {
+        if !self.now.0.is_multiple_of(REPLICATE_PERIOD.0) {
             return;
         }
         for from in 0..self.vms.len() {
-            for (address, origins) in self.vms[from].relay.take_untold_origins(self.now) {
+            for (address, origins) in self.vms[from].relay.take_pending_origins(self.now) {
                 let to = self.index_of(address);
                 if self.reaches(from, to) {
                     for origin in origins {
-                        self.vms[to].relay.record_origin(origin, Telling::Unwritten, self.now);
+                        self.vms[to]
+                            .relay
+                            .record_origin(origin, Replication::Replicated, self.now);
                     }
                 }
             }
@@ -334,18 +336,18 @@
     }
 
     /// A caller takes a stream up at a random VM, which must not assume a wrong version.
-    fn take_up(&mut self) {
+    fn resume_stream(&mut self) {
         let now = self.now;
         self.streams.retain(|stream| now.since(stream.began_at) < STREAM_LIFE);
         let Some(stream) = self.rng.choice(&self.streams) else {
             return;
         };
         let vm = self.rng.usize(..self.vms.len());
-        self.taken_up += 1;
+        self.resumed_count += 1;
         let (id, software, began_at) = (Arc::clone(&stream.id), stream.software.clone(), stream.began_at);
         if let Some(found) = self.find(vm, &id) {
             assert_eq!(found, software, "{id} began at {}", began_at.0);
-            self.went_on += 1;
+            self.continued += 1;
         }
     }
 
@@ -403,7 +405,7 @@
         fleet.stop_engine();
         fleet.run(Millis(6_000));
     }
-    let share = fleet.went_on as f64 / fleet.taken_up as f64;
+    let share = fleet.continued as f64 / fleet.resumed_count as f64;
     assert!(share > 0.95, "{share}");
 }
 
@@ -417,7 +419,7 @@
         fleet.run(Millis(9_000));
         fleet.kill_all();
     }
-    let share = fleet.went_on as f64 / fleet.taken_up as f64;
+    let share = fleet.continued as f64 / fleet.resumed_count as f64;
     assert!(share > 0.85, "{share}");
 }
 
@@ -431,7 +433,7 @@
             service: service("engines"),
             software: software("v1"),
         };
-        relay.record_origin(origin, Telling::Told, Time(index));
+        relay.record_origin(origin, Replication::Written, Time(index));
     }
     assert!(relay.stream_origin("s0").is_none() && relay.stream_origin("s39999").is_some());
     for index in 0..1_000 {
--- a/crates/sw-relay/tests/support/fleet.rs
+++ b/crates/sw-relay/tests/support/fleet.rs
@@ -1,6 +1,6 @@
 //! VMs and engines of several regions, and prompts with parts that crash engines.
 //!
-//! Time passes in steps. A prompt with a deadly part crashes its engine shortly after the head of its response; all
+//! Time passes in steps. A prompt with a crashing part crashes its engine shortly after the head of its response; all
 //! other responses of that engine break off with it. Messages between VMs arrive within the step in which they are sent,
 //! unless a VM is down or cut off.
 
@@ -9,10 +9,10 @@
 use indexmap::IndexMap;
 use sw_member::VmRow;
 use sw_relay::{
-    AdmittedRequest, Attempt, AttemptHistory, AttemptOutcome, Choice, EndpointEntry, NewsScope, Options, PartId,
-    Prompt, PromptPart, Relay, RequestHead,
+    AdmittedRequest, Attempt, AttemptHistory, AttemptOutcome, Choice, EndpointEntry, NewsScope, Options, Prompt,
+    PromptPart, Relay, RequestHead,
 };
-use sw_unit::{DomainId, Incarnation, Millis, RegionId, Time, Tokens};
+use sw_unit::{DomainId, Incarnation, Millis, PartId, RegionId, Time, Tokens};
 
 use super::{endpoint, head, options, register, relay_with, row};
 
@@ -38,8 +38,8 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Arrival {
     pub at: Time,
-    /// The deadly part that it has.
-    pub deadly: Option<u64>,
+    /// The crashing part that it has.
+    pub crashing: Option<u64>,
     /// Whether its VM is excused.
     pub excused: bool,
 }
@@ -59,7 +59,7 @@
     attempt: Attempt,
     admitted: AdmittedRequest,
     history: AttemptHistory,
-    deadly: Option<u64>,
+    crashing: Option<u64>,
     arrived_at: Time,
 }
 
@@ -94,7 +94,7 @@
     running: Vec<RunningAttempt>,
     pub arrivals: Vec<Arrival>,
     pub sound: Vec<SoundPrompt>,
-    /// Times of the crashes under each deadly part; 0 stands for crashes without a cause.
+    /// Times of the crashes under each crashing part; 0 stands for crashes without a cause.
     pub crashes: IndexMap<u64, Vec<Time>>,
     admitted: usize,
 }
@@ -237,13 +237,13 @@
     }
 
     /// A caller sends a prompt to a VM.
-    pub fn request(&mut self, vm: usize, deadly: Option<u64>, subject: u64) {
+    pub fn request(&mut self, vm: usize, crashing: Option<u64>, subject: u64) {
         let vm = vm % self.vms.len();
         if !self.vms[vm].running {
             return;
         }
         self.admitted += 1;
-        let ids = [Some(FIRST_PART), Some(SUBJECT + subject % SUBJECTS), deadly];
+        let ids = [Some(FIRST_PART), Some(SUBJECT + subject % SUBJECTS), crashing];
         let unique = 1_000_000 + self.admitted as u64;
         let part = |id, len| PromptPart {
             id: PartId(id),
@@ -261,24 +261,24 @@
             ..head("digest", Some(prompt))
         };
         let admitted = self.vms[vm].relay.admit(head, self.now, false).expect("a known route");
-        if deadly.is_none() {
+        if crashing.is_none() {
             let quarantined = self.vms[vm].relay.quarantined_part(&admitted, self.now).is_some();
             self.sound.push(SoundPrompt {
                 at: self.now,
                 quarantined,
             });
         }
-        self.send(vm, admitted, AttemptHistory::default(), deadly);
+        self.send(vm, admitted, AttemptHistory::default(), crashing);
     }
 
-    /// Returns the deadly prompts that reached engines, sent later than `notice` after the fifth crash under their part by
+    /// Returns the crashing prompts that reached engines, sent later than `notice` after the fifth crash under their part by
     /// VMs that are not excused.
     pub fn late_arrivals(&self, part: u64, notice: Millis) -> usize {
         let Some(fifth) = self.crashes.get(&part).and_then(|crashes| crashes.get(4)) else {
             return 0;
         };
         let late =
-            |arrival: &&Arrival| arrival.deadly == Some(part) && arrival.at > *fifth + notice && !arrival.excused;
+            |arrival: &&Arrival| arrival.crashing == Some(part) && arrival.at > *fifth + notice && !arrival.excused;
         self.arrivals.iter().filter(late).count()
     }
 
@@ -287,6 +287,13 @@
         self.crashes.get(&part).map_or(0, Vec::len)
     }
 
+    /// Exempts a part from the quarantine of a VM.
+    pub fn exempt(&mut self, vm: usize, part: u64) {
+        self.vms[vm]
+            .relay
+            .set_exempt_parts([PartId(part)].into_iter(), self.now);
+    }
+
     /// Returns the number of crashes that a VM reports to one that it does not know.
     pub fn reported_crashes(&self, vm: usize) -> usize {
         self.vms[vm].relay.heartbeat(None, self.now).domains[0].crashes.len()
@@ -299,7 +306,7 @@
         quarantined as f64 / sound.len().max(1) as f64
     }
 
-    fn send(&mut self, vm: usize, admitted: AdmittedRequest, mut history: AttemptHistory, deadly: Option<u64>) {
+    fn send(&mut self, vm: usize, admitted: AdmittedRequest, mut history: AttemptHistory, crashing: Option<u64>) {
         for _ in 0..4 {
             let relay = &mut self.vms[vm].relay;
             let endpoint = match relay.choose(&admitted, &history, self.now) {
@@ -322,7 +329,7 @@
                 .is_some_and(|at| self.now.since(at) < EXCUSED_FOR);
             self.arrivals.push(Arrival {
                 at: self.now,
-                deadly,
+                crashing,
                 excused,
             });
             self.running.push(RunningAttempt {
@@ -332,7 +339,7 @@
                 attempt,
                 admitted,
                 history,
-                deadly,
+                crashing,
                 arrived_at: self.now,
             });
             return;
@@ -383,14 +390,14 @@
             if age >= HEAD_AFTER && running.attempt.head_at.is_none() {
                 vm.relay.on_head(&mut running.attempt, true, now);
             }
-            if let Some(part) = running.deadly {
+            if let Some(part) = running.crashing {
                 if age >= CRASH_AFTER {
                     crashed.push((running.engine, part));
                 }
             } else if age >= CRASH_AFTER && running.attempt.first_event_at.is_none() {
                 vm.relay.on_first_event(&mut running.attempt, now);
             }
-            if running.deadly.is_none() && age >= END_AFTER {
+            if running.crashing.is_none() && age >= END_AFTER {
                 vm.relay.end_attempt(&running.attempt, AttemptOutcome::Complete, now);
                 ended.push(at);
             }
@@ -423,7 +430,7 @@
             }
             running.history.record_endpoint(&entry.id, Some(AttemptOutcome::Broken));
             if relay.withdraw_retry(&running.admitted, &running.history) {
-                self.send(running.vm, running.admitted, running.history, running.deadly);
+                self.send(running.vm, running.admitted, running.history, running.crashing);
             }
         }
     }
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -10,10 +10,10 @@
 use indexmap::IndexMap;
 use sw_member::VmRow;
 use sw_relay::{
-    AdmittedRequest, CallerLimits, DomainView, EndpointEntry, EngineSpec, Heartbeat, Options, PartId, Prompt,
-    PromptPart, Relay, RequestHead, Route, RouteKind, RouteTable, Service, ServiceId, ServiceLoad, StoreRecord, Target,
+    AdmittedRequest, CallerLimits, DomainView, EndpointEntry, EngineSpec, Heartbeat, Options, Prompt, PromptPart,
+    Relay, RequestHead, Route, RouteKind, RouteTable, Service, ServiceId, ServiceLoad, StoreRecord, Target,
 };
-use sw_unit::{Incarnation, Millis, Rate, Time, Tokens, Version};
+use sw_unit::{Incarnation, Millis, PartId, Rate, Time, Tokens, Version};
 
 /// The host of all routes.
 pub const HOST: &str = "shop.example";
--- a/crates/sw-unit/src/lib.rs
+++ b/crates/sw-unit/src/lib.rs
@@ -11,4 +11,4 @@
 pub use quantity::{
     Bytes, FencingToken, Incarnation, Millis, Money, ParseQuantityError, Rate, Tokens, Version, Weight,
 };
-pub use types::{Digest, ParseDigestError, Time, WallTime};
+pub use types::{Digest, ParseDigestError, ParsePartIdError, PartId, Time, WallTime};
--- a/crates/sw-unit/src/types.rs
+++ b/crates/sw-unit/src/types.rs
@@ -119,3 +119,40 @@
         text.parse().map_err(serde::de::Error::custom)
     }
 }
+
+/// Id of the text of a prompt part, a hexadecimal number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PartId(pub u64);
+
+/// Error for text that is not the id of a prompt part.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ParsePartIdError {
+    found: String,
+}
+
+impl fmt::Display for ParsePartIdError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "`{}` is not a hexadecimal number of up to 64 bits",
+            self.found.escape_default()
+        )
+    }
+}
+
+impl std::error::Error for ParsePartIdError {}
+
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::LowerHex::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for PartId {
+    type Err = ParsePartIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = u64::from_str_radix(text, 16).map_err(|_no_number| ParsePartIdError { found: text.to_owned() });
+        number.map(Self)
+    }
+}
