fix(standin): a free address is not held by processes that start meanwhile

Cause, now shown: the port was tried by binding it, and a process that another thread starts at that moment holds the socket until its exec. Change: the port is tried by connecting to it.

--- a/crates/sw-standin/src/deployment.rs
+++ b/crates/sw-standin/src/deployment.rs
@@ -3,7 +3,7 @@
 //! Starts the stand-ins, and writes the fleet configuration and the settings of each VM. Its user starts the VMs:
 //! `shallotwing try` runs them in the same process, tests as separate processes.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
@@ -131,7 +131,9 @@
     for _ in 0..PORT_COUNT {
         let offset = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORT_COUNT;
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, FIRST_PORT + offset as u16));
-        if TcpListener::bind(address).is_ok() {
+        // Binding the port to try it would let a process that another thread starts hold it until its exec.
+        let connected = TcpStream::connect(address);
+        if connected.is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused) {
             return Ok(address);
         }
     }
