--- a/crates/shallotwing-daemon/tests/soak.rs
+++ b/crates/shallotwing-daemon/tests/soak.rs
@@ -173,7 +173,7 @@
     servers: Vec<StandinServer>,
     vms: Vec<Vm>,
     records: Rc<RefCell<Vec<RequestRecord>>>,
-    /// Bodies of streams that broke off, each with what arrived when its client took it up again.
+    /// Bodies of streams that broke off, each with what arrived when its client resumed it.
     joined: Rc<RefCell<Vec<String>>>,
     /// Number of instances that were started.
     instances: u64,
@@ -473,7 +473,7 @@
 impl SoakClient {
     const GAP: Duration = Duration::from_millis(25);
     const TIMEOUT: Duration = Duration::from_secs(3);
-    /// How often a stream that broke off is taken up.
+    /// How often a stream that broke off is resumed.
     const RESUMES: u32 = 3;
 
     async fn run(mut self) {
@@ -508,7 +508,7 @@
         client::request(id, method, path, body, Self::TIMEOUT)
     }
 
-    /// Takes a stream up at random VMs after its last complete event, and records what was joined.
+    /// Resumes a stream at random VMs after its last complete event, and records what was joined.
     async fn resume_stream(&mut self, stream: &str, path: &'static str, mut body: String) {
         for _ in 0..Self::RESUMES {
             body.truncate(body.rfind("\n\n").map_or(0, |end| end + 2));
--- a/crates/sw-proxy/src/resumption.rs
+++ b/crates/sw-proxy/src/resumption.rs
@@ -59,7 +59,7 @@
         admitted.service = origin.service.clone();
         admitted.pinned_software = Some(origin.software.clone());
         telemetry::log_resume_request(admitted, resumption, source);
-        // The caller may take it up once more, at another VM.
+        // The caller may resume it once more, at another VM.
         let now = state.now();
         state
             .relay
--- a/crates/sw-relay/tests/stream_versions.rs
+++ b/crates/sw-relay/tests/stream_versions.rs
@@ -1,4 +1,4 @@
-//! Which software version may go on with a stream: no VM assumes a wrong one, and most streams can be taken up.
+//! Which software version may continue a stream: no VM assumes a wrong one, and most streams can be resumed.
 
 mod support;
 
@@ -15,7 +15,7 @@
 use sw_unit::{Incarnation, Millis, Time};
 
 const STEP: Millis = Millis(100);
-/// Time for which a stream can be taken up.
+/// Time for which a stream can be resumed.
 const STREAM_LIFE: Millis = Millis(12_000);
 /// Longest time until a VM learns of a change of the registrations.
 const LEARN_TIME: u64 = 1_000;
@@ -61,7 +61,7 @@
     relay.apply(StoreRecord::Endpoint(endpoint.id.clone(), None), Time(100));
     let refusal = relay
         .choose(&admitted, &AttemptHistory::default(), Time(100))
-        .expect_err("nobody can go on");
+        .expect_err("nobody can continue");
     assert_eq!(refusal.kind, sw_error::Kind::StreamVersionGone);
 }
 
@@ -123,7 +123,7 @@
     assert_eq!(sole, Some(SoleVersion::Stated(software("old"))));
 }
 
-/// A stream that a caller may take up.
+/// A stream that a caller may resume.
 struct Stream {
     id: Arc<str>,
     software: SoftwareVersion,
@@ -231,7 +231,7 @@
         (0..self.vms.len()).for_each(|index| self.kill(index));
     }
 
-    /// Advances the time, with streams that begin, and streams that are taken up.
+    /// Advances the time, with streams that begin, and streams that are resumed.
     fn run(&mut self, duration: Millis) {
         let end = self.now + duration;
         while self.now < end {
@@ -335,7 +335,7 @@
         });
     }
 
-    /// A caller takes a stream up at a random VM, which must not assume a wrong version.
+    /// A caller resumes a stream at a random VM, which must not assume a wrong version.
     fn resume_stream(&mut self) {
         let now = self.now;
         self.streams.retain(|stream| now.since(stream.began_at) < STREAM_LIFE);
@@ -393,7 +393,7 @@
 
 /// Guards against most streams being refused while two versions serve, and VMs are killed one by one.
 #[test]
-fn most_streams_go_on_while_versions_change_and_single_vms_are_killed() {
+fn most_streams_continue_while_versions_change_and_single_vms_are_killed() {
     let mut fleet = Fleet::new(9, 1);
     for round in 1..6 {
         fleet.start_engine(&format!("v{round}"));
@@ -411,7 +411,7 @@
 
 /// Guards against streams that are refused after all VMs were killed, beyond those of the last moment.
 #[test]
-fn most_streams_go_on_after_all_vms_were_killed() {
+fn most_streams_continue_after_all_vms_were_killed() {
     let mut fleet = Fleet::new(9, 2);
     fleet.start_engine("v1");
     fleet.start_engine("v1");
