--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -236,6 +236,10 @@
 async fn read_all<D, F: Feed>(state: &ProxyState<D, F>) -> Result<Vec<Change>, FeedError> {
     let snapshot = state.feed.read_snapshot().await?;
     let mut mirror = state.mirror.borrow_mut();
+    let (revision, known_revision) = (snapshot.revision, mirror.revision());
+    if revision < known_revision {
+        warn!("store_snapshot_ignored", kv: { revision, known_revision });
+    }
     Ok(mirror.apply_snapshot(snapshot.items, snapshot.revision))
 }
 
@@ -248,7 +252,13 @@
     let mut changes = state.feed.changes(revision, wait).await?;
     changes.changes.retain(|change| !persist::is_origin_change(change));
     let mut mirror = state.mirror.borrow_mut();
-    Ok(mirror.apply(changes.changes, changes.revision))
+    let received = changes.changes.len();
+    let new = mirror.apply(changes.changes, changes.revision);
+    if new.len() < received {
+        let ignored = received - new.len();
+        info!("store_changes_ignored", kv: { ignored, known_revision = revision, revision = changes.revision });
+    }
+    Ok(new)
 }
 
 fn on_store_unavailable<D, F>(state: &ProxyState<D, F>, error: &StoreError) {
