fix(store): a restore whose revisions have passed the old ones is noticed by the cluster id

A payment could run twice: after a restore of the key-value service from a backup, whose writes had passed the revision that VMs knew, a key that had been claimed before was granted to another ticket. Cause: a rollback was seen by a lower revision only. A service that is asked late, after others have written, shows none. Ruled out: lower revisions, which were refused before as well (a_claim_is_refused_after_a_restore_with_lower_revisions). Change: each response names the cluster, and a restore gives it another id; a change of the id starts the quarantine like a lower revision does, with the log line store_rolled_back, which was missing for both. A response without a legible revision is malformed instead of unseen. A copy of the data under the same cluster id whose revisions have passed stays unseen.

--- a/crates/sw-standin/src/store.rs
+++ b/crates/sw-standin/src/store.rs
@@ -20,6 +20,8 @@
 const MAX_BODY: u64 = 8 << 20;
 const MAX_VALUE: usize = 1 << 20;
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Id of the cluster before any restore.
+const FIRST_CLUSTER: u64 = 14_841_639_068_965_178_418;
 
 /// Injected faults of the service.
 #[derive(Debug, Clone, Copy, Default)]
@@ -53,6 +55,8 @@
     revision: i64,
     leases: IndexMap<String, Lease>,
     next_lease: i64,
+    /// How often the service was restored from a backup.
+    restores: u64,
 }
 
 #[derive(Debug)]
@@ -111,6 +115,13 @@
         *self.state.data() = snapshot.0;
     }
 
+    /// Replaces the service by one that was restored from a backup: it has the earlier state and another cluster id.
+    pub fn restore_backup(&self, snapshot: Snapshot) {
+        let mut data = self.state.data();
+        let restores = data.restores + 1;
+        *data = Data { restores, ..snapshot.0 };
+    }
+
     /// Returns the number of calls so far, by path.
     pub fn calls(&self) -> IndexMap<String, u64> {
         self.state.calls.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -205,7 +216,8 @@
     }
 
     fn header(&self) -> Value {
-        json!({ "revision": self.revision.to_string() })
+        let cluster = FIRST_CLUSTER + self.restores;
+        json!({ "cluster_id": cluster.to_string(), "revision": self.revision.to_string() })
     }
 }
 
--- a/crates/sw-store/src/etcd.rs
+++ b/crates/sw-store/src/etcd.rs
@@ -5,6 +5,7 @@
 
 use serde::Serialize;
 use serde::de::{DeserializeOwned, IgnoredAny};
+use spdlog::prelude::*;
 use sw_http::{JsonClient, JsonError, JsonLines};
 use sw_unit::{Millis, Rate};
 
@@ -13,7 +14,9 @@
     GrantRequest, GrantResponse, KeepAliveResponse, LeaseRequest, RangeRequest, RangeResponse, TxnRequest, TxnResponse,
     WatchRequest,
 };
-use crate::{CallBudget, CreateOutcome, Entry, LeaseId, RollbackDetector, Store, StoreError, Swap};
+use crate::{
+    CallBudget, CreateOutcome, Entry, LeaseId, Revision, RollbackDetector, StateHeader, Store, StoreError, Swap,
+};
 
 const MILLIS_PER_SECOND: u64 = 1_000;
 
@@ -76,8 +79,9 @@
                 StoreError::NotRun
             }
         })?;
-        if let Some(revision) = response.revision() {
-            self.rollback.record_revision(before, revision);
+        let header = response.state()?;
+        if self.rollback.record_response(before, header) {
+            log_rollback(before, header);
         }
         Ok(response)
     }
@@ -131,6 +135,12 @@
     }
 }
 
+fn log_rollback(before: Revision, header: StateHeader) {
+    let cluster = header.cluster.map_or_else(String::new, |cluster| cluster.to_string());
+    let cluster = cluster.as_str();
+    warn!("store_rolled_back", kv: { revision_before = before.0, revision = header.revision.0, cluster });
+}
+
 /// Events of a watched key.
 #[derive(Debug)]
 pub struct WatchStream {
--- a/crates/sw-store/src/lib.rs
+++ b/crates/sw-store/src/lib.rs
@@ -25,5 +25,5 @@
 pub use publish::{
     ConfigRoot, HistoryEntry, PublishOutcome, fetch_text, publish, read_history_entry, read_root, republish,
 };
-pub use rollback::RollbackDetector;
-pub use types::{CreateOutcome, Entry, LeaseId, Revision, Store, StoreError, Swap};
+pub use rollback::{RollbackDetector, StateHeader};
+pub use types::{ClusterId, CreateOutcome, Entry, LeaseId, Revision, Store, StoreError, Swap};
--- a/crates/sw-store/src/rollback.rs
+++ b/crates/sw-store/src/rollback.rs
@@ -3,17 +3,31 @@
 //! Every response carries the service's revision, which only increases. A response with a lower revision than the one
 //! known before the call shows that the service was rolled back to an earlier state and may have lost acknowledged
 //! claims. Claims are refused for some time afterwards, the quarantine.
+//!
+//! A service that was restored from a backup may have passed the old revisions by the time it is asked again. It then
+//! names another cluster id, which a restore replaces; that starts a quarantine as well.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use sw_unit::Millis;
 
-use crate::Revision;
+use crate::{ClusterId, Revision};
+
+/// What a response says of the service's state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StateHeader {
+    /// The cluster that responded; `None` if it does not name itself.
+    pub cluster: Option<ClusterId>,
+    /// The service's revision.
+    pub revision: Revision,
+}
 
 #[derive(Debug, Default)]
 struct State {
     highest_revision: Revision,
+    /// The cluster that responded last.
+    cluster: Option<ClusterId>,
     quarantined_until: Option<Instant>,
 }
 
@@ -38,13 +52,18 @@
         self.state().highest_revision
     }
 
-    /// Records the revision of a response; `before` is the highest revision known before the call.
-    pub fn record_revision(&self, before: Revision, revision: Revision) {
+    /// Records the header of a response; `before` is the highest revision known before the call. Returns whether it
+    /// shows a rollback.
+    pub fn record_response(&self, before: Revision, header: StateHeader) -> bool {
         let mut state = self.state();
-        if revision < before {
+        let is_restored = state.cluster.is_some() && header.cluster.is_some() && state.cluster != header.cluster;
+        let is_rollback = is_restored || header.revision < before;
+        if is_rollback {
             state.quarantined_until = Some(Instant::now() + Duration::from_millis(self.retention.0));
         }
-        state.highest_revision = state.highest_revision.max(revision);
+        state.cluster = header.cluster.or(state.cluster);
+        state.highest_revision = state.highest_revision.max(header.revision);
+        is_rollback
     }
 
     /// Merges what another VM has observed: its highest revision and its remaining quarantine.
--- a/crates/sw-store/src/types.rs
+++ b/crates/sw-store/src/types.rs
@@ -9,6 +9,16 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Serialize, Deserialize)]
 pub struct Revision(pub i64);
 
+/// The identity of the cluster that serves; a restore from a backup gives it another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct ClusterId(pub u64);
+
+impl fmt::Display for ClusterId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
 /// The id of a lease; keys attached to a lease are deleted when it expires.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct LeaseId(pub i64);
--- a/crates/sw-store/src/wire.rs
+++ b/crates/sw-store/src/wire.rs
@@ -4,7 +4,7 @@
 use base64::engine::general_purpose::STANDARD;
 use serde::{Deserialize, Serialize};
 
-use crate::{Entry, LeaseId, Revision, StoreError, Swap};
+use crate::{ClusterId, Entry, LeaseId, Revision, StateHeader, StoreError, Swap};
 
 #[derive(Debug, Serialize)]
 pub(crate) struct RangeRequest {
@@ -15,36 +15,45 @@
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
 struct Header {
+    cluster_id: String,
     revision: String,
 }
 
 /// A response of the service.
 pub(crate) trait Response {
-    /// The service's revision at the time of the response.
-    fn revision(&self) -> Option<Revision>;
+    /// Returns the service's state at the time of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Corrupt`] if the response does not state a revision.
+    fn state(&self) -> Result<StateHeader, StoreError>;
 }
 
 impl Header {
-    fn revision(&self) -> Option<Revision> {
-        self.revision.parse().ok().map(Revision)
+    fn state(&self) -> Result<StateHeader, StoreError> {
+        let revision = self.revision.parse();
+        Ok(StateHeader {
+            cluster: self.cluster_id.parse().ok().map(ClusterId),
+            revision: Revision(revision.map_err(|_not_a_number| corrupt("a response states no revision"))?),
+        })
     }
 }
 
 impl Response for RangeResponse {
-    fn revision(&self) -> Option<Revision> {
-        self.header.revision()
+    fn state(&self) -> Result<StateHeader, StoreError> {
+        self.header.state()
     }
 }
 
 impl Response for TxnResponse {
-    fn revision(&self) -> Option<Revision> {
-        self.header.revision()
+    fn state(&self) -> Result<StateHeader, StoreError> {
+        self.header.state()
     }
 }
 
 impl Response for GrantResponse {
-    fn revision(&self) -> Option<Revision> {
-        self.header.revision()
+    fn state(&self) -> Result<StateHeader, StoreError> {
+        self.header.state()
     }
 }
 
@@ -160,8 +169,8 @@
 }
 
 impl Response for KeepAliveResponse {
-    fn revision(&self) -> Option<Revision> {
-        self.result.header.revision()
+    fn state(&self) -> Result<StateHeader, StoreError> {
+        self.result.header.state()
     }
 }
 
