fix(store): a claimer whose lease is lost takes a new one

After the key-value service had lost a lease, claims of idempotency keys were refused for up to a quarter of the retention. Cause: the claimer used its lease until its own time was over, whatever the service answered. Change: a failed call drops the lease, so the next batch of claims takes a new one: one call more after a failure.

--- a/crates/sw-store/src/claim.rs
+++ b/crates/sw-store/src/claim.rs
@@ -105,6 +105,10 @@
             // binding.
             created = self.store.create_all(&pairs, Some(lease)).await;
         }
+        if created.is_err() {
+            // The service may have lost the lease.
+            self.lease = None;
+        }
         if self.store.quarantine() > Millis(0) {
             // An earlier acknowledged claim may be lost, so an absent key does not prove that it was never claimed.
             return Err(StoreError::NotRun);
--- a/crates/sw-store/tests/rollback.rs
+++ b/crates/sw-store/tests/rollback.rs
@@ -85,6 +85,19 @@
     assert_eq!(claimer.claim(claim("t-2")).await, Err(StoreError::NotRun));
 }
 
+/// The service has lost the lease of a claimer. Its claims would fail for as long as it uses the lease.
+#[tokio::test]
+async fn a_claimer_whose_lease_is_lost_takes_a_new_one() {
+    let (store, client) = start().await;
+    let backup = store.snapshot();
+    let claimer = Claimer::start(client.clone(), RETENTION);
+    assert_eq!(claimer.claim(claim("t-1")).await, Ok("t-1".to_owned()));
+    store.restore(backup);
+    pass_revision(&client, &other_client(&store).await).await;
+    assert!(claimer.claim(claim("t-1")).await.is_err(), "the lease is lost");
+    assert_eq!(claimer.claim(claim("t-1")).await, Ok("t-1".to_owned()));
+}
+
 /// Claims are granted as long as the service keeps its state.
 #[tokio::test]
 async fn a_claim_is_granted_by_a_service_that_lost_nothing() {
