fix(relay): loads and prompts at their largest numbers, as odd entries are, do not overflow

What callers saw: nothing yet; found by asking whether an odd entry with a number too large can end a VM. The loads that an endpoint reports in a response (running and waiting), those of other VMs, and the lengths of prompt parts that a caller declares were added without a bound. With overflow checks the process ends; without them the sum wraps, a full endpoint counts as idle and the model of an engine's cache never evicts.

Cause: plain sums of numbers that another process names. Times, tokens and sizes saturate already (sw-unit).

Change: these sums saturate; the cache model sums in 128 bits, as what is evicted must be subtracted again.

--- a/crates/sw-relay/src/cache.rs
+++ b/crates/sw-relay/src/cache.rs
@@ -26,7 +26,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct PromptCache {
     entries: IndexMap<u64, CachedEntry>,
-    total_len: u64,
+    /// Sum of the lengths, which callers declare.
+    total_len: u128,
 }
 
 impl PromptCache {
@@ -34,7 +35,7 @@
     pub fn cached_tokens(&self, prompt: &Prompt) -> Tokens {
         let chain = prefix_keys(&prompt.parts);
         let cached = chain.take_while(|(key, _)| self.entries.contains_key(key));
-        Tokens(cached.map(|(_, part)| part.len.0).sum())
+        cached.fold(Tokens(0), |total, (_, part)| total + part.len)
     }
 
     /// Records that an engine with memory for `memory` tokens processes `prompt`.
@@ -45,10 +46,10 @@
                 last_used_at: now,
             };
             let replaced = self.entries.insert(key, entry);
-            self.total_len += part.len.0;
-            self.total_len -= replaced.map_or(0, |replaced| replaced.len.0);
+            self.total_len += u128::from(part.len.0);
+            self.total_len -= replaced.map_or(0, |replaced| u128::from(replaced.len.0));
         }
-        let capacity = (memory.0 as f64 * CACHE_SHARE) as u64;
+        let capacity = (memory.0 as f64 * CACHE_SHARE) as u128;
         while self.total_len > capacity || self.entries.len() > MAX_PARTS {
             self.evict();
         }
@@ -67,7 +68,7 @@
             .min_by_key(|(_, entry)| entry.last_used_at)
             .map(|(key, _)| *key);
         if let Some(entry) = oldest.and_then(|key| self.entries.swap_remove(&key)) {
-            self.total_len -= entry.len.0;
+            self.total_len -= u128::from(entry.len.0);
         } else {
             self.total_len = 0;
         }
--- a/crates/sw-relay/src/estimate.rs
+++ b/crates/sw-relay/src/estimate.rs
@@ -31,7 +31,7 @@
             return service_ms;
         };
         let queued_ms = |running: u32| {
-            let rounds = f64::from(running + 1) / f64::from(endpoint.slots.max(1));
+            let rounds = (f64::from(running) + 1.0) / f64::from(endpoint.slots.max(1));
             service_ms * rounds.max(1.0)
         };
         if self.is_coordinator_of(&endpoint.id) {
@@ -73,7 +73,7 @@
     pub(crate) fn slot_wait_ms(&self, service: &ServiceId, load: &EndpointTracker) -> f64 {
         let engine = self.service(service).and_then(|service| service.engine);
         let slots = engine.map_or(u32::MAX, |engine| engine.slots.max(1));
-        let excess = (load.accounted_running() + 1).saturating_sub(slots);
+        let excess = load.accounted_running().saturating_add(1).saturating_sub(slots);
         f64::from(excess) * self.latency_model(service).stream_ms() / f64::from(slots)
     }
 
--- a/crates/sw-relay/src/load.rs
+++ b/crates/sw-relay/src/load.rs
@@ -126,17 +126,19 @@
     /// Returns the number of running requests of all VMs, or of running and queued ones as the endpoint reported
     /// recently, whichever is higher.
     pub fn total_running(&self, now: Time) -> u32 {
-        let peers: u32 = self.fresh_peers(now).map(|(load, _)| load.running).sum();
-        let known = self.running + peers;
+        let peers = self.fresh_peers(now).map(|(load, _)| load.running);
+        let known = peers.fold(self.running, u32::saturating_add);
         let report = self.report.filter(|(_, at)| now.since(*at) < QUEUE_REPORT_MAX_AGE);
-        report.map_or(known, |(report, _)| known.max(report.running + report.waiting))
+        report.map_or(known, |(report, _)| {
+            known.max(report.running.saturating_add(report.waiting))
+        })
     }
 
     /// Returns the number of requests of this VM plus those that it granted as the coordinator.
     pub(crate) fn accounted_running(&self) -> u32 {
         let queued = self.prefill_queue.iter().filter(|entry| entry.expires_at.is_some());
         let others = self.granted.len() + queued.count();
-        self.running + u32::try_from(others).unwrap_or(u32::MAX)
+        self.running.saturating_add(u32::try_from(others).unwrap_or(u32::MAX))
     }
 
     /// Returns the number of requests queued at the endpoint.
@@ -293,7 +295,7 @@
         let mut sum = self.local_load(id, now);
         for (sender, (load, at)) in &self.peers {
             if matches!(sender, Sender::Vm(_)) && now.since(*at) < REPORT_MAX_AGE {
-                sum.running += load.running;
+                sum.running = sum.running.saturating_add(load.running);
                 sum.backlog_ms += load.backlog_ms;
                 sum.gap_ms = sum.gap_ms.or(load.gap_ms);
             }
--- a/crates/sw-relay/src/types.rs
+++ b/crates/sw-relay/src/types.rs
@@ -130,7 +130,8 @@
 
     /// Returns the total length of the parts that other requests may share.
     pub fn shared_tokens(&self) -> Tokens {
-        Tokens(self.shared_parts().iter().map(|part| part.len.0).sum())
+        let lens = self.shared_parts().iter().map(|part| part.len);
+        lens.fold(Tokens(0), |total, len| total + len)
     }
 }
 
