fix(relay): odd entries of other VMs' heartbeats, about domains that do not exist, are not kept

What callers saw: nothing; found with the test of odd entries. A heartbeat may name failure domains and regions that the settings do not have. Each left a view that was kept for good and sent on in every heartbeat to neighbours; revisions and digests of VMs that were forgotten stayed as well.

Change: the tick drops views of domains and loads of regions that the settings do not name, and what forgotten VMs reported.

--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -204,6 +204,17 @@
         self.remote_views.insert(remote.view.domain.clone(), remote);
     }
 
+    /// Drops what VMs reported that are no longer known, and about domains and regions that this deployment does not have.
+    pub(crate) fn prune_peer_state(&mut self) {
+        let members = &self.members;
+        self.peer_revisions.retain(|vm, _| members.row(vm).is_some());
+        self.peer_digests.retain(|vm, _| members.row(vm).is_some());
+        let domains = &self.options.domain_regions;
+        self.remote_views.retain(|domain, _| domains.contains_key(domain));
+        self.regions
+            .retain(|region, _| domains.values().any(|known| known == region));
+    }
+
     /// Returns the views that VMs of other domains sent to this VM, for its neighbours.
     fn direct_views(&self, now: Time) -> Vec<DomainView> {
         let fresh = |remote: &&RemoteView| remote.is_direct && now.since(remote.received_at) < MAX_VIEW_AGE;
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -232,6 +232,7 @@
         self.update_quarantine(now);
         self.record_versions(now);
         self.origins.prune(now);
+        self.prune_peer_state();
         self.assign_coordinators(now);
         self.failed_watchers.retain(|_, until| *until > now);
         self.rate_limits
--- a/crates/sw-relay/tests/odd_input.rs
+++ b/crates/sw-relay/tests/odd_input.rs
@@ -11,7 +11,7 @@
     EndpointLoad, EndpointRateLimit, EndpointReport, Heartbeat, LoadReport, Prompt, PromptPart, RateLimitState,
     RateLimitStatement, Relay, ServiceLoad, ServiceVersions, VersionAge, VmAge,
 };
-use sw_unit::{EndpointId, Incarnation, Millis, PartId, Rate, Time, Tokens, Version};
+use sw_unit::{EndpointId, Incarnation, Millis, PartId, Rate, RegionId, Time, Tokens, Version};
 
 const ENDPOINTS: [&str; 4] = ["a-1", "a-2", "e-1", "e-2"];
 
@@ -326,6 +326,28 @@
     }
 }
 
+/// State grew without bound: each heartbeat named failure domains and endpoints that do not exist.
+#[test]
+fn heartbeats_of_unknown_domains_and_endpoints_leave_nothing() {
+    let mut relay = relay();
+    for step in 0..2_000 {
+        let mut heartbeat = support::heartbeat(row("vm-1", "south"), Vec::new());
+        heartbeat.domains[0].domain = format!("d-{step}").parse().expect("an id");
+        heartbeat.domains[0].region = format!("r-{step}").parse::<RegionId>().expect("an id");
+        heartbeat.endpoints.push(EndpointLoad {
+            endpoint: format!("e-{step}").parse().expect("an id"),
+            running: 1,
+            backlog_ms: 1.0,
+            gap_ms: None,
+        });
+        relay.on_heartbeat(heartbeat, Time(step));
+    }
+    relay.tick(Time(2_000));
+    let sent = relay.heartbeat(Some(&row("vm-2", "north")), Time(2_000));
+    assert!(sent.domains.len() <= 3, "{} domains are sent on", sent.domains.len());
+    assert!(relay.load(&"e-1".parse().expect("an id")).is_none(), "its load is kept");
+}
+
 /// A VM ended because an endpoint reported as many requests as a number can hold.
 #[test]
 fn an_endpoint_that_reports_the_largest_load_is_only_busy() {
