fix(relay): a malformed registration ends the use of an endpoint at once and blames nobody

What callers saw: nothing yet. A registration that another writer replaced by something unreadable was applied as a removal. Two things were wrong with that. In the grace after an outage of the store a removal may only be a lapse, so the endpoint stayed in use, although such an entry names no server to use. And a removal ends the incarnation, which makes a broken response of it a crash: what was running there was blamed, although the server still runs.

Change: a malformed registration removes the endpoint at once and is no evidence. That an incarnation leaves is remembered as before, so that an unreadable entry in between does not bring it back; keeping the last good entry instead would keep sending to a server whose newest word, which cannot be read, may be that it leaves.

Evidence: `a_malformed_registration_ends_the_use_of_an_endpoint_at_once` failed before (the endpoint was still sent to); `a_leaving_incarnation_stays_leaving_after_a_malformed_registration` held before, too, and guards the other side.

--- a/crates/sw-relay/src/registry.rs
+++ b/crates/sw-relay/src/registry.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Records that the registration of an endpoint cannot be decoded, and returns whether the endpoint is removed with it.
+    pub fn on_registration_malformed(&mut self, id: &EndpointId) -> bool {
+        self.endpoints.swap_remove(id).is_some()
+    }
+
     /// Records that an endpoint announced in a response that it is leaving, and returns whether that is new.
     pub fn on_leaving(&mut self, entry: &EndpointEntry) -> bool {
         self.remember_leaving(&entry.id, entry.incarnation);
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -188,9 +188,9 @@
         match record {
             StoreRecord::Table(table) => self.apply_table(table),
             StoreRecord::Endpoint(_, Some(entry)) => self.apply_endpoint(entry, now),
-            StoreRecord::Endpoint(id, None) | StoreRecord::Malformed { endpoint: Some(id), .. } => {
-                self.remove_endpoint(&id, now)
-            }
+            StoreRecord::Endpoint(id, None) => self.remove_endpoint(&id, now),
+            // The endpoint may still run, so this is neither its end nor a lapse during an outage of the store.
+            StoreRecord::Malformed { endpoint: Some(id), .. } => self.registry.on_registration_malformed(&id),
             StoreRecord::Evacuated(domain, on) => self.registry.set_evacuated(domain, on),
             StoreRecord::Software(services) => {
                 self.versions.on_recorded(services, now);
--- a/crates/sw-relay/tests/odd_input.rs
+++ b/crates/sw-relay/tests/odd_input.rs
@@ -9,7 +9,7 @@
 use sw_relay::{
     AnsweredPart, AttemptHistory, AttemptOutcome, CachedPart, Choice, CrashReport, DomainView, EndpointEntry,
     EndpointLoad, EndpointRateLimit, EndpointReport, Heartbeat, LoadReport, Prompt, PromptPart, RateLimitState,
-    RateLimitStatement, Relay, ServiceLoad, ServiceVersions, VersionAge, VmAge,
+    RateLimitStatement, Relay, ServiceLoad, ServiceVersions, StoreRecord, VersionAge, VmAge,
 };
 use sw_unit::{EndpointId, Incarnation, Millis, PartId, Rate, RegionId, Time, Tokens, Version};
 
@@ -384,3 +384,49 @@
     assert_eq!(long.shared_tokens(), Tokens(u64::MAX));
     serve(&mut relay, "digest", Some(long), Some(Millis(10_000)), Time(5_000));
 }
+
+/// The registration of a server that another writer replaced by something unreadable counted as the end of the server:
+/// what it was answering was blamed for a crash, or the server stayed in use for the grace after an outage of the store.
+#[test]
+fn a_malformed_registration_ends_the_use_of_an_endpoint_at_once() {
+    let mut relay = relay();
+    let entry = endpoint("a-1", "app", "north");
+    register(&mut relay, entry.clone(), Time(0));
+    relay.on_store_recovered(Time(5_000));
+    let malformed = StoreRecord::Malformed {
+        endpoint: Some(entry.id.clone()),
+        reason: String::new(),
+    };
+    assert!(relay.apply(malformed, Time(5_100)));
+    assert!(!relay.may_send(&entry, None, Time(5_100)), "it names no server to use");
+    register(&mut relay, entry.clone(), Time(5_200));
+    assert!(relay.may_send(&entry, None, Time(5_200)), "it registered again");
+}
+
+/// A server that had said that it leaves was used again after its entry was unreadable for a while.
+#[test]
+fn a_leaving_incarnation_stays_leaving_after_a_malformed_registration() {
+    let mut relay = relay();
+    let entry = endpoint("a-1", "app", "north");
+    let leaving = EndpointEntry {
+        leaving: true,
+        ..entry.clone()
+    };
+    register(&mut relay, leaving, Time(0));
+    let malformed = StoreRecord::Malformed {
+        endpoint: Some(entry.id.clone()),
+        reason: String::new(),
+    };
+    relay.apply(malformed, Time(10));
+    register(&mut relay, entry.clone(), Time(20));
+    assert!(!relay.may_send(&entry, None, Time(20)));
+    let restarted = EndpointEntry {
+        incarnation: Incarnation(2),
+        ..entry
+    };
+    register(&mut relay, restarted.clone(), Time(30));
+    assert!(
+        relay.may_send(&restarted, None, Time(30)),
+        "a new incarnation is not leaving"
+    );
+}
