fix(proxy): a malformed item that is written again is logged once

What callers saw: nothing. Asked whether odd entries that another writer leaves are logged without bound: each write of such an entry was a line on each VM, also if it was the same entry with each heartbeat of its writer. The log as a whole is bounded, so that these lines could crowd out others.

--- a/crates/sw-proxy/src/lib.rs
+++ b/crates/sw-proxy/src/lib.rs
@@ -13,6 +13,7 @@
 mod heartbeat;
 mod incoming;
 mod listener;
+mod malformed;
 mod options;
 mod peer;
 mod persist;
@@ -29,6 +30,7 @@
 mod telemetry;
 
 pub use dialect::{AttemptHeaders, Dialect, DirectoryQuery, HeadError, Rejection, ResponseHead};
+pub use malformed::MalformedItems;
 pub use options::Options;
 pub use proxy::Proxy;
 pub use sse::{EventSplitter, EventTooLongError};
--- a/crates/sw-proxy/src/records.rs
+++ b/crates/sw-proxy/src/records.rs
@@ -17,9 +17,9 @@
             Change::Removed { key, .. } => (key, None),
         };
         let record = persist::decode(key, value).unwrap_or_else(|| state.dialect.decode_record(key, value));
-        if let StoreRecord::Malformed { reason, .. } = &record {
-            let (key, reason) = (key.as_str(), reason.as_str());
-            warn!("store_item_unreadable", kv: { key, revision, reason });
+        match &record {
+            StoreRecord::Malformed { reason, .. } if value.is_some() => log_malformed(state, key, reason, revision),
+            _ => state.malformed.borrow_mut().clear(key),
         }
         apply_record(state, record, source, revision);
     }
@@ -32,6 +32,12 @@
     }
 }
 
+fn log_malformed<D, F>(state: &ProxyState<D, F>, key: &str, reason: &str, revision: u64) {
+    if state.malformed.borrow_mut().record(key, reason) {
+        warn!("store_item_unreadable", kv: { key, revision, reason });
+    }
+}
+
 fn apply_record<D, F>(state: &ProxyState<D, F>, record: StoreRecord, source: &str, revision: u64) {
     let now = state.now();
     let description = describe(&record);
--- a/crates/sw-proxy/src/state.rs
+++ b/crates/sw-proxy/src/state.rs
@@ -12,7 +12,7 @@
 use sw_unit::{Millis, Time};
 use tokio::sync::Notify;
 
-use crate::Options;
+use crate::{MalformedItems, Options};
 
 /// Timeout for connecting to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -58,6 +58,8 @@
     pub(crate) timer: TimerService<BootClock>,
     pub(crate) relay: RefCell<Relay>,
     pub(crate) mirror: RefCell<Mirror>,
+    /// Items of the mirror that cannot be decoded.
+    pub(crate) malformed: RefCell<MalformedItems>,
     pub(crate) connector: Connector,
     pub(crate) peers: RelayClient,
     pub(crate) lifecycle: Cell<Lifecycle>,
@@ -100,6 +102,7 @@
             timer: TimerService::new(clock),
             relay: RefCell::new(relay),
             mirror: RefCell::default(),
+            malformed: RefCell::default(),
             connector: Connector::new(CONNECT_TIMEOUT),
             peers: RelayClient::default(),
             lifecycle: Cell::new(Lifecycle::Serving),
