--- a/crates/sw-store/src/mirror.rs
+++ b/crates/sw-store/src/mirror.rs
@@ -117,7 +117,8 @@
             revision,
         });
         let mut changes: Vec<_> = removed.collect();
-        if self.revision == 0 {
+        if revision > self.revision {
+            // A snapshot does not tell the removals of items that this copy did not hold.
             self.complete_after = revision;
         }
         changes.extend(items.into_iter().map(Change::Put));
--- a/crates/sw-store/tests/mirror.rs
+++ b/crates/sw-store/tests/mirror.rs
@@ -132,3 +132,20 @@
     assert!(mirror.changes_since(1).is_none());
     assert!(mirror.changes_since(mirror.revision() - 100).is_some());
 }
+
+/// DRAIN: a follower of a mirror that had read a snapshot was never told what was removed before that snapshot.
+#[test]
+fn a_snapshot_does_not_hide_removals_from_followers() {
+    let item = Item {
+        key: "a".to_owned(),
+        value: Vec::new(),
+        revision: 2,
+    };
+    let (mut first, mut second) = (Mirror::default(), Mirror::default());
+    first.apply_snapshot(Vec::new(), 1);
+    second.apply_snapshot(vec![item], 2);
+    // The item is written and removed between the two snapshots of the first mirror.
+    first.apply_snapshot(Vec::new(), 3);
+    follow_mirror(&first, &mut second);
+    assert_eq!(sorted_items(&second), sorted_items(&first));
+}
