--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -105,6 +105,10 @@
   crashes @8 :List(Crash);
   answeredParts @9 :List(AnsweredPart);
   versions @10 :List(ServiceVersions);
+  # Era of the store plus 1; 0 if the sender knows no eras.
+  era @11 :UInt64;
+  # Whether the sender retains states that the store has lost.
+  retains @12 :Bool;
 }
 
 struct Item {
@@ -118,6 +122,32 @@
   removed @1 :Bool;
 }
 
+# The changes of an earlier era that the sender has followed.
+struct FollowedEra {
+  era @0 :UInt64;
+  after @1 :UInt64;
+  until @2 :UInt64;
+}
+
+# A state of an earlier era that the sender retains although the store shows another one.
+struct RetainedItem {
+  item @0 :Item;
+  removed @1 :Bool;
+  # Era of the revision of the item.
+  era @2 :UInt64;
+  # Rank of the state plus 1; 0 if it has none.
+  rank @3 :UInt64;
+  # Largest number if it is retained until the key is written.
+  leftMs @4 :UInt32;
+  # Whether it was written in that era, not in an earlier one.
+  isOfEra @5 :Bool;
+}
+
+struct EndpointIncarnation {
+  endpoint @0 :Text;
+  incarnation @1 :UInt64;
+}
+
 enum Watched {
   notCurrent @0;
   historyGone @1;
@@ -173,11 +203,14 @@
 
 interface RelayPeer {
   exchange @0 (beat :Beat) -> (beat :Beat);
-  snapshot @1 () -> (revision :UInt64, items :List(Item));
+  # The era is that of the store plus 1; 0 if the sender knows no eras. Endpoints are listed with the
+  # incarnations that were seen leaving.
+  snapshot @1 () -> (revision :UInt64, items :List(Item), era :UInt64, retained :List(RetainedItem), history :List(FollowedEra), leaving :List(EndpointIncarnation));
   relay @2 (call :Call, sink :AnswerSink) -> (length :UInt64, refused :Bool, refusal :Peer.Refusal);
   reserve @3 (reservation :Reservation) -> (granted :Bool, ticket :UInt64, unread :UInt64, wait :Wait, copied :UInt64, source :UInt8);
   release @4 (endpoint :Text, ticket :UInt64, absent :Bool, runs :Bool) -> ();
-  watch @5 (after :UInt64, waitMs :UInt32) -> (watched :Watched, revision :UInt64, changes :List(Change), returnedMs :UInt32);
+  # The eras are that of the store plus 1; 0 if the sender knows no eras.
+  watch @5 (after :UInt64, waitMs :UInt32, era :UInt64) -> (watched :Watched, revision :UInt64, changes :List(Change), returnedMs :UInt32, era :UInt64);
   noteOrigins @6 (origins :List(StreamOrigin)) -> ();
   # The origin is not set if it is not known.
   findOrigin @7 (stream :Text) -> (origin :StreamOrigin);
--- a/crates/sw-peer/src/relay/client.rs
+++ b/crates/sw-peer/src/relay/client.rs
@@ -9,12 +9,11 @@
 use bytes::Bytes;
 use capnp::capability::Rc;
 use sw_relay::{Grant, Heartbeat, QueueEstimate, Reservation, ReservationUpdate, StreamOrigin};
-use sw_store::Snapshot;
-use sw_unit::EndpointId;
+use sw_unit::{EndpointId, StoreEra, StorePosition};
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
-use super::{RelayCall, RelayEvent, WatchOutcome, convert};
+use super::{RelayCall, RelayEvent, StoreCopy, WatchOutcome, convert, store};
 use crate::PeerError;
 use crate::convert::len;
 use crate::pool::{self, ConnectionPool};
@@ -99,33 +98,39 @@
         self.pool.call(address, CALL_TIMEOUT, call).await
     }
 
-    /// Returns a peer's copy of the platform's store.
+    /// Returns a peer's copy of the platform's store; a peer that knows no eras is in the era `assumed`.
     ///
     /// # Errors
     ///
     /// Returns [`PeerError`] if there is no response in time.
-    pub async fn snapshot(&self, address: SocketAddr) -> Result<Snapshot, PeerError> {
+    pub async fn store_copy(&self, address: SocketAddr, assumed: StoreEra) -> Result<StoreCopy, PeerError> {
         let call = async |connection: &RelayConnection| {
             let response = connection.client.snapshot_request().send().promise.await?;
-            let results = response.get()?;
-            convert::snapshot(results.get_revision(), results.get_items()?)
+            store::store_copy(response.get()?, assumed)
         };
         self.pool.call(address, CALL_TIMEOUT, call).await
     }
 
-    /// Waits up to `wait` until a watcher has changes of the store after the revision `after`.
+    /// Waits up to `wait` until a watcher has changes of the store after the position `after`; a watcher that knows no
+    /// eras is in that of `after`.
     ///
     /// # Errors
     ///
     /// Returns [`PeerError`] if there is no response in time.
-    pub async fn watch(&self, address: SocketAddr, after: u64, wait: Duration) -> Result<WatchOutcome, PeerError> {
+    pub async fn watch(
+        &self,
+        address: SocketAddr,
+        after: StorePosition,
+        wait: Duration,
+    ) -> Result<WatchOutcome, PeerError> {
         let call = async |connection: &RelayConnection| {
             let mut request = connection.client.watch_request();
             let mut params = request.get();
-            params.set_after(after);
+            params.set_after(after.revision);
+            params.set_era(store::era_code(after.era));
             params.set_wait_ms(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX));
             let response = request.send().promise.await?;
-            convert::watch_outcome(response.get()?)
+            store::watch_outcome(response.get()?, after.era)
         };
         self.pool.call(address, wait + WATCH_MARGIN, call).await
     }
--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -6,18 +6,14 @@
     PrefillPlan, Prompt, PromptPart, QueueEstimate, RateLimitState, Reservation, ReservationUpdate, ServiceLoad,
     ServiceVersions, SoftwareVersion, StreamOrigin, VersionAge, VmAge,
 };
-use sw_store::{Change, Changes, Item, Snapshot};
 use sw_unit::{Incarnation, Millis, PartId, Rate, Tokens};
 
-use super::{RelayCall, WatchOutcome};
+use super::{RelayCall, store};
 use crate::convert::{len, parse, set_vm_row, text, vm_row};
 use crate::relay_capnp as wire;
 
 type Result<T> = std::result::Result<T, capnp::Error>;
 
-/// Encodes that the store has not recovered from an outage recently.
-const NO_RECENT_RECOVERY: u32 = u32::MAX;
-
 /// Encodes that an endpoint no longer has a rate limit.
 const RATE_LIMIT_ENDED: f64 = -1.0;
 
@@ -38,7 +34,7 @@
 pub(super) fn set_heartbeat(mut to: wire::beat::Builder<'_>, heartbeat: &Heartbeat) {
     set_vm_row(to.reborrow().init_from(), &heartbeat.from);
     to.set_members(heartbeat.members_digest);
-    to.set_revision(heartbeat.revision);
+    store::set_store_state(to.reborrow(), heartbeat.store);
     let mut known = to.reborrow().init_known(len(&heartbeat.known_vms));
     for (i, row) in (0..).zip(&heartbeat.known_vms) {
         set_vm_row(known.reborrow().get(i), row);
@@ -213,7 +209,7 @@
     }
 }
 
-fn millis(duration: Millis) -> u32 {
+pub(super) fn millis(duration: Millis) -> u32 {
     u32::try_from(duration.0).unwrap_or(u32::MAX)
 }
 
@@ -224,7 +220,7 @@
         from: vm_row(from.get_from()?)?,
         members_digest: from.get_members(),
         known_vms: known.collect::<Result<_>>()?,
-        revision: from.get_revision(),
+        store: store::store_state(from),
         endpoints: endpoint_loads(from.get_endpoints()?)?,
         domains: domains.collect::<Result<_>>()?,
         cached_parts: cached_parts(from.get_kept()?)?,
@@ -484,83 +480,3 @@
         token_wait: token_wait.map(|wait| Millis(u64::from(wait))),
     })
 }
-
-pub(super) fn set_items(mut to: capnp::struct_list::Builder<'_, wire::item::Owned>, items: &[Item]) {
-    for (i, item) in (0..).zip(items) {
-        set_item(to.reborrow().get(i), item);
-    }
-}
-
-pub(super) fn snapshot(revision: u64, items: capnp::struct_list::Reader<'_, wire::item::Owned>) -> Result<Snapshot> {
-    let items = items.iter().map(item);
-    Ok(Snapshot {
-        revision,
-        items: items.collect::<Result<_>>()?,
-    })
-}
-
-pub(super) fn set_watch_outcome(mut to: wire::relay_peer::watch_results::Builder<'_>, outcome: &WatchOutcome) {
-    let (changes, recovered_ago) = match outcome {
-        WatchOutcome::NotCurrent => return to.set_watched(wire::Watched::NotCurrent),
-        WatchOutcome::HistoryGone => return to.set_watched(wire::Watched::HistoryGone),
-        WatchOutcome::Changes { changes, recovered_ago } => (changes, recovered_ago),
-    };
-    to.set_watched(wire::Watched::Changes);
-    to.set_revision(changes.revision);
-    let returned_ms = recovered_ago.map_or(NO_RECENT_RECOVERY, millis);
-    to.set_returned_ms(returned_ms);
-    let mut list = to.init_changes(len(&changes.changes));
-    for (i, change) in (0..).zip(&changes.changes) {
-        let mut to = list.reborrow().get(i);
-        match change {
-            Change::Put(item) => set_item(to.init_item(), item),
-            Change::Removed { key, revision } => {
-                to.set_removed(true);
-                let mut item = to.init_item();
-                item.set_key(key.as_str());
-                item.set_revision(*revision);
-            }
-        }
-    }
-}
-
-pub(super) fn watch_outcome(from: wire::relay_peer::watch_results::Reader<'_>) -> Result<WatchOutcome> {
-    match from.get_watched()? {
-        wire::Watched::NotCurrent => return Ok(WatchOutcome::NotCurrent),
-        wire::Watched::HistoryGone => return Ok(WatchOutcome::HistoryGone),
-        wire::Watched::Changes => {}
-    }
-    let changes = from.get_changes()?.iter().map(|change| {
-        let item = item(change.get_item()?)?;
-        Ok(if change.get_removed() {
-            Change::Removed {
-                key: item.key,
-                revision: item.revision,
-            }
-        } else {
-            Change::Put(item)
-        })
-    });
-    let returned_ms = from.get_returned_ms();
-    Ok(WatchOutcome::Changes {
-        changes: Changes {
-            revision: from.get_revision(),
-            changes: changes.collect::<Result<_>>()?,
-        },
-        recovered_ago: (returned_ms != NO_RECENT_RECOVERY).then(|| Millis(u64::from(returned_ms))),
-    })
-}
-
-fn set_item(mut to: wire::item::Builder<'_>, item: &Item) {
-    to.set_key(item.key.as_str());
-    to.set_value(&item.value);
-    to.set_revision(item.revision);
-}
-
-fn item(from: wire::item::Reader<'_>) -> Result<Item> {
-    Ok(Item {
-        key: text(from.get_key())?,
-        value: from.get_value()?.to_vec(),
-        revision: from.get_revision(),
-    })
-}
--- a/crates/sw-peer/src/relay/mod.rs
+++ b/crates/sw-peer/src/relay/mod.rs
@@ -7,8 +7,9 @@
 mod client;
 mod convert;
 mod server;
+mod store;
 mod types;
 
 pub use client::RelayClient;
 pub use server::{bind, serve};
-pub use types::{RelayCall, RelayEvent, RelayHandler, WatchOutcome};
+pub use types::{RelayCall, RelayEvent, RelayHandler, StoreCopy, WatchOutcome};
--- a/crates/sw-peer/src/relay/server.rs
+++ b/crates/sw-peer/src/relay/server.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
-use super::{RelayEvent, RelayHandler, convert};
+use super::{RelayEvent, RelayHandler, convert, store};
 use crate::convert::{len, parse, set_refusal, text};
 use crate::relay_capnp::{answer_sink, relay_peer};
 use crate::server::{CHUNK_WINDOW, EVENT_BUFFER, serve_connection};
@@ -63,10 +63,7 @@
         _: relay_peer::SnapshotParams,
         mut results: relay_peer::SnapshotResults,
     ) -> Result<()> {
-        let snapshot = self.handler.snapshot();
-        let mut results = results.get();
-        results.set_revision(snapshot.revision);
-        convert::set_items(results.init_items(len(&snapshot.items)), &snapshot.items);
+        store::set_store_copy(results.get(), &self.handler.store_copy());
         Ok(())
     }
 
@@ -77,8 +74,9 @@
     ) -> Result<()> {
         let params = params.get()?;
         let wait = Duration::from_millis(u64::from(params.get_wait_ms()));
-        let outcome = self.handler.watch(params.get_after(), wait).await;
-        convert::set_watch_outcome(results.get(), &outcome);
+        let era = store::era(params.get_era());
+        let outcome = self.handler.watch(era, params.get_after(), wait).await;
+        store::set_watch_outcome(results.get(), &outcome);
         Ok(())
     }
 
--- a/crates/sw-peer/src/relay/types.rs
+++ b/crates/sw-peer/src/relay/types.rs
@@ -4,9 +4,11 @@
 
 use bytes::Bytes;
 use sw_error::Refusal;
-use sw_relay::{Grant, Heartbeat, QueueEstimate, Reservation, ReservationUpdate, SoftwareVersion, StreamOrigin};
+use sw_relay::{
+    Grant, Heartbeat, LeavingEndpoint, QueueEstimate, Reservation, ReservationUpdate, SoftwareVersion, StreamOrigin,
+};
 use sw_store::{Changes, Snapshot};
-use sw_unit::{EndpointId, Millis};
+use sw_unit::{EndpointId, Millis, StoreEra};
 use tokio::sync::mpsc;
 
 /// A request to forward to another VM, which sends it to at most one endpoint.
@@ -52,6 +54,15 @@
     NotSent,
 }
 
+/// A VM's copy of the platform's store, and what the VM knows beyond it.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct StoreCopy {
+    /// The copy.
+    pub snapshot: Snapshot,
+    /// Endpoints that were seen leaving, whatever their registrations say.
+    pub leaving: Vec<LeavingEndpoint>,
+}
+
 /// The response of a watcher to a VM that follows the store through it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WatchOutcome {
@@ -62,7 +73,7 @@
         /// Time since the store recovered from an outage; `None` if that is long ago or there was none.
         recovered_ago: Option<Millis>,
     },
-    /// The watcher no longer has these changes; its snapshot is needed.
+    /// The watcher no longer has these changes, or they are of an earlier era; its snapshot is needed.
     HistoryGone,
     /// The watcher has had no recent response from the store itself.
     NotCurrent,
@@ -74,10 +85,11 @@
     fn on_heartbeat(&self, heartbeat: Heartbeat) -> Heartbeat;
 
     /// Returns this VM's copy of the platform's store.
-    fn snapshot(&self) -> Snapshot;
+    fn store_copy(&self) -> StoreCopy;
 
-    /// Waits up to `wait` for changes of the store after the revision `after`, and returns them.
-    fn watch(&self, after: u64, wait: Duration) -> impl Future<Output = WatchOutcome>;
+    /// Waits up to `wait` for changes of the store after the revision `after` of an era, and returns them. A peer that
+    /// knows no eras sends none.
+    fn watch(&self, era: Option<StoreEra>, after: u64, wait: Duration) -> impl Future<Output = WatchOutcome>;
 
     /// Grants or declines a slot in an engine's queue.
     ///
--- a/crates/sw-peer/src/relay_capnp.rs
+++ b/crates/sw-peer/src/relay_capnp.rs
@@ -3938,11 +3938,19 @@
         pub fn has_versions(&self) -> bool {
             !self.reader.get_pointer_field(8).is_null()
         }
+        #[inline]
+        pub fn get_era(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_retains(self) -> bool {
+            self.reader.get_bool_field(192)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 9 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 9 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4152,6 +4160,22 @@
         pub fn has_versions(&self) -> bool {
             !self.builder.is_pointer_field_null(8)
         }
+        #[inline]
+        pub fn get_era(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_era(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_retains(self) -> bool {
+            self.builder.get_bool_field(192)
+        }
+        #[inline]
+        pub fn set_retains(&mut self, value: bool)  {
+            self.builder.set_bool_field(192, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4166,101 +4190,115 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 219] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 249] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(133, 4, 211, 207, 138, 222, 52, 236),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
             ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 66, 101, 97, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(173, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 192, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(33, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(26, 128, 190, 178, 67, 7, 133, 240),
@@ -4386,6 +4424,22 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 114, 97, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 116, 97, 105, 110, 115, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4400,6 +4454,8 @@
                 8 => <::capnp::struct_list::Owned<crate::relay_capnp::crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::struct_list::Owned<crate::relay_capnp::answered_part::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::struct_list::Owned<crate::relay_capnp::service_versions::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                12 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4413,9 +4469,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,8,5,4,0,6,2,1,7,3,10];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,8,5,4,11,0,6,2,1,7,12,3,10];
         pub(crate) const TYPE_ID: u64 = 0xec34_de8a_cfd3_0485;
     }
 }
@@ -4832,20 +4888,860 @@
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
         }
         #[inline]
-        pub fn init_item(self, ) -> crate::relay_capnp::item::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        pub fn init_item(self, ) -> crate::relay_capnp::item::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_item(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_removed(self) -> bool {
+            self.builder.get_bool_field(0)
+        }
+        #[inline]
+        pub fn set_removed(&mut self, value: bool)  {
+            self.builder.set_bool_field(0, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_item(&self) -> crate::relay_capnp::item::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(221, 168, 31, 192, 35, 242, 198, 255),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 67, 104, 97, 110),
+            ::capnp::word(103, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 116, 101, 109, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(222, 112, 27, 104, 20, 169, 224, 175),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 109, 111, 118, 101, 100, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::relay_capnp::item::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) const TYPE_ID: u64 = 0xffc6_f223_c01f_a8dd;
+    }
+}
+
+pub mod followed_era {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_era(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_after(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_until(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_era(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_era(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_after(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_after(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_until(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_until(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(87, 50, 92, 85, 117, 59, 18, 139),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 70, 111, 108, 108),
+            ::capnp::word(111, 119, 101, 100, 69, 114, 97, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 114, 97, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 102, 116, 101, 114, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 116, 105, 108, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+        pub(crate) const TYPE_ID: u64 = 0x8b12_3b75_555c_3257;
+    }
+}
+
+pub mod retained_item {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_item(self) -> ::capnp::Result<crate::relay_capnp::item::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_item(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_removed(self) -> bool {
+            self.reader.get_bool_field(0)
+        }
+        #[inline]
+        pub fn get_era(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_rank(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_left_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn get_is_of_era(self) -> bool {
+            self.reader.get_bool_field(1)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_item(self) -> ::capnp::Result<crate::relay_capnp::item::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_item(&mut self, value: crate::relay_capnp::item::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_item(self, ) -> crate::relay_capnp::item::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_item(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_removed(self) -> bool {
+            self.builder.get_bool_field(0)
+        }
+        #[inline]
+        pub fn set_removed(&mut self, value: bool)  {
+            self.builder.set_bool_field(0, value);
+        }
+        #[inline]
+        pub fn get_era(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_era(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_rank(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_rank(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_left_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_left_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+        #[inline]
+        pub fn get_is_of_era(self) -> bool {
+            self.builder.get_bool_field(1)
+        }
+        #[inline]
+        pub fn set_is_of_era(&mut self, value: bool)  {
+            self.builder.set_bool_field(1, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_item(&self) -> crate::relay_capnp::item::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(255, 94, 46, 175, 53, 68, 86, 193),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 82, 101, 116, 97),
+            ::capnp::word(105, 110, 101, 100, 73, 116, 101, 109),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 116, 101, 109, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(222, 112, 27, 104, 20, 169, 224, 175),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 109, 111, 118, 101, 100, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 114, 97, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 97, 110, 107, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 102, 116, 77, 115, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 79, 102, 69, 114, 97, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::relay_capnp::item::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,5,0,4,3,1];
+        pub(crate) const TYPE_ID: u64 = 0xc156_4435_af2e_5eff;
+    }
+}
+
+pub mod endpoint_incarnation {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_item(&self) -> bool {
+        pub fn has_endpoint(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_removed(self) -> bool {
-            self.builder.get_bool_field(0)
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_removed(&mut self, value: bool)  {
-            self.builder.set_bool_field(0, value);
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
         }
     }
 
@@ -4856,64 +5752,64 @@
         }
     }
     impl Pipeline  {
-        pub fn get_item(&self) -> crate::relay_capnp::item::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 50] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(221, 168, 31, 192, 35, 242, 198, 255),
+            ::capnp::word(12, 117, 109, 18, 113, 133, 205, 145),
             ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 67, 104, 97, 110),
-            ::capnp::word(103, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 110, 112, 58, 69, 110, 100, 112),
+            ::capnp::word(111, 105, 110, 116, 73, 110, 99, 97),
+            ::capnp::word(114, 110, 97, 116, 105, 111, 110, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(49, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(105, 116, 101, 109, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(222, 112, 27, 104, 20, 169, 224, 175),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 109, 111, 118, 101, 100, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <crate::relay_capnp::item::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4930,7 +5826,7 @@
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-        pub(crate) const TYPE_ID: u64 = 0xffc6_f223_c01f_a8dd;
+        pub(crate) const TYPE_ID: u64 = 0x91cd_8571_126d_750c;
     }
 }
 
@@ -8233,11 +9129,39 @@
             pub fn has_items(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_era(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn get_retained(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::retained_item::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_retained(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+            #[inline]
+            pub fn get_history(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::followed_era::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_history(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
+            #[inline]
+            pub fn get_leaving(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::endpoint_incarnation::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_leaving(&self) -> bool {
+                !self.reader.get_pointer_field(3).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8311,6 +9235,62 @@
             pub fn has_items(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_era(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_era(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+            #[inline]
+            pub fn get_retained(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::retained_item::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_retained(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::retained_item::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_retained(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::retained_item::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+            }
+            #[inline]
+            pub fn has_retained(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+            #[inline]
+            pub fn get_history(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::followed_era::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_history(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::followed_era::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+            }
+            #[inline]
+            pub fn init_history(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::followed_era::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+            }
+            #[inline]
+            pub fn has_history(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
+            #[inline]
+            pub fn get_leaving(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::endpoint_incarnation::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_leaving(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::endpoint_incarnation::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+            }
+            #[inline]
+            pub fn init_leaving(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::endpoint_incarnation::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+            }
+            #[inline]
+            pub fn has_leaving(&self) -> bool {
+                !self.builder.is_pointer_field_null(3)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8322,17 +9302,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 53] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 126] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(114, 122, 153, 131, 88, 16, 49, 218),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
@@ -8340,21 +9320,49 @@
                 ::capnp::word(121, 80, 101, 101, 114, 46, 115, 110),
                 ::capnp::word(97, 112, 115, 104, 111, 116, 36, 82),
                 ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(181, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(185, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -8376,11 +9384,60 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 114, 97, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 116, 97, 105, 110, 101, 100),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(255, 94, 46, 175, 53, 68, 86, 193),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 105, 115, 116, 111, 114, 121, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(87, 50, 92, 85, 117, 59, 18, 139),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 117, 109, 18, 113, 133, 205, 145),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::struct_list::Owned<crate::relay_capnp::item::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <::capnp::struct_list::Owned<crate::relay_capnp::retained_item::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <::capnp::struct_list::Owned<crate::relay_capnp::followed_era::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <::capnp::struct_list::Owned<crate::relay_capnp::endpoint_incarnation::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8394,9 +9451,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,1,5,3,0];
             pub(crate) const TYPE_ID: u64 = 0xda31_1058_8399_7a72;
         }
     }
@@ -10008,11 +11065,15 @@
             pub fn get_wait_ms(self) -> u32 {
                 self.reader.get_data_field::<u32>(2)
             }
+            #[inline]
+            pub fn get_era(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10078,6 +11139,14 @@
             pub fn set_wait_ms(&mut self, value: u32)  {
                 self.builder.set_data_field::<u32>(2, value);
             }
+            #[inline]
+            pub fn get_era(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_era(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(2, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10089,17 +11158,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(5, 145, 227, 210, 171, 167, 103, 151),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
@@ -10107,21 +11176,28 @@
                 ::capnp::word(121, 80, 101, 101, 114, 46, 119, 97),
                 ::capnp::word(116, 99, 104, 36, 80, 97, 114, 97),
                 ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(97, 102, 116, 101, 114, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -10138,11 +11214,20 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 114, 97, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -10156,9 +11241,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
             pub(crate) const TYPE_ID: u64 = 0x9767_a7ab_d2e3_9105;
         }
     }
@@ -10244,11 +11329,15 @@
             pub fn get_returned_ms(self) -> u32 {
                 self.reader.get_data_field::<u32>(1)
             }
+            #[inline]
+            pub fn get_era(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10338,6 +11427,14 @@
             pub fn set_returned_ms(&mut self, value: u32)  {
                 self.builder.set_data_field::<u32>(1, value);
             }
+            #[inline]
+            pub fn get_era(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_era(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(2, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10349,17 +11446,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 84] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 99] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(80, 151, 3, 153, 43, 48, 118, 253),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
@@ -10367,35 +11464,42 @@
                 ::capnp::word(121, 80, 101, 101, 114, 46, 119, 97),
                 ::capnp::word(116, 99, 104, 36, 82, 101, 115, 117),
                 ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(129, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(157, 0, 0, 0, 90, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(165, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(119, 97, 116, 99, 104, 101, 100, 0),
                 ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(3, 113, 166, 34, 252, 6, 123, 188),
@@ -10434,6 +11538,14 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 114, 97, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -10441,6 +11553,7 @@
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <::capnp::struct_list::Owned<crate::relay_capnp::change::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -10454,9 +11567,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,3,1,0];
             pub(crate) const TYPE_ID: u64 = 0xfd76_302b_9903_9750;
         }
     }
--- a/crates/sw-proxy/src/dialect.rs
+++ b/crates/sw-proxy/src/dialect.rs
@@ -9,6 +9,7 @@
 use hyper::{HeaderMap, StatusCode, Uri};
 use sw_member::VmRow;
 use sw_relay::{EndpointReport, RateLimitStatement, RequestHead, StoreRecord};
+use sw_store::ItemRules;
 use sw_unit::{DomainId, EndpointId, Millis, RegionId};
 
 /// Error for request headers that are missing or malformed.
@@ -91,7 +92,7 @@
 /// Translates between the names and formats of a platform and the types of the gateway.
 ///
 /// Implementations only translate; they make no routing decisions.
-pub trait Dialect: Clone + 'static {
+pub trait Dialect: ItemRules + Clone + 'static {
     /// Decodes an item of the store; `value` is `None` if the key was removed.
     fn decode_record(&self, key: &str, value: Option<&[u8]>) -> StoreRecord;
 
--- a/crates/sw-proxy/src/heartbeat.rs
+++ b/crates/sw-proxy/src/heartbeat.rs
@@ -2,7 +2,7 @@
 //!
 //! Of two neighbours, the one with the smaller id calls the other. The other one calls only if a heartbeat is overdue.
 //! On each heartbeat and tick, a VM whose mirror of the store is empty, or that has not reached the store for a while,
-//! copies a snapshot from a VM with a newer revision.
+//! copies a snapshot from a VM with a newer position.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
--- a/crates/sw-proxy/src/lib.rs
+++ b/crates/sw-proxy/src/lib.rs
@@ -21,6 +21,7 @@
 mod request;
 mod reservation;
 mod response;
+mod restore;
 mod resumption;
 mod sse;
 mod state;
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -8,12 +8,11 @@
 use http_body_util::BodyExt as _;
 use hyper::{Method, Request, Uri};
 use sw_error::{Kind, Refusal};
-use sw_peer::relay::{RelayCall, RelayEvent, RelayHandler, WatchOutcome};
+use sw_peer::relay::{RelayCall, RelayEvent, RelayHandler, StoreCopy, WatchOutcome};
 use sw_relay::{
     Grant, Heartbeat, QueueEstimate, Replication, Reservation, ReservationUpdate, SoftwareVersion, StreamOrigin,
 };
-use sw_store::Snapshot;
-use sw_unit::EndpointId;
+use sw_unit::{EndpointId, StoreEra};
 use tokio::sync::mpsc;
 
 use crate::attempt::BufferedRequest;
@@ -38,16 +37,15 @@
         self.0.relay.borrow().heartbeat(Some(&from), self.0.now())
     }
 
-    fn snapshot(&self) -> Snapshot {
-        let mirror = self.0.mirror.borrow();
-        Snapshot {
-            revision: mirror.revision(),
-            items: mirror.items().cloned().collect(),
+    fn store_copy(&self) -> StoreCopy {
+        StoreCopy {
+            snapshot: self.0.mirror.borrow().snapshot(self.0.now()),
+            leaving: self.0.relay.borrow().registry().leaving().collect(),
         }
     }
 
-    async fn watch(&self, after: u64, wait: Duration) -> WatchOutcome {
-        store::serve_watch(&self.0, after, wait).await
+    async fn watch(&self, era: Option<StoreEra>, after: u64, wait: Duration) -> WatchOutcome {
+        store::serve_watch(&self.0, era, after, wait).await
     }
 
     fn reserve(&self, reservation: &Reservation) -> Result<Grant, QueueEstimate> {
--- a/crates/sw-proxy/src/records.rs
+++ b/crates/sw-proxy/src/records.rs
@@ -1,16 +1,31 @@
 //! Applies store records to the routing state.
 
+use metrics::gauge;
 use spdlog::prelude::*;
-use sw_relay::StoreRecord;
+use sw_relay::{StoreRecord, StoreState};
 use sw_store::Change;
 
 use crate::state::ProxyState;
-use crate::{Dialect, persist};
+use crate::{Dialect, persist, restore};
+
+/// Where changes of items came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Source {
+    /// The store.
+    Store,
+    /// The watcher through which this VM follows the store.
+    Watcher,
+    /// The snapshot of another VM.
+    Neighbour,
+    /// The end of a grace period after the store was restored.
+    GracePeriod,
+}
 
 /// Applies changes of the store that were received from `source`.
-pub(crate) fn apply<D: Dialect, F>(state: &ProxyState<D, F>, changes: &[Change], source: &str) {
-    let revision = state.mirror.borrow().revision();
-    let now = state.now();
+pub(crate) fn apply<D: Dialect, F>(state: &ProxyState<D, F>, changes: &[Change], source: Source) {
+    let position = state.mirror.borrow().position();
+    let (revision, now) = (position.revision, state.now());
     for change in changes {
         let (key, value) = match change {
             Change::Put(item) => (&item.key, Some(item.value.as_slice())),
@@ -24,21 +39,28 @@
         apply_record(state, record, source, revision);
     }
     state.store_changed.notify_waiters();
+    restore::log_settled(state);
+    let retained = state.mirror.borrow().retained_len();
+    gauge!("shallotwing_store_era").set(position.era.0 as f64);
+    gauge!("shallotwing_store_retained_items").set(retained as f64);
     let mut relay = state.relay.borrow_mut();
-    relay.set_revision(revision);
+    relay.set_store_state(StoreState {
+        position,
+        retains: retained > 0,
+    });
     for endpoint in relay.tick(now) {
         let endpoint = endpoint.as_str();
         info!("endpoint_gone", kv: { endpoint, revision });
     }
 }
 
-fn apply_record<D, F>(state: &ProxyState<D, F>, record: StoreRecord, source: &str, revision: u64) {
+fn apply_record<D, F>(state: &ProxyState<D, F>, record: StoreRecord, source: Source, revision: u64) {
     let now = state.now();
     let description = describe(&record);
     if state.relay.borrow_mut().apply(record, now)
         && let Some((what, id, status)) = description
     {
-        let (id, status) = (id.as_str(), status.as_str());
+        let (id, status, source): (_, _, &'static str) = (id.as_str(), status.as_str(), source.into());
         info!("learned", kv: { what, id, state = status, source, revision });
     }
 }
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -114,7 +114,7 @@
                 return failure.ok_or_else(|| history.final_refusal(Some(refusal)));
             }
         };
-        let revision = state.mirror.borrow().revision();
+        let revision = state.mirror.borrow().position().revision;
         telemetry::log_choice(&request.admitted, &choice, revision, now);
         match send_attempt(state, &request, &choice, &mut history).await {
             Ok(response) if response.status().is_server_error() && request.admitted.route.kind.is_repeatable() => {
--- a/crates/sw-proxy/src/state.rs
+++ b/crates/sw-proxy/src/state.rs
@@ -57,7 +57,7 @@
     pub(crate) clock: BootClock,
     pub(crate) timer: TimerService<BootClock>,
     pub(crate) relay: RefCell<Relay>,
-    pub(crate) mirror: RefCell<Mirror>,
+    pub(crate) mirror: RefCell<Mirror<D>>,
     pub(crate) connector: Connector,
     pub(crate) peers: RelayClient,
     pub(crate) lifecycle: Cell<Lifecycle>,
@@ -79,6 +79,10 @@
     pub(crate) refreshed_at: Cell<Option<Time>>,
     /// Whether a snapshot of the store is being copied from another VM.
     pub(crate) is_copying: Cell<bool>,
+    /// Notified when the mirror may retain further states that the store has lost.
+    pub(crate) retained_changed: Notify,
+    /// Whether the store's last response did not state the era, although an earlier one did.
+    pub(crate) is_era_missing: Cell<bool>,
     /// Notified when the mirror changes or the store becomes unavailable.
     pub(crate) store_changed: Notify,
     /// Time of the store's last response to a request of this VM.
@@ -91,15 +95,18 @@
 }
 
 impl<D, F> ProxyState<D, F> {
-    pub(crate) fn new(options: Options, dialect: D, feed: F, clock: BootClock, relay: Relay) -> Self {
+    pub(crate) fn new(options: Options, dialect: D, feed: F, clock: BootClock, relay: Relay) -> Self
+    where
+        D: Clone,
+    {
         Self {
             options: RefCell::new(options),
+            mirror: RefCell::new(Mirror::new(dialect.clone())),
             dialect,
             feed,
             clock,
             timer: TimerService::new(clock),
             relay: RefCell::new(relay),
-            mirror: RefCell::default(),
             connector: Connector::new(CONNECT_TIMEOUT),
             peers: RelayClient::default(),
             lifecycle: Cell::new(Lifecycle::Serving),
@@ -112,6 +119,8 @@
             refresh_turn: tokio::sync::Mutex::new(()),
             refreshed_at: Cell::new(None),
             is_copying: Cell::new(false),
+            retained_changed: Notify::new(),
+            is_era_missing: Cell::new(false),
             store_changed: Notify::new(),
             store_responded_at: Cell::new(None),
             store_recovered_at: Cell::new(None),
--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -2,7 +2,8 @@
 //!
 //! The watchers of a failure domain poll the store. Its other VMs receive changes from a watcher, and poll the store
 //! themselves if no watcher is available. A VM that cannot reach the store copies a snapshot from any VM with a newer
-//! revision.
+//! position. When the store was restored from an older copy, watchers read all items again, and the other VMs copy their
+//! snapshots.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,11 +12,12 @@
 use spdlog::prelude::*;
 use sw_peer::relay::WatchOutcome;
 use sw_relay::StoreSource;
-use sw_store::{Change, Feed, FeedError, StoreError};
-use sw_unit::{Millis, VmId};
+use sw_store::{Applied, Changes, Feed, FeedError, Snapshot, StoreError};
+use sw_unit::{Millis, StoreEra, StorePosition, VmId};
 
+use crate::records::Source;
 use crate::state::ProxyState;
-use crate::{Dialect, persist, records};
+use crate::{Dialect, persist, records, restore};
 
 /// Long-poll timeout for changes.
 const WATCH_WAIT: Duration = Duration::from_secs(4);
@@ -36,6 +38,11 @@
 const STARTUP_PERIOD: Millis = Millis(3_000);
 /// Duration of an outage after which a snapshot is copied from another VM.
 const COPY_AFTER_OUTAGE: Millis = Millis(1_000);
+/// Number of attempts to copy the snapshot of a watcher after the store was restored, before a VM that is none reads all
+/// items itself.
+const RESTORE_COPY_ATTEMPTS: u32 = 4;
+/// Delay between these attempts.
+const RESTORE_COPY_DELAY: Duration = Duration::from_millis(300);
 /// Delay after a failed call.
 const BACKOFF: Duration = Duration::from_millis(250);
 
@@ -62,7 +69,7 @@
 
 /// Returns the source from which to follow the store; until the first snapshot is read, this VM polls the store.
 fn current_source<D, F>(state: &ProxyState<D, F>) -> StoreSource {
-    if state.mirror.borrow().revision() == 0 {
+    if state.mirror.borrow().is_empty() {
         return StoreSource::Watcher;
     }
     state.relay.borrow().store_source(state.now())
@@ -70,28 +77,28 @@
 
 /// Makes one call to the store, and returns whether the mirror is complete up to its revision.
 async fn poll_store<D: Dialect, F: Feed>(state: &ProxyState<D, F>, is_complete: bool, is_watcher: bool) -> bool {
-    let (revision, called_at) = (state.mirror.borrow().revision(), state.now());
+    let (position, called_at) = (state.mirror.borrow().position(), state.now());
+    let revision = position.revision;
     let has_followers = is_watcher && state.relay.borrow().has_followers(state.now());
     let result = match (is_complete, has_followers) {
         (false, _) => read_all(state).await,
-        (true, true) => wait_for_changes(state, revision, SHORT_WATCH_WAIT).await,
-        (true, false) => wait_for_changes(state, revision, WATCH_WAIT).await,
+        (true, true) => wait_for_changes(state, position, SHORT_WATCH_WAIT).await,
+        (true, false) => wait_for_changes(state, position, WATCH_WAIT).await,
     };
     match result {
-        Ok(changes) => {
+        Ok(Polled::Restored(era)) => !is_watcher && copy_newer(state, StorePosition::new(era, 0)).await,
+        Ok(Polled::Applied { is_change }) => {
             state.store_responded_at.set(Some(state.now()));
-            on_store_response(state);
-            records::apply(state, &changes, "store");
             // Changes that this VM does not follow end the wait as well.
             let is_early = state.now().since(called_at) < EARLY_RESPONSE;
-            if is_complete && (is_early || !changes.is_empty()) {
+            if is_complete && (is_early || is_change) {
                 tokio::time::sleep(batch_delay(state, is_watcher)).await;
             }
             true
         }
         Err(FeedError::HistoryGone) => {
             info!("store_history_gone", kv: { revision });
-            false
+            !is_watcher && copy_newer(state, StorePosition::new(position.era, revision + 1)).await
         }
         Err(FeedError::Store(error)) => {
             on_store_unavailable(state, &error);
@@ -109,28 +116,35 @@
         return true;
     }
     let started_at = state.now();
-    let revision = state.mirror.borrow().revision();
-    let changes = tokio::time::timeout(timeout, wait_for_changes(state, revision, Duration::ZERO)).await;
-    let Ok(Ok(changes)) = changes else {
+    let position = state.mirror.borrow().position();
+    let polled = tokio::time::timeout(timeout, async {
+        match wait_for_changes(state, position, Duration::ZERO).await {
+            Ok(Polled::Restored(_)) | Err(FeedError::HistoryGone) => read_all(state).await,
+            polled => polled,
+        }
+    });
+    if !matches!(polled.await, Ok(Ok(Polled::Applied { .. }))) {
+        let revision = position.revision;
         info!("store_not_refreshed", kv: { revision });
         return false;
-    };
-    records::apply(state, &changes, "store");
+    }
     state.refreshed_at.set(Some(started_at));
     true
 }
 
 /// Makes one call to a watcher for changes of the store.
 async fn follow_watcher<D: Dialect, F>(state: &ProxyState<D, F>, vm: &VmId, address: SocketAddr) {
-    let revision = state.mirror.borrow().revision();
-    let failure = match state.peers.watch(address, revision, SHORT_WATCH_WAIT).await {
+    let position = state.mirror.borrow().position();
+    let failure = match state.peers.watch(address, position, SHORT_WATCH_WAIT).await {
         Ok(WatchOutcome::Changes { changes, recovered_ago }) => {
-            on_store_response(state);
-            if let Some(age) = recovered_ago {
-                state.relay.borrow_mut().on_store_recovered(state.now() - age);
+            if let Ok(Polled::Applied { .. }) = apply_changes(state, changes, Source::Watcher) {
+                on_store_response(state);
+                if let Some(age) = recovered_ago {
+                    state.relay.borrow_mut().on_store_recovered(state.now() - age);
+                }
+                return;
             }
-            let changes = state.mirror.borrow_mut().apply(changes.changes, changes.revision);
-            return records::apply(state, &changes, "watcher");
+            "other_era"
         }
         Ok(WatchOutcome::HistoryGone) if copy_snapshot(state, vm, address).await => return,
         Ok(WatchOutcome::HistoryGone) => "no_snapshot",
@@ -138,13 +152,18 @@
         Err(_no_response) => "no_answer",
     };
     state.relay.borrow_mut().on_watcher_failed(vm, state.now());
-    let vm = vm.as_str();
+    let (vm, revision) = (vm.as_str(), position.revision);
     info!("watcher_failed", kv: { vm, failure, revision });
 }
 
 /// Serves the call of a follower: waits until the store changes after the revision `after`, `wait` expires, or the
-/// mirror is no longer current.
-pub(crate) async fn serve_watch<D, F>(state: &ProxyState<D, F>, after: u64, wait: Duration) -> WatchOutcome {
+/// mirror is no longer current. A follower that knows no eras is in that of the mirror.
+pub(crate) async fn serve_watch<D, F>(
+    state: &ProxyState<D, F>,
+    era: Option<StoreEra>,
+    after: u64,
+    wait: Duration,
+) -> WatchOutcome {
     let end = state.now() + Millis(wait.as_millis() as u64);
     loop {
         let now = state.now();
@@ -158,7 +177,12 @@
         else {
             return WatchOutcome::NotCurrent;
         };
-        if state.mirror.borrow().revision() > after || now >= end {
+        let position = state.mirror.borrow().position();
+        let after = StorePosition::new(era.unwrap_or(position.era), after);
+        if after.era > position.era {
+            return WatchOutcome::NotCurrent;
+        }
+        if position > after || now >= end {
             return changes_since(state, after);
         }
         let wait = end.min(stale_at).since(now);
@@ -167,8 +191,8 @@
     }
 }
 
-/// Returns the changes after the revision `after` from the mirror.
-fn changes_since<D, F>(state: &ProxyState<D, F>, after: u64) -> WatchOutcome {
+/// Returns the changes after the position `after` from the mirror.
+fn changes_since<D, F>(state: &ProxyState<D, F>, after: StorePosition) -> WatchOutcome {
     let recovered_ago = state.store_recovered_at.get().map(|at| state.now().since(at));
     let changes = state.mirror.borrow().changes_since(after);
     changes.map_or(WatchOutcome::HistoryGone, |changes| WatchOutcome::Changes {
@@ -187,22 +211,25 @@
     }
 }
 
-/// Returns a VM to copy a snapshot from, if the mirror is empty or the store has been unavailable for `after`.
+/// Returns a VM to copy a snapshot from, if the mirror is empty or the store has been unavailable for `after`, or if
+/// another VM retains what the store has lost and this VM never knew.
 ///
 /// At startup a call to an unreachable store may take long to fail, so a snapshot is copied at the same time.
 fn copy_source<D, F>(state: &ProxyState<D, F>, after: Millis) -> Option<(VmId, SocketAddr)> {
-    if state.mirror.borrow().revision() > 0 {
-        let unavailable_since = state.store_unavailable_since.get()?;
-        if state.now().since(unavailable_since) < after {
-            return None;
-        }
-    }
-    let relay = state.relay.borrow();
-    let row = relay.peer_with_newer_revision(state.now())?;
+    let (is_empty, knows_earlier_era) = {
+        let mirror = state.mirror.borrow();
+        (mirror.is_empty(), mirror.knows_earlier_era())
+    };
+    let unavailable_since = state.store_unavailable_since.get();
+    let is_away = unavailable_since.is_some_and(|since| state.now().since(since) >= after);
+    let (relay, now) = (state.relay.borrow(), state.now());
+    let newer = relay.peer_with_newer_position(now).filter(|_| is_empty || is_away);
+    let retaining = relay.peer_that_retains(now).filter(|_| !is_empty && !knows_earlier_era);
+    let row = newer.or(retaining)?;
     Some((row.vm.clone(), row.peer_listen))
 }
 
-/// Copies a snapshot from a VM with a newer revision, if that is due and no copy is in progress.
+/// Copies a snapshot from another VM, if that is due and no copy is in progress.
 pub(crate) fn copy_if_due<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>) {
     if state.is_copying.get() {
         return;
@@ -218,47 +245,138 @@
     });
 }
 
-/// Copies the snapshot of another VM, and returns whether it responded.
+/// Copies the snapshot of another VM, and returns whether it was applied.
 async fn copy_snapshot<D: Dialect, F>(state: &ProxyState<D, F>, vm: &VmId, address: SocketAddr) -> bool {
-    let Ok(snapshot) = state.peers.snapshot(address).await else {
+    let assumed = state.mirror.borrow().position().era;
+    let Ok(copy) = state.peers.store_copy(address, assumed).await else {
         let vm = vm.as_str();
         info!("store_copy_failed", kv: { vm });
         return false;
     };
-    let (vm, revision) = (vm.as_str(), snapshot.revision);
-    info!("store_copied", kv: { vm, revision });
-    let changes = state.mirror.borrow_mut().apply_snapshot(snapshot.items, revision);
-    records::apply(state, &changes, "neighbour");
-    true
+    let (vm, revision, era) = (
+        vm.as_str(),
+        copy.snapshot.position.revision,
+        copy.snapshot.position.era.0,
+    );
+    for leaving in &copy.leaving {
+        state.relay.borrow_mut().on_leaving_reported(leaving);
+    }
+    let polled = apply_snapshot(state, copy.snapshot, Source::Neighbour);
+    let applied = matches!(polled, Ok(Polled::Applied { .. }));
+    info!("store_copied", kv: { vm, revision, era, applied });
+    applied
 }
 
-/// Reads all items of the store, and returns the changes.
-async fn read_all<D, F: Feed>(state: &ProxyState<D, F>) -> Result<Vec<Change>, FeedError> {
-    let snapshot = state.feed.read_snapshot().await?;
-    let mut mirror = state.mirror.borrow_mut();
-    let (revision, known_revision) = (snapshot.revision, mirror.revision());
-    if revision < known_revision {
-        warn!("store_snapshot_ignored", kv: { revision, known_revision });
+/// Copies the snapshot of a VM that has reached the position `wanted`, and returns whether that succeeded; otherwise all
+/// items have to be read from the store.
+async fn copy_newer<D: Dialect, F>(state: &ProxyState<D, F>, wanted: StorePosition) -> bool {
+    for _ in 0..RESTORE_COPY_ATTEMPTS {
+        tokio::time::sleep(RESTORE_COPY_DELAY).await;
+        let source = {
+            let relay = state.relay.borrow();
+            let row = relay.peer_with_newer_position(state.now());
+            row.map(|row| (row.vm.clone(), row.peer_listen))
+        };
+        if let Some((vm, address)) = source {
+            copy_snapshot(state, &vm, address).await;
+        }
+        if state.mirror.borrow().position() >= wanted {
+            return true;
+        }
     }
-    Ok(mirror.apply_snapshot(snapshot.items, snapshot.revision))
+    false
+}
+
+/// What came of a response of the store or of a watcher.
+enum Polled {
+    /// It was applied.
+    Applied {
+        /// Whether an item changed.
+        is_change: bool,
+    },
+    /// The store was restored, and is in this era now; all items have to be read.
+    Restored(StoreEra),
 }
 
-/// Waits for changes after `revision`, and returns those that are not in the mirror yet.
-async fn wait_for_changes<D, F: Feed>(
+/// Reads all items of the store, and applies them.
+async fn read_all<D: Dialect, F: Feed>(state: &ProxyState<D, F>) -> Result<Polled, FeedError> {
+    let mut snapshot = state.feed.read_snapshot().await?;
+    snapshot.position.era = restore::stated_era(state, snapshot.position.era);
+    Ok(apply_snapshot(state, snapshot, Source::Store)?)
+}
+
+/// Waits for changes after `position`, and applies them.
+async fn wait_for_changes<D: Dialect, F: Feed>(
     state: &ProxyState<D, F>,
-    revision: u64,
+    position: StorePosition,
     wait: Duration,
-) -> Result<Vec<Change>, FeedError> {
-    let mut changes = state.feed.changes(revision, wait).await?;
+) -> Result<Polled, FeedError> {
+    let mut changes = state.feed.changes(position.revision, wait).await?;
+    changes.position.era = restore::stated_era(state, changes.position.era);
     changes.changes.retain(|change| !persist::is_origin_change(change));
-    let mut mirror = state.mirror.borrow_mut();
-    let received = changes.changes.len();
-    let new = mirror.apply(changes.changes, changes.revision);
-    if new.len() < received {
+    if changes.position.era != position.era && state.mirror.borrow().position().era == changes.position.era {
+        // The mirror went to the later era during the call, and may lack changes before those of the response.
+        return Ok(Polled::Applied { is_change: false });
+    }
+    Ok(apply_changes(state, changes, Source::Store)?)
+}
+
+fn apply_changes<D: Dialect, F>(
+    state: &ProxyState<D, F>,
+    changes: Changes,
+    source: Source,
+) -> Result<Polled, StoreError> {
+    let (era, received) = (changes.position.era, changes.changes.len());
+    let (revision, known_revision) = (changes.position.revision, state.mirror.borrow().position().revision);
+    let applied = state.mirror.borrow_mut().apply(changes);
+    if let Applied::New(new) = &applied
+        && new.len() < received
+    {
         let ignored = received - new.len();
-        info!("store_changes_ignored", kv: { ignored, known_revision = revision, revision = changes.revision });
+        info!("store_changes_ignored", kv: { ignored, known_revision, revision });
+    }
+    on_applied(state, applied, era, source)
+}
+
+/// Applies a snapshot, which may be of a later era.
+fn apply_snapshot<D: Dialect, F>(
+    state: &ProxyState<D, F>,
+    snapshot: Snapshot,
+    source: Source,
+) -> Result<Polled, StoreError> {
+    let era = snapshot.position.era;
+    let before = state.mirror.borrow().position();
+    if era == before.era && snapshot.position < before {
+        let (revision, known_revision) = (snapshot.position.revision, before.revision);
+        warn!("store_snapshot_ignored", kv: { revision, known_revision });
+    }
+    let applied = state.mirror.borrow_mut().apply_snapshot(snapshot, state.now());
+    if before.revision > 0 && state.mirror.borrow().position().era > before.era {
+        restore::on_restored(state, before, source);
+    }
+    state.retained_changed.notify_one();
+    on_applied(state, applied, era, source)
+}
+
+fn on_applied<D: Dialect, F>(
+    state: &ProxyState<D, F>,
+    applied: Applied,
+    era: StoreEra,
+    source: Source,
+) -> Result<Polled, StoreError> {
+    match applied {
+        Applied::New(changes) => {
+            if source == Source::Store {
+                on_store_response(state);
+            }
+            records::apply(state, &changes, source);
+            Ok(Polled::Applied {
+                is_change: !changes.is_empty(),
+            })
+        }
+        Applied::NewerEra => Ok(Polled::Restored(era)),
+        Applied::OlderEra => Err(StoreError::Corrupt(format!("the response is of the earlier era {era}"))),
     }
-    Ok(new)
 }
 
 fn on_store_unavailable<D, F>(state: &ProxyState<D, F>, error: &StoreError) {
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -55,7 +55,7 @@
             } else {
                 self.members.peers().cloned().collect()
             },
-            revision: self.revision,
+            store: self.store,
             endpoints: if neighbour { self.local_loads(now) } else { Vec::new() },
             domains: if neighbour {
                 self.direct_views(now)
@@ -92,7 +92,7 @@
             self.members.on_gossip(row, now);
         }
         let vm = heartbeat.from.vm.clone();
-        self.peer_revisions.insert(vm.clone(), heartbeat.revision);
+        self.peer_stores.insert(vm.clone(), heartbeat.store);
         self.peer_digests.insert(vm.clone(), heartbeat.members_digest);
         for load in heartbeat.endpoints {
             let known = self.loads.entry(load.endpoint.clone()).or_default();
@@ -271,19 +271,6 @@
         }
     }
 
-    /// Returns the nearest live VM whose mirror of the store is at a newer revision than that of this VM.
-    pub fn peer_with_newer_revision(&self, now: Time) -> Option<&VmRow> {
-        let is_newer = |row: &&VmRow| {
-            self.peer_revisions
-                .get(&row.vm)
-                .is_some_and(|known| *known > self.revision)
-        };
-        let local = self.members.local();
-        let newer = self.members.peers().filter(is_newer);
-        let candidates = newer.filter(|row| self.is_live(&row.vm, now));
-        candidates.min_by_key(|row| (row.domain != local.domain, row.region != local.region))
-    }
-
     /// Returns the entry VMs for a caller: live VMs of its failure domain or its region.
     ///
     /// If there are none, these are the VMs of the regions in which most of the host's requests may run. A VM that has
--- a/crates/sw-relay/src/heartbeat.rs
+++ b/crates/sw-relay/src/heartbeat.rs
@@ -8,7 +8,7 @@
 use sw_member::VmRow;
 use sw_unit::{DomainId, EndpointId, Incarnation, Millis, RegionId, VmId};
 
-use crate::{AnsweredPart, CachedPart, CrashReport, EndpointRateLimit, ServiceId, ServiceVersions};
+use crate::{AnsweredPart, CachedPart, CrashReport, EndpointRateLimit, ServiceId, ServiceVersions, StoreState};
 
 /// Load that one VM, or all VMs of one failure domain, put on an endpoint.
 #[derive(Debug, Clone, PartialEq)]
@@ -89,8 +89,8 @@
     /// The rows that the sender knows, if the receiver may know different ones; a row is no evidence that its VM is
     /// live.
     pub known_vms: Vec<VmRow>,
-    /// Revision of the sender's mirror of the store.
-    pub revision: u64,
+    /// State of the sender's mirror of the store.
+    pub store: StoreState,
     /// Load that the sender puts on endpoints of its region; empty between domains.
     pub endpoints: Vec<EndpointLoad>,
     /// To another domain: the view of the sender's domain. To neighbours: the views that the sender received
--- a/crates/sw-relay/src/registry.rs
+++ b/crates/sw-relay/src/registry.rs
@@ -27,6 +27,15 @@
     expires_at: Option<Time>,
 }
 
+/// An incarnation of an endpoint that was seen leaving.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeavingEndpoint {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// Its incarnation; earlier ones have left as well.
+    pub incarnation: Incarnation,
+}
+
 /// The registered endpoints and the evacuated failure domains.
 #[derive(Debug, Clone, Default)]
 pub struct Registry {
@@ -101,6 +110,23 @@
         !std::mem::replace(&mut known.entry.leaving, true)
     }
 
+    /// Returns the endpoints that were seen leaving.
+    pub fn leaving(&self) -> impl Iterator<Item = LeavingEndpoint> {
+        self.leaving.iter().map(|(id, incarnation)| LeavingEndpoint {
+            id: id.clone(),
+            incarnation: *incarnation,
+        })
+    }
+
+    /// Records that another VM saw an endpoint leaving.
+    pub fn on_leaving_reported(&mut self, leaving: &LeavingEndpoint) {
+        self.remember_leaving(&leaving.id, leaving.incarnation);
+        let known = self.endpoints.get_mut(&leaving.id);
+        if let Some(known) = known.filter(|known| known.entry.incarnation <= leaving.incarnation) {
+            known.entry.leaving = true;
+        }
+    }
+
     /// Records that an endpoint rejects requests of this VM for the time `retry_after`.
     pub fn on_rejected(&mut self, entry: &EndpointEntry, retry_after: Millis, now: Time) {
         let until = now + retry_after;
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -21,7 +21,7 @@
 use crate::version_history::VersionHistory;
 use crate::{
     EndpointEntry, EndpointTracker, LatencyModel, Prompt, Registry, Replication, RequestHead, Route, RouteTable,
-    Service, ServiceId, SlowStartShare, SoftwareVersion, StoreRecord,
+    Service, ServiceId, SlowStartShare, SoftwareVersion, StoreRecord, StoreState,
 };
 
 /// Factor by which the count of recent requests decays at each tick.
@@ -107,10 +107,10 @@
     pub(crate) loads: IndexMap<EndpointId, EndpointTracker>,
     pub(crate) models: IndexMap<ServiceId, LatencyModel>,
     pub(crate) regions: RemoteRegions,
-    pub(crate) revision: u64,
+    pub(crate) store: StoreState,
     /// Recent requests by route.
     pub(crate) traffic: IndexMap<String, f64>,
-    pub(crate) peer_revisions: IndexMap<VmId, u64>,
+    pub(crate) peer_stores: IndexMap<VmId, StoreState>,
     /// Digests of the membership rows that other VMs know.
     pub(crate) peer_digests: IndexMap<VmId, u64>,
     /// Latest views of the other failure domains.
@@ -145,9 +145,9 @@
             loads: IndexMap::new(),
             models: IndexMap::new(),
             regions: RemoteRegions::new(),
-            revision: 0,
+            store: StoreState::default(),
             traffic: IndexMap::new(),
-            peer_revisions: IndexMap::new(),
+            peer_stores: IndexMap::new(),
             peer_digests: IndexMap::new(),
             remote_views: IndexMap::new(),
             cache_directory: CacheDirectory::default(),
@@ -206,11 +206,6 @@
         }
     }
 
-    /// Records the revision up to which changes of the store have been applied.
-    pub fn set_revision(&mut self, revision: u64) {
-        self.revision = revision;
-    }
-
     /// Records that the store has recovered from an outage.
     pub fn on_store_recovered(&mut self, now: Time) {
         self.registry.on_store_recovered(now);
--- /dev/null
+++ b/crates/sw-relay/src/store_state.rs
@@ -0,0 +1,49 @@
+//! How far this VM and others follow the platform's store.
+//!
+//! A VM without the store copies the snapshot of another one, and a VM that missed what the store has lost copies the
+//! states that others retain. A VM in an earlier era copies from one in a later era, never the other way.
+
+use sw_member::VmRow;
+use sw_unit::{StorePosition, Time};
+
+use crate::{LeavingEndpoint, Relay};
+
+/// State of a VM's mirror of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct StoreState {
+    /// The position up to which changes have been applied.
+    pub position: StorePosition,
+    /// Whether the mirror retains states that the store has lost.
+    pub retains: bool,
+}
+
+impl Relay {
+    /// Records that another VM saw an endpoint leaving.
+    pub fn on_leaving_reported(&mut self, leaving: &LeavingEndpoint) {
+        self.registry.on_leaving_reported(leaving);
+    }
+
+    /// Records the state of this VM's mirror of the store.
+    pub fn set_store_state(&mut self, store: StoreState) {
+        self.store = store;
+    }
+
+    /// Returns the nearest live VM whose mirror of the store is at a later position than that of this VM.
+    pub fn peer_with_newer_position(&self, now: Time) -> Option<&VmRow> {
+        self.nearest_peer(|store| store.position > self.store.position, now)
+    }
+
+    /// Returns the nearest live VM of this VM's era that retains states that the store has lost.
+    pub fn peer_that_retains(&self, now: Time) -> Option<&VmRow> {
+        let era = self.store.position.era;
+        self.nearest_peer(|store| store.retains && store.position.era == era, now)
+    }
+
+    fn nearest_peer(&self, is_suitable: impl Fn(&StoreState) -> bool, now: Time) -> Option<&VmRow> {
+        let local = self.members.local();
+        let suitable = |row: &&VmRow| self.peer_stores.get(&row.vm).is_some_and(&is_suitable);
+        let candidates = self.members.peers().filter(suitable);
+        let live = candidates.filter(|row| self.is_live(&row.vm, now));
+        live.min_by_key(|row| (row.domain != local.domain, row.region != local.region))
+    }
+}
--- a/crates/sw-relay/src/version_history.rs
+++ b/crates/sw-relay/src/version_history.rs
@@ -205,7 +205,7 @@
 
     /// Returns the software versions to record in the store, if the record is out of date and this VM writes it.
     pub fn unrecorded_software(&self, now: Time) -> Option<Vec<ServiceSoftware>> {
-        if self.revision == 0 || !self.writes_for_region(now) {
+        if self.store.position.revision == 0 || !self.writes_for_region(now) {
             return None;
         }
         let mut is_current = true;
--- a/crates/sw-relay/tests/stream_versions.rs
+++ b/crates/sw-relay/tests/stream_versions.rs
@@ -191,7 +191,10 @@
             relay.apply(StoreRecord::Software(recorded.clone()), self.now);
         }
         relay.apply(StoreRecord::Origins(self.written.clone()), self.now);
-        relay.set_revision(1);
+        relay.set_store_state(sw_relay::StoreState {
+            position: sw_unit::StorePosition::new(sw_unit::StoreEra(0), 1),
+            retains: false,
+        });
         Vm {
             relay,
             running: true,
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -221,7 +221,7 @@
     Heartbeat {
         members_digest: 0,
         known_vms: Vec::new(),
-        revision: 1,
+        store: sw_relay::StoreState::default(),
         endpoints: Vec::new(),
         domains: vec![DomainView {
             domain: from.domain.clone(),
--- a/crates/sw-store/src/feed.rs
+++ b/crates/sw-store/src/feed.rs
@@ -1,24 +1,31 @@
-//! The interface to a store that a process follows: snapshots of its items and the changes since a revision.
+//! The interface to a store that a process follows: snapshots of its items and the changes since a
+//! position.
 
 use std::fmt;
 use std::time::Duration;
 
-use crate::{Change, Item, StoreError};
+use sw_unit::StorePosition;
+
+use crate::{Change, EraHistory, Item, RetainedItem, StoreError};
 
 /// All items of a store.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Snapshot {
-    /// The store's revision before the read started.
-    pub revision: u64,
+    /// The store's position before the read started.
+    pub position: StorePosition,
     /// The items.
     pub items: Vec<Item>,
+    /// States of an earlier era that a mirror retains although the items differ; a store has none.
+    pub retained: Vec<RetainedItem>,
+    /// Earlier eras that the sender followed; a store has none.
+    pub history: EraHistory,
 }
 
-/// The changes since a revision.
+/// The changes since a position.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Changes {
-    /// The revision up to which the list is complete.
-    pub revision: u64,
+    /// The position up to which the list is complete.
+    pub position: StorePosition,
     /// The changes, oldest first.
     pub changes: Vec<Change>,
 }
@@ -60,6 +67,9 @@
 
     /// Waits up to `wait` for changes after `revision`.
     ///
+    /// A store in a later era than the one of `revision` answers as well, if it has given the revision out again; the
+    /// position of the result tells.
+    ///
     /// # Errors
     ///
     /// Returns [`FeedError`].
--- a/crates/sw-store/tests/mirror.rs
+++ b/crates/sw-store/tests/mirror.rs
@@ -1,7 +1,26 @@
 //! Property test of a mirror that follows a store through another mirror.
 
 use proptest::prelude::*;
-use sw_store::{Change, Item, Mirror};
+use sw_store::{Change, Changes, Item, ItemRules, Mirror, Rank, Snapshot, Writer};
+use sw_unit::{StoreEra, StorePosition, Time};
+
+/// Items without an order of their states.
+#[derive(Debug, Clone, Copy, Default)]
+struct Unranked;
+
+impl ItemRules for Unranked {
+    fn rank(&self, _key: &str, _value: &[u8]) -> Option<Rank> {
+        None
+    }
+
+    fn writer(&self, _key: &str) -> Writer {
+        Writer::Regular
+    }
+}
+
+fn at(revision: u64) -> StorePosition {
+    StorePosition::new(StoreEra(0), revision)
+}
 
 /// A step of the store or of the mirrors that follow it.
 #[derive(Debug, Clone)]
@@ -55,9 +74,20 @@
         }
     }
 
-    fn changes_since(&self, after: u64) -> Vec<Change> {
+    fn changes_since(&self, after: u64) -> Changes {
         let changes = self.history.iter().filter(|change| change.revision() > after);
-        changes.cloned().collect()
+        Changes {
+            position: at(self.revision),
+            changes: changes.cloned().collect(),
+        }
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            position: at(self.revision),
+            items: self.items(),
+            ..Snapshot::default()
+        }
     }
 
     fn items(&self) -> Vec<Item> {
@@ -65,21 +95,17 @@
     }
 }
 
-fn sorted_items(mirror: &Mirror) -> Vec<Item> {
-    let mut items: Vec<_> = mirror.items().cloned().collect();
+fn sorted_items(mirror: &Mirror<Unranked>) -> Vec<Item> {
+    let mut items: Vec<_> = mirror.items().collect();
     items.sort_by(|a, b| a.key.cmp(&b.key));
     items
 }
 
-fn follow_mirror(first: &Mirror, second: &mut Mirror) {
-    match first.changes_since(second.revision()) {
-        Some(changes) => {
-            second.apply(changes.changes, changes.revision);
-        }
-        None => {
-            second.apply_snapshot(sorted_items(first), first.revision());
-        }
-    }
+fn follow_mirror(first: &Mirror<Unranked>, second: &mut Mirror<Unranked>) {
+    match first.changes_since(second.position()) {
+        Some(changes) => second.apply(changes),
+        None => second.apply_snapshot(first.snapshot(Time(0)), Time(0)),
+    };
 }
 
 proptest! {
@@ -89,24 +115,24 @@
     fn a_mirror_of_a_mirror_has_the_same_items(steps in proptest::collection::vec(step(), 1..80)) {
         let mut store = Store::default();
         store.put(0);
-        let (mut first, mut second) = (Mirror::default(), Mirror::default());
+        let (mut first, mut second) = (Mirror::new(Unranked), Mirror::new(Unranked));
         for step in steps.into_iter().chain([Step::FollowStore, Step::FollowMirror]) {
             match step {
                 Step::Put(key) => store.put(key),
                 Step::Remove(key) => store.remove(key),
                 Step::ReadSnapshot => {
-                    first.apply_snapshot(store.items(), store.revision);
+                    first.apply_snapshot(store.snapshot(), Time(0));
                 }
-                Step::FollowStore if first.revision() == 0 => {
-                    first.apply_snapshot(store.items(), store.revision);
+                Step::FollowStore if first.is_empty() => {
+                    first.apply_snapshot(store.snapshot(), Time(0));
                 }
                 Step::FollowStore => {
-                    first.apply(store.changes_since(first.revision()), store.revision);
+                    first.apply(store.changes_since(first.position().revision));
                 }
                 Step::FollowMirror => {
                     follow_mirror(&first, &mut second);
                     prop_assert_eq!(sorted_items(&second), sorted_items(&first));
-                    prop_assert_eq!(second.revision(), first.revision());
+                    prop_assert_eq!(second.position(), first.position());
                 }
             }
         }
@@ -116,8 +142,19 @@
 
 #[test]
 fn a_snapshot_is_needed_once_removals_are_dropped() {
-    let mut mirror = Mirror::default();
-    mirror.apply_snapshot(Vec::new(), 1);
+    let mut mirror = Mirror::new(Unranked);
+    let empty = Snapshot {
+        position: at(1),
+        ..Snapshot::default()
+    };
+    mirror.apply_snapshot(empty, Time(0));
+    let mut apply = |change: Change| {
+        let position = at(change.revision());
+        mirror.apply(Changes {
+            position,
+            changes: vec![change],
+        });
+    };
     for revision in (2..4_002).step_by(2) {
         let key = revision.to_string();
         let item = Item {
@@ -125,12 +162,12 @@
             value: Vec::new(),
             revision,
         };
-        mirror.apply(vec![Change::Put(item)], revision);
+        apply(Change::Put(item));
         let revision = revision + 1;
-        mirror.apply(vec![Change::Removed { key, revision }], revision);
+        apply(Change::Removed { key, revision });
     }
-    assert!(mirror.changes_since(1).is_none());
-    assert!(mirror.changes_since(mirror.revision() - 100).is_some());
+    assert!(mirror.changes_since(at(1)).is_none());
+    assert!(mirror.changes_since(at(mirror.position().revision - 100)).is_some());
 }
 
 /// DRAIN: a follower of a mirror that had read a snapshot was never told what was removed before that snapshot.
@@ -141,11 +178,19 @@
         value: Vec::new(),
         revision: 2,
     };
-    let (mut first, mut second) = (Mirror::default(), Mirror::default());
-    first.apply_snapshot(Vec::new(), 1);
-    second.apply_snapshot(vec![item], 2);
+    let apply = |mirror: &mut Mirror<Unranked>, revision, items| {
+        let snapshot = Snapshot {
+            position: at(revision),
+            items,
+            ..Snapshot::default()
+        };
+        mirror.apply_snapshot(snapshot, Time(0));
+    };
+    let (mut first, mut second) = (Mirror::new(Unranked), Mirror::new(Unranked));
+    apply(&mut first, 1, Vec::new());
+    apply(&mut second, 2, vec![item]);
     // The item is written and removed between the two snapshots of the first mirror.
-    first.apply_snapshot(Vec::new(), 3);
+    apply(&mut first, 3, Vec::new());
     follow_mirror(&first, &mut second);
     assert_eq!(sorted_items(&second), sorted_items(&first));
 }
--- a/crates/sw-unit/src/lib.rs
+++ b/crates/sw-unit/src/lib.rs
@@ -4,10 +4,12 @@
 //! INI file can be parsed again. Ids are reference-counted strings: cloning one does not allocate.
 
 mod id;
+mod position;
 mod quantity;
 mod types;
 
 pub use id::{ClassId, DomainId, EndpointId, ModelId, ParseIdError, RegionId, RouteId, VmId, WorkspaceId};
+pub use position::{ParsePositionError, StoreEra, StorePosition};
 pub use quantity::{
     Bytes, FencingToken, Incarnation, Millis, Money, ParseQuantityError, Rate, Tokens, Version, Weight,
 };
