fix(relay): records that a restored store has lost are written again

Callers would see ORDER-like refusals, found while looking for the cause of CONFIG and DRAIN elsewhere: after the store came back from an older copy and all VMs ended, streams could not be resumed.

Cause: the VM that writes for its region took a confirmed write for lasting. The software versions are written only when they differ from the last confirmed record, and each origin of a stream once; both are lost with the copy.

Change: at a change of era the recorded versions count as lost until the store shows them, and origins that still live as not written; the writer of each region writes them again, up to 512 origins in one write. `store_restored` says how many services and streams that concerns.

--- a/crates/sw-proxy/src/restore.rs
+++ b/crates/sw-proxy/src/restore.rs
@@ -36,10 +36,11 @@
         (mirror.position(), mirror.retained_len())
     };
     state.store_recovered_at.set(Some(now));
-    state.relay.borrow_mut().on_store_recovered(now);
+    let rewritten = state.relay.borrow_mut().on_store_restored(now);
     let (before, after) = (before.to_string(), after.to_string());
     let (before, after, source): (_, _, &'static str) = (before.as_str(), after.as_str(), source.into());
-    warn!("store_restored", kv: { before, after, source, retained });
+    let (services, streams) = (rewritten.services, rewritten.streams);
+    warn!("store_restored", kv: { before, after, source, retained, services, streams });
 }
 
 /// Ends the retention of states when their grace periods are over, until the process ends.
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -62,7 +62,7 @@
 pub use relay::{AdmittedRequest, Options, Relay};
 pub use slow_start::{SlowStart, SlowStartShare};
 pub use stall::StallDetector;
-pub use store_state::StoreState;
+pub use store_state::{Rewritten, StoreState};
 pub use stream_origin::{Replication, StreamOrigin};
 pub use table::{CallerLimits, EngineSpec, Route, RouteKind, RouteTable, Service, Target};
 pub use types::{
--- a/crates/sw-relay/src/store_state.rs
+++ b/crates/sw-relay/src/store_state.rs
@@ -17,7 +17,26 @@
     pub retains: bool,
 }
 
+/// Number of own records that are written to the store again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Rewritten {
+    /// Services whose software versions are recorded.
+    pub services: usize,
+    /// Streams whose origin is recorded.
+    pub streams: usize,
+}
+
 impl Relay {
+    /// Records that the store was restored from an older copy: endpoints get time to register again, and what this VM
+    /// wrote is written again. Returns how much that is.
+    pub fn on_store_restored(&mut self, now: Time) -> Rewritten {
+        self.registry.on_store_recovered(now);
+        Rewritten {
+            services: self.versions.on_store_restored(),
+            streams: self.origins.on_store_restored(),
+        }
+    }
+
     /// Records that another VM saw an endpoint leaving.
     pub fn on_leaving_reported(&mut self, leaving: &LeavingEndpoint) {
         self.registry.on_leaving_reported(leaving);
--- a/crates/sw-relay/src/stream_origin.rs
+++ b/crates/sw-relay/src/stream_origin.rs
@@ -20,6 +20,8 @@
 const ORIGIN_KEPT_FOR: Millis = Millis(60_000);
 /// Maximum number of streams whose origin is remembered; the oldest are dropped.
 const MAX_ORIGINS: usize = 16_384;
+/// Maximum number of origins in one write to the store.
+const MAX_WRITTEN_AT_ONCE: usize = 512;
 /// Writers of each region that are asked for an origin: the first one, and the next one if VMs joined or left.
 const ASKED_WRITERS: usize = 2;
 /// Number of live VMs up to which all are asked, also those that do not hold a replica yet.
@@ -88,11 +90,18 @@
         self.known.entry(origin.stream).or_insert(known);
     }
 
-    /// Returns the origins of these services in the state `from`, and moves them to the state `to`.
-    fn take(&mut self, services: &[ServiceId], from: Replication, to: Replication) -> Vec<StreamOrigin> {
+    /// Records that the store may have lost the origins that were written to it, and returns their number.
+    pub(crate) fn on_store_restored(&mut self) -> usize {
+        let known = self.known.values_mut();
+        let written = known.filter(|known| known.replication == Replication::Written);
+        written.map(|known| known.replication = Replication::Replicated).count()
+    }
+
+    /// Returns up to `limit` origins of these services in the state `from`, and moves them to the state `to`.
+    fn take(&mut self, services: &[ServiceId], from: Replication, to: Replication, limit: usize) -> Vec<StreamOrigin> {
         let known = self.known.iter_mut();
         let pending = known.filter(|(_, known)| known.replication == from && services.contains(&known.service));
-        let taken = pending.map(|(stream, known)| {
+        let taken = pending.take(limit).map(|(stream, known)| {
             known.replication = to;
             known.origin_of(stream)
         });
@@ -138,7 +147,10 @@
         if mixed.is_empty() {
             return replicas;
         }
-        for origin in self.origins.take(&mixed, Replication::Pending, Replication::Replicated) {
+        for origin in self
+            .origins
+            .take(&mixed, Replication::Pending, Replication::Replicated, usize::MAX)
+        {
             for row in self.origin_holders(&origin.stream, now) {
                 replicas.entry(row.peer_listen).or_default().push(origin.clone());
             }
@@ -152,7 +164,12 @@
         if mixed.is_empty() || !self.writes_for_region(now) {
             return Vec::new();
         }
-        self.origins.take(&mixed, Replication::Replicated, Replication::Written)
+        self.origins.take(
+            &mixed,
+            Replication::Replicated,
+            Replication::Written,
+            MAX_WRITTEN_AT_ONCE,
+        )
     }
 
     /// Records that an origin could not be written to the store, so that it is written again.
--- a/crates/sw-relay/src/version_history.rs
+++ b/crates/sw-relay/src/version_history.rs
@@ -65,6 +65,8 @@
     last_registered: IndexMap<Option<SoftwareVersion>, Time>,
     /// The versions that the store has recorded; `None` if it has no record.
     recorded: Option<IndexSet<Option<SoftwareVersion>>>,
+    /// Whether the store may have lost the record.
+    is_lost: bool,
 }
 
 /// The software versions of all services.
@@ -99,9 +101,16 @@
                 }
             }
             history.recorded = Some(versions.into_iter().collect());
+            history.is_lost = false;
         }
     }
 
+    /// Records that the store may have lost the record, and returns the number of services in it.
+    pub(crate) fn on_store_restored(&mut self) -> usize {
+        let recorded = self.services.values_mut().filter(|history| history.recorded.is_some());
+        recorded.map(|history| history.is_lost = true).count()
+    }
+
     /// Returns what this VM knows, to report it to another VM.
     pub(crate) fn reports(&self, now: Time) -> Vec<ServiceVersions> {
         let reports = self.services.iter().map(|(service, history)| ServiceVersions {
@@ -141,6 +150,7 @@
             observed_since: now,
             last_registered: IndexMap::new(),
             recorded: None,
+            is_lost: false,
         })
     }
 }
@@ -211,7 +221,7 @@
         let mut is_current = true;
         let services = self.versions.services.iter().map(|(service, history)| {
             let versions = history.to_record(self.stream_life(service), now);
-            is_current &= history.recorded.as_ref() == Some(&versions);
+            is_current &= !history.is_lost && history.recorded.as_ref() == Some(&versions);
             ServiceSoftware {
                 service: service.clone(),
                 versions: versions.into_iter().collect(),
--- /dev/null
+++ b/crates/sw-relay/tests/store_restore.rs
@@ -0,0 +1,68 @@
+//! What a VM does when the platform's store was restored from an older copy.
+
+mod support;
+
+use std::sync::Arc;
+
+use support::{endpoint, relay, service};
+use sw_relay::{Relay, Replication, ServiceSoftware, SoftwareVersion, StoreRecord, StoreState, StreamOrigin};
+use sw_unit::{StoreEra, StorePosition, Time};
+
+/// Time at which a VM without neighbours knows that it is alone, and writes for its region.
+const JOINED: Time = Time(3_000);
+
+fn software(name: &str) -> SoftwareVersion {
+    name.parse().expect("a version")
+}
+
+/// Returns a VM that serves engines of two versions and has recorded both.
+fn writer() -> Relay {
+    let mut relay = relay();
+    for (name, version) in [("e-1", "old"), ("e-2", "new")] {
+        let mut entry = endpoint(name, "engines", "north");
+        entry.software = Some(software(version));
+        relay.apply(StoreRecord::Endpoint(entry.id.clone(), Some(entry)), JOINED);
+    }
+    let recorded = ServiceSoftware {
+        service: service("engines"),
+        versions: vec![Some(software("old")), Some(software("new"))],
+    };
+    relay.apply(StoreRecord::Software(vec![recorded]), JOINED);
+    relay.set_store_state(StoreState {
+        position: StorePosition::new(StoreEra(1), 5),
+        retains: false,
+    });
+    relay
+}
+
+/// Guards against streams that are refused after all VMs have ended, because the store had lost the recorded versions.
+#[test]
+fn recorded_versions_are_written_again_until_the_store_shows_them() {
+    let mut relay = writer();
+    assert_eq!(relay.unrecorded_software(JOINED), None);
+    assert_eq!(relay.on_store_restored(JOINED).services, 1);
+    let recorded = relay.unrecorded_software(JOINED).expect("it is written again");
+    relay.apply(StoreRecord::Software(recorded), JOINED);
+    assert_eq!(relay.unrecorded_software(JOINED), None);
+}
+
+/// Guards against streams that are refused after all VMs have ended, because the store had lost their origins.
+#[test]
+fn origins_are_written_again_in_bounded_batches() {
+    const STREAMS: usize = 700;
+    let mut relay = writer();
+    for index in 0..STREAMS {
+        let origin = StreamOrigin {
+            stream: Arc::from(format!("stream-{index}")),
+            service: service("engines"),
+            software: software("old"),
+        };
+        relay.record_origin(origin, Replication::Written, JOINED);
+    }
+    assert!(relay.take_unwritten_origins(JOINED).is_empty());
+    assert_eq!(relay.on_store_restored(JOINED).streams, STREAMS);
+    let first = relay.take_unwritten_origins(JOINED).len();
+    let second = relay.take_unwritten_origins(JOINED).len();
+    assert!(first < STREAMS, "one write has all {first} origins");
+    assert_eq!(first + second, STREAMS);
+}
