fix(store): the end of a grace period reaches other regions without a heartbeat's delay

Callers saw refusals for up to a second longer than needed: a region that forwards its requests went on to refuse them after an evacuation had ended in a restored store, although the region that serves them had opened.

Cause: what the copy lacks is kept for 2.3 s; the region beyond learns of the end with the next regular heartbeat only, up to 0.9 s later. Both together exceed the 3 s in which a change takes effect.

Evidence: `the_end_of_an_evacuation_below_the_revision_before_a_restore_takes_effect` failed in each of four runs before (4 to 9 requests refused 3 s after the removal); the log shows "learned ... open" at all VMs and refusals for 1 s after. With heartbeats sent at once, 2 of 4 runs failed, as the two sides end the period some milliseconds apart.

Change: when a grace period ends with a change, the VM that exchanges heartbeats with another failure domain does so 100 ms later.

--- a/crates/sw-proxy/src/heartbeat.rs
+++ b/crates/sw-proxy/src/heartbeat.rs
@@ -85,6 +85,24 @@
     }
 }
 
+/// Exchanges heartbeats at once with the failure domains that this VM exchanges them with.
+pub(crate) fn announce_to_domains<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>) {
+    let now = state.now();
+    let rows: Vec<_> = {
+        let mut relay = state.relay.borrow_mut();
+        let mut domains: Vec<_> = relay.remote_domains().cloned().collect();
+        domains.retain(|domain| relay.is_heartbeat_due(domain, Millis(0), DELEGATE_FAILOVER_AFTER, now));
+        domains
+            .iter()
+            .filter_map(|domain| relay.remote_delegate(domain, now))
+            .collect()
+    };
+    for row in rows {
+        let state = Rc::clone(state);
+        tokio::task::spawn_local(async move { exchange_with(&state, row.peer_listen, Some(row)).await });
+    }
+}
+
 /// Applies a heartbeat of another VM.
 pub(crate) fn on_heartbeat<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, heartbeat: Heartbeat) {
     let now = state.now();
--- a/crates/sw-proxy/src/restore.rs
+++ b/crates/sw-proxy/src/restore.rs
@@ -12,8 +12,10 @@
 
 use crate::records::Source;
 use crate::state::ProxyState;
-use crate::{Dialect, records};
+use crate::{Dialect, heartbeat, records};
 
+/// Delay until other failure domains are told that a grace period is over; by then it is over at all VMs.
+const ANNOUNCE_DELAY: Duration = Duration::from_millis(100);
 /// Maximum number of retained states that one pass logs singly.
 const MAX_LOGGED: usize = 32;
 
@@ -44,7 +46,7 @@
 }
 
 /// Ends the retention of states when their grace periods are over, until the process ends.
-pub(crate) async fn run<D: Dialect, F>(state: Rc<ProxyState<D, F>>) {
+pub(crate) async fn run<D: Dialect, F: 'static>(state: Rc<ProxyState<D, F>>) {
     loop {
         let next_expiry = state.mirror.borrow().next_expiry();
         let Some(next_expiry) = next_expiry else {
@@ -59,6 +61,13 @@
         }
         let changes = state.mirror.borrow_mut().expire(state.now());
         records::apply(&state, &changes, Source::GracePeriod);
+        if !changes.is_empty() {
+            let state = Rc::clone(&state);
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(ANNOUNCE_DELAY).await;
+                heartbeat::announce_to_domains(&state);
+            });
+        }
     }
 }
 
