--- a/crates/sw-proxy/src/lib.rs
+++ b/crates/sw-proxy/src/lib.rs
@@ -22,6 +22,7 @@
 mod request;
 mod reservation;
 mod response;
+mod restore;
 mod resumption;
 mod sse;
 mod state;
--- a/crates/sw-relay/tests/odd_input.rs
+++ b/crates/sw-relay/tests/odd_input.rs
@@ -9,9 +9,11 @@
 use sw_relay::{
     AnsweredPart, AttemptHistory, AttemptOutcome, CachedPart, Choice, CrashReport, DomainView, EndpointEntry,
     EndpointLoad, EndpointRateLimit, EndpointReport, Heartbeat, LoadReport, Prompt, PromptPart, RateLimitState,
-    RateLimitStatement, Relay, ServiceLoad, ServiceVersions, StoreRecord, VersionAge, VmAge,
+    RateLimitStatement, Relay, ServiceLoad, ServiceVersions, StoreRecord, StoreState, VersionAge, VmAge,
+};
+use sw_unit::{
+    EndpointId, Incarnation, Millis, PartId, Rate, RegionId, StoreEra, StorePosition, Time, Tokens, Version,
 };
-use sw_unit::{EndpointId, Incarnation, Millis, PartId, Rate, RegionId, Time, Tokens, Version};
 
 const ENDPOINTS: [&str; 4] = ["a-1", "a-2", "e-1", "e-2"];
 
@@ -170,6 +172,13 @@
     )
 }
 
+fn store_state() -> impl Strategy<Value = StoreState> {
+    (whole(), whole(), any::<bool>()).prop_map(|(era, revision, retains)| StoreState {
+        position: StorePosition::new(StoreEra(era), revision),
+        retains,
+    })
+}
+
 fn heartbeat() -> impl Strategy<Value = Heartbeat> {
     let lists = (
         vec(endpoint_load(), 0..8),
@@ -180,18 +189,18 @@
         vec(answered(), 0..6),
         vec(versions(), 0..3),
     );
-    (vm_row(), whole(), vec(vm_row(), 0..6), whole(), lists).prop_map(
+    (vm_row(), whole(), vec(vm_row(), 0..6), store_state(), lists).prop_map(
         |(
             from,
             members_digest,
             known_vms,
-            revision,
+            store,
             (endpoints, domains, cached_parts, rate_limits, crashes, answered_parts, versions),
         )| Heartbeat {
             from,
             members_digest,
             known_vms,
-            revision,
+            store,
             endpoints,
             domains,
             cached_parts,
