--- a/crates/shallotwing-daemon/src/relay.rs
+++ b/crates/shallotwing-daemon/src/relay.rs
@@ -106,5 +106,6 @@
         retry_slack: settings.retry_slack,
         body_memory: settings.body_memory,
         exempt_parts: settings.exempt_parts.clone(),
+        exempt_requests: settings.exempt_requests.clone(),
     }
 }
--- a/crates/sw-conf/src/relay.rs
+++ b/crates/sw-conf/src/relay.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
-use sw_unit::{Bytes, DomainId, Millis, PartId, RegionId, VmId};
+use sw_unit::{Bytes, DomainId, Fingerprint, Millis, PartId, RegionId, VmId};
 
 use crate::{ConfigErrors, Document, Section};
 
@@ -52,6 +52,8 @@
     pub retry_slack: f64,
     /// Prompt parts that are never quarantined.
     pub exempt_parts: Vec<PartId>,
+    /// Requests that are never quarantined.
+    pub exempt_requests: Vec<Fingerprint>,
     /// Region of each failure domain.
     pub regions: IndexMap<DomainId, RegionId>,
 }
@@ -84,6 +86,7 @@
         let retry_ratio = retries.optional_or("ratio", DEFAULT_RETRY_RATIO);
         let retry_slack = retries.optional_or("slack", DEFAULT_RETRY_SLACK);
         let exempt_parts = relay.list("exempt_parts");
+        let exempt_requests = relay.list("exempt_requests");
         vm.finish(&mut errors);
         relay.finish(&mut errors);
         retries.finish(&mut errors);
@@ -106,6 +109,7 @@
                 retry_ratio,
                 retry_slack,
                 exempt_parts,
+                exempt_requests,
                 regions,
             })
         })();
--- a/crates/sw-error/src/kind.rs
+++ b/crates/sw-error/src/kind.rs
@@ -76,6 +76,8 @@
     NoEndpoint,
     /// A part of the prompt crashes endpoints.
     QuarantinedPrompt,
+    /// The request crashes endpoints.
+    QuarantinedRequest,
     /// The software version that started the stream is not known, so it cannot be resumed.
     StreamVersionUnknown,
     /// No endpoint of the software version that started the stream is left to resume it.
@@ -136,6 +138,7 @@
             Self::DeadlineUnreachable => (503, No, Later, LIMIT, "The request cannot be answered before its deadline."),
             Self::NoEndpoint          => (503, No, Later, SERVER, "No live endpoint in the permitted regions serves the request."),
             Self::QuarantinedPrompt   => (503, No, Later, SERVER, "A part of the prompt made endpoints crash; it is quarantined."),
+            Self::QuarantinedRequest  => (503, No, Later, SERVER, "The request made endpoints crash; it is quarantined."),
             Self::StreamVersionUnknown => (503, No, Later, SERVER, "The software version that started the stream is not known; send the request anew."),
             Self::StreamVersionGone   => (503, No, Later, SERVER, "No endpoint of the software version that started the stream is left; send the request anew."),
             Self::EndpointUnreachable => (503, No, Later, SERVER, "The endpoint could not be reached."),
--- a/crates/sw-peer/schema/peer.capnp
+++ b/crates/sw-peer/schema/peer.capnp
@@ -80,6 +80,8 @@
   kind @0 :Text;
   retryAfterMs @1 :UInt64;
   hasRetryAfter @2 :Bool;
+  # Set if builds that do not know the kind read another one in its place.
+  specificKind @3 :Text;
 }
 
 struct Configuration {
--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -52,6 +52,18 @@
   # Ids of the prompt parts that the endpoint had begun to answer.
   suspects @2 :List(UInt64);
   ageMs @3 :UInt32;
+  # Requests that the endpoint may have begun to run.
+  requests @4 :List(Fingerprint);
+}
+
+struct Fingerprint {
+  high @0 :UInt64;
+  low @1 :UInt64;
+}
+
+struct AnsweredRequest {
+  fingerprint @0 :Fingerprint;
+  ageMs @1 :UInt32;
 }
 
 struct AnsweredPart {
@@ -70,6 +82,7 @@
   rateLimits @7 :List(EndpointRateLimit);
   crashes @8 :List(Crash);
   answeredParts @9 :List(AnsweredPart);
+  answeredRequests @10 :List(AnsweredRequest);
 }
 
 struct StreamOrigin {
@@ -105,6 +118,7 @@
   crashes @8 :List(Crash);
   answeredParts @9 :List(AnsweredPart);
   versions @10 :List(ServiceVersions);
+  answeredRequests @11 :List(AnsweredRequest);
 }
 
 struct Item {
--- a/crates/sw-peer/src/convert.rs
+++ b/crates/sw-peer/src/convert.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 
 use capnp::text;
-use sw_error::Refusal;
+use sw_error::{Kind, Refusal};
 use sw_gate::{ConfigOffer, DeltaBase, Envelope, Heartbeat, HeartbeatSender, StoreObservation};
 use sw_load::{DomainSummary, ModelLoad, Report};
 use sw_member::{EndpointIncarnation, VmBrief, VmRow};
@@ -239,20 +239,33 @@
 }
 
 pub(crate) fn set_refusal(mut to: wire::refusal::Builder<'_>, refusal: Refusal) {
-    let kind: &str = refusal.kind.into();
-    to.set_kind(kind);
+    let (kind, common): (&str, &str) = (refusal.kind.into(), common_kind(refusal.kind).into());
+    to.set_kind(common);
+    if kind != common {
+        to.set_specific_kind(kind);
+    }
     to.set_has_retry_after(refusal.retry_after.is_some());
     to.set_retry_after_ms(refusal.retry_after.unwrap_or_default().0);
 }
 
 pub(crate) fn refusal(from: wire::refusal::Reader<'_>) -> Result<Refusal> {
     let retry_after = from.get_has_retry_after().then(|| Millis(from.get_retry_after_ms()));
+    let common = parse(from.get_kind())?;
+    let specific = from.get_specific_kind()?.to_str().unwrap_or_default();
     Ok(Refusal {
-        kind: parse(from.get_kind())?,
+        kind: specific.parse().unwrap_or(common),
         retry_after,
     })
 }
 
+/// Returns the kind that all builds know in place of a newer one.
+fn common_kind(kind: Kind) -> Kind {
+    match kind {
+        Kind::QuarantinedRequest => Kind::QuarantinedPrompt,
+        known => known,
+    }
+}
+
 pub(crate) fn set_config_offer(mut to: wire::configuration::Builder<'_>, offer: &ConfigOffer) {
     to.set_version(offer.number.0);
     to.set_digest(&offer.digest.0);
--- a/crates/sw-peer/src/peer_capnp.rs
+++ b/crates/sw-peer/src/peer_capnp.rs
@@ -3207,11 +3207,19 @@
         pub fn get_has_retry_after(self) -> bool {
             self.reader.get_bool_field(64)
         }
+        #[inline]
+        pub fn get_specific_kind(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_specific_kind(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3293,6 +3301,22 @@
         pub fn set_has_retry_after(&mut self, value: bool)  {
             self.builder.set_bool_field(64, value);
         }
+        #[inline]
+        pub fn get_specific_kind(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_specific_kind(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_specific_kind(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_specific_kind(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3304,45 +3328,52 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(141, 174, 242, 153, 225, 82, 190, 227),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(113, 72, 233, 166, 194, 240, 177, 211),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 82, 101, 102, 117, 115),
             ::capnp::word(97, 108, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(107, 105, 110, 100, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3369,12 +3400,22 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 112, 101, 99, 105, 102, 105, 99),
+            ::capnp::word(75, 105, 110, 100, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3388,9 +3429,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1,3];
         pub(crate) const TYPE_ID: u64 = 0xe3be_52e1_99f2_ae8d;
     }
 }
--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -2,18 +2,19 @@
 
 use bytes::Bytes;
 use sw_relay::{
-    AnsweredPart, CachedPart, CrashReport, Distance, DomainView, EndpointLoad, EndpointRateLimit, Grant, Heartbeat,
-    PrefillPlan, Prompt, PromptPart, QueueEstimate, RateLimitState, Reservation, ReservationUpdate, ServiceLoad,
-    ServiceVersions, SoftwareVersion, StreamOrigin, VersionAge, VmAge,
+    CachedPart, Distance, DomainView, EndpointLoad, EndpointRateLimit, Grant, Heartbeat, PrefillPlan, Prompt,
+    PromptPart, QueueEstimate, RateLimitState, Reservation, ReservationUpdate, ServiceLoad, ServiceVersions,
+    SoftwareVersion, StreamOrigin, VersionAge, VmAge,
 };
 use sw_store::{Change, Changes, Item, Snapshot};
 use sw_unit::{Incarnation, Millis, PartId, Rate, Tokens};
 
+use super::crashes::{answered, crashes, set_answered_parts, set_answered_requests, set_crashes, split_answered};
 use super::{RelayCall, WatchOutcome};
 use crate::convert::{len, parse, set_vm_row, text, vm_row};
 use crate::relay_capnp as wire;
 
-type Result<T> = std::result::Result<T, capnp::Error>;
+pub(super) type Result<T> = std::result::Result<T, capnp::Error>;
 
 /// Encodes that the store has not recovered from an outage recently.
 const NO_RECENT_RECOVERY: u32 = u32::MAX;
@@ -29,10 +30,6 @@
 type CachedPartsBuilder<'a> = capnp::struct_list::Builder<'a, wire::kept_part::Owned>;
 type RateLimitsReader<'a> = capnp::struct_list::Reader<'a, wire::endpoint_rate_limit::Owned>;
 type RateLimitsBuilder<'a> = capnp::struct_list::Builder<'a, wire::endpoint_rate_limit::Owned>;
-type CrashesReader<'a> = capnp::struct_list::Reader<'a, wire::crash::Owned>;
-type CrashesBuilder<'a> = capnp::struct_list::Builder<'a, wire::crash::Owned>;
-type AnsweredPartsReader<'a> = capnp::struct_list::Reader<'a, wire::answered_part::Owned>;
-type AnsweredPartsBuilder<'a> = capnp::struct_list::Builder<'a, wire::answered_part::Owned>;
 type EndpointLoadsBuilder<'a> = capnp::struct_list::Builder<'a, wire::endpoint_load::Owned>;
 
 pub(super) fn set_heartbeat(mut to: wire::beat::Builder<'_>, heartbeat: &Heartbeat) {
@@ -56,10 +53,9 @@
         &heartbeat.rate_limits,
     );
     set_crashes(to.reborrow().init_crashes(len(&heartbeat.crashes)), &heartbeat.crashes);
-    set_answered_parts(
-        to.reborrow().init_answered_parts(len(&heartbeat.answered_parts)),
-        &heartbeat.answered_parts,
-    );
+    let (parts, requests) = split_answered(&heartbeat.answered);
+    set_answered_parts(to.reborrow().init_answered_parts(len(&parts)), &parts);
+    set_answered_requests(to.reborrow().init_answered_requests(len(&requests)), &requests);
     set_versions(
         to.reborrow().init_versions(len(&heartbeat.versions)),
         &heartbeat.versions,
@@ -88,10 +84,9 @@
         &view.rate_limits,
     );
     set_crashes(to.reborrow().init_crashes(len(&view.crashes)), &view.crashes);
-    set_answered_parts(
-        to.reborrow().init_answered_parts(len(&view.answered_parts)),
-        &view.answered_parts,
-    );
+    let (parts, requests) = split_answered(&view.answered);
+    set_answered_parts(to.reborrow().init_answered_parts(len(&parts)), &parts);
+    set_answered_requests(to.reborrow().init_answered_requests(len(&requests)), &requests);
     let mut services = to.init_services(len(&view.services));
     for (i, load) in (0..).zip(&view.services) {
         let mut to = services.reborrow().get(i);
@@ -132,47 +127,6 @@
     parts.collect()
 }
 
-fn set_crashes(mut to: CrashesBuilder<'_>, crashes: &[CrashReport]) {
-    for (i, crash) in (0..).zip(crashes) {
-        let mut to = to.reborrow().get(i);
-        to.set_endpoint(crash.endpoint.as_str());
-        to.set_incarnation(crash.incarnation.0);
-        to.set_age_ms(millis(crash.age));
-        let mut suspects = to.init_suspects(len(&crash.suspects));
-        for (i, part) in (0..).zip(&crash.suspects) {
-            suspects.set(i, part.0);
-        }
-    }
-}
-
-fn crashes(from: CrashesReader<'_>) -> Result<Vec<CrashReport>> {
-    let crashes = from.iter().map(|crash| {
-        Ok(CrashReport {
-            endpoint: parse(crash.get_endpoint())?,
-            incarnation: Incarnation(crash.get_incarnation()),
-            suspects: crash.get_suspects()?.iter().map(PartId).collect(),
-            age: Millis(u64::from(crash.get_age_ms())),
-        })
-    });
-    crashes.collect()
-}
-
-fn set_answered_parts(mut to: AnsweredPartsBuilder<'_>, parts: &[AnsweredPart]) {
-    for (i, answered) in (0..).zip(parts) {
-        let mut to = to.reborrow().get(i);
-        to.set_id(answered.part.0);
-        to.set_age_ms(millis(answered.age));
-    }
-}
-
-fn answered_parts(from: AnsweredPartsReader<'_>) -> Vec<AnsweredPart> {
-    let parts = from.iter().map(|answered| AnsweredPart {
-        part: PartId(answered.get_id()),
-        age: Millis(u64::from(answered.get_age_ms())),
-    });
-    parts.collect()
-}
-
 fn set_rate_limits(mut to: RateLimitsBuilder<'_>, limits: &[EndpointRateLimit]) {
     for (i, limit) in (0..).zip(limits) {
         let mut to = to.reborrow().get(i);
@@ -213,7 +167,7 @@
     }
 }
 
-fn millis(duration: Millis) -> u32 {
+pub(super) fn millis(duration: Millis) -> u32 {
     u32::try_from(duration.0).unwrap_or(u32::MAX)
 }
 
@@ -230,7 +184,7 @@
         cached_parts: cached_parts(from.get_kept()?)?,
         rate_limits: rate_limits(from.get_rate_limits()?)?,
         crashes: crashes(from.get_crashes()?)?,
-        answered_parts: answered_parts(from.get_answered_parts()?),
+        answered: answered(from.get_answered_parts()?, from.get_answered_requests()?)?,
         versions: versions(from.get_versions()?)?,
     })
 }
@@ -261,7 +215,7 @@
         cached_parts: cached_parts(from.get_kept()?)?,
         rate_limits: rate_limits(from.get_rate_limits()?)?,
         crashes: crashes(from.get_crashes()?)?,
-        answered_parts: answered_parts(from.get_answered_parts()?),
+        answered: answered(from.get_answered_parts()?, from.get_answered_requests()?)?,
     })
 }
 
--- a/crates/sw-peer/src/relay/mod.rs
+++ b/crates/sw-peer/src/relay/mod.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod convert;
+mod crashes;
 mod server;
 mod types;
 
--- a/crates/sw-peer/src/relay_capnp.rs
+++ b/crates/sw-peer/src/relay_capnp.rs
@@ -1955,11 +1955,577 @@
         pub fn get_age_ms(self) -> u32 {
             self.reader.get_data_field::<u32>(2)
         }
+        #[inline]
+        pub fn get_requests(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::fingerprint::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_requests(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_suspects(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_suspects(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_suspects(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_suspects(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
+        pub fn get_requests(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::fingerprint::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_requests(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::fingerprint::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_requests(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::fingerprint::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_requests(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 104] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(242, 127, 136, 173, 247, 21, 44, 176),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 67, 114, 97, 115),
+            ::capnp::word(104, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 117, 115, 112, 101, 99, 116, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(83, 192, 25, 152, 233, 88, 228, 245),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::struct_list::Owned<crate::relay_capnp::fingerprint::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,1,4,2];
+        pub(crate) const TYPE_ID: u64 = 0xb02c_15f7_ad88_7ff2;
+    }
+}
+
+pub mod fingerprint {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_high(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_low(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_high(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_high(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_low(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_low(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(83, 192, 25, 152, 233, 88, 228, 245),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 70, 105, 110, 103),
+            ::capnp::word(101, 114, 112, 114, 105, 110, 116, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 105, 103, 104, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 119, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) const TYPE_ID: u64 = 0xf5e4_58e9_9819_c053;
+    }
+}
+
+pub mod answered_request {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_fingerprint(self) -> ::capnp::Result<crate::relay_capnp::fingerprint::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_fingerprint(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2010,52 +2576,28 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_fingerprint(self) -> ::capnp::Result<crate::relay_capnp::fingerprint::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        pub fn set_fingerprint(&mut self, value: crate::relay_capnp::fingerprint::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
         }
         #[inline]
-        pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn init_fingerprint(self, ) -> crate::relay_capnp::fingerprint::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
         }
         #[inline]
-        pub fn has_endpoint(&self) -> bool {
+        pub fn has_fingerprint(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_incarnation(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn set_incarnation(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
-        }
-        #[inline]
-        pub fn get_suspects(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_suspects(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-        }
-        #[inline]
-        pub fn init_suspects(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
-        }
-        #[inline]
-        pub fn has_suspects(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
-        }
-        #[inline]
         pub fn get_age_ms(self) -> u32 {
-            self.builder.get_data_field::<u32>(2)
+            self.builder.get_data_field::<u32>(0)
         }
         #[inline]
         pub fn set_age_ms(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(2, value);
+            self.builder.set_data_field::<u32>(0, value);
         }
     }
 
@@ -2066,83 +2608,51 @@
         }
     }
     impl Pipeline  {
+        pub fn get_fingerprint(&self) -> crate::relay_capnp::fingerprint::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 84] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(242, 127, 136, 173, 247, 21, 44, 176),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(171, 11, 175, 100, 201, 143, 167, 251),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 67, 114, 97, 115),
-            ::capnp::word(104, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 110, 112, 58, 65, 110, 115, 119),
+            ::capnp::word(101, 114, 101, 100, 82, 101, 113, 117),
+            ::capnp::word(101, 115, 116, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 98, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
-            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 117, 115, 112, 101, 99, 116, 115),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
+            ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(83, 192, 25, 152, 233, 88, 228, 245),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
@@ -2156,10 +2666,8 @@
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <crate::relay_capnp::fingerprint::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2173,10 +2681,10 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,1,2];
-        pub(crate) const TYPE_ID: u64 = 0xb02c_15f7_ad88_7ff2;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xfba7_8fc9_64af_0bab;
     }
 }
 
@@ -2541,11 +3049,19 @@
         pub fn has_answered_parts(&self) -> bool {
             !self.reader.get_pointer_field(8).is_null()
         }
+        #[inline]
+        pub fn get_answered_requests(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::answered_request::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(9), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_answered_requests(&self) -> bool {
+            !self.reader.get_pointer_field(9).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 9 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 10 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2747,6 +3263,22 @@
         pub fn has_answered_parts(&self) -> bool {
             !self.builder.is_pointer_field_null(8)
         }
+        #[inline]
+        pub fn get_answered_requests(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::answered_request::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(9), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_answered_requests(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::answered_request::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(9), value, false)
+        }
+        #[inline]
+        pub fn init_answered_requests(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::answered_request::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(9), size)
+        }
+        #[inline]
+        pub fn has_answered_requests(&self) -> bool {
+            !self.builder.is_pointer_field_null(9)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2758,94 +3290,101 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 199] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 220] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(115, 136, 146, 174, 102, 110, 67, 236),
             ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
-            ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 68, 111, 109, 97),
             ::capnp::word(105, 110, 86, 105, 101, 119, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(100, 111, 109, 97, 105, 110, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2958,6 +3497,20 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
+            ::capnp::word(82, 101, 113, 117, 101, 115, 116, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(171, 11, 175, 100, 201, 143, 167, 251),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2971,6 +3524,7 @@
                 7 => <::capnp::struct_list::Owned<crate::relay_capnp::endpoint_rate_limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::struct_list::Owned<crate::relay_capnp::crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::struct_list::Owned<crate::relay_capnp::answered_part::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                10 => <::capnp::struct_list::Owned<crate::relay_capnp::answered_request::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2984,9 +3538,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,9,8,0,4,6,7,1,5,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,9,10,8,0,4,6,7,1,5,3];
         pub(crate) const TYPE_ID: u64 = 0xec43_6e66_ae92_8873;
     }
 }
@@ -3938,11 +4492,19 @@
         pub fn has_versions(&self) -> bool {
             !self.reader.get_pointer_field(8).is_null()
         }
+        #[inline]
+        pub fn get_answered_requests(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::answered_request::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(9), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_answered_requests(&self) -> bool {
+            !self.reader.get_pointer_field(9).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 9 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 10 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4152,6 +4714,22 @@
         pub fn has_versions(&self) -> bool {
             !self.builder.is_pointer_field_null(8)
         }
+        #[inline]
+        pub fn get_answered_requests(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::answered_request::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(9), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_answered_requests(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::answered_request::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(9), value, false)
+        }
+        #[inline]
+        pub fn init_answered_requests(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::answered_request::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(9), size)
+        }
+        #[inline]
+        pub fn has_answered_requests(&self) -> bool {
+            !self.builder.is_pointer_field_null(9)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4166,101 +4744,108 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 219] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 240] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(133, 4, 211, 207, 138, 222, 52, 236),
             ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
-            ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 66, 101, 97, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(165, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 2, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(26, 128, 190, 178, 67, 7, 133, 240),
@@ -4386,6 +4971,20 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
+            ::capnp::word(82, 101, 113, 117, 101, 115, 116, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(171, 11, 175, 100, 201, 143, 167, 251),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4400,6 +4999,7 @@
                 8 => <::capnp::struct_list::Owned<crate::relay_capnp::crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::struct_list::Owned<crate::relay_capnp::answered_part::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::struct_list::Owned<crate::relay_capnp::service_versions::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                11 => <::capnp::struct_list::Owned<crate::relay_capnp::answered_request::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4413,9 +5013,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,8,5,4,0,6,2,1,7,3,10];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,11,8,5,4,0,6,2,1,7,3,10];
         pub(crate) const TYPE_ID: u64 = 0xec34_de8a_cfd3_0485;
     }
 }
--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -8,10 +8,10 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use sw_http::{CallError, Exchange, Reuse};
-use sw_relay::{AdmittedRequest, Attempt, AttemptHistory, AttemptOutcome, EndpointEntry};
+use sw_relay::{AdmittedRequest, Attempt, AttemptHistory, AttemptOutcome, EndpointEntry, RequestContent};
 use sw_unit::{Millis, Time};
 
 use crate::incoming::{BodySource, EndpointResponse, IncomingResponse};
@@ -41,6 +41,19 @@
 }
 
 impl BufferedRequest {
+    /// Records the content of the request, by which copies of it are found.
+    pub(crate) fn record_content(&mut self, dialect: &impl Dialect) {
+        let text = |text: &str| Bytes::copy_from_slice(text.as_bytes());
+        let value = |name: HeaderName| {
+            let value = self.headers.get(name);
+            value.map_or(Bytes::new(), |value| Bytes::copy_from_slice(value.as_bytes()))
+        };
+        let target = [text(self.method.as_str()), text(&self.target.to_string())];
+        let identity = dialect.identity_headers().map(value);
+        let fields = target.into_iter().chain(identity).chain([self.body.clone()]);
+        self.admitted.content = Some(Arc::new(RequestContent::new(fields.collect())));
+    }
+
     /// Returns whether this VM or the one that forwarded the request can retry it if there is no response to the next
     /// attempt in time.
     pub(crate) fn can_retry_elsewhere(&self, history: &AttemptHistory) -> bool {
@@ -221,14 +234,14 @@
     let connection = state.connector.connect(endpoint.address, reuse).await;
     let mut exchange = connection.map_err(|_no_connection| (AttemptOutcome::Unreachable, 0))?;
     // While the connection was made, the response may have become due, or the endpoint may have become unusable: it
-    // restarted, is leaving, evacuated, rejects requests of this VM, or named a rate limit. Or a part of the prompt was
+    // restarted, is leaving, evacuated, rejects requests of this VM, or named a rate limit. Or the request was
     // quarantined.
     let remaining = admitted.remaining(state.now());
     let may_send = state
         .relay
         .borrow()
         .may_send(endpoint, target.token_taken_at, state.now());
-    let quarantined = state.relay.borrow().quarantined_part(admitted, state.now()).is_some();
+    let quarantined = state.relay.borrow().quarantined(admitted, state.now()).is_some();
     if remaining == Millis(0) || !may_send || quarantined {
         return Err((AttemptOutcome::Unsent, 0));
     }
--- a/crates/sw-proxy/src/dialect.rs
+++ b/crates/sw-proxy/src/dialect.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use hyper::header::HeaderName;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, StatusCode, Uri};
 use sw_member::VmRow;
@@ -102,6 +103,10 @@
     /// Returns [`HeadError`] if a required header is missing or malformed.
     fn request_head(&self, parts: &Parts) -> Result<RequestHead, HeadError>;
 
+    /// Returns the headers that distinguish requests with the same target and body, because they name the caller or are part of
+    /// what is requested; they are equal in all attempts of a caller.
+    fn identity_headers(&self) -> impl Iterator<Item = HeaderName>;
+
     /// Removes the headers that only the gateway may set, and sets those of this attempt.
     fn set_attempt_headers(&self, headers: &mut HeaderMap, attempt: &AttemptHeaders<'_>);
 
--- a/crates/sw-proxy/src/options.rs
+++ b/crates/sw-proxy/src/options.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
-use sw_unit::{Bytes, DomainId, Millis, PartId, RegionId, VmId};
+use sw_unit::{Bytes, DomainId, Fingerprint, Millis, PartId, RegionId, VmId};
 
 /// Options of a [`Proxy`](crate::Proxy).
 #[derive(Debug, Clone)]
@@ -38,6 +38,8 @@
     pub retry_slack: f64,
     /// Prompt parts that are never quarantined.
     pub exempt_parts: Vec<PartId>,
+    /// Requests that are never quarantined.
+    pub exempt_requests: Vec<Fingerprint>,
     /// Memory limit for request bodies that are being read.
     pub body_memory: Bytes,
 }
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -131,7 +131,7 @@
     admitted.max_attempts = 1;
     admitted.resumed |= call.resume_after.is_some();
     resumption::pin_forwarded(state, &mut admitted, call.software)?;
-    let request = BufferedRequest {
+    let mut request = BufferedRequest {
         admitted,
         method: parts.method,
         target: parts.uri,
@@ -140,6 +140,7 @@
         last_event_id: call.resume_after,
         forwarder_can_retry: call.can_retry_elsewhere,
     };
+    request.record_content(&state.dialect);
     send_with_retries(state, request).await
 }
 
--- a/crates/sw-proxy/src/proxy.rs
+++ b/crates/sw-proxy/src/proxy.rs
@@ -65,6 +65,7 @@
         let clock = BootClock::default();
         let mut relay = Relay::new(relay_options(&options, clock));
         relay.set_exempt_parts(options.exempt_parts.iter().copied(), clock.now());
+        relay.set_exempt_requests(options.exempt_requests.iter().copied(), clock.now());
         let (stop, stopped) = watch::channel(false);
         let peer_listener = sw_peer::relay::bind(options.peer_listen).await?;
         let (callers, ready) = (listener::bind(options.listen)?, listener::bind(options.ready_listen)?);
@@ -114,6 +115,7 @@
         let mut relay = self.state.relay.borrow_mut();
         relay.set_retry_bounds(options.retry_ratio, options.retry_slack);
         relay.set_exempt_parts(options.exempt_parts.iter().copied(), self.state.now());
+        relay.set_exempt_requests(options.exempt_requests.iter().copied(), self.state.now());
         self.state.set_options(options);
     }
 
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -73,7 +73,7 @@
             resumption::pin(state, &mut admitted, resumption).await?;
         }
         let body = read_request_body(state, &admitted, body).await?;
-        let request = BufferedRequest {
+        let mut request = BufferedRequest {
             admitted,
             method: parts.method,
             target: origin_form(&parts.uri),
@@ -82,6 +82,7 @@
             last_event_id: None,
             forwarder_can_retry: false,
         };
+        request.record_content(&state.dialect);
         send_with_retries(state, request).await
     };
     response.await.map_err(|refusal| (refusal, route))
@@ -108,7 +109,7 @@
         let choice = match choice {
             Ok(choice) => choice,
             Err(refusal) => {
-                if refusal.kind == Kind::QuarantinedPrompt {
+                if matches!(refusal.kind, Kind::QuarantinedPrompt | Kind::QuarantinedRequest) {
                     telemetry::log_quarantined(state, &request.admitted);
                 }
                 return failure.ok_or_else(|| history.final_refusal(Some(refusal)));
--- a/crates/sw-proxy/src/state.rs
+++ b/crates/sw-proxy/src/state.rs
@@ -67,7 +67,7 @@
     pub(crate) active_requests: Cell<usize>,
     /// Notified when the last active request ends.
     pub(crate) idle: Notify,
-    /// Notified when a prompt part is quarantined or released.
+    /// Notified when a suspect of crashes is quarantined or released.
     pub(crate) quarantine_changed: Notify,
     /// When this VM last sent news of crashes to others.
     pub(crate) crash_announced_at: Cell<Option<Time>>,
@@ -146,14 +146,11 @@
         }
     }
 
-    /// Waits until a part of a request's prompt is quarantined.
+    /// Waits until a request is quarantined.
     pub(crate) async fn wait_quarantined(&self, admitted: &AdmittedRequest) {
-        if admitted.prompt.is_none() {
-            return std::future::pending().await;
-        }
         loop {
             let changed = self.quarantine_changed.notified();
-            if self.relay.borrow().quarantined_part(admitted, self.now()).is_some() {
+            if self.relay.borrow().quarantined(admitted, self.now()).is_some() {
                 return;
             }
             changed.await;
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -7,8 +7,8 @@
 use spdlog::prelude::*;
 use sw_error::Refusal;
 use sw_relay::{
-    AdmittedRequest, Attempt, AttemptOutcome, Choice, EndpointEntry, QuarantineChange, QueueEstimate,
-    RateLimitStatement, Reservation, Resumption, SoftwareVersion,
+    AdmittedRequest, Attempt, AttemptOutcome, Choice, EndpointEntry, QuarantineChange, QuarantineEntry, QueueEstimate,
+    RateLimitStatement, Reservation, Resumption, SoftwareVersion, Suspect,
 };
 use sw_unit::{EndpointId, Millis, PartId, Time};
 
@@ -91,49 +91,80 @@
     counter!("shallotwing_attempts_total", "outcome" => ended).increment(1);
 }
 
-/// Logs how far an attempt had come whose connection broke, and which shared parts its prompt had.
+/// Logs how far an attempt had come whose connection broke, the request's fingerprint and the shared parts of its prompt.
 pub(crate) fn log_attempt_broken(id: &str, attempt: &Attempt) {
     let (endpoint, incarnation) = (attempt.endpoint.id.as_str(), attempt.endpoint.incarnation.0);
     let (head, events) = (attempt.head_at.is_some(), attempt.events);
     let parts = part_list(&attempt.shared_parts);
-    info!("attempt_broken", kv: { id, endpoint, incarnation, head, events, parts = parts.as_str() });
+    let content = attempt.content.as_ref();
+    let fingerprint = content.map_or(String::new(), |content| content.fingerprint().to_string());
+    let fingerprint = fingerprint.as_str();
+    info!("attempt_broken", kv: { id, endpoint, incarnation, head, events, fingerprint, parts = parts.as_str() });
 }
 
-/// Logs whether an endpoint that broke off before the first event of a response refuses connections.
+/// Logs whether an endpoint that broke off a response refuses connections.
 pub(crate) fn log_crash_check(endpoint: &EndpointEntry, refused: bool) {
     let (endpoint, incarnation) = (endpoint.id.as_str(), endpoint.incarnation.0);
     info!("endpoint_checked", kv: { endpoint, incarnation, refused });
 }
 
-/// Logs the prompt parts that were quarantined or released.
+/// Logs the prompt parts and requests that were quarantined or released.
 pub(crate) fn log_quarantine_changes<D, F>(state: &ProxyState<D, F>, changes: &[QuarantineChange]) {
     let now = state.now();
-    gauge!("shallotwing_quarantined_parts").set(state.relay.borrow().quarantined_parts() as f64);
+    {
+        let relay = state.relay.borrow();
+        gauge!("shallotwing_quarantined_parts").set(relay.quarantined_parts() as f64);
+        gauge!("shallotwing_quarantined_requests").set(relay.quarantined_requests() as f64);
+    }
     for change in changes {
         match change {
-            QuarantineChange::Quarantined { part, entry } => {
-                let (part, crashes, for_ms) = (part.to_string(), entry.crashes, entry.until.since(now).0);
-                warn!("part_quarantined", kv: { part = part.as_str(), crashes, for_ms });
-            }
-            QuarantineChange::Released { part } => {
-                let part = part.to_string();
-                info!("part_released", kv: { part = part.as_str() });
-            }
-            QuarantineChange::Probed { part, request } => {
-                let (id, part) = (&**request, part.to_string());
-                info!("part_probed", kv: { id, part = part.as_str() });
-            }
+            QuarantineChange::Quarantined { suspect, entry } => log_suspect_quarantined(*suspect, *entry, now),
+            QuarantineChange::Released { suspect } => match suspect {
+                Suspect::Part(part) => info!("part_released", kv: { part = part.to_string().as_str() }),
+                Suspect::Request(request) => {
+                    info!("fingerprint_released", kv: { fingerprint = request.to_string().as_str() });
+                }
+            },
+            QuarantineChange::Probed { suspect, request: id } => match suspect {
+                Suspect::Part(part) => info!("part_probed", kv: { id = &**id, part = part.to_string().as_str() }),
+                Suspect::Request(request) => {
+                    info!("fingerprint_probed", kv: { id = &**id, fingerprint = request.to_string().as_str() });
+                }
+            },
+        }
+    }
+}
+
+fn log_suspect_quarantined(suspect: Suspect, entry: QuarantineEntry, now: Time) {
+    let (crashes, for_ms) = (entry.crashes, entry.until.since(now).0);
+    match suspect {
+        Suspect::Part(part) => {
+            let part = part.to_string();
+            warn!("part_quarantined", kv: { part = part.as_str(), crashes, for_ms });
+        }
+        Suspect::Request(request) => {
+            let fingerprint = request.to_string();
+            warn!("fingerprint_quarantined", kv: { fingerprint = fingerprint.as_str(), crashes, for_ms });
         }
     }
 }
 
-/// Logs why a request was refused for a part of its prompt.
+/// Logs why a request was refused: for its fingerprint or a part of its prompt.
 pub(crate) fn log_quarantined<D, F>(state: &ProxyState<D, F>, admitted: &AdmittedRequest) {
     let now = state.now();
-    if let Some((part, entry)) = state.relay.borrow().quarantined_part(admitted, now) {
-        let (id, part) = (&*admitted.id, part.to_string());
-        let (crashes, for_ms) = (entry.crashes, entry.until.since(now).0);
-        info!("prompt_quarantined", kv: { id, part = part.as_str(), crashes, for_ms });
+    let Some((suspect, entry)) = state.relay.borrow().quarantined(admitted, now) else {
+        return;
+    };
+    let (id, crashes, for_ms) = (&*admitted.id, entry.crashes, entry.until.since(now).0);
+    match suspect {
+        Suspect::Part(part) => {
+            let part = part.to_string();
+            info!("prompt_quarantined", kv: { id, part = part.as_str(), crashes, for_ms });
+        }
+        Suspect::Request(request) => {
+            let fingerprint = request.to_string();
+            info!("request_quarantined", kv: { id, fingerprint = fingerprint.as_str(), crashes, for_ms });
+        }
     }
 }
 
--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -7,7 +7,8 @@
 use sw_unit::{Millis, PartId, Time, Tokens};
 
 use crate::{
-    AdmittedRequest, CacheSource, EndpointEntry, EndpointReport, Grant, PrefillPlan, Prompt, Relay, ServiceId,
+    AdmittedRequest, CacheSource, EndpointEntry, EndpointReport, Grant, PrefillPlan, Prompt, Relay, RequestContent,
+    ServiceId,
 };
 
 /// An attempt in progress.
@@ -35,6 +36,8 @@
     pub cache_source: Option<CacheSource>,
     /// Work queued in front of the request at its start, in milliseconds.
     pub backlog_ms: f64,
+    /// The content of the request, if it is known.
+    pub content: Option<Arc<RequestContent>>,
     /// The parts of the prompt that other requests may share.
     pub shared_parts: Vec<PartId>,
     /// When the head of the response arrived.
@@ -130,7 +133,7 @@
     /// Starts an attempt at a chosen endpoint, with the `grant` if its coordinator granted a slot.
     ///
     /// Returns `None` if no request may be sent to the endpoint any more, its slow start or rate limit allows none now, or
-    /// a part of the prompt is quarantined.
+    /// it is quarantined.
     pub fn start_attempt(
         &mut self,
         admitted: &AdmittedRequest,
@@ -141,7 +144,7 @@
         if !self.registry.may_send(endpoint, now) || !self.slow_start_allows(endpoint, now) {
             return None;
         }
-        if self.quarantined_part(admitted, now).is_some() || !admitted.may_run_at(endpoint) {
+        if self.quarantined(admitted, now).is_some() || !admitted.may_run_at(endpoint) {
             return None;
         }
         let token_taken_at = self.obtain_token(endpoint, grant, admitted.is_urgent(), now);
@@ -198,6 +201,7 @@
             transfer_ms,
             cache_source,
             backlog_ms,
+            content: admitted.content.clone(),
             shared_parts: shared_part_ids(admitted),
             head_at: None,
             is_framed: false,
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -74,7 +74,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Kind::QuarantinedPrompt`] if the prompt has a part that crashes endpoints, and [`Kind::NoEndpoint`] if no
+    /// Returns [`Kind::QuarantinedRequest`] or [`Kind::QuarantinedPrompt`] if the request or a part of its prompt crashes endpoints, and [`Kind::NoEndpoint`] if no
     /// reachable endpoint may run the request. Returns [`Kind::DeadlineUnreachable`]
     /// if none is expected to start it, or to end the response to a new request, in time, or if coordinators declined
     /// it and nothing else is left.
--- a/crates/sw-relay/src/crash_evidence.rs
+++ b/crates/sw-relay/src/crash_evidence.rs
@@ -1,22 +1,23 @@
-//! Which prompt parts were being answered when endpoints crashed.
+//! What endpoints were running when they crashed.
 //!
-//! A prompt part can crash each engine that begins to answer it. The VM that sent the prompt sees a response head and
-//! then a broken connection; the other VMs see only that their own responses from that engine break off. The suspects of
-//! a crash are the shared parts of the prompts whose responses had a head and no event yet. A part is cleared by a
-//! complete response to a prompt that contains it.
+//! A prompt part can crash each engine that begins to answer it, and a request each endpoint that begins to run it. The
+//! VM that sent the request sees a broken connection; the other VMs see only that their own responses from that endpoint
+//! break off. The suspects of a crash are the shared parts of the prompts whose responses had a head and no event yet, and
+//! the requests that had not run for long, whether they had a head or not. A suspect is cleared by a complete response
+//! to a request that has it.
 //!
 //! A connection that breaks is no crash by itself. The VM counts it as one if the endpoint refuses connections, or if
 //! another incarnation of it registers, or its registration ends although it was not leaving. VMs exchange their crashes
-//! and answered parts in heartbeats, so that evidence adds up over VMs, regions and services.
+//! and answered suspects in heartbeats, so that evidence adds up over VMs, regions and services.
 
 use indexmap::{IndexMap, IndexSet};
-use sw_unit::{EndpointId, Incarnation, Millis, PartId, Time};
+use sw_unit::{EndpointId, Fingerprint, Incarnation, Millis, PartId, Time};
 
 use crate::EndpointEntry;
 
 /// Time for which a crash is remembered.
 const CRASH_KEPT_FOR: Millis = Millis(600_000);
-/// Time for which it is remembered that a part was answered.
+/// Time for which it is remembered that a suspect was answered.
 const ANSWER_KEPT_FOR: Millis = Millis(60_000);
 /// Time within which a broken connection must turn out to be a crash.
 const CONFIRM_WITHIN: Millis = Millis(5_000);
@@ -26,12 +27,32 @@
 const COINCIDENCE: Millis = Millis(250);
 /// Maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 128;
-/// Maximum number of suspects of one crash.
-const MAX_SUSPECTS: usize = 32;
-/// Maximum number of parts of which it is remembered that they were answered.
+/// Maximum number of parts among the suspects of one crash.
+const MAX_PARTS: usize = 32;
+/// Maximum number of requests among the suspects of one crash.
+const MAX_REQUESTS: usize = 64;
+/// Maximum number of suspects of which it is remembered that they were answered.
 const MAX_ANSWERED: usize = 8_192;
-/// Maximum number of crashes, and of answered parts, in one heartbeat.
+/// Maximum number of crashes, and of answered suspects, in one heartbeat.
 const MAX_REPORTS: usize = 64;
+/// Shortest time between two checks whether an endpoint refuses connections.
+const CHECK_PERIOD: Millis = Millis(1_000);
+
+/// What may have crashed an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Suspect {
+    /// Each request whose prompt has this part.
+    Part(PartId),
+    /// One request, whoever sends its copies to which VM.
+    Request(Fingerprint),
+}
+
+impl Suspect {
+    /// Returns whether this is a request.
+    pub fn is_request(self) -> bool {
+        matches!(self, Self::Request(_))
+    }
+}
 
 /// A crash of an endpoint, as VMs report it to each other.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -40,17 +61,17 @@
     pub endpoint: EndpointId,
     /// The incarnation that crashed.
     pub incarnation: Incarnation,
-    /// Shared parts of the prompts that it had started to answer.
-    pub suspects: Vec<PartId>,
+    /// Requests that it may have begun to run, and shared parts of the prompts that it had started to answer.
+    pub suspects: Vec<Suspect>,
     /// Time since the crash.
     pub age: Millis,
 }
 
-/// A suspected part that an endpoint answered completely, as VMs report it to each other.
+/// A suspect that an endpoint answered completely, as VMs report it to each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct AnsweredPart {
-    /// The part.
-    pub part: PartId,
+pub struct AnsweredSuspect {
+    /// The suspect.
+    pub suspect: Suspect,
     /// Time since the last complete response.
     pub age: Millis,
 }
@@ -62,7 +83,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Crash {
     pub(crate) at: Time,
-    pub(crate) suspects: IndexSet<PartId>,
+    pub(crate) suspects: IndexSet<Suspect>,
     /// When this VM last learned something new of it.
     changed_at: Time,
 }
@@ -71,35 +92,42 @@
 #[derive(Debug, Clone)]
 struct Break {
     at: Time,
-    suspects: IndexSet<PartId>,
+    checked_at: Time,
+    suspects: IndexSet<Suspect>,
 }
 
-/// Crashes and answered parts, as far as this VM knows.
+/// Crashes and answered suspects, as far as this VM knows.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct CrashEvidence {
     crashes: IndexMap<EndpointKey, Crash>,
     breaks: IndexMap<EndpointKey, Break>,
-    /// When a prompt with a part was last answered completely.
-    answered: IndexMap<PartId, Time>,
+    /// When a suspect was last answered completely.
+    answered: IndexMap<Suspect, Time>,
 }
 
 impl CrashEvidence {
-    /// Records that an endpoint broke off before the first event of a response; returns whether that is the first such
-    /// break of this incarnation.
-    pub(crate) fn on_break(&mut self, entry: &EndpointEntry, suspects: &[PartId], now: Time) -> bool {
+    /// Records that an endpoint broke off a response; returns whether to check if it refuses connections.
+    pub(crate) fn on_break(&mut self, entry: &EndpointEntry, suspects: &[Suspect], now: Time) -> bool {
         let key = key_of(entry);
         if let Some(crash) = self.crashes.get_mut(&key) {
             add_suspects(crash, suspects, now);
             return false;
         }
-        let is_new = !self.breaks.contains_key(&key);
-        let known = self.breaks.entry(key).or_insert_with(|| Break {
-            at: now,
-            suspects: IndexSet::new(),
+        let mut is_due = false;
+        let known = self.breaks.entry(key).or_insert_with(|| {
+            is_due = true;
+            Break {
+                at: now,
+                checked_at: now,
+                suspects: IndexSet::new(),
+            }
         });
-        known.suspects.extend(suspects);
-        known.suspects.truncate(MAX_SUSPECTS);
-        is_new
+        extend_bounded(&mut known.suspects, suspects);
+        is_due |= now.since(known.checked_at) >= CHECK_PERIOD;
+        if is_due {
+            known.checked_at = now;
+        }
+        is_due
     }
 
     /// Records that an incarnation of an endpoint ended unplanned; returns whether a broken response makes it a crash.
@@ -120,10 +148,24 @@
     /// Records a complete response to a prompt with these parts.
     pub(crate) fn on_answered(&mut self, parts: &[PartId], now: Time) {
         for part in parts {
-            self.record_answered(*part, now);
+            self.record_answered(Suspect::Part(*part), now);
         }
     }
 
+    /// Records a complete response to a request; it is remembered only if the request is a suspect.
+    pub(crate) fn on_request_answered(&mut self, request: Fingerprint, now: Time) {
+        let suspect = Suspect::Request(request);
+        if self.crashes.values().any(|crash| crash.suspects.contains(&suspect)) {
+            self.record_answered(suspect, now);
+        }
+    }
+
+    /// Returns whether any request is a suspect.
+    pub(crate) fn suspects_requests(&self) -> bool {
+        let mut suspects = self.crashes.values().flat_map(|crash| &crash.suspects);
+        suspects.any(|suspect| suspect.is_request())
+    }
+
     /// Merges what another VM reports; returns whether that is news.
     pub(crate) fn on_report(&mut self, report: &CrashReport, now: Time) -> bool {
         let key = (report.endpoint.clone(), report.incarnation);
@@ -132,7 +174,7 @@
         }
         let crash = Crash {
             at: now - report.age,
-            suspects: report.suspects.iter().copied().take(MAX_SUSPECTS).collect(),
+            suspects: bounded(&report.suspects),
             changed_at: now,
         };
         self.breaks.swap_remove(&key);
@@ -141,8 +183,8 @@
     }
 
     /// Merges what another VM reports; its report may be older than it says by `transit`.
-    pub(crate) fn on_answered_report(&mut self, report: AnsweredPart, transit: Millis, now: Time) {
-        self.record_answered(report.part, now - report.age - transit);
+    pub(crate) fn on_answered_report(&mut self, report: AnsweredSuspect, transit: Millis, now: Time) {
+        self.record_answered(report.suspect, now - report.age - transit);
     }
 
     /// Returns the crashes to report to another VM: those that are news, and all if the VM may be `new`.
@@ -158,23 +200,25 @@
         reports.take(MAX_REPORTS).collect()
     }
 
-    /// Returns the answered parts among the suspects of recent crashes, to report to another VM.
-    pub(crate) fn answered_reports(&self, new: bool, now: Time) -> Vec<AnsweredPart> {
+    /// Returns the answered ones among the suspects of recent crashes, to report to another VM.
+    pub(crate) fn answered_reports(&self, new: bool, now: Time) -> Vec<AnsweredSuspect> {
         let suspects = self.crashes.values().rev().flat_map(|crash| {
             let is_news = new || now.since(crash.changed_at) < REPORTED_FOR;
-            crash.suspects.iter().map(move |part| (is_news, part))
+            crash.suspects.iter().map(move |suspect| (is_news, suspect))
         });
         let mut reports = IndexMap::new();
-        for (is_news, part) in suspects {
-            let Some(answered_at) = self.answered.get(part) else {
+        for (is_news, suspect) in suspects {
+            let Some(answered_at) = self.answered.get(suspect) else {
                 continue;
             };
             let age = now.since(*answered_at);
             if is_news || age < REPORTED_FOR {
-                reports.insert(*part, age);
+                reports.insert(*suspect, age);
             }
         }
-        let reports = reports.into_iter().map(|(part, age)| AnsweredPart { part, age });
+        let reports = reports
+            .into_iter()
+            .map(|(suspect, age)| AnsweredSuspect { suspect, age });
         reports.take(MAX_REPORTS).collect()
     }
 
@@ -193,9 +237,20 @@
         open
     }
 
-    /// Returns whether a prompt with the part was answered completely not long ago.
-    pub(crate) fn was_answered(&self, part: PartId) -> bool {
-        self.answered.contains_key(&part)
+    /// Returns whether a prompt with the part was answered completely not long ago. That a request was answered before it
+    /// crashed endpoints says nothing about its copies.
+    pub(crate) fn was_answered(&self, suspect: Suspect) -> bool {
+        !suspect.is_request() && self.answered.contains_key(&suspect)
+    }
+
+    /// Returns the number of distinct crashes since which a request was not answered.
+    pub(crate) fn crashes_under(&self, request: Fingerprint) -> u32 {
+        let suspect = Suspect::Request(request);
+        let crashes = self.crashes.values().filter(|crash| crash.suspects.contains(&suspect));
+        let open = crashes.filter(|crash| !is_cleared(&self.answered, suspect, crash.at));
+        let mut times: Vec<_> = open.map(|crash| crash.at).collect();
+        times.sort_unstable();
+        distinct_moments(times.into_iter())
     }
 
     /// Forgets what is too old, and suspects that were cleared a while ago.
@@ -205,7 +260,7 @@
         for crash in self.crashes.values_mut() {
             if now.since(crash.changed_at) >= REPORTED_FOR {
                 let at = crash.at;
-                crash.suspects.retain(|part| !is_cleared(answered, *part, at));
+                crash.suspects.retain(|suspect| !is_cleared(answered, *suspect, at));
             }
         }
         self.crashes
@@ -213,9 +268,9 @@
         self.answered.retain(|_, at| now.since(*at) < ANSWER_KEPT_FOR);
     }
 
-    fn uncleared<'a>(&'a self, crash: &'a Crash) -> impl Iterator<Item = PartId> + 'a {
+    fn uncleared<'a>(&'a self, crash: &'a Crash) -> impl Iterator<Item = Suspect> + 'a {
         let suspects = crash.suspects.iter().copied();
-        suspects.filter(|part| !is_cleared(&self.answered, *part, crash.at))
+        suspects.filter(|suspect| !is_cleared(&self.answered, *suspect, crash.at))
     }
 
     fn insert(&mut self, key: EndpointKey, crash: Crash) {
@@ -225,11 +280,11 @@
         self.crashes.insert(key, crash);
     }
 
-    fn record_answered(&mut self, part: PartId, at: Time) {
-        if let Some(known) = self.answered.get_mut(&part) {
+    fn record_answered(&mut self, suspect: Suspect, at: Time) {
+        if let Some(known) = self.answered.get_mut(&suspect) {
             *known = at.max(*known);
         } else if self.answered.len() < MAX_ANSWERED {
-            self.answered.insert(part, at);
+            self.answered.insert(suspect, at);
         }
     }
 }
@@ -251,18 +306,41 @@
     (entry.id.clone(), entry.incarnation)
 }
 
-fn is_cleared(answered: &IndexMap<PartId, Time>, part: PartId, crashed_at: Time) -> bool {
-    answered.get(&part).is_some_and(|answered_at| *answered_at > crashed_at)
+fn is_cleared(answered: &IndexMap<Suspect, Time>, suspect: Suspect, crashed_at: Time) -> bool {
+    answered
+        .get(&suspect)
+        .is_some_and(|answered_at| *answered_at > crashed_at)
 }
 
 /// Adds suspects to a crash, and returns whether one is new.
-fn add_suspects(crash: &mut Crash, suspects: &[PartId], now: Time) -> bool {
-    let before = crash.suspects.len();
-    crash.suspects.extend(suspects);
-    crash.suspects.truncate(MAX_SUSPECTS);
-    let is_new = crash.suspects.len() > before;
+fn add_suspects(crash: &mut Crash, suspects: &[Suspect], now: Time) -> bool {
+    let is_new = extend_bounded(&mut crash.suspects, suspects);
     if is_new {
         crash.changed_at = now;
     }
     is_new
 }
+
+fn bounded(suspects: &[Suspect]) -> IndexSet<Suspect> {
+    let mut known = IndexSet::new();
+    extend_bounded(&mut known, suspects);
+    known
+}
+
+/// Adds suspects up to the maximum number of each kind, and returns whether one is new.
+fn extend_bounded(known: &mut IndexSet<Suspect>, suspects: &[Suspect]) -> bool {
+    let before = known.len();
+    let mut requests = known.iter().filter(|suspect| suspect.is_request()).count();
+    let mut parts = before - requests;
+    for suspect in suspects {
+        let (count, limit) = if suspect.is_request() {
+            (&mut requests, MAX_REQUESTS)
+        } else {
+            (&mut parts, MAX_PARTS)
+        };
+        if *count < limit && known.insert(*suspect) {
+            *count += 1;
+        }
+    }
+    known.len() > before
+}
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -8,7 +8,7 @@
 use crate::rate_limit::MAX_CALL_TRANSIT;
 use crate::registry::Endpoint;
 use crate::{
-    AnsweredPart, AttemptHistory, CrashReport, DomainView, EndpointLoad, EndpointTracker, Heartbeat, RateLimitState,
+    AnsweredSuspect, AttemptHistory, CrashReport, DomainView, EndpointLoad, EndpointTracker, Heartbeat, RateLimitState,
     Relay, ServiceId, ServiceLoad, VmAge,
 };
 
@@ -77,7 +77,7 @@
             } else {
                 Vec::new()
             },
-            answered_parts: if neighbour {
+            answered: if neighbour {
                 self.quarantine.evidence.answered_reports(!agree, now)
             } else {
                 Vec::new()
@@ -105,7 +105,7 @@
         for limit in &heartbeat.rate_limits {
             self.rate_limits.on_peer(&limit.endpoint, limit.state, transit, now);
         }
-        self.on_crash_reports(&heartbeat.crashes, &heartbeat.answered_parts, false, now);
+        self.on_crash_reports(&heartbeat.crashes, &heartbeat.answered, false, now);
         for report in &heartbeat.versions {
             self.versions.merge(report, now);
         }
@@ -168,7 +168,7 @@
             self.cache_directory
                 .record_reported(part, received_at, Origin::Remote, now);
         }
-        let answered = view.answered_parts.iter().map(|report| AnsweredPart {
+        let answered = view.answered.iter().map(|report| AnsweredSuspect {
             age: report.age + view.age,
             ..*report
         });
@@ -251,7 +251,7 @@
                 Vec::new()
             },
             crashes: self.quarantine.evidence.crash_reports(is_new, now),
-            answered_parts: self.quarantine.evidence.answered_reports(is_new, now),
+            answered: self.quarantine.evidence.answered_reports(is_new, now),
         }
     }
 
--- a/crates/sw-relay/src/heartbeat.rs
+++ b/crates/sw-relay/src/heartbeat.rs
@@ -8,7 +8,7 @@
 use sw_member::VmRow;
 use sw_unit::{DomainId, EndpointId, Incarnation, Millis, RegionId, VmId};
 
-use crate::{AnsweredPart, CachedPart, CrashReport, EndpointRateLimit, ServiceId, ServiceVersions};
+use crate::{AnsweredSuspect, CachedPart, CrashReport, EndpointRateLimit, ServiceId, ServiceVersions};
 
 /// Load that one VM, or all VMs of one failure domain, put on an endpoint.
 #[derive(Debug, Clone, PartialEq)]
@@ -75,8 +75,8 @@
     pub rate_limits: Vec<EndpointRateLimit>,
     /// Crashes of endpoints that its VMs know.
     pub crashes: Vec<CrashReport>,
-    /// Suspected prompt parts that were answered completely.
-    pub answered_parts: Vec<AnsweredPart>,
+    /// Suspects that were answered completely.
+    pub answered: Vec<AnsweredSuspect>,
 }
 
 /// A heartbeat between two VMs.
@@ -102,8 +102,8 @@
     pub rate_limits: Vec<EndpointRateLimit>,
     /// Crashes of endpoints that the sender knows; empty between domains.
     pub crashes: Vec<CrashReport>,
-    /// Suspected prompt parts that were answered completely; empty between domains.
-    pub answered_parts: Vec<AnsweredPart>,
+    /// Suspects that were answered completely; empty between domains.
+    pub answered: Vec<AnsweredSuspect>,
     /// Software versions that the sender has seen registered, if the receiver may be new.
     pub versions: Vec<ServiceVersions>,
 }
--- a/crates/sw-relay/src/quarantine.rs
+++ b/crates/sw-relay/src/quarantine.rs
@@ -1,51 +1,57 @@
-//! Quarantine of prompt parts that crash endpoints.
+//! Quarantine of prompt parts and of requests that crash endpoints.
 //!
-//! Prompts with a quarantined part are refused by all VMs, whether they are new, retried, resumed or forwarded. The entry
-//! follows from the [evidence](crate::crash_evidence) alone, so VMs with the same evidence quarantine the same parts. The
-//! part that explains most crashes is quarantined first, and the crashes that it explains no longer count against others.
-//! A part that was answered before the crashes needs more of them: it is more likely to have been beside the cause.
+//! Requests that are quarantined or whose prompt has a quarantined part are refused by all VMs, whether they are new,
+//! retried, resumed or forwarded. The entries follow from the [evidence](crate::crash_evidence) alone, so VMs with the same
+//! evidence quarantine the same suspects. The suspect that explains most crashes is quarantined first, and the crashes that
+//! it explains no longer count against others: a part explains crashes of different requests, and of two suspects that
+//! explain equally many, the request is the cause. A part that was answered before the crashes needs more of them: it is
+//! more likely to have been beside the cause.
 //!
-//! Parts that were in each of the prompts that crashed endpoints cannot be distinguished. A prompt with some of them, but not
-//! all, serves as a probe: one VM of a region sends one such prompt at a time. A complete response clears its parts, a
-//! crash clears the others. Otherwise the first part of all prompts of a route could stay quarantined, and with it the route.
+//! Suspects that were in each of the crashes cannot be distinguished. A request with some of them, but not all, serves as a
+//! probe: one VM of a region sends one such request at a time. A complete response clears its suspects, a crash clears the
+//! others. Otherwise the first part of all prompts of a route could stay quarantined, and with it the route. A request that
+//! crashed several endpoints is no probe for the parts of its prompt, and one whose time of quarantine is over is sent
+//! as a probe by one VM of all.
 
 use std::sync::Arc;
 
 use indexmap::{IndexMap, IndexSet};
 use sw_error::{Kind, Refusal};
 use sw_member::rendezvous_score;
-use sw_unit::{EndpointId, Incarnation, Millis, PartId, Time, VmId};
+use sw_unit::{EndpointId, Fingerprint, Incarnation, Millis, PartId, Time, VmId};
 
-use crate::crash_evidence::{Crash, CrashEvidence, distinct_moments};
+use crate::crash_evidence::{Crash, CrashEvidence, Suspect, distinct_moments};
 use crate::rate_limit::MAX_REPLY_TRANSIT;
-use crate::{AdmittedRequest, AnsweredPart, Attempt, AttemptOutcome, CrashReport, Prompt, Relay};
+use crate::{AdmittedRequest, AnsweredSuspect, Attempt, AttemptOutcome, CrashReport, Prompt, Relay};
 
-/// Crashes after which a part is quarantined that was never answered completely.
+/// Crashes after which a request is quarantined, or a part that was never answered completely.
 const MIN_CRASHES: u32 = 2;
 /// Crashes after which a part is quarantined that was answered completely before them.
 const MIN_CRASHES_IF_ANSWERED: u32 = 4;
 /// Crashes after which a part that was answered before is no longer tried alone.
 const MAX_CRASHES_FOR_PROBE: u32 = 8;
-/// Time since the last crash for which a part with [`MIN_CRASHES`] is quarantined; doubled with each further crash.
+/// Time since the last crash for which a suspect with [`MIN_CRASHES`] is quarantined; doubled with each further crash.
 const MIN_QUARANTINE: Millis = Millis(60_000);
-/// Longest time since the last crash for which a part is quarantined.
+/// Longest time since the last crash for which a suspect is quarantined.
 const MAX_QUARANTINE: Millis = Millis(600_000);
 
 /// Time after which a probe no longer prevents another one.
 const PROBE_TIME: Millis = Millis(8_000);
 /// The same for a probe that was not sent to an endpoint.
 const UNSENT_PROBE_TIME: Millis = Millis(500);
+/// Time since its first event after which a response that breaks off does not make its request a suspect.
+const MAX_START: Millis = Millis(1_000);
 
-/// Why and until when a part is quarantined.
+/// Why and until when a suspect is quarantined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QuarantineEntry {
-    /// Crashes that the part explains.
+    /// Crashes that the suspect explains.
     pub crashes: u32,
-    /// End of the quarantine.
+    /// End of the quarantine; a request may be sent as a probe from then on.
     pub until: Time,
-    /// The lowest id of the parts that explain the same crashes and cannot be distinguished from this one.
-    group: PartId,
-    /// Number of these parts, including this one.
+    /// The lowest of the suspects that explain the same crashes and cannot be distinguished from this one.
+    group: Suspect,
+    /// Number of these suspects, including this one.
     alike: usize,
     /// Whether prompts with these parts were answered before the crashes, so that other parts may be the cause.
     was_answered: bool,
@@ -54,28 +60,28 @@
 /// A change of the quarantine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum QuarantineChange {
-    /// A part is quarantined.
+    /// A suspect is quarantined.
     Quarantined {
-        /// The part.
-        part: PartId,
+        /// The suspect.
+        suspect: Suspect,
         /// Why and until when.
         entry: QuarantineEntry,
     },
-    /// A part is no longer quarantined.
+    /// A suspect is no longer quarantined.
     Released {
-        /// The part.
-        part: PartId,
+        /// The suspect.
+        suspect: Suspect,
     },
-    /// A prompt with a quarantined part is sent as a probe.
+    /// A quarantined request, or one whose prompt has a quarantined part, is sent as a probe.
     Probed {
-        /// The part.
-        part: PartId,
+        /// The suspect.
+        suspect: Suspect,
         /// The id of the request.
         request: Arc<str>,
     },
 }
 
-/// A prompt that is sent to distinguish parts.
+/// A request that is sent to distinguish suspects.
 #[derive(Debug, Clone)]
 struct Probe {
     request: Arc<str>,
@@ -100,15 +106,17 @@
     All,
 }
 
-/// The quarantined parts, and the evidence against them.
+/// The quarantined suspects, and the evidence against them.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Quarantine {
     pub(crate) evidence: CrashEvidence,
-    entries: IndexMap<PartId, QuarantineEntry>,
-    /// Parts that an operator has taken out of the quarantine.
-    exempt: IndexSet<PartId>,
-    /// Probes by the group of parts that they distinguish.
-    probes: IndexMap<PartId, Probe>,
+    entries: IndexMap<Suspect, QuarantineEntry>,
+    /// Whether a request is quarantined.
+    has_requests: bool,
+    /// Suspects that an operator has taken out of the quarantine.
+    exempt: IndexSet<Suspect>,
+    /// Probes by the group of suspects that they distinguish.
+    probes: IndexMap<Suspect, Probe>,
     changes: Vec<QuarantineChange>,
     news: Option<NewsScope>,
 }
@@ -117,70 +125,111 @@
     /// Derives the entries from the evidence.
     fn update(&mut self, now: Time) {
         let mut entries = derive_entries(&self.evidence, now);
-        entries.retain(|part, _| !self.exempt.contains(part));
-        let released = self.entries.keys().filter(|part| !entries.contains_key(*part));
-        let released = released.map(|part| QuarantineChange::Released { part: *part });
-        let added = entries.iter().filter(|(part, _)| !self.entries.contains_key(*part));
-        let added = added.map(|(part, entry)| QuarantineChange::Quarantined {
-            part: *part,
+        entries.retain(|suspect, _| !self.exempt.contains(suspect));
+        let released = self.entries.keys().filter(|suspect| !entries.contains_key(*suspect));
+        let released = released.map(|suspect| QuarantineChange::Released { suspect: *suspect });
+        let added = entries
+            .iter()
+            .filter(|(suspect, _)| !self.entries.contains_key(*suspect));
+        let added = added.map(|(suspect, entry)| QuarantineChange::Quarantined {
+            suspect: *suspect,
             entry: *entry,
         });
         let changes: Vec<_> = released.chain(added).collect();
         self.changes.extend(changes);
+        self.has_requests = entries.keys().any(|suspect| suspect.is_request());
         self.entries = entries;
     }
 
+    /// Replaces the exempt suspects of one kind.
+    fn set_exempt(&mut self, requests: bool, exempt: impl Iterator<Item = Suspect>, now: Time) {
+        self.exempt.retain(|suspect| suspect.is_request() != requests);
+        self.exempt.extend(exempt);
+        self.update(now);
+    }
+
     fn announce(&mut self, scope: NewsScope) {
         self.news = self.news.max(Some(scope));
     }
 
-    /// Returns the quarantined part of a prompt that keeps it longest from being sent.
-    fn entry(&self, prompt: &Prompt, now: Time) -> Option<(PartId, QuarantineEntry)> {
+    /// Returns the quarantined ones among a request's fingerprint and shared parts.
+    fn entries_of(&self, admitted: &AdmittedRequest, now: Time) -> Vec<(Suspect, QuarantineEntry)> {
         if self.entries.is_empty() {
-            return None;
+            return Vec::new();
         }
-        let parts = prompt.shared_parts().iter().map(|part| part.id);
-        let entries = parts.filter_map(|part| Some((part, *self.entries.get(&part)?)));
+        let content = admitted.content.as_ref().filter(|_| self.has_requests);
+        let request = content.map(|content| Suspect::Request(content.fingerprint()));
+        let parts = admitted.prompt.iter().flat_map(Prompt::shared_parts);
+        let suspects = request.into_iter().chain(parts.map(|part| Suspect::Part(part.id)));
+        let entries = suspects.filter_map(|suspect| Some((suspect, *self.entries.get(&suspect)?)));
         entries
-            .filter(|(_, entry)| entry.until > now)
+            .filter(|(suspect, entry)| suspect.is_request() || entry.until > now)
+            .collect()
+    }
+
+    /// Returns the entry that keeps a request longest from being sent.
+    fn blocking_entry(&self, admitted: &AdmittedRequest, now: Time) -> Option<(Suspect, QuarantineEntry)> {
+        let entries = self.entries_of(admitted, now).into_iter();
+        entries
+            .filter(|(_, entry)| !self.is_probe(admitted, *entry))
             .max_by_key(|(_, entry)| entry.until)
     }
 
-    /// Returns whether a prompt distinguishes the parts of an entry's group, because it has some of them only, or
-    /// distinguishes them from the other parts of the prompts that crashed endpoints.
-    fn is_discriminating(&self, prompt: &Prompt, entry: QuarantineEntry) -> bool {
-        let parts = prompt.shared_parts().iter();
-        let entries = parts.filter_map(|part| self.entries.get(&part.id));
-        let (in_group, others): (Vec<&QuarantineEntry>, Vec<&QuarantineEntry>) =
-            entries.partition(|other| other.group == entry.group);
+    /// Returns whether a request distinguishes the suspects of an entry's group, because it has some of them only, or
+    /// distinguishes them from others that the requests that crashed endpoints had. A request whose time of quarantine is
+    /// over finds out whether it still crashes endpoints.
+    fn is_discriminating(
+        &self,
+        admitted: &AdmittedRequest,
+        (suspect, entry): (Suspect, QuarantineEntry),
+        now: Time,
+    ) -> bool {
+        let entries = self.entries_of(admitted, now);
+        let in_group = entries.iter().filter(|(_, other)| other.group == entry.group).count();
+        if in_group < entries.len() {
+            return false;
+        }
+        if suspect.is_request() {
+            return entry.alike > 1 || entry.until <= now;
+        }
         let may_be_sound = entry.was_answered && entry.crashes < MAX_CRASHES_FOR_PROBE;
-        others.is_empty() && (in_group.len() < entry.alike || may_be_sound)
+        let content = admitted.content.as_ref();
+        let crashes = content.map_or(0, |content| self.evidence.crashes_under(content.fingerprint()));
+        crashes < MIN_CRASHES && (in_group < entry.alike || may_be_sound)
     }
 
     fn is_probe(&self, admitted: &AdmittedRequest, entry: QuarantineEntry) -> bool {
         let probe = self.probes.get(&entry.group);
-        probe.is_some_and(|probe| probe.request == admitted.id) && (entry.alike > 1 || entry.was_answered)
+        probe.is_some_and(|probe| probe.request == admitted.id)
+            && (entry.group.is_request() || entry.alike > 1 || entry.was_answered)
     }
 }
 
 impl Relay {
-    /// Returns the quarantined part of a request's prompt, if it has one.
-    ///
-    /// A probe counts as having none.
-    pub fn quarantined_part(&self, admitted: &AdmittedRequest, now: Time) -> Option<(PartId, QuarantineEntry)> {
-        let (part, entry) = self.quarantine.entry(admitted.prompt.as_ref()?, now)?;
-        (!self.quarantine.is_probe(admitted, entry)).then_some((part, entry))
+    /// Returns why a request is quarantined: its fingerprint or a part of its prompt. A probe is not quarantined.
+    pub fn quarantined(&self, admitted: &AdmittedRequest, now: Time) -> Option<(Suspect, QuarantineEntry)> {
+        self.quarantine.blocking_entry(admitted, now)
     }
 
     /// Sets the parts that are never quarantined.
     pub fn set_exempt_parts(&mut self, parts: impl Iterator<Item = PartId>, now: Time) {
-        self.quarantine.exempt = parts.collect();
-        self.quarantine.update(now);
+        self.quarantine.set_exempt(false, parts.map(Suspect::Part), now);
+    }
+
+    /// Sets the requests that are never quarantined.
+    pub fn set_exempt_requests(&mut self, requests: impl Iterator<Item = Fingerprint>, now: Time) {
+        self.quarantine.set_exempt(true, requests.map(Suspect::Request), now);
     }
 
     /// Returns the number of quarantined parts.
     pub fn quarantined_parts(&self) -> usize {
-        self.quarantine.entries.len()
+        self.quarantine.entries.len() - self.quarantined_requests()
+    }
+
+    /// Returns the number of quarantined requests.
+    pub fn quarantined_requests(&self) -> usize {
+        let suspects = self.quarantine.entries.keys();
+        suspects.filter(|suspect| suspect.is_request()).count()
     }
 
     /// Records that an attempt broke off; returns whether the endpoint should be checked for a crash.
@@ -188,14 +237,14 @@
     /// A response with a head and no event distinguishes the prompt that the endpoint had just started to answer from the
     /// others that it was running.
     pub fn on_broken_attempt(&mut self, attempt: &Attempt, now: Time) -> bool {
-        let has_started = attempt.head_at.is_some() && attempt.events == 0;
-        if !has_started || attempt.shared_parts.is_empty() || self.is_leaving(&attempt.endpoint.id) {
+        let suspects = suspects_of(attempt, now);
+        if suspects.is_empty() || self.is_leaving(&attempt.endpoint.id) {
             return false;
         }
         let evidence = &mut self.quarantine.evidence;
-        let is_first = evidence.on_break(&attempt.endpoint, &attempt.shared_parts, now);
+        let is_due = evidence.on_break(&attempt.endpoint, &suspects, now);
         self.quarantine.update(now);
-        is_first
+        is_due
     }
 
     /// Records that an incarnation of an endpoint ended unplanned.
@@ -224,16 +273,23 @@
         }
     }
 
-    /// Clears the parts of a complete response; only a framed one is known to be complete.
+    /// Clears the request of a complete response and its parts; only a framed one is known to be complete.
     pub(crate) fn clear_answered(&mut self, attempt: &Attempt, outcome: AttemptOutcome, now: Time) {
         self.quarantine
             .probes
             .retain(|_, probe| probe.request != attempt.request);
-        if outcome == AttemptOutcome::Complete && attempt.is_framed && !attempt.shared_parts.is_empty() {
-            self.quarantine.evidence.on_answered(&attempt.shared_parts, now);
-            if !self.quarantine.entries.is_empty() {
-                self.quarantine.update(now);
-            }
+        if outcome != AttemptOutcome::Complete || !attempt.is_framed {
+            return;
+        }
+        self.quarantine.evidence.on_answered(&attempt.shared_parts, now);
+        if let Some(content) = &attempt.content
+            && self.quarantine.evidence.suspects_requests()
+        {
+            let request = content.fingerprint();
+            self.quarantine.evidence.on_request_answered(request, now);
+        }
+        if !self.quarantine.entries.is_empty() {
+            self.quarantine.update(now);
         }
     }
 
@@ -241,7 +297,7 @@
     pub(crate) fn on_crash_reports(
         &mut self,
         crashes: &[CrashReport],
-        answered: &[AnsweredPart],
+        answered: &[AnsweredSuspect],
         is_remote: bool,
         now: Time,
     ) {
@@ -263,13 +319,13 @@
         self.quarantine.update(now);
     }
 
-    /// Returns the refusal of a prompt with a quarantined part, unless it is sent as a probe.
+    /// Returns the refusal of a quarantined request, unless it is sent as a probe.
     pub(crate) fn quarantine_refusal(&mut self, admitted: &AdmittedRequest, now: Time) -> Option<Refusal> {
-        let (part, entry) = self.quarantined_part(admitted, now)?;
-        let prompt = admitted.prompt.as_ref()?;
+        let (suspect, entry) = self.quarantined(admitted, now)?;
         self.quarantine.probes.retain(|_, probe| !probe.is_over(now));
         let is_free = !self.quarantine.probes.contains_key(&entry.group);
-        if is_free && self.quarantine.is_discriminating(prompt, entry) && self.sends_probes(entry.group, now) {
+        let is_probe = is_free && self.quarantine.is_discriminating(admitted, (suspect, entry), now);
+        if is_probe && self.sends_probes(entry, now) {
             let request = Arc::clone(&admitted.id);
             let probe = Probe {
                 request: Arc::clone(&request),
@@ -277,13 +333,22 @@
                 sent: false,
             };
             self.quarantine.probes.insert(entry.group, probe);
-            self.quarantine.changes.push(QuarantineChange::Probed { part, request });
+            self.quarantine
+                .changes
+                .push(QuarantineChange::Probed { suspect, request });
             return None;
         }
-        Some(Refusal::with_retry_after(
-            Kind::QuarantinedPrompt,
-            entry.until.since(now),
-        ))
+        let kind = match suspect {
+            Suspect::Part(_) => Kind::QuarantinedPrompt,
+            Suspect::Request(_) => Kind::QuarantinedRequest,
+        };
+        // After the quarantine of a request, other copies wait for the probe.
+        let after = if suspect.is_request() {
+            entry.until.since(now).max(PROBE_TIME)
+        } else {
+            entry.until.since(now)
+        };
+        Some(Refusal::with_retry_after(kind, after))
     }
 
     pub(crate) fn update_quarantine(&mut self, now: Time) {
@@ -291,11 +356,18 @@
         self.quarantine.update(now);
     }
 
-    /// Returns whether this VM is the one of its region that sends probes for a group.
-    fn sends_probes(&self, group: PartId, now: Time) -> bool {
+    /// Returns whether this VM sends probes for the group of an entry: one VM of each region does, and one of all if a
+    /// request has crashed several endpoints.
+    fn sends_probes(&self, entry: QuarantineEntry, now: Time) -> bool {
         let local = self.members.local();
-        let score = |vm: &VmId| rendezvous_score(group.0, vm.as_str());
-        let peers = self.members.peers().filter(|row| row.region == local.region);
+        let is_single = entry.group.is_request() && entry.crashes > MIN_CRASHES;
+        let seed = match entry.group {
+            Suspect::Part(part) => part.0,
+            Suspect::Request(request) => request.0 as u64,
+        };
+        let score = |vm: &VmId| rendezvous_score(seed, vm.as_str());
+        let peers = self.members.peers();
+        let peers = peers.filter(|row| is_single || row.region == local.region);
         let mut live = peers.filter(|row| self.is_live(&row.vm, now));
         live.all(|row| score(&row.vm) < score(&local.vm))
     }
@@ -306,56 +378,76 @@
     }
 }
 
-/// Returns the parts that explain enough crashes, with their entries.
-fn derive_entries(evidence: &CrashEvidence, now: Time) -> IndexMap<PartId, QuarantineEntry> {
+/// Returns the suspects of an attempt that broke off: the request, unless it had run for some time, and the shared parts of
+/// a prompt whose response had a head and no event.
+fn suspects_of(attempt: &Attempt, now: Time) -> Vec<Suspect> {
+    let had_run = attempt
+        .first_event_at
+        .is_some_and(|first| now.since(first) >= MAX_START);
+    let content = attempt.content.as_ref().filter(|_| !had_run);
+    let request = content.map(|content| Suspect::Request(content.fingerprint()));
+    let has_started = attempt.head_at.is_some() && attempt.events == 0;
+    let parts = attempt.shared_parts.iter().filter(|_| has_started);
+    let parts = parts.map(|part| Suspect::Part(*part));
+    request.into_iter().chain(parts).collect()
+}
+
+/// Returns the suspects that explain enough crashes, with their entries.
+fn derive_entries(evidence: &CrashEvidence, now: Time) -> IndexMap<Suspect, QuarantineEntry> {
     let mut open = evidence.open_crashes();
     let mut entries = IndexMap::new();
-    while let Some((part, crashes)) = most_suspected(evidence, &open) {
-        let explained: Vec<_> = open.extract_if(.., |crash| crash.suspects.contains(&part)).collect();
+    while let Some((suspect, crashes)) = most_suspected(evidence, &open) {
+        let explained: Vec<_> = open.extract_if(.., |crash| crash.suspects.contains(&suspect)).collect();
         let last = explained.last().map_or(now, |crash| crash.at);
         let until = last + quarantine_time(crashes);
-        if until > now {
-            let alike = parts_alike(evidence, part, &explained);
+        if until > now || suspect.is_request() {
+            let alike = suspects_alike(evidence, suspect, &explained);
             let entry = QuarantineEntry {
                 crashes,
                 until,
-                group: alike.iter().copied().min().unwrap_or(part),
+                group: alike.iter().copied().min().unwrap_or(suspect),
                 alike: alike.len(),
-                was_answered: evidence.was_answered(part),
+                was_answered: evidence.was_answered(suspect),
             };
-            entries.extend(alike.into_iter().map(|part| (part, entry)));
+            entries.extend(alike.into_iter().map(|suspect| (suspect, entry)));
         }
     }
     entries
 }
 
-/// Returns the parts, with `part` itself, that were in each of the crashes and cannot be distinguished.
-fn parts_alike(evidence: &CrashEvidence, part: PartId, crashes: &[Crash]) -> Vec<PartId> {
-    let was_answered = evidence.was_answered(part);
+/// Returns the suspects of the same kind, with `suspect` itself, that were in each of the crashes and cannot be
+/// distinguished.
+fn suspects_alike(evidence: &CrashEvidence, suspect: Suspect, crashes: &[Crash]) -> Vec<Suspect> {
+    let was_answered = evidence.was_answered(suspect);
     let suspects = crashes.first().into_iter().flat_map(|crash| &crash.suspects).copied();
     let alike = suspects.filter(|other| {
+        let is_same_kind = other.is_request() == suspect.is_request();
         let in_all = crashes.iter().all(|crash| crash.suspects.contains(other));
-        in_all && evidence.was_answered(*other) == was_answered
+        is_same_kind && in_all && evidence.was_answered(*other) == was_answered
     });
     alike.collect()
 }
 
-/// Returns the part that explains most of the crashes, with their number, if they are enough to quarantine it.
-fn most_suspected(evidence: &CrashEvidence, open: &[Crash]) -> Option<(PartId, u32)> {
-    let suspects: IndexSet<_> = open.iter().flat_map(|crash| &crash.suspects).copied().collect();
-    let counted = suspects.into_iter().map(|part| {
-        let crashes = open.iter().filter(|crash| crash.suspects.contains(&part));
-        (part, distinct_moments(crashes.map(|crash| crash.at)))
-    });
-    let added = counted.filter(|(part, crashes)| {
+/// Returns the suspect that explains most of the crashes, with their number, if they are enough to quarantine it.
+fn most_suspected(evidence: &CrashEvidence, open: &[Crash]) -> Option<(Suspect, u32)> {
+    let mut times: IndexMap<Suspect, Vec<Time>> = IndexMap::new();
+    for crash in open {
+        for suspect in &crash.suspects {
+            times.entry(*suspect).or_default().push(crash.at);
+        }
+    }
+    let counted = times
+        .into_iter()
+        .map(|(suspect, times)| (suspect, distinct_moments(times.into_iter())));
+    let added = counted.filter(|(suspect, crashes)| {
         *crashes
-            >= if evidence.was_answered(*part) {
+            >= if evidence.was_answered(*suspect) {
                 MIN_CRASHES_IF_ANSWERED
             } else {
                 MIN_CRASHES
             }
     });
-    added.max_by_key(|(part, crashes)| (*crashes, !evidence.was_answered(*part)))
+    added.max_by_key(|(suspect, crashes)| (*crashes, suspect.is_request(), !evidence.was_answered(*suspect)))
 }
 
 fn quarantine_time(crashes: u32) -> Millis {
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -20,8 +20,8 @@
 use crate::stream_origin::StreamOrigins;
 use crate::version_history::VersionHistory;
 use crate::{
-    EndpointEntry, EndpointTracker, LatencyModel, Prompt, Registry, Replication, RequestHead, Route, RouteTable,
-    Service, ServiceId, SlowStartShare, SoftwareVersion, StoreRecord,
+    EndpointEntry, EndpointTracker, LatencyModel, Prompt, Registry, Replication, RequestContent, RequestHead, Route,
+    RouteTable, Service, ServiceId, SlowStartShare, SoftwareVersion, StoreRecord,
 };
 
 /// Factor by which the count of recent requests decays at each tick.
@@ -61,6 +61,8 @@
     pub service: ServiceId,
     /// Its prompt, if the service has model engines.
     pub prompt: Option<Prompt>,
+    /// What makes it the same request as others; `None` before its body was read.
+    pub content: Option<Arc<RequestContent>>,
     /// When it was received.
     pub received_at: Time,
     /// When the caller stops waiting.
@@ -271,6 +273,7 @@
             route: Arc::clone(route),
             service,
             prompt: head.prompt,
+            content: None,
             max_attempts: route.max_attempts.max(1),
             received_at,
             forwarded,
--- a/crates/sw-relay/tests/support/fleet.rs
+++ b/crates/sw-relay/tests/support/fleet.rs
@@ -1,19 +1,26 @@
 //! VMs and engines of several regions, and prompts with parts that crash engines.
 //!
-//! Time passes in steps. A prompt with a crashing part crashes its engine shortly after the head of its response; all
-//! other responses of that engine break off with it. Messages between VMs arrive within the step in which they are sent,
+//! Time passes in steps. A prompt with a crashing part, or a copy of a crashing request, crashes its engine shortly after the
+//! head of its response; all other responses of that engine break off with it. Messages between VMs arrive within the step in which they are sent,
 //! unless a VM is down or cut off.
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use indexmap::IndexMap;
 use sw_member::VmRow;
 use sw_relay::{
-    AdmittedRequest, Attempt, AttemptHistory, AttemptOutcome, Choice, EndpointEntry, NewsScope, Options, Prompt,
-    PromptPart, Relay, RequestHead,
+    AdmittedRequest, Attempt, AttemptHistory, AttemptOutcome, Choice, EndpointEntry, Options, Prompt, PromptPart,
+    Relay, RequestContent, RequestHead,
 };
 use sw_unit::{DomainId, Incarnation, Millis, PartId, RegionId, Time, Tokens};
 
+mod copies;
+mod exchange;
+
+#[allow(unused_imports, reason = "used by some test files only")]
+pub use copies::CopiedRequest;
+
 use super::{endpoint, head, options, register, relay_with, row};
 
 pub const STEP: Millis = Millis(10);
@@ -38,7 +45,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Arrival {
     pub at: Time,
-    /// The crashing part that it has.
+    /// The crashing part that it has, or the crashing request that it is a copy of.
     pub crashing: Option<u64>,
     /// Whether its VM is excused.
     pub excused: bool,
@@ -48,6 +55,8 @@
 #[derive(Debug, Clone, Copy)]
 pub struct SoundPrompt {
     pub at: Time,
+    /// The request that it is a copy of.
+    pub copy: Option<u64>,
     /// Whether it was refused because of its parts.
     pub quarantined: bool,
 }
@@ -60,6 +69,7 @@
     admitted: AdmittedRequest,
     history: AttemptHistory,
     crashing: Option<u64>,
+    has_head: bool,
     arrived_at: Time,
 }
 
@@ -238,47 +248,72 @@
 
     /// A caller sends a prompt to a VM.
     pub fn request(&mut self, vm: usize, crashing: Option<u64>, subject: u64) {
+        let content = format!("request {}", self.admitted);
+        let unique = 1_000_000 + self.admitted as u64;
+        let ids = [
+            Some(FIRST_PART),
+            Some(SUBJECT + subject % SUBJECTS),
+            crashing,
+            Some(unique),
+        ];
+        self.submit(vm, &ids, &content, crashing, None, true);
+    }
+
+    fn submit(
+        &mut self,
+        vm: usize,
+        ids: &[Option<u64>],
+        content: &str,
+        crashing: Option<u64>,
+        copy: Option<u64>,
+        has_head: bool,
+    ) {
         let vm = vm % self.vms.len();
         if !self.vms[vm].running {
             return;
         }
         self.admitted += 1;
-        let ids = [Some(FIRST_PART), Some(SUBJECT + subject % SUBJECTS), crashing];
-        let unique = 1_000_000 + self.admitted as u64;
-        let part = |id, len| PromptPart {
-            id: PartId(id),
-            len: Tokens(len),
-        };
-        let shared = ids.into_iter().flatten().map(|id| part(id, 50));
+        let parts = ids.iter().flatten().map(|id| PromptPart {
+            id: PartId(*id),
+            len: Tokens(50),
+        });
         let prompt = Prompt {
             input: Tokens(200),
             output_max: Tokens(50),
             output_hint: None,
-            parts: shared.chain([part(unique, 50)]).collect(),
+            parts: parts.collect(),
         };
         let head = RequestHead {
             id: Arc::from(format!("a{}", self.admitted)),
             ..head("digest", Some(prompt))
         };
-        let admitted = self.vms[vm].relay.admit(head, self.now, false).expect("a known route");
+        let mut admitted = self.vms[vm].relay.admit(head, self.now, false).expect("a known route");
+        let content = Bytes::copy_from_slice(content.as_bytes());
+        admitted.content = Some(Arc::new(RequestContent::new(vec![content])));
         if crashing.is_none() {
-            let quarantined = self.vms[vm].relay.quarantined_part(&admitted, self.now).is_some();
+            let quarantined = self.vms[vm].relay.quarantined(&admitted, self.now).is_some();
             self.sound.push(SoundPrompt {
                 at: self.now,
+                copy,
                 quarantined,
             });
         }
-        self.send(vm, admitted, AttemptHistory::default(), crashing);
+        self.send(vm, admitted, AttemptHistory::default(), crashing, has_head);
     }
 
     /// Returns the crashing prompts that reached engines, sent later than `notice` after the fifth crash under their part by
     /// VMs that are not excused.
     pub fn late_arrivals(&self, part: u64, notice: Millis) -> usize {
-        let Some(fifth) = self.crashes.get(&part).and_then(|crashes| crashes.get(4)) else {
+        self.arrivals_after_crash(part, 4, notice)
+    }
+
+    fn arrivals_after_crash(&self, cause: u64, index: usize, notice: Millis) -> usize {
+        let Some(crashed_at) = self.crashes.get(&cause).and_then(|crashes| crashes.get(index)) else {
             return 0;
         };
-        let late =
-            |arrival: &&Arrival| arrival.crashing == Some(part) && arrival.at > *fifth + notice && !arrival.excused;
+        let late = |arrival: &&Arrival| {
+            arrival.crashing == Some(cause) && arrival.at > *crashed_at + notice && !arrival.excused
+        };
         self.arrivals.iter().filter(late).count()
     }
 
@@ -306,7 +341,14 @@
         quarantined as f64 / sound.len().max(1) as f64
     }
 
-    fn send(&mut self, vm: usize, admitted: AdmittedRequest, mut history: AttemptHistory, crashing: Option<u64>) {
+    fn send(
+        &mut self,
+        vm: usize,
+        admitted: AdmittedRequest,
+        mut history: AttemptHistory,
+        crashing: Option<u64>,
+        has_head: bool,
+    ) {
         for _ in 0..4 {
             let relay = &mut self.vms[vm].relay;
             let endpoint = match relay.choose(&admitted, &history, self.now) {
@@ -340,6 +382,7 @@
                 admitted,
                 history,
                 crashing,
+                has_head,
                 arrived_at: self.now,
             });
             return;
@@ -387,7 +430,7 @@
                 continue;
             }
             let age = now.since(running.arrived_at);
-            if age >= HEAD_AFTER && running.attempt.head_at.is_none() {
+            if age >= HEAD_AFTER && running.has_head && running.attempt.head_at.is_none() {
                 vm.relay.on_head(&mut running.attempt, true, now);
             }
             if let Some(part) = running.crashing {
@@ -430,63 +473,14 @@
             }
             running.history.record_endpoint(&entry.id, Some(AttemptOutcome::Broken));
             if relay.withdraw_retry(&running.admitted, &running.history) {
-                self.send(running.vm, running.admitted, running.history, running.crashing);
+                self.send(
+                    running.vm,
+                    running.admitted,
+                    running.history,
+                    running.crashing,
+                    running.has_head,
+                );
             }
         }
     }
-
-    fn reaches(&self, from: usize, to: usize) -> bool {
-        self.vms[from].running && self.vms[to].running && self.vms[from].group == self.vms[to].group
-    }
-
-    fn send_heartbeats(&mut self, from: usize) {
-        let (now, seeds) = (self.now, self.vms.len().min(3));
-        let relay = &mut self.vms[from].relay;
-        let local = relay.members().local().clone();
-        let neighbours = relay.members().neighbours().filter(|row| local.vm < row.vm);
-        let mut vms: Vec<_> = neighbours.map(|row| row.vm.clone()).collect();
-        for domain in (0..self.layout.domains()).map(domain_id) {
-            if domain != local.domain && relay.is_heartbeat_due(&domain, DOMAIN_PERIOD, TAKEOVER_AFTER, now) {
-                vms.extend(relay.remote_delegate(&domain, now).map(|row| row.vm));
-            }
-        }
-        // A VM that has just started knows only its seeds.
-        let seeds = (0..seeds).filter(|seed| *seed != from);
-        let unknown = seeds.map(|seed| self.layout.vm_row(seed, 1).vm);
-        vms.extend(unknown.filter(|vm| relay.members().row(vm).is_none()));
-        for vm in vms {
-            self.exchange(from, index_of(vm.as_str()));
-        }
-    }
-
-    fn send_news(&mut self, from: usize) {
-        let relay = &mut self.vms[from].relay;
-        let Some(scope) = relay.take_crash_news() else {
-            return;
-        };
-        let mut vms: Vec<_> = relay.members().neighbours().map(|row| row.vm.clone()).collect();
-        if scope == NewsScope::All {
-            let domains: Vec<_> = relay.remote_domains().cloned().collect();
-            let delegates = domains
-                .iter()
-                .filter_map(|domain| relay.remote_delegate(domain, self.now));
-            vms.extend(delegates.map(|row| row.vm));
-        }
-        for vm in vms {
-            self.exchange(from, index_of(vm.as_str()));
-        }
-    }
-
-    fn exchange(&mut self, from: usize, to: usize) {
-        if !self.reaches(from, to) {
-            return;
-        }
-        let now = self.now;
-        let row = |fleet: &Self, index: usize| fleet.vms[index].relay.members().local().clone();
-        let (from_row, to_row) = (row(self, from), row(self, to));
-        let heartbeat = self.vms[from].relay.heartbeat(Some(&to_row), now);
-        self.vms[to].relay.on_heartbeat(heartbeat, now);
-        let reply = self.vms[to].relay.heartbeat(Some(&from_row), now);
-        self.vms[from].relay.on_heartbeat(reply, now);
-    }
 }
--- a/crates/sw-unit/src/lib.rs
+++ b/crates/sw-unit/src/lib.rs
@@ -11,4 +11,6 @@
 pub use quantity::{
     Bytes, FencingToken, Incarnation, Millis, Money, ParseQuantityError, Rate, Tokens, Version, Weight,
 };
-pub use types::{Digest, ParseDigestError, ParsePartIdError, PartId, Time, WallTime};
+pub use types::{
+    Digest, Fingerprint, ParseDigestError, ParseFingerprintError, ParsePartIdError, PartId, Time, WallTime,
+};
--- a/crates/sw-unit/src/types.rs
+++ b/crates/sw-unit/src/types.rs
@@ -156,3 +156,38 @@
         number.map(Self)
     }
 }
+
+/// 128-bit fingerprint of a request's content.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Fingerprint(pub u128);
+
+/// Error for text that is not a fingerprint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ParseFingerprintError;
+
+impl fmt::Display for ParseFingerprintError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a fingerprint of 32 hexadecimal digits is expected")
+    }
+}
+
+impl std::error::Error for ParseFingerprintError {}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = ParseFingerprintError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let is_hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if text.len() != 32 || !is_hex {
+            return Err(ParseFingerprintError);
+        }
+        let number = u128::from_str_radix(text, 16);
+        number.map(Self).map_err(|_not_hex| ParseFingerprintError)
+    }
+}
