fix(relay): tell other VMs that a suspect was cleared later than 10 s after the crash

What callers saw: a sound request that was suspected by chance (two engines crashed under it for another reason) stayed refused by most VMs after a copy had been answered completely at one of them; it depended on the VM whether it was served. The same holds for prompt parts.

Cause: a VM dropped a cleared suspect at its next tick if the crash was older than 10 s, and reports only answers of suspects that it still has, so no other VM learned of it.

Now a cleared suspect is kept for 10 s after the answer, and all nine release it.

Test: request_that_is_suspected_by_chance_is_released_by_a_probe.

--- a/crates/sw-relay/src/crash_evidence.rs
+++ b/crates/sw-relay/src/crash_evidence.rs
@@ -258,9 +258,14 @@
         self.breaks.retain(|_, broken| now.since(broken.at) < CONFIRM_WITHIN);
         let answered = &self.answered;
         for crash in self.crashes.values_mut() {
+            let at = crash.at;
+            // The other VMs are told before that a suspect is cleared.
+            let is_done = |suspect: &Suspect| {
+                let answered_at = answered.get(suspect).filter(|answered_at| **answered_at > at);
+                answered_at.is_some_and(|answered_at| now.since(*answered_at) >= REPORTED_FOR)
+            };
             if now.since(crash.changed_at) >= REPORTED_FOR {
-                let at = crash.at;
-                crash.suspects.retain(|suspect| !is_cleared(answered, *suspect, at));
+                crash.suspects.retain(|suspect| !is_done(suspect));
             }
         }
         self.crashes
--- a/crates/sw-relay/tests/quarantined_requests.rs
+++ b/crates/sw-relay/tests/quarantined_requests.rs
@@ -152,6 +152,32 @@
     assert!(fleet.quarantined_copies(SOUND.id, Time(10_000)) == 0.0);
 }
 
+/// Guards against a sound request that stays quarantined after two engines have crashed under it by chance: one probe
+/// clears it.
+#[test]
+fn request_that_is_suspected_by_chance_is_released_by_a_probe() {
+    let mut rng = fastrand::Rng::with_seed(13);
+    let mut fleet = Fleet::new(NINE_VMS);
+    for vm in [0, 1] {
+        fleet.send_copy(vm, SOUND);
+        fleet.step();
+        fleet.crash_engines_of(SOUND.id);
+        play(&mut fleet, sound(0.0), Millis(300), &mut rng);
+        fleet.crash_engines_of(SOUND.id);
+        play(&mut fleet, sound(0.0), Millis(300), &mut rng);
+    }
+    assert_eq!(fleet.quarantined(8).1, 1, "it is suspected");
+    let load = Load {
+        copied: &[SOUND],
+        copies_per_second: 2.0,
+        ..Load::default()
+    };
+    play(&mut fleet, load, Millis(80_000), &mut rng);
+    let from = fleet.now;
+    play(&mut fleet, load, Millis(10_000), &mut rng);
+    assert!(fleet.quarantined_copies(SOUND.id, from) == 0.0);
+}
+
 /// Guards against copies that are sent again whenever a time of quarantine ends, each by many VMs.
 #[test]
 fn crashing_request_stays_quarantined_for_as_long_as_it_comes_again() {
