--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -52,6 +52,18 @@
   # Ids of the prompt parts that the endpoint had begun to answer.
   suspects @2 :List(UInt64);
   ageMs @3 :UInt32;
+  # Requests that the endpoint may have begun to run.
+  requests @4 :List(Fingerprint);
+}
+
+struct Fingerprint {
+  high @0 :UInt64;
+  low @1 :UInt64;
+}
+
+struct AnsweredRequest {
+  fingerprint @0 :Fingerprint;
+  ageMs @1 :UInt32;
 }
 
 struct AnsweredPart {
@@ -70,6 +82,7 @@
   rateLimits @7 :List(EndpointRateLimit);
   crashes @8 :List(Crash);
   answeredParts @9 :List(AnsweredPart);
+  answeredRequests @10 :List(AnsweredRequest);
 }
 
 struct StreamOrigin {
@@ -109,6 +122,7 @@
   era @11 :UInt64;
   # Whether the sender retains states that the store has lost.
   retains @12 :Bool;
+  answeredRequests @13 :List(AnsweredRequest);
 }
 
 struct Item {
--- a/crates/sw-relay/tests/odd_input.rs
+++ b/crates/sw-relay/tests/odd_input.rs
@@ -7,12 +7,13 @@
 use support::{endpoint, head, prompt, register, relay, row, service};
 use sw_member::VmRow;
 use sw_relay::{
-    AnsweredPart, AttemptHistory, AttemptOutcome, CachedPart, Choice, CrashReport, DomainView, EndpointEntry,
+    AnsweredSuspect, AttemptHistory, AttemptOutcome, CachedPart, Choice, CrashReport, DomainView, EndpointEntry,
     EndpointLoad, EndpointRateLimit, EndpointReport, Heartbeat, LoadReport, Prompt, PromptPart, RateLimitState,
-    RateLimitStatement, Relay, ServiceLoad, ServiceVersions, StoreRecord, StoreState, VersionAge, VmAge,
+    RateLimitStatement, Relay, ServiceLoad, ServiceVersions, StoreRecord, StoreState, Suspect, VersionAge, VmAge,
 };
 use sw_unit::{
-    EndpointId, Incarnation, Millis, PartId, Rate, RegionId, StoreEra, StorePosition, Time, Tokens, Version,
+    EndpointId, Fingerprint, Incarnation, Millis, PartId, Rate, RegionId, StoreEra, StorePosition, Time, Tokens,
+    Version,
 };
 
 const ENDPOINTS: [&str; 4] = ["a-1", "a-2", "e-1", "e-2"];
@@ -99,21 +100,25 @@
     })
 }
 
+fn suspect() -> impl Strategy<Value = Suspect> {
+    prop_oneof![
+        whole().prop_map(|part| Suspect::Part(PartId(part))),
+        any::<u128>().prop_map(|fingerprint| Suspect::Request(Fingerprint(fingerprint))),
+    ]
+}
+
 fn crash() -> impl Strategy<Value = CrashReport> {
-    let crash = (endpoint_id(), whole(), vec(whole(), 0..40), duration());
+    let crash = (endpoint_id(), whole(), vec(suspect(), 0..100), duration());
     crash.prop_map(|(endpoint, incarnation, suspects, age)| CrashReport {
         endpoint,
         incarnation: Incarnation(incarnation),
-        suspects: suspects.into_iter().map(PartId).collect(),
+        suspects,
         age,
     })
 }
 
-fn answered() -> impl Strategy<Value = AnsweredPart> {
-    (whole(), duration()).prop_map(|(part, age)| AnsweredPart {
-        part: PartId(part),
-        age,
-    })
+fn answered() -> impl Strategy<Value = AnsweredSuspect> {
+    (suspect(), duration()).prop_map(|(suspect, age)| AnsweredSuspect { suspect, age })
 }
 
 fn versions() -> impl Strategy<Value = ServiceVersions> {
@@ -140,14 +145,7 @@
         vec(answered(), 0..4),
     );
     (place, "[a-z]{1,8}", any::<bool>(), duration(), vms, lists).prop_map(
-        |(
-            place,
-            other,
-            is_known,
-            age,
-            vms,
-            (endpoints, services, cached_parts, rate_limits, crashes, answered_parts),
-        )| {
+        |(place, other, is_known, age, vms, (endpoints, services, cached_parts, rate_limits, crashes, answered))| {
             let domain = if is_known { place } else { other.as_str() };
             DomainView {
                 domain: domain.parse().expect("an id"),
@@ -166,7 +164,7 @@
                 cached_parts,
                 rate_limits,
                 crashes,
-                answered_parts,
+                answered,
             }
         },
     )
@@ -195,7 +193,7 @@
             members_digest,
             known_vms,
             store,
-            (endpoints, domains, cached_parts, rate_limits, crashes, answered_parts, versions),
+            (endpoints, domains, cached_parts, rate_limits, crashes, answered, versions),
         )| Heartbeat {
             from,
             members_digest,
@@ -206,7 +204,7 @@
             cached_parts,
             rate_limits,
             crashes,
-            answered_parts,
+            answered,
             versions,
         },
     )
--- a/crates/sw-unit/src/lib.rs
+++ b/crates/sw-unit/src/lib.rs
@@ -13,4 +13,6 @@
 pub use quantity::{
     Bytes, FencingToken, Incarnation, Millis, Money, ParseQuantityError, Rate, Tokens, Version, Weight,
 };
-pub use types::{Digest, ParseDigestError, ParsePartIdError, PartId, Time, WallTime};
+pub use types::{
+    Digest, Fingerprint, ParseDigestError, ParseFingerprintError, ParsePartIdError, PartId, Time, WallTime,
+};
