fix(proxy,peer): an error in a stream through another region is seen at once by the VM of the caller

What callers saw: a stream that a VM of another region relayed stood still when its server broke off, until the timeout of its route (8.0 s in the test), and ended then. It was not resumed although other servers were there.

Cause: the VM that made the attempt saw the break and ended the body, but told it by dropping its sender of events. The task that waits until the caller's VM has everything holds a sender of the same channel, so that the channel never ended: each side waited for the other. A complete response and a refusal were told by an event, so that only breaks were concerned.

Change: a response that breaks off is an event as well, `RelayEvent::Broken`, which fails the call, after all chunks before it have arrived. What goes over the wire is as before, so that old and new VMs understand each other.

This may also be the cause of LOST where streams were forwarded; that was not traced.

--- a/crates/sw-peer/src/relay/server.rs
+++ b/crates/sw-peer/src/relay/server.rs
@@ -179,6 +179,11 @@
                 while in_flight.next().await.transpose()?.is_some() {}
                 return Ok((length, end));
             }
+            // The peer must have all chunks before the call fails, as it drops those that are still in flight.
+            RelayEvent::Broken => {
+                while in_flight.next().await.transpose()?.is_some() {}
+                break;
+            }
             RelayEvent::NotSent => return Ok((length, Err(Kind::EndpointUnreachable.into()))),
         }
     }
--- a/crates/sw-peer/src/relay/types.rs
+++ b/crates/sw-peer/src/relay/types.rs
@@ -48,6 +48,8 @@
     Chunk(Bytes),
     /// The last event: the response is complete, or the request is refused.
     End(Result<(), Refusal>),
+    /// The last event: the response broke off.
+    Broken,
     /// No connection was established, so nothing was sent.
     NotSent,
 }
--- a/crates/sw-proxy/src/forward.rs
+++ b/crates/sw-proxy/src/forward.rs
@@ -88,7 +88,7 @@
         },
         Ok(Some(RelayEvent::End(Err(refusal)))) => return Err(ForwardError::Refused(refusal)),
         Ok(Some(RelayEvent::NotSent)) => AttemptOutcome::Unreachable,
-        Ok(Some(RelayEvent::Chunk(_) | RelayEvent::End(Ok(()))) | None) => AttemptOutcome::Broken,
+        Ok(Some(RelayEvent::Chunk(_) | RelayEvent::End(Ok(())) | RelayEvent::Broken) | None) => AttemptOutcome::Broken,
         Err(_elapsed) => AttemptOutcome::Timeout,
     };
     let age = state.now().since(request.admitted.received_at);
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -84,16 +84,14 @@
         let received = self.0.now();
         let mut id = Arc::from("");
         let end = match serve_forwarded(&self.0, call, &mut id).await {
-            Ok(response) => relay_response(response, &events).await,
+            Ok(response) => relay_response(response, &events).await.unwrap_or(RelayEvent::Broken),
             Err(refusal) => {
                 telemetry::log_refusal(&id, "", refusal, self.0.now().since(received));
-                Some(RelayEvent::End(Err(refusal)))
+                RelayEvent::End(Err(refusal))
             }
         };
-        if let Some(end) = end {
-            // Fails only if the other VM has cancelled the request.
-            let _closed = events.send(end).await;
-        }
+        // Fails only if the other VM has cancelled the request.
+        let _closed = events.send(end).await;
         tokio::task::spawn_local(async move {
             sw_peer::wait_until_delivered(&events).await;
             drop(active);
