fix(proxy): an error after a stream has begun is not part of the stream

Here an answer with an error status was left out already. These were not, and became a part of the stream or its end: a 200 with another media type or a content encoding; an event `error`, or any event without an id; events that the caller had already; a 200 without an event, a 204 and a 206, each of which ended the stream as complete; and a stream whose events have no ids was started again in its middle.

Cause: that an answer continues the stream was concluded from its success alone.

Change: what continues a body must have its status, media type and encoding; its first event must have an id that follows the last one that was relayed (ids increase, but not always by one, so that a gap cannot be seen); it must have an event before it ends; and a stream without ids is not resumed. Anything else counts as a break of that attempt: another one is made if there is any left, or the stream of the caller is broken off.

--- a/crates/sw-proxy/src/sse.rs
+++ b/crates/sw-proxy/src/sse.rs
@@ -83,6 +83,11 @@
         self.last_id.as_deref()
     }
 
+    /// Takes back the id of events that are not relayed.
+    pub fn reset_last_id(&mut self, id: Option<String>) {
+        self.last_id = id;
+    }
+
     /// Returns whether the stream is inside an event.
     pub fn has_partial(&self) -> bool {
         !self.buf.is_empty() || self.partial_len > 0
--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -14,11 +14,13 @@
 use tokio::sync::mpsc;
 
 use crate::attempt::BufferedRequest;
+use crate::continuation::StreamFormat;
+use crate::continuation::{self, FirstEvent};
 use crate::incoming::{BodyPart, BodySource, IncomingResponse};
 use crate::request::{HttpResponse, start_attempt, start_endpoint_attempt};
 use crate::reservation::{ReservationGuard, reserve};
 use crate::state::{ActiveGuard, ProxyState};
-use crate::{Dialect, EventSplitter, resumption, telemetry};
+use crate::{Dialect, EventSplitter, EventTooLongError, resumption, telemetry};
 
 type Sender = mpsc::Sender<Result<Bytes, BodyError>>;
 
@@ -35,8 +37,11 @@
     if let Some(software) = &response.software {
         head.extensions_mut().insert(software.clone());
     }
+    let format = StreamFormat::of(&head);
     let relay = StreamRelay {
         state: Rc::clone(state),
+        format,
+        source_has_event: false,
         has_started: false,
         software: response.software,
         events: EventSplitter::default(),
@@ -58,6 +63,10 @@
     request: BufferedRequest,
     history: AttemptHistory,
     events: EventSplitter,
+    /// Format of the body that has begun.
+    format: StreamFormat,
+    /// Whether the current source has sent an event.
+    source_has_event: bool,
     last_chunk_at: Option<Time>,
     /// The software version of the current source; `None` if it does not state one.
     software: Option<SoftwareVersion>,
@@ -116,6 +125,8 @@
     Accepted,
     /// The event exceeds the length limit.
     TooLong,
+    /// The first event does not follow the last one that was relayed.
+    NotContinued,
     CallerGone,
 }
 
@@ -128,6 +139,7 @@
                     match self.relay_chunk(&data, &tx).await {
                         ChunkOutcome::Accepted => continue,
                         ChunkOutcome::TooLong => SourceFailure::broken("endless_event"),
+                        ChunkOutcome::NotContinued => SourceFailure::broken("not_continued"),
                         ChunkOutcome::CallerGone => return,
                     }
                 }
@@ -215,7 +227,10 @@
     /// Relays a chunk; of a resumable stream only the events that are complete.
     async fn relay_chunk(&mut self, data: &Bytes, tx: &Sender) -> ChunkOutcome {
         let complete = if self.is_resumable {
-            self.events.push(data)
+            match self.push_events(data) {
+                Some(complete) => complete,
+                None => return ChunkOutcome::NotContinued,
+            }
         } else if self.request.admitted.route.kind.is_streaming() {
             self.events.check_len(data).map(|()| data.clone())
         } else {
@@ -231,6 +246,7 @@
             stall.on_event(&self.request.admitted, self.state.now());
         }
         if self.is_resumable && !std::mem::replace(&mut self.has_started, true) {
+            self.source_has_event = true;
             self.pin_software();
         }
         match tx.send(Ok(complete)).await {
@@ -239,6 +255,27 @@
         }
     }
 
+    /// Returns the events that are complete with a chunk of a resumable stream; `None` if they do not continue it.
+    fn push_events(&mut self, data: &Bytes) -> Option<Result<Bytes, EventTooLongError>> {
+        if self.source_has_event || !self.has_started {
+            return Some(self.events.push(data));
+        }
+        let last_id = self.events.last_event_id().map(str::to_owned);
+        let complete = match self.events.push(data) {
+            Ok(complete) => complete,
+            Err(too_long) => return Some(Err(too_long)),
+        };
+        match continuation::check_first_event(&complete, last_id.as_deref()) {
+            FirstEvent::Continues => self.source_has_event = true,
+            FirstEvent::Missing => {}
+            FirstEvent::Differs => {
+                self.events.reset_last_id(last_id);
+                return None;
+            }
+        }
+        Some(Ok(complete))
+    }
+
     /// Pins the request to the software version whose first event goes to the caller.
     fn pin_software(&mut self) {
         let admitted = &mut self.request.admitted;
@@ -268,7 +305,9 @@
         if self.events.has_partial() && (self.is_resumable || may_have_broken) {
             return Some("incomplete_event");
         }
-        (may_have_broken && self.last_chunk_at.is_none()).then_some("no_event")
+        // Whether a stream that has begun was complete is not known from an endpoint that sends nothing of it.
+        let continues_nothing = self.is_resumable && self.has_started && !self.source_has_event;
+        (may_have_broken && self.last_chunk_at.is_none() || continues_nothing).then_some("no_event")
     }
 
     /// Records the arrival time of a chunk.
@@ -298,7 +337,12 @@
         }
         self.events.discard_partial();
         self.last_chunk_at = None;
+        self.source_has_event = false;
         self.request.last_event_id = self.events.last_event_id().map(str::to_owned);
+        // Without the id of an event, another endpoint would start again.
+        if self.has_started && self.request.last_event_id.is_none() {
+            return None;
+        }
         while self.request.admitted.remaining(self.state.now()) > Millis(0) {
             let retried = tokio::select! {
                 retried = self.retry(target.take()) => retried?,
@@ -333,7 +377,7 @@
             self.log_resumed(choice.target());
             start_attempt(&self.state, &self.request, &choice, &mut self.history).await
         };
-        Some(response.ok().filter(|response| response.head.status().is_success()))
+        Some(response.ok().filter(|response| self.format.matches(&response.head)))
     }
 
     fn log_resumed(&self, target: &str) {
