fix(proxy): a resumed stream does not end in error at the length that its first server stated

What callers saw: nothing yet; found with the tests of errors in a stream that has begun. The head of the first server was relayed with its length. If that server broke off and the events of the next one were longer, the rest was cut off inside an event, and the response looked complete.

Change: the length is not relayed for a stream that may be resumed; it is sent in chunks.

--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::header::CONTENT_LENGTH;
 use sw_http::{BodyError, channel};
 use sw_relay::{AttemptHistory, AttemptOutcome, Choice, EndpointEntry, RouteKind, SoftwareVersion, StallDetector};
 use sw_unit::{Millis, Time};
@@ -38,6 +39,10 @@
         head.extensions_mut().insert(software.clone());
     }
     let format = StreamFormat::of(&head);
+    if is_resumable {
+        // The events of another endpoint may have other lengths.
+        head.headers_mut().remove(CONTENT_LENGTH);
+    }
     let relay = StreamRelay {
         state: Rc::clone(state),
         format,
