fix(proxy): a refusal written twice is not the answer to the next attempt of its request

What callers saw: from other operators: 'not run, try again' for requests that a server had run or was running, after a faulty server had written an earlier refusal once more on a kept connection.

What was found: a connection is closed after a refusal, so that a copy on the same connection is never read, whether it comes with the refusal, later or after the next request. On a connection that is kept after an answer, bytes that arrive while it is idle close it; a refusal of another request there is a break, which promises nothing, and so is one without an id. One way in was open: an idempotent request that was refused may be sent to the same server again, with the same id, and that attempt could use another connection that was kept. A copy of the first refusal there has the id of the request and looked like the answer.

Change: a request that was sent to an endpoint before gets a new connection. First attempts use kept connections as before, so that the number of new connections grows only by repeats at the same endpoint.

Left: a caller that uses its own id again, at a server that writes the copy to another of its connections.

--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -143,9 +143,10 @@
     request: &BufferedRequest,
     endpoint: &EndpointEntry,
     reservation: Option<ReservationGuard<D, F>>,
-    can_retry_elsewhere: bool,
+    history: &AttemptHistory,
 ) -> Result<IncomingResponse<D, F>, AttemptOutcome> {
     let admitted = &request.admitted;
+    let can_retry_elsewhere = request.can_retry_elsewhere(history);
     let grant = reservation.as_ref().map(ReservationGuard::grant);
     let attempt = state
         .relay
@@ -167,6 +168,7 @@
         endpoint,
         cache_source,
         token_taken_at,
+        reuse: reuse(admitted, endpoint, history),
     };
     match send_request(state, request, &target, expected_ms, can_retry_elsewhere).await {
         Ok((exchange, response, response_head)) => {
@@ -202,6 +204,21 @@
     cache_source: Option<SocketAddr>,
     /// When a token of the endpoint's rate limit was taken.
     token_taken_at: Option<Time>,
+    reuse: Reuse,
+}
+
+/// Returns which connections to an endpoint a request may be sent on.
+///
+/// A faulty endpoint may write a response once more on a connection that is kept. The response to another request has
+/// another id; one to an earlier attempt of the same request cannot be told apart.
+fn reuse(admitted: &AdmittedRequest, endpoint: &EndpointEntry, history: &AttemptHistory) -> Reuse {
+    if history.has_endpoint(&endpoint.id) {
+        Reuse::Never
+    } else if admitted.route.kind.is_repeatable() {
+        Reuse::Allowed
+    } else {
+        Reuse::IdleFor(MAX_IDLE_UNREPEATABLE)
+    }
 }
 
 async fn send_request<D: Dialect, F: 'static>(
@@ -213,12 +230,7 @@
 ) -> Result<(Exchange, Response<Incoming>, ResponseHead), (AttemptOutcome, u16)> {
     let admitted = &request.admitted;
     let endpoint = target.endpoint;
-    let reuse = if admitted.route.kind.is_repeatable() {
-        Reuse::Allowed
-    } else {
-        Reuse::IdleFor(MAX_IDLE_UNREPEATABLE)
-    };
-    let connection = state.connector.connect(endpoint.address, reuse).await;
+    let connection = state.connector.connect(endpoint.address, target.reuse).await;
     let mut exchange = connection.map_err(|_no_connection| (AttemptOutcome::Unreachable, 0))?;
     // While the connection was made, the response may have become due, or the endpoint may have become unusable: it
     // restarted, is leaving, evacuated, rejects requests of this VM, or named a rate limit. Or a part of the prompt was
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -180,14 +180,7 @@
     reservation: Option<ReservationGuard<D, F>>,
     history: &mut AttemptHistory,
 ) -> Result<IncomingResponse<D, F>, AttemptOutcome> {
-    let response = attempt::send(
-        state,
-        request,
-        endpoint,
-        reservation,
-        request.can_retry_elsewhere(history),
-    )
-    .await;
+    let response = attempt::send(state, request, endpoint, reservation, history).await;
     history.record_endpoint(&endpoint.id, response.as_ref().err().copied());
     record_response(state, request, response)
 }
