fix(relay): VMs of the build before are copied from while the store loses nothing

Cause: an era that is not sent was decoded as 0, which is lower than any that the store states.

Change: a heartbeat says whether its sender knows eras. One that does not is taken to be in this VM's era until the store is restored, and counts as older from then on.

--- a/crates/sw-peer/src/relay/store.rs
+++ b/crates/sw-peer/src/relay/store.rs
@@ -34,11 +34,11 @@
 }
 
 pub(super) fn store_state(from: wire::beat::Reader<'_>) -> StoreState {
-    // A VM that knows no eras cannot know a restored store.
-    let era = era(from.get_era()).unwrap_or_default();
+    let era = era(from.get_era());
     StoreState {
-        position: StorePosition::new(era, from.get_revision()),
+        position: StorePosition::new(era.unwrap_or_default(), from.get_revision()),
         retains: from.get_retains(),
+        knows_eras: era.is_some(),
     }
 }
 
--- a/crates/sw-proxy/src/records.rs
+++ b/crates/sw-proxy/src/records.rs
@@ -47,6 +47,7 @@
     relay.set_store_state(StoreState {
         position,
         retains: retained > 0,
+        knows_eras: true,
     });
     for endpoint in relay.tick(now) {
         let endpoint = endpoint.as_str();
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -108,6 +108,8 @@
     pub(crate) models: IndexMap<ServiceId, LatencyModel>,
     pub(crate) regions: RemoteRegions,
     pub(crate) store: StoreState,
+    /// Whether the store was restored from an older copy since this VM started.
+    pub(crate) store_restored: bool,
     /// Recent requests by route.
     pub(crate) traffic: IndexMap<String, f64>,
     pub(crate) peer_stores: IndexMap<VmId, StoreState>,
@@ -146,6 +148,7 @@
             models: IndexMap::new(),
             regions: RemoteRegions::new(),
             store: StoreState::default(),
+            store_restored: false,
             traffic: IndexMap::new(),
             peer_stores: IndexMap::new(),
             peer_digests: IndexMap::new(),
--- a/crates/sw-relay/src/store_state.rs
+++ b/crates/sw-relay/src/store_state.rs
@@ -15,6 +15,8 @@
     pub position: StorePosition,
     /// Whether the mirror retains states that the store has lost.
     pub retains: bool,
+    /// Whether the VM knows eras; one of an earlier build does not.
+    pub knows_eras: bool,
 }
 
 /// Number of own records that are written to the store again.
@@ -31,6 +33,7 @@
     /// wrote is written again. Returns how much that is.
     pub fn on_store_restored(&mut self, now: Time) -> Rewritten {
         self.registry.on_store_recovered(now);
+        self.store_restored = true;
         Rewritten {
             services: self.versions.on_store_restored(),
             streams: self.origins.on_store_restored(),
@@ -49,7 +52,18 @@
 
     /// Returns the nearest live VM whose mirror of the store is at a later position than that of this VM.
     pub fn peer_with_newer_position(&self, now: Time) -> Option<&VmRow> {
-        self.nearest_peer(|store| store.position > self.store.position, now)
+        self.nearest_peer(|store| self.is_newer(*store), now)
+    }
+
+    /// Returns whether another VM's mirror is at a later position. A VM that knows no eras is taken to be in this VM's
+    /// era until the store is restored.
+    fn is_newer(&self, other: StoreState) -> bool {
+        let local = self.store.position;
+        if other.knows_eras || self.store_restored {
+            other.position > local
+        } else {
+            other.position.revision > local.revision
+        }
     }
 
     /// Returns the nearest live VM of this VM's era that retains states that the store has lost.
--- a/crates/sw-relay/tests/store_restore.rs
+++ b/crates/sw-relay/tests/store_restore.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use support::{endpoint, relay, service};
+use support::{endpoint, heartbeat, relay, row, service};
 use sw_relay::{Relay, Replication, ServiceSoftware, SoftwareVersion, StoreRecord, StoreState, StreamOrigin};
 use sw_unit::{StoreEra, StorePosition, Time};
 
@@ -31,10 +31,34 @@
     relay.set_store_state(StoreState {
         position: StorePosition::new(StoreEra(1), 5),
         retains: false,
+        knows_eras: true,
     });
     relay
 }
 
+/// Guards against VMs that copy from a VM of an earlier era because its revision is higher, and against VMs of the build
+/// before whose mirrors are not used.
+#[test]
+fn a_higher_revision_is_newer_only_within_an_era() {
+    let mut relay = writer();
+    let hear = |relay: &mut Relay, era: u64, revision: u64, knows_eras: bool| {
+        let mut beat = heartbeat(row("vm-9", "north"), Vec::new());
+        beat.store = StoreState {
+            position: StorePosition::new(StoreEra(era), revision),
+            retains: false,
+            knows_eras,
+        };
+        relay.on_heartbeat(beat, JOINED);
+        relay.peer_with_newer_position(JOINED).is_some()
+    };
+    assert!(hear(&mut relay, 2, 4, true));
+    assert!(!hear(&mut relay, 0, 9, true));
+    assert!(!hear(&mut relay, 0, 4, false));
+    assert!(hear(&mut relay, 0, 9, false));
+    relay.on_store_restored(JOINED);
+    assert!(!hear(&mut relay, 0, 9, false));
+}
+
 /// Guards against streams that are refused after all VMs have ended, because the store had lost the recorded versions.
 #[test]
 fn recorded_versions_are_written_again_until_the_store_shows_them() {
