--- a/crates/sw-relay/tests/odd_input.rs
+++ b/crates/sw-relay/tests/odd_input.rs
@@ -171,9 +171,10 @@
 }
 
 fn store_state() -> impl Strategy<Value = StoreState> {
-    (whole(), whole(), any::<bool>()).prop_map(|(era, revision, retains)| StoreState {
+    (whole(), whole(), any::<bool>(), any::<bool>()).prop_map(|(era, revision, retains, knows_eras)| StoreState {
         position: StorePosition::new(StoreEra(era), revision),
         retains,
+        knows_eras,
     })
 }
 
