fix(relay): name VMs in a planned stop before those of a region that may not serve

Cause: at second 6.6 all VMs of two regions are in planned stops that overlap. The directory named live VMs only, so the third region was what remained, although it may not run a third of the host's requests. The stopping VMs still accept until callers' directory answers have run out.

Change: if no live VM is in the caller's region, VMs in a planned stop with a recent heartbeat are named when live ones may serve less than 0.95 of the requests that the former may, those of the caller's region first. Near VMs, live VMs of the region and callers without a host are answered as before.

Ruled out: naming stopping VMs whenever their region permits more than the best live one; a host with one small route that is bound to a region would lose its live VMs (the second test fails with a share of 1).

Evidence: vms_in_a_planned_stop_are_named_before_those_of_a_region_that_may_not_serve failed on the code before (left ["vm-w"], right ["vm-2"]).

A caller that is named a stopping VM in its last second of accepting can find it closed; it then asks the directory again.

--- a/crates/sw-member/src/members.rs
+++ b/crates/sw-member/src/members.rs
@@ -180,6 +180,12 @@
         self.peers.get(vm).map(|member| self.state_of(member, now))
     }
 
+    /// Iterates over the VMs whose last heartbeat is recent, live or leaving, this VM included.
+    pub fn heard_vms(&self, now: Time) -> impl Iterator<Item = &VmRow> {
+        let heard = self.peers.values().filter(move |member| self.is_heard(member, now));
+        std::iter::once(&self.local).chain(heard.map(|member| &member.row))
+    }
+
     /// Returns the row of a VM, which may be this one.
     pub fn row(&self, vm: &VmId) -> Option<&VmRow> {
         if *vm == self.local.vm {
@@ -301,10 +307,14 @@
     fn state_of(&self, member: &Member, now: Time) -> VmState {
         if member.row.leaving {
             VmState::Leaving
-        } else if now.since(member.received_at) < self.suspect_after(&member.row.domain) {
+        } else if self.is_heard(member, now) {
             VmState::Live
         } else {
             VmState::Suspect
         }
     }
+
+    fn is_heard(&self, member: &Member, now: Time) -> bool {
+        now.since(member.received_at) < self.suspect_after(&member.row.domain)
+    }
 }
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -14,6 +14,9 @@
 
 /// Minimum number of entry VMs of the caller's failure domain; with fewer, those of the whole region are named.
 const MIN_ENTRY_VMS: usize = 2;
+/// Share of a host's permitted requests that live VMs of another region must be permitted to serve, so that callers are led
+/// to them and not to VMs in a planned stop.
+const MIN_LIVE_TRAFFIC_SHARE: f64 = 0.95;
 /// Maximum age of a view of another domain that is sent on to neighbours.
 const MAX_VIEW_AGE: Millis = Millis(4_000);
 /// Share of a region's endpoints, the least busy ones, whose mean wait is reported as the wait of a new request.
@@ -286,16 +289,15 @@
 
     /// Returns the entry VMs for a caller: live VMs of its failure domain or its region.
     ///
-    /// If there are none, these are the VMs of the regions in which most of the host's requests may run. A VM that has
-    /// just started and does not know any other VM yet returns none.
+    /// If there are none, these are the VMs of the regions in which most of the host's requests may run: the live ones, or
+    /// those in a planned stop if no live VM may serve nearly as many requests. A VM that has just started and does not know
+    /// any other VM yet returns none.
     pub fn entry_vms(&self, query: EntryQuery<'_>, now: Time) -> Vec<VmRow> {
         if self.is_joining(now) {
             return Vec::new();
         }
-        let local = Some(self.members.local()).filter(|row| !row.leaving);
-        let peers = self.members.peers();
-        let peers = peers.filter(|row| self.is_live(&row.vm, now));
-        let live: Vec<_> = local.into_iter().chain(peers).cloned().collect();
+        let heard: Vec<_> = self.members.heard_vms(now).cloned().collect();
+        let live = filter_rows(&heard, |row| !row.leaving);
         let near = filter_rows(&live, |row| Some(&row.domain) == query.domain);
         if near.len() >= MIN_ENTRY_VMS {
             return near;
@@ -304,9 +306,24 @@
         if !in_region.is_empty() {
             return in_region;
         }
-        let traffic = |row: &VmRow| query.host.map_or(0.0, |host| self.permitted_traffic(host, &row.region));
-        let most = live.iter().map(traffic).fold(0.0, f64::max);
-        filter_rows(&live, |row| traffic(row) >= most)
+        let (best_live, live_traffic) = self.most_permitted(&live, query.host);
+        let (best, traffic) = self.most_permitted(&heard, query.host);
+        if live_traffic >= traffic * MIN_LIVE_TRAFFIC_SHARE {
+            return best_live;
+        }
+        let stopping_in_region = filter_rows(&best, |row| Some(&row.region) == query.region);
+        if stopping_in_region.is_empty() {
+            best
+        } else {
+            stopping_in_region
+        }
+    }
+
+    /// Returns those of the VMs in whose region most of the host's requests may run, and the weight of these requests.
+    fn most_permitted(&self, rows: &[VmRow], host: Option<&str>) -> (Vec<VmRow>, f64) {
+        let traffic = |row: &VmRow| host.map_or(0.0, |host| self.permitted_traffic(host, &row.region));
+        let most = rows.iter().map(traffic).fold(0.0, f64::max);
+        (filter_rows(rows, |row| traffic(row) >= most), most)
     }
 
     /// Returns the live VMs of a region to which a request was not sent before.
--- a/crates/sw-relay/tests/directory.rs
+++ b/crates/sw-relay/tests/directory.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use support::{HOST, admit, heartbeat, relay, row};
+use sw_member::VmRow;
 use sw_relay::{EntryQuery, Relay};
 use sw_unit::{DomainId, RegionId, Time};
 
@@ -44,6 +45,56 @@
     assert_eq!(entries(&relay, "east", Time(200)), ["vm-0", "vm-2"]);
 }
 
+/// The row of a VM that is in a planned stop.
+fn stopping_row(name: &str, region: &str) -> VmRow {
+    VmRow {
+        leaving: true,
+        ..row(name, region)
+    }
+}
+
+/// Guards against callers that are led to a region in which their requests may not run while the VMs of all others are in
+/// planned stops that overlap.
+#[test]
+fn vms_in_a_planned_stop_are_named_before_those_of_a_region_that_may_not_serve() {
+    let mut relay = support::relay_in("vm-w", "west");
+    for vm in [stopping_row("vm-0", "north"), stopping_row("vm-2", "south")] {
+        relay.on_heartbeat(heartbeat(vm, Vec::new()), Time(100));
+    }
+    // The busy route is permitted in north and south only, the idle one in the west only.
+    for _ in 0..20 {
+        admit(&mut relay, "query", None, Time(150));
+    }
+    assert_eq!(entries(&relay, "south", Time(200)), ["vm-2"], "its own region accepts");
+    assert_eq!(entries(&relay, "east", Time(200)), ["vm-0", "vm-2"]);
+    assert_eq!(entries(&relay, "west", Time(200)), ["vm-w"]);
+    assert_eq!(
+        entries(&relay, "south", Time(3_000)),
+        ["vm-w"],
+        "a VM without recent heartbeats no longer accepts"
+    );
+    relay.on_heartbeat(heartbeat(row("vm-1", "north"), Vec::new()), Time(3_100));
+    relay.on_heartbeat(heartbeat(stopping_row("vm-2", "south"), Vec::new()), Time(3_100));
+    assert_eq!(
+        entries(&relay, "south", Time(3_200)),
+        ["vm-1"],
+        "a live VM that may serve comes first"
+    );
+}
+
+/// Guards against callers of a host that are led to VMs in planned stops although live ones may serve nearly all of it.
+#[test]
+fn live_vms_are_named_before_those_in_a_planned_stop_if_they_may_serve_nearly_all_requests() {
+    let mut relay = support::relay_in("vm-w", "west");
+    relay.on_heartbeat(heartbeat(stopping_row("vm-2", "south"), Vec::new()), Time(100));
+    // A small share of the requests is permitted in the south and not in the west.
+    for index in 0..200 {
+        let route = if index % 50 == 0 { "query" } else { "read" };
+        admit(&mut relay, route, None, Time(150));
+    }
+    assert_eq!(entries(&relay, "south", Time(200)), ["vm-w"]);
+}
+
 #[test]
 fn starting_vm_that_knows_no_other_names_none() {
     let mut relay = relay();
