fix(proxy): a body length at the largest number, under a malformed limit, is refused

What callers saw: nothing yet. With the largest number as limit of bodies in the configuration, a request that states a length of about that overflowed the count of the memory for bodies; its task ended without a response.

Change: the sum saturates, so that such a request is refused as overload.

--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -256,7 +256,7 @@
     if expected == 0 && body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    if state.body_bytes.get() + expected > state.options().body_memory.0 {
+    if state.body_bytes.get().saturating_add(expected) > state.options().body_memory.0 {
         return Err(Kind::Overloaded.into());
     }
     state.body_bytes.set(state.body_bytes.get() + expected);
