test(soak): a store that goes back to an older copy

The soak keeps copies of its store, up to 5 s old. As one of its faults, the store is away for a moment and goes back to one of them in a new era; what the operator and the servers had written since is written again within 2 s, in any order. After the other faults there is one more restore, between two configurations and two servers that leave. Checked: no process goes back from the newest version; after a restore, the newest is in force at all VMs within 3 s, and neither server gets a request, the one that the copy shows ready included. Each configuration adds the route of its version.

--- a/crates/shallotwing-daemon/tests/soak/faults.rs
+++ b/crates/shallotwing-daemon/tests/soak/faults.rs
@@ -5,7 +5,7 @@
 
 use crate::support::registration;
 use crate::support::server::Instance;
-use crate::{SERVERS, Soak};
+use crate::{RESTORED_INCARNATION, SERVERS, Soak};
 
 /// Rate limits that servers name, in requests per second.
 const LIMITS: [f64; 4] = [0.3, 1.0, 4.0, 20.0];
@@ -17,7 +17,7 @@
     pub async fn inject_fault(&mut self) {
         let at = self.rng.usize(..self.vms.len());
         let vm = &mut self.vms[at];
-        match self.rng.u32(..16) {
+        match self.rng.u32(..17) {
             0 => {
                 vm.child.kill().expect("a child");
                 vm.child.wait().expect("a child");
@@ -46,10 +46,8 @@
             11 => self.toggle_limit(),
             12 | 13 => self.replace_server(),
             14 => self.kill_all(),
-            9 => {
-                self.version += 1 + self.rng.u64(..3);
-                self.store.put_config(self.version);
-            }
+            9 => self.configure(),
+            16 => self.restore_store().await,
             _ => self.toggle_server(),
         }
     }
@@ -114,7 +112,7 @@
     pub fn restore_servers(&self) {
         for (server, (_, region)) in self.servers.iter().zip(SERVERS) {
             let mut doc = registration(server.address, region, "ready");
-            doc["born"] = 1_000_000.into();
+            doc["born"] = RESTORED_INCARNATION.into();
             doc["version"] = server.version().into();
             self.store.put(&format!("servers/{}", server.id()), &doc);
             server.set_limit(None);
--- a/crates/shallotwing-daemon/tests/soak/main.rs
+++ b/crates/shallotwing-daemon/tests/soak/main.rs
@@ -9,6 +9,7 @@
 mod callers;
 mod checks;
 mod faults;
+mod restore;
 #[path = "../../../../platform/tests/support/mod.rs"]
 mod support;
 mod vm;
@@ -22,6 +23,8 @@
 use tokio::time::{Instant, sleep};
 
 use callers::{RequestRecord, SoakClient};
+use restore::Copies;
+use support::fleet::config_with_route;
 use support::server::{CrashingPart, StandinServer};
 use support::store::StandinStore;
 use support::{client, registration, run};
@@ -36,6 +39,8 @@
 const RECOVERY: Duration = Duration::from_secs(12);
 /// Part that crashes each server that begins to answer it.
 const CRASHING_PART: &str = "dead";
+/// Incarnation of all servers after the faults have ended.
+const RESTORED_INCARNATION: u64 = 1_000_000;
 
 struct Soak {
     store: StandinStore,
@@ -49,13 +54,15 @@
     /// The limits that the servers name, and since when.
     limits: [Option<(f64, std::time::Instant)>; SERVERS.len()],
     rng: fastrand::Rng,
+    /// The newest version of the configuration.
     version: u64,
+    copies: Copies,
 }
 
 impl Soak {
     async fn start(seed: u64) -> Self {
         let store = StandinStore::start().await;
-        store.put_config(1);
+        store.put("op/config", &config_with_route(1));
         let mut servers = Vec::new();
         for (name, region) in SERVERS {
             let server = StandinServer::start(name).await;
@@ -85,6 +92,7 @@
             limits: [None; SERVERS.len()],
             rng: fastrand::Rng::with_seed(seed),
             version: 1,
+            copies: Copies::default(),
         }
     }
 
@@ -130,12 +138,14 @@
         .collect();
     let end = Instant::now() + Duration::from_secs(seconds);
     while Instant::now() < end {
+        soak.keep_copy();
         soak.inject_fault().await;
         sleep(Duration::from_millis(soak.rng.u64(PAUSE))).await;
         if soak.rng.u32(..3) == 0 {
             soak.heal();
         }
         soak.check();
+        soak.check_versions_in_force().await;
         soak.check_limits();
         soak.check_versions();
     }
@@ -143,6 +153,7 @@
     soak.restore_servers();
     soak.wait_until_recovered().await;
     soak.check_crashing_part().await;
+    soak.check_restore().await;
     for client in clients {
         client.abort();
     }
--- a/crates/shallotwing-daemon/tests/soak/vm.rs
+++ b/crates/shallotwing-daemon/tests/soak/vm.rs
@@ -30,6 +30,8 @@
     pub store_link: Link,
     pub child: Child,
     pub frozen: bool,
+    /// Newest version of the configuration that the process was seen to use.
+    pub in_force: Option<u64>,
 }
 
 impl Vm {
@@ -44,6 +46,7 @@
     pub fn restart(&mut self) {
         self.child = spawn(self.file.path());
         self.frozen = false;
+        self.in_force = None;
     }
 
     /// Waits until a process that received SIGTERM exits.
@@ -98,5 +101,6 @@
         store_link: link,
         child,
         frozen: false,
+        in_force: None,
     }
 }
