--- a/crates/sw-proxy/src/restore.rs
+++ b/crates/sw-proxy/src/restore.rs
@@ -12,8 +12,10 @@
 
 use crate::records::Source;
 use crate::state::ProxyState;
-use crate::{Dialect, records};
+use crate::{Dialect, heartbeat, records};
 
+/// Delay until other failure domains are told that a grace period is over; by then it is over at all VMs.
+const ANNOUNCE_DELAY: Duration = Duration::from_millis(100);
 /// Maximum number of retained states that one pass logs singly.
 const MAX_LOGGED: usize = 32;
 
@@ -36,14 +38,15 @@
         (mirror.position(), mirror.retained_len())
     };
     state.store_recovered_at.set(Some(now));
-    state.relay.borrow_mut().on_store_recovered(now);
+    let rewritten = state.relay.borrow_mut().on_store_restored(now);
     let (before, after) = (before.to_string(), after.to_string());
     let (before, after, source): (_, _, &'static str) = (before.as_str(), after.as_str(), source.into());
-    warn!("store_restored", kv: { before, after, source, retained });
+    let (services, streams) = (rewritten.services, rewritten.streams);
+    warn!("store_restored", kv: { before, after, source, retained, services, streams });
 }
 
 /// Ends the retention of states when their grace periods are over, until the process ends.
-pub(crate) async fn run<D: Dialect, F>(state: Rc<ProxyState<D, F>>) {
+pub(crate) async fn run<D: Dialect, F: 'static>(state: Rc<ProxyState<D, F>>) {
     loop {
         let next_expiry = state.mirror.borrow().next_expiry();
         let Some(next_expiry) = next_expiry else {
@@ -58,6 +61,13 @@
         }
         let changes = state.mirror.borrow_mut().expire(state.now());
         records::apply(&state, &changes, Source::GracePeriod);
+        if !changes.is_empty() {
+            let state = Rc::clone(&state);
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(ANNOUNCE_DELAY).await;
+                heartbeat::announce_to_domains(&state);
+            });
+        }
     }
 }
 
