fix(relay): what this VM observed of a crash counts, whichever VM reports it first

Cause: the broken attempts of an endpoint were dropped when the report of its crash arrived; the check of this VM then found nothing to confirm. VMs of the test rig can find out about a crash late. Change: the report is merged with what was observed, and the other VMs are told at once what they did not know.

--- a/crates/sw-relay/src/crash_evidence.rs
+++ b/crates/sw-relay/src/crash_evidence.rs
@@ -76,6 +76,17 @@
     pub age: Millis,
 }
 
+/// What the report of another VM adds to the evidence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ReportOutcome {
+    /// Nothing.
+    Known,
+    /// A crash, or suspects of one.
+    News,
+    /// A crash under which this VM had observed further suspects, which the other VMs do not know.
+    Completed,
+}
+
 /// An incarnation of an endpoint.
 type EndpointKey = (EndpointId, Incarnation);
 
@@ -166,20 +177,30 @@
         suspects.any(|suspect| suspect.is_request())
     }
 
-    /// Merges what another VM reports; returns whether that is news.
-    pub(crate) fn on_report(&mut self, report: &CrashReport, now: Time) -> bool {
+    /// Merges what another VM reports.
+    pub(crate) fn on_report(&mut self, report: &CrashReport, now: Time) -> ReportOutcome {
         let key = (report.endpoint.clone(), report.incarnation);
         if let Some(crash) = self.crashes.get_mut(&key) {
-            return add_suspects(crash, &report.suspects, now);
+            return if add_suspects(crash, &report.suspects, now) {
+                ReportOutcome::News
+            } else {
+                ReportOutcome::Known
+            };
         }
-        let crash = Crash {
+        let mut crash = Crash {
             at: now - report.age,
             suspects: bounded(&report.suspects),
             changed_at: now,
         };
-        self.breaks.swap_remove(&key);
+        let broken = self.breaks.swap_remove(&key);
+        let observed: Vec<_> = broken.into_iter().flat_map(|broken| broken.suspects).collect();
+        let is_completed = extend_bounded(&mut crash.suspects, &observed);
         self.insert(key, crash);
-        true
+        if is_completed {
+            ReportOutcome::Completed
+        } else {
+            ReportOutcome::News
+        }
     }
 
     /// Merges what another VM reports; its report may be older than it says by `transit`.
--- a/crates/sw-relay/src/quarantine.rs
+++ b/crates/sw-relay/src/quarantine.rs
@@ -20,7 +20,7 @@
 use sw_member::rendezvous_score;
 use sw_unit::{EndpointId, Fingerprint, Incarnation, Millis, PartId, Time, VmId};
 
-use crate::crash_evidence::{Crash, CrashEvidence, Suspect, distinct_moments};
+use crate::crash_evidence::{Crash, CrashEvidence, ReportOutcome, Suspect, distinct_moments};
 use crate::rate_limit::MAX_REPLY_TRANSIT;
 use crate::{AdmittedRequest, AnsweredSuspect, Attempt, AttemptOutcome, CrashReport, Prompt, Relay};
 
@@ -309,12 +309,12 @@
                 self.quarantine.evidence.on_answered_report(*report, transit, now);
             }
         }
-        let mut is_news = false;
         for report in crashes {
-            is_news |= self.quarantine.evidence.on_report(report, now);
-        }
-        if is_news && is_remote {
-            self.quarantine.announce(NewsScope::Neighbours);
+            match self.quarantine.evidence.on_report(report, now) {
+                ReportOutcome::Completed => self.quarantine.announce(NewsScope::All),
+                ReportOutcome::News if is_remote => self.quarantine.announce(NewsScope::Neighbours),
+                ReportOutcome::News | ReportOutcome::Known => {}
+            }
         }
         self.quarantine.update(now);
     }
--- a/crates/sw-relay/tests/quarantined_requests.rs
+++ b/crates/sw-relay/tests/quarantined_requests.rs
@@ -197,6 +197,28 @@
     );
 }
 
+/// Guards against suspects that are lost where another VM reports the crash before this one finds out about it.
+#[test]
+fn suspects_of_all_vms_count_whichever_reports_the_crash_first() {
+    let mut rng = fastrand::Rng::with_seed(17);
+    let mut fleet = Fleet::new(Layout {
+        regions: 1,
+        domains_per_region: 1,
+        vms: 2,
+        engines_per_region: 1,
+    });
+    fleet.set_confirm_after(0, Millis(600));
+    for _ in 0..2 {
+        fleet.request(1, None, rng.u64(..));
+        fleet.send_copy(0, HEADLESS);
+        play(&mut fleet, sound(0.0), Millis(12_000), &mut rng);
+    }
+    assert_eq!(fleet.crash_count(HEADLESS.id), 2);
+    for vm in [0, 1] {
+        assert_eq!(fleet.quarantined(vm), (0, 1), "VM {vm}");
+    }
+}
+
 /// Guards against a VM that has just started, or was cut off, and sends what the others quarantined.
 #[test]
 fn vm_that_started_or_was_cut_off_learns_which_requests_are_quarantined() {
--- a/crates/sw-relay/tests/support/fleet.rs
+++ b/crates/sw-relay/tests/support/fleet.rs
@@ -95,6 +95,13 @@
     pub engines_per_region: usize,
 }
 
+/// A crash that a VM finds out about later.
+struct Unconfirmed {
+    vm: usize,
+    entry: EndpointEntry,
+    at: Time,
+}
+
 /// VMs and engines of several regions.
 pub struct Fleet {
     pub now: Time,
@@ -107,6 +114,9 @@
     /// Times of the crashes under each crashing part; 0 stands for crashes without a cause.
     pub crashes: IndexMap<u64, Vec<Time>>,
     admitted: usize,
+    /// Time that a VM needs to find out that an engine crashed; none for the others.
+    confirm_after: IndexMap<usize, Millis>,
+    unconfirmed: Vec<Unconfirmed>,
 }
 
 fn region_id(region: usize) -> RegionId {
@@ -177,6 +187,8 @@
             sound: Vec::new(),
             crashes: IndexMap::new(),
             admitted: 0,
+            confirm_after: IndexMap::new(),
+            unconfirmed: Vec::new(),
         };
         fleet.vms = (0..layout.vms).map(|index| fleet.start_vm(index, 1)).collect();
         for (from, to) in (0..layout.vms).flat_map(|from| (0..layout.vms).map(move |to| (from, to))) {
@@ -231,6 +243,11 @@
         }
     }
 
+    /// Sets the time that a VM needs to find out that an engine crashed.
+    pub fn set_confirm_after(&mut self, vm: usize, confirm_after: Millis) {
+        self.confirm_after.insert(vm, confirm_after);
+    }
+
     /// Crashes an engine whatever it runs.
     pub fn crash_engine(&mut self, engine: usize) {
         self.crash(engine % self.engines.len(), 0);
@@ -392,6 +409,7 @@
     /// Advances the time by one step.
     pub fn step(&mut self) {
         self.now = self.now + STEP;
+        self.confirm_crashes();
         self.restart_engines();
         self.advance_attempts();
         for index in 0..self.vms.len() {
@@ -453,6 +471,15 @@
         }
     }
 
+    /// Tells VMs that engines refuse connections, if they have found out by now.
+    fn confirm_crashes(&mut self) {
+        let now = self.now;
+        for confirmed in self.unconfirmed.extract_if(.., |unconfirmed| unconfirmed.at <= now) {
+            let relay = &mut self.vms[confirmed.vm].relay;
+            relay.on_endpoint_ended(&confirmed.entry.id, confirmed.entry.incarnation, now);
+        }
+    }
+
     fn crash(&mut self, engine: usize, part: u64) {
         if self.engines[engine].down_until.is_some() {
             return;
@@ -464,13 +491,21 @@
             .extract_if(.., |running| running.engine == engine)
             .collect();
         for mut running in broken {
-            let relay = &mut self.vms[running.vm].relay;
             let entry = running.attempt.endpoint.clone();
+            let relay = &mut self.vms[running.vm].relay;
+            let is_suspicious = relay.on_broken_attempt(&running.attempt, self.now);
             relay.end_attempt(&running.attempt, AttemptOutcome::Broken, self.now);
-            if relay.on_broken_attempt(&running.attempt, self.now) {
+            if is_suspicious {
                 // The engine refuses connections.
-                relay.on_endpoint_ended(&entry.id, entry.incarnation, self.now);
+                let confirm_after = self.confirm_after.get(&running.vm).copied().unwrap_or_default();
+                self.unconfirmed.push(Unconfirmed {
+                    vm: running.vm,
+                    entry: entry.clone(),
+                    at: self.now + confirm_after,
+                });
+                self.confirm_crashes();
             }
+            let relay = &mut self.vms[running.vm].relay;
             running.history.record_endpoint(&entry.id, Some(AttemptOutcome::Broken));
             if relay.withdraw_retry(&running.admitted, &running.history) {
                 self.send(
