fix(relay): a probe that broke off is not sent again, and one VM of all sends probes of a request, by turns

BUDGET: a probe of a quarantined request that crashed its endpoint was retried at once at the next ones, and each region sent a probe of its own; a request whose copies never reach the one VM that may probe stayed refused. Cause: a probe ended with its attempt, but that the endpoint crashed is known up to a second later; until then the same request became the next probe. Ruled out: longer checks before a retry, which would delay all retries. A complete response derives the quarantine anew only if it concerns it.

--- a/crates/sw-relay/src/quarantine.rs
+++ b/crates/sw-relay/src/quarantine.rs
@@ -90,6 +90,8 @@
     sent: bool,
 }
 
+    /// Whether it broke off, so that the endpoint may have crashed; it is not sent again then.
+    has_failed: bool,
 impl Probe {
     fn is_over(&self, now: Time) -> bool {
         let limit = if self.sent { PROBE_TIME } else { UNSENT_PROBE_TIME };
@@ -200,7 +202,26 @@
 
     fn is_probe(&self, admitted: &AdmittedRequest, entry: QuarantineEntry) -> bool {
         let probe = self.probes.get(&entry.group);
-        probe.is_some_and(|probe| probe.request == admitted.id)
+    /// Ends the probes that are this request. One that may have crashed its endpoint prevents another probe until its
+    /// time is over, as the crash is known only later.
+    fn end_probes(&mut self, request: &str, outcome: AttemptOutcome) {
+        let may_have_crashed = matches!(outcome, AttemptOutcome::Broken | AttemptOutcome::Timeout);
+        for probe in self.probes.values_mut().filter(|probe| *probe.request == *request) {
+            probe.has_failed |= may_have_crashed;
+        }
+        self.probes
+            .retain(|_, probe| *probe.request != *request || probe.has_failed);
+    }
+
+    /// Returns whether the request of an attempt, or a part of its prompt, is quarantined.
+    fn concerns(&self, attempt: &Attempt) -> bool {
+        let mut parts = attempt.shared_parts.iter();
+        let content = attempt.content.as_ref().filter(|_| self.has_requests);
+        parts.any(|part| self.entries.contains_key(&Suspect::Part(*part)))
+            || content.is_some_and(|content| self.entries.contains_key(&Suspect::Request(content.fingerprint())))
+    }
+
+        probe.is_some_and(|probe| probe.request == admitted.id && !probe.has_failed)
             && (entry.group.is_request() || entry.alike > 1 || entry.was_answered)
     }
 }
@@ -275,9 +296,7 @@
 
     /// Clears the request of a complete response and its parts; only a framed one is known to be complete.
     pub(crate) fn clear_answered(&mut self, attempt: &Attempt, outcome: AttemptOutcome, now: Time) {
-        self.quarantine
-            .probes
-            .retain(|_, probe| probe.request != attempt.request);
+        self.quarantine.end_probes(&attempt.request, outcome);
         if outcome != AttemptOutcome::Complete || !attempt.is_framed {
             return;
         }
@@ -288,7 +307,7 @@
             let request = content.fingerprint();
             self.quarantine.evidence.on_request_answered(request, now);
         }
-        if !self.quarantine.entries.is_empty() {
+        if self.quarantine.concerns(attempt) {
             self.quarantine.update(now);
         }
     }
@@ -333,6 +352,7 @@
                 sent: false,
             };
             self.quarantine.probes.insert(entry.group, probe);
+                has_failed: false,
             self.quarantine
                 .changes
                 .push(QuarantineChange::Probed { suspect, request });
@@ -356,18 +376,19 @@
         self.quarantine.update(now);
     }
 
-    /// Returns whether this VM sends probes for the group of an entry: one VM of each region does, and one of all if a
-    /// request has crashed several endpoints.
+    /// Returns whether this VM sends probes for the group of an entry: one VM of each region does for parts, and one of all
+    /// for a request, by turns.
     fn sends_probes(&self, entry: QuarantineEntry, now: Time) -> bool {
         let local = self.members.local();
-        let is_single = entry.group.is_request() && entry.crashes > MIN_CRASHES;
+        let is_request = entry.group.is_request();
         let seed = match entry.group {
             Suspect::Part(part) => part.0,
             Suspect::Request(request) => request.0 as u64,
         };
-        let score = |vm: &VmId| rendezvous_score(seed, vm.as_str());
+        let turn = now.since(entry.until).0 / PROBE_TIME.0;
+        let score = |vm: &VmId| rendezvous_score(seed.wrapping_add(turn), vm.as_str());
         let peers = self.members.peers();
-        let peers = peers.filter(|row| is_single || row.region == local.region);
+        let peers = peers.filter(|row| is_request || row.region == local.region);
         let mut live = peers.filter(|row| self.is_live(&row.vm, now));
         live.all(|row| score(&row.vm) < score(&local.vm))
     }
--- a/crates/sw-relay/tests/quarantined_requests.rs
+++ b/crates/sw-relay/tests/quarantined_requests.rs
@@ -197,6 +197,26 @@
     );
 }
 
+/// Guards against a probe that crashes an engine and is sent to the next one, as VMs find out only later why it broke off.
+#[test]
+fn probe_that_broke_off_is_not_sent_again() {
+    let mut rng = fastrand::Rng::with_seed(16);
+    let mut fleet = Fleet::new(NINE_VMS);
+    for vm in 0..NINE_VMS.vms {
+        fleet.set_confirm_after(vm, Millis(400));
+    }
+    for vm in [0, 1] {
+        fleet.send_copy(vm, HEADLESS);
+        play(&mut fleet, sound(0.0), Millis(3_000), &mut rng);
+    }
+    let crashes = fleet.crash_count(HEADLESS.id);
+    assert_eq!(fleet.quarantined(8).1, 1, "it is suspected after {crashes} crashes");
+    play(&mut fleet, sound(0.0), Millis(500_000), &mut rng);
+    (0..NINE_VMS.vms).for_each(|vm| fleet.send_copy(vm, HEADLESS));
+    play(&mut fleet, sound(0.0), Millis(3_000), &mut rng);
+    assert_eq!(fleet.crash_count(HEADLESS.id) - crashes, 1);
+}
+
 /// Guards against suspects that are lost where another VM reports the crash before this one finds out about it.
 #[test]
 fn suspects_of_all_vms_count_whichever_reports_the_crash_first() {
