fix(relay): a request that goes on crashing endpoints is not forgotten while copies of it come

BUDGET: within 25 minutes, 10 copies of a request reached endpoints later than 5 s after its third crash; 3 may. Cause: crashes were forgotten after 600 s, each by itself, so the count of a request fell and probes began again; and each end of a quarantine allowed another probe. Evidence: crashing_request_stays_quarantined_for_as_long_as_it_comes_again played 560 s; over 1,500 s it gives 10 late copies and 13 crashes on the sources before, and holds now. Change: a crash is kept while one of its suspects is in a later crash or its copies are refused; after five crashes a request is no longer tried until it has not come for 600 s, or an operator exempts it.

--- a/crates/sw-relay/src/crash_evidence.rs
+++ b/crates/sw-relay/src/crash_evidence.rs
@@ -114,6 +114,8 @@
     breaks: IndexMap<EndpointKey, Break>,
     /// When a suspect was last answered completely.
     answered: IndexMap<Suspect, Time>,
+    /// When a copy of a quarantined request was last refused.
+    refused: IndexMap<Suspect, Time>,
 }
 
 impl CrashEvidence {
@@ -177,6 +179,13 @@
         suspects.any(|suspect| suspect.is_request())
     }
 
+    /// Records that a request was refused because of a suspect; a request that comes again and again is not forgotten.
+    pub(crate) fn on_refused(&mut self, suspect: Suspect, now: Time) {
+        if suspect.is_request() {
+            self.refused.insert(suspect, now);
+        }
+    }
+
     /// Merges what another VM reports.
     pub(crate) fn on_report(&mut self, report: &CrashReport, now: Time) -> ReportOutcome {
         let key = (report.endpoint.clone(), report.incarnation);
@@ -289,11 +298,25 @@
                 crash.suspects.retain(|suspect| !is_done(suspect));
             }
         }
-        self.crashes
-            .retain(|_, crash| now.since(crash.at) < CRASH_KEPT_FOR && !crash.suspects.is_empty());
+        self.crashes.retain(|_, crash| !crash.suspects.is_empty());
+        self.forget_old_crashes(now);
         self.answered.retain(|_, at| now.since(*at) < ANSWER_KEPT_FOR);
     }
 
+    /// Forgets crashes none of whose suspects was in a crash or refused lately.
+    fn forget_old_crashes(&mut self, now: Time) {
+        self.refused.retain(|_, at| now.since(*at) < CRASH_KEPT_FOR);
+        let is_old = |crash: &Crash| now.since(crash.at) >= CRASH_KEPT_FOR;
+        if !self.crashes.values().any(is_old) {
+            return;
+        }
+        let recent = self.crashes.values().filter(|crash| !is_old(crash));
+        let recent = recent.flat_map(|crash| self.uncleared(crash));
+        let recent: IndexSet<Suspect> = recent.chain(self.refused.keys().copied()).collect();
+        self.crashes
+            .retain(|_, crash| !is_old(crash) || crash.suspects.iter().any(|suspect| recent.contains(suspect)));
+    }
+
     fn uncleared<'a>(&'a self, crash: &'a Crash) -> impl Iterator<Item = Suspect> + 'a {
         let suspects = crash.suspects.iter().copied();
         suspects.filter(|suspect| !is_cleared(&self.answered, *suspect, crash.at))
--- a/crates/sw-relay/src/quarantine.rs
+++ b/crates/sw-relay/src/quarantine.rs
@@ -30,6 +30,8 @@
 const MIN_CRASHES_IF_ANSWERED: u32 = 4;
 /// Crashes after which a part that was answered before is no longer tried alone.
 const MAX_CRASHES_FOR_PROBE: u32 = 8;
+/// Crashes after which a request is no longer tried, as long as copies of it come.
+const MAX_CRASHES_FOR_REQUEST_PROBE: u32 = 5;
 /// Time since the last crash for which a suspect with [`MIN_CRASHES`] is quarantined; doubled with each further crash.
 const MIN_QUARANTINE: Millis = Millis(60_000);
 /// Longest time since the last crash for which a suspect is quarantined.
@@ -88,10 +90,10 @@
     started_at: Time,
     /// Whether it was sent to an endpoint.
     sent: bool,
-}
-
     /// Whether it broke off, so that the endpoint may have crashed; it is not sent again then.
     has_failed: bool,
+}
+
 impl Probe {
     fn is_over(&self, now: Time) -> bool {
         let limit = if self.sent { PROBE_TIME } else { UNSENT_PROBE_TIME };
@@ -192,7 +194,7 @@
             return false;
         }
         if suspect.is_request() {
-            return entry.alike > 1 || entry.until <= now;
+            return entry.alike > 1 || (entry.until <= now && entry.crashes < MAX_CRASHES_FOR_REQUEST_PROBE);
         }
         let may_be_sound = entry.was_answered && entry.crashes < MAX_CRASHES_FOR_PROBE;
         let content = admitted.content.as_ref();
@@ -200,8 +202,6 @@
         crashes < MIN_CRASHES && (in_group < entry.alike || may_be_sound)
     }
 
-    fn is_probe(&self, admitted: &AdmittedRequest, entry: QuarantineEntry) -> bool {
-        let probe = self.probes.get(&entry.group);
     /// Ends the probes that are this request. One that may have crashed its endpoint prevents another probe until its
     /// time is over, as the crash is known only later.
     fn end_probes(&mut self, request: &str, outcome: AttemptOutcome) {
@@ -221,6 +221,8 @@
             || content.is_some_and(|content| self.entries.contains_key(&Suspect::Request(content.fingerprint())))
     }
 
+    fn is_probe(&self, admitted: &AdmittedRequest, entry: QuarantineEntry) -> bool {
+        let probe = self.probes.get(&entry.group);
         probe.is_some_and(|probe| probe.request == admitted.id && !probe.has_failed)
             && (entry.group.is_request() || entry.alike > 1 || entry.was_answered)
     }
@@ -350,14 +352,15 @@
                 request: Arc::clone(&request),
                 started_at: now,
                 sent: false,
+                has_failed: false,
             };
             self.quarantine.probes.insert(entry.group, probe);
-                has_failed: false,
             self.quarantine
                 .changes
                 .push(QuarantineChange::Probed { suspect, request });
             return None;
         }
+        self.quarantine.evidence.on_refused(suspect, now);
         let kind = match suspect {
             Suspect::Part(_) => Kind::QuarantinedPrompt,
             Suspect::Request(_) => Kind::QuarantinedRequest,
--- a/crates/sw-relay/tests/quarantined_requests.rs
+++ b/crates/sw-relay/tests/quarantined_requests.rs
@@ -188,7 +188,7 @@
         copies_per_second: 3.0,
         ..Load::default()
     };
-    play(&mut fleet, load, Millis(560_000), &mut rng);
+    play(&mut fleet, load, Millis(1_500_000), &mut rng);
     let late = fleet.late_copies(CRASHING.id, CONTACT);
     assert!(
         late <= ALLOWED_LATE,
