fix(proxy): a watcher pauses after a read that is older than what it has

A store that was restored and states no era got 7,056 calls in 4 s from five VMs. CONFIG and DRAIN are not helped by it: what the store says then stays unknown.

--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -302,7 +302,13 @@
 async fn read_all<D: Dialect, F: Feed>(state: &ProxyState<D, F>) -> Result<Polled, FeedError> {
     let mut snapshot = state.feed.read_snapshot().await?;
     snapshot.position.era = restore::stated_era(state, snapshot.position.era);
-    Ok(apply_snapshot(state, snapshot, Source::Store)?)
+    let is_older = snapshot.position < state.mirror.borrow().position();
+    let polled = apply_snapshot(state, snapshot, Source::Store)?;
+    if is_older {
+        // The next watch may find no history either.
+        tokio::time::sleep(BACKOFF).await;
+    }
+    Ok(polled)
 }
 
 /// Waits for changes after `position`, and applies them.
