fix(store): a retained state of higher rank counts beside a later write of lower rank

CONFIG: a VM that started after a restore could stay at an older configuration than its neighbours, which retain the newest one, if the operator had written an older version again in the meantime. Cause: a copied state was dropped where the key was written since, before its rank was compared. Change: the rank is compared first.

--- a/crates/sw-store/src/mirror.rs
+++ b/crates/sw-store/src/mirror.rs
@@ -321,7 +321,9 @@
         let mut changes = Vec::new();
         for (key, entry) in retained {
             let is_written_since = self.replica.is_changed_since(&key, position.revision);
-            if is_written_since || self.retained.contains_key(&key) || !self.accepts(&key, &entry, knows_more) {
+            let counts =
+                self.outranks_shown(&key, &entry) || (!is_written_since && self.accepts(&key, &entry, knows_more));
+            if !counts || self.retained.contains_key(&key) {
                 continue;
             }
             let before = self.item(&key);
@@ -361,11 +363,14 @@
 
     /// Returns whether a state that another mirror retains counts beside the one that the store shows.
     fn accepts(&self, key: &str, entry: &Retained, knows_more: bool) -> bool {
-        let Some(shown) = self.replica.get(key).map(|item| self.shown_state(item)) else {
-            return knows_more;
-        };
-        let outranks = entry.known.outranks(shown.rank);
-        outranks || (knows_more && !shown.is_later_than(&entry.known))
+        let shown = self.replica.get(key).map(|item| self.shown_state(item));
+        knows_more && shown.is_none_or(|shown| !shown.is_later_than(&entry.known))
+    }
+
+    /// Returns whether a state that another mirror retains ranks higher than the one that the store shows.
+    fn outranks_shown(&self, key: &str, entry: &Retained) -> bool {
+        let shown = self.replica.get(key);
+        shown.is_some_and(|item| entry.known.outranks(self.rules.rank(key, &item.value)))
     }
 
     /// Returns what is known of an item that the store shows.
--- a/crates/sw-store/tests/store_restore.rs
+++ b/crates/sw-store/tests/store_restore.rs
@@ -6,7 +6,7 @@
 
 use proptest::prelude::*;
 use restored_store::{Key, RestoredStore, TestRules, incarnation, serial};
-use sw_store::{Applied, Change, Item, Mirror, Snapshot};
+use sw_store::{Applied, Change, Changes, Item, Mirror, Snapshot};
 use sw_unit::{Millis, StoreEra, StorePosition, Time};
 
 /// Time after which no state is retained unless it has a higher rank.
@@ -321,3 +321,25 @@
     );
     assert_eq!(mirror.items().count(), 1);
 }
+
+/// A VM that starts after a restore misses the newest configuration that the others retain, because the operator has written
+/// an older one again in the meantime.
+#[test]
+fn a_retained_state_of_higher_rank_counts_beside_a_later_write() {
+    let mut watcher = Mirror::new(TestRules);
+    watcher.apply_snapshot(snapshot(1, 100, vec![put("config", "7", 100)]), Time(0));
+    watcher.apply_snapshot(snapshot(2, 80, vec![put("config", "5", 60)]), Time(0));
+    let write = || Changes {
+        position: StorePosition::new(StoreEra(2), 90),
+        changes: vec![Change::Put(put("config", "6", 90))],
+    };
+    watcher.apply(write());
+    let mut started = Mirror::new(TestRules);
+    started.apply_snapshot(snapshot(2, 80, vec![put("config", "5", 60)]), Time(0));
+    started.apply(write());
+    started.apply_snapshot(watcher.snapshot(Time(0)), Time(0));
+    let shown = |mirror: &Mirror<TestRules>| mirror.items().map(|item| item.value).collect::<Vec<_>>();
+    assert_eq!(shown(&watcher), vec![b"7".to_vec()]);
+    assert_eq!(shown(&started), shown(&watcher));
+    assert_eq!(started.followed(), watcher.followed());
+}
