fix(relay,proxy): a VM that lagged behind at a restore copies what others retain

CONFIG and DRAIN until the writers write again: a watcher that had not seen the last changes when the store was restored kept the older state of the copy, although its neighbours retain the newer one, and handed it to its followers. Cause: only a VM that knew no earlier era copied from one that retains; to know an era is not to know all of it. The merge of what is copied was right already (property test of the mirrors). Change: heartbeats say how far the sender followed the latest earlier era, 16 bytes; a VM copies while a live VM of its era retains something and followed further. VMs that saw everything copy nothing, as before.

--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -123,6 +123,9 @@
   # Whether the sender retains states that the store has lost.
   retains @12 :Bool;
   answeredRequests @13 :List(AnsweredRequest);
+  # The last earlier era that the sender followed, and its last revision; the revision is 0 if it followed none.
+  followedEra @14 :UInt64;
+  followedUntil @15 :UInt64;
 }
 
 struct Item {
--- a/crates/sw-peer/src/relay_capnp.rs
+++ b/crates/sw-peer/src/relay_capnp.rs
@@ -4508,11 +4508,19 @@
         pub fn has_answered_requests(&self) -> bool {
             !self.reader.get_pointer_field(9).is_null()
         }
+        #[inline]
+        pub fn get_followed_era(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn get_followed_until(self) -> u64 {
+            self.reader.get_data_field::<u64>(5)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 10 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 10 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4754,6 +4762,22 @@
         pub fn has_answered_requests(&self) -> bool {
             !self.builder.is_pointer_field_null(9)
         }
+        #[inline]
+        pub fn get_followed_era(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_followed_era(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
+        #[inline]
+        pub fn get_followed_until(self) -> u64 {
+            self.builder.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn set_followed_until(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(5, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4768,122 +4792,136 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 270] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 302] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(133, 4, 211, 207, 138, 222, 52, 236),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
             ::capnp::word(10, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 66, 101, 97, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(21, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 2, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(113, 2, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 2, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(121, 2, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(157, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(26, 128, 190, 178, 67, 7, 133, 240),
@@ -5039,6 +5077,24 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 111, 108, 108, 111, 119, 101, 100),
+            ::capnp::word(69, 114, 97, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 111, 108, 108, 111, 119, 101, 100),
+            ::capnp::word(85, 110, 116, 105, 108, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5056,6 +5112,8 @@
                 11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 12 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 13 => <::capnp::struct_list::Owned<crate::relay_capnp::answered_request::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5069,9 +5127,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,13,8,5,4,11,0,6,2,1,7,12,3,10];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,13,8,5,4,11,14,15,0,6,2,1,7,12,3,10];
         pub(crate) const TYPE_ID: u64 = 0xec34_de8a_cfd3_0485;
     }
 }
--- a/crates/sw-proxy/src/records.rs
+++ b/crates/sw-proxy/src/records.rs
@@ -40,13 +40,17 @@
     }
     state.store_changed.notify_waiters();
     restore::log_settled(state);
-    let retained = state.mirror.borrow().retained_len();
+    let (retained, followed) = {
+        let mirror = state.mirror.borrow();
+        (mirror.retained_len(), mirror.followed())
+    };
     gauge!("shallotwing_store_era").set(position.era.0 as f64);
     gauge!("shallotwing_store_retained_items").set(retained as f64);
     let mut relay = state.relay.borrow_mut();
     relay.set_store_state(StoreState {
         position,
         retains: retained > 0,
+        followed,
         knows_eras: true,
     });
     for endpoint in relay.tick(now) {
--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -212,19 +212,16 @@
 }
 
 /// Returns a VM to copy a snapshot from, if the mirror is empty or the store has been unavailable for `after`, or if
-/// another VM retains what the store has lost and this VM never knew.
+/// another VM retains what the store has lost and knows more of it.
 ///
 /// At startup a call to an unreachable store may take long to fail, so a snapshot is copied at the same time.
 fn copy_source<D, F>(state: &ProxyState<D, F>, after: Millis) -> Option<(VmId, SocketAddr)> {
-    let (is_empty, knows_earlier_era) = {
-        let mirror = state.mirror.borrow();
-        (mirror.is_empty(), mirror.knows_earlier_era())
-    };
+    let is_empty = state.mirror.borrow().is_empty();
     let unavailable_since = state.store_unavailable_since.get();
     let is_away = unavailable_since.is_some_and(|since| state.now().since(since) >= after);
     let (relay, now) = (state.relay.borrow(), state.now());
     let newer = relay.peer_with_newer_position(now).filter(|_| is_empty || is_away);
-    let retaining = relay.peer_that_retains(now).filter(|_| !is_empty && !knows_earlier_era);
+    let retaining = relay.peer_that_retains(now).filter(|_| !is_empty);
     let row = newer.or(retaining)?;
     Some((row.vm.clone(), row.peer_listen))
 }
--- a/crates/sw-relay/src/store_state.rs
+++ b/crates/sw-relay/src/store_state.rs
@@ -15,6 +15,8 @@
     pub position: StorePosition,
     /// Whether the mirror retains states that the store has lost.
     pub retains: bool,
+    /// The position in the earlier era up to which the VM knows all changes; its revision is zero if it followed none.
+    pub followed: StorePosition,
     /// Whether the VM knows eras; one of an earlier build does not.
     pub knows_eras: bool,
 }
@@ -66,10 +68,14 @@
         }
     }
 
-    /// Returns the nearest live VM of this VM's era that retains states that the store has lost.
+    /// Returns the nearest live VM of this VM's era that retains states that the store has lost, and followed the earlier
+    /// era further than this VM.
     pub fn peer_that_retains(&self, now: Time) -> Option<&VmRow> {
-        let era = self.store.position.era;
-        self.nearest_peer(|store| store.retains && store.position.era == era, now)
+        let local = self.store;
+        let knows_more = |store: &StoreState| {
+            store.retains && store.position.era == local.position.era && store.followed > local.followed
+        };
+        self.nearest_peer(knows_more, now)
     }
 
     fn nearest_peer(&self, is_suitable: impl Fn(&StoreState) -> bool, now: Time) -> Option<&VmRow> {
--- a/crates/sw-relay/tests/odd_input.rs
+++ b/crates/sw-relay/tests/odd_input.rs
@@ -174,6 +174,7 @@
     (whole(), whole(), any::<bool>(), any::<bool>()).prop_map(|(era, revision, retains, knows_eras)| StoreState {
         position: StorePosition::new(StoreEra(era), revision),
         retains,
+        followed: StorePosition::new(StoreEra(era), revision),
         knows_eras,
     })
 }
--- a/crates/sw-relay/tests/store_restore.rs
+++ b/crates/sw-relay/tests/store_restore.rs
@@ -31,6 +31,7 @@
     relay.set_store_state(StoreState {
         position: StorePosition::new(StoreEra(1), 5),
         retains: false,
+        followed: StorePosition::default(),
         knows_eras: true,
     });
     relay
@@ -46,6 +47,7 @@
         beat.store = StoreState {
             position: StorePosition::new(StoreEra(era), revision),
             retains: false,
+            followed: StorePosition::default(),
             knows_eras,
         };
         relay.on_heartbeat(beat, JOINED);
@@ -59,6 +61,26 @@
     assert!(!hear(&mut relay, 0, 9, false));
 }
 
+/// Guards against a watcher that had not seen the last changes when the store was restored, and never gets what the others
+/// retain of them.
+#[test]
+fn a_vm_that_lagged_copies_from_one_that_followed_the_earlier_era_further() {
+    let mut relay = writer();
+    let state = |followed: u64| StoreState {
+        position: StorePosition::new(StoreEra(2), 5),
+        retains: true,
+        followed: StorePosition::new(StoreEra(1), followed),
+        knows_eras: true,
+    };
+    let mut beat = heartbeat(row("vm-9", "north"), Vec::new());
+    beat.store = state(9);
+    relay.on_heartbeat(beat, JOINED);
+    relay.set_store_state(state(7));
+    assert!(relay.peer_that_retains(JOINED).is_some());
+    relay.set_store_state(state(9));
+    assert!(relay.peer_that_retains(JOINED).is_none(), "nothing more is to be had");
+}
+
 /// Guards against streams that are refused after all VMs have ended, because the store had lost the recorded versions.
 #[test]
 fn recorded_versions_are_written_again_until_the_store_shows_them() {
--- a/crates/sw-relay/tests/stream_versions.rs
+++ b/crates/sw-relay/tests/stream_versions.rs
@@ -194,6 +194,7 @@
         relay.set_store_state(sw_relay::StoreState {
             position: sw_unit::StorePosition::new(sw_unit::StoreEra(0), 1),
             retains: false,
+            followed: sw_unit::StorePosition::default(),
             knows_eras: true,
         });
         Vm {
--- a/crates/sw-store/src/mirror.rs
+++ b/crates/sw-store/src/mirror.rs
@@ -90,9 +90,13 @@
         shown.cloned().chain(retained)
     }
 
-    /// Returns whether the mirror followed an earlier era, or copied the states that others retained of one.
-    pub fn knows_earlier_era(&self) -> bool {
-        self.history.followed().len() > 0
+    /// Returns the position in the latest earlier era up to which all changes are known, also if other mirrors told them;
+    /// its revision is zero if there is none.
+    pub fn followed(&self) -> StorePosition {
+        let latest = self.history.followed().last();
+        latest.map_or_else(StorePosition::default, |followed| {
+            StorePosition::new(followed.era, followed.until)
+        })
     }
 
     /// Returns the number of retained states.
