--- a/crates/shallotwing-daemon/tests/soak/main.rs
+++ b/crates/shallotwing-daemon/tests/soak/main.rs
@@ -62,7 +62,7 @@
 impl Soak {
     async fn start(seed: u64) -> Self {
         let store = StandinStore::start().await;
-        store.put("op/config", &config_with_route(1));
+        store.put_config_document(&config_with_route(1));
         let mut servers = Vec::new();
         for (name, region) in SERVERS {
             let server = StandinServer::start(name).await;
--- a/crates/shallotwing-daemon/tests/soak/restore.rs
+++ b/crates/shallotwing-daemon/tests/soak/restore.rs
@@ -83,7 +83,7 @@
     /// Writes a newer configuration, which adds the route of its version.
     pub fn configure(&mut self) {
         self.version += 1 + self.rng.u64(..3);
-        self.store.put("op/config", &config_with_route(self.version));
+        self.store.put_config_document(&config_with_route(self.version));
     }
 
     /// Returns the status of a request for the route of the newest version; `None` without a response.
--- a/crates/sw-relay/tests/support/fleet.rs
+++ b/crates/sw-relay/tests/support/fleet.rs
@@ -16,10 +16,12 @@
 use sw_unit::{DomainId, Incarnation, Millis, PartId, RegionId, Time, Tokens};
 
 mod copies;
+mod crashes;
 mod exchange;
 
 #[allow(unused_imports, reason = "used by some test files only")]
 pub use copies::CopiedRequest;
+use crashes::Unconfirmed;
 
 use super::{endpoint, head, options, register, relay_with, row};
 
@@ -95,13 +97,6 @@
     pub engines_per_region: usize,
 }
 
-/// A crash that a VM finds out about later.
-struct Unconfirmed {
-    vm: usize,
-    entry: EndpointEntry,
-    at: Time,
-}
-
 /// VMs and engines of several regions.
 pub struct Fleet {
     pub now: Time,
@@ -243,26 +238,6 @@
         }
     }
 
-    /// Sets the time that a VM needs to find out that an engine crashed.
-    pub fn set_confirm_after(&mut self, vm: usize, confirm_after: Millis) {
-        self.confirm_after.insert(vm, confirm_after);
-    }
-
-    /// Crashes an engine whatever it runs.
-    pub fn crash_engine(&mut self, engine: usize) {
-        self.crash(engine % self.engines.len(), 0);
-    }
-
-    /// Crashes all engines of a region at the same moment.
-    pub fn crash_region(&mut self, region: usize) {
-        let region = region % self.layout.regions;
-        for engine in 0..self.engines.len() {
-            if self.engines[engine].region == region {
-                self.crash(engine, 0);
-            }
-        }
-    }
-
     /// A caller sends a prompt to a VM.
     pub fn request(&mut self, vm: usize, crashing: Option<u64>, subject: u64) {
         let content = format!("request {}", self.admitted);
@@ -470,52 +445,4 @@
             self.crash(engine, part);
         }
     }
-
-    /// Tells VMs that engines refuse connections, if they have found out by now.
-    fn confirm_crashes(&mut self) {
-        let now = self.now;
-        for confirmed in self.unconfirmed.extract_if(.., |unconfirmed| unconfirmed.at <= now) {
-            let relay = &mut self.vms[confirmed.vm].relay;
-            relay.on_endpoint_ended(&confirmed.entry.id, confirmed.entry.incarnation, now);
-        }
-    }
-
-    fn crash(&mut self, engine: usize, part: u64) {
-        if self.engines[engine].down_until.is_some() {
-            return;
-        }
-        self.engines[engine].down_until = Some(self.now + DOWNTIME);
-        self.crashes.entry(part).or_default().push(self.now);
-        let broken: Vec<_> = self
-            .running
-            .extract_if(.., |running| running.engine == engine)
-            .collect();
-        for mut running in broken {
-            let entry = running.attempt.endpoint.clone();
-            let relay = &mut self.vms[running.vm].relay;
-            let is_suspicious = relay.on_broken_attempt(&running.attempt, self.now);
-            relay.end_attempt(&running.attempt, AttemptOutcome::Broken, self.now);
-            if is_suspicious {
-                // The engine refuses connections.
-                let confirm_after = self.confirm_after.get(&running.vm).copied().unwrap_or_default();
-                self.unconfirmed.push(Unconfirmed {
-                    vm: running.vm,
-                    entry: entry.clone(),
-                    at: self.now + confirm_after,
-                });
-                self.confirm_crashes();
-            }
-            let relay = &mut self.vms[running.vm].relay;
-            running.history.record_endpoint(&entry.id, Some(AttemptOutcome::Broken));
-            if relay.withdraw_retry(&running.admitted, &running.history) {
-                self.send(
-                    running.vm,
-                    running.admitted,
-                    running.history,
-                    running.crashing,
-                    running.has_head,
-                );
-            }
-        }
-    }
 }
