--- a/crates/sw-relay/tests/quarantine.rs
+++ b/crates/sw-relay/tests/quarantine.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use proptest::prelude::*;
-use support::fleet::{Fleet, Layout, STEP};
+use support::fleet::{Fleet, Layout, STEP, faults};
 use sw_unit::{Millis, Time};
 
 /// Time after the fifth crash from which on almost no prompts with the part may reach engines.
@@ -179,43 +179,6 @@
     assert!(fleet.reported_crashes(0) <= 64);
 }
 
-/// A fault of VMs or engines.
-#[derive(Debug, Clone)]
-enum Fault {
-    KillVm(usize),
-    KillAll,
-    CutOff(Vec<usize>),
-    CrashEngine(usize),
-    CrashRegion(usize),
-    Heal,
-}
-
-fn fault() -> impl Strategy<Value = Fault> {
-    let index = 0..64_usize;
-    prop_oneof![
-        3 => index.clone().prop_map(Fault::KillVm),
-        1 => Just(Fault::KillAll),
-        2 => proptest::collection::vec(index.clone(), 1..6).prop_map(Fault::CutOff),
-        3 => index.clone().prop_map(Fault::CrashEngine),
-        1 => index.prop_map(Fault::CrashRegion),
-        3 => Just(Fault::Heal),
-    ]
-}
-
-fn inject(fleet: &mut Fleet, fault: &Fault, vms: usize) {
-    match fault {
-        Fault::KillVm(vm) => fleet.set_running(*vm, false),
-        Fault::KillAll => {
-            (0..vms).for_each(|vm| fleet.set_running(vm, false));
-            fleet.heal();
-        }
-        Fault::CutOff(cut_off) => cut_off.iter().for_each(|vm| fleet.set_group(*vm, 1)),
-        Fault::CrashEngine(engine) => fleet.crash_engine(*engine),
-        Fault::CrashRegion(region) => fleet.crash_region(*region),
-        Fault::Heal => fleet.heal(),
-    }
-}
-
 proptest! {
     #![proptest_config(sw_fuzz::config())]
 
@@ -227,14 +190,14 @@
         domains_per_region in 1..3_usize,
         vms in 2..14_usize,
         share in 0.01..0.3,
-        faults in proptest::collection::vec((0..3_000_u64, fault()), 0..10),
+        faults in proptest::collection::vec((0..3_000_u64, faults::fault()), 0..10),
     ) {
         let layout = Layout { regions, domains_per_region, vms, engines_per_region: 6 };
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut fleet = Fleet::new(layout);
         load(&mut fleet, 40.0, &[], 0.0, Millis(2_000), &mut rng);
         for (pause, fault) in &faults {
-            inject(&mut fleet, fault, vms);
+            faults::inject(&mut fleet, fault, vms);
             load(&mut fleet, 40.0, &[CRASHING_PART], share, Millis(*pause), &mut rng);
         }
         fleet.heal();
--- a/crates/sw-relay/tests/quarantined_requests.rs
+++ b/crates/sw-relay/tests/quarantined_requests.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use proptest::prelude::*;
-use support::fleet::{CopiedRequest, Fleet, Layout, STEP};
+use support::fleet::{CopiedRequest, Fleet, Layout, STEP, faults};
 use sw_relay::RequestContent;
 use sw_unit::{Fingerprint, Millis, Time};
 
@@ -308,43 +308,6 @@
     assert!("+0000000000000000000000000000001".parse::<Fingerprint>().is_err());
 }
 
-/// A fault of VMs or engines.
-#[derive(Debug, Clone)]
-enum Fault {
-    KillVm(usize),
-    KillAll,
-    CutOff(Vec<usize>),
-    CrashEngine(usize),
-    CrashRegion(usize),
-    Heal,
-}
-
-fn fault() -> impl Strategy<Value = Fault> {
-    let index = 0..64_usize;
-    prop_oneof![
-        3 => index.clone().prop_map(Fault::KillVm),
-        1 => Just(Fault::KillAll),
-        2 => proptest::collection::vec(index.clone(), 1..6).prop_map(Fault::CutOff),
-        3 => index.clone().prop_map(Fault::CrashEngine),
-        1 => index.prop_map(Fault::CrashRegion),
-        3 => Just(Fault::Heal),
-    ]
-}
-
-fn inject(fleet: &mut Fleet, fault: &Fault, vms: usize) {
-    match fault {
-        Fault::KillVm(vm) => fleet.set_running(*vm, false),
-        Fault::KillAll => {
-            (0..vms).for_each(|vm| fleet.set_running(vm, false));
-            fleet.heal();
-        }
-        Fault::CutOff(cut_off) => cut_off.iter().for_each(|vm| fleet.set_group(*vm, 1)),
-        Fault::CrashEngine(engine) => fleet.crash_engine(*engine),
-        Fault::CrashRegion(region) => fleet.crash_region(*region),
-        Fault::Heal => fleet.heal(),
-    }
-}
-
 proptest! {
     #![proptest_config(sw_fuzz::config())]
 
@@ -357,7 +320,7 @@
         vms in 2..14_usize,
         part_share in prop_oneof![Just(0.0), 0.01..0.2],
         copies_per_second in 0.5..8.0,
-        faults in proptest::collection::vec((0..3_000_u64, fault()), 0..10),
+        faults in proptest::collection::vec((0..3_000_u64, faults::fault()), 0..10),
     ) {
         let layout = Layout { regions, domains_per_region, vms, engines_per_region: 6 };
         let mut rng = fastrand::Rng::with_seed(seed);
@@ -365,7 +328,7 @@
         play(&mut fleet, sound(40.0), Millis(2_000), &mut rng);
         let load = Load { part_share, copied: &[CRASHING, HEADLESS, SOUND], copies_per_second, ..sound(40.0) };
         for (pause, fault) in &faults {
-            inject(&mut fleet, fault, vms);
+            faults::inject(&mut fleet, fault, vms);
             play(&mut fleet, load, Millis(*pause), &mut rng);
         }
         fleet.heal();
--- a/crates/sw-relay/tests/support/fleet.rs
+++ b/crates/sw-relay/tests/support/fleet.rs
@@ -18,6 +18,7 @@
 mod copies;
 mod crashes;
 mod exchange;
+pub mod faults;
 
 #[allow(unused_imports, reason = "used by some test files only")]
 pub use copies::CopiedRequest;
