docs(relay): who sends probes, in the head of the quarantine; one import of the checks of continued streams

The head still said that one VM of a region sends all probes, which the turns of one VM of all had changed for requests. Found in reading the whole change.

--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -15,8 +15,7 @@
 use tokio::sync::mpsc;
 
 use crate::attempt::BufferedRequest;
-use crate::continuation::StreamFormat;
-use crate::continuation::{self, FirstEvent};
+use crate::continuation::{self, FirstEvent, StreamFormat};
 use crate::incoming::{BodyPart, BodySource, IncomingResponse};
 use crate::request::{HttpResponse, start_attempt, start_endpoint_attempt};
 use crate::reservation::{ReservationGuard, reserve};
--- a/crates/sw-relay/src/quarantine.rs
+++ b/crates/sw-relay/src/quarantine.rs
@@ -8,10 +8,10 @@
 //! more likely to have been beside the cause.
 //!
 //! Suspects that were in each of the crashes cannot be distinguished. A request with some of them, but not all, serves as a
-//! probe: one VM of a region sends one such request at a time. A complete response clears its suspects, a crash clears the
-//! others. Otherwise the first part of all prompts of a route could stay quarantined, and with it the route. A request that
-//! crashed several endpoints is no probe for the parts of its prompt, and one whose time of quarantine is over is sent
-//! as a probe by one VM of all.
+//! probe, one at a time: for parts, one VM of each region sends it; for requests, one VM of all. A complete response clears its
+//! suspects, a crash clears the others. Otherwise the first part of all prompts of a route could stay quarantined, and with
+//! it the route. A request that crashed several endpoints is no probe for the parts of its prompt. One whose time of quarantine
+//! is over is sent as a probe, by another VM every [`PROBE_TIME`], unless it has crashed too many endpoints.
 
 use std::sync::Arc;
 
