fix(relay): a version whose registration ends was in force until then

A VM that does not know which version began a stream concludes it if only one has served for as long as a stream can live. It recorded a version when it was registered and at each tick, so a VM that stood still for longer than that had its last sight of the other version long ago, and the removal or replacement that it then read from the store did not count: it named the remaining version. Now the end of a registration (removed, replaced, malformed or lapsed) counts as the last moment at which its version was registered.

--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -195,7 +195,10 @@
             StoreRecord::Endpoint(_, Some(entry)) => self.apply_endpoint(entry, now),
             StoreRecord::Endpoint(id, None) => self.remove_endpoint(&id, now),
             // The endpoint may still run, so this is neither its end nor a lapse during an outage of the store.
-            StoreRecord::Malformed { endpoint: Some(id), .. } => self.registry.on_registration_malformed(&id),
+            StoreRecord::Malformed { endpoint: Some(id), .. } => {
+                self.record_version_until(&id, now);
+                self.registry.on_registration_malformed(&id)
+            }
             StoreRecord::Evacuated(domain, on) => self.registry.set_evacuated(domain, on),
             StoreRecord::Software(services) => {
                 self.versions.on_recorded(services, now);
@@ -228,9 +231,9 @@
             *requests *= TRAFFIC_DECAY;
         }
         self.cache_directory.prune(now);
+        self.record_versions(now);
         let expired = self.registry.expire(now);
         self.update_quarantine(now);
-        self.record_versions(now);
         self.origins.prune(now);
         self.prune_peer_state();
         self.assign_coordinators(now);
@@ -381,12 +384,14 @@
             self.cache_directory.remove_endpoint(&entry.id);
             self.on_registered_incarnation_ended(&entry.id, now);
         }
+        self.record_version_until(&entry.id, now);
         self.versions.record(&entry, now);
         self.registry.apply(entry, now)
     }
 
     fn remove_endpoint(&mut self, id: &EndpointId, now: Time) -> bool {
         self.on_registered_incarnation_ended(id, now);
+        self.record_version_until(id, now);
         self.registry.on_registration_removed(id, now)
     }
 
--- a/crates/sw-relay/src/version_history.rs
+++ b/crates/sw-relay/src/version_history.rs
@@ -5,7 +5,7 @@
 //! versions were registered, and a VM that has just started takes over what the others recorded.
 
 use indexmap::{IndexMap, IndexSet};
-use sw_unit::{Millis, Time};
+use sw_unit::{EndpointId, Millis, Time};
 
 use crate::{EndpointEntry, Relay, ServiceId, SoftwareVersion};
 
@@ -237,6 +237,13 @@
         endpoints.peek().is_some() && endpoints.all(|endpoint| endpoint.entry.software.is_none())
     }
 
+    /// Records the version of a registration that ends or is replaced: it was in force until now.
+    pub(crate) fn record_version_until(&mut self, id: &EndpointId, now: Time) {
+        if let Some(known) = self.registry.get(id) {
+            self.versions.record(&known.entry, now);
+        }
+    }
+
     /// Records the versions that are registered now.
     pub(crate) fn record_versions(&mut self, now: Time) {
         for endpoint in self.registry.all() {
--- a/crates/sw-relay/tests/stream_versions.rs
+++ b/crates/sw-relay/tests/stream_versions.rs
@@ -83,13 +83,6 @@
         later.sole_software(&engines, Time(29_000)),
         Some(SoleVersion::Stated(software("old")))
     );
-    let record = |versions: &[&str]| {
-        let versions = versions.iter().map(|version| Some(software(version))).collect();
-        StoreRecord::Software(vec![ServiceSoftware {
-            service: service("engines"),
-            versions,
-        }])
-    };
     let mut told = fresh();
     told.apply(record(&["old"]), Time(1_000));
     assert_eq!(
@@ -104,6 +97,50 @@
     );
 }
 
+/// Records of the store that name these versions of the service.
+fn record(versions: &[&str]) -> StoreRecord {
+    let versions = versions.iter().map(|version| Some(software(version))).collect();
+    StoreRecord::Software(vec![ServiceSoftware {
+        service: service("engines"),
+        versions,
+    }])
+}
+
+/// A VM that has long followed an endpoint of the version `old`, and stops at `Time(60_000)`.
+fn follower() -> Relay {
+    let mut vm = relay();
+    register(&mut vm, &engine("e-1", "old"), Time(0));
+    vm.apply(record(&["old"]), Time(0));
+    for second in 0..60 {
+        vm.tick(Time(second * 1_000));
+    }
+    vm
+}
+
+/// Guards against a VM that stands still for longer than a stream lives and then takes a version for gone since long that
+/// served until now: a stream of it went on at the other one.
+#[test]
+fn a_version_that_left_while_a_vm_stood_still_was_registered_until_now() {
+    for restarts in [false, true] {
+        let mut vm = follower();
+        register(&mut vm, &engine("e-2", "new"), Time(60_000));
+        if restarts {
+            register(
+                &mut vm,
+                &EndpointEntry {
+                    incarnation: Incarnation(2),
+                    ..engine("e-2", "old")
+                },
+                Time(120_000),
+            );
+        } else {
+            vm.apply(StoreRecord::Endpoint(engine("e-2", "new").id, None), Time(120_000));
+        }
+        vm.tick(Time(120_000));
+        assert_eq!(vm.sole_software(&service("engines"), Time(120_000)), None, "{restarts}");
+    }
+}
+
 /// Guards against a restarted VM that refuses streams although its neighbours know that one version served.
 #[test]
 fn restarted_vm_takes_over_what_others_have_seen() {
@@ -236,6 +273,35 @@
         (0..self.vms.len()).for_each(|index| self.kill(index));
     }
 
+    /// Lets a VM stand still until [`heal`](Self::heal): it neither sends nor receives anything.
+    fn pause(&mut self, index: usize) {
+        let index = index % self.vms.len();
+        self.vms[index].running = false;
+    }
+
+    /// Ends cuts and pauses. A VM that stood still gets the changes that it missed, of each registration the last one.
+    fn heal(&mut self) {
+        let (now, recorded) = (self.now, self.recorded.clone());
+        for vm in &mut self.vms {
+            vm.group = 0;
+            if std::mem::replace(&mut vm.running, true) {
+                continue;
+            }
+            let missed = std::mem::take(&mut vm.pending).into_iter();
+            let last: BTreeMap<_, _> = missed
+                .map(|(_, entry, on)| (entry.id.to_string(), (entry, on)))
+                .collect();
+            for (entry, on) in last.into_values() {
+                vm.relay
+                    .apply(StoreRecord::Endpoint(entry.id.clone(), on.then_some(entry)), now);
+            }
+            if let Some(recorded) = &recorded {
+                vm.relay.apply(StoreRecord::Software(recorded.clone()), now);
+            }
+            vm.relay.tick(now);
+        }
+    }
+
     /// Advances the time, with streams that begin, and streams that are resumed.
     fn run(&mut self, duration: Millis) {
         let end = self.now + duration;
@@ -252,7 +318,7 @@
 
     fn learn(&mut self) {
         let now = self.now;
-        for vm in &mut self.vms {
+        for vm in self.vms.iter_mut().filter(|vm| vm.running) {
             let (due, pending) = std::mem::take(&mut vm.pending)
                 .into_iter()
                 .partition(|(at, ..)| *at <= now);
@@ -285,7 +351,7 @@
         if !self.now.0.is_multiple_of(REPLICATE_PERIOD.0) {
             return;
         }
-        for from in 0..self.vms.len() {
+        for from in self.running() {
             for (address, origins) in self.vms[from].relay.take_pending_origins(self.now) {
                 let to = self.index_of(address);
                 if self.reaches(from, to) {
@@ -303,12 +369,12 @@
         if !self.now.0.is_multiple_of(WRITE_PERIOD.0) {
             return;
         }
-        for index in 0..self.vms.len() {
+        for index in self.running() {
             let written = self.vms[index].relay.take_unwritten_origins(self.now);
             self.written.extend(written);
             if let Some(record) = self.vms[index].relay.unrecorded_software(self.now) {
                 self.recorded = Some(record.clone());
-                for vm in &mut self.vms {
+                for vm in self.vms.iter_mut().filter(|vm| vm.running) {
                     vm.relay.apply(StoreRecord::Software(record.clone()), self.now);
                 }
             }
@@ -316,7 +382,9 @@
     }
 
     fn begin_stream(&mut self) {
-        let vm = self.rng.usize(..self.vms.len());
+        let Some(vm) = self.rng.choice(self.running()) else {
+            return;
+        };
         let relay = &mut self.vms[vm].relay;
         let request = sw_relay::RequestHead {
             id: Arc::from(format!("s{}", self.now.0)),
@@ -347,7 +415,9 @@
         let Some(stream) = self.rng.choice(&self.streams) else {
             return;
         };
-        let vm = self.rng.usize(..self.vms.len());
+        let Some(vm) = self.rng.choice(self.running()) else {
+            return;
+        };
         self.resumed_count += 1;
         let (id, software, began_at) = (Arc::clone(&stream.id), stream.software.clone(), stream.began_at);
         if let Some(found) = self.find(vm, &id) {
@@ -381,6 +451,11 @@
         }
     }
 
+    fn running(&self) -> Vec<usize> {
+        let vms = self.vms.iter().enumerate();
+        vms.filter(|(_, vm)| vm.running).map(|(index, _)| index).collect()
+    }
+
     fn reaches(&self, from: usize, to: usize) -> bool {
         self.vms[from].running && self.vms[to].running && self.vms[from].group == self.vms[to].group
     }
@@ -455,9 +530,15 @@
     Kill(usize),
     KillAll,
     CutOff(usize),
+    Pause(usize),
     Heal,
 }
 
+/// Time in milliseconds until the next step; some are longer than a stream can be resumed.
+fn span() -> impl Strategy<Value = u64> {
+    prop_oneof![9 => 0..6_000_u64, 1 => 20_000..30_000_u64]
+}
+
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         3 => (0..4_u8).prop_map(Step::StartEngine),
@@ -465,6 +546,7 @@
         3 => (0..16_usize).prop_map(Step::Kill),
         1 => Just(Step::KillAll),
         2 => (0..16_usize).prop_map(Step::CutOff),
+        2 => (0..16_usize).prop_map(Step::Pause),
         2 => Just(Step::Heal),
     ]
 }
@@ -472,12 +554,12 @@
 proptest! {
     #![proptest_config(sw_fuzz::config())]
 
-    /// Whatever versions come and go, and VMs are killed or cut off, no VM assumes a wrong version.
+    /// Whatever versions come and go, and VMs are killed, cut off or stand still, no VM assumes a wrong version.
     #[test]
     fn no_version_is_assumed_wrongly(
         seed in any::<u64>(),
         vms in 1..10_usize,
-        steps in proptest::collection::vec((0..6_000_u64, step()), 0..14),
+        steps in proptest::collection::vec((span(), step()), 0..14),
     ) {
         let mut fleet = Fleet::new(vms, seed);
         for (pause, step) in &steps {
@@ -487,7 +569,8 @@
                 Step::Kill(vm) => fleet.kill(*vm),
                 Step::KillAll => fleet.kill_all(),
                 Step::CutOff(vm) => fleet.vms[vm % vms].group = 1,
-                Step::Heal => fleet.vms.iter_mut().for_each(|vm| vm.group = 0),
+                Step::Pause(vm) => fleet.pause(*vm),
+                Step::Heal => fleet.heal(),
             }
             fleet.run(Millis(*pause));
         }
