fix(relay): a VM that lost track of the registrations goes by the record

Which versions have served is concluded from what a VM has followed. It never noticed that it had not followed for a while: "followed since" stayed where it was after a pause or a silence of the store, and changes reach a follower as the last state of each registration, so a version that joined and left meanwhile is not seen. The record of the other VMs in the store was read, but did not count against what the VM believed to know, and a VM that writes it even took the version out of it.

Now each time that the mirror is up to date is noted. After 6 s without (a watcher waits 4.5 s at most) the VM has followed only since now, and for as long as a stream lives the record counts beside its own view, for conclusions and for what it writes. A neighbour that has followed ends this sooner, but not by a heartbeat that was sent before the gap: none of the first 3 s counts.

--- a/crates/sw-proxy/src/records.rs
+++ b/crates/sw-proxy/src/records.rs
@@ -53,6 +53,9 @@
         followed,
         knows_eras: true,
     });
+    if source != Source::GracePeriod {
+        relay.on_registrations_confirmed(now);
+    }
     for endpoint in relay.tick(now) {
         let endpoint = endpoint.as_str();
         info!("endpoint_gone", kv: { endpoint, revision });
--- a/crates/sw-relay/src/version_history.rs
+++ b/crates/sw-relay/src/version_history.rs
@@ -2,7 +2,8 @@
 //!
 //! A stream may continue only at the software version that started it. If a VM does not know which one that was, it may still
 //! conclude it: if only one version has served for as long as a stream can live. For that each VM records which
-//! versions were registered, and a VM that has just started takes over what the others recorded.
+//! versions were registered, and a VM that has just started takes over what the others recorded. A VM that was cut off
+//! or stood still may have missed a version that joined and left meanwhile, so it relies on the others likewise.
 
 use indexmap::{IndexMap, IndexSet};
 use sw_unit::{EndpointId, Millis, Time};
@@ -16,6 +17,11 @@
 const DEFAULT_STREAM_LIFE: Millis = Millis(30_000);
 /// Time for which a version is remembered that is no longer registered.
 const VERSION_KEPT_FOR: Millis = Millis(600_000);
+/// Time without a confirmation of the registrations after which versions may have joined and left unseen; longer than a
+/// watcher waits for changes, and about as long as an endpoint without heartbeats stays registered.
+const MAX_UNCONFIRMED: Millis = Millis(6_000);
+/// Time after such a gap for which heartbeats may have been sent before it.
+const OLD_HEARTBEATS_FOR: Millis = Millis(3_000);
 /// Maximum number of versions that are remembered of a service.
 const MAX_VERSIONS: usize = 32;
 
@@ -73,6 +79,10 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct VersionHistory {
     services: IndexMap<ServiceId, ServiceHistory>,
+    /// When this VM last had all changes of the registrations.
+    confirmed_at: Option<Time>,
+    /// When it last got them after a gap.
+    gap_ended_at: Option<Time>,
 }
 
 impl VersionHistory {
@@ -82,10 +92,24 @@
         history.record(entry.software.clone(), now);
     }
 
+    /// Records that this VM has all changes of the registrations. After a gap it has followed them only since now.
+    pub(crate) fn on_confirmed(&mut self, now: Time) {
+        let confirmed_at = self.confirmed_at.replace(now);
+        if confirmed_at.is_some_and(|at| now.since(at) > MAX_UNCONFIRMED) {
+            self.gap_ended_at = Some(now);
+            for history in self.services.values_mut() {
+                history.observed_since = now;
+            }
+        }
+    }
+
     /// Merges what another VM knows.
     pub(crate) fn merge(&mut self, report: &ServiceVersions, now: Time) {
+        let may_be_old = self.gap_ended_at.is_some_and(|at| now.since(at) < OLD_HEARTBEATS_FOR);
         let history = self.history(&report.service, now);
-        history.observed_since = history.observed_since.min(now - report.observed_for);
+        if !may_be_old {
+            history.observed_since = history.observed_since.min(now - report.observed_for);
+        }
         for version in &report.versions {
             history.record(version.software.clone(), now - version.age);
         }
@@ -121,13 +145,13 @@
         reports.collect()
     }
 
-    /// Returns whether several versions, or versions that are not stated, were registered within `life`.
+    /// Returns whether streams of several versions, or versions that are not stated, may live.
     pub(crate) fn is_mixed(&self, service: &ServiceId, life: Millis, now: Time) -> bool {
         let history = self.services.get(service);
-        history.is_some_and(|history| history.within(life, now).count() > 1)
+        history.is_some_and(|history| history.live_versions(life, now).len() > 1)
     }
 
-    /// Returns the only version that was registered within `life`, if this VM can tell.
+    /// Returns the only version of which streams may live, if this VM can tell.
     pub(crate) fn sole(&self, service: &ServiceId, life: Millis, now: Time) -> Option<SoleVersion> {
         let history = self.services.get(service)?;
         if now.since(history.observed_since) < life && history.recorded.is_none() {
@@ -156,9 +180,9 @@
 }
 
 impl ServiceHistory {
-    /// Returns the versions to record: those of the streams that may live. A version is only taken out of the record if
-    /// this VM has followed the registrations for long enough.
-    fn to_record(&self, life: Millis, now: Time) -> IndexSet<Option<SoftwareVersion>> {
+    /// Returns the versions of which streams may live. The record counts until this VM has followed the registrations for
+    /// long enough.
+    fn live_versions(&self, life: Millis, now: Time) -> IndexSet<Option<SoftwareVersion>> {
         let mut versions: IndexSet<_> = self.within(life, now).cloned().collect();
         if now.since(self.observed_since) < life {
             versions.extend(self.recorded.iter().flatten().cloned());
@@ -190,12 +214,9 @@
     }
 
     fn only_version(&self, life: Millis, now: Time) -> Option<SoleVersion> {
-        let mut within = self.within(life, now);
-        let only = match within.next()? {
-            Some(software) => SoleVersion::Stated(software.clone()),
-            None => SoleVersion::Unstated,
-        };
-        within.next().is_none().then_some(only)
+        let mut versions = self.live_versions(life, now).into_iter();
+        let only = versions.next()?.map_or(SoleVersion::Unstated, SoleVersion::Stated);
+        versions.next().is_none().then_some(only)
     }
 }
 
@@ -220,7 +241,7 @@
         }
         let mut is_current = true;
         let services = self.versions.services.iter().map(|(service, history)| {
-            let versions = history.to_record(self.stream_life(service), now);
+            let versions = history.live_versions(self.stream_life(service), now);
             is_current &= !history.is_lost && history.recorded.as_ref() == Some(&versions);
             ServiceSoftware {
                 service: service.clone(),
@@ -237,6 +258,11 @@
         endpoints.peek().is_some() && endpoints.all(|endpoint| endpoint.entry.software.is_none())
     }
 
+    /// Records that this VM has all changes of the registrations, up to now or a moment ago.
+    pub fn on_registrations_confirmed(&mut self, now: Time) {
+        self.versions.on_confirmed(now);
+    }
+
     /// Records the version of a registration that ends or is replaced: it was in force until now.
     pub(crate) fn record_version_until(&mut self, id: &EndpointId, now: Time) {
         if let Some(known) = self.registry.get(id) {
--- a/crates/sw-relay/tests/stream_versions.rs
+++ b/crates/sw-relay/tests/stream_versions.rs
@@ -112,6 +112,7 @@
     register(&mut vm, &engine("e-1", "old"), Time(0));
     vm.apply(record(&["old"]), Time(0));
     for second in 0..60 {
+        vm.on_registrations_confirmed(Time(second * 1_000));
         vm.tick(Time(second * 1_000));
     }
     vm
@@ -141,6 +142,63 @@
     }
 }
 
+/// Guards against a VM that missed a version: it joined and left while the VM was cut off or stood still, so that only the record
+/// of the other VMs names it, and the VM had known it from before.
+#[test]
+fn a_vm_that_lost_track_concludes_nothing_against_the_record() {
+    let engines = service("engines");
+    let mut vm = relay();
+    register(&mut vm, &engine("e-1", "old"), Time(0));
+    register(&mut vm, &engine("e-2", "new"), Time(0));
+    vm.on_registrations_confirmed(Time(0));
+    vm.apply(StoreRecord::Endpoint(engine("e-2", "new").id, None), Time(0));
+    for second in 0..60 {
+        vm.on_registrations_confirmed(Time(second * 1_000));
+        vm.tick(Time(second * 1_000));
+    }
+    vm.apply(record(&["old"]), Time(59_000));
+    let sole = Some(SoleVersion::Stated(software("old")));
+    assert_eq!(vm.sole_software(&engines, Time(59_000)), sole);
+    // Changes that follow each other for one endpoint reach a follower as the last of them.
+    vm.apply(record(&["old", "new"]), Time(69_000));
+    vm.on_registrations_confirmed(Time(69_000));
+    vm.tick(Time(69_000));
+    assert_eq!(vm.sole_software(&engines, Time(69_000)), None);
+    vm.set_store_state(sw_relay::StoreState {
+        position: sw_unit::StorePosition::new(sw_unit::StoreEra(0), 1),
+        ..sw_relay::StoreState::default()
+    });
+    assert_eq!(vm.unrecorded_software(Time(69_000)), None, "the record stays as it is");
+    vm.apply(record(&["old"]), Time(70_000));
+    assert_eq!(vm.sole_software(&engines, Time(70_000)), sole, "the others know better");
+}
+
+/// Guards against a heartbeat of before the gap, read after it, by which a VM believes that it has followed all the while.
+#[test]
+fn a_heartbeat_of_before_a_gap_does_not_bridge_it() {
+    let mut vm = relay_with(options(row("vm-2", "north")));
+    register(&mut vm, &engine("e-1", "old"), Time(0));
+    for second in 0..60 {
+        vm.on_registrations_confirmed(Time(second * 1_000));
+        vm.tick(Time(second * 1_000));
+    }
+    let engines = service("engines");
+    let sole = Some(SoleVersion::Stated(software("old")));
+    let heartbeat = follower().heartbeat(None, Time(59_000));
+    assert_eq!(vm.sole_software(&engines, Time(59_000)), sole);
+    vm.on_registrations_confirmed(Time(69_000));
+    vm.tick(Time(69_000));
+    vm.on_heartbeat(heartbeat, Time(69_001));
+    assert_eq!(vm.sole_software(&engines, Time(69_001)), None);
+    let heartbeat = follower().heartbeat(None, Time(72_500));
+    vm.on_heartbeat(heartbeat, Time(72_500));
+    assert_eq!(
+        vm.sole_software(&engines, Time(72_500)),
+        sole,
+        "a neighbour has followed"
+    );
+}
+
 /// Guards against a restarted VM that refuses streams although its neighbours know that one version served.
 #[test]
 fn restarted_vm_takes_over_what_others_have_seen() {
@@ -298,6 +356,7 @@
             if let Some(recorded) = &recorded {
                 vm.relay.apply(StoreRecord::Software(recorded.clone()), now);
             }
+            vm.relay.on_registrations_confirmed(now);
             vm.relay.tick(now);
         }
     }
@@ -327,6 +386,7 @@
                 vm.relay
                     .apply(StoreRecord::Endpoint(entry.id.clone(), on.then_some(entry)), now);
             }
+            vm.relay.on_registrations_confirmed(now);
             if now.0.is_multiple_of(500) {
                 vm.relay.tick(now);
             }
