fix(proxy): a plain 200 without length and body is no answer

`--test broken_heads` plays 15 answers that end in their head and 5 that end between head and body: plain and stream, repeatable and not, first attempt and resumed, on new and open connections, direct and through a VM of another region, followed by the same again or by a whole answer. hyper reports a head without its last empty line as an error, so all 15 were taken for a break already. One of the 5 was not: a 200 of a plain service with neither length nor chunks whose connection closes before the first byte was relayed as complete with an empty body, in chunks that end as they should.

A body without a length ends with its connection, and without a single byte nothing tells a finished answer from one that broke off after the head. So the first bytes of such a body are waited for before the caller gets a head; without any, the attempt broke. A repeatable request is then sent again, another one ends as `outcome_unknown`, which promises nothing. An error status is relayed as before. Bodies without a length of 1 byte to 300 KiB arrive as before (`an_answer_without_a_length…`).

What cannot be told: a body without a length that ends early without a reset.

--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -191,6 +191,7 @@
                 guard,
                 exchange,
                 body,
+                first_chunk: None,
                 head: response_head,
             }));
             let mut head = Response::from_parts(parts, ());
--- a/crates/sw-proxy/src/incoming.rs
+++ b/crates/sw-proxy/src/incoming.rs
@@ -47,6 +47,8 @@
     pub(crate) guard: AttemptGuard<D, F>,
     pub(crate) exchange: Exchange,
     pub(crate) body: Incoming,
+    /// First bytes of the body, if they were received and not relayed yet.
+    pub(crate) first_chunk: Option<Bytes>,
     pub(crate) head: ResponseHead,
 }
 
@@ -71,6 +73,28 @@
         len.to_str().ok()?.parse().ok()
     }
 
+    /// Waits for the first bytes of a successful response that ends with its connection; without any, the endpoint may
+    /// have broken off after the head.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AttemptOutcome::Broken`] or [`AttemptOutcome::Timeout`].
+    pub(crate) async fn wait_for_body(mut self, remaining: Duration) -> Result<Self, AttemptOutcome> {
+        if self.source.is_framed() || !self.head.status().is_success() {
+            return Ok(self);
+        }
+        let outcome = match tokio::time::timeout(remaining, self.source.next()).await {
+            Ok(BodyPart::Chunk(data)) => {
+                self.source.put_back(data);
+                return Ok(self);
+            }
+            Ok(BodyPart::End | BodyPart::Broken) => AttemptOutcome::Broken,
+            Err(_elapsed) => AttemptOutcome::Timeout,
+        };
+        self.source.finish(outcome);
+        Err(outcome)
+    }
+
     /// Reads the complete body and ends the attempt.
     ///
     /// # Errors
@@ -99,15 +123,24 @@
     }
 }
 
+impl<D: Dialect, F: 'static> EndpointResponse<D, F> {
+    async fn next(&mut self) -> BodyPart {
+        if let Some(data) = self.first_chunk.take() {
+            return BodyPart::Chunk(data);
+        }
+        match self.body.frame().await {
+            Some(Ok(frame)) => BodyPart::Chunk(frame.into_data().unwrap_or_default()),
+            Some(Err(_broken)) => BodyPart::Broken,
+            None => BodyPart::End,
+        }
+    }
+}
+
 impl<D: Dialect, F: 'static> BodySource<D, F> {
     /// Receives the next part of the body.
     pub(crate) async fn next(&mut self) -> BodyPart {
         match self {
-            Self::Endpoint(response) => match response.body.frame().await {
-                Some(Ok(frame)) => BodyPart::Chunk(frame.into_data().unwrap_or_default()),
-                Some(Err(_broken)) => BodyPart::Broken,
-                None => BodyPart::End,
-            },
+            Self::Endpoint(response) => response.next().await,
             Self::Vm(events) => match events.recv().await {
                 Some(RelayEvent::Chunk(data)) => BodyPart::Chunk(data),
                 Some(RelayEvent::End(Ok(()))) => BodyPart::End,
@@ -116,6 +149,13 @@
         }
     }
 
+    /// Puts back the first part of the body.
+    fn put_back(&mut self, data: Bytes) {
+        if let Self::Endpoint(response) = self {
+            response.first_chunk = Some(data);
+        }
+    }
+
     /// Records the first event.
     pub(crate) fn on_first_event(&self) {
         if let Self::Endpoint(response) = self {
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -204,9 +204,13 @@
     choice: &Choice,
     history: &mut AttemptHistory,
 ) -> Result<HttpResponse, AttemptOutcome> {
-    let response = start_attempt(state, request, choice, history).await?;
-    let is_buffered = !request.admitted.route.kind.is_streaming()
-        && response.body_len().is_some_and(|len| len <= MAX_BUFFERED_RESPONSE);
+    let mut response = start_attempt(state, request, choice, history).await?;
+    let remaining = || Duration::from_millis(request.admitted.remaining(state.now()).0);
+    let is_streaming = request.admitted.route.kind.is_streaming();
+    if !is_streaming {
+        response = response.wait_for_body(remaining()).await?;
+    }
+    let is_buffered = !is_streaming && response.body_len().is_some_and(|len| len <= MAX_BUFFERED_RESPONSE);
     if !is_buffered {
         return Ok(stream::relay_response(
             state,
@@ -215,8 +219,7 @@
             history.clone(),
         ));
     }
-    let remaining = Duration::from_millis(request.admitted.remaining(state.now()).0);
-    let response = response.read_body(remaining).await?;
+    let response = response.read_body(remaining()).await?;
     Ok(response.map(ResponseBody::from))
 }
 
