fix(proxy): a stopping VM takes what ends in time, and tells the rest

Now the end of the grace is known to each request. The last answers are sent 0.6 s before it. A request that may run only once is taken if it is due sooner, one that may be repeated if twice its objective fits, a stream as before and if it is expected to end; all others get 503 `stopping` and `Connection: close` before their body is read, also while a slow body is awaited. What is taken is due at the last answers. What was sent and is not answered then gets 504, which promises nothing, instead of a cut: also what was sent before the stop, and what another VM forwarded. A stream that could be served, but not before this VM ends, is refused as `stopping`, so that its caller goes to another VM at once rather than after the wait of an overload.

Open connections, pipelined and forwarded requests held before (a response while draining closes its connection; a forward that breaks is answered by its entry VM).

--- a/crates/sw-proxy/src/lib.rs
+++ b/crates/sw-proxy/src/lib.rs
@@ -10,6 +10,7 @@
 mod crash;
 mod dialect;
 mod directory;
+mod drain;
 mod forward;
 mod heartbeat;
 mod incoming;
--- a/crates/sw-proxy/src/proxy.rs
+++ b/crates/sw-proxy/src/proxy.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::drain::STOP_MARGIN;
 use crate::heartbeat::HEARTBEAT_PERIOD;
 use crate::peer::PeerHandler;
 use crate::state::{Lifecycle, ProxyState};
@@ -32,8 +33,6 @@
 const MAX_ENTRY_AGE_TTLS: u64 = 3;
 /// Maximum share of the stop grace during which new connections are accepted.
 const ACCEPT_SHARE: f64 = 0.75;
-/// Time before the end of the stop grace at which the remaining requests are aborted.
-const STOP_MARGIN: Millis = Millis(350);
 
 /// A running proxy.
 pub struct Proxy<D, F> {
@@ -128,6 +127,7 @@
         let active = state.active_requests.get() as u64;
         info!("stopping", kv: { active, grace_ms = grace.0 });
         state.lifecycle.set(Lifecycle::Draining(state.now()));
+        state.drain_started.notify_waiters();
         state.relay.borrow_mut().announce_leaving();
         let end = tokio::time::Instant::now() + Duration::from_millis((grace - STOP_MARGIN).0);
         let max_entry_age = Millis(state.options().entry_ttl.0 * MAX_ENTRY_AGE_TTLS);
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -20,15 +20,11 @@
 use crate::reservation::{ReservationGuard, reserve};
 use crate::response::{refusal_response, strip_hop_headers};
 use crate::state::{ActiveGuard, ProxyState};
-use crate::{Dialect, HeadError, forward, resumption, stream, telemetry};
+use crate::{Dialect, HeadError, drain, forward, resumption, stream, telemetry};
 
 /// Maximum body length in bytes of a response that is buffered before its head is sent to the caller. A buffered
 /// response that breaks off can still be retried.
 const MAX_BUFFERED_RESPONSE: u64 = 64 << 10;
-/// Share of the stop grace after which new streams are refused, because they may not finish before the process ends.
-const REFUSE_STREAMS_AFTER_SHARE: f64 = 0.35;
-/// Retry delay for callers of a draining VM; they should connect to another VM.
-const DRAINING_RETRY_AFTER: Millis = Millis(50);
 
 /// Response to a caller.
 pub(crate) type HttpResponse = Response<ResponseBody>;
@@ -68,11 +64,17 @@
         .map_err(without_route)?;
     let route = admitted.route.name.clone();
     let response = async {
-        check_draining(state, &admitted)?;
+        drain::check(state, &admitted)?;
         if let Some(resumption) = &resumption {
             resumption::pin(state, &mut admitted, resumption).await?;
         }
-        let body = read_request_body(state, &admitted, body).await?;
+        let body = tokio::select! {
+            biased;
+            body = read_request_body(state, &admitted, body) => body?,
+            late = drain::wait_late(state, &admitted) => return Err(late),
+        };
+        drain::check(state, &admitted)?;
+        let unlimited = drain::limit(state, &mut admitted);
         let mut request = BufferedRequest {
             admitted,
             method: parts.method,
@@ -83,7 +85,11 @@
             forwarder_can_retry: false,
         };
         request.record_content(&state.dialect);
-        send_with_retries(state, request).await
+        let response = send_with_retries(state, request).await;
+        response.map_err(|refusal| match &unlimited {
+            Some(unlimited) => drain::refusal(state, unlimited, refusal),
+            None => refusal,
+        })
     };
     response.await.map_err(|refusal| (refusal, route))
 }
@@ -117,7 +123,14 @@
         };
         let revision = state.mirror.borrow().position().revision;
         telemetry::log_choice(&request.admitted, &choice, revision, now);
-        match send_attempt(state, &request, &choice, &mut history).await {
+        let sent = tokio::select! {
+            biased;
+            sent = send_attempt(state, &request, &choice, &mut history) => sent,
+            () = drain::wait_last_answers(state) => {
+                return failure.ok_or_else(|| Kind::EndpointTimeout.into());
+            }
+        };
+        match sent {
             Ok(response) if response.status().is_server_error() && request.admitted.route.kind.is_repeatable() => {
                 failure = Some(response);
             }
@@ -223,17 +236,6 @@
     Ok(response.map(ResponseBody::from))
 }
 
-/// Refuses streams late in draining, because they may not finish before the process ends.
-fn check_draining<D: Dialect, F>(state: &ProxyState<D, F>, admitted: &AdmittedRequest) -> Result<(), Refusal> {
-    let refuse_after = Millis((state.options().stop_grace.0 as f64 * REFUSE_STREAMS_AFTER_SHARE) as u64);
-    match state.draining_for() {
-        Some(draining_for) if draining_for > refuse_after && admitted.route.kind.is_streaming() => {
-            Err(Refusal::with_retry_after(Kind::Stopping, DRAINING_RETRY_AFTER))
-        }
-        _ => Ok(()),
-    }
-}
-
 /// Releases the memory that is accounted for a body when dropped.
 struct BodyMemoryGuard<'a, D, F> {
     state: &'a ProxyState<D, F>,
--- a/crates/sw-proxy/src/state.rs
+++ b/crates/sw-proxy/src/state.rs
@@ -69,6 +69,8 @@
     pub(crate) active_requests: Cell<usize>,
     /// Notified when the last active request ends.
     pub(crate) idle: Notify,
+    /// Notified when this VM starts to drain.
+    pub(crate) drain_started: Notify,
     /// Notified when a suspect of crashes is quarantined or released.
     pub(crate) quarantine_changed: Notify,
     /// When this VM last sent news of crashes to others.
@@ -116,6 +118,7 @@
             body_bytes: Cell::new(0),
             active_requests: Cell::new(0),
             idle: Notify::new(),
+            drain_started: Notify::new(),
             quarantine_changed: Notify::new(),
             crash_announced_at: Cell::new(None),
             is_replicating_origins: Cell::new(false),
