--- a/crates/sw-relay/tests/support/fleet.rs
+++ b/crates/sw-relay/tests/support/fleet.rs
@@ -22,7 +22,7 @@
 
 #[allow(unused_imports, reason = "used by some test files only")]
 pub use copies::CopiedRequest;
-use crashes::Unconfirmed;
+use crashes::{Unconfirmed, Unseen};
 
 use super::{endpoint, head, options, register, relay_with, row};
 
@@ -113,6 +113,11 @@
     /// Time that a VM needs to find out that an engine crashed; none for the others.
     confirm_after: IndexMap<usize, Millis>,
     unconfirmed: Vec<Unconfirmed>,
+    /// Time after which a VM sees that a connection broke; none for the others.
+    seen_after: IndexMap<usize, Millis>,
+    unseen: Vec<Unseen>,
+    /// Whether prompts and requests whose connection broke are sent to another engine.
+    retries: bool,
 }
 
 fn region_id(region: usize) -> RegionId {
@@ -185,6 +190,9 @@
             admitted: 0,
             confirm_after: IndexMap::new(),
             unconfirmed: Vec::new(),
+            seen_after: IndexMap::new(),
+            unseen: Vec::new(),
+            retries: true,
         };
         fleet.vms = (0..layout.vms).map(|index| fleet.start_vm(index, 1)).collect();
         for (from, to) in (0..layout.vms).flat_map(|from| (0..layout.vms).map(move |to| (from, to))) {
@@ -385,6 +393,7 @@
     /// Advances the time by one step.
     pub fn step(&mut self) {
         self.now = self.now + STEP;
+        self.see_broken_connections();
         self.confirm_crashes();
         self.restart_engines();
         self.advance_attempts();
--- a/crates/sw-relay/tests/support/fleet/crashes.rs
+++ b/crates/sw-relay/tests/support/fleet/crashes.rs
@@ -3,7 +3,7 @@
 use sw_relay::{AttemptOutcome, EndpointEntry};
 use sw_unit::{Millis, Time};
 
-use super::{DOWNTIME, Fleet};
+use super::{DOWNTIME, Fleet, RunningAttempt};
 
 /// A crash that a VM finds out about later.
 pub(super) struct Unconfirmed {
@@ -12,7 +12,23 @@
     at: Time,
 }
 
+/// A broken connection that its VM sees later.
+pub(super) struct Unseen {
+    running: RunningAttempt,
+    at: Time,
+}
+
 impl Fleet {
+    /// Sets the time after which a VM sees that a connection broke.
+    pub fn set_seen_after(&mut self, vm: usize, seen_after: Millis) {
+        self.seen_after.insert(vm, seen_after);
+    }
+
+    /// Sets whether prompts and requests whose connection broke are sent to another engine.
+    pub fn set_retries(&mut self, retries: bool) {
+        self.retries = retries;
+    }
+
     /// Sets the time that a VM needs to find out that an engine crashed.
     pub fn set_confirm_after(&mut self, vm: usize, confirm_after: Millis) {
         self.confirm_after.insert(vm, confirm_after);
@@ -52,32 +68,54 @@
             .running
             .extract_if(.., |running| running.engine == engine)
             .collect();
-        for mut running in broken {
-            let entry = running.attempt.endpoint.clone();
-            let relay = &mut self.vms[running.vm].relay;
-            let is_suspicious = relay.on_broken_attempt(&running.attempt, self.now);
-            relay.end_attempt(&running.attempt, AttemptOutcome::Broken, self.now);
-            if is_suspicious {
-                // The engine refuses connections.
-                let confirm_after = self.confirm_after.get(&running.vm).copied().unwrap_or_default();
-                self.unconfirmed.push(Unconfirmed {
-                    vm: running.vm,
-                    entry: entry.clone(),
-                    at: self.now + confirm_after,
-                });
-                self.confirm_crashes();
+        for running in broken {
+            let seen_after = self.seen_after.get(&running.vm).copied().unwrap_or_default();
+            if seen_after == Millis(0) {
+                self.on_broken(running);
+            } else {
+                let at = self.now + seen_after;
+                self.unseen.push(Unseen { running, at });
             }
-            let relay = &mut self.vms[running.vm].relay;
-            running.history.record_endpoint(&entry.id, Some(AttemptOutcome::Broken));
-            if relay.withdraw_retry(&running.admitted, &running.history) {
-                self.send(
-                    running.vm,
-                    running.admitted,
-                    running.history,
-                    running.crashing,
-                    running.has_head,
-                );
+        }
+    }
+
+    /// Tells VMs which of their connections broke, if they see it by now.
+    pub(super) fn see_broken_connections(&mut self) {
+        let now = self.now;
+        let seen: Vec<_> = self.unseen.extract_if(.., |unseen| unseen.at <= now).collect();
+        for Unseen { running, .. } in seen {
+            let vm = &self.vms[running.vm];
+            if vm.running && vm.relay.members().local().incarnation == running.incarnation {
+                self.on_broken(running);
             }
         }
     }
+
+    fn on_broken(&mut self, mut running: RunningAttempt) {
+        let entry = running.attempt.endpoint.clone();
+        let relay = &mut self.vms[running.vm].relay;
+        let is_suspicious = relay.on_broken_attempt(&running.attempt, self.now);
+        relay.end_attempt(&running.attempt, AttemptOutcome::Broken, self.now);
+        if is_suspicious {
+            // The engine refuses connections.
+            let confirm_after = self.confirm_after.get(&running.vm).copied().unwrap_or_default();
+            self.unconfirmed.push(Unconfirmed {
+                vm: running.vm,
+                entry: entry.clone(),
+                at: self.now + confirm_after,
+            });
+            self.confirm_crashes();
+        }
+        let relay = &mut self.vms[running.vm].relay;
+        running.history.record_endpoint(&entry.id, Some(AttemptOutcome::Broken));
+        if self.retries && relay.withdraw_retry(&running.admitted, &running.history) {
+            self.send(
+                running.vm,
+                running.admitted,
+                running.history,
+                running.crashing,
+                running.has_head,
+            );
+        }
+    }
 }
