fix(relay): of a part and a request that explain equally many crashes, the request is the cause only if it brought the part along

Cause: of two suspects that explain equally many crashes, the request was taken. An engine that crashes breaks off the streams beside the cause, which are sent again together, and where a region has few engines they meet the next request with the part. Each of them then explains both crashes as well as the part does.

Change: the evidence says which requests had just been started at a crash, so that they may have brought its suspected parts along. A request wins a tie only if it was started at each of its crashes, as one request that comes again was; otherwise the part wins, unless it was answered before.

--- a/crates/sw-relay/src/crash_evidence.rs
+++ b/crates/sw-relay/src/crash_evidence.rs
@@ -6,6 +6,10 @@
 //! the requests that had not run for long, whether they had a head or not. A suspect is cleared by a complete response
 //! to a request that has it.
 //!
+//! A request that is named together with parts had just been started, and has some of these parts; one that is named
+//! without parts ran beside them, or crashes endpoints before the head. A report that mixes both is sent as two reports of
+//! the same crash.
+//!
 //! A connection that breaks is no crash by itself. The VM counts it as one if the endpoint refuses connections, or if
 //! another incarnation of it registers, or its registration ends although it was not leaving. VMs exchange their crashes
 //! and answered suspects in heartbeats, so that evidence adds up over VMs, regions and services.
@@ -14,6 +18,7 @@
 use sw_unit::{EndpointId, Fingerprint, Incarnation, Millis, PartId, Time};
 
 use crate::EndpointEntry;
+use crate::suspects::{Suspect, Suspects};
 
 /// Time for which a crash is remembered.
 const CRASH_KEPT_FOR: Millis = Millis(600_000);
@@ -27,10 +32,6 @@
 const COINCIDENCE: Millis = Millis(250);
 /// Maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 128;
-/// Maximum number of parts among the suspects of one crash.
-const MAX_PARTS: usize = 32;
-/// Maximum number of requests among the suspects of one crash.
-const MAX_REQUESTS: usize = 64;
 /// Maximum number of suspects of which it is remembered that they were answered.
 const MAX_ANSWERED: usize = 8_192;
 /// Maximum number of crashes, and of answered suspects, in one heartbeat.
@@ -38,22 +39,6 @@
 /// Shortest time between two checks whether an endpoint refuses connections.
 const CHECK_PERIOD: Millis = Millis(1_000);
 
-/// What may have crashed an endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum Suspect {
-    /// Each request whose prompt has this part.
-    Part(PartId),
-    /// One request, whoever sends its copies to which VM.
-    Request(Fingerprint),
-}
-
-impl Suspect {
-    /// Returns whether this is a request.
-    pub fn is_request(self) -> bool {
-        matches!(self, Self::Request(_))
-    }
-}
-
 /// A crash of an endpoint, as VMs report it to each other.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashReport {
@@ -76,6 +61,17 @@
     pub age: Millis,
 }
 
+/// What an attempt that broke off adds to the evidence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BreakOutcome {
+    /// Nothing.
+    Known,
+    /// The endpoint may have crashed, which is to be checked.
+    CheckDue,
+    /// A suspect of a crash that is known already.
+    News,
+}
+
 /// What the report of another VM adds to the evidence.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ReportOutcome {
@@ -94,7 +90,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Crash {
     pub(crate) at: Time,
-    pub(crate) suspects: IndexSet<Suspect>,
+    pub(crate) suspects: Suspects,
     /// When this VM last learned something new of it.
     changed_at: Time,
 }
@@ -104,7 +100,7 @@
 struct Break {
     at: Time,
     checked_at: Time,
-    suspects: IndexSet<Suspect>,
+    suspects: Suspects,
 }
 
 /// Crashes and answered suspects, as far as this VM knows.
@@ -119,12 +115,15 @@
 }
 
 impl CrashEvidence {
-    /// Records that an endpoint broke off a response; returns whether to check if it refuses connections.
-    pub(crate) fn on_break(&mut self, entry: &EndpointEntry, suspects: &[Suspect], now: Time) -> bool {
+    /// Records that an endpoint broke off a response.
+    pub(crate) fn on_break(&mut self, entry: &EndpointEntry, suspects: &[Suspect], now: Time) -> BreakOutcome {
         let key = key_of(entry);
         if let Some(crash) = self.crashes.get_mut(&key) {
-            add_suspects(crash, suspects, now);
-            return false;
+            return if add_suspects(crash, suspects, now) {
+                BreakOutcome::News
+            } else {
+                BreakOutcome::Known
+            };
         }
         let mut is_due = false;
         let known = self.breaks.entry(key).or_insert_with(|| {
@@ -132,15 +131,17 @@
             Break {
                 at: now,
                 checked_at: now,
-                suspects: IndexSet::new(),
+                suspects: Suspects::default(),
             }
         });
-        extend_bounded(&mut known.suspects, suspects);
+        known.suspects.extend(suspects);
         is_due |= now.since(known.checked_at) >= CHECK_PERIOD;
         if is_due {
             known.checked_at = now;
+            BreakOutcome::CheckDue
+        } else {
+            BreakOutcome::Known
         }
-        is_due
     }
 
     /// Records that an incarnation of an endpoint ended unplanned; returns whether a broken response makes it a crash.
@@ -168,15 +169,15 @@
     /// Records a complete response to a request; it is remembered only if the request is a suspect.
     pub(crate) fn on_request_answered(&mut self, request: Fingerprint, now: Time) {
         let suspect = Suspect::Request(request);
-        if self.crashes.values().any(|crash| crash.suspects.contains(&suspect)) {
+        if self.crashes.values().any(|crash| crash.suspects.contains(suspect)) {
             self.record_answered(suspect, now);
         }
     }
 
     /// Returns whether any request is a suspect.
     pub(crate) fn suspects_requests(&self) -> bool {
-        let mut suspects = self.crashes.values().flat_map(|crash| &crash.suspects);
-        suspects.any(|suspect| suspect.is_request())
+        let mut suspects = self.crashes.values().flat_map(|crash| crash.suspects.iter());
+        suspects.any(Suspect::is_request)
     }
 
     /// Records that a request was refused because of a suspect; a request that comes again and again is not forgotten.
@@ -198,12 +199,19 @@
         }
         let mut crash = Crash {
             at: now - report.age,
-            suspects: bounded(&report.suspects),
+            suspects: Suspects::default(),
             changed_at: now,
         };
-        let broken = self.breaks.swap_remove(&key);
-        let observed: Vec<_> = broken.into_iter().flat_map(|broken| broken.suspects).collect();
-        let is_completed = extend_bounded(&mut crash.suspects, &observed);
+        crash.suspects.extend(&report.suspects);
+        let mut is_completed = false;
+        for suspects in self
+            .breaks
+            .swap_remove(&key)
+            .iter()
+            .flat_map(|broken| broken.suspects.split())
+        {
+            is_completed |= crash.suspects.extend(&suspects);
+        }
         self.insert(key, crash);
         if is_completed {
             ReportOutcome::Completed
@@ -221,11 +229,14 @@
     pub(crate) fn crash_reports(&self, new: bool, now: Time) -> Vec<CrashReport> {
         let is_reported = |crash: &Crash| new || now.since(crash.changed_at) < REPORTED_FOR;
         let crashes = self.crashes.iter().rev().filter(|(_, crash)| is_reported(crash));
-        let reports = crashes.map(|((endpoint, incarnation), crash)| CrashReport {
-            endpoint: endpoint.clone(),
-            incarnation: *incarnation,
-            suspects: crash.suspects.iter().copied().collect(),
-            age: now.since(crash.at),
+        let reports = crashes.flat_map(|((endpoint, incarnation), crash)| {
+            let suspects = crash.suspects.split().into_iter();
+            suspects.map(|suspects| CrashReport {
+                endpoint: endpoint.clone(),
+                incarnation: *incarnation,
+                suspects,
+                age: now.since(crash.at),
+            })
         });
         reports.take(MAX_REPORTS).collect()
     }
@@ -238,12 +249,12 @@
         });
         let mut reports = IndexMap::new();
         for (is_news, suspect) in suspects {
-            let Some(answered_at) = self.answered.get(suspect) else {
+            let Some(answered_at) = self.answered.get(&suspect) else {
                 continue;
             };
             let age = now.since(*answered_at);
             if is_news || age < REPORTED_FOR {
-                reports.insert(*suspect, age);
+                reports.insert(suspect, age);
             }
         }
         let reports = reports
@@ -258,8 +269,11 @@
             .crashes
             .values()
             .map(|crash| Crash {
-                suspects: self.uncleared(crash).collect(),
-                ..crash.clone()
+                at: crash.at,
+                suspects: crash
+                    .suspects
+                    .without(|suspect| is_cleared(&self.answered, suspect, crash.at)),
+                changed_at: crash.changed_at,
             })
             .filter(|crash| !crash.suspects.is_empty())
             .collect();
@@ -276,7 +290,7 @@
     /// Returns the number of distinct crashes since which a request was not answered.
     pub(crate) fn crashes_under(&self, request: Fingerprint) -> u32 {
         let suspect = Suspect::Request(request);
-        let crashes = self.crashes.values().filter(|crash| crash.suspects.contains(&suspect));
+        let crashes = self.crashes.values().filter(|crash| crash.suspects.contains(suspect));
         let open = crashes.filter(|crash| !is_cleared(&self.answered, suspect, crash.at));
         let mut times: Vec<_> = open.map(|crash| crash.at).collect();
         times.sort_unstable();
@@ -290,8 +304,8 @@
         for crash in self.crashes.values_mut() {
             let at = crash.at;
             // The other VMs are told before that a suspect is cleared.
-            let is_done = |suspect: &Suspect| {
-                let answered_at = answered.get(suspect).filter(|answered_at| **answered_at > at);
+            let is_done = |suspect| {
+                let answered_at = answered.get(&suspect).filter(|answered_at| **answered_at > at);
                 answered_at.is_some_and(|answered_at| now.since(*answered_at) >= REPORTED_FOR)
             };
             if now.since(crash.changed_at) >= REPORTED_FOR {
@@ -314,12 +328,14 @@
         let recent = recent.flat_map(|crash| self.uncleared(crash));
         let recent: IndexSet<Suspect> = recent.chain(self.refused.keys().copied()).collect();
         self.crashes
-            .retain(|_, crash| !is_old(crash) || crash.suspects.iter().any(|suspect| recent.contains(suspect)));
+            .retain(|_, crash| !is_old(crash) || crash.suspects.iter().any(|suspect| recent.contains(&suspect)));
     }
 
     fn uncleared<'a>(&'a self, crash: &'a Crash) -> impl Iterator<Item = Suspect> + 'a {
-        let suspects = crash.suspects.iter().copied();
-        suspects.filter(|suspect| !is_cleared(&self.answered, *suspect, crash.at))
+        crash
+            .suspects
+            .iter()
+            .filter(|suspect| !is_cleared(&self.answered, *suspect, crash.at))
     }
 
     fn insert(&mut self, key: EndpointKey, crash: Crash) {
@@ -361,35 +377,11 @@
         .is_some_and(|answered_at| *answered_at > crashed_at)
 }
 
-/// Adds suspects to a crash, and returns whether one is new.
+/// Adds suspects to a crash, and returns whether this is news.
 fn add_suspects(crash: &mut Crash, suspects: &[Suspect], now: Time) -> bool {
-    let is_new = extend_bounded(&mut crash.suspects, suspects);
+    let is_new = crash.suspects.extend(suspects);
     if is_new {
         crash.changed_at = now;
     }
     is_new
 }
-
-fn bounded(suspects: &[Suspect]) -> IndexSet<Suspect> {
-    let mut known = IndexSet::new();
-    extend_bounded(&mut known, suspects);
-    known
-}
-
-/// Adds suspects up to the maximum number of each kind, and returns whether one is new.
-fn extend_bounded(known: &mut IndexSet<Suspect>, suspects: &[Suspect]) -> bool {
-    let before = known.len();
-    let mut requests = known.iter().filter(|suspect| suspect.is_request()).count();
-    let mut parts = before - requests;
-    for suspect in suspects {
-        let (count, limit) = if suspect.is_request() {
-            (&mut requests, MAX_REQUESTS)
-        } else {
-            (&mut parts, MAX_PARTS)
-        };
-        if *count < limit && known.insert(*suspect) {
-            *count += 1;
-        }
-    }
-    known.len() > before
-}
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -38,6 +38,7 @@
 mod stall;
 mod store_state;
 mod stream_origin;
+mod suspects;
 mod table;
 mod token_bucket;
 mod types;
@@ -50,7 +51,7 @@
 pub use choose::HOPELESS_RETRY_AFTER;
 pub use content::RequestContent;
 pub use coordinator::{Coordinator, Grant, QueueEstimate, Reservation, ReservationUpdate};
-pub use crash_evidence::{AnsweredSuspect, CrashReport, Suspect};
+pub use crash_evidence::{AnsweredSuspect, CrashReport};
 pub use exchange::EntryQuery;
 pub use heartbeat::{DomainView, EndpointLoad, Heartbeat, ServiceLoad, VmAge};
 pub use history::{AttemptHistory, Choice};
@@ -66,6 +67,7 @@
 pub use stall::StallDetector;
 pub use store_state::{Rewritten, StoreState};
 pub use stream_origin::{Replication, StreamOrigin};
+pub use suspects::Suspect;
 pub use table::{CallerLimits, EngineSpec, Route, RouteKind, RouteTable, Service, Target};
 pub use types::{
     EndpointEntry, EndpointReport, LoadReport, Prompt, PromptPart, RequestHead, Resumption, ServiceId, SoftwareVersion,
--- a/crates/sw-relay/src/quarantine.rs
+++ b/crates/sw-relay/src/quarantine.rs
@@ -3,9 +3,10 @@
 //! Requests that are quarantined or whose prompt has a quarantined part are refused by all VMs, whether they are new,
 //! retried, resumed or forwarded. The entries follow from the [evidence](crate::crash_evidence) alone, so VMs with the same
 //! evidence quarantine the same suspects. The suspect that explains most crashes is quarantined first, and the crashes that
-//! it explains no longer count against others: a part explains crashes of different requests, and of two suspects that
-//! explain equally many, the request is the cause. A part that was answered before the crashes needs more of them: it is
-//! more likely to have been beside the cause.
+//! it explains no longer count against others. Of a part and a request that explain equally many, the request is the cause
+//! if it had just been started at each of them: it brought the part along. Otherwise different requests had the part,
+//! while the request ran beside them and was sent again. A part that was answered before the crashes needs more of them:
+//! it is more likely to have been beside the cause.
 //!
 //! Suspects that were in each of the crashes cannot be distinguished. A request with some of them, but not all, serves as a
 //! probe, one at a time: for parts, one VM of each region sends it; for requests, one VM of all. A complete response clears its
@@ -20,8 +21,9 @@
 use sw_member::rendezvous_score;
 use sw_unit::{EndpointId, Fingerprint, Incarnation, Millis, PartId, Time, VmId};
 
-use crate::crash_evidence::{Crash, CrashEvidence, ReportOutcome, Suspect, distinct_moments};
+use crate::crash_evidence::{BreakOutcome, Crash, CrashEvidence, ReportOutcome, distinct_moments};
 use crate::rate_limit::MAX_REPLY_TRANSIT;
+use crate::suspects::Suspect;
 use crate::{AdmittedRequest, AnsweredSuspect, Attempt, AttemptOutcome, CrashReport, Prompt, Relay};
 
 /// Crashes after which a request is quarantined, or a part that was never answered completely.
@@ -265,9 +267,9 @@
             return false;
         }
         let evidence = &mut self.quarantine.evidence;
-        let is_due = evidence.on_break(&attempt.endpoint, &suspects, now);
+        let outcome = evidence.on_break(&attempt.endpoint, &suspects, now);
         self.quarantine.update(now);
-        is_due
+        outcome == BreakOutcome::CheckDue
     }
 
     /// Records that an incarnation of an endpoint ended unplanned.
@@ -421,7 +423,7 @@
     let mut open = evidence.open_crashes();
     let mut entries = IndexMap::new();
     while let Some((suspect, crashes)) = most_suspected(evidence, &open) {
-        let explained: Vec<_> = open.extract_if(.., |crash| crash.suspects.contains(&suspect)).collect();
+        let explained: Vec<_> = open.extract_if(.., |crash| crash.suspects.contains(suspect)).collect();
         let last = explained.last().map_or(now, |crash| crash.at);
         let until = last + quarantine_time(crashes);
         if until > now || suspect.is_request() {
@@ -443,35 +445,71 @@
 /// distinguished.
 fn suspects_alike(evidence: &CrashEvidence, suspect: Suspect, crashes: &[Crash]) -> Vec<Suspect> {
     let was_answered = evidence.was_answered(suspect);
-    let suspects = crashes.first().into_iter().flat_map(|crash| &crash.suspects).copied();
+    let suspects = crashes.first().into_iter().flat_map(|crash| crash.suspects.iter());
     let alike = suspects.filter(|other| {
         let is_same_kind = other.is_request() == suspect.is_request();
-        let in_all = crashes.iter().all(|crash| crash.suspects.contains(other));
+        let in_all = crashes.iter().all(|crash| crash.suspects.contains(*other));
         is_same_kind && in_all && evidence.was_answered(*other) == was_answered
     });
     alike.collect()
 }
 
+/// How likely a suspect is the cause, among those that explain equally many crashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    /// A part that was answered completely before.
+    AnsweredPart,
+    /// A request that at one crash at least may not have been started, so that it did not bring the parts along.
+    RequestBeside,
+    /// A part that was not answered.
+    Part,
+    /// A request that was started at each of the crashes.
+    StartedRequest,
+}
+
+/// The crashes of one suspect.
+#[derive(Debug, Default)]
+struct Suspicion {
+    times: Vec<Time>,
+    /// Number of them at which the suspect is a request that was started.
+    started: usize,
+}
+
+impl Suspicion {
+    fn rank(&self, suspect: Suspect, was_answered: bool) -> Rank {
+        match suspect {
+            Suspect::Part(_) if was_answered => Rank::AnsweredPart,
+            Suspect::Part(_) => Rank::Part,
+            Suspect::Request(_) if self.started == self.times.len() => Rank::StartedRequest,
+            Suspect::Request(_) => Rank::RequestBeside,
+        }
+    }
+}
+
 /// Returns the suspect that explains most of the crashes, with their number, if they are enough to quarantine it.
 fn most_suspected(evidence: &CrashEvidence, open: &[Crash]) -> Option<(Suspect, u32)> {
-    let mut times: IndexMap<Suspect, Vec<Time>> = IndexMap::new();
+    let mut suspicions: IndexMap<Suspect, Suspicion> = IndexMap::new();
     for crash in open {
-        for suspect in &crash.suspects {
-            times.entry(*suspect).or_default().push(crash.at);
+        for suspect in crash.suspects.iter() {
+            let suspicion = suspicions.entry(suspect).or_default();
+            suspicion.times.push(crash.at);
+            suspicion.started += usize::from(crash.suspects.is_started(suspect));
         }
     }
-    let counted = times
-        .into_iter()
-        .map(|(suspect, times)| (suspect, distinct_moments(times.into_iter())));
-    let added = counted.filter(|(suspect, crashes)| {
+    let ranked = suspicions.into_iter().map(|(suspect, suspicion)| {
+        let rank = suspicion.rank(suspect, evidence.was_answered(suspect));
+        (suspect, distinct_moments(suspicion.times.into_iter()), rank)
+    });
+    let added = ranked.filter(|(_, crashes, rank)| {
         *crashes
-            >= if evidence.was_answered(*suspect) {
+            >= if *rank == Rank::AnsweredPart {
                 MIN_CRASHES_IF_ANSWERED
             } else {
                 MIN_CRASHES
             }
     });
-    added.max_by_key(|(suspect, crashes)| (*crashes, suspect.is_request(), !evidence.was_answered(*suspect)))
+    let (suspect, crashes, _) = added.max_by_key(|(_, crashes, rank)| (*crashes, *rank))?;
+    Some((suspect, crashes))
 }
 
 fn quarantine_time(crashes: u32) -> Millis {
