fix(relay): what a VM learned of its own path is no longer told to others as the endpoint's state

A VM without a path to an endpoint told the endpoint's coordinator so, which put the endpoint into backoff for all VMs; it reported its own backoff as queued work, so neighbours and other regions took the endpoint for busy; and a coordinator without a path added its own backoff to its estimates, and declined.

Ruled out: overload. An update that an endpoint is unreachable now only releases the slot. Other VMs are told of a backoff only if the endpoint itself answered with a failure, or another endpoint answered at its address. The part about an endpoint that is not registered is unchanged.

--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -55,15 +55,8 @@
     }
 
     fn on_reservation_update(&self, endpoint: &EndpointId, entry_id: u64, update: ReservationUpdate) {
-        let now = self.0.now();
-        let backoff_until = self
-            .0
-            .relay
-            .borrow_mut()
-            .on_reservation_update(endpoint, entry_id, update, now);
-        if let Some(until) = backoff_until {
-            telemetry::log_backoff(endpoint.as_str(), until.since(now));
-        }
+        let mut relay = self.0.relay.borrow_mut();
+        relay.on_reservation_update(endpoint, entry_id, update, self.0.now());
     }
 
     fn on_origins(&self, origins: Vec<StreamOrigin>) {
--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -123,6 +123,11 @@
         matches!(self, Self::Unreachable | Self::WrongEndpoint)
     }
 
+    /// Whether the endpoint answered with a failure, or another one answered at its address.
+    pub fn is_answer(self) -> bool {
+        matches!(self, Self::Failed | Self::WrongEndpoint)
+    }
+
     /// Whether the outcome counts as a failure of the endpoint.
     pub fn is_fault(self) -> bool {
         matches!(self, Self::Failed | Self::Broken | Self::Timeout) || self.is_absent()
@@ -271,7 +276,7 @@
             return None;
         }
         if outcome.is_fault() {
-            load.on_failure(outcome.is_absent(), now)
+            load.on_failure(outcome, now)
         } else {
             None
         }
--- a/crates/sw-relay/src/coordinator.rs
+++ b/crates/sw-relay/src/coordinator.rs
@@ -209,7 +209,7 @@
         let queue_ms = self.account_queue_ms(service, endpoint, *urgent, now);
         let expected_ms = self.first_event_ms(service, endpoint, plan, queue_ms, now);
         let load = self.loads.entry(endpoint.clone()).or_default();
-        let backoff_ms = load.backoff_remaining_ms(now);
+        let backoff_ms = load.shared_backoff_ms(now);
         let estimate = QueueEstimate {
             expected_ms: backoff_ms + expected_ms,
             backlog_ms: backoff_ms + queue_ms,
@@ -241,7 +241,7 @@
     ) -> Result<Grant, QueueEstimate> {
         let service_ms = self.service_ms(&reservation.service);
         let load = self.loads.entry(reservation.endpoint.clone()).or_default();
-        let backoff_ms = load.backoff_remaining_ms(now);
+        let backoff_ms = load.shared_backoff_ms(now);
         let estimate = QueueEstimate {
             expected_ms: backoff_ms + response_ms,
             backlog_ms: backoff_ms + response_ms - service_ms,
@@ -262,22 +262,22 @@
 
     /// Records the progress of a request for which this VM granted a slot.
     ///
-    /// Returns the end of the backoff if the endpoint was unreachable and is put into backoff.
+    /// That the other VM could not reach the endpoint only releases the slot, because its path alone may be lost.
     pub fn on_reservation_update(
         &mut self,
         endpoint: &EndpointId,
         entry_id: u64,
         update: ReservationUpdate,
         now: Time,
-    ) -> Option<Time> {
-        let load = self.loads.get_mut(endpoint)?;
+    ) {
+        let Some(load) = self.loads.get_mut(endpoint) else {
+            return;
+        };
         load.on_prefill_done(entry_id, now);
         match update {
             ReservationUpdate::Running => load.on_run_started(entry_id, now + MAX_RUN),
-            ReservationUpdate::Ended => {}
-            ReservationUpdate::EndpointUnreachable => return load.on_failure(true, now),
+            ReservationUpdate::Ended | ReservationUpdate::EndpointUnreachable => {}
         }
-        None
     }
 
     /// Records a coordinator's estimate of an endpoint's queue, plus `reserved_ms` for a slot granted in it.
--- a/crates/sw-relay/src/load.rs
+++ b/crates/sw-relay/src/load.rs
@@ -10,7 +10,7 @@
 use sw_unit::{DomainId, EndpointId, Millis, Time, VmId};
 
 use crate::prefill_budget::PrefillBudget;
-use crate::{EndpointLoad, LoadReport, PromptCache, SlowStart};
+use crate::{AttemptOutcome, EndpointLoad, LoadReport, PromptCache, SlowStart};
 
 /// Gap between two events on an idle engine, in milliseconds.
 const IDLE_GAP_MS: f64 = 45.0;
@@ -85,6 +85,8 @@
     peers: IndexMap<Sender, (EndpointLoad, Time)>,
     failures: u32,
     backoff_until: Time,
+    /// End of the backoff that other VMs are told of; it started when the endpoint itself answered with a failure.
+    shared_backoff_until: Time,
 }
 
 impl EndpointTracker {
@@ -280,12 +282,12 @@
         self.next_entry_id
     }
 
-    /// Returns the load of this VM on the endpoint `id`; a backoff counts as backlog.
+    /// Returns the load of this VM on the endpoint `id`; a backoff for what the endpoint answered counts as backlog.
     pub(crate) fn local_load(&self, id: &EndpointId, now: Time) -> EndpointLoad {
         EndpointLoad {
             endpoint: id.clone(),
             running: self.running,
-            backlog_ms: self.local_backlog_ms(now).max(self.backoff_remaining_ms(now)),
+            backlog_ms: self.local_backlog_ms(now).max(self.shared_backoff_ms(now)),
             gap_ms: self.local_gap_ms(now),
         }
     }
@@ -307,19 +309,24 @@
     pub fn on_success(&mut self) {
         self.failures = 0;
         self.backoff_until = Time(0);
+        self.shared_backoff_until = Time(0);
     }
 
-    /// Records a failed attempt, and returns the end of the backoff if one starts or is extended.
+    /// Records an attempt that failed with `outcome`, and returns the end of the backoff if one starts or is extended.
     ///
-    /// An endpoint that is `absent` from its address is in backoff immediately.
-    pub fn on_failure(&mut self, absent: bool, now: Time) -> Option<Time> {
+    /// An endpoint that is absent from its address is in backoff immediately. Other VMs are told of a backoff only if the
+    /// endpoint answered: an attempt without an answer may be due to the path of this VM alone.
+    pub fn on_failure(&mut self, outcome: AttemptOutcome, now: Time) -> Option<Time> {
         self.failures += 1;
-        if absent {
+        if outcome.is_absent() {
             self.failures = self.failures.max(FAILURES_TO_BACKOFF);
         }
         let excess = self.failures.checked_sub(FAILURES_TO_BACKOFF)?;
         let backoff = Millis(INITIAL_BACKOFF.0 << excess.min(10)).min(MAX_BACKOFF);
         self.backoff_until = now + backoff;
+        if outcome.is_answer() {
+            self.shared_backoff_until = self.backoff_until;
+        }
         Some(self.backoff_until)
     }
 
@@ -328,9 +335,9 @@
         self.backoff_until > now
     }
 
-    /// Returns the milliseconds until the backoff ends.
-    pub(crate) fn backoff_remaining_ms(&self, now: Time) -> f64 {
-        self.backoff_until.since(now).0 as f64
+    /// Returns the milliseconds until the backoff ends that other VMs are told of.
+    pub(crate) fn shared_backoff_ms(&self, now: Time) -> f64 {
+        self.shared_backoff_until.since(now).0 as f64
     }
 
     fn fresh_report(&self, now: Time) -> Option<LoadReport> {
