--- a/crates/sw-http/src/connect.rs
+++ b/crates/sw-http/src/connect.rs
@@ -22,6 +22,9 @@
 /// Maximum size of a response head in bytes.
 const MAX_HEAD: usize = 64 << 10;
 
+/// Time within which a probe's connection is reset if it does not lead to the endpoint.
+const RESET_TIME: Duration = Duration::from_millis(30);
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// Error of a request.
@@ -137,6 +140,12 @@
         newest.map(|idle| idle.open)
     }
 
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, address: SocketAddr) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.remove(&address);
+    }
+
     /// Closes idle connections that have expired.
     pub fn prune(&self) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
@@ -156,6 +165,37 @@
     }
 }
 
+/// Why a probe's connection failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProbeError {
+    /// It was refused.
+    Refused,
+    /// It was closed or reset at once.
+    Reset,
+    /// It was not established in time.
+    Timeout,
+}
+
+/// Makes a connection to `address` within `timeout` and closes it again, without sending anything.
+///
+/// # Errors
+///
+/// Returns why no connection was made, or that it did not stay open.
+pub async fn probe(address: SocketAddr, timeout: Duration) -> Result<(), ProbeError> {
+    let stream = match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(_refused)) => return Err(ProbeError::Refused),
+        Err(_elapsed) => return Err(ProbeError::Timeout),
+    };
+    // A connection that is reset at once is readable; one that stays open is not, because nothing was sent.
+    let mut byte = [0];
+    match tokio::time::timeout(RESET_TIME, stream.readable()).await {
+        Ok(Ok(())) if stream.try_read(&mut byte).is_ok_and(|len| len > 0) => Ok(()),
+        Ok(_closed) => Err(ProbeError::Reset),
+        Err(_open) => Ok(()),
+    }
+}
+
 async fn open(address: SocketAddr) -> Result<OpenConnection, CallError> {
     let stream = TcpStream::connect(address)
         .await
--- a/crates/sw-http/src/lib.rs
+++ b/crates/sw-http/src/lib.rs
@@ -11,7 +11,7 @@
 mod sse;
 
 pub use body::{BodyError, ReadBodyError, ResponseBody, channel, read_body};
-pub use connect::{CallError, Connector, Exchange, Reuse, is_refused};
+pub use connect::{CallError, Connector, Exchange, ProbeError, Reuse, is_refused, probe};
 pub use json::{JsonClient, JsonError, JsonLines};
 pub use keepalive::enable_keepalive;
 pub use response::{EntryRow, RAN_HEADER, REQUEST_ID_HEADER, error_response, json_response};
--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -26,6 +26,8 @@
   vm @0 :Text;
   incarnation @1 :UInt64;
   ageMs @2 :UInt32;
+  # Services to whose endpoints in its region the VM has no path.
+  cutOff @3 :List(Text);
 }
 
 struct KeptPart {
@@ -126,6 +128,8 @@
   # The last earlier era that the sender followed, and its last revision; the revision is 0 if it followed none.
   followedEra @14 :UInt64;
   followedUntil @15 :UInt64;
+  # Services to whose endpoints in its region the sender has no path.
+  cutOff @16 :List(Text);
 }
 
 struct Item {
--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use sw_relay::{
     CachedPart, Distance, DomainView, EndpointLoad, EndpointRateLimit, Grant, Heartbeat, PrefillPlan, Prompt,
-    PromptPart, QueueEstimate, RateLimitState, Reservation, ReservationUpdate, ServiceLoad, ServiceVersions,
+    PromptPart, QueueEstimate, RateLimitState, Reservation, ReservationUpdate, ServiceId, ServiceLoad, ServiceVersions,
     SoftwareVersion, StreamOrigin, VersionAge, VmAge,
 };
 use sw_unit::{Incarnation, Millis, PartId, Rate, Tokens};
@@ -56,6 +56,7 @@
         to.reborrow().init_versions(len(&heartbeat.versions)),
         &heartbeat.versions,
     );
+    set_services(to.reborrow().init_cut_off(len(&heartbeat.cut_off)), &heartbeat.cut_off);
     let mut domains = to.init_domains(len(&heartbeat.domains));
     for (i, view) in (0..).zip(&heartbeat.domains) {
         set_domain_view(domains.reborrow().get(i), view);
@@ -72,6 +73,7 @@
         to.set_vm(vm.vm.as_str());
         to.set_incarnation(vm.incarnation.0);
         to.set_age_ms(millis(vm.age));
+        set_services(to.init_cut_off(len(&vm.cut_off)), &vm.cut_off);
     }
     set_endpoint_loads(to.reborrow().init_endpoints(len(&view.endpoints)), &view.endpoints);
     set_cached_parts(to.reborrow().init_kept(len(&view.cached_parts)), &view.cached_parts);
@@ -93,6 +95,16 @@
     }
 }
 
+fn set_services(mut to: capnp::text_list::Builder<'_>, services: &[ServiceId]) {
+    for (i, service) in (0..).zip(services) {
+        to.set(i, service.as_str());
+    }
+}
+
+fn services(from: capnp::text_list::Reader<'_>) -> Result<Vec<ServiceId>> {
+    from.iter().map(parse).collect()
+}
+
 fn set_endpoint_loads(mut to: EndpointLoadsBuilder<'_>, loads: &[EndpointLoad]) {
     for (i, load) in (0..).zip(loads) {
         let mut to = to.reborrow().get(i);
@@ -182,6 +194,7 @@
         crashes: crashes(from.get_crashes()?)?,
         answered: answered(from.get_answered_parts()?, from.get_answered_requests()?)?,
         versions: versions(from.get_versions()?)?,
+        cut_off: services(from.get_cut_off()?)?,
     })
 }
 
@@ -191,6 +204,7 @@
             vm: parse(vm.get_vm())?,
             incarnation: Incarnation(vm.get_incarnation()),
             age: Millis(u64::from(vm.get_age_ms())),
+            cut_off: services(vm.get_cut_off()?)?,
         })
     });
     let services = from.get_services()?.iter().map(|load| {
--- a/crates/sw-peer/src/relay_capnp.rs
+++ b/crates/sw-peer/src/relay_capnp.rs
@@ -914,11 +914,19 @@
         pub fn get_age_ms(self) -> u32 {
             self.reader.get_data_field::<u32>(2)
         }
+        #[inline]
+        pub fn get_cut_off(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_cut_off(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1000,6 +1008,22 @@
         pub fn set_age_ms(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(2, value);
         }
+        #[inline]
+        pub fn get_cut_off(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_cut_off(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_cut_off(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_cut_off(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1011,45 +1035,52 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 82] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(20, 125, 251, 218, 191, 174, 8, 206),
             ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 86, 109, 65, 103),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(118, 109, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1075,12 +1106,25 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 117, 116, 79, 102, 102, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1094,9 +1138,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,0];
         pub(crate) const TYPE_ID: u64 = 0xce08_aebf_dafb_7d14;
     }
 }
@@ -4516,11 +4560,19 @@
         pub fn get_followed_until(self) -> u64 {
             self.reader.get_data_field::<u64>(5)
         }
+        #[inline]
+        pub fn get_cut_off(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(10), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_cut_off(&self) -> bool {
+            !self.reader.get_pointer_field(10).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 10 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 11 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4778,6 +4830,22 @@
         pub fn set_followed_until(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(5, value);
         }
+        #[inline]
+        pub fn get_cut_off(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(10), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_cut_off(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(10), value, false)
+        }
+        #[inline]
+        pub fn init_cut_off(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(10), size)
+        }
+        #[inline]
+        pub fn has_cut_off(&self) -> bool {
+            !self.builder.is_pointer_field_null(10)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4792,136 +4860,143 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 302] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 321] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(133, 4, 211, 207, 138, 222, 52, 236),
             ::capnp::word(12, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
-            ::capnp::word(10, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 66, 101, 97, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(49, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(93, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 2, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(141, 2, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(145, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 2, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(149, 2, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(177, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(185, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(193, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(26, 128, 190, 178, 67, 7, 133, 240),
@@ -5095,6 +5170,18 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 117, 116, 79, 102, 102, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5114,6 +5201,7 @@
                 13 => <::capnp::struct_list::Owned<crate::relay_capnp::answered_request::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                16 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5127,9 +5215,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,13,8,5,4,11,14,15,0,6,2,1,7,12,3,10];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,13,8,16,5,4,11,14,15,0,6,2,1,7,12,3,10];
         pub(crate) const TYPE_ID: u64 = 0xec34_de8a_cfd3_0485;
     }
 }
--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -15,10 +15,11 @@
 use sw_unit::{Millis, Time};
 
 use crate::incoming::{BodySource, EndpointResponse, IncomingResponse};
+use crate::paths::{CONNECT_SILENCE, RESPONSE_SILENCE};
 use crate::reservation::ReservationGuard;
 use crate::response::strip_hop_headers;
 use crate::state::ProxyState;
-use crate::{AttemptHeaders, Dialect, Rejection, ResponseHead, crash, telemetry};
+use crate::{AttemptHeaders, Dialect, Rejection, ResponseHead, crash, paths, telemetry};
 
 /// Maximum idle time of a connection that is reused for a request that must not run twice.
 ///
@@ -128,6 +129,10 @@
             telemetry::log_backoff(attempt.endpoint.id.as_str(), until.since(now));
         }
         crash::on_evidence(&self.state);
+        if matches!(outcome, AttemptOutcome::Unreachable | AttemptOutcome::Broken) {
+            paths::check(&self.state, &attempt.endpoint);
+        }
+        paths::on_changes(&self.state);
     }
 }
 
@@ -243,7 +248,10 @@
 ) -> Result<(Exchange, Response<Incoming>, ResponseHead), (AttemptOutcome, u16)> {
     let admitted = &request.admitted;
     let endpoint = target.endpoint;
-    let connection = state.connector.connect(endpoint.address, target.reuse).await;
+    let connection = tokio::select! {
+        connection = state.connector.connect(endpoint.address, target.reuse) => connection,
+        () = paths::wait_lost(state, endpoint, CONNECT_SILENCE) => Err(CallError::Connect),
+    };
     let mut exchange = connection.map_err(|_no_connection| (AttemptOutcome::Unreachable, 0))?;
     // While the connection was made, the response may have become due, or the endpoint may have become unusable: it
     // restarted, is leaving, evacuated, rejects requests of this VM, or named a rate limit. Or the request was
@@ -264,6 +272,7 @@
         response = exchange.send(http_request, Duration::from_millis(wait.0)) => response,
         // The endpoint may still have the request in its queue; closing the connection withdraws it.
         () = state.wait_quarantined(admitted) => return Err((AttemptOutcome::Cancelled, 0)),
+        () = wait_path_lost(state, endpoint, can_retry_elsewhere) => Err(CallError::Timeout),
     };
     let response = response.map_err(|error| match error {
         CallError::Connect => (AttemptOutcome::Unreachable, 0),
@@ -275,9 +284,24 @@
     let status = response.status().as_u16();
     apply_report(state, admitted, endpoint, &head, sent_at);
     check_head(admitted, &head, &response, exchange.is_reused()).map_err(|outcome| (outcome, status))?;
+    if !exchange.is_reused() {
+        state.relay.borrow_mut().on_path_open(endpoint, state.now());
+    }
     Ok((exchange, response, head))
 }
 
+/// Waits until the path to an endpoint that stays silent is lost, if the request can be retried; checks the path anyway.
+async fn wait_path_lost<D: Dialect, F: 'static>(
+    state: &Rc<ProxyState<D, F>>,
+    endpoint: &EndpointEntry,
+    can_retry: bool,
+) {
+    paths::wait_lost(state, endpoint, RESPONSE_SILENCE).await;
+    if !can_retry {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Returns whether the body of a response has a length or chunks.
 fn is_framed(response: &Response<Incoming>) -> bool {
     let headers = response.headers();
--- a/crates/sw-proxy/src/lib.rs
+++ b/crates/sw-proxy/src/lib.rs
@@ -16,6 +16,7 @@
 mod listener;
 mod malformed;
 mod options;
+mod paths;
 mod peer;
 mod persist;
 mod proxy;
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -116,7 +116,7 @@
             }
         };
         let revision = state.mirror.borrow().position().revision;
-        telemetry::log_choice(&request.admitted, &choice, revision, now);
+        telemetry::log_choice(state, &request.admitted, &choice, revision, now);
         match send_attempt(state, &request, &choice, &mut history).await {
             Ok(response) if response.status().is_server_error() && request.admitted.route.kind.is_repeatable() => {
                 failure = Some(response);
@@ -161,7 +161,13 @@
             let can_retry_elsewhere = request.can_retry_elsewhere(history);
             let response = forward::send(state, request, *address, *expected_ms, can_retry_elsewhere).await;
             match &response {
-                Err(forward::ForwardError::Refused(refusal)) => history.record_vm_refusal(vm, region, *refusal),
+                Err(forward::ForwardError::Refused(refusal)) => {
+                    history.record_vm_refusal(vm, region, *refusal);
+                    if refusal.kind == Kind::NoEndpoint {
+                        let (mut relay, now) = (state.relay.borrow_mut(), state.now());
+                        relay.on_forward_without_endpoint(vm, &request.admitted.service, now);
+                    }
+                }
                 _ => history.record_vm(vm, 1, response.as_ref().err().map(forward::ForwardError::outcome)),
             }
             record_response(state, request, response.map_err(|failure| failure.outcome()))
--- a/crates/sw-proxy/src/state.rs
+++ b/crates/sw-proxy/src/state.rs
@@ -1,9 +1,11 @@
 //! State shared by the tasks of a proxy.
 
 use std::cell::{Cell, Ref, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use sw_http::Connector;
 use sw_peer::relay::RelayClient;
 use sw_relay::{AdmittedRequest, Relay};
@@ -71,6 +73,10 @@
     pub(crate) idle: Notify,
     /// Notified when a suspect of crashes is quarantined or released.
     pub(crate) quarantine_changed: Notify,
+    /// Notified when a path to an endpoint is lost.
+    pub(crate) path_lost: Notify,
+    /// Addresses of the endpoints whose paths are being checked.
+    pub(crate) checked_paths: RefCell<IndexSet<SocketAddr>>,
     /// When this VM last sent news of crashes to others.
     pub(crate) crash_announced_at: Cell<Option<Time>>,
     /// Whether origins of streams are being replicated.
@@ -117,6 +123,8 @@
             active_requests: Cell::new(0),
             idle: Notify::new(),
             quarantine_changed: Notify::new(),
+            path_lost: Notify::new(),
+            checked_paths: RefCell::default(),
             crash_announced_at: Cell::new(None),
             is_replicating_origins: Cell::new(false),
             refresh_turn: tokio::sync::Mutex::new(()),
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -7,8 +7,8 @@
 use spdlog::prelude::*;
 use sw_error::Refusal;
 use sw_relay::{
-    AdmittedRequest, Attempt, AttemptOutcome, Choice, EndpointEntry, QuarantineChange, QuarantineEntry, QueueEstimate,
-    RateLimitStatement, Reservation, Resumption, SoftwareVersion, Suspect,
+    AdmittedRequest, Attempt, AttemptOutcome, Choice, EndpointEntry, PathChange, QuarantineChange, QuarantineEntry,
+    QueueEstimate, RateLimitStatement, Reservation, Resumption, SoftwareVersion, Suspect,
 };
 use sw_unit::{EndpointId, Millis, PartId, Time};
 
@@ -18,7 +18,13 @@
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 /// Logs the routing choice for a request, made at the store revision `revision`.
-pub(crate) fn log_choice(admitted: &AdmittedRequest, choice: &Choice, revision: u64, now: Time) {
+pub(crate) fn log_choice<D, F>(
+    state: &ProxyState<D, F>,
+    admitted: &AdmittedRequest,
+    choice: &Choice,
+    revision: u64,
+    now: Time,
+) {
     let id = &*admitted.id;
     let route = admitted.route.name.as_str();
     let version = admitted.config_version.0;
@@ -45,8 +51,14 @@
             ..
         } => {
             let local_ms = local_ms.map_or(-1, |ms| ms as i64);
-            let (region, vm, expected_ms) = (region.as_str(), vm.as_str(), *expected_ms as u64);
-            info!("forwarded", kv: { id, route, version, left_ms, region, vm, expected_ms, local_ms, revision });
+            let (vm, expected_ms) = (vm.as_str(), *expected_ms as u64);
+            if *region == state.options().region {
+                info!("relayed", kv: { id, route, version, left_ms, vm, expected_ms, local_ms, revision });
+            } else {
+                let region = region.as_str();
+                info!("forwarded", kv: { id, route, version, left_ms, region, vm, expected_ms, local_ms, revision });
+            }
+            counter!("shallotwing_forwards_total", "region" => region.to_string()).increment(1);
         }
     }
     counter!("shallotwing_decisions_total", "route" => admitted.route.name.clone()).increment(1);
@@ -231,6 +243,35 @@
     }
 }
 
+/// Logs the paths that were lost or are back, and closes idle connections on lost ones.
+pub(crate) fn log_path_changes<D, F>(state: &ProxyState<D, F>, changes: &[PathChange]) {
+    for change in changes {
+        match change {
+            PathChange::Lost {
+                endpoint,
+                address,
+                failure,
+            } => {
+                state.connector.forget(*address);
+                let (endpoint, how): (_, &'static str) = (endpoint.as_str(), failure.into());
+                info!("path_lost", kv: { endpoint, how });
+            }
+            PathChange::Regained { endpoint, lost_for } => {
+                let (endpoint, lost_ms) = (endpoint.as_str(), lost_for.0);
+                info!("path_regained", kv: { endpoint, lost_ms });
+            }
+            PathChange::CutOff { service } => warn!("service_cut_off", kv: { service = service.as_str() }),
+            PathChange::Reconnected { service, cut_for } => {
+                let (service, cut_ms) = (service.as_str(), cut_for.0);
+                info!("service_reconnected", kv: { service, cut_ms });
+            }
+        }
+    }
+    let (paths, services) = state.relay.borrow().lost_paths();
+    gauge!("shallotwing_lost_paths").set(paths as f64);
+    gauge!("shallotwing_cut_off_services").set(services as f64);
+}
+
 /// Logs that an endpoint is in backoff.
 pub(crate) fn log_backoff(endpoint: &str, backoff: Millis) {
     let pause_ms = backoff.0;
--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -7,8 +7,8 @@
 use sw_unit::{Millis, PartId, Time, Tokens};
 
 use crate::{
-    AdmittedRequest, CacheSource, EndpointEntry, EndpointReport, Grant, PrefillPlan, Prompt, Relay, RequestContent,
-    ServiceId,
+    AdmittedRequest, CacheSource, EndpointEntry, EndpointReport, Grant, PathFailure, PrefillPlan, Prompt, Relay,
+    RequestContent, ServiceId,
 };
 
 /// An attempt in progress.
@@ -97,7 +97,7 @@
     /// Converts the refusal that another VM returned for a forwarded request.
     pub fn from_refusal(refusal: Refusal) -> Self {
         match (refusal.kind.response().ran, refusal.kind) {
-            (Ran::No, Kind::Overloaded | Kind::EndpointUnreachable) => Self::Rejected,
+            (Ran::No, Kind::Overloaded) => Self::Rejected,
             (Ran::No, _) => Self::Unsent,
             (_, Kind::EndpointTimeout) => Self::Timeout,
             (_, _) => Self::Broken,
@@ -220,6 +220,14 @@
     pub fn on_head(&mut self, attempt: &mut Attempt, framed: bool, now: Time) {
         attempt.head_at = Some(now);
         attempt.is_framed = framed;
+        self.on_heard(attempt, now);
+    }
+
+    /// Records that bytes of the response arrived.
+    fn on_heard(&mut self, attempt: &Attempt, now: Time) {
+        if let Some(load) = self.loads.get_mut(&attempt.endpoint.id) {
+            load.on_heard(now);
+        }
     }
 
     /// Records the first event of a stream.
@@ -228,6 +236,7 @@
         attempt.events = 1;
         if let Some(load) = self.loads.get_mut(&attempt.endpoint.id) {
             load.on_prefill_done(attempt.entry_id, now);
+            load.on_heard(now);
         }
         if attempt.backlog_ms < 1.0 {
             self.record_first_event(attempt, now);
@@ -239,6 +248,7 @@
         attempt.events += 1;
         if let Some(load) = self.loads.get_mut(&attempt.endpoint.id) {
             load.record_gap(gap, now);
+            load.on_heard(now);
         }
     }
 
@@ -271,6 +281,10 @@
         self.clear_answered(attempt, outcome, now);
         let load = self.loads.get_mut(&attempt.endpoint.id)?;
         load.on_end(attempt.entry_id, now);
+        if outcome == AttemptOutcome::Unreachable {
+            self.on_path_lost(&attempt.endpoint, PathFailure::Unreachable, now);
+            return None;
+        }
         if outcome == AttemptOutcome::Complete {
             load.on_success();
             return None;
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -13,6 +13,7 @@
 use sw_unit::{EndpointId, Millis, RegionId, Time};
 
 use crate::cache::shared_prefix_key;
+use crate::path::PROBE_PERIOD;
 use crate::registry::Endpoint;
 use crate::spill::{RemoteEstimate, should_spill};
 use crate::{AdmittedRequest, AttemptHistory, Choice, Distance, EndpointEntry, PrefillPlan, Prompt, Relay, ServiceId};
@@ -59,6 +60,15 @@
     score: f64,
 }
 
+/// Which endpoints are considered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Reach {
+    /// Those that this VM reaches itself.
+    Direct,
+    /// Those that it reaches through a neighbour at best.
+    Lost,
+}
+
 /// The best endpoint of the local region, with its estimates.
 pub(crate) struct LocalEstimate {
     endpoint: EndpointEntry,
@@ -87,7 +97,12 @@
         if let Some(refusal) = self.quarantine_refusal(admitted, now) {
             return Err(refusal);
         }
-        let local = self.best_local(admitted, history, now);
+        let direct = self.best_local(admitted, history, Reach::Direct, now);
+        let direct_ms = direct.as_ref().map(|direct| direct.expected_ms);
+        let (local, neighbour) = match self.best_neighbour(admitted, history, direct.as_ref(), now) {
+            Some((estimate, neighbour)) => (Some(estimate), Some(neighbour)),
+            None => (direct, None),
+        };
         let remote = if admitted.forwarded {
             None
         } else {
@@ -135,6 +150,15 @@
         let Some(local) = local else {
             return Err(self.refusal_without_endpoint(admitted, history, now));
         };
+        if let Some(neighbour) = neighbour {
+            return Ok(Choice::Vm {
+                region: neighbour.region,
+                vm: neighbour.vm,
+                address: neighbour.peer_listen,
+                expected_ms: local.expected_ms,
+                local_ms: direct_ms,
+            });
+        }
         let decline_ms = Self::decline_limit_ms(admitted, history, local.expected_ms, local.margin_ms, limit_ms);
         Ok(Choice::Endpoint {
             coordinator: self
@@ -146,13 +170,21 @@
         })
     }
 
-    fn best_local(&self, admitted: &AdmittedRequest, history: &AttemptHistory, now: Time) -> Option<LocalEstimate> {
+    /// Returns the best endpoint of the local region among those that this VM reaches, or among those that it does not.
+    pub(crate) fn best_local(
+        &self,
+        admitted: &AdmittedRequest,
+        history: &AttemptHistory,
+        reach: Reach,
+        now: Time,
+    ) -> Option<LocalEstimate> {
         let region = &self.options.local.region;
         if !admitted.route.permits(region) || history.is_full(region) || history.is_local_region_full() {
             return None;
         }
         let local = self.local_endpoints(&admitted.service);
         let local = local.filter(|endpoint| admitted.may_run_at(&endpoint.entry));
+        let local = local.filter(|endpoint| self.reaches(&endpoint.entry) == (reach == Reach::Direct));
         let available = local.filter(|endpoint| self.has_capacity(&endpoint.entry, &admitted.service, now));
         let available = available.filter(|endpoint| {
             self.rate_limit_admits(&endpoint.entry, admitted.is_urgent(), now)
@@ -260,7 +292,7 @@
     fn has_capacity(&self, endpoint: &EndpointEntry, service: &ServiceId, now: Time) -> bool {
         let running = self.loads.get(&endpoint.id).map_or(0, |load| load.running);
         let connections = self.service(service).map_or(1, |service| service.max_connections);
-        let share = f64::from(connections) * CONNECTION_SHARE / self.senders() as f64;
+        let share = f64::from(connections) * CONNECTION_SHARE / self.senders_to(service, now) as f64;
         let has_room = f64::from(running) < share.max(1.0) && self.slow_start_allows(endpoint, now);
         has_room && self.registry.rejects_until(endpoint, now).is_none()
     }
@@ -271,6 +303,9 @@
             return Refusal::with_retry_after(Kind::StreamVersionGone, HOPELESS_RETRY_AFTER);
         }
         let longest = longest_retry_after(admitted, now);
+        if self.paths.is_cut_off(&admitted.service) && history.min_declined_wait_ms().is_none() {
+            return Refusal::with_retry_after(Kind::NoEndpoint, PROBE_PERIOD.min(longest));
+        }
         if let Some(after) = self.rate_limited_return(admitted, longest, now) {
             return Refusal::with_retry_after(Kind::DeadlineUnreachable, after.max(MIN_RETRY_AFTER));
         }
--- a/crates/sw-relay/src/coordinator.rs
+++ b/crates/sw-relay/src/coordinator.rs
@@ -262,7 +262,8 @@
 
     /// Records the progress of a request for which this VM granted a slot.
     ///
-    /// That the other VM could not reach the endpoint only releases the slot, because its path alone may be lost.
+    /// That the other VM could not reach the endpoint says nothing about the endpoint, because the path of that VM alone
+    /// may be lost: this VM then probes its own.
     pub fn on_reservation_update(
         &mut self,
         endpoint: &EndpointId,
@@ -276,7 +277,8 @@
         load.on_prefill_done(entry_id, now);
         match update {
             ReservationUpdate::Running => load.on_run_started(entry_id, now + MAX_RUN),
-            ReservationUpdate::Ended | ReservationUpdate::EndpointUnreachable => {}
+            ReservationUpdate::Ended => {}
+            ReservationUpdate::EndpointUnreachable => self.suspect_path(endpoint),
         }
     }
 
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -86,6 +86,7 @@
                 Vec::new()
             },
             versions: if agree { Vec::new() } else { self.versions.reports(now) },
+            cut_off: self.paths.cut_off(),
         }
     }
 
@@ -97,6 +98,7 @@
         let vm = heartbeat.from.vm.clone();
         self.peer_stores.insert(vm.clone(), heartbeat.store);
         self.peer_digests.insert(vm.clone(), heartbeat.members_digest);
+        self.paths.on_report(&vm, &heartbeat.cut_off);
         for load in heartbeat.endpoints {
             let known = self.loads.entry(load.endpoint.clone()).or_default();
             known.record_peer_load(Sender::Vm(vm.clone()), load, now);
@@ -165,6 +167,7 @@
         for vm in &view.vms {
             if let Some(row) = self.members.incarnation_row(&vm.vm, vm.incarnation).cloned() {
                 self.members.on_delegate_report(row, vm.age + view.age, now);
+                self.paths.on_report(&vm.vm, &vm.cut_off);
             }
         }
         for part in &view.cached_parts {
@@ -236,12 +239,14 @@
                 vm: row.vm.clone(),
                 incarnation: row.incarnation,
                 age: now.since(received_at),
+                cut_off: self.paths.reported(&row.vm),
             })
         });
         let this_vm = VmAge {
             vm: local.vm.clone(),
             incarnation: local.incarnation,
             age: Millis(0),
+            cut_off: self.paths.cut_off(),
         };
         DomainView {
             domain: local.domain.clone(),
--- a/crates/sw-relay/src/heartbeat.rs
+++ b/crates/sw-relay/src/heartbeat.rs
@@ -52,6 +52,8 @@
     pub incarnation: Incarnation,
     /// Time since its last heartbeat.
     pub age: Millis,
+    /// Services to whose endpoints in its region it has no path.
+    pub cut_off: Vec<ServiceId>,
 }
 
 /// State of a failure domain as its own VMs know it.
@@ -106,4 +108,6 @@
     pub answered: Vec<AnsweredSuspect>,
     /// Software versions that the sender has seen registered, if the receiver may be new.
     pub versions: Vec<ServiceVersions>,
+    /// Services to whose endpoints in its region the sender has no path.
+    pub cut_off: Vec<ServiceId>,
 }
--- a/crates/sw-relay/src/load.rs
+++ b/crates/sw-relay/src/load.rs
@@ -87,6 +87,8 @@
     backoff_until: Time,
     /// End of the backoff that other VMs are told of; it started when the endpoint itself answered with a failure.
     shared_backoff_until: Time,
+    /// When this VM last received bytes of the endpoint.
+    heard_at: Option<Time>,
 }
 
 impl EndpointTracker {
@@ -314,11 +316,11 @@
 
     /// Records an attempt that failed with `outcome`, and returns the end of the backoff if one starts or is extended.
     ///
-    /// An endpoint that is absent from its address is in backoff immediately. Other VMs are told of a backoff only if the
+    /// One whose address belongs to another endpoint is in backoff immediately. Other VMs are told of a backoff only if the
     /// endpoint answered: an attempt without an answer may be due to the path of this VM alone.
     pub fn on_failure(&mut self, outcome: AttemptOutcome, now: Time) -> Option<Time> {
         self.failures += 1;
-        if outcome.is_absent() {
+        if outcome == AttemptOutcome::WrongEndpoint {
             self.failures = self.failures.max(FAILURES_TO_BACKOFF);
         }
         let excess = self.failures.checked_sub(FAILURES_TO_BACKOFF)?;
@@ -330,6 +332,16 @@
         Some(self.backoff_until)
     }
 
+    /// Records that bytes of the endpoint were received.
+    pub(crate) fn on_heard(&mut self, now: Time) {
+        self.heard_at = Some(now);
+    }
+
+    /// Returns when bytes of the endpoint were last received.
+    pub(crate) fn heard_at(&self) -> Option<Time> {
+        self.heard_at
+    }
+
     /// Whether the endpoint is in backoff.
     pub fn is_in_backoff(&self, now: Time) -> bool {
         self.backoff_until > now
--- a/crates/sw-relay/src/prefill.rs
+++ b/crates/sw-relay/src/prefill.rs
@@ -226,6 +226,7 @@
             && self.rate_limits.rate(entry).is_none()
             && self.registry.may_send(entry, now)
             && !is_in_backoff
+            && (self.has_path(&entry.id) || self.paths.is_cut_off(&entry.service))
             && is_permitted
             && is_reachable
     }
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -11,6 +11,7 @@
 use crate::cache_directory::CacheDirectory;
 use crate::coordinator::Coordinators;
 use crate::exchange::RemoteView;
+use crate::path::Paths;
 use crate::quarantine::Quarantine;
 use crate::rate_limit::RateLimits;
 use crate::rate_limiter::RateLimiter;
@@ -124,6 +125,8 @@
     pub(crate) coordinators: Coordinators,
     pub(crate) rate_limits: RateLimits,
     pub(crate) rate_limiter: RateLimiter,
+    /// Lost paths to endpoints.
+    pub(crate) paths: Paths,
     pub(crate) quarantine: Quarantine,
     /// Software versions of the services.
     pub(crate) versions: VersionHistory,
@@ -159,6 +162,7 @@
             coordinators: Coordinators::new(),
             rate_limits: RateLimits::default(),
             rate_limiter: RateLimiter::default(),
+            paths: Paths::default(),
             quarantine: Quarantine::default(),
             versions: VersionHistory::default(),
             origins: StreamOrigins::default(),
@@ -233,6 +237,7 @@
         self.record_versions(now);
         self.origins.prune(now);
         self.prune_peer_state();
+        self.prune_paths(now);
         self.assign_coordinators(now);
         self.failed_watchers.retain(|_, until| *until > now);
         self.rate_limits
@@ -373,6 +378,7 @@
     fn apply_endpoint(&mut self, entry: EndpointEntry, now: Time) -> bool {
         let known = self.registry.get(&entry.id);
         let restarted = known.is_some_and(|known| known.entry.incarnation < entry.incarnation);
+        let has_moved = known.is_none_or(|known| restarted || known.entry.address != entry.address);
         if restarted && let Some(load) = self.loads.get_mut(&entry.id) {
             load.cache.clear();
             load.on_success();
@@ -382,7 +388,13 @@
             self.on_registered_incarnation_ended(&entry.id, now);
         }
         self.versions.record(&entry, now);
-        self.registry.apply(entry, now)
+        let id = entry.id.clone();
+        let changed = self.registry.apply(entry, now);
+        if has_moved && let Some(known) = self.registry.get(&id) {
+            let entry = known.entry.clone();
+            self.reset_path(&entry, now);
+        }
+        changed
     }
 
     fn remove_endpoint(&mut self, id: &EndpointId, now: Time) -> bool {
--- a/crates/sw-relay/src/spill.rs
+++ b/crates/sw-relay/src/spill.rs
@@ -1,13 +1,14 @@
-//! Spillover to other regions.
+//! Requests that another VM sends to an endpoint.
 //!
-//! A request spills to another region if the local one is expected to be busy and the other one to be clearly faster.
+//! A request spills to another region if the local one is expected to be busy and the other one to be clearly faster. A VM
+//! that has lost its paths to the endpoints of a service relays requests through a VM of its region that has not.
 
 use sw_member::VmRow;
 use sw_unit::{RegionId, Time};
 
-use crate::choose::LocalEstimate;
+use crate::choose::{LocalEstimate, Reach};
 use crate::latency::FIRST_EVENT_MS;
-use crate::{AdmittedRequest, AttemptHistory, Choice, Relay};
+use crate::{AdmittedRequest, AttemptHistory, Choice, Relay, ServiceId};
 
 /// Share of the objective above which the expected time in the local region makes it count as busy.
 const SPILL_SHARE: f64 = 0.6;
@@ -16,6 +17,11 @@
 /// Advantage that another region must have, as a share of the objective.
 const SPILL_MARGIN: f64 = 0.1;
 
+/// Expected milliseconds that a request through a VM of the local region takes longer than a direct one.
+const NEIGHBOUR_ROUND_TRIP_MS: f64 = 10.0;
+/// Share of a service's endpoints that must be out of reach before requests that could go directly are relayed.
+const RELAY_LOST_SHARE: f64 = 0.5;
+
 /// Estimates for another region.
 pub(crate) struct RemoteEstimate {
     region: RegionId,
@@ -38,7 +44,10 @@
         let regions = self.regions.iter();
         let permitted = regions.filter(|(region, _)| admitted.route.permits(region) && !history.is_full(region));
         let permitted = permitted.filter(|(region, _)| self.may_run_in(admitted, region));
-        let reachable = permitted.filter(|(region, _)| self.live_peers_in(region, history, now).next().is_some());
+        let reachable = permitted.filter(|(region, _)| {
+            let mut peers = self.peers_with_path(region, &admitted.service, history, now);
+            peers.next().is_some()
+        });
         let expected = reachable.filter_map(|(region, state)| {
             let wait_ms = state.wait_ms(&admitted.service, now)?;
             let first_event_ms = if admitted.prompt.is_some() { FIRST_EVENT_MS } else { 0.0 };
@@ -54,6 +63,59 @@
         expected.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
+    /// Returns the neighbour through which a request is relayed, with the estimates for the endpoints that this VM does not
+    /// reach; `None` if the `direct` way is better, or there is no such neighbour.
+    pub(crate) fn best_neighbour(
+        &self,
+        admitted: &AdmittedRequest,
+        history: &AttemptHistory,
+        direct: Option<&LocalEstimate>,
+        now: Time,
+    ) -> Option<(LocalEstimate, VmRow)> {
+        let is_considered = direct.is_none() || self.lost_share(&admitted.service) >= RELAY_LOST_SHARE;
+        if admitted.forwarded || !self.has_lost_paths() || !is_considered {
+            return None;
+        }
+        let mut estimate = self.best_local(admitted, history, Reach::Lost, now)?;
+        estimate.expected_ms += NEIGHBOUR_ROUND_TRIP_MS;
+        let margin_ms = admitted.route.objective.0 as f64 * SPILL_MARGIN;
+        let cost = |estimate: &LocalEstimate| estimate.expected_ms + estimate.overrun_ms;
+        if direct.is_some_and(|direct| cost(direct) <= cost(&estimate) + margin_ms) {
+            return None;
+        }
+        let neighbour = self.relay_target(&admitted.service, history, now)?;
+        Some((estimate, neighbour.clone()))
+    }
+
+    /// Returns the VM of this region that this VM relays through: one of its failure domain if possible.
+    ///
+    /// It is the same one each time so that the connection is reused. The VMs without paths are spread over the others.
+    fn relay_target<'a>(&'a self, service: &'a ServiceId, history: &'a AttemptHistory, now: Time) -> Option<&'a VmRow> {
+        let local = &self.options.local;
+        let mut targets: Vec<_> = self.peers_with_path(&local.region, service, history, now).collect();
+        if targets.iter().any(|row| row.domain == local.domain) {
+            targets.retain(|row| row.domain == local.domain);
+        }
+        targets.sort_by(|a, b| a.vm.cmp(&b.vm));
+        let peers = self.members.peers().filter(|row| row.region == local.region);
+        let cut_off = peers.filter(|row| self.paths.is_peer_cut_off(&row.vm, service, now));
+        let cut_off: Vec<_> = cut_off.map(|row| &row.vm).collect();
+        let rank = cut_off.iter().filter(|vm| ***vm < local.vm).count();
+        targets.get(rank * targets.len() / (cut_off.len() + 1)).copied()
+    }
+
+    /// Returns the live VMs of a region that have paths to a service and to which the request was not sent before.
+    fn peers_with_path<'a>(
+        &'a self,
+        region: &'a RegionId,
+        service: &'a ServiceId,
+        history: &'a AttemptHistory,
+        now: Time,
+    ) -> impl Iterator<Item = &'a VmRow> {
+        let peers = self.live_peers_in(region, history, now);
+        peers.filter(move |row| !self.paths.is_peer_cut_off(&row.vm, service, now))
+    }
+
     /// Returns the milliseconds of an endpoint's time that a request takes; a plain one uses one of its slots.
     fn work_ms(&self, admitted: &AdmittedRequest) -> f64 {
         let uncached_ms = self.uncached_ms(admitted);
@@ -77,7 +139,7 @@
         history: &AttemptHistory,
         now: Time,
     ) -> Option<Choice> {
-        let row = self.forward_target(&remote.region, history, now)?;
+        let row = self.forward_target(&remote.region, &admitted.service, history, now)?;
         let (vm, address) = (row.vm.clone(), row.peer_listen);
         let work_ms = self.work_ms(admitted);
         if let Some(state) = self.regions.get_mut(&remote.region) {
@@ -96,8 +158,14 @@
     ///
     /// It is the same one each time so that the connection is reused, because a new one costs another round trip
     /// between the regions. The VMs of this region are spread over those of the other one.
-    fn forward_target<'a>(&'a self, region: &'a RegionId, history: &'a AttemptHistory, now: Time) -> Option<&'a VmRow> {
-        let mut targets: Vec<_> = self.live_peers_in(region, history, now).collect();
+    fn forward_target<'a>(
+        &'a self,
+        region: &'a RegionId,
+        service: &'a ServiceId,
+        history: &'a AttemptHistory,
+        now: Time,
+    ) -> Option<&'a VmRow> {
+        let mut targets: Vec<_> = self.peers_with_path(region, service, history, now).collect();
         targets.sort_by(|a, b| a.vm.cmp(&b.vm));
         targets
             .get(self.sender_rank() * targets.len() / self.senders())
--- a/crates/sw-relay/tests/odd_input.rs
+++ b/crates/sw-relay/tests/odd_input.rs
@@ -9,7 +9,8 @@
 use sw_relay::{
     AnsweredSuspect, AttemptHistory, AttemptOutcome, CachedPart, Choice, CrashReport, DomainView, EndpointEntry,
     EndpointLoad, EndpointRateLimit, EndpointReport, Heartbeat, LoadReport, Prompt, PromptPart, RateLimitState,
-    RateLimitStatement, Relay, ServiceLoad, ServiceVersions, StoreRecord, StoreState, Suspect, VersionAge, VmAge,
+    RateLimitStatement, Relay, ServiceId, ServiceLoad, ServiceVersions, StoreRecord, StoreState, Suspect, VersionAge,
+    VmAge,
 };
 use sw_unit::{
     EndpointId, Fingerprint, Incarnation, Millis, PartId, Rate, RegionId, StoreEra, StorePosition, Time, Tokens,
@@ -135,7 +136,7 @@
 
 fn domain_view() -> impl Strategy<Value = DomainView> {
     let place = prop::sample::select(["north", "south", "west", "nowhere"].as_slice());
-    let vms = vec((0..6_u8, whole(), duration()), 0..4);
+    let vms = vec((0..6_u8, whole(), duration(), services()), 0..4);
     let lists = (
         vec(endpoint_load(), 0..6),
         vec(service_load(), 0..4),
@@ -153,10 +154,11 @@
                 age,
                 vms: vms
                     .into_iter()
-                    .map(|(vm, incarnation, age)| VmAge {
+                    .map(|(vm, incarnation, age, cut_off)| VmAge {
                         vm: format!("vm-{vm}").parse().expect("an id"),
                         incarnation: Incarnation(incarnation),
                         age,
+                        cut_off,
                     })
                     .collect(),
                 endpoints,
@@ -188,6 +190,7 @@
         vec(crash(), 0..6),
         vec(answered(), 0..6),
         vec(versions(), 0..3),
+        services(),
     );
     (vm_row(), whole(), vec(vm_row(), 0..6), store_state(), lists).prop_map(
         |(
@@ -195,7 +198,7 @@
             members_digest,
             known_vms,
             store,
-            (endpoints, domains, cached_parts, rate_limits, crashes, answered, versions),
+            (endpoints, domains, cached_parts, rate_limits, crashes, answered, versions, cut_off),
         )| Heartbeat {
             from,
             members_digest,
@@ -208,10 +211,16 @@
             crashes,
             answered,
             versions,
+            cut_off,
         },
     )
 }
 
+fn services() -> impl Strategy<Value = Vec<ServiceId>> {
+    let names = prop::sample::select(["app", "engines", "unknown"].as_slice());
+    vec(names.prop_map(service), 0..3)
+}
+
 fn registration() -> impl Strategy<Value = EndpointEntry> {
     let names = prop::sample::select(ENDPOINTS.as_slice());
     let places = prop::sample::select(["north", "south", "nowhere"].as_slice());
--- a/crates/sw-relay/tests/support/fleet.rs
+++ b/crates/sw-relay/tests/support/fleet.rs
@@ -10,8 +10,8 @@
 use indexmap::IndexMap;
 use sw_member::VmRow;
 use sw_relay::{
-    AdmittedRequest, Attempt, AttemptHistory, AttemptOutcome, Choice, EndpointEntry, Options, Prompt, PromptPart,
-    Relay, RequestContent, RequestHead,
+    AdmittedRequest, Attempt, AttemptHistory, AttemptOutcome, Choice, EndpointEntry, Options, PathFailure, Prompt,
+    PromptPart, Relay, RequestContent, RequestHead,
 };
 use sw_unit::{DomainId, Incarnation, Millis, PartId, RegionId, Time, Tokens};
 
@@ -36,6 +36,7 @@
 /// Time for which a VM that was down or cut off is excused.
 pub const EXCUSED_FOR: Millis = Millis(5_000);
 const TICK_PERIOD: Millis = Millis(500);
+const PROBE_TICK: Millis = Millis(100);
 const DOMAIN_PERIOD: Millis = Millis(900);
 const TAKEOVER_AFTER: Millis = Millis(2_400);
 /// The part that all prompts share.
@@ -398,6 +399,22 @@
                 self.vms[index].disturbed_at = Some(self.now);
             }
             self.send_news(index);
+            if self.now.0.is_multiple_of(PROBE_TICK.0) {
+                self.probe_paths(index);
+            }
+        }
+    }
+
+    /// Probes the paths of a VM that are due; only an engine that is down cannot be reached.
+    fn probe_paths(&mut self, vm: usize) {
+        let relay = &mut self.vms[vm].relay;
+        for entry in relay.due_path_probes(self.now) {
+            let engine = self.engines.iter().find(|engine| engine.entry.id == entry.id);
+            if engine.is_some_and(|engine| engine.down_until.is_none()) {
+                relay.on_path_open(&entry, self.now);
+            } else {
+                relay.on_path_lost(&entry, PathFailure::Refused, self.now);
+            }
         }
     }
 
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -241,6 +241,7 @@
         crashes: Vec::new(),
         answered: Vec::new(),
         versions: Vec::new(),
+        cut_off: Vec::new(),
         from,
     }
 }
--- a/crates/sw-relay/tests/support/paths.rs
+++ b/crates/sw-relay/tests/support/paths.rs
@@ -5,10 +5,10 @@
 
 use std::sync::Arc;
 
-use sw_error::Refusal;
+use sw_error::{Kind, Refusal};
 use sw_relay::{
-    AdmittedRequest, AttemptHistory, AttemptOutcome, Choice, Coordinator, EndpointEntry, Grant, Relay, RequestHead,
-    ReservationUpdate,
+    AdmittedRequest, AttemptHistory, AttemptOutcome, Choice, Coordinator, EndpointEntry, Grant, PathFailure, Relay,
+    RequestHead, ReservationUpdate,
 };
 use sw_unit::{Millis, Time};
 
@@ -117,6 +117,7 @@
         let end = self.now + time;
         while self.now < end {
             self.now = self.now + STEP;
+            (0..self.vms.len()).for_each(|vm| self.send_probes(vm));
             if self.now.0.is_multiple_of(HEARTBEAT_PERIOD.0) {
                 (0..self.vms.len()).for_each(|vm| self.send_heartbeats(vm));
                 for relay in &mut self.vms {
@@ -126,6 +127,39 @@
         }
     }
 
+    fn send_probes(&mut self, vm: usize) {
+        for endpoint in self.vms[vm].due_path_probes(self.now) {
+            match self.connect(vm, &endpoint) {
+                Ok(()) => self.vms[vm].on_path_open(&endpoint, self.now),
+                Err(failure) => self.vms[vm].on_path_lost(&endpoint, failure, self.now),
+            }
+        }
+    }
+
+    /// Checks a path and a sample of the others, as a VM does when a connection fails.
+    fn check(&mut self, vm: usize, endpoint: &EndpointEntry) {
+        let sample = self.vms[vm].path_sample(endpoint);
+        let probes = sample.into_iter().map(|endpoint| {
+            let outcome = self.connect(vm, &endpoint);
+            (endpoint, outcome)
+        });
+        let probes: Vec<_> = probes.collect();
+        self.vms[vm].on_path_sample(&probes, self.now);
+    }
+
+    fn connect(&self, vm: usize, endpoint: &EndpointEntry) -> Result<(), PathFailure> {
+        if self.paths[vm][self.index_of(endpoint)] {
+            Ok(())
+        } else {
+            Err(PathFailure::Timeout)
+        }
+    }
+
+    fn index_of(&self, endpoint: &EndpointEntry) -> usize {
+        let index = self.endpoints.iter().position(|entry| entry.id == endpoint.id);
+        index.expect("a known endpoint")
+    }
+
     fn send_heartbeats(&mut self, from: usize) {
         let relay = &mut self.vms[from];
         let local = relay.members().local().clone();
@@ -192,7 +226,12 @@
                     forwarded.max_attempts = 1;
                     match self.run(index, &forwarded, head) {
                         Ok(served) => return Ok(served),
-                        Err(refusal) => history.record_vm_refusal(&to, &region, refusal),
+                        Err(refusal) => {
+                            history.record_vm_refusal(&to, &region, refusal);
+                            if refusal.kind == Kind::NoEndpoint {
+                                self.vms[vm].on_forward_without_endpoint(&to, &admitted.service, self.now);
+                            }
+                        }
                     }
                 }
             }
@@ -223,13 +262,12 @@
                 }
             }
         }
+        let index = self.index_of(endpoint);
         let relay = &mut self.vms[vm];
         let Some(attempt) = relay.start_attempt(admitted, endpoint, grant.as_ref(), now) else {
             history.record_endpoint(&endpoint.id, Some(AttemptOutcome::Unsent));
             return None;
         };
-        let index = self.endpoints.iter().position(|entry| entry.id == endpoint.id);
-        let index = index.expect("a known endpoint");
         let (outcome, update) = if self.paths[vm][index] {
             (AttemptOutcome::Complete, ReservationUpdate::Ended)
         } else {
@@ -245,6 +283,7 @@
         );
         if outcome != AttemptOutcome::Complete {
             self.failed_attempts += 1;
+            self.check(vm, endpoint);
             return None;
         }
         Some(Served {
--- a/crates/sw-relay/tests/unreachable_endpoints.rs
+++ b/crates/sw-relay/tests/unreachable_endpoints.rs
@@ -83,7 +83,7 @@
     for _ in 0..500 {
         let admitted = admit(&mut relay, "pay", None, Time(0));
         let mut history = AttemptHistory::default();
-        send(
+        let used = send(
             &mut relay,
             &admitted,
             &mut history,
@@ -91,6 +91,8 @@
             Time(0),
         );
         assert!(relay.withdraw_retry(&admitted, &history));
+        // Otherwise all paths would be lost soon, and nothing more be sent.
+        relay.on_path_open(&endpoint(&used, "app", "north"), Time(0));
     }
 }
 
