fix(proxy): an endpoint counts as crashed only if this VM reaches another one

When a VM lost its paths, the responses that broke off with them counted as crashes, because the endpoints refused connections, as they did to any VM without a path.

--- a/crates/sw-proxy/src/crash.rs
+++ b/crates/sw-proxy/src/crash.rs
@@ -6,14 +6,15 @@
 use sw_relay::EndpointEntry;
 
 use crate::state::ProxyState;
-use crate::{Dialect, heartbeat, telemetry};
+use crate::{Dialect, heartbeat, paths, telemetry};
 
 /// Timeout of a connection that only checks whether an endpoint listens.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
 /// Pause before the second check; an endpoint may still listen for a moment while it ends.
 const CHECK_PAUSE: Duration = Duration::from_millis(200);
 
-/// Checks whether an endpoint whose connection broke has crashed: it refuses connections then.
+/// Checks whether an endpoint whose connection broke has crashed: it refuses connections then, and this VM reaches other
+/// endpoints. A VM that reaches none has lost its paths.
 pub(crate) fn check_endpoint<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, endpoint: &EndpointEntry) {
     let (state, endpoint) = (Rc::clone(state), endpoint.clone());
     tokio::task::spawn_local(async move {
@@ -22,8 +23,9 @@
             tokio::time::sleep(CHECK_PAUSE).await;
             refused = sw_http::is_refused(endpoint.address, CHECK_TIMEOUT).await;
         }
-        telemetry::log_crash_check(&endpoint, refused);
-        if refused {
+        let has_crashed = refused && paths::reaches_another(&state, &endpoint).await;
+        telemetry::log_crash_check(&endpoint, refused, has_crashed);
+        if has_crashed {
             let now = state.now();
             state
                 .relay
--- a/crates/sw-proxy/src/paths.rs
+++ b/crates/sw-proxy/src/paths.rs
@@ -72,6 +72,22 @@
     }
 }
 
+/// Returns whether this VM has a path to an endpoint other than `endpoint`, or knows no other one.
+pub(crate) async fn reaches_another<D: Dialect, F: 'static>(
+    state: &Rc<ProxyState<D, F>>,
+    endpoint: &EndpointEntry,
+) -> bool {
+    let others = state.relay.borrow_mut().other_endpoints(&endpoint.id);
+    if others.is_empty() {
+        return true;
+    }
+    let probes = others.iter().map(|other| Box::pin(probe(state, other)));
+    match futures::future::select_ok(probes).await {
+        Ok(((), _running)) => true,
+        Err(_failure) => false,
+    }
+}
+
 async fn check_now<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, endpoint: &EndpointEntry) {
     if !state.checked_paths.borrow_mut().insert(endpoint.address) {
         // Another request waits for the same check.
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -114,10 +114,10 @@
     info!("attempt_broken", kv: { id, endpoint, incarnation, head, events, fingerprint, parts = parts.as_str() });
 }
 
-/// Logs whether an endpoint that broke off a response refuses connections.
-pub(crate) fn log_crash_check(endpoint: &EndpointEntry, refused: bool) {
+/// Logs whether an endpoint that broke off a response refuses connections, and whether it counts as crashed.
+pub(crate) fn log_crash_check(endpoint: &EndpointEntry, refused: bool, crashed: bool) {
     let (endpoint, incarnation) = (endpoint.id.as_str(), endpoint.incarnation.0);
-    info!("endpoint_checked", kv: { endpoint, incarnation, refused });
+    info!("endpoint_checked", kv: { endpoint, incarnation, refused, crashed });
 }
 
 /// Logs the prompt parts and requests that were quarantined or released.
--- a/crates/sw-relay/src/path.rs
+++ b/crates/sw-relay/src/path.rs
@@ -216,6 +216,17 @@
         others
     }
 
+    /// Returns endpoints of this region other than `endpoint` to which the path is not known to be lost, of any service.
+    pub fn other_endpoints(&mut self, endpoint: &EndpointId) -> Vec<EndpointEntry> {
+        let services = self.table.iter().flat_map(|table| table.services.keys());
+        let local = services.flat_map(|service| self.local_endpoints(service));
+        let others = local.filter(|known| known.entry.id != *endpoint);
+        let mut others: Vec<_> = others.map(|known| known.entry.clone()).collect();
+        self.rng.shuffle(&mut others);
+        others.truncate(SAMPLE + 1);
+        others
+    }
+
     /// Returns one endpoint of each other service, to be checked because this VM is cut off from `service`.
     pub fn endpoints_of_other_services(&self, service: &ServiceId) -> Vec<EndpointEntry> {
         let services = self.table.iter().flat_map(|table| table.services.keys());
