fix(proxy): resumable streams whose path is lost go on through a neighbour; the directory prefers VMs with paths

A stream whose path was lost waited for three times its gap objective and then for another endpoint that this VM reaches, of which there was none, until the route's time was over. The directory names those of the near VMs that are cut off from no service, if there are two or more, and all otherwise.

--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -87,6 +87,11 @@
         self.attempt.as_mut()
     }
 
+    /// Returns the endpoint; `None` after the end of the attempt.
+    pub(crate) fn endpoint(&self) -> Option<&EndpointEntry> {
+        self.attempt.as_ref().map(|attempt| &attempt.endpoint)
+    }
+
     /// Records that the head of a response arrived.
     fn on_head(&mut self, response: &Response<Incoming>) {
         self.status = response.status().as_u16();
--- a/crates/sw-proxy/src/forward.rs
+++ b/crates/sw-proxy/src/forward.rs
@@ -1,4 +1,4 @@
-//! Forwards requests to VMs of other regions.
+//! Forwards requests to VMs of other regions, and to neighbours if this VM has lost its paths to endpoints.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/sw-proxy/src/incoming.rs
+++ b/crates/sw-proxy/src/incoming.rs
@@ -9,7 +9,7 @@
 use hyper::header::CONTENT_LENGTH;
 use sw_http::Exchange;
 use sw_peer::relay::RelayEvent;
-use sw_relay::{Attempt, AttemptOutcome, SoftwareVersion};
+use sw_relay::{Attempt, AttemptOutcome, EndpointEntry, SoftwareVersion};
 use sw_unit::{Millis, Time};
 use tokio::sync::mpsc;
 
@@ -131,6 +131,14 @@
         }
     }
 
+    /// Returns the endpoint that sends the body; `None` if another VM relays it.
+    pub(crate) fn endpoint(&self) -> Option<&EndpointEntry> {
+        match self {
+            Self::Endpoint(response) => response.guard.endpoint(),
+            Self::Vm(_) => None,
+        }
+    }
+
     /// Returns the attempt, to record its progress; `None` if another VM makes it.
     pub(crate) fn attempt_mut(&mut self) -> Option<&mut Attempt> {
         match self {
--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -17,6 +17,7 @@
 use crate::attempt::BufferedRequest;
 use crate::continuation::{self, FirstEvent, StreamFormat};
 use crate::incoming::{BodyPart, BodySource, IncomingResponse};
+use crate::paths::{self, RESPONSE_SILENCE};
 use crate::request::{HttpResponse, start_attempt, start_endpoint_attempt};
 use crate::reservation::{ReservationGuard, reserve};
 use crate::state::{ActiveGuard, ProxyState};
@@ -47,6 +48,7 @@
         format,
         source_has_event: false,
         has_started: false,
+        endpoint: response.source.endpoint().cloned(),
         software: response.software,
         events: EventSplitter::default(),
         last_chunk_at: None,
@@ -74,6 +76,8 @@
     last_chunk_at: Option<Time>,
     /// The software version of the current source; `None` if it does not state one.
     software: Option<SoftwareVersion>,
+    /// The endpoint that sends the current source; `None` if another VM relays it.
+    endpoint: Option<EndpointEntry>,
     /// Whether the caller got an event of this response.
     has_started: bool,
     /// Detects that the stream has stalled; `None` if it cannot be resumed elsewhere.
@@ -91,9 +95,9 @@
     CallerGone,
 }
 
-/// Endpoint at which a stream can be resumed, with an optional reservation in its queue.
+/// Endpoint at which a stream can be resumed, with an optional reservation in its queue, or VM through which it can.
 struct ResumeTarget<D: Dialect, F: 'static> {
-    endpoint: EndpointEntry,
+    choice: Choice,
     reservation: Option<ReservationGuard<D, F>>,
 }
 
@@ -134,6 +138,14 @@
     CallerGone,
 }
 
+/// Waits until the path to an endpoint that stays silent is lost.
+async fn wait_path_lost<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, endpoint: Option<&EndpointEntry>) {
+    match endpoint {
+        Some(endpoint) => paths::wait_lost(state, endpoint, RESPONSE_SILENCE).await,
+        None => std::future::pending().await,
+    }
+}
+
 impl<D: Dialect, F: 'static> StreamRelay<D, F> {
     async fn run(mut self, mut source: BodySource<D, F>, tx: Sender) {
         loop {
@@ -186,7 +198,7 @@
         }
     }
 
-    /// Waits until the stream has stalled, and returns the target for resuming it.
+    /// Waits until the stream has stalled or the path to its endpoint is lost, and returns the target for resuming it.
     async fn wait_stalled(&mut self) -> Option<ResumeTarget<D, F>> {
         let Some(stall) = &mut self.stall else {
             return std::future::pending().await;
@@ -194,38 +206,40 @@
         loop {
             let wait = stall.event_timeout(self.state.now());
             if wait == Millis(0) {
-                return self.resume_target().await;
+                return self.resume_target(false).await;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(Duration::from_millis(wait.0)) => {}
+                () = wait_path_lost(&self.state, self.endpoint.as_ref()) => return self.resume_target(true).await,
             }
-            tokio::time::sleep(Duration::from_millis(wait.0)).await;
         }
     }
 
-    /// Returns another endpoint of this region for resuming the stream; `None` if it is better to keep waiting.
+    /// Returns another endpoint of this region for resuming the stream, or another VM if the path to the endpoint is lost;
+    /// `None` if it is better to keep waiting.
     ///
     /// A stalled stream is abandoned only for a granted reservation (or an endpoint that needs none), because it cannot
     /// be picked up again. While draining, this VM keeps waiting for the stream.
-    async fn resume_target(&self) -> Option<ResumeTarget<D, F>> {
+    async fn resume_target(&self, is_path_lost: bool) -> Option<ResumeTarget<D, F>> {
         if self.state.draining_for().is_some() || !self.may_continue() {
             return None;
         }
-        let Some(Choice::Endpoint {
-            endpoint, coordinator, ..
-        }) = self.choose_retry()
-        else {
-            return None;
+        let choice = self.choose_retry()?;
+        let coordinator = match &choice {
+            Choice::Endpoint { endpoint, .. } if self.history.has_endpoint(&endpoint.id) => return None,
+            Choice::Endpoint { coordinator, .. } => coordinator.clone(),
+            Choice::Vm { .. } if is_path_lost => None,
+            Choice::Vm { .. } => return None,
         };
-        if self.history.has_endpoint(&endpoint.id) {
-            return None;
-        }
         let Some(coordinator) = coordinator else {
             return Some(ResumeTarget {
-                endpoint,
+                choice,
                 reservation: None,
             });
         };
         let reservation = reserve(&self.state, &self.request, &coordinator, &mut self.history.clone()).await;
         let reservation = reservation.ok().flatten();
-        reservation.is_some().then_some(ResumeTarget { endpoint, reservation })
+        reservation.is_some().then_some(ResumeTarget { choice, reservation })
     }
 
     /// Relays a chunk; of a resumable stream only the events that are complete.
@@ -355,6 +369,7 @@
             if let Some(response) = retried {
                 self.stall = Some(StallDetector::new(response.first_event_deadline));
                 self.software = response.software;
+                self.endpoint = response.source.endpoint().cloned();
                 return Some(response.source);
             }
         }
@@ -373,13 +388,16 @@
 
     /// Retries the request. The outer `None` means that no retry is possible, the inner one that the retry failed.
     async fn retry(&mut self, target: Option<ResumeTarget<D, F>>) -> Option<Option<IncomingResponse<D, F>>> {
-        let response = if let Some(ResumeTarget { endpoint, reservation }) = target {
-            self.log_resumed(endpoint.id.as_str());
-            start_endpoint_attempt(&self.state, &self.request, &endpoint, reservation, &mut self.history).await
-        } else {
-            let choice = self.choose_retry()?;
-            self.log_resumed(choice.target());
-            start_attempt(&self.state, &self.request, &choice, &mut self.history).await
+        let (choice, reservation) = match target {
+            Some(ResumeTarget { choice, reservation }) => (choice, Some(reservation)),
+            None => (self.choose_retry()?, None),
+        };
+        self.log_resumed(choice.target());
+        let response = match (&choice, reservation) {
+            (Choice::Endpoint { endpoint, .. }, Some(reservation)) => {
+                start_endpoint_attempt(&self.state, &self.request, endpoint, reservation, &mut self.history).await
+            }
+            _ => start_attempt(&self.state, &self.request, &choice, &mut self.history).await,
         };
         Some(response.ok().filter(|response| self.format.matches(&response.head)))
     }
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -52,13 +52,14 @@
         } => {
             let local_ms = local_ms.map_or(-1, |ms| ms as i64);
             let (vm, expected_ms) = (vm.as_str(), *expected_ms as u64);
-            if *region == state.options().region {
-                info!("relayed", kv: { id, route, version, left_ms, vm, expected_ms, local_ms, revision });
+            let why = if *region == state.options().region {
+                "path_lost"
             } else {
-                let region = region.as_str();
-                info!("forwarded", kv: { id, route, version, left_ms, region, vm, expected_ms, local_ms, revision });
-            }
-            counter!("shallotwing_forwards_total", "region" => region.to_string()).increment(1);
+                "region_busy"
+            };
+            let region = region.as_str();
+            info!("forwarded", kv: { id, route, version, left_ms, region, vm, expected_ms, local_ms, revision, why });
+            counter!("shallotwing_forwards_total", "why" => why).increment(1);
         }
     }
     counter!("shallotwing_decisions_total", "route" => admitted.route.name.clone()).increment(1);
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -303,11 +303,11 @@
         let live = filter_rows(&heard, |row| !row.leaving);
         let near = filter_rows(&live, |row| Some(&row.domain) == query.domain);
         if near.len() >= MIN_ENTRY_VMS {
-            return near;
+            return self.prefer_with_paths(near);
         }
         let in_region = filter_rows(&live, |row| Some(&row.region) == query.region);
         if !in_region.is_empty() {
-            return in_region;
+            return self.prefer_with_paths(in_region);
         }
         let (best_live, live_traffic) = self.most_permitted(&live, query.host);
         let (best, traffic) = self.most_permitted(&heard, query.host);
@@ -322,6 +322,16 @@
         }
     }
 
+    /// Returns those of the VMs that are cut off from no service, or all if these are too few.
+    fn prefer_with_paths(&self, rows: Vec<VmRow>) -> Vec<VmRow> {
+        let with_paths = filter_rows(&rows, |row| !self.is_vm_cut_off(&row.vm));
+        if with_paths.len() >= MIN_ENTRY_VMS {
+            with_paths
+        } else {
+            rows
+        }
+    }
+
     /// Returns those of the VMs in whose region most of the host's requests may run, and the weight of these requests.
     fn most_permitted(&self, rows: &[VmRow], host: Option<&str>) -> (Vec<VmRow>, f64) {
         let traffic = |row: &VmRow| host.map_or(0.0, |host| self.permitted_traffic(host, &row.region));
--- a/crates/sw-relay/src/history.rs
+++ b/crates/sw-relay/src/history.rs
@@ -22,7 +22,7 @@
         /// The coordinator to ask for a slot first; `None` if the request is sent without asking.
         coordinator: Option<Box<Coordinator>>,
     },
-    /// To a VM of another region, which selects an endpoint there.
+    /// To another VM, which selects an endpoint: of another region, or of this one if this VM has no paths.
     Vm {
         /// The region of the VM.
         region: RegionId,
--- a/crates/sw-relay/src/path.rs
+++ b/crates/sw-relay/src/path.rs
@@ -300,6 +300,15 @@
         (self.paths.lost.len(), self.paths.cut_off.len())
     }
 
+    /// Returns whether a VM, which may be this one, is cut off from a service.
+    pub(crate) fn is_vm_cut_off(&self, vm: &VmId) -> bool {
+        if *vm == self.options.local.vm {
+            !self.paths.cut_off.is_empty()
+        } else {
+            self.paths.reported.contains_key(vm)
+        }
+    }
+
     /// Returns whether any path is lost.
     pub(crate) fn has_lost_paths(&self) -> bool {
         !self.paths.lost.is_empty()
--- a/crates/sw-relay/src/spill.rs
+++ b/crates/sw-relay/src/spill.rs
@@ -1,7 +1,7 @@
 //! Requests that another VM sends to an endpoint.
 //!
 //! A request spills to another region if the local one is expected to be busy and the other one to be clearly faster. A VM
-//! that has lost its paths to the endpoints of a service relays requests through a VM of its region that has not.
+//! that has lost its paths to the endpoints of a service forwards requests to a VM of its region that has not.
 
 use sw_member::VmRow;
 use sw_unit::{RegionId, Time};
@@ -19,8 +19,8 @@
 
 /// Expected milliseconds that a request through a VM of the local region takes longer than a direct one.
 const NEIGHBOUR_ROUND_TRIP_MS: f64 = 10.0;
-/// Share of a service's endpoints that must be out of reach before requests that could go directly are relayed.
-const RELAY_LOST_SHARE: f64 = 0.5;
+/// Share of a service's endpoints that must be out of reach before requests that could go directly are forwarded.
+const FORWARD_LOST_SHARE: f64 = 0.5;
 
 /// Estimates for another region.
 pub(crate) struct RemoteEstimate {
@@ -63,8 +63,8 @@
         expected.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
-    /// Returns the neighbour through which a request is relayed, with the estimates for the endpoints that this VM does not
-    /// reach; `None` if the `direct` way is better, or there is no such neighbour.
+    /// Returns the VM of this region to which a request is forwarded, with the estimates for the endpoints that this VM does not
+    /// reach; `None` if the `direct` way is better, or there is no such VM.
     pub(crate) fn best_neighbour(
         &self,
         admitted: &AdmittedRequest,
@@ -72,7 +72,7 @@
         direct: Option<&LocalEstimate>,
         now: Time,
     ) -> Option<(LocalEstimate, VmRow)> {
-        let is_considered = direct.is_none() || self.lost_share(&admitted.service) >= RELAY_LOST_SHARE;
+        let is_considered = direct.is_none() || self.lost_share(&admitted.service) >= FORWARD_LOST_SHARE;
         if admitted.forwarded || !self.has_lost_paths() || !is_considered {
             return None;
         }
@@ -83,14 +83,19 @@
         if direct.is_some_and(|direct| cost(direct) <= cost(&estimate) + margin_ms) {
             return None;
         }
-        let neighbour = self.relay_target(&admitted.service, history, now)?;
+        let neighbour = self.neighbour_target(&admitted.service, history, now)?;
         Some((estimate, neighbour.clone()))
     }
 
-    /// Returns the VM of this region that this VM relays through: one of its failure domain if possible.
+    /// Returns the VM of this region that this VM forwards to: one of its failure domain if possible.
     ///
     /// It is the same one each time so that the connection is reused. The VMs without paths are spread over the others.
-    fn relay_target<'a>(&'a self, service: &'a ServiceId, history: &'a AttemptHistory, now: Time) -> Option<&'a VmRow> {
+    fn neighbour_target<'a>(
+        &'a self,
+        service: &'a ServiceId,
+        history: &'a AttemptHistory,
+        now: Time,
+    ) -> Option<&'a VmRow> {
         let local = &self.options.local;
         let mut targets: Vec<_> = self.peers_with_path(&local.region, service, history, now).collect();
         if targets.iter().any(|row| row.domain == local.domain) {
--- a/crates/sw-relay/tests/lost_paths.rs
+++ b/crates/sw-relay/tests/lost_paths.rs
@@ -5,10 +5,12 @@
 
 mod support;
 
+use proptest::collection::vec;
+use proptest::prelude::*;
 use support::paths::PathFleet;
 use support::{admit, endpoint, heartbeat, register, relay_of, row};
 use sw_error::Kind;
-use sw_relay::{AttemptHistory, AttemptOutcome, Choice, Relay, Reservation, ReservationUpdate};
+use sw_relay::{AttemptHistory, AttemptOutcome, Choice, EntryQuery, Relay, Reservation, ReservationUpdate};
 use sw_unit::{EndpointId, Millis, Time};
 
 const ROUTES: [&str; 4] = ["pay", "read", "digest", "query"];
@@ -184,3 +186,74 @@
         }
     }
 }
+
+/// Guards against callers that are led to VMs without paths although enough others are near, and against an empty list when all
+/// VMs have lost theirs.
+#[test]
+fn callers_are_led_to_vms_with_paths() {
+    let mut fleet = PathFleet::new(&[("north", 6, 4), ("south", 3, 2)]);
+    let named = |fleet: &PathFleet, vm: usize| {
+        let (region, domain) = ("north".parse().expect("an id"), "north".parse().expect("an id"));
+        let query = EntryQuery {
+            region: Some(&region),
+            domain: Some(&domain),
+            host: Some(support::HOST),
+        };
+        fleet.vms[vm].entry_vms(query, fleet.now).len()
+    };
+    for cut in [3, 5, 6] {
+        (0..cut).for_each(|vm| fleet.set_cut(vm, true));
+        for _ in 0..50 {
+            fleet.pass(Millis(100));
+            for vm in 0..9 {
+                let _outcome = fleet.request(vm, "read");
+                let _outcome = fleet.request(vm, "digest");
+            }
+        }
+        let expected = if cut == 3 { 3 } else { 6 };
+        for vm in 0..9 {
+            assert_eq!(named(&fleet, vm), expected, "{cut} cut, VM {vm}");
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(sw_fuzz::config())]
+
+    /// Guards against a request that is refused although it has a way of at most two hops, after paths were lost or regained at
+    /// random and the VMs had time to learn it; against loops; and against attempts that cannot succeed.
+    #[test]
+    fn requests_with_a_way_are_served(
+        vms in 1_usize..12,
+        endpoints in 1_usize..8,
+        changes in vec((0.0..1.0_f64, 0.0..1.0_f64, any::<u64>()), 1..5),
+    ) {
+        let mut fleet = PathFleet::new(&[("north", vms, endpoints), ("south", 2, endpoints)]);
+        for (cut_share, path_share, seed) in changes {
+            let mut rng = fastrand::Rng::with_seed(seed);
+            for vm in 0..vms + 2 {
+                let is_cut = rng.f64() < cut_share;
+                let lost: Vec<String> = (0..endpoints)
+                    .flat_map(|index| ["app", "engines"].map(|service| (index, service)))
+                    .filter(|_| is_cut || rng.f64() > path_share.sqrt())
+                    .flat_map(|(index, service)| ["north", "south"].map(|region| format!("e-{region}-{service}-{index}")))
+                    .collect();
+                fleet.set_paths(vm, |entry| !lost.contains(&entry.id.to_string()));
+            }
+            let changed_at = fleet.now;
+            while fleet.now < changed_at + CONTACT + Millis(1_500) {
+                fleet.pass(Millis(250));
+                for (vm, route) in (0..vms + 2).flat_map(|vm| ROUTES.map(|route| (vm, route))) {
+                    let outcome = fleet.request(vm, route);
+                    let service = if matches!(route, "pay" | "read") { "app" } else { "engines" };
+                    if fleet.now > changed_at + CONTACT && fleet.has_way(vm, service) {
+                        let served = outcome.map_err(|refusal| {
+                            TestCaseError::fail(format!("VM {vm}, {route}: {refusal:?} at {:?}", fleet.now))
+                        })?;
+                        prop_assert!(served.failed_attempts < 4, "VM {}, {}: {:?}", vm, route, served);
+                    }
+                }
+            }
+        }
+    }
+}
