--- a/crates/sw-proxy/src/lib.rs
+++ b/crates/sw-proxy/src/lib.rs
@@ -17,6 +17,7 @@
 mod listener;
 mod malformed;
 mod options;
+mod paths;
 mod peer;
 mod persist;
 mod proxy;
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -86,6 +86,7 @@
                 Vec::new()
             },
             versions: if agree { Vec::new() } else { self.versions.reports(now) },
+            cut_off: self.paths.cut_off(),
         }
     }
 
@@ -97,6 +98,7 @@
         let vm = heartbeat.from.vm.clone();
         self.peer_stores.insert(vm.clone(), heartbeat.store);
         self.peer_digests.insert(vm.clone(), heartbeat.members_digest);
+        self.paths.on_report(&vm, &heartbeat.cut_off);
         for load in heartbeat.endpoints {
             let known = self.loads.entry(load.endpoint.clone()).or_default();
             known.record_peer_load(Sender::Vm(vm.clone()), load, now);
@@ -165,6 +167,7 @@
         for vm in &view.vms {
             if let Some(row) = self.members.incarnation_row(&vm.vm, vm.incarnation).cloned() {
                 self.members.on_delegate_report(row, vm.age + view.age, now);
+                self.paths.on_report(&vm.vm, &vm.cut_off);
             }
         }
         for part in &view.cached_parts {
@@ -236,12 +239,14 @@
                 vm: row.vm.clone(),
                 incarnation: row.incarnation,
                 age: now.since(received_at),
+                cut_off: self.paths.reported(&row.vm),
             })
         });
         let this_vm = VmAge {
             vm: local.vm.clone(),
             incarnation: local.incarnation,
             age: Millis(0),
+            cut_off: self.paths.cut_off(),
         };
         DomainView {
             domain: local.domain.clone(),
@@ -298,11 +303,11 @@
         let live = filter_rows(&heard, |row| !row.leaving);
         let near = filter_rows(&live, |row| Some(&row.domain) == query.domain);
         if near.len() >= MIN_ENTRY_VMS {
-            return near;
+            return self.prefer_with_paths(near);
         }
         let in_region = filter_rows(&live, |row| Some(&row.region) == query.region);
         if !in_region.is_empty() {
-            return in_region;
+            return self.prefer_with_paths(in_region);
         }
         let (best_live, live_traffic) = self.most_permitted(&live, query.host);
         let (best, traffic) = self.most_permitted(&heard, query.host);
@@ -317,6 +322,16 @@
         }
     }
 
+    /// Returns those of the VMs that are cut off from no service, or all if these are too few.
+    fn prefer_with_paths(&self, rows: Vec<VmRow>) -> Vec<VmRow> {
+        let with_paths = filter_rows(&rows, |row| !self.is_vm_cut_off(&row.vm));
+        if with_paths.len() >= MIN_ENTRY_VMS {
+            with_paths
+        } else {
+            rows
+        }
+    }
+
     /// Returns those of the VMs in whose region most of the host's requests may run, and the weight of these requests.
     fn most_permitted(&self, rows: &[VmRow], host: Option<&str>) -> (Vec<VmRow>, f64) {
         let traffic = |row: &VmRow| host.map_or(0.0, |host| self.permitted_traffic(host, &row.region));
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod fleet;
+pub mod paths;
 pub mod region;
 
 use std::sync::Arc;
@@ -240,6 +241,7 @@
         crashes: Vec::new(),
         answered: Vec::new(),
         versions: Vec::new(),
+        cut_off: Vec::new(),
         from,
     }
 }
