feat(proxy): log lines that tell which version admitted a request and where its body went

The report of HOME names a version, and no line told whether that version admitted the request or was in force when it was sent, which regions were permitted, or that a body had crossed to a VM that refused it. `routed`, `forwarded` and `stream_resumed` have `in_force` and `regions`, `stream_resumed` the admitting version and the region, `refused` the version in force; `forward_refused` is new. At most eight regions are named. No decision changes.

--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -84,7 +84,7 @@
         let end = match serve_forwarded(&self.0, call, &mut id).await {
             Ok(response) => relay_response(response, &events).await.unwrap_or(RelayEvent::Broken),
             Err(refusal) => {
-                telemetry::log_refusal(&id, "", refusal, self.0.now().since(received));
+                telemetry::log_refusal(&self.0, &id, "", refusal, self.0.now().since(received));
                 RelayEvent::End(Err(refusal))
             }
         };
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -45,7 +45,7 @@
     match handle(&state, parts, head, body, received).await {
         Ok(response) => response,
         Err((refusal, route)) => {
-            telemetry::log_refusal(&id, &route, refusal, state.now().since(received));
+            telemetry::log_refusal(&state, &id, &route, refusal, state.now().since(received));
             refusal_response(&state.dialect, refusal)
         }
     }
@@ -115,8 +115,7 @@
                 return failure.ok_or_else(|| history.final_refusal(Some(refusal)));
             }
         };
-        let revision = state.mirror.borrow().position().revision;
-        telemetry::log_choice(&request.admitted, &choice, revision, now);
+        telemetry::log_choice(state, &request.admitted, &choice);
         match send_attempt(state, &request, &choice, &mut history).await {
             Ok(response) if response.status().is_server_error() && request.admitted.route.kind.is_repeatable() => {
                 failure = Some(response);
@@ -161,7 +160,10 @@
             let can_retry_elsewhere = request.can_retry_elsewhere(history);
             let response = forward::send(state, request, *address, *expected_ms, can_retry_elsewhere).await;
             match &response {
-                Err(forward::ForwardError::Refused(refusal)) => history.record_vm_refusal(vm, region, *refusal),
+                Err(forward::ForwardError::Refused(refusal)) => {
+                    telemetry::log_forward_refused(&request.admitted, vm, region, *refusal);
+                    history.record_vm_refusal(vm, region, *refusal);
+                }
                 _ => history.record_vm(vm, 1, response.as_ref().err().map(forward::ForwardError::outcome)),
             }
             record_response(state, request, response.map_err(|failure| failure.outcome()))
--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -11,7 +11,7 @@
 use hyper::header::CONTENT_LENGTH;
 use sw_http::{BodyError, channel};
 use sw_relay::{AttemptHistory, AttemptOutcome, Choice, EndpointEntry, RouteKind, SoftwareVersion, StallDetector};
-use sw_unit::{Millis, Time};
+use sw_unit::{Millis, RegionId, Time};
 use tokio::sync::mpsc;
 
 use crate::attempt::BufferedRequest;
@@ -374,19 +374,22 @@
     /// Retries the request. The outer `None` means that no retry is possible, the inner one that the retry failed.
     async fn retry(&mut self, target: Option<ResumeTarget<D, F>>) -> Option<Option<IncomingResponse<D, F>>> {
         let response = if let Some(ResumeTarget { endpoint, reservation }) = target {
-            self.log_resumed(endpoint.id.as_str());
+            self.log_resumed(None, endpoint.id.as_str());
             start_endpoint_attempt(&self.state, &self.request, &endpoint, reservation, &mut self.history).await
         } else {
             let choice = self.choose_retry()?;
-            self.log_resumed(choice.target());
+            self.log_resumed(choice.remote_region(), choice.target());
             start_attempt(&self.state, &self.request, &choice, &mut self.history).await
         };
         Some(response.ok().filter(|response| self.format.matches(&response.head)))
     }
 
-    fn log_resumed(&self, target: &str) {
+    /// Logs that the stream is resumed at `target`, which is in this VM's region unless another one is given.
+    fn log_resumed(&self, region: Option<&RegionId>, target: &str) {
         let last_event_id = self.request.last_event_id.as_deref().unwrap_or_default();
-        telemetry::log_resume(&self.request.admitted, target, last_event_id);
+        let options = self.state.options();
+        let region = region.unwrap_or(&options.region);
+        telemetry::log_resume(&self.state, &self.request.admitted, region, target, last_event_id);
     }
 
     async fn abort(&self, reason: &'static str, tx: &Sender) {
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -10,19 +10,25 @@
     AdmittedRequest, Attempt, AttemptOutcome, Choice, EndpointEntry, QuarantineChange, QuarantineEntry, QueueEstimate,
     RateLimitStatement, Reservation, Resumption, SoftwareVersion, Suspect,
 };
-use sw_unit::{EndpointId, Millis, PartId, Time};
+use sw_unit::{EndpointId, Millis, PartId, RegionId, Time, VmId};
 
+use crate::Dialect;
 use crate::resumption::OriginSource;
 use crate::state::ProxyState;
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
+/// Maximum number of permitted regions in a line.
+const MAX_LOGGED_REGIONS: usize = 8;
 
-/// Logs the routing choice for a request, made at the store revision `revision`.
-pub(crate) fn log_choice(admitted: &AdmittedRequest, choice: &Choice, revision: u64, now: Time) {
+/// Logs the routing choice for a request, with the permitted regions and the store revision that it rests on.
+pub(crate) fn log_choice<D: Dialect, F>(state: &ProxyState<D, F>, admitted: &AdmittedRequest, choice: &Choice) {
+    let revision = state.mirror.borrow().position().revision;
     let id = &*admitted.id;
     let route = admitted.route.name.as_str();
-    let version = admitted.config_version.0;
-    let left_ms = admitted.remaining(now).0;
+    let (version, in_force) = (admitted.config_version.0, version_in_force(state));
+    let regions = region_list(&admitted.route.regions);
+    let regions = regions.as_str();
+    let left_ms = admitted.remaining(state.now()).0;
     match choice {
         Choice::Endpoint {
             endpoint,
@@ -34,7 +40,7 @@
             let target = endpoint.id.as_str();
             let software = software_name(endpoint.software.as_ref());
             info!("routed", kv: {
-                id, route, version, left_ms, target, software, expected_ms, considered, revision
+                id, route, version, in_force, regions, left_ms, target, software, expected_ms, considered, revision
             });
         }
         Choice::Vm {
@@ -46,12 +52,25 @@
         } => {
             let local_ms = local_ms.map_or(-1, |ms| ms as i64);
             let (region, vm, expected_ms) = (region.as_str(), vm.as_str(), *expected_ms as u64);
-            info!("forwarded", kv: { id, route, version, left_ms, region, vm, expected_ms, local_ms, revision });
+            info!("forwarded", kv: {
+                id, route, version, in_force, regions, left_ms, region, vm, expected_ms, local_ms, revision
+            });
         }
     }
     counter!("shallotwing_decisions_total", "route" => admitted.route.name.clone()).increment(1);
 }
 
+/// Returns the version of the configuration in force; 0 if there is none.
+fn version_in_force<D, F>(state: &ProxyState<D, F>) -> u64 {
+    state.relay.borrow().table().map_or(0, |table| table.version.0)
+}
+
+/// Formats permitted regions for the log; empty if all are permitted.
+fn region_list(regions: &[RegionId]) -> String {
+    let logged: Vec<_> = regions.iter().take(MAX_LOGGED_REGIONS).map(RegionId::as_str).collect();
+    logged.join(",")
+}
+
 /// Returns the name of a software version for the log; empty if it is not known.
 fn software_name(software: Option<&SoftwareVersion>) -> &str {
     software.map_or("", SoftwareVersion::as_str)
@@ -197,6 +216,13 @@
     counter!("shallotwing_forwards_failed_total", "outcome" => ended).increment(1);
 }
 
+/// Logs that the VM `vm`, to which the body of a request was sent, refused it.
+pub(crate) fn log_forward_refused(admitted: &AdmittedRequest, vm: &VmId, region: &RegionId, refusal: Refusal) {
+    let (id, version) = (&*admitted.id, admitted.config_version.0);
+    let (vm, region, kind): (_, _, &'static str) = (vm.as_str(), region.as_str(), refusal.kind.into());
+    info!("forward_refused", kv: { id, version, vm, region, kind });
+}
+
 /// Logs that an endpoint announced in its response to the request `id` that it is leaving.
 pub(crate) fn log_endpoint_leaving(id: &str, endpoint: &EndpointId) {
     let endpoint = endpoint.as_str();
@@ -238,11 +264,12 @@
 }
 
 /// Logs and counts a refused request.
-pub(crate) fn log_refusal(id: &str, route: &str, refusal: Refusal, age: Millis) {
+pub(crate) fn log_refusal<D, F>(state: &ProxyState<D, F>, id: &str, route: &str, refusal: Refusal, age: Millis) {
+    let in_force = version_in_force(state);
     let kind: &'static str = refusal.kind.into();
     let ran: &'static str = refusal.kind.response().ran.into();
     let (retry_after_ms, age_ms) = (refusal.retry_after.unwrap_or_default().0, age.0);
-    info!("refused", kv: { id, route, kind, ran, retry_after_ms, age_ms });
+    info!("refused", kv: { id, route, in_force, kind, ran, retry_after_ms, age_ms });
     counter!("shallotwing_requests_total", "end" => kind).increment(1);
 }
 
@@ -260,9 +287,18 @@
     counter!("shallotwing_answers_broken_total", "reason" => reason).increment(1);
 }
 
-/// Logs that a stream is resumed at `target` after the event `after`.
-pub(crate) fn log_resume(admitted: &AdmittedRequest, target: &str, after: &str) {
+/// Logs that a stream is resumed at the endpoint or VM `target` of `region` after the event `after`.
+pub(crate) fn log_resume<D, F>(
+    state: &ProxyState<D, F>,
+    admitted: &AdmittedRequest,
+    region: &RegionId,
+    target: &str,
+    after: &str,
+) {
     let id = &*admitted.id;
-    info!("stream_resumed", kv: { id, target, after });
+    let (version, in_force) = (admitted.config_version.0, version_in_force(state));
+    let (region, regions) = (region.as_str(), region_list(&admitted.route.regions));
+    let regions = regions.as_str();
+    info!("stream_resumed", kv: { id, version, in_force, regions, region, target, after });
     counter!("shallotwing_streams_resumed_total").increment(1);
 }
--- a/crates/sw-relay/src/history.rs
+++ b/crates/sw-relay/src/history.rs
@@ -45,6 +45,14 @@
             Self::Vm { vm, .. } => vm.as_str(),
         }
     }
+
+    /// Returns the other region to which the body is sent; `None` if the request stays in this region.
+    pub fn remote_region(&self) -> Option<&RegionId> {
+        match self {
+            Self::Endpoint { .. } => None,
+            Self::Vm { region, .. } => Some(region),
+        }
+    }
 }
 
 /// The earlier attempts of one request.
