fix(relay): a request goes only to regions that its own version and the one in force permit

What callers saw: requests ran outside their home region, or their bodies were sent there. A request was judged by the route that admitted it until its end. One that waited (body, coordinator, retry) or a stream that was continued after seconds went to a region that had left meanwhile; a route with a longer prefix and fewer regions did not bind it either, and cached parts came from there. Class of fault: a permission is checked once and used later.

`Relay::permitted_regions` finds the route in force by host and path and permits what both routes permit. Each choice, the start of each attempt and the moment at which the connection to an endpoint or a VM is there ask it.

--- a/crates/sw-peer/src/relay/client.rs
+++ b/crates/sw-peer/src/relay/client.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
-use super::{RelayCall, RelayEvent, StoreCopy, WatchOutcome, convert, store};
+use super::{NotSent, RelayCall, RelayEvent, StoreCopy, WatchOutcome, convert, store};
 use crate::PeerError;
 use crate::convert::len;
 use crate::pool::{self, ConnectionPool};
@@ -221,24 +221,39 @@
         response.unwrap_or(Err(PeerError))
     }
 
-    /// Forwards a request; dropping the returned receiver cancels it.
+    /// Forwards a request if `may_send` still holds when there is a connection; dropping the returned receiver cancels it.
     ///
     /// The receiver ends without [`RelayEvent::End`] if the connection broke.
-    pub fn forward(&self, address: SocketAddr, call: RelayCall) -> mpsc::Receiver<RelayEvent> {
+    pub fn forward(
+        &self,
+        address: SocketAddr,
+        call: RelayCall,
+        may_send: impl FnOnce() -> bool + 'static,
+    ) -> mpsc::Receiver<RelayEvent> {
         let (events, rx) = mpsc::channel(EVENT_BUFFER);
-        tokio::task::spawn_local(self.clone().run_call(address, call, events));
+        tokio::task::spawn_local(self.clone().run_call(address, call, may_send, events));
         rx
     }
 
-    async fn run_call(self, address: SocketAddr, call: RelayCall, events: mpsc::Sender<RelayEvent>) {
+    async fn run_call(
+        self,
+        address: SocketAddr,
+        call: RelayCall,
+        may_send: impl FnOnce() -> bool,
+        events: mpsc::Sender<RelayEvent>,
+    ) {
         let connection = match self.pool.recently_active(address) {
             Some(connection) => Ok(connection),
             None => self.pool.open(address).await,
         };
         let Ok(connection) = connection else {
-            let _closed = events.send(RelayEvent::NotSent).await;
+            let _closed = events.send(RelayEvent::NotSent(NotSent::NoConnection)).await;
             return;
         };
+        if !may_send() {
+            let _closed = events.send(RelayEvent::NotSent(NotSent::NotPermitted)).await;
+            return;
+        }
         let received = Rc::new(Cell::new(0));
         let sink = ResponseSink {
             connection: Rc::downgrade(&connection),
--- a/crates/sw-peer/src/relay/server.rs
+++ b/crates/sw-peer/src/relay/server.rs
@@ -182,7 +182,7 @@
                 while in_flight.next().await.transpose()?.is_some() {}
                 break;
             }
-            RelayEvent::NotSent => return Ok((length, Err(Kind::EndpointUnreachable.into()))),
+            RelayEvent::NotSent(_) => return Ok((length, Err(Kind::EndpointUnreachable.into()))),
         }
     }
     Err(capnp::Error::failed("the answer broke off".to_owned()))
--- a/crates/sw-peer/src/relay/types.rs
+++ b/crates/sw-peer/src/relay/types.rs
@@ -52,8 +52,17 @@
     End(Result<(), Refusal>),
     /// The last event: the response broke off.
     Broken,
-    /// No connection was established, so nothing was sent.
-    NotSent,
+    /// The only event: nothing was sent.
+    NotSent(NotSent),
+}
+
+/// Why nothing of a forwarded request was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotSent {
+    /// No connection was established.
+    NoConnection,
+    /// When there was a connection, the request was no longer permitted to be sent.
+    NotPermitted,
 }
 
 /// A VM's copy of the platform's store, and what the VM knows beyond it.
--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -247,14 +247,15 @@
     let mut exchange = connection.map_err(|_no_connection| (AttemptOutcome::Unreachable, 0))?;
     // While the connection was made, the response may have become due, or the endpoint may have become unusable: it
     // restarted, is leaving, evacuated, rejects requests of this VM, or named a rate limit. Or the request was
-    // quarantined.
+    // quarantined, or may no longer run in this region.
     let remaining = admitted.remaining(state.now());
     let may_send = state
         .relay
         .borrow()
         .may_send(endpoint, target.token_taken_at, state.now());
     let quarantined = state.relay.borrow().quarantined(admitted, state.now()).is_some();
-    if remaining == Millis(0) || !may_send || quarantined {
+    let is_permitted = state.relay.borrow().may_enter(admitted, endpoint);
+    if remaining == Millis(0) || !may_send || quarantined || !is_permitted {
         return Err((AttemptOutcome::Unsent, 0));
     }
     let http_request = build_request(state, request, target, remaining);
--- a/crates/sw-proxy/src/forward.rs
+++ b/crates/sw-proxy/src/forward.rs
@@ -8,9 +8,9 @@
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Response, StatusCode};
 use sw_error::Refusal;
-use sw_peer::relay::{RelayCall, RelayEvent};
+use sw_peer::relay::{NotSent, RelayCall, RelayEvent};
 use sw_relay::AttemptOutcome;
-use sw_unit::Millis;
+use sw_unit::{Millis, RegionId};
 
 use crate::attempt::BufferedRequest;
 use crate::incoming::{BodySource, IncomingResponse};
@@ -41,7 +41,7 @@
     }
 }
 
-/// Forwards a request to the VM at `address`, which makes one attempt, and waits for the head of its response.
+/// Forwards a request to the VM of another region at `address`, which makes one attempt, and waits for the head of its response.
 ///
 /// # Errors
 ///
@@ -49,6 +49,7 @@
 pub(crate) async fn send<D: Dialect, F: 'static>(
     state: &Rc<ProxyState<D, F>>,
     request: &BufferedRequest,
+    region: &RegionId,
     address: SocketAddr,
     expected_ms: f64,
     can_retry_elsewhere: bool,
@@ -65,7 +66,11 @@
         resume_after: request.last_event_id.clone(),
         software: request.admitted.pinned_software.clone(),
     };
-    let mut events = state.peers.forward(address, forwarded);
+    let may_send = {
+        let (state, admitted, region) = (Rc::clone(state), request.admitted.clone(), region.clone());
+        move || state.relay.borrow().permitted_regions(&admitted).contains(&region)
+    };
+    let mut events = state.peers.forward(address, forwarded, may_send);
     let first_event_deadline = state.now() + request.admitted.first_event_timeout(expected_ms) + FORWARD_MARGIN;
     let wait = request.head_timeout(expected_ms, can_retry_elsewhere, remaining) + FORWARD_MARGIN;
     let first = tokio::time::timeout(Duration::from_millis(wait.min(remaining).0), events.recv()).await;
@@ -87,7 +92,8 @@
             None => AttemptOutcome::Broken,
         },
         Ok(Some(RelayEvent::End(Err(refusal)))) => return Err(ForwardError::Refused(refusal)),
-        Ok(Some(RelayEvent::NotSent)) => AttemptOutcome::Unreachable,
+        Ok(Some(RelayEvent::NotSent(NotSent::NoConnection))) => AttemptOutcome::Unreachable,
+        Ok(Some(RelayEvent::NotSent(NotSent::NotPermitted))) => AttemptOutcome::Unsent,
         Ok(Some(RelayEvent::Chunk(_) | RelayEvent::End(Ok(())) | RelayEvent::Broken) | None) => AttemptOutcome::Broken,
         Err(_elapsed) => AttemptOutcome::Timeout,
     };
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -158,7 +158,7 @@
             ..
         } => {
             let can_retry_elsewhere = request.can_retry_elsewhere(history);
-            let response = forward::send(state, request, *address, *expected_ms, can_retry_elsewhere).await;
+            let response = forward::send(state, request, region, *address, *expected_ms, can_retry_elsewhere).await;
             match &response {
                 Err(forward::ForwardError::Refused(refusal)) => {
                     telemetry::log_forward_refused(&request.admitted, vm, region, *refusal);
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -17,8 +17,6 @@
 use crate::state::ProxyState;
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
-/// Maximum number of permitted regions in a line.
-const MAX_LOGGED_REGIONS: usize = 8;
 
 /// Logs the routing choice for a request, with the permitted regions and the store revision that it rests on.
 pub(crate) fn log_choice<D: Dialect, F>(state: &ProxyState<D, F>, admitted: &AdmittedRequest, choice: &Choice) {
@@ -26,7 +24,7 @@
     let id = &*admitted.id;
     let route = admitted.route.name.as_str();
     let (version, in_force) = (admitted.config_version.0, version_in_force(state));
-    let regions = region_list(&admitted.route.regions);
+    let regions = region_list(state, admitted);
     let regions = regions.as_str();
     let left_ms = admitted.remaining(state.now()).0;
     match choice {
@@ -65,10 +63,9 @@
     state.relay.borrow().table().map_or(0, |table| table.version.0)
 }
 
-/// Formats permitted regions for the log; empty if all are permitted.
-fn region_list(regions: &[RegionId]) -> String {
-    let logged: Vec<_> = regions.iter().take(MAX_LOGGED_REGIONS).map(RegionId::as_str).collect();
-    logged.join(",")
+/// Formats the regions that a request may enter now for the log.
+fn region_list<D, F>(state: &ProxyState<D, F>, admitted: &AdmittedRequest) -> String {
+    state.relay.borrow().permitted_regions(admitted).to_string()
 }
 
 /// Returns the name of a software version for the log; empty if it is not known.
@@ -297,7 +294,7 @@
 ) {
     let id = &*admitted.id;
     let (version, in_force) = (admitted.config_version.0, version_in_force(state));
-    let (region, regions) = (region.as_str(), region_list(&admitted.route.regions));
+    let (region, regions) = (region.as_str(), region_list(state, admitted));
     let regions = regions.as_str();
     info!("stream_resumed", kv: { id, version, in_force, regions, region, target, after });
     counter!("shallotwing_streams_resumed_total").increment(1);
--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -132,8 +132,8 @@
 impl Relay {
     /// Starts an attempt at a chosen endpoint, with the `grant` if its coordinator granted a slot.
     ///
-    /// Returns `None` if no request may be sent to the endpoint any more, its slow start or rate limit allows none now, or
-    /// it is quarantined.
+    /// Returns `None` if no request may be sent to the endpoint any more, its slow start or rate limit allows none now, the
+    /// request is quarantined, or it may no longer run in the endpoint's region.
     pub fn start_attempt(
         &mut self,
         admitted: &AdmittedRequest,
@@ -147,6 +147,9 @@
         if self.quarantined(admitted, now).is_some() || !admitted.may_run_at(endpoint) {
             return None;
         }
+        if !self.may_enter(admitted, endpoint) {
+            return None;
+        }
         let token_taken_at = self.obtain_token(endpoint, grant, admitted.is_urgent(), now);
         if !self.may_send(endpoint, token_taken_at, now) {
             return None;
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -148,7 +148,10 @@
 
     fn best_local(&self, admitted: &AdmittedRequest, history: &AttemptHistory, now: Time) -> Option<LocalEstimate> {
         let region = &self.options.local.region;
-        if !admitted.route.permits(region) || history.is_full(region) || history.is_local_region_full() {
+        if !self.permitted_regions(admitted).contains(region)
+            || history.is_full(region)
+            || history.is_local_region_full()
+        {
             return None;
         }
         let local = self.local_endpoints(&admitted.service);
@@ -291,10 +294,11 @@
 
     /// Returns whether a usable endpoint in any permitted region has the software version that the request is pinned to.
     fn has_pinned_endpoint(&self, admitted: &AdmittedRequest) -> bool {
+        let permitted = self.permitted_regions(admitted);
         let regions = self.options.domain_regions.values();
         admitted.pinned_software.is_none()
             || regions
-                .filter(|region| admitted.route.permits(region))
+                .filter(|region| permitted.contains(region))
                 .any(|region| self.may_run_in(admitted, region))
     }
 
--- a/crates/sw-relay/src/prefill.rs
+++ b/crates/sw-relay/src/prefill.rs
@@ -215,12 +215,12 @@
     }
 
     /// Whether an engine may supply cached parts: it accepts requests, is neither in backoff nor limited in its rate, and is in a reachable region
-    /// that the route permits.
+    /// that is permitted.
     fn can_supply(&self, admitted: &AdmittedRequest, endpoint: &Endpoint, now: Time) -> bool {
         let entry = &endpoint.entry;
         let is_in_backoff = self.loads.get(&entry.id).is_some_and(|load| load.is_in_backoff(now));
         let region = self.region_of(&entry.domain);
-        let is_permitted = region.is_some_and(|region| admitted.route.permits(region));
+        let is_permitted = region.is_some_and(|region| self.permitted_regions(admitted).contains(region));
         let is_reachable = region.is_some_and(|region| self.is_region_reachable(region, now));
         entry.service == admitted.service
             && self.rate_limits.rate(entry).is_none()
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -55,7 +55,11 @@
 pub struct AdmittedRequest {
     /// The id that the caller assigned to this request; all attempts of the gateway use it.
     pub id: Arc<str>,
-    /// Its route.
+    /// The requested host.
+    pub host: Arc<str>,
+    /// The path without the query.
+    pub path: Arc<str>,
+    /// The route that admitted it; a newer version may have another one for it.
     pub route: Arc<Route>,
     /// The service that runs it.
     pub service: ServiceId,
@@ -267,6 +271,8 @@
         let deadline = received_at + head.remaining.unwrap_or(DEFAULT_CALLER_TIMEOUT);
         Ok(AdmittedRequest {
             id: head.id,
+            host: head.host.into(),
+            path: head.path.into(),
             due: deadline.min(received_at + route.timeout),
             deadline,
             route: Arc::clone(route),
--- a/crates/sw-relay/src/spill.rs
+++ b/crates/sw-relay/src/spill.rs
@@ -26,7 +26,7 @@
 impl Relay {
     /// Returns the other region with the lowest sum of expected time and overrun.
     ///
-    /// Only regions count that the route permits, that have not refused the request as too late, and that have a live
+    /// Only regions count that are permitted, that have not refused the request as too late, and that have a live
     /// VM that was not tried, usable endpoints and a recent report.
     pub(crate) fn best_remote(
         &self,
@@ -35,8 +35,9 @@
         now: Time,
     ) -> Option<RemoteEstimate> {
         let uncached_ms = self.uncached_ms(admitted);
+        let permitted = self.permitted_regions(admitted);
         let regions = self.regions.iter();
-        let permitted = regions.filter(|(region, _)| admitted.route.permits(region) && !history.is_full(region));
+        let permitted = regions.filter(|(region, _)| permitted.contains(region) && !history.is_full(region));
         let permitted = permitted.filter(|(region, _)| self.may_run_in(admitted, region));
         let reachable = permitted.filter(|(region, _)| self.live_peers_in(region, history, now).next().is_some());
         let expected = reachable.filter_map(|(region, state)| {
