fix(relay): a VM that may have missed a version keeps bodies in its region

What callers saw: bodies were sent to a region that had left the permitted ones. Cause: the sender of a forward decides by its own version, and the receiver, which knows the newer one, can refuse only after the body has crossed. A VM whose calls to the store get no answer goes on for 5.5 s and a copy's delay of 1 s more, while its neighbours' heartbeats name the newer version; one that was paused goes on until it has heard.

A VM that hears of a newer version, or was paused a moment ago, forwards nothing to other regions until it has caught up; what it does not know may bind any route. After 1 s it copies the newer version from the nearest VM that has it, as the core of the configured services does. A restarted VM's earlier version no longer counts as its own, or its neighbours would wait for a version that nobody has. *Weighed:* asking the receiver first (a round trip between regions for each forward).

--- a/crates/sw-member/src/members.rs
+++ b/crates/sw-member/src/members.rs
@@ -93,7 +93,9 @@
                 return false;
             }
             row.leaving |= row.incarnation == known.row.incarnation && known.row.leaving;
-            row.version = row.version.max(known.row.version);
+            if row.incarnation == known.row.incarnation {
+                row.version = row.version.max(known.row.version);
+            }
         }
         let changed = self.peers.get(&row.vm).is_none_or(|known| known.row != row);
         self.peers.insert(row.vm.clone(), Member { row, received_at: now });
--- a/crates/sw-proxy/src/heartbeat.rs
+++ b/crates/sw-proxy/src/heartbeat.rs
@@ -107,11 +107,15 @@
 pub(crate) fn on_heartbeat<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, heartbeat: Heartbeat) {
     let now = state.now();
     let from = heartbeat.from.clone();
+    let was_behind = state.relay.borrow().behind_for(now).is_some();
     if state.relay.borrow_mut().on_heartbeat(heartbeat, now) {
         let (vm, incarnation, leaving) = (from.vm.as_str(), from.incarnation.0, from.leaving);
         let version = from.version.0;
         info!("vm_heard", kv: { vm, incarnation, leaving, version });
     }
+    if !was_behind && state.relay.borrow().behind_for(now).is_some() {
+        telemetry::log_newer_version(state, &from);
+    }
     telemetry::log_rate_limit_changes(state, "");
     crash::on_evidence(state);
     store::copy_if_due(state);
--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -1,8 +1,8 @@
 //! Follows the platform's store.
 //!
 //! The watchers of a failure domain poll the store. Its other VMs receive changes from a watcher, and poll the store
-//! themselves if no watcher is available. A VM that cannot reach the store copies a snapshot from any VM with a newer
-//! position. When the store was restored from an older copy, watchers read all items again, and the other VMs copy their
+//! themselves if no watcher is available. A VM that cannot reach the store, or that others are ahead of by a version of the
+//! configuration, copies a snapshot from a VM with a newer position. When the store was restored from an older copy, watchers read all items again, and the other VMs copy their
 //! snapshots.
 
 use std::net::SocketAddr;
@@ -211,8 +211,8 @@
     }
 }
 
-/// Returns a VM to copy a snapshot from, if the mirror is empty or the store has been unavailable for `after`, or if
-/// another VM retains what the store has lost and knows more of it.
+/// Returns a VM to copy a snapshot from, if the mirror is empty or the store has been unavailable for `after`, if another VM
+/// has run a newer version for as long, or if another VM retains what the store has lost and knows more of it.
 ///
 /// At startup a call to an unreachable store may take long to fail, so a snapshot is copied at the same time.
 fn copy_source<D, F>(state: &ProxyState<D, F>, after: Millis) -> Option<(VmId, SocketAddr)> {
@@ -221,6 +221,8 @@
     let is_away = unavailable_since.is_some_and(|since| state.now().since(since) >= after);
     let (relay, now) = (state.relay.borrow(), state.now());
     let newer = relay.peer_with_newer_position(now).filter(|_| is_empty || is_away);
+    let is_behind = relay.behind_for(now).is_some_and(|behind_for| behind_for >= after);
+    let newer = newer.or_else(|| relay.peer_with_newer_version(now).filter(|_| is_behind));
     let retaining = relay.peer_that_retains(now).filter(|_| !is_empty);
     let row = newer.or(retaining)?;
     Some((row.vm.clone(), row.peer_listen))
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -6,6 +6,7 @@
 use metrics::{counter, gauge, histogram};
 use spdlog::prelude::*;
 use sw_error::Refusal;
+use sw_member::VmRow;
 use sw_relay::{
     AdmittedRequest, Attempt, AttemptOutcome, Choice, EndpointEntry, QuarantineChange, QuarantineEntry, QueueEstimate,
     RateLimitStatement, Reservation, Resumption, SoftwareVersion, Suspect,
@@ -63,6 +64,12 @@
     state.relay.borrow().table().map_or(0, |table| table.version.0)
 }
 
+/// Logs that another VM runs a newer version, so that this VM forwards nothing to other regions until it has it.
+pub(crate) fn log_newer_version<D, F>(state: &ProxyState<D, F>, from: &VmRow) {
+    let (vm, version, in_force) = (from.vm.as_str(), from.version.0, version_in_force(state));
+    info!("newer_version_heard", kv: { vm, version, in_force });
+}
+
 /// Formats the regions that a request may enter now for the log.
 fn region_list<D, F>(state: &ProxyState<D, F>, admitted: &AdmittedRequest) -> String {
     state.relay.borrow().permitted_regions(admitted).to_string()
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -117,6 +117,7 @@
         for view in heartbeat.domains {
             self.apply_view(view, is_direct, now);
         }
+        self.update_behind(now);
         changed
     }
 
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -24,6 +24,7 @@
 mod history;
 mod latency;
 mod load;
+mod pause;
 mod permitted_regions;
 mod prefill;
 mod prefill_budget;
--- a/crates/sw-relay/src/permitted_regions.rs
+++ b/crates/sw-relay/src/permitted_regions.rs
@@ -6,7 +6,7 @@
 
 use std::fmt;
 
-use sw_unit::RegionId;
+use sw_unit::{Millis, RegionId, Time};
 
 use crate::{AdmittedRequest, EndpointEntry, Relay, Route};
 
@@ -64,6 +64,32 @@
         }
     }
 
+    /// Returns whether the body of a request may be sent to a VM of `region` now.
+    ///
+    /// A VM that may have missed a version keeps bodies in its region until it has caught up: the VM that receives one can
+    /// refuse it only after it has crossed.
+    pub fn may_forward_to(&self, admitted: &AdmittedRequest, region: &RegionId, now: Time) -> bool {
+        let may_have_missed_version = self.pauses.is_catching_up(now) || self.is_behind(now);
+        !may_have_missed_version && self.permitted_regions(admitted).contains(region)
+    }
+
+    /// Returns the time for which another VM has been known to run a newer version; `None` if none does.
+    pub fn behind_for(&self, now: Time) -> Option<Millis> {
+        self.behind_since.map(|since| now.since(since))
+    }
+
+    /// Records whether another VM runs a newer version.
+    pub(crate) fn update_behind(&mut self, now: Time) {
+        let is_behind = self.is_behind(now);
+        self.behind_since = self.behind_since.or(Some(now)).filter(|_| is_behind);
+    }
+
+    /// Returns whether a VM that was heard recently runs a newer version.
+    fn is_behind(&self, now: Time) -> bool {
+        let local = self.members.local().version;
+        self.members.heard_vms(now).any(|row| row.version > local)
+    }
+
     /// Returns whether a request may run in the region of an endpoint now.
     pub fn may_enter(&self, admitted: &AdmittedRequest, endpoint: &EndpointEntry) -> bool {
         let region = self.region_of(&endpoint.domain);
--- a/crates/sw-relay/src/rate_limiter.rs
+++ b/crates/sw-relay/src/rate_limiter.rs
@@ -23,13 +23,13 @@
 /// Time after which the requests that an earlier coordinator granted no longer count.
 const SETTLE_TIME: Millis = Millis(4_000);
 /// Time between two ticks after which this VM was paused, and others may have become coordinators.
-const MAX_TICK_GAP: Millis = Millis(1_500);
+pub(crate) const MAX_TICK_GAP: Millis = Millis(1_500);
 /// Time after which a VM should ask again if this one is not ready to grant tokens.
 const NOT_READY_WAIT: Millis = Millis(500);
 /// Time after which a token that was not used is void; its request may have been held by a paused VM.
 const TOKEN_TTL: Millis = Millis(500);
 /// Time after a pause within which this VM has received the calls that arrived during the pause.
-const CATCH_UP_TIME: Millis = Millis(1_000);
+pub(crate) const CATCH_UP_TIME: Millis = Millis(1_000);
 /// Factor on the share of live VMs; two sides that cannot see each other grant at most this multiple of the limit.
 const SPLIT_FACTOR: f64 = 1.4;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -11,6 +11,7 @@
 use crate::cache_directory::CacheDirectory;
 use crate::coordinator::Coordinators;
 use crate::exchange::RemoteView;
+use crate::pause::PauseDetector;
 use crate::quarantine::Quarantine;
 use crate::rate_limit::RateLimits;
 use crate::rate_limiter::RateLimiter;
@@ -114,6 +115,9 @@
     pub(crate) models: IndexMap<ServiceId, LatencyModel>,
     pub(crate) regions: RemoteRegions,
     pub(crate) store: StoreState,
+    pub(crate) pauses: PauseDetector,
+    /// Since when another VM has been known to run a newer version.
+    pub(crate) behind_since: Option<Time>,
     /// Whether the store was restored from an older copy since this VM started.
     pub(crate) store_restored: bool,
     /// Recent requests by route.
@@ -154,6 +158,8 @@
             models: IndexMap::new(),
             regions: RemoteRegions::new(),
             store: StoreState::default(),
+            pauses: PauseDetector::default(),
+            behind_since: None,
             store_restored: false,
             traffic: IndexMap::new(),
             peer_stores: IndexMap::new(),
@@ -195,7 +201,7 @@
     /// A configuration that is not newer than the current one is ignored.
     pub fn apply(&mut self, record: StoreRecord, now: Time) -> bool {
         match record {
-            StoreRecord::Table(table) => self.apply_table(table),
+            StoreRecord::Table(table) => self.apply_table(table, now),
             StoreRecord::Endpoint(_, Some(entry)) => self.apply_endpoint(entry, now),
             StoreRecord::Endpoint(id, None) => self.remove_endpoint(&id, now),
             // The endpoint may still run, so this is neither its end nor a lapse during an outage of the store.
@@ -228,6 +234,8 @@
     /// Expires outdated state, recomputes the coordinators, and returns the endpoints that were removed.
     pub fn tick(&mut self, now: Time) -> Vec<EndpointId> {
         self.members.prune(now);
+        self.pauses.tick(now);
+        self.update_behind(now);
         for requests in self.traffic.values_mut() {
             *requests *= TRAFFIC_DECAY;
         }
@@ -367,11 +375,12 @@
         now.since(self.options.started_at) >= JOIN_TIME && slow_start.allows(share, cold_for)
     }
 
-    fn apply_table(&mut self, table: Arc<RouteTable>) -> bool {
+    fn apply_table(&mut self, table: Arc<RouteTable>, now: Time) -> bool {
         let is_newer = self.table.as_ref().is_none_or(|known| known.version < table.version);
         if is_newer {
             self.members.set_version(table.version);
             self.table = Some(table);
+            self.update_behind(now);
         }
         is_newer
     }
--- a/crates/sw-relay/src/store_state.rs
+++ b/crates/sw-relay/src/store_state.rs
@@ -78,11 +78,25 @@
         self.nearest_peer(knows_more, now)
     }
 
+    /// Returns the nearest live VM that runs a newer version of the configuration and whose mirror is at a later position.
+    pub fn peer_with_newer_version(&self, now: Time) -> Option<&VmRow> {
+        let local = self.members.local().version;
+        let peers = self.suitable_peers(|store| self.is_newer(*store), now);
+        self.nearest(peers.filter(|row| row.version > local))
+    }
+
     fn nearest_peer(&self, is_suitable: impl Fn(&StoreState) -> bool, now: Time) -> Option<&VmRow> {
-        let local = self.members.local();
-        let suitable = |row: &&VmRow| self.peer_stores.get(&row.vm).is_some_and(&is_suitable);
+        self.nearest(self.suitable_peers(is_suitable, now))
+    }
+
+    fn suitable_peers(&self, is_suitable: impl Fn(&StoreState) -> bool, now: Time) -> impl Iterator<Item = &VmRow> {
+        let suitable = move |row: &&VmRow| self.peer_stores.get(&row.vm).is_some_and(&is_suitable);
         let candidates = self.members.peers().filter(suitable);
-        let live = candidates.filter(|row| self.is_live(&row.vm, now));
-        live.min_by_key(|row| (row.domain != local.domain, row.region != local.region))
+        candidates.filter(move |row| self.is_live(&row.vm, now))
+    }
+
+    fn nearest<'a>(&self, rows: impl Iterator<Item = &'a VmRow>) -> Option<&'a VmRow> {
+        let local = self.members.local();
+        rows.min_by_key(|row| (row.domain != local.domain, row.region != local.region))
     }
 }
--- a/crates/sw-relay/tests/permitted_regions.rs
+++ b/crates/sw-relay/tests/permitted_regions.rs
@@ -13,7 +13,7 @@
     AdmittedRequest, AttemptHistory, AttemptOutcome, Choice, EndpointEntry, Relay, Route, RouteKind, RouteTable,
     ServiceLoad, StoreRecord,
 };
-use sw_unit::{RegionId, Time, Version};
+use sw_unit::{Incarnation, RegionId, Time, Version};
 
 use support::{admit, endpoint, head, heartbeat, prompt, register, relay, row, service, table};
 
@@ -202,6 +202,40 @@
     assert_eq!(target(&mut relay, &admitted, Time(50)), Ok("south".to_owned()));
 }
 
+/// Guards against HOME: a VM that was paused forwards by the version that it had before, without having heard anyone since.
+#[test]
+fn a_vm_that_was_paused_does_not_forward_before_it_has_caught_up() {
+    let mut relay = vm(&["south"]);
+    for step in 0..4 {
+        relay.tick(Time(step * 500));
+    }
+    hear(&mut relay, "south", 2, Time(1_500));
+    let admitted = admit(&mut relay, "read", None, Time(1_600));
+    assert_eq!(target(&mut relay, &admitted, Time(1_600)), Ok("south".to_owned()));
+    hear(&mut relay, "south", 2, Time(6_000));
+    assert_eq!(target(&mut relay, &admitted, Time(6_000)), Err(Kind::NoEndpoint));
+    relay.tick(Time(6_010));
+    assert_eq!(target(&mut relay, &admitted, Time(6_500)), Err(Kind::NoEndpoint));
+    relay.tick(Time(6_510));
+    relay.tick(Time(7_010));
+    hear(&mut relay, "south", 2, Time(7_020));
+    assert_eq!(target(&mut relay, &admitted, Time(7_020)), Ok("south".to_owned()));
+}
+
+/// Guards against a VM that never forwards again, because one that has restarted ran a newer version before.
+#[test]
+fn a_vm_that_restarted_with_an_older_version_stops_no_forwards() {
+    let mut relay = vm(&["south"]);
+    let admitted = admit(&mut relay, "read", None, Time(10));
+    hear(&mut relay, "west", 3, Time(20));
+    assert_eq!(target(&mut relay, &admitted, Time(30)), Err(Kind::NoEndpoint));
+    let mut restarted = row("vm-west", "west");
+    restarted.incarnation = Incarnation(2);
+    restarted.version = Version(2);
+    relay.on_heartbeat(heartbeat(restarted, Vec::new()), Time(40));
+    assert_eq!(target(&mut relay, &admitted, Time(50)), Ok("south".to_owned()));
+}
+
 fn regions() -> impl Strategy<Value = Vec<&'static str>> {
     proptest::sample::subsequence(REGIONS.to_vec(), 0..=REGIONS.len())
 }
