fix(proxy): a VM that starts serves once it knows the version of the others

Cause: the first answer of the store was taken for the version in force.

A VM now reports ready and serves once a VM with a configuration has told its version and this VM has it, or no seed is left that may answer.

--- a/crates/sw-proxy/src/lib.rs
+++ b/crates/sw-proxy/src/lib.rs
@@ -26,6 +26,7 @@
 mod restore;
 mod resumption;
 mod sse;
+mod startup;
 mod state;
 mod store;
 mod stream;
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -121,6 +121,9 @@
     if state.draining_for().is_some() {
         return Err(Kind::Stopping.into());
     }
+    if !state.startup.is_over() {
+        return Err(Kind::NoConfiguration.into());
+    }
     head.remaining = Some(call.remaining);
     let mut admitted = state.relay.borrow_mut().admit(head, state.now(), true)?;
     // Retries are made by the VM that forwarded the request.
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -60,6 +60,9 @@
 ) -> Result<HttpResponse, (Refusal, String)> {
     let without_route = |refusal: Refusal| (refusal, String::new());
     let head = head.map_err(|_malformed| without_route(Kind::BadRequest.into()))?;
+    if !state.startup.is_over() {
+        return Err(without_route(Kind::NoConfiguration.into()));
+    }
     let resumption = head.resumption.clone();
     let mut admitted = state
         .relay
--- a/crates/sw-proxy/src/state.rs
+++ b/crates/sw-proxy/src/state.rs
@@ -12,6 +12,7 @@
 use sw_unit::{Millis, Time};
 use tokio::sync::Notify;
 
+use crate::startup::Startup;
 use crate::{MalformedItems, Options};
 
 /// Timeout for connecting to an endpoint.
@@ -93,6 +94,7 @@
     pub(crate) store_recovered_at: Cell<Option<Time>>,
     /// Time at which the store became unavailable; `None` while it responds.
     pub(crate) store_unavailable_since: Cell<Option<Time>>,
+    pub(crate) startup: Startup,
     started_at: Time,
 }
 
@@ -128,6 +130,7 @@
             store_responded_at: Cell::new(None),
             store_recovered_at: Cell::new(None),
             store_unavailable_since: Cell::new(None),
+            startup: Startup::default(),
             started_at: clock.now(),
         }
     }
@@ -178,6 +181,7 @@
 
     /// Returns whether this VM is ready to receive requests.
     pub(crate) fn is_ready(&self) -> bool {
-        self.lifecycle.get() == Lifecycle::Serving && self.relay.borrow().table().is_some()
+        let has_configuration = self.startup.is_over() && self.relay.borrow().table().is_some();
+        self.lifecycle.get() == Lifecycle::Serving && has_configuration
     }
 }
--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -212,7 +212,7 @@
 }
 
 /// Returns a VM to copy a snapshot from, if the mirror is empty or the store has been unavailable for `after`, if another VM
-/// has run a newer version for as long, or if another VM retains what the store has lost and knows more of it.
+/// has run a newer version for as long (at startup: at all), or if another VM retains what the store has lost and knows more of it.
 ///
 /// At startup a call to an unreachable store may take long to fail, so a snapshot is copied at the same time.
 fn copy_source<D, F>(state: &ProxyState<D, F>, after: Millis) -> Option<(VmId, SocketAddr)> {
@@ -221,7 +221,10 @@
     let is_away = unavailable_since.is_some_and(|since| state.now().since(since) >= after);
     let (relay, now) = (state.relay.borrow(), state.now());
     let newer = relay.peer_with_newer_position(now).filter(|_| is_empty || is_away);
-    let is_behind = relay.behind_for(now).is_some_and(|behind_for| behind_for >= after);
+    let copy_behind_after = if state.startup.is_over() { after } else { Millis(0) };
+    let is_behind = relay
+        .behind_for(now)
+        .is_some_and(|behind_for| behind_for >= copy_behind_after);
     let newer = newer.or_else(|| relay.peer_with_newer_version(now).filter(|_| is_behind));
     let retaining = relay.peer_that_retains(now).filter(|_| !is_empty);
     let row = newer.or(retaining)?;
