--- /dev/null
+++ b/crates/sw-relay/tests/review_home.rs
@@ -0,0 +1,170 @@
+//! Ways by which a request may still reach a region that has left the permitted ones.
+
+mod support;
+
+use std::sync::Arc;
+
+use sw_error::Kind;
+use sw_relay::{
+    AdmittedRequest, AttemptHistory, AttemptOutcome, Choice, Heartbeat, Relay, RouteKind, RouteTable, ServiceLoad,
+    StoreRecord, StoreState,
+};
+use sw_unit::{RegionId, StoreEra, StorePosition, Time, Version};
+
+use support::{admit, endpoint, head, heartbeat, prompt, register, relay, row, service, table};
+
+fn bound(number: u64, regions: &[&str]) -> RouteTable {
+    let known = table(1);
+    let routes = vec![
+        support::route("read", RouteKind::Idempotent, "app", regions),
+        support::route("digest", RouteKind::Resumable, "engines", regions),
+    ];
+    RouteTable::new(Version(number), routes, known.services.clone(), known.limits)
+}
+
+fn apply(relay: &mut Relay, table: RouteTable, now: Time) {
+    relay.apply(StoreRecord::Table(Arc::new(table)), now);
+}
+
+/// The heartbeat of a VM that has idle endpoints and runs the version `number`.
+fn beat(vm: &str, region: &str, number: u64) -> Heartbeat {
+    let load = |name| ServiceLoad {
+        service: service(name),
+        usable: 2,
+        wait_ms: 0.0,
+        gap_ms: 45.0,
+    };
+    let mut from = row(vm, region);
+    from.version = Version(number);
+    heartbeat(from, vec![load("app"), load("engines")])
+}
+
+fn hear(relay: &mut Relay, region: &str, number: u64, now: Time) {
+    relay.on_heartbeat(beat(&format!("vm-{region}"), region, number), now);
+}
+
+fn hear_neighbour(relay: &mut Relay, number: u64, now: Time) {
+    relay.on_heartbeat(beat("vm-n2", "north", number), now);
+}
+
+fn vm(regions: &[&str]) -> Relay {
+    let mut relay = relay();
+    apply(&mut relay, bound(2, regions), Time(0));
+    hear(&mut relay, "south", 2, Time(0));
+    hear(&mut relay, "west", 2, Time(0));
+    relay
+}
+
+fn target(relay: &mut Relay, admitted: &AdmittedRequest, now: Time) -> Result<String, Kind> {
+    let choice = relay.choose(admitted, &AttemptHistory::default(), now);
+    let region = |choice: &Choice| choice.remote_region().map_or("north", RegionId::as_str).to_owned();
+    choice.as_ref().map(region).map_err(|refusal| refusal.kind)
+}
+
+/// Guards against HOME: a request runs in the local region by a version that this VM has long known to be outdated.
+#[test]
+fn a_vm_that_is_behind_does_not_run_bound_requests_in_its_region() {
+    let mut relay = vm(&["north"]);
+    register(&mut relay, endpoint("n-1", "app", "north"), Time(0));
+    for step in 1..9 {
+        hear_neighbour(&mut relay, 3, Time(step * 500));
+    }
+    let admitted = admit(&mut relay, "read", None, Time(4_100));
+    assert_eq!(target(&mut relay, &admitted, Time(4_100)), Err(Kind::NoEndpoint));
+}
+
+/// Guards against HOME: a VM that was paused for long runs requests, own or forwarded, in its region before it has heard anyone.
+#[test]
+fn a_vm_that_was_paused_does_not_run_bound_requests_in_its_region_before_it_has_caught_up() {
+    let mut relay = vm(&["north"]);
+    register(&mut relay, endpoint("n-1", "app", "north"), Time(0));
+    for step in 0..4 {
+        relay.tick(Time(step * 500));
+    }
+    let waiting = relay
+        .admit(head("read", None), Time(6_000), true)
+        .expect("by the old version");
+    assert_eq!(target(&mut relay, &waiting, Time(6_000)), Err(Kind::NoEndpoint));
+}
+
+/// Guards against HOME: a VM to which no VM of another domain speaks does not learn from its neighbours that those run a newer version.
+#[test]
+fn a_vm_learns_from_its_neighbours_that_another_domain_runs_a_newer_version() {
+    let mut relay = vm(&["south"]);
+    let admitted = admit(&mut relay, "read", None, Time(10));
+    let mut news = beat("vm-n2", "north", 2);
+    let direct = beat("vm-west", "west", 3);
+    news.known_vms = vec![direct.from];
+    news.domains = direct.domains;
+    relay.on_heartbeat(news, Time(20));
+    assert_eq!(target(&mut relay, &admitted, Time(30)), Err(Kind::NoEndpoint));
+}
+
+/// Guards against HOME: a VM forwards again by the version that it knows to be outdated once the VM that told it falls silent.
+#[test]
+fn a_vm_does_not_forget_that_it_is_behind_when_the_other_vm_falls_silent() {
+    let mut relay = vm(&["south"]);
+    let admitted = admit(&mut relay, "read", None, Time(10));
+    hear(&mut relay, "west", 3, Time(20));
+    hear(&mut relay, "south", 2, Time(2_600));
+    assert_eq!(target(&mut relay, &admitted, Time(2_610)), Err(Kind::NoEndpoint));
+}
+
+/// Guards against a VM that forwards nothing for good, bound or not, because another one runs a version that nobody hands over.
+#[test]
+fn a_version_that_cannot_be_copied_does_not_stop_unbound_forwards_for_good() {
+    let mut relay = vm(&[]);
+    let same = StoreState {
+        position: StorePosition::new(StoreEra(0), 40),
+        ..StoreState::default()
+    };
+    relay.set_store_state(same);
+    let mut last = Err(Kind::NoEndpoint);
+    for step in 1..1_200 {
+        let now = Time(step * 500);
+        let mut west = beat("vm-west", "west", 3);
+        west.store = same;
+        relay.on_heartbeat(west, now);
+        hear(&mut relay, "south", 2, now);
+        assert!(relay.peer_with_newer_version(now).is_none(), "it cannot be copied");
+        let admitted = admit(&mut relay, "read", None, now);
+        last = target(&mut relay, &admitted, now);
+    }
+    assert_eq!(last, Ok("south".to_owned()), "after ten minutes");
+}
+
+/// Guards against CONFIG: a VM that started after a restore copies the items of the era before it from a VM of an earlier build.
+#[test]
+fn a_newer_version_is_not_copied_from_a_vm_that_knows_no_eras() {
+    let mut relay = vm(&["south"]);
+    relay.set_store_state(StoreState {
+        position: StorePosition::new(StoreEra(2), 100),
+        knows_eras: true,
+        ..StoreState::default()
+    });
+    let mut earlier_build = beat("vm-west", "west", 3);
+    earlier_build.store.position = StorePosition::new(StoreEra(0), 500);
+    relay.on_heartbeat(earlier_build, Time(20));
+    assert_eq!(relay.peer_with_newer_version(Time(30)), None);
+}
+
+/// Guards against HOME: a VM that is behind names an engine of a region that may have left as the source of cached parts.
+#[test]
+fn a_vm_that_is_behind_takes_no_cached_parts_from_another_region() {
+    let mut relay = vm(&["north", "south"]);
+    let (near, far) = (endpoint("e-1", "engines", "north"), endpoint("e-2", "engines", "south"));
+    register(&mut relay, near.clone(), Time(0));
+    register(&mut relay, far.clone(), Time(0));
+    let part_of = |relay: &mut Relay, now| admit(relay, "digest", Some(prompt(7, 13_000, 1_000)), now);
+    let first = part_of(&mut relay, Time(10));
+    let mut attempt = relay.start_attempt(&first, &far, None, Time(10)).expect("an attempt");
+    relay.on_first_event(&mut attempt, Time(300));
+    relay.end_attempt(&attempt, AttemptOutcome::Complete, Time(400));
+    let admitted = part_of(&mut relay, Time(2_000));
+    hear(&mut relay, "south", 2, Time(2_000));
+    hear_neighbour(&mut relay, 3, Time(2_000));
+    let attempt = relay
+        .start_attempt(&admitted, &near, None, Time(2_010))
+        .expect("an attempt");
+    assert_eq!(attempt.cache_source.map(|source| source.endpoint.id.to_string()), None);
+}
