--- a/crates/sw-proxy/src/heartbeat.rs
+++ b/crates/sw-proxy/src/heartbeat.rs
@@ -119,7 +119,6 @@
     telemetry::log_rate_limit_changes(state, "");
     crash::on_evidence(state);
     store::copy_if_due(state);
-    state.startup.on_heartbeat();
 }
 
 fn call_due_peers<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, exchanges: &Rc<RefCell<ExchangeState>>) {
@@ -130,9 +129,9 @@
         let (state, exchanges) = (Rc::clone(state), Rc::clone(exchanges));
         tokio::task::spawn_local(async move {
             let is_seed = row.is_none();
-            let replied = exchange_with(&state, address, row).await;
-            if is_seed && !replied {
-                state.startup.on_seed_failed(address);
+            exchange_with(&state, address, row).await;
+            if is_seed {
+                state.startup.on_seed_asked(address);
             }
             exchanges.borrow_mut().in_flight.swap_remove(&address);
         });
@@ -174,23 +173,17 @@
     members.neighbours().filter(is_due).cloned().collect()
 }
 
-/// Exchanges heartbeats with a VM, and returns whether it replied.
-async fn exchange_with<D: Dialect, F: 'static>(
-    state: &Rc<ProxyState<D, F>>,
-    address: SocketAddr,
-    row: Option<VmRow>,
-) -> bool {
+async fn exchange_with<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, address: SocketAddr, row: Option<VmRow>) {
     let started_at = state.now();
     let heartbeat = state.relay.borrow().heartbeat(row.as_ref(), started_at);
     // An unresponsive VM becomes suspect when its heartbeats are overdue.
     let Ok(reply) = state.peers.send_heartbeat(address, &heartbeat).await else {
-        return false;
+        return;
     };
     let region = reply.from.region.clone();
     on_heartbeat(state, reply);
     let round_trip = state.now().since(started_at);
     state.relay.borrow_mut().record_round_trip(&region, round_trip);
-    true
 }
 
 fn log_states<D, F>(state: &ProxyState<D, F>, exchanges: &Rc<RefCell<ExchangeState>>) {
--- a/crates/sw-proxy/src/startup.rs
+++ b/crates/sw-proxy/src/startup.rs
@@ -1,7 +1,7 @@
 //! The first moments of a VM, in which it may have only an older configuration than the other VMs.
 //!
 //! A store that was restored from an older copy holds a version that the other VMs have replaced. A VM that starts serves
-//! once another VM has told it which version it runs, and it has that version, or once there is nobody to ask.
+//! once it has asked the seeds which version they run, and has the newest of these.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -10,13 +10,12 @@
 
 use indexmap::IndexSet;
 use spdlog::prelude::*;
-use sw_unit::Version;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::state::ProxyState;
 
-/// Time for which a VM waits for the answer of another one.
+/// Time for which a VM waits for the answers of the seeds.
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after the start within which a VM takes over a newer version from another one.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -25,8 +24,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Startup {
     is_over: Cell<bool>,
-    failed_seeds: RefCell<IndexSet<SocketAddr>>,
-    /// Notified when a heartbeat was received or a seed did not answer.
+    asked_seeds: RefCell<IndexSet<SocketAddr>>,
+    /// Notified when a seed has answered or failed.
     changed: Notify,
 }
 
@@ -36,14 +35,9 @@
         self.is_over.get()
     }
 
-    /// Records that a seed did not answer.
-    pub(crate) fn on_seed_failed(&self, address: SocketAddr) {
-        self.failed_seeds.borrow_mut().insert(address);
-        self.changed.notify_waiters();
-    }
-
-    /// Records that a heartbeat was received.
-    pub(crate) fn on_heartbeat(&self) {
+    /// Records that a seed has answered or failed.
+    pub(crate) fn on_seed_asked(&self, address: SocketAddr) {
+        self.asked_seeds.borrow_mut().insert(address);
         self.changed.notify_waiters();
     }
 }
@@ -76,20 +70,11 @@
     info!("serving", kv: { after_ms, in_force, is_behind });
 }
 
-/// Returns whether a VM with a configuration has been heard, or no seed is left that may answer.
+/// Returns whether each seed has answered or failed. One answer is not enough, as it may come from a VM that has just started.
 fn has_asked<D, F>(state: &ProxyState<D, F>) -> bool {
-    let relay = state.relay.borrow();
-    let members = relay.members();
-    let local = &members.local().vm;
-    let mut heard = members.heard_vms(state.now()).filter(|row| row.vm != *local);
-    if heard.any(|row| row.version > Version(0)) {
-        return true;
-    }
-    let failed = state.startup.failed_seeds.borrow();
-    let options = state.options();
-    members
-        .unknown_seeds(&options.seeds)
-        .all(|address| failed.contains(&address))
+    let (options, asked) = (state.options(), state.startup.asked_seeds.borrow());
+    let mut seeds = options.seeds.iter().filter(|seed| **seed != options.peer_listen);
+    seeds.all(|seed| asked.contains(seed))
 }
 
 fn is_behind<D, F>(state: &ProxyState<D, F>) -> bool {
