fix(relay): a VM that knows of a newer version runs nothing that is bound to regions, and does not forget it

The newest version heard, from whomever, is remembered until this VM has it, 10 s at most. After 0.5 s without it the VM sends nothing to other regions and runs nothing that a route binds; an ordinary change has reached all VMs by then, so it holds nothing back. A relay within the region is not held back as such. A copy is taken from VMs that know eras only. While a request's version is the one in force, its route is not looked up again.

--- a/crates/sw-member/src/members.rs
+++ b/crates/sw-member/src/members.rs
@@ -141,6 +141,7 @@
         if let Some(known) = self.peers.get_mut(&row.vm) {
             if row.incarnation == known.row.incarnation {
                 known.row.leaving |= row.leaving;
+                known.row.version = known.row.version.max(row.version);
             }
             if row.incarnation <= known.row.incarnation {
                 return false;
--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -1,6 +1,5 @@
 //! One attempt at an endpoint, up to the head of its response.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -168,7 +167,7 @@
     let attempt = attempt.ok_or(AttemptOutcome::Unsent)?;
     let expected_ms = attempt.expected_ms();
     let token_taken_at = attempt.token_taken_at;
-    let cache_source = attempt.cache_source.as_ref().map(|source| source.endpoint.address);
+    let cache_source = attempt.cache_source.as_ref().map(|source| source.endpoint.clone());
     let first_event_deadline = state.now() + admitted.first_event_timeout(expected_ms);
     let mut guard = AttemptGuard {
         state: Rc::clone(state),
@@ -214,7 +213,7 @@
 struct Target<'a> {
     endpoint: &'a EndpointEntry,
     /// Engine from whose cache the endpoint may transfer shared parts of the prompt.
-    cache_source: Option<SocketAddr>,
+    cache_source: Option<EndpointEntry>,
     /// When a token of the endpoint's rate limit was taken.
     token_taken_at: Option<Time>,
     reuse: Reuse,
@@ -254,7 +253,7 @@
         .borrow()
         .may_send(endpoint, target.token_taken_at, state.now());
     let quarantined = state.relay.borrow().quarantined(admitted, state.now()).is_some();
-    let is_permitted = state.relay.borrow().may_enter(admitted, endpoint);
+    let is_permitted = state.relay.borrow().may_enter(admitted, endpoint, state.now());
     if remaining == Millis(0) || !may_send || quarantined || !is_permitted {
         return Err((AttemptOutcome::Unsent, 0));
     }
@@ -355,9 +354,12 @@
     *http_request.method_mut() = request.method.clone();
     *http_request.uri_mut() = request.target.clone();
     *http_request.headers_mut() = request.headers.clone();
+    let (relay, now) = (state.relay.borrow(), state.now());
+    let cache_source = target.cache_source.as_ref();
+    let cache_source = cache_source.filter(|source| relay.may_enter(&request.admitted, source, now));
     let attempt_headers = AttemptHeaders {
         endpoint: &target.endpoint.id,
-        cache_source: target.cache_source,
+        cache_source: cache_source.map(|source| source.address),
         remaining,
         last_event_id: request.last_event_id.as_deref(),
     };
--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -147,7 +147,7 @@
         if self.quarantined(admitted, now).is_some() || !admitted.may_run_at(endpoint) {
             return None;
         }
-        if !self.may_enter(admitted, endpoint) {
+        if !self.may_enter(admitted, endpoint, now) {
             return None;
         }
         let token_taken_at = self.obtain_token(endpoint, grant, admitted.is_urgent(), now);
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -148,10 +148,7 @@
 
     fn best_local(&self, admitted: &AdmittedRequest, history: &AttemptHistory, now: Time) -> Option<LocalEstimate> {
         let region = &self.options.local.region;
-        if !self.permitted_regions(admitted).contains(region)
-            || history.is_full(region)
-            || history.is_local_region_full()
-        {
+        if !self.may_send_to(admitted, region, now) || history.is_full(region) || history.is_local_region_full() {
             return None;
         }
         let local = self.local_endpoints(&admitted.service);
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -91,7 +91,9 @@
 
     /// Applies a heartbeat, and returns whether the row of its sender is new or changed.
     pub fn on_heartbeat(&mut self, heartbeat: Heartbeat, now: Time) -> bool {
+        self.on_version_heard(heartbeat.from.version, now);
         for row in heartbeat.known_vms {
+            self.on_version_heard(row.version, now);
             self.members.on_gossip(row, now);
         }
         let vm = heartbeat.from.vm.clone();
@@ -117,7 +119,6 @@
         for view in heartbeat.domains {
             self.apply_view(view, is_direct, now);
         }
-        self.update_behind(now);
         changed
     }
 
--- a/crates/sw-relay/src/permitted_regions.rs
+++ b/crates/sw-relay/src/permitted_regions.rs
@@ -6,10 +6,17 @@
 
 use std::fmt;
 
-use sw_unit::{Millis, RegionId, Time};
+use sw_unit::{Millis, RegionId, Time, Version};
 
 use crate::{AdmittedRequest, EndpointEntry, Relay, Route};
 
+/// Time for which a VM may lack a version that another one has before it counts as missed. In an ordinary change all VMs get
+/// it sooner.
+const HOLD_AFTER: Millis = Millis(500);
+/// Time after which a version that this VM has not got is no longer waited for. If only a VM that ended had it, nobody can
+/// hand it over.
+const HOLD_FOR: Millis = Millis(10_000);
+
 /// The regions that both the route that admitted a request and the one in force for it permit.
 #[derive(Debug, Clone, Copy)]
 pub struct PermittedRegions<'a> {
@@ -53,46 +60,79 @@
     }
 }
 
+/// A version that another VM runs and this VM lacks.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct NewerVersion {
+    version: Version,
+    heard_at: Time,
+}
+
 impl Relay {
-    /// Returns the regions in which a request may run now.
+    /// Returns the regions in which a request may run now, as far as this VM knows.
     pub fn permitted_regions<'a>(&'a self, admitted: &'a AdmittedRequest) -> PermittedRegions<'a> {
-        let table = self.table.as_ref();
-        let in_force = table.and_then(|table| table.find(&admitted.host, &admitted.path));
         PermittedRegions {
             admitting: &admitted.route,
-            in_force: in_force.map(|route| &**route),
+            in_force: self.route_in_force(admitted),
         }
     }
 
-    /// Returns whether the body of a request may be sent to a VM of `region` now.
+    /// Returns whether a request may run in `region` now, and its body be sent to a VM there.
     ///
-    /// A VM that may have missed a version keeps bodies in its region until it has caught up: the VM that receives one can
-    /// refuse it only after it has crossed.
-    pub fn may_forward_to(&self, admitted: &AdmittedRequest, region: &RegionId, now: Time) -> bool {
-        let may_have_missed_version = self.pauses.is_catching_up(now) || self.is_behind(now);
-        !may_have_missed_version && self.permitted_regions(admitted).contains(region)
+    /// A VM that may have missed a version sends nothing to other regions until it has caught up, because the VM that receives
+    /// a body can refuse it only after it has crossed. Nor does it run requests whose route binds them to regions.
+    pub fn may_send_to(&self, admitted: &AdmittedRequest, region: &RegionId, now: Time) -> bool {
+        let is_free = *region == self.options.local.region && admitted.route.regions.is_empty();
+        self.permitted_regions(admitted).contains(region) && (is_free || !self.may_have_missed_version(now))
+    }
+
+    /// Returns whether a request may run in the region of an endpoint now.
+    pub fn may_enter(&self, admitted: &AdmittedRequest, endpoint: &EndpointEntry, now: Time) -> bool {
+        let region = self.region_of(&endpoint.domain);
+        region.is_some_and(|region| self.may_send_to(admitted, region, now))
     }
 
-    /// Returns the time for which another VM has been known to run a newer version; `None` if none does.
+    /// Returns the time for which another VM has been known to run a newer version; `None` if none does, or if this VM has not
+    /// got that version for so long that nobody seems to have it.
     pub fn behind_for(&self, now: Time) -> Option<Millis> {
-        self.behind_since.map(|since| now.since(since))
+        let behind_for = self.newer_version.map(|newer| now.since(newer.heard_at));
+        behind_for.filter(|time| *time < HOLD_FOR)
     }
 
-    /// Records whether another VM runs a newer version.
-    pub(crate) fn update_behind(&mut self, now: Time) {
-        let is_behind = self.is_behind(now);
-        self.behind_since = self.behind_since.or(Some(now)).filter(|_| is_behind);
+    /// Records that another VM runs `version`.
+    pub(crate) fn on_version_heard(&mut self, version: Version, now: Time) {
+        let known = self
+            .newer_version
+            .map_or(self.members.local().version, |newer| newer.version);
+        if version <= known {
+            return;
+        }
+        let heard_at = self.newer_version.filter(|_| self.behind_for(now).is_some());
+        self.newer_version = Some(NewerVersion {
+            version,
+            heard_at: heard_at.map_or(now, |newer| newer.heard_at),
+        });
     }
 
-    /// Returns whether a VM that was heard recently runs a newer version.
-    fn is_behind(&self, now: Time) -> bool {
+    /// Records that a newer version came into force, which need not be the newest one.
+    pub(crate) fn on_version_applied(&mut self, now: Time) {
         let local = self.members.local().version;
-        self.members.heard_vms(now).any(|row| row.version > local)
+        self.newer_version = self.newer_version.filter(|newer| newer.version > local);
+        if let Some(newer) = &mut self.newer_version {
+            newer.heard_at = now;
+        }
     }
 
-    /// Returns whether a request may run in the region of an endpoint now.
-    pub fn may_enter(&self, admitted: &AdmittedRequest, endpoint: &EndpointEntry) -> bool {
-        let region = self.region_of(&endpoint.domain);
-        region.is_some_and(|region| self.permitted_regions(admitted).contains(region))
+    fn may_have_missed_version(&self, now: Time) -> bool {
+        let is_behind = self.behind_for(now).is_some_and(|time| time >= HOLD_AFTER);
+        is_behind || self.pauses.is_catching_up(now)
+    }
+
+    /// Returns the route in force for a request; `None` if there is none any more.
+    fn route_in_force<'a>(&'a self, admitted: &'a AdmittedRequest) -> Option<&'a Route> {
+        let table = self.table.as_ref()?;
+        if table.version == admitted.config_version {
+            return Some(&admitted.route);
+        }
+        table.find(&admitted.host, &admitted.path).map(|route| &**route)
     }
 }
--- a/crates/sw-relay/src/prefill.rs
+++ b/crates/sw-relay/src/prefill.rs
@@ -220,7 +220,7 @@
         let entry = &endpoint.entry;
         let is_in_backoff = self.loads.get(&entry.id).is_some_and(|load| load.is_in_backoff(now));
         let region = self.region_of(&entry.domain);
-        let is_permitted = region.is_some_and(|region| self.permitted_regions(admitted).contains(region));
+        let is_permitted = region.is_some_and(|region| self.may_send_to(admitted, region, now));
         let is_reachable = region.is_some_and(|region| self.is_region_reachable(region, now));
         entry.service == admitted.service
             && self.rate_limits.rate(entry).is_none()
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -12,6 +12,7 @@
 use crate::coordinator::Coordinators;
 use crate::exchange::RemoteView;
 use crate::pause::PauseDetector;
+use crate::permitted_regions::NewerVersion;
 use crate::quarantine::Quarantine;
 use crate::rate_limit::RateLimits;
 use crate::rate_limiter::RateLimiter;
@@ -116,8 +117,8 @@
     pub(crate) regions: RemoteRegions,
     pub(crate) store: StoreState,
     pub(crate) pauses: PauseDetector,
-    /// Since when another VM has been known to run a newer version.
-    pub(crate) behind_since: Option<Time>,
+    /// The newest version that another VM is known to run, if this VM lacks it.
+    pub(crate) newer_version: Option<NewerVersion>,
     /// Whether the store was restored from an older copy since this VM started.
     pub(crate) store_restored: bool,
     /// Recent requests by route.
@@ -159,7 +160,7 @@
             regions: RemoteRegions::new(),
             store: StoreState::default(),
             pauses: PauseDetector::default(),
-            behind_since: None,
+            newer_version: None,
             store_restored: false,
             traffic: IndexMap::new(),
             peer_stores: IndexMap::new(),
@@ -235,7 +236,6 @@
     pub fn tick(&mut self, now: Time) -> Vec<EndpointId> {
         self.members.prune(now);
         self.pauses.tick(now);
-        self.update_behind(now);
         for requests in self.traffic.values_mut() {
             *requests *= TRAFFIC_DECAY;
         }
@@ -380,7 +380,7 @@
         if is_newer {
             self.members.set_version(table.version);
             self.table = Some(table);
-            self.update_behind(now);
+            self.on_version_applied(now);
         }
         is_newer
     }
--- a/crates/sw-relay/src/spill.rs
+++ b/crates/sw-relay/src/spill.rs
@@ -36,7 +36,7 @@
     ) -> Option<RemoteEstimate> {
         let uncached_ms = self.uncached_ms(admitted);
         let regions = self.regions.iter().filter(|(region, _)| !history.is_full(region));
-        let permitted = regions.filter(|(region, _)| self.may_forward_to(admitted, region, now));
+        let permitted = regions.filter(|(region, _)| self.may_send_to(admitted, region, now));
         let permitted = permitted.filter(|(region, _)| self.may_run_in(admitted, region));
         let reachable = permitted.filter(|(region, _)| self.live_peers_in(region, history, now).next().is_some());
         let expected = reachable.filter_map(|(region, state)| {
--- a/crates/sw-relay/src/store_state.rs
+++ b/crates/sw-relay/src/store_state.rs
@@ -81,7 +81,8 @@
     /// Returns the nearest live VM that runs a newer version of the configuration and whose mirror is at a later position.
     pub fn peer_with_newer_version(&self, now: Time) -> Option<&VmRow> {
         let local = self.members.local().version;
-        let peers = self.suitable_peers(|store| self.is_newer(*store), now);
+        // The revision of a VM that knows no eras may be of an earlier era.
+        let peers = self.suitable_peers(|store| store.knows_eras && self.is_newer(*store), now);
         self.nearest(peers.filter(|row| row.version > local))
     }
 
