--- a/crates/sw-proxy/src/lib.rs
+++ b/crates/sw-proxy/src/lib.rs
@@ -28,6 +28,7 @@
 mod restore;
 mod resumption;
 mod sse;
+mod startup;
 mod state;
 mod store;
 mod stream;
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -77,7 +77,7 @@
         let end = match serve_forwarded(&self.0, call, &mut id).await {
             Ok(response) => relay_response(response, &events).await.unwrap_or(RelayEvent::Broken),
             Err(refusal) => {
-                telemetry::log_refusal(&id, "", refusal, self.0.now().since(received));
+                telemetry::log_refusal(&self.0, &id, "", refusal, self.0.now().since(received));
                 RelayEvent::End(Err(refusal))
             }
         };
@@ -114,6 +114,9 @@
     if state.draining_for().is_some() {
         return Err(Kind::Stopping.into());
     }
+    if !state.startup.is_over() {
+        return Err(Kind::NoConfiguration.into());
+    }
     head.remaining = Some(call.remaining);
     let mut admitted = state.relay.borrow_mut().admit(head, state.now(), true)?;
     // Retries are made by the VM that forwarded the request.
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -41,7 +41,7 @@
     match handle(&state, parts, head, body, received).await {
         Ok(response) => response,
         Err((refusal, route)) => {
-            telemetry::log_refusal(&id, &route, refusal, state.now().since(received));
+            telemetry::log_refusal(&state, &id, &route, refusal, state.now().since(received));
             refusal_response(&state.dialect, refusal)
         }
     }
@@ -56,6 +56,9 @@
 ) -> Result<HttpResponse, (Refusal, String)> {
     let without_route = |refusal: Refusal| (refusal, String::new());
     let head = head.map_err(|_malformed| without_route(Kind::BadRequest.into()))?;
+    if !state.startup.is_over() {
+        return Err(without_route(Kind::NoConfiguration.into()));
+    }
     let resumption = head.resumption.clone();
     let mut admitted = state
         .relay
@@ -121,8 +124,7 @@
                 return failure.ok_or_else(|| history.final_refusal(Some(refusal)));
             }
         };
-        let revision = state.mirror.borrow().position().revision;
-        telemetry::log_choice(state, &request.admitted, &choice, revision, now);
+        telemetry::log_choice(state, &request.admitted, &choice);
         let sent = tokio::select! {
             biased;
             sent = send_attempt(state, &request, &choice, &mut history) => sent,
@@ -172,9 +174,10 @@
             ..
         } => {
             let can_retry_elsewhere = request.can_retry_elsewhere(history);
-            let response = forward::send(state, request, *address, *expected_ms, can_retry_elsewhere).await;
+            let response = forward::send(state, request, region, *address, *expected_ms, can_retry_elsewhere).await;
             match &response {
                 Err(forward::ForwardError::Refused(refusal)) => {
+                    telemetry::log_forward_refused(&request.admitted, vm, region, *refusal);
                     history.record_vm_refusal(vm, region, *refusal);
                     if refusal.kind == Kind::NoEndpoint {
                         let (mut relay, now) = (state.relay.borrow_mut(), state.now());
--- /dev/null
+++ b/crates/sw-relay/src/permitted_regions.rs
@@ -0,0 +1,138 @@
+//! Regions in which an admitted request may run, and to which its body may be sent.
+//!
+//! A request is admitted by one version of the configuration and sent later, perhaps after a newer version came into
+//! force. Either version may still bind it, so only a region that both permit is used. That is asked at each choice of a
+//! target, at the start of each attempt, and right before the first byte is sent.
+
+use std::fmt;
+
+use sw_unit::{Millis, RegionId, Time, Version};
+
+use crate::{AdmittedRequest, EndpointEntry, Relay, Route};
+
+/// Time for which a VM may lack a version that another one has before it counts as missed. In an ordinary change all VMs get
+/// it sooner.
+const HOLD_AFTER: Millis = Millis(500);
+/// Time after which a version that this VM has not got is no longer waited for. If only a VM that ended had it, nobody can
+/// hand it over.
+const HOLD_FOR: Millis = Millis(10_000);
+
+/// The regions that both the route that admitted a request and the one in force for it permit.
+#[derive(Debug, Clone, Copy)]
+pub struct PermittedRegions<'a> {
+    admitting: &'a Route,
+    /// `None` if no route is in force for the request any more.
+    in_force: Option<&'a Route>,
+}
+
+impl PermittedRegions<'_> {
+    /// Returns whether the request may run in `region`.
+    pub fn contains(&self, region: &RegionId) -> bool {
+        let by_version_in_force = self.in_force.is_none_or(|route| route.permits(region));
+        self.admitting.permits(region) && by_version_in_force
+    }
+}
+
+/// Formats the regions as a list: `any` if all are permitted, and `none` if the versions have none in common.
+impl fmt::Display for PermittedRegions<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        /// Maximum number of regions in the list.
+        const MAX_LISTED: usize = 8;
+        let in_force = self.in_force.map_or(&[][..], |route| &route.regions);
+        let named = if self.admitting.regions.is_empty() {
+            in_force
+        } else {
+            &self.admitting.regions
+        };
+        if named.is_empty() {
+            return f.write_str("any");
+        }
+        let permitted: Vec<_> = named.iter().filter(|region| self.contains(region)).collect();
+        if permitted.is_empty() {
+            return f.write_str("none");
+        }
+        let listed: Vec<_> = permitted
+            .iter()
+            .take(MAX_LISTED)
+            .map(|region| region.as_str())
+            .collect();
+        f.write_str(&listed.join(","))
+    }
+}
+
+/// A version that another VM runs and this VM lacks.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct NewerVersion {
+    version: Version,
+    heard_at: Time,
+}
+
+impl Relay {
+    /// Returns the regions in which a request may run now, as far as this VM knows.
+    pub fn permitted_regions<'a>(&'a self, admitted: &'a AdmittedRequest) -> PermittedRegions<'a> {
+        PermittedRegions {
+            admitting: &admitted.route,
+            in_force: self.route_in_force(admitted),
+        }
+    }
+
+    /// Returns whether a request may run in `region` now, and its body be sent to a VM there.
+    ///
+    /// A VM that may have missed a version sends nothing to other regions until it has caught up, because the VM that receives
+    /// a body can refuse it only after it has crossed. Nor does it run requests whose route binds them to regions.
+    pub fn may_send_to(&self, admitted: &AdmittedRequest, region: &RegionId, now: Time) -> bool {
+        let is_free = *region == self.options.local.region && admitted.route.regions.is_empty();
+        self.permitted_regions(admitted).contains(region) && (is_free || !self.may_have_missed_version(now))
+    }
+
+    /// Returns whether a request may run in the region of an endpoint now.
+    pub fn may_enter(&self, admitted: &AdmittedRequest, endpoint: &EndpointEntry, now: Time) -> bool {
+        let region = self.region_of(&endpoint.domain);
+        region.is_some_and(|region| self.may_send_to(admitted, region, now))
+    }
+
+    /// Returns the time for which another VM has been known to run a newer version; `None` if none does, or if this VM has not
+    /// got that version for so long that nobody seems to have it.
+    pub fn behind_for(&self, now: Time) -> Option<Millis> {
+        let behind_for = self.newer_version.map(|newer| now.since(newer.heard_at));
+        behind_for.filter(|time| *time < HOLD_FOR)
+    }
+
+    /// Records that another VM runs `version`.
+    pub(crate) fn on_version_heard(&mut self, version: Version, now: Time) {
+        let known = self
+            .newer_version
+            .map_or(self.members.local().version, |newer| newer.version);
+        if version <= known {
+            return;
+        }
+        let heard_at = self.newer_version.filter(|_| self.behind_for(now).is_some());
+        self.newer_version = Some(NewerVersion {
+            version,
+            heard_at: heard_at.map_or(now, |newer| newer.heard_at),
+        });
+    }
+
+    /// Records that a newer version came into force, which need not be the newest one.
+    pub(crate) fn on_version_applied(&mut self, now: Time) {
+        let local = self.members.local().version;
+        self.newer_version = self.newer_version.filter(|newer| newer.version > local);
+        if let Some(newer) = &mut self.newer_version {
+            newer.heard_at = now;
+        }
+    }
+
+    fn may_have_missed_version(&self, now: Time) -> bool {
+        let is_behind = self.behind_for(now).is_some_and(|time| time >= HOLD_AFTER);
+        is_behind || self.pauses.is_catching_up(now)
+    }
+
+    /// Returns the route in force for a request; `None` if there is none any more.
+    fn route_in_force<'a>(&'a self, admitted: &'a AdmittedRequest) -> Option<&'a Route> {
+        let table = self.table.as_ref()?;
+        if table.version == admitted.config_version {
+            return Some(&admitted.route);
+        }
+        table.find(&admitted.host, &admitted.path).map(|route| &**route)
+    }
+}
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -12,6 +12,8 @@
 use crate::coordinator::Coordinators;
 use crate::exchange::RemoteView;
 use crate::path::Paths;
+use crate::pause::PauseDetector;
+use crate::permitted_regions::NewerVersion;
 use crate::quarantine::Quarantine;
 use crate::rate_limit::RateLimits;
 use crate::rate_limiter::RateLimiter;
@@ -56,7 +58,11 @@
 pub struct AdmittedRequest {
     /// The id that the caller assigned to this request; all attempts of the gateway use it.
     pub id: Arc<str>,
-    /// Its route.
+    /// The requested host.
+    pub host: Arc<str>,
+    /// The path without the query.
+    pub path: Arc<str>,
+    /// The route that admitted it; a newer version may have another one for it.
     pub route: Arc<Route>,
     /// The service that runs it.
     pub service: ServiceId,
@@ -111,6 +117,9 @@
     pub(crate) models: IndexMap<ServiceId, LatencyModel>,
     pub(crate) regions: RemoteRegions,
     pub(crate) store: StoreState,
+    pub(crate) pauses: PauseDetector,
+    /// The newest version that another VM is known to run, if this VM lacks it.
+    pub(crate) newer_version: Option<NewerVersion>,
     /// Whether the store was restored from an older copy since this VM started.
     pub(crate) store_restored: bool,
     /// Recent requests by route.
@@ -153,6 +162,8 @@
             models: IndexMap::new(),
             regions: RemoteRegions::new(),
             store: StoreState::default(),
+            pauses: PauseDetector::default(),
+            newer_version: None,
             store_restored: false,
             traffic: IndexMap::new(),
             peer_stores: IndexMap::new(),
@@ -195,7 +206,7 @@
     /// A configuration that is not newer than the current one is ignored.
     pub fn apply(&mut self, record: StoreRecord, now: Time) -> bool {
         match record {
-            StoreRecord::Table(table) => self.apply_table(table),
+            StoreRecord::Table(table) => self.apply_table(table, now),
             StoreRecord::Endpoint(_, Some(entry)) => self.apply_endpoint(entry, now),
             StoreRecord::Endpoint(id, None) => self.remove_endpoint(&id, now),
             // The endpoint may still run, so this is neither its end nor a lapse during an outage of the store.
@@ -231,6 +242,7 @@
     /// Expires outdated state, recomputes the coordinators, and returns the endpoints that were removed.
     pub fn tick(&mut self, now: Time) -> Vec<EndpointId> {
         self.members.prune(now);
+        self.pauses.tick(now);
         for requests in self.traffic.values_mut() {
             *requests *= TRAFFIC_DECAY;
         }
@@ -275,6 +287,8 @@
         let deadline = received_at + head.remaining.unwrap_or(DEFAULT_CALLER_TIMEOUT);
         Ok(AdmittedRequest {
             id: head.id,
+            host: head.host.into(),
+            path: head.path.into(),
             due: deadline.min(received_at + route.timeout),
             deadline,
             route: Arc::clone(route),
@@ -369,11 +383,12 @@
         now.since(self.options.started_at) >= JOIN_TIME && slow_start.allows(share, cold_for)
     }
 
-    fn apply_table(&mut self, table: Arc<RouteTable>) -> bool {
+    fn apply_table(&mut self, table: Arc<RouteTable>, now: Time) -> bool {
         let is_newer = self.table.as_ref().is_none_or(|known| known.version < table.version);
         if is_newer {
             self.members.set_version(table.version);
             self.table = Some(table);
+            self.on_version_applied(now);
         }
         is_newer
     }
