fix(net): connections of callers and of the product's VMs end when the peer is silent

Connections that callers open (requests, directory, readiness, metrics, operators) had neither keep-alive nor a user timeout, nor had those that VMs of the product's own configuration accept from each other: a peer whose machine is gone left them open for as long as the kernel sends again.

Not tested: a peer whose machine is gone, which loopback cannot show without privileges.

--- a/crates/shallotwing-daemon/src/connection/mod.rs
+++ b/crates/shallotwing-daemon/src/connection/mod.rs
@@ -59,7 +59,7 @@
 }
 
 async fn serve(stream: TcpStream, gateway: Arc<Gateway>, watcher: Watcher, _permit: OwnedSemaphorePermit) {
-    if stream.set_nodelay(true).is_err() {
+    if stream.set_nodelay(true).is_err() || sw_http::enable_caller_keepalive(&stream).is_err() {
         return;
     }
     let limits = gateway.settings.limits;
--- a/crates/shallotwing-daemon/src/process/operator.rs
+++ b/crates/shallotwing-daemon/src/process/operator.rs
@@ -26,6 +26,9 @@
 }
 
 async fn serve(stream: TcpStream, gateway: Arc<Gateway>) {
+    if sw_http::enable_caller_keepalive(&stream).is_err() {
+        return;
+    }
     let service = service_fn(|req| {
         let gateway = Arc::clone(&gateway);
         async move { Ok::<_, Infallible>(handle(&gateway, &req).await) }
--- a/crates/sw-http/src/lib.rs
+++ b/crates/sw-http/src/lib.rs
@@ -13,6 +13,6 @@
 pub use body::{BodyError, ReadBodyError, ResponseBody, channel, read_body};
 pub use connect::{CallError, Connector, Exchange, Reuse, is_refused};
 pub use json::{JsonClient, JsonError, JsonLines};
-pub use keepalive::enable_keepalive;
+pub use keepalive::{enable_caller_keepalive, enable_keepalive};
 pub use response::{EntryRow, RAN_HEADER, REQUEST_ID_HEADER, error_response, json_response};
 pub use sse::{SseError, SseReader};
--- a/crates/sw-peer/src/server.rs
+++ b/crates/sw-peer/src/server.rs
@@ -25,7 +25,7 @@
 /// Accepts and serves connections until the listener fails.
 pub(crate) async fn serve<H: Handler>(listener: TcpListener, handler: H) {
     while let Ok((stream, _)) = listener.accept().await {
-        if stream.set_nodelay(true).is_ok() {
+        if stream.set_nodelay(true).is_ok() && sw_http::enable_keepalive(&stream).is_ok() {
             let server: peer::Client = capnp_rpc::new_client(Server {
                 handler: handler.clone(),
             });
--- a/crates/sw-proxy/src/listener.rs
+++ b/crates/sw-proxy/src/listener.rs
@@ -81,7 +81,7 @@
     S: Fn(Rc<ProxyState<D, F>>, Request<Incoming>) -> A + Copy + 'static,
     A: Future<Output = HttpResponse> + 'static,
 {
-    if stream.set_nodelay(true).is_err() {
+    if stream.set_nodelay(true).is_err() || sw_http::enable_caller_keepalive(&stream).is_err() {
         return;
     }
     let limits = state
