feat(relay): rejection limits that brittle endpoints name are decoded and known

A server that says `Server-Brittle` names how many requests it can turn away in a second for want of room without falling over. The header is decoded in platform/ (absent, 0, huge, malformed, twice; on refusals and errors as well) and carried as `RejectionLimitStatement`. A VM keeps what each endpoint and incarnation names until a response to a later request names none, logs changes (`rejection_limit_named`, `_ended`, `_malformed`), counts brittle endpoints (`shallotwing_brittle_endpoints`) and knows the smallest limit of a service (`Relay::rejection_limit`).

--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -307,13 +307,17 @@
         telemetry::log_rejection(&admitted.id, &endpoint.id, wait);
     }
     let is_own_answer = head.request_id.is_some() && head.has_signature_header;
-    state.relay.borrow_mut().on_rate_limit_statement(
-        endpoint,
-        head.rate_limit,
-        is_own_answer.then_some(sent_at),
-        state.now(),
-    );
+    let answered_since = is_own_answer.then_some(sent_at);
+    state
+        .relay
+        .borrow_mut()
+        .on_rate_limit_statement(endpoint, head.rate_limit, answered_since, state.now());
+    state
+        .relay
+        .borrow_mut()
+        .on_rejection_limit_statement(endpoint, head.rejection_limit, answered_since, state.now());
     telemetry::log_rate_limit_changes(state, &admitted.id);
+    telemetry::log_rejection_limit_changes(state, &admitted.id);
 }
 
 /// Checks that the head of a response belongs to this request and may be relayed to the caller.
--- a/crates/sw-proxy/src/dialect.rs
+++ b/crates/sw-proxy/src/dialect.rs
@@ -9,7 +9,7 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, StatusCode, Uri};
 use sw_member::VmRow;
-use sw_relay::{EndpointReport, RateLimitStatement, RequestHead, StoreRecord};
+use sw_relay::{EndpointReport, RateLimitStatement, RejectionLimitStatement, RequestHead, StoreRecord};
 use sw_store::ItemRules;
 use sw_unit::{DomainId, EndpointId, Millis, RegionId};
 
@@ -66,6 +66,8 @@
     pub report: EndpointReport,
     /// The endpoint's statement about its rate limit.
     pub rate_limit: RateLimitStatement,
+    /// The endpoint's statement about the rejections that it can bear.
+    pub rejection_limit: RejectionLimitStatement,
     /// Time for which the endpoint keeps an idle connection open.
     pub keep_alive: Option<Millis>,
     /// Whether the endpoint closes the connection.
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -8,7 +8,7 @@
 use sw_error::Refusal;
 use sw_relay::{
     AdmittedRequest, Attempt, AttemptOutcome, Choice, EndpointEntry, QuarantineChange, QuarantineEntry, QueueEstimate,
-    RateLimitStatement, Reservation, Resumption, SoftwareVersion, Suspect,
+    RateLimitStatement, RejectionLimitStatement, Reservation, Resumption, SoftwareVersion, Suspect,
 };
 use sw_unit::{EndpointId, Millis, PartId, Time};
 
@@ -231,6 +231,27 @@
     }
 }
 
+/// Logs changes of the rejection limits that endpoints name, learned from a response to the request `id`.
+pub(crate) fn log_rejection_limit_changes<D, F>(state: &ProxyState<D, F>, id: &str) {
+    let mut relay = state.relay.borrow_mut();
+    let changes = relay.take_rejection_limit_changes();
+    if changes.is_empty() {
+        return;
+    }
+    gauge!("shallotwing_brittle_endpoints").set(relay.brittle_endpoints() as f64);
+    for change in changes {
+        let endpoint = change.endpoint.as_str();
+        match change.statement {
+            RejectionLimitStatement::Named(limit) => {
+                let per_second = limit.0;
+                info!("rejection_limit_named", kv: { id, endpoint, per_second });
+            }
+            RejectionLimitStatement::NotNamed => info!("rejection_limit_ended", kv: { id, endpoint }),
+            RejectionLimitStatement::Malformed => warn!("rejection_limit_malformed", kv: { id, endpoint }),
+        }
+    }
+}
+
 /// Logs that an endpoint is in backoff.
 pub(crate) fn log_backoff(endpoint: &str, backoff: Millis) {
     let pause_ms = backoff.0;
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -16,6 +16,7 @@
 use crate::rate_limiter::RateLimiter;
 use crate::region::RemoteRegions;
 use crate::registry::Endpoint;
+use crate::rejection_limit::RejectionLimits;
 use crate::retry::RecentRequests;
 use crate::stream_origin::StreamOrigins;
 use crate::version_history::VersionHistory;
@@ -124,6 +125,7 @@
     pub(crate) coordinators: Coordinators,
     pub(crate) rate_limits: RateLimits,
     pub(crate) rate_limiter: RateLimiter,
+    pub(crate) rejection_limits: RejectionLimits,
     pub(crate) quarantine: Quarantine,
     /// Software versions of the services.
     pub(crate) versions: VersionHistory,
@@ -159,6 +161,7 @@
             coordinators: Coordinators::new(),
             rate_limits: RateLimits::default(),
             rate_limiter: RateLimiter::default(),
+            rejection_limits: RejectionLimits::default(),
             quarantine: Quarantine::default(),
             versions: VersionHistory::default(),
             origins: StreamOrigins::default(),
@@ -240,6 +243,8 @@
         self.failed_watchers.retain(|_, until| *until > now);
         self.rate_limits
             .prune(|endpoint| self.registry.get(endpoint).is_some(), now);
+        self.rejection_limits
+            .prune(|endpoint| self.registry.get(endpoint).is_some());
         for load in self.loads.values_mut() {
             load.expire_reservations(now);
         }
