--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -19,6 +19,7 @@
 use crate::rate_limiter::RateLimiter;
 use crate::region::RemoteRegions;
 use crate::registry::Endpoint;
+use crate::rejection_limit::RejectionLimits;
 use crate::retry::RecentRequests;
 use crate::stream_origin::StreamOrigins;
 use crate::version_history::VersionHistory;
@@ -136,6 +137,7 @@
     pub(crate) rate_limiter: RateLimiter,
     /// Lost paths to endpoints.
     pub(crate) paths: Paths,
+    pub(crate) rejection_limits: RejectionLimits,
     pub(crate) quarantine: Quarantine,
     /// Software versions of the services.
     pub(crate) versions: VersionHistory,
@@ -174,6 +176,7 @@
             rate_limits: RateLimits::default(),
             rate_limiter: RateLimiter::default(),
             paths: Paths::default(),
+            rejection_limits: RejectionLimits::default(),
             quarantine: Quarantine::default(),
             versions: VersionHistory::default(),
             origins: StreamOrigins::default(),
@@ -257,6 +260,8 @@
         self.failed_watchers.retain(|_, until| *until > now);
         self.rate_limits
             .prune(|endpoint| self.registry.get(endpoint).is_some(), now);
+        self.rejection_limits
+            .prune(|endpoint| self.registry.get(endpoint).is_some());
         for load in self.loads.values_mut() {
             load.expire_reservations(now);
         }
