fix(relay): a request explains the crashes of a part only if it brought this part along each time

Streams that broke off are sent again together, and are just being started when the next engine crashes, with parts of their own. That these requests were started at both crashes is suspected, as the logs do not name it; "started" alone cannot tell them apart.

Change: the evidence keeps the parts with the request that they were named with. On a tie a part of different requests comes first, then the request, then a part that one request brought along each time, then an answered part.

--- a/crates/sw-relay/src/crash_evidence.rs
+++ b/crates/sw-relay/src/crash_evidence.rs
@@ -6,9 +6,8 @@
 //! the requests that had not run for long, whether they had a head or not. A suspect is cleared by a complete response
 //! to a request that has it.
 //!
-//! A request that is named together with parts had just been started, and has some of these parts; one that is named
-//! without parts ran beside them, or crashes endpoints before the head. A report that mixes both is sent as two reports of
-//! the same crash.
+//! The parts that a request is named together with are those of its prompt; a request that is named without parts ran
+//! beside them, or crashes endpoints before the head. So a crash with several requests is sent as several reports.
 //!
 //! A connection that breaks is no crash by itself. The VM counts it as one if the endpoint refuses connections, or if
 //! another incarnation of it registers, or its registration ends although it was not leaving. VMs exchange their crashes
@@ -208,7 +207,7 @@
             .breaks
             .swap_remove(&key)
             .iter()
-            .flat_map(|broken| broken.suspects.split())
+            .flat_map(|broken| broken.suspects.groups())
         {
             is_completed |= crash.suspects.extend(&suspects);
         }
@@ -230,8 +229,8 @@
         let is_reported = |crash: &Crash| new || now.since(crash.changed_at) < REPORTED_FOR;
         let crashes = self.crashes.iter().rev().filter(|(_, crash)| is_reported(crash));
         let reports = crashes.flat_map(|((endpoint, incarnation), crash)| {
-            let suspects = crash.suspects.split().into_iter();
-            suspects.map(|suspects| CrashReport {
+            let groups = crash.suspects.groups().into_iter();
+            groups.map(move |suspects| CrashReport {
                 endpoint: endpoint.clone(),
                 incarnation: *incarnation,
                 suspects,
--- a/crates/sw-relay/src/quarantine.rs
+++ b/crates/sw-relay/src/quarantine.rs
@@ -3,10 +3,10 @@
 //! Requests that are quarantined or whose prompt has a quarantined part are refused by all VMs, whether they are new,
 //! retried, resumed or forwarded. The entries follow from the [evidence](crate::crash_evidence) alone, so VMs with the same
 //! evidence quarantine the same suspects. The suspect that explains most crashes is quarantined first, and the crashes that
-//! it explains no longer count against others. Of a part and a request that explain equally many, the request is the cause
-//! if it had just been started at each of them: it brought the part along. Otherwise different requests had the part,
-//! while the request ran beside them and was sent again. A part that was answered before the crashes needs more of them:
-//! it is more likely to have been beside the cause.
+//! it explains no longer count against others. Of a part and a request that explain equally many, the part is the cause if
+//! it came with different requests: the request ran beside them and was sent again. If one request brought the part along
+//! each time, the request is the cause. A part that was answered before the crashes needs more of them: it is more likely
+//! to have been beside the cause.
 //!
 //! Suspects that were in each of the crashes cannot be distinguished. A request with some of them, but not all, serves as a
 //! probe, one at a time: for parts, one VM of each region sends it; for requests, one VM of all. A complete response clears its
@@ -459,56 +459,54 @@
 enum Rank {
     /// A part that was answered completely before.
     AnsweredPart,
-    /// A request that at one crash at least may not have been started, so that it did not bring the parts along.
-    RequestBeside,
-    /// A part that was not answered.
-    Part,
-    /// A request that was started at each of the crashes.
-    StartedRequest,
+    /// A part that one request brought along each time.
+    PartOfOneRequest,
+    Request,
+    /// A part that different requests had.
+    PartOfDifferentRequests,
 }
 
-/// The crashes of one suspect.
-#[derive(Debug, Default)]
-struct Suspicion {
-    times: Vec<Time>,
-    /// Number of them at which the suspect is a request that was started.
-    started: usize,
-}
-
-impl Suspicion {
-    fn rank(&self, suspect: Suspect, was_answered: bool) -> Rank {
-        match suspect {
-            Suspect::Part(_) if was_answered => Rank::AnsweredPart,
-            Suspect::Part(_) => Rank::Part,
-            Suspect::Request(_) if self.started == self.times.len() => Rank::StartedRequest,
-            Suspect::Request(_) => Rank::RequestBeside,
-        }
+/// Returns the rank of a suspect of `crashes`.
+fn rank(evidence: &CrashEvidence, suspect: Suspect, crashes: &[&Crash]) -> Rank {
+    if suspect.is_request() {
+        return Rank::Request;
+    }
+    if evidence.was_answered(suspect) {
+        return Rank::AnsweredPart;
+    }
+    let mut first = crashes
+        .iter()
+        .take(1)
+        .flat_map(|crash| crash.suspects.requests_with(suspect));
+    let brings_all = |request| {
+        let mut requests = crashes.iter().map(|crash| crash.suspects.requests_with(suspect));
+        requests.all(|mut requests| requests.any(|other| other == request))
+    };
+    if first.any(brings_all) {
+        Rank::PartOfOneRequest
+    } else {
+        Rank::PartOfDifferentRequests
     }
 }
 
 /// Returns the suspect that explains most of the crashes, with their number, if they are enough to quarantine it.
 fn most_suspected(evidence: &CrashEvidence, open: &[Crash]) -> Option<(Suspect, u32)> {
-    let mut suspicions: IndexMap<Suspect, Suspicion> = IndexMap::new();
+    let mut explained: IndexMap<Suspect, Vec<&Crash>> = IndexMap::new();
     for crash in open {
         for suspect in crash.suspects.iter() {
-            let suspicion = suspicions.entry(suspect).or_default();
-            suspicion.times.push(crash.at);
-            suspicion.started += usize::from(crash.suspects.is_started(suspect));
+            explained.entry(suspect).or_default().push(crash);
         }
     }
-    let ranked = suspicions.into_iter().map(|(suspect, suspicion)| {
-        let rank = suspicion.rank(suspect, evidence.was_answered(suspect));
-        (suspect, distinct_moments(suspicion.times.into_iter()), rank)
-    });
-    let added = ranked.filter(|(_, crashes, rank)| {
-        *crashes
-            >= if *rank == Rank::AnsweredPart {
-                MIN_CRASHES_IF_ANSWERED
-            } else {
-                MIN_CRASHES
-            }
+    let counted = explained.iter().filter_map(|(suspect, crashes)| {
+        let count = distinct_moments(crashes.iter().map(|crash| crash.at));
+        let needed = if evidence.was_answered(*suspect) {
+            MIN_CRASHES_IF_ANSWERED
+        } else {
+            MIN_CRASHES
+        };
+        (count >= needed).then(|| (*suspect, count, rank(evidence, *suspect, crashes)))
     });
-    let (suspect, crashes, _) = added.max_by_key(|(_, crashes, rank)| (*crashes, *rank))?;
+    let (suspect, crashes, _) = counted.max_by_key(|(_, crashes, rank)| (*crashes, *rank))?;
     Some((suspect, crashes))
 }
 
--- a/crates/sw-relay/src/suspects.rs
+++ b/crates/sw-relay/src/suspects.rs
@@ -1,6 +1,6 @@
 //! The suspects of one crash.
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use sw_unit::{Fingerprint, PartId};
 
 /// Maximum number of parts among the suspects of one crash.
@@ -28,42 +28,60 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Suspects {
     all: IndexSet<Suspect>,
-    /// The requests that were named together with parts of their prompts.
-    started: IndexSet<Suspect>,
+    /// The parts that were named together with a request, because its prompt may have them.
+    parts_of: IndexMap<Suspect, IndexSet<Suspect>>,
 }
 
 impl Suspects {
     /// Adds suspects that are named together, and returns whether this is news.
     pub(crate) fn extend(&mut self, suspects: &[Suspect]) -> bool {
-        let before = (self.all.len(), self.started.len());
-        let mut requests = self.all.iter().filter(|suspect| suspect.is_request()).count();
-        let mut parts = self.all.len() - requests;
+        let mut is_news = false;
         for suspect in suspects {
-            let (count, limit) = if suspect.is_request() {
-                (&mut requests, MAX_REQUESTS)
-            } else {
-                (&mut parts, MAX_PARTS)
-            };
-            if *count < limit && self.all.insert(*suspect) {
-                *count += 1;
-            }
+            is_news |= self.has_room(*suspect) && self.all.insert(*suspect);
+        }
+        let (requests, parts): (Vec<_>, Vec<_>) = suspects
+            .iter()
+            .filter(|suspect| self.all.contains(*suspect))
+            .partition(|suspect| suspect.is_request());
+        if parts.is_empty() {
+            return is_news;
         }
-        if suspects.iter().any(|suspect| !suspect.is_request()) {
-            let requests = suspects.iter().filter(|suspect| suspect.is_request());
-            let known = requests.filter(|request| self.all.contains(*request));
-            self.started.extend(known);
+        for request in requests {
+            let known = self.parts_of.entry(request).or_default();
+            let before = known.len();
+            known.extend(&parts);
+            is_news |= known.len() > before;
         }
-        (self.all.len(), self.started.len()) != before
+        is_news
+    }
+
+    fn has_room(&self, suspect: Suspect) -> bool {
+        let limit = if suspect.is_request() { MAX_REQUESTS } else { MAX_PARTS };
+        let of_kind = self
+            .all
+            .iter()
+            .filter(|other| other.is_request() == suspect.is_request());
+        of_kind.count() < limit
     }
 
-    /// Returns the suspects as they were named together: parts with the requests that may have them, then other requests.
-    pub(crate) fn split(&self) -> Vec<Vec<Suspect>> {
-        let is_started = |suspect: &Suspect| !suspect.is_request() || self.started.contains(suspect);
-        let (started, others): (Vec<_>, Vec<_>) = self.all.iter().copied().partition(is_started);
-        [started, others]
+    /// Returns the suspects as they are to be named together: the requests whose prompts may have the same parts, with
+    /// these parts; the parts of which no request is known; the other requests.
+    pub(crate) fn groups(&self) -> Vec<Vec<Suspect>> {
+        let mut named: Vec<(&IndexSet<Suspect>, Vec<Suspect>)> = Vec::new();
+        for (request, parts) in self.parts_of.iter().filter(|(_, parts)| !parts.is_empty()) {
+            match named.iter_mut().find(|(known, _)| *known == parts) {
+                Some((_, requests)) => requests.push(*request),
+                None => named.push((parts, vec![*request])),
+            }
+        }
+        let named: Vec<Vec<_>> = named
             .into_iter()
-            .filter(|suspects| !suspects.is_empty())
-            .collect()
+            .map(|(parts, requests)| parts.iter().copied().chain(requests).collect())
+            .collect();
+        let known: IndexSet<_> = named.iter().flatten().copied().collect();
+        let (requests, parts) = self.all.difference(&known).partition(|suspect| suspect.is_request());
+        let groups = named.into_iter().chain([parts, requests]);
+        groups.filter(|group| !group.is_empty()).collect()
     }
 
     pub(crate) fn iter(&self) -> impl Iterator<Item = Suspect> + '_ {
@@ -74,9 +92,10 @@
         self.all.contains(&suspect)
     }
 
-    /// Returns whether a request may have one of the parts.
-    pub(crate) fn is_started(&self, request: Suspect) -> bool {
-        self.started.contains(&request)
+    /// Returns the requests whose prompts may have a part.
+    pub(crate) fn requests_with(&self, part: Suspect) -> impl Iterator<Item = Suspect> + '_ {
+        let requests = self.parts_of.iter().filter(move |(_, parts)| parts.contains(&part));
+        requests.map(|(request, _)| *request)
     }
 
     pub(crate) fn is_empty(&self) -> bool {
@@ -85,7 +104,10 @@
 
     pub(crate) fn retain(&mut self, is_kept: impl Fn(Suspect) -> bool) {
         self.all.retain(|suspect| is_kept(*suspect));
-        self.started.retain(|suspect| is_kept(*suspect));
+        self.parts_of.retain(|request, _| is_kept(*request));
+        for parts in self.parts_of.values_mut() {
+            parts.retain(|part| is_kept(*part));
+        }
     }
 
     /// Returns the suspects that are not cleared.
