fix(relay,proxy): what is learned of a crash after it was reported is announced at once

Cause: a VM announced a crash with the first connection that broke, or another VM had reported it before; the suspects of the connections that it saw break after that went with the next heartbeat, up to 0.5 s later in the domain and 0.9 s in others. News within 0.25 s of an announcement were not announced at all. Before requests were suspects, the first break that counted was that of a prompt with the part, so the first announcement named it.

Change: suspects of a crash that is known are news; news are collected for 15 ms, at most one series each 0.25 s is sent, and the last one is not lost. Evidence that quarantines a suspect is sent at once.

--- a/crates/sw-proxy/src/crash.rs
+++ b/crates/sw-proxy/src/crash.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use sw_relay::EndpointEntry;
+use sw_relay::{EndpointEntry, QuarantineChange};
 
 use crate::state::ProxyState;
 use crate::{Dialect, heartbeat, telemetry};
@@ -45,6 +45,7 @@
         state.quarantine_changed.notify_waiters();
     }
     if let Some(scope) = news {
-        heartbeat::announce_crash(state, scope);
+        let is_verdict = changes.iter().any(QuarantineChange::is_new);
+        heartbeat::announce_crash(state, scope, is_verdict);
     }
 }
--- a/crates/sw-proxy/src/heartbeat.rs
+++ b/crates/sw-proxy/src/heartbeat.rs
@@ -7,6 +7,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
 use spdlog::prelude::*;
@@ -28,7 +29,9 @@
 /// Time without heartbeats after which the second delegate takes over the exchange with another failure domain.
 const DELEGATE_FAILOVER_AFTER: Millis = Millis(2_400);
 
-/// Shortest time between two series of heartbeats that announce crashes; later ones go with the regular heartbeats.
+/// Time for which the broken connections of a crashed endpoint are collected before they are announced together.
+const CRASH_NEWS_DELAY: Millis = Millis(15);
+/// Shortest time between two series of heartbeats that announce crashes, unless they are evidence enough for a quarantine.
 const CRASH_NEWS_PERIOD: Millis = Millis(250);
 
 /// Heartbeat calls in flight and last logged state of each VM.
@@ -62,13 +65,34 @@
     futures::future::join_all(exchanges).await;
 }
 
-/// Exchanges heartbeats at once with the VMs that should learn of a crash.
-pub(crate) fn announce_crash<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, scope: NewsScope) {
-    let now = state.now();
-    let announced_at = state.crash_announced_at.get();
-    if announced_at.is_some_and(|at| now.since(at) < CRASH_NEWS_PERIOD) {
+/// Announces crashes to the VMs that should learn of them: at once if they are a `verdict`, evidence enough for a
+/// quarantine, and otherwise together with what is learned shortly after.
+pub(crate) fn announce_crash<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, scope: NewsScope, verdict: bool) {
+    let pending = state.crash_news.get();
+    state.crash_news.set(pending.max(Some(scope)));
+    if verdict {
+        send_crash_news(state);
         return;
     }
+    if pending.is_some() {
+        return;
+    }
+    let announced_at = state.crash_announced_at.get();
+    let next_at = announced_at.map_or(state.now(), |at| at + CRASH_NEWS_PERIOD);
+    let delay = next_at.since(state.now()).max(CRASH_NEWS_DELAY);
+    let state = Rc::clone(state);
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(Duration::from_millis(delay.0)).await;
+        send_crash_news(&state);
+    });
+}
+
+/// Announces the pending news, if it was not announced meanwhile.
+fn send_crash_news<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>) {
+    let Some(scope) = state.crash_news.take() else {
+        return;
+    };
+    let now = state.now();
     state.crash_announced_at.set(Some(now));
     let rows = {
         let mut relay = state.relay.borrow_mut();
--- a/crates/sw-proxy/src/state.rs
+++ b/crates/sw-proxy/src/state.rs
@@ -6,7 +6,7 @@
 
 use sw_http::Connector;
 use sw_peer::relay::RelayClient;
-use sw_relay::{AdmittedRequest, Relay};
+use sw_relay::{AdmittedRequest, NewsScope, Relay};
 use sw_store::Mirror;
 use sw_time::{BootClock, Clock as _, TimerService};
 use sw_unit::{Millis, Time};
@@ -73,6 +73,8 @@
     pub(crate) quarantine_changed: Notify,
     /// When this VM last sent news of crashes to others.
     pub(crate) crash_announced_at: Cell<Option<Time>>,
+    /// The VMs to which crashes are to be announced shortly.
+    pub(crate) crash_news: Cell<Option<NewsScope>>,
     /// Whether origins of streams are being replicated.
     pub(crate) is_replicating_origins: Cell<bool>,
     /// Held while the mirror is brought up to date for a request.
@@ -118,6 +120,7 @@
             idle: Notify::new(),
             quarantine_changed: Notify::new(),
             crash_announced_at: Cell::new(None),
+            crash_news: Cell::new(None),
             is_replicating_origins: Cell::new(false),
             refresh_turn: tokio::sync::Mutex::new(()),
             refreshed_at: Cell::new(None),
--- a/crates/sw-relay/src/quarantine.rs
+++ b/crates/sw-relay/src/quarantine.rs
@@ -85,6 +85,13 @@
     },
 }
 
+impl QuarantineChange {
+    /// Returns whether a suspect is quarantined that was not before.
+    pub fn is_new(&self) -> bool {
+        matches!(self, Self::Quarantined { .. })
+    }
+}
+
 /// A request that is sent to distinguish suspects.
 #[derive(Debug, Clone)]
 struct Probe {
@@ -268,6 +275,9 @@
         }
         let evidence = &mut self.quarantine.evidence;
         let outcome = evidence.on_break(&attempt.endpoint, &suspects, now);
+        if outcome == BreakOutcome::News {
+            self.quarantine.announce(NewsScope::All);
+        }
         self.quarantine.update(now);
         outcome == BreakOutcome::CheckDue
     }
