--- a/crates/sw-proxy/src/state.rs
+++ b/crates/sw-proxy/src/state.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexSet;
 use sw_http::Connector;
 use sw_peer::relay::RelayClient;
-use sw_relay::{AdmittedRequest, Relay};
+use sw_relay::{AdmittedRequest, NewsScope, Relay};
 use sw_store::Mirror;
 use sw_time::{BootClock, Clock as _, TimerService};
 use sw_unit::{Millis, Time};
@@ -82,6 +82,8 @@
     pub(crate) checked_paths: RefCell<IndexSet<SocketAddr>>,
     /// When this VM last sent news of crashes to others.
     pub(crate) crash_announced_at: Cell<Option<Time>>,
+    /// The VMs to which crashes are to be announced shortly.
+    pub(crate) crash_news: Cell<Option<NewsScope>>,
     /// Whether origins of streams are being replicated.
     pub(crate) is_replicating_origins: Cell<bool>,
     /// Held while the mirror is brought up to date for a request.
@@ -131,6 +133,7 @@
             path_lost: Notify::new(),
             checked_paths: RefCell::default(),
             crash_announced_at: Cell::new(None),
+            crash_news: Cell::new(None),
             is_replicating_origins: Cell::new(false),
             refresh_turn: tokio::sync::Mutex::new(()),
             refreshed_at: Cell::new(None),
