fix(proxy): a refusal by a VM of another region does not close that VM for a second

A VM that refused a forwarded request for lack of an endpoint counted as cut off from the service for a second, also if its endpoints only rejected requests for a moment; if it was the only VM of its region, the next requests were refused. This now holds for VMs of the own region only, which are asked because of lost paths.

--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -179,7 +179,9 @@
                 Err(forward::ForwardError::Refused(refusal)) => {
                     telemetry::log_forward_refused(&request.admitted, vm, region, *refusal);
                     history.record_vm_refusal(vm, region, *refusal);
-                    if refusal.kind == Kind::NoEndpoint {
+                    // In another region, its VMs may all have no endpoint for the moment.
+                    let is_neighbour = *region == state.options().region;
+                    if is_neighbour && refusal.kind == Kind::NoEndpoint {
                         let (mut relay, now) = (state.relay.borrow_mut(), state.now());
                         relay.on_forward_without_endpoint(vm, &request.admitted.service, now);
                     }
