fix(relay): an endpoint that registers anew has a path until a connection fails

While a VM was cut off from a service, an endpoint that registered again counted as out of reach until it was probed, up to 0.35 s later. If all endpoints of a region crash, their return was delayed by that: sound requests were refused.

--- a/crates/sw-relay/src/path.rs
+++ b/crates/sw-relay/src/path.rs
@@ -363,14 +363,10 @@
         }
     }
 
-    /// Forgets that the path to an endpoint was lost, because it has restarted or moved. While the service is cut off,
-    /// that of a new endpoint counts as lost until it was probed.
+    /// Forgets that the path to an endpoint was lost, because it is new, or has restarted or moved.
     pub(crate) fn reset_path(&mut self, endpoint: &EndpointEntry, now: Time) {
-        if self.paths.is_cut_off(&endpoint.service) {
-            self.lose_path(endpoint, PathFailure::Inferred, now);
-        } else {
-            self.paths.lost.swap_remove(&endpoint.id);
-        }
+        self.paths.lost.swap_remove(&endpoint.id);
+        self.update_cut_off(&endpoint.service, now);
     }
 
     /// Drops what is known about VMs and endpoints that are gone.
