refactor(relay): the verdict on suspects has a module of its own; looking up cut-off VMs allocates nothing

The choice asked for each VM of the region and each candidate whether the VM is cut off, with two clones each; it compares in place, and the list is empty unless paths are lost. The log of path changes no longer closes connections: paths.rs does. Behaviour stays.

--- a/crates/sw-proxy/src/paths.rs
+++ b/crates/sw-proxy/src/paths.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use sw_http::ProbeError;
-use sw_relay::{EndpointEntry, PathFailure};
+use sw_relay::{EndpointEntry, PathChange, PathFailure};
 use sw_unit::Millis;
 
 use crate::state::ProxyState;
@@ -143,5 +143,10 @@
         return;
     }
     telemetry::log_path_changes(state, &changes);
+    for change in &changes {
+        if let PathChange::Lost { address, .. } = change {
+            state.connector.forget(*address);
+        }
+    }
     state.path_lost.notify_one();
 }
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -268,16 +268,11 @@
     }
 }
 
-/// Logs the paths that were lost or are back, and closes idle connections on lost ones.
+/// Logs the paths that were lost or are back.
 pub(crate) fn log_path_changes<D, F>(state: &ProxyState<D, F>, changes: &[PathChange]) {
     for change in changes {
         match change {
-            PathChange::Lost {
-                endpoint,
-                address,
-                failure,
-            } => {
-                state.connector.forget(*address);
+            PathChange::Lost { endpoint, failure, .. } => {
                 let (endpoint, how): (_, &'static str) = (endpoint.as_str(), failure.into());
                 info!("path_lost", kv: { endpoint, how });
             }
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -46,6 +46,7 @@
 mod table;
 mod token_bucket;
 mod types;
+mod verdict;
 mod version_history;
 mod watcher;
 
@@ -64,7 +65,7 @@
 pub use path::{PathChange, PathFailure};
 pub use permitted_regions::PermittedRegions;
 pub use prefill::{CacheSource, Distance, PrefillPlan};
-pub use quarantine::{NewsScope, QuarantineChange, QuarantineEntry};
+pub use quarantine::{NewsScope, QuarantineChange};
 pub use rate_limit::{EndpointRateLimit, RateLimitChange, RateLimitSource, RateLimitState, RateLimitStatement};
 pub use region::RemoteRegion;
 pub use registry::{Endpoint, LeavingEndpoint, Registry};
@@ -80,5 +81,6 @@
     EndpointEntry, EndpointReport, LoadReport, Prompt, PromptPart, RequestHead, Resumption, ServiceId, SoftwareVersion,
     StoreRecord,
 };
+pub use verdict::QuarantineEntry;
 pub use version_history::{ServiceSoftware, ServiceVersions, SoleVersion, VersionAge};
 pub use watcher::StoreSource;
--- a/crates/sw-relay/src/path.rs
+++ b/crates/sw-relay/src/path.rs
@@ -143,9 +143,9 @@
 
     /// Returns whether another VM reports to have no path to a service, or refused a request for it just now.
     pub(crate) fn is_peer_cut_off(&self, vm: &VmId, service: &ServiceId, now: Time) -> bool {
-        let refused_until = self.refused.get(&(vm.clone(), service.clone()));
         let is_reported = self.reported.get(vm).is_some_and(|services| services.contains(service));
-        is_reported || refused_until.is_some_and(|until| *until > now)
+        let mut refused = self.refused.iter();
+        is_reported || refused.any(|((by, of), until)| by == vm && of == service && *until > now)
     }
 }
 
--- a/crates/sw-relay/src/quarantine.rs
+++ b/crates/sw-relay/src/quarantine.rs
@@ -2,11 +2,7 @@
 //!
 //! Requests that are quarantined or whose prompt has a quarantined part are refused by all VMs, whether they are new,
 //! retried, resumed or forwarded. The entries follow from the [evidence](crate::crash_evidence) alone, so VMs with the same
-//! evidence quarantine the same suspects. The suspect that explains most crashes is quarantined first, and the crashes that
-//! it explains no longer count against others. Of a part and a request that explain equally many, the part is the cause if
-//! it came with different requests: the request ran beside them and was sent again. If one request brought the part along
-//! each time, the request is the cause. A part that was answered before the crashes needs more of them: it is more likely
-//! to have been beside the cause.
+//! evidence quarantine the same suspects (`verdict.rs`).
 //!
 //! Suspects that were in each of the crashes cannot be distinguished. A request with some of them, but not all, serves as a
 //! probe, one at a time: for parts, one VM of each region sends it; for requests, one VM of all. A complete response clears its
@@ -21,23 +17,16 @@
 use sw_member::rendezvous_score;
 use sw_unit::{EndpointId, Fingerprint, Incarnation, Millis, PartId, Time, VmId};
 
-use crate::crash_evidence::{BreakOutcome, Crash, CrashEvidence, ReportOutcome, distinct_moments};
+use crate::crash_evidence::{BreakOutcome, CrashEvidence, ReportOutcome};
 use crate::rate_limit::MAX_REPLY_TRANSIT;
 use crate::suspects::Suspect;
+use crate::verdict::{MIN_CRASHES, QuarantineEntry, derive_entries};
 use crate::{AdmittedRequest, AnsweredSuspect, Attempt, AttemptOutcome, CrashReport, Prompt, Relay};
 
-/// Crashes after which a request is quarantined, or a part that was never answered completely.
-const MIN_CRASHES: u32 = 2;
-/// Crashes after which a part is quarantined that was answered completely before them.
-const MIN_CRASHES_IF_ANSWERED: u32 = 4;
 /// Crashes after which a part that was answered before is no longer tried alone.
 const MAX_CRASHES_FOR_PROBE: u32 = 8;
 /// Crashes after which a request is no longer tried, as long as copies of it come.
 const MAX_CRASHES_FOR_REQUEST_PROBE: u32 = 5;
-/// Time since the last crash for which a suspect with [`MIN_CRASHES`] is quarantined; doubled with each further crash.
-const MIN_QUARANTINE: Millis = Millis(60_000);
-/// Longest time since the last crash for which a suspect is quarantined.
-const MAX_QUARANTINE: Millis = Millis(600_000);
 
 /// Time after which a probe no longer prevents another one.
 const PROBE_TIME: Millis = Millis(8_000);
@@ -46,21 +35,6 @@
 /// Time since its first event after which a response that breaks off does not make its request a suspect.
 const MAX_START: Millis = Millis(1_000);
 
-/// Why and until when a suspect is quarantined.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct QuarantineEntry {
-    /// Crashes that the suspect explains.
-    pub crashes: u32,
-    /// End of the quarantine; a request may be sent as a probe from then on.
-    pub until: Time,
-    /// The lowest of the suspects that explain the same crashes and cannot be distinguished from this one.
-    group: Suspect,
-    /// Number of these suspects, including this one.
-    alike: usize,
-    /// Whether prompts with these parts were answered before the crashes, so that other parts may be the cause.
-    was_answered: bool,
-}
-
 /// A change of the quarantine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum QuarantineChange {
@@ -427,100 +401,3 @@
     let parts = parts.map(|part| Suspect::Part(*part));
     request.into_iter().chain(parts).collect()
 }
-
-/// Returns the suspects that explain enough crashes, with their entries.
-fn derive_entries(evidence: &CrashEvidence, now: Time) -> IndexMap<Suspect, QuarantineEntry> {
-    let mut open = evidence.open_crashes();
-    let mut entries = IndexMap::new();
-    while let Some((suspect, crashes)) = most_suspected(evidence, &open) {
-        let explained: Vec<_> = open.extract_if(.., |crash| crash.suspects.contains(suspect)).collect();
-        let last = explained.last().map_or(now, |crash| crash.at);
-        let until = last + quarantine_time(crashes);
-        if until > now || suspect.is_request() {
-            let alike = suspects_alike(evidence, suspect, &explained);
-            let entry = QuarantineEntry {
-                crashes,
-                until,
-                group: alike.iter().copied().min().unwrap_or(suspect),
-                alike: alike.len(),
-                was_answered: evidence.was_answered(suspect),
-            };
-            entries.extend(alike.into_iter().map(|suspect| (suspect, entry)));
-        }
-    }
-    entries
-}
-
-/// Returns the suspects of the same kind, with `suspect` itself, that were in each of the crashes and cannot be
-/// distinguished.
-fn suspects_alike(evidence: &CrashEvidence, suspect: Suspect, crashes: &[Crash]) -> Vec<Suspect> {
-    let was_answered = evidence.was_answered(suspect);
-    let suspects = crashes.first().into_iter().flat_map(|crash| crash.suspects.iter());
-    let alike = suspects.filter(|other| {
-        let is_same_kind = other.is_request() == suspect.is_request();
-        let in_all = crashes.iter().all(|crash| crash.suspects.contains(*other));
-        is_same_kind && in_all && evidence.was_answered(*other) == was_answered
-    });
-    alike.collect()
-}
-
-/// How likely a suspect is the cause, among those that explain equally many crashes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Rank {
-    /// A part that was answered completely before.
-    AnsweredPart,
-    /// A part that one request brought along each time.
-    PartOfOneRequest,
-    Request,
-    /// A part that different requests had.
-    PartOfDifferentRequests,
-}
-
-/// Returns the rank of a suspect of `crashes`.
-fn rank(evidence: &CrashEvidence, suspect: Suspect, crashes: &[&Crash]) -> Rank {
-    if suspect.is_request() {
-        return Rank::Request;
-    }
-    if evidence.was_answered(suspect) {
-        return Rank::AnsweredPart;
-    }
-    let mut first = crashes
-        .iter()
-        .take(1)
-        .flat_map(|crash| crash.suspects.requests_with(suspect));
-    let brings_all = |request| {
-        let mut requests = crashes.iter().map(|crash| crash.suspects.requests_with(suspect));
-        requests.all(|mut requests| requests.any(|other| other == request))
-    };
-    if first.any(brings_all) {
-        Rank::PartOfOneRequest
-    } else {
-        Rank::PartOfDifferentRequests
-    }
-}
-
-/// Returns the suspect that explains most of the crashes, with their number, if they are enough to quarantine it.
-fn most_suspected(evidence: &CrashEvidence, open: &[Crash]) -> Option<(Suspect, u32)> {
-    let mut explained: IndexMap<Suspect, Vec<&Crash>> = IndexMap::new();
-    for crash in open {
-        for suspect in crash.suspects.iter() {
-            explained.entry(suspect).or_default().push(crash);
-        }
-    }
-    let counted = explained.iter().filter_map(|(suspect, crashes)| {
-        let count = distinct_moments(crashes.iter().map(|crash| crash.at));
-        let needed = if evidence.was_answered(*suspect) {
-            MIN_CRASHES_IF_ANSWERED
-        } else {
-            MIN_CRASHES
-        };
-        (count >= needed).then(|| (*suspect, count, rank(evidence, *suspect, crashes)))
-    });
-    let (suspect, crashes, _) = counted.max_by_key(|(_, crashes, rank)| (*crashes, *rank))?;
-    Some((suspect, crashes))
-}
-
-fn quarantine_time(crashes: u32) -> Millis {
-    let doublings = crashes.saturating_sub(MIN_CRASHES).min(16);
-    Millis(MIN_QUARANTINE.0 << doublings).min(MAX_QUARANTINE)
-}
