perf(relay): the share of lost paths is counted only while paths are lost

Each choice counted a service's endpoints twice before it asked whether any path is lost at all. The order of the checks is changed, nothing else.

--- a/crates/sw-relay/src/spill.rs
+++ b/crates/sw-relay/src/spill.rs
@@ -72,8 +72,10 @@
         direct: Option<&LocalEstimate>,
         now: Time,
     ) -> Option<(LocalEstimate, VmRow)> {
-        let is_considered = direct.is_none() || self.lost_share(&admitted.service) >= FORWARD_LOST_SHARE;
-        if admitted.forwarded || !self.has_lost_paths() || !is_considered {
+        if admitted.forwarded || !self.has_lost_paths() {
+            return None;
+        }
+        if direct.is_some() && self.lost_share(&admitted.service) < FORWARD_LOST_SHARE {
             return None;
         }
         let mut estimate = self.best_local(admitted, history, Reach::Lost, now)?;
