--- a/crates/sw-store/src/publish.rs
+++ b/crates/sw-store/src/publish.rs
@@ -18,6 +18,8 @@
 const CHUNK_LEN: usize = 512 << 10;
 /// Maximum number of attempts to find out whether the swap took effect.
 const RESOLVE_ATTEMPTS: u32 = 3;
+/// Maximum number of attempts to write a chunk, if the responses are lost.
+const CHUNK_ATTEMPTS: u32 = 3;
 
 /// The root record of a configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -168,19 +170,25 @@
     let mut digests = Vec::new();
     for chunk in text.as_bytes().chunks(CHUNK_LEN) {
         let digest = sw_conf::digest(chunk);
-        let pair = (chunk_key(&digest), chunk.to_vec());
-        // The key is the digest of the value, so an existing chunk is identical and writing it again is harmless.
-        let created = store.create_all(std::slice::from_ref(&pair), None).await;
-        if created == Err(StoreError::Unknown) {
-            store.create_all(&[pair], None).await?;
-        } else {
-            created?;
-        }
+        write_chunk(store, (chunk_key(&digest), chunk.to_vec())).await?;
         digests.push(digest);
     }
     Ok(digests)
 }
 
+/// Writes a chunk, again if the response is lost: the key is the digest of the value, so an existing chunk is identical.
+async fn write_chunk(store: &impl Store, pair: (String, Vec<u8>)) -> Result<(), StoreError> {
+    let pairs = [pair];
+    let mut written = store.create_all(&pairs, None).await;
+    for _ in 1..CHUNK_ATTEMPTS {
+        if written != Err(StoreError::Unknown) {
+            break;
+        }
+        written = store.create_all(&pairs, None).await;
+    }
+    written.map(|_outcomes| ())
+}
+
 async fn swap_root(store: &impl Store, root: &ConfigRoot, expected: Revision) -> Result<PublishOutcome, StoreError> {
     let value = serde_json::to_vec(root).expect("a root has text keys and is serializable");
     let puts = vec![(ROOT_KEY.to_owned(), value.clone()), (history_key(root.number), value)];
--- a/crates/sw-store/tests/publish_fuzz.rs
+++ b/crates/sw-store/tests/publish_fuzz.rs
@@ -174,6 +174,16 @@
     }
 }
 
+/// A change failed with an unknown outcome, and nothing was written, if two responses to the same chunk were lost.
+#[tokio::test]
+async fn a_change_is_accepted_although_two_responses_to_its_chunk_are_lost() {
+    let store = MemoryStore::default();
+    // The last one is of the first call, which reads the root.
+    store.data.lock().unwrap().faults = vec![CallFault::ResponseLost, CallFault::ResponseLost, CallFault::None];
+    let outcome = publish(&store, "[region r0]\n", Version(0), "o0", WallTime(0)).await;
+    assert_eq!(outcome, Ok(PublishOutcome::Accepted(Version(1))));
+}
+
 proptest! {
     #![proptest_config(config())]
 
