fix(proxy,relay): a crash is noticed although the retry has crashed the other endpoints

When the retry of the same request has crashed the region's other endpoint within the 40 ms until the check, the VM reaches none: endpoint_checked says refused=true crashed=false, the verdict waits for the registration, 0.6 s, and the next copies crash the third endpoint. Ruled out: coincidence (crashes within 0.25 s count once, as before); the watch of the store. Change: a VM has reached another endpoint, too, if that one answered an attempt that started after the break: with lost paths no new attempt is answered. Where old connections live on while new ones are refused, a break by an endpoint that is sound can now count as a crash; it takes two to quarantine anything.

--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -223,12 +223,8 @@
     pub fn on_head(&mut self, attempt: &mut Attempt, framed: bool, now: Time) {
         attempt.head_at = Some(now);
         attempt.is_framed = framed;
-        self.on_heard(attempt, now);
-    }
-
-    /// Records that bytes of the response arrived.
-    fn on_heard(&mut self, attempt: &Attempt, now: Time) {
         if let Some(load) = self.loads.get_mut(&attempt.endpoint.id) {
+            load.on_answer(attempt.started_at);
             load.on_heard(now);
         }
     }
--- a/crates/sw-relay/src/load.rs
+++ b/crates/sw-relay/src/load.rs
@@ -89,6 +89,8 @@
     shared_backoff_until: Time,
     /// When this VM last received bytes of the endpoint.
     heard_at: Option<Time>,
+    /// Latest start of an attempt that the endpoint answered.
+    answered_start: Option<Time>,
 }
 
 impl EndpointTracker {
@@ -337,6 +339,16 @@
         self.heard_at = Some(now);
     }
 
+    /// Records that the endpoint sent the head of its response to an attempt that started at `started_at`.
+    pub(crate) fn on_answer(&mut self, started_at: Time) {
+        self.answered_start = self.answered_start.max(Some(started_at));
+    }
+
+    /// Whether the endpoint answered an attempt that started at `since` or later.
+    pub(crate) fn has_answered_since(&self, since: Time) -> bool {
+        self.answered_start.is_some_and(|started_at| started_at >= since)
+    }
+
     /// Returns when bytes of the endpoint were last received.
     pub(crate) fn heard_at(&self) -> Option<Time> {
         self.heard_at
--- a/crates/sw-relay/src/path.rs
+++ b/crates/sw-relay/src/path.rs
@@ -348,6 +348,13 @@
         heard_at.is_some_and(|at| now.since(at) < recently)
     }
 
+    /// Returns whether an endpoint other than `endpoint` answered an attempt that started at `since` or later, so that this
+    /// VM reached it then.
+    pub fn has_reached_another(&self, endpoint: &EndpointId, since: Time) -> bool {
+        let mut others = self.loads.iter().filter(|(id, _)| *id != endpoint);
+        others.any(|(_, load)| load.has_answered_since(since))
+    }
+
     /// Records that a VM refused a forwarded request because no endpoint was left to it.
     pub fn on_forward_without_endpoint(&mut self, vm: &VmId, service: &ServiceId, now: Time) {
         self.paths.refused.retain(|_, until| *until > now);
