fix(relay): a VM that is behind judges a request by both routes that may bind it

Callers: a request that waited while its route was bound to regions ran in the region of a VM that had missed a further version (HOME).

Cause: a VM that may have missed a version runs only what no version binds. It looked at the route that admitted the request, not at the one in force, which had bound it meanwhile.

Ruled out: a request that either version keeps out of the region; PermittedRegions::contains asks both.

Change: both routes must be without regions for a request to count as free.

--- a/crates/sw-relay/src/permitted_regions.rs
+++ b/crates/sw-relay/src/permitted_regions.rs
@@ -31,6 +31,12 @@
         let by_version_in_force = self.in_force.is_none_or(|route| route.permits(region));
         self.admitting.permits(region) && by_version_in_force
     }
+
+    /// Returns whether neither version binds the request to regions.
+    fn are_all(&self) -> bool {
+        let in_force = self.in_force.is_none_or(|route| route.regions.is_empty());
+        self.admitting.regions.is_empty() && in_force
+    }
 }
 
 /// Formats the regions as a list: `any` if all are permitted, and `none` if the versions have none in common.
@@ -81,8 +87,9 @@
     /// A VM that may have missed a version sends nothing to other regions until it has caught up, because the VM that receives
     /// a body can refuse it only after it has crossed. Nor does it run requests whose route binds them to regions.
     pub fn may_send_to(&self, admitted: &AdmittedRequest, region: &RegionId, now: Time) -> bool {
-        let is_free = *region == self.options.local.region && admitted.route.regions.is_empty();
-        self.permitted_regions(admitted).contains(region) && (is_free || !self.may_have_missed_version(now))
+        let permitted = self.permitted_regions(admitted);
+        let is_free = *region == self.options.local.region && permitted.are_all();
+        permitted.contains(region) && (is_free || !self.may_have_missed_version(now))
     }
 
     /// Returns whether a request may run in the region of an endpoint now.
--- a/crates/sw-relay/tests/missed_versions.rs
+++ b/crates/sw-relay/tests/missed_versions.rs
@@ -76,6 +76,19 @@
     assert_eq!(target(&mut relay, &admitted, Time(4_100)), Err(Kind::NoEndpoint));
 }
 
+/// Guards against HOME: a VM that is behind runs a request in its region although the version in force binds it, because the version
+/// that admitted it did not.
+#[test]
+fn a_vm_that_is_behind_does_not_run_requests_that_were_bound_after_their_admission() {
+    let mut relay = vm(&[]);
+    register(&mut relay, endpoint("n-1", "app", "north"), Time(0));
+    let admitted = admit(&mut relay, "read", None, Time(10));
+    apply(&mut relay, bound(3, &["north"]), Time(20));
+    hear_neighbour(&mut relay, 4, Time(30));
+    assert_eq!(target(&mut relay, &admitted, Time(40)), Ok("north".to_owned()));
+    assert_eq!(target(&mut relay, &admitted, Time(30) + GRACE), Err(Kind::NoEndpoint));
+}
+
 /// Guards against HOME: a VM that was paused for long runs requests, own or forwarded, in its region before it has heard anyone.
 #[test]
 fn a_vm_that_was_paused_does_not_run_bound_requests_in_its_region_before_it_has_caught_up() {
