fix(relay): a VM that starts with an older copy has no grace for the version that it has heard of

Cause: when a version comes into force, a newer one that was heard before counts as heard now, because versions that are written in a row arrive one by one. A VM that starts applied the copy, and the version of its neighbours got the half second of a version that is on its way.

Ruled out: the wait at the start (startup.rs) covers it: it ends after 1.5 s, whether or not the version is there.

Change: the first version that a VM applies does not renew the time.

Test: missed_versions a_vm_that_starts_with_an_older_copy_does_not_run_bound_requests_in_its_region: before, Ok("north") where it must be refused; now all 9 of the file and the 11 of permitted_regions pass.

--- a/crates/sw-relay/src/permitted_regions.rs
+++ b/crates/sw-relay/src/permitted_regions.rs
@@ -120,11 +120,12 @@
         });
     }
 
-    /// Records that a newer version came into force, which need not be the newest one.
-    pub(crate) fn on_version_applied(&mut self, now: Time) {
+    /// Records that a newer version came into force, which need not be the newest one; `is_first` if there was none before.
+    pub(crate) fn on_version_applied(&mut self, is_first: bool, now: Time) {
         let local = self.members.local().version;
         self.newer_version = self.newer_version.filter(|newer| newer.version > local);
-        if let Some(newer) = &mut self.newer_version {
+        // What a VM that starts has heard of by then is not on its way to the store: that may hold an older copy.
+        if let Some(newer) = self.newer_version.as_mut().filter(|_| !is_first) {
             newer.heard_at = now;
         }
     }
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -392,8 +392,8 @@
         let is_newer = self.table.as_ref().is_none_or(|known| known.version < table.version);
         if is_newer {
             self.members.set_version(table.version);
-            self.table = Some(table);
-            self.on_version_applied(now);
+            let is_first = self.table.replace(table).is_none();
+            self.on_version_applied(is_first, now);
         }
         is_newer
     }
--- a/crates/sw-relay/tests/missed_versions.rs
+++ b/crates/sw-relay/tests/missed_versions.rs
@@ -11,7 +11,7 @@
 };
 use sw_unit::{Millis, RegionId, StoreEra, StorePosition, Time, Version};
 
-use support::{admit, endpoint, head, heartbeat, prompt, register, relay, row, service, table};
+use support::{admit, endpoint, head, heartbeat, options, prompt, register, relay, row, service, table};
 
 /// Time for which a version that another VM runs may be on its way, as in any change.
 const GRACE: Millis = Millis(500);
@@ -89,6 +89,20 @@
     assert_eq!(target(&mut relay, &admitted, Time(30) + GRACE), Err(Kind::NoEndpoint));
 }
 
+/// Guards against HOME: a VM that starts with an older copy runs bound requests as if the newer version, of which it heard before it
+/// had the copy, had just been written.
+#[test]
+fn a_vm_that_starts_with_an_older_copy_does_not_run_bound_requests_in_its_region() {
+    let mut local = row("vm-0", "north");
+    local.version = Version(0);
+    let mut relay = Relay::new(options(local));
+    hear_neighbour(&mut relay, 3, Time(100));
+    apply(&mut relay, bound(2, &["north"]), Time(1_400));
+    register(&mut relay, endpoint("n-1", "app", "north"), Time(1_400));
+    let admitted = admit(&mut relay, "read", None, Time(1_500));
+    assert_eq!(target(&mut relay, &admitted, Time(1_500)), Err(Kind::NoEndpoint));
+}
+
 /// Guards against HOME: a VM that was paused for long runs requests, own or forwarded, in its region before it has heard anyone.
 #[test]
 fn a_vm_that_was_paused_does_not_run_bound_requests_in_its_region_before_it_has_caught_up() {
