fix(relay): forwarded requests and their refusals name the version that they are judged by

Cause: a forwarded request named no version. The sender saw wrong_region and could not tell whether it or the other VM was behind; the receiver judged by its own version and nothing else.

Ruled out: asking the receiver before the body crosses: a round trip between regions for each request (docs/DESIGN.md). Holding back from the first word of a newer version on: in an ordinary change it is 0.2 s away, and most changes concern no region.

Change: the call carries the sender's version, its refusal the receiver's (fields at the end of the schema; 0 from earlier builds, which skip them). Both count as heard. A refusal for its region by a newer version counts as a missed version at once, without the half second of a version that may be on its way, also if the VM had given up waiting for that version. So the body of one request crosses, and of those that are on their way with it. forward_refused logs refused_by.

Conclusion: a sender that is behind is told by the first body that is refused, not before it; the call carries its body in one message.

--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -186,6 +186,8 @@
   resumeAfter @7 :Text;
   # The only software version at which the request may run; not set if any may run it.
   software @8 :Text;
+  # Version of the configuration that the sender judges by; 0 if it does not state it.
+  version @9 :UInt64;
 }
 
 struct Part {
@@ -227,7 +229,8 @@
   # The era is that of the store plus 1; 0 if the sender knows no eras. Endpoints are listed with the
   # incarnations that were seen leaving.
   snapshot @1 () -> (revision :UInt64, items :List(Item), era :UInt64, retained :List(RetainedItem), history :List(FollowedEra), leaving :List(EndpointIncarnation));
-  relay @2 (call :Call, sink :AnswerSink) -> (length :UInt64, refused :Bool, refusal :Peer.Refusal);
+  # The version of the configuration is that by which the call is refused; 0 if the receiver does not state it.
+  relay @2 (call :Call, sink :AnswerSink) -> (length :UInt64, refused :Bool, refusal :Peer.Refusal, version :UInt64);
   reserve @3 (reservation :Reservation) -> (granted :Bool, ticket :UInt64, unread :UInt64, wait :Wait, copied :UInt64, source :UInt8);
   release @4 (endpoint :Text, ticket :UInt64, absent :Bool, runs :Bool) -> ();
   # The eras are that of the store plus 1; 0 if the sender knows no eras.
--- a/crates/sw-peer/src/relay/client.rs
+++ b/crates/sw-peer/src/relay/client.rs
@@ -270,7 +270,7 @@
         let end = response.and_then(|response| {
             let results = response.get()?;
             if results.get_refused() {
-                return Ok(Err(crate::convert::refusal(results.get_refusal()?)?));
+                return convert::call_refusal(results).map(Err);
             }
             if results.get_length() != received.get() {
                 return Err(capnp::Error::failed("parts of the answer are missing".to_owned()));
--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -6,11 +6,11 @@
     PromptPart, QueueEstimate, RateLimitState, Reservation, ReservationUpdate, ServiceId, ServiceLoad, ServiceVersions,
     SoftwareVersion, StreamOrigin, VersionAge, VmAge,
 };
-use sw_unit::{Incarnation, Millis, PartId, Rate, Tokens};
+use sw_unit::{Incarnation, Millis, PartId, Rate, Tokens, Version};
 
 use super::crashes::{answered, crashes, set_answered_parts, set_answered_requests, set_crashes, split_answered};
-use super::{RelayCall, store};
-use crate::convert::{len, parse, set_vm_row, text, vm_row};
+use super::{CallRefusal, RelayCall, store};
+use crate::convert::{len, parse, refusal, set_vm_row, text, vm_row};
 use crate::relay_capnp as wire;
 
 pub(super) type Result<T> = std::result::Result<T, capnp::Error>;
@@ -263,6 +263,7 @@
     to.set_left_ms(call.remaining.0);
     to.set_hops(call.hops);
     to.set_elsewhere(call.can_retry_elsewhere);
+    to.set_version(call.version.0);
     if let Some(event) = &call.resume_after {
         to.set_resume_after(event.as_str());
     }
@@ -285,6 +286,14 @@
         can_retry_elsewhere: from.get_elsewhere(),
         resume_after: resume_after.transpose()?,
         software: software(from.get_software()?)?,
+        version: Version(from.get_version()),
+    })
+}
+
+pub(super) fn call_refusal(from: wire::relay_peer::relay_results::Reader<'_>) -> Result<CallRefusal> {
+    Ok(CallRefusal {
+        refusal: refusal(from.get_refusal()?)?,
+        version: Version(from.get_version()),
     })
 }
 
--- a/crates/sw-peer/src/relay/mod.rs
+++ b/crates/sw-peer/src/relay/mod.rs
@@ -13,4 +13,4 @@
 
 pub use client::RelayClient;
 pub use server::{bind, serve};
-pub use types::{NotSent, RelayCall, RelayEvent, RelayHandler, StoreCopy, WatchOutcome};
+pub use types::{CallRefusal, NotSent, RelayCall, RelayEvent, RelayHandler, StoreCopy, WatchOutcome};
--- a/crates/sw-peer/src/relay/server.rs
+++ b/crates/sw-peer/src/relay/server.rs
@@ -5,11 +5,12 @@
 
 use capnp::capability::Rc;
 use futures::stream::{FuturesUnordered, StreamExt as _};
-use sw_error::{Kind, Refusal};
+use sw_error::Kind;
+use sw_unit::Version;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
-use super::{RelayEvent, RelayHandler, convert, store};
+use super::{CallRefusal, RelayEvent, RelayHandler, convert, store};
 use crate::convert::{len, parse, set_refusal, text};
 use crate::relay_capnp::{answer_sink, relay_peer};
 use crate::server::{CHUNK_WINDOW, EVENT_BUFFER, serve_connection};
@@ -134,8 +135,9 @@
         let (length, end) = relayed?;
         let mut results = results.get();
         results.set_length(length);
-        if let Err(refusal) = end {
+        if let Err(CallRefusal { refusal, version }) = end {
             results.set_refused(true);
+            results.set_version(version.0);
             set_refusal(results.init_refusal(), refusal);
         }
         Ok(())
@@ -146,7 +148,7 @@
 async fn relay_response(
     mut rx: mpsc::Receiver<RelayEvent>,
     sink: &answer_sink::Client,
-) -> Result<(u64, std::result::Result<(), Refusal>)> {
+) -> Result<(u64, std::result::Result<(), CallRefusal>)> {
     let mut in_flight = FuturesUnordered::new();
     let mut length = 0;
     while let Some(event) = rx.recv().await {
@@ -182,7 +184,13 @@
                 while in_flight.next().await.transpose()?.is_some() {}
                 break;
             }
-            RelayEvent::NotSent(_) => return Ok((length, Err(Kind::EndpointUnreachable.into()))),
+            RelayEvent::NotSent(_) => {
+                let refusal = CallRefusal {
+                    refusal: Kind::EndpointUnreachable.into(),
+                    version: Version(0),
+                };
+                return Ok((length, Err(refusal)));
+            }
         }
     }
     Err(capnp::Error::failed("the answer broke off".to_owned()))
--- a/crates/sw-peer/src/relay/types.rs
+++ b/crates/sw-peer/src/relay/types.rs
@@ -8,7 +8,7 @@
     Grant, Heartbeat, LeavingEndpoint, QueueEstimate, Reservation, ReservationUpdate, SoftwareVersion, StreamOrigin,
 };
 use sw_store::{Changes, Snapshot};
-use sw_unit::{EndpointId, Millis, StoreEra};
+use sw_unit::{EndpointId, Millis, StoreEra, Version};
 use tokio::sync::mpsc;
 
 /// A request to forward to another VM, which sends it to at most one endpoint.
@@ -32,6 +32,17 @@
     pub resume_after: Option<String>,
     /// The only software version at which the request may run; `None` if any may run it.
     pub software: Option<SoftwareVersion>,
+    /// Version of the configuration that the sender judges by; 0 if the sender does not state it.
+    pub version: Version,
+}
+
+/// The refusal of a forwarded request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallRefusal {
+    /// The refusal.
+    pub refusal: Refusal,
+    /// Version of the configuration by which the VM refused; 0 if the VM does not state it.
+    pub version: Version,
 }
 
 /// A part of the response to a forwarded request.
@@ -49,7 +60,7 @@
     /// A chunk of the body.
     Chunk(Bytes),
     /// The last event: the response is complete, or the request is refused.
-    End(Result<(), Refusal>),
+    End(Result<(), CallRefusal>),
     /// The last event: the response broke off.
     Broken,
     /// The only event: nothing was sent.
--- a/crates/sw-peer/src/relay_capnp.rs
+++ b/crates/sw-peer/src/relay_capnp.rs
@@ -6769,11 +6769,15 @@
         pub fn has_software(&self) -> bool {
             !self.reader.get_pointer_field(5).is_null()
         }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6943,6 +6947,14 @@
         pub fn has_software(&self) -> bool {
             !self.builder.is_pointer_field_null(5)
         }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6954,87 +6966,94 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 159] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 174] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(145, 219, 65, 67, 31, 202, 143, 255),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
             ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 67, 97, 108, 108),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 96, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(109, 101, 116, 104, 111, 100, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7114,6 +7133,14 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -7126,6 +7153,7 @@
                 6 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -7139,9 +7167,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,6,2,5,3,0,7,8,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,6,2,5,3,0,7,8,1,9];
         pub(crate) const TYPE_ID: u64 = 0xff8f_ca1f_4341_db91;
     }
 }
@@ -10531,11 +10559,15 @@
             pub fn has_refusal(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_version(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10617,6 +10649,14 @@
             pub fn has_refusal(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_version(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_version(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(2, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10631,17 +10671,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(218, 75, 19, 38, 208, 12, 160, 140),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
@@ -10649,28 +10689,35 @@
                 ::capnp::word(121, 80, 101, 101, 114, 46, 114, 101),
                 ::capnp::word(108, 97, 121, 36, 82, 101, 115, 117),
                 ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(108, 101, 110, 103, 116, 104, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -10695,12 +10742,21 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     2 => <crate::peer_capnp::refusal::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -10714,9 +10770,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1,3];
             pub(crate) const TYPE_ID: u64 = 0x8ca0_0cd0_2613_4bda;
         }
     }
--- a/crates/sw-proxy/src/forward.rs
+++ b/crates/sw-proxy/src/forward.rs
@@ -7,8 +7,7 @@
 use bytes::Bytes;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Response, StatusCode};
-use sw_error::Refusal;
-use sw_peer::relay::{NotSent, RelayCall, RelayEvent};
+use sw_peer::relay::{CallRefusal, NotSent, RelayCall, RelayEvent};
 use sw_relay::AttemptOutcome;
 use sw_unit::{Millis, RegionId};
 
@@ -26,7 +25,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum ForwardError {
     /// The other VM refused the request.
-    Refused(Refusal),
+    Refused(CallRefusal),
     /// The other VM sent no valid response.
     NoResponse(AttemptOutcome),
 }
@@ -35,7 +34,7 @@
     /// Returns the outcome of the attempt.
     pub(crate) fn outcome(&self) -> AttemptOutcome {
         match self {
-            Self::Refused(refusal) => AttemptOutcome::from_refusal(*refusal),
+            Self::Refused(refused) => AttemptOutcome::from_refusal(refused.refusal),
             Self::NoResponse(outcome) => *outcome,
         }
     }
@@ -65,6 +64,7 @@
         can_retry_elsewhere,
         resume_after: request.last_event_id.clone(),
         software: request.admitted.pinned_software.clone(),
+        version: state.relay.borrow().version(),
     };
     let may_send = {
         let (state, admitted, region) = (Rc::clone(state), request.admitted.clone(), region.clone());
@@ -91,7 +91,7 @@
             }
             None => AttemptOutcome::Broken,
         },
-        Ok(Some(RelayEvent::End(Err(refusal)))) => return Err(ForwardError::Refused(refusal)),
+        Ok(Some(RelayEvent::End(Err(refused)))) => return Err(ForwardError::Refused(refused)),
         Ok(Some(RelayEvent::NotSent(NotSent::NoConnection))) => AttemptOutcome::Unreachable,
         Ok(Some(RelayEvent::NotSent(NotSent::NotPermitted))) => AttemptOutcome::Unsent,
         Ok(Some(RelayEvent::Chunk(_) | RelayEvent::End(Ok(())) | RelayEvent::Broken) | None) => AttemptOutcome::Broken,
--- a/crates/sw-proxy/src/heartbeat.rs
+++ b/crates/sw-proxy/src/heartbeat.rs
@@ -12,8 +12,9 @@
 use indexmap::{IndexMap, IndexSet};
 use spdlog::prelude::*;
 use sw_member::{VmRow, VmState};
+use sw_peer::relay::CallRefusal;
 use sw_relay::{Heartbeat, NewsScope, Relay};
-use sw_unit::{Millis, Time, VmId};
+use sw_unit::{Millis, Time, Version, VmId};
 
 use crate::state::ProxyState;
 use crate::{Dialect, crash, store, telemetry};
@@ -131,20 +132,41 @@
 pub(crate) fn on_heartbeat<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, heartbeat: Heartbeat) {
     let now = state.now();
     let from = heartbeat.from.clone();
-    let was_behind = state.relay.borrow().behind_for(now).is_some();
-    if state.relay.borrow_mut().on_heartbeat(heartbeat, now) {
+    let is_changed = log_if_behind(state, from.vm.as_str(), |relay| relay.on_heartbeat(heartbeat, now));
+    if is_changed {
         let (vm, incarnation, leaving) = (from.vm.as_str(), from.incarnation.0, from.leaving);
         let version = from.version.0;
         info!("vm_heard", kv: { vm, incarnation, leaving, version });
     }
-    if !was_behind && state.relay.borrow().behind_for(now).is_some() {
-        telemetry::log_newer_version(state, &from);
-    }
     telemetry::log_rate_limit_changes(state, "");
     crash::on_evidence(state);
     store::copy_if_due(state);
 }
 
+/// Records that another VM, which is empty if it is not known, runs `version`.
+pub(crate) fn on_version_heard<D, F>(state: &ProxyState<D, F>, vm: &str, version: Version) {
+    log_if_behind(state, vm, |relay| relay.on_version_heard(version, state.now()));
+}
+
+/// Records the version by which another VM refused a forwarded request.
+pub(crate) fn on_forward_refused<D, F>(state: &ProxyState<D, F>, vm: &VmId, refused: CallRefusal) {
+    let CallRefusal { refusal, version } = refused;
+    log_if_behind(state, vm.as_str(), |relay| {
+        relay.on_forward_refused(refusal.kind, version, state.now());
+    });
+}
+
+/// Applies what another VM said, and logs if this VM learns from it that there is a newer version.
+fn log_if_behind<D, F, T>(state: &ProxyState<D, F>, vm: &str, apply: impl FnOnce(&mut Relay) -> T) -> T {
+    let known = state.relay.borrow().newer_version(state.now());
+    let applied = apply(&mut state.relay.borrow_mut());
+    let newer = state.relay.borrow().newer_version(state.now());
+    if let Some(version) = newer.filter(|_| known.is_none()) {
+        telemetry::log_newer_version(state, vm, version);
+    }
+    applied
+}
+
 fn call_due_peers<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, exchanges: &Rc<RefCell<ExchangeState>>) {
     for (address, row) in due_peers(state) {
         if !exchanges.borrow_mut().in_flight.insert(address) {
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt as _;
 use hyper::{Method, Request, Uri};
 use sw_error::{Kind, Refusal};
-use sw_peer::relay::{RelayCall, RelayEvent, RelayHandler, StoreCopy, WatchOutcome};
+use sw_peer::relay::{CallRefusal, RelayCall, RelayEvent, RelayHandler, StoreCopy, WatchOutcome};
 use sw_relay::{
     Grant, Heartbeat, QueueEstimate, Replication, Reservation, ReservationUpdate, SoftwareVersion, StreamOrigin,
 };
@@ -78,7 +78,8 @@
             Ok(response) => relay_response(response, &events).await.unwrap_or(RelayEvent::Broken),
             Err(refusal) => {
                 telemetry::log_refusal(&self.0, &id, "", refusal, self.0.now().since(received));
-                RelayEvent::End(Err(refusal))
+                let version = self.0.relay.borrow().version();
+                RelayEvent::End(Err(CallRefusal { refusal, version }))
             }
         };
         // Fails only if the other VM has cancelled the request.
@@ -111,6 +112,7 @@
         .request_head(&parts)
         .map_err(|_malformed| Kind::BadRequest)?;
     *id = Arc::clone(&head.id);
+    heartbeat::on_version_heard(state, "", call.version);
     if state.draining_for().is_some() {
         return Err(Kind::Stopping.into());
     }
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -20,7 +20,7 @@
 use crate::reservation::{ReservationGuard, reserve};
 use crate::response::{refusal_response, strip_hop_headers};
 use crate::state::{ActiveGuard, ProxyState};
-use crate::{Dialect, HeadError, drain, forward, resumption, stream, telemetry};
+use crate::{Dialect, HeadError, drain, forward, heartbeat, resumption, stream, telemetry};
 
 /// Maximum body length in bytes of a response that is buffered before its head is sent to the caller. A buffered
 /// response that breaks off can still be retried.
@@ -176,9 +176,11 @@
             let can_retry_elsewhere = request.can_retry_elsewhere(history);
             let response = forward::send(state, request, region, *address, *expected_ms, can_retry_elsewhere).await;
             match &response {
-                Err(forward::ForwardError::Refused(refusal)) => {
-                    telemetry::log_forward_refused(&request.admitted, vm, region, *refusal);
-                    history.record_vm_refusal(vm, region, *refusal);
+                Err(forward::ForwardError::Refused(refused)) => {
+                    let refusal = refused.refusal;
+                    telemetry::log_forward_refused(&request.admitted, vm, region, *refused);
+                    heartbeat::on_forward_refused(state, vm, *refused);
+                    history.record_vm_refusal(vm, region, refusal);
                     // In another region, its VMs may all have no endpoint for the moment.
                     let is_neighbour = *region == state.options().region;
                     if is_neighbour && refusal.kind == Kind::NoEndpoint {
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -6,12 +6,12 @@
 use metrics::{counter, gauge, histogram};
 use spdlog::prelude::*;
 use sw_error::Refusal;
-use sw_member::VmRow;
+use sw_peer::relay::CallRefusal;
 use sw_relay::{
     AdmittedRequest, Attempt, AttemptOutcome, Choice, EndpointEntry, PathChange, QuarantineChange, QuarantineEntry,
     QueueEstimate, RateLimitStatement, RejectionLimitStatement, Reservation, Resumption, SoftwareVersion, Suspect,
 };
-use sw_unit::{EndpointId, Millis, PartId, RegionId, Time, VmId};
+use sw_unit::{EndpointId, Millis, PartId, RegionId, Time, Version, VmId};
 
 use crate::Dialect;
 use crate::resumption::OriginSource;
@@ -71,9 +71,9 @@
     state.relay.borrow().table().map_or(0, |table| table.version.0)
 }
 
-/// Logs that another VM runs a newer version, so that this VM forwards nothing to other regions until it has it.
-pub(crate) fn log_newer_version<D, F>(state: &ProxyState<D, F>, from: &VmRow) {
-    let (vm, version, in_force) = (from.vm.as_str(), from.version.0, version_in_force(state));
+/// Logs that another VM, which is empty if it is not known, runs a newer version, so that this VM forwards nothing to other regions until it has it.
+pub(crate) fn log_newer_version<D, F>(state: &ProxyState<D, F>, vm: &str, version: Version) {
+    let (version, in_force) = (version.0, version_in_force(state));
     info!("newer_version_heard", kv: { vm, version, in_force });
 }
 
@@ -228,10 +228,10 @@
 }
 
 /// Logs that the VM `vm`, to which the body of a request was sent, refused it.
-pub(crate) fn log_forward_refused(admitted: &AdmittedRequest, vm: &VmId, region: &RegionId, refusal: Refusal) {
-    let (id, version) = (&*admitted.id, admitted.config_version.0);
-    let (vm, region, kind): (_, _, &'static str) = (vm.as_str(), region.as_str(), refusal.kind.into());
-    info!("forward_refused", kv: { id, version, vm, region, kind });
+pub(crate) fn log_forward_refused(admitted: &AdmittedRequest, vm: &VmId, region: &RegionId, refused: CallRefusal) {
+    let (id, version, refused_by) = (&*admitted.id, admitted.config_version.0, refused.version.0);
+    let (vm, region, kind): (_, _, &'static str) = (vm.as_str(), region.as_str(), refused.refusal.kind.into());
+    info!("forward_refused", kv: { id, version, refused_by, vm, region, kind });
 }
 
 /// Logs that an endpoint announced in its response to the request `id` that it is leaving.
--- a/crates/sw-relay/src/permitted_regions.rs
+++ b/crates/sw-relay/src/permitted_regions.rs
@@ -6,6 +6,7 @@
 
 use std::fmt;
 
+use sw_error::Kind;
 use sw_unit::{Millis, RegionId, Time, Version};
 
 use crate::{AdmittedRequest, EndpointEntry, Relay, Route};
@@ -71,6 +72,8 @@
 pub(crate) struct NewerVersion {
     version: Version,
     heard_at: Time,
+    /// Whether a refusal has shown that it does not permit what this VM's version permits.
+    is_missed: bool,
 }
 
 impl Relay {
@@ -105,18 +108,45 @@
         behind_for.filter(|time| *time < HOLD_FOR)
     }
 
+    /// Returns the version of the configuration in force; 0 if there is none.
+    pub fn version(&self) -> Version {
+        self.members.local().version
+    }
+
+    /// Returns the newest version that another VM is known to run, if this VM waits for it.
+    pub fn newer_version(&self, now: Time) -> Option<Version> {
+        let newer = self.newer_version.filter(|_| self.behind_for(now).is_some());
+        newer.map(|newer| newer.version)
+    }
+
+    /// Records that a VM that runs `version` refused a forwarded request.
+    ///
+    /// If its region is not permitted by a newer version, that counts as missed at once, because the body has crossed.
+    pub fn on_forward_refused(&mut self, kind: Kind, version: Version, now: Time) {
+        self.on_version_heard(version, now);
+        if kind != Kind::WrongRegion || version <= self.version() {
+            return;
+        }
+        let is_waiting = self.behind_for(now).is_some();
+        if let Some(newer) = &mut self.newer_version {
+            newer.is_missed = true;
+            newer.heard_at = if is_waiting { newer.heard_at } else { now };
+        }
+    }
+
     /// Records that another VM runs `version`.
-    pub(crate) fn on_version_heard(&mut self, version: Version, now: Time) {
+    pub fn on_version_heard(&mut self, version: Version, now: Time) {
         let known = self
             .newer_version
             .map_or(self.members.local().version, |newer| newer.version);
         if version <= known {
             return;
         }
-        let heard_at = self.newer_version.filter(|_| self.behind_for(now).is_some());
+        let waited_for = self.newer_version.filter(|_| self.behind_for(now).is_some());
         self.newer_version = Some(NewerVersion {
             version,
-            heard_at: heard_at.map_or(now, |newer| newer.heard_at),
+            heard_at: waited_for.map_or(now, |newer| newer.heard_at),
+            is_missed: waited_for.is_some_and(|newer| newer.is_missed),
         });
     }
 
@@ -127,11 +157,13 @@
         // What a VM that starts has heard of by then is not on its way to the store: that may hold an older copy.
         if let Some(newer) = self.newer_version.as_mut().filter(|_| !is_first) {
             newer.heard_at = now;
+            newer.is_missed = false;
         }
     }
 
     fn may_have_missed_version(&self, now: Time) -> bool {
-        let is_behind = self.behind_for(now).is_some_and(|time| time >= HOLD_AFTER);
+        let is_missed = self.newer_version.is_some_and(|newer| newer.is_missed);
+        let is_behind = self.behind_for(now).is_some_and(|time| is_missed || time >= HOLD_AFTER);
         is_behind || self.pauses.is_catching_up(now)
     }
 
--- a/crates/sw-relay/tests/missed_versions.rs
+++ b/crates/sw-relay/tests/missed_versions.rs
@@ -198,3 +198,40 @@
         .expect("an attempt");
     assert_eq!(attempt.cache_source.map(|source| source.endpoint.id.to_string()), None);
 }
+
+/// Guards against HOME: a VM goes on forwarding, for the time that an ordinary change takes, although a refusal has shown that a newer
+/// version does not permit it.
+#[test]
+fn a_refusal_by_a_newer_version_shows_at_once_that_a_version_was_missed() {
+    let mut relay = vm(&["south"]);
+    let admitted = admit(&mut relay, "read", None, Time(10));
+    relay.on_forward_refused(Kind::NoEndpoint, Version(3), Time(20));
+    assert_eq!(target(&mut relay, &admitted, Time(30)), Ok("south".to_owned()));
+    relay.on_forward_refused(Kind::WrongRegion, Version(3), Time(40));
+    assert_eq!(target(&mut relay, &admitted, Time(40)), Err(Kind::NoEndpoint));
+    apply(&mut relay, bound(3, &["south"]), Time(100));
+    assert_eq!(target(&mut relay, &admitted, Time(100)), Ok("south".to_owned()));
+}
+
+/// Guards against a VM that holds its requests back because one that is behind, or of an earlier build, refused one of them.
+#[test]
+fn a_refusal_by_an_older_version_holds_nothing_back() {
+    for refused_by in [0, 1, 2] {
+        let mut relay = vm(&["south"]);
+        let admitted = admit(&mut relay, "read", None, Time(10));
+        relay.on_forward_refused(Kind::WrongRegion, Version(refused_by), Time(20));
+        assert_eq!(target(&mut relay, &admitted, Time(20) + GRACE), Ok("south".to_owned()));
+    }
+}
+
+/// Guards against HOME: a VM that had given up waiting for a version forwards again although a VM that runs it refuses.
+#[test]
+fn a_refusal_shows_that_a_version_that_was_given_up_is_still_in_force() {
+    let mut relay = vm(&["south"]);
+    hear(&mut relay, "west", 3, Time(20));
+    hear(&mut relay, "south", 2, Time(11_000));
+    let admitted = admit(&mut relay, "read", None, Time(11_000));
+    assert_eq!(target(&mut relay, &admitted, Time(11_000)), Ok("south".to_owned()));
+    relay.on_forward_refused(Kind::WrongRegion, Version(3), Time(11_010));
+    assert_eq!(target(&mut relay, &admitted, Time(11_020)), Err(Kind::NoEndpoint));
+}
