fix(relay): heartbeats name the newest version that the sender has heard of, with its age

Cause: a heartbeat named only the version that its sender runs. Rows of other VMs are exchanged only when the two sides know different VMs, which a change of the configuration does not cause.

Ruled out: versions in the digest of the rows: each change would send all rows between all VMs. A digest of versions in the views of domains: they age up to 4 s and pass through the delegate as well.

Change: a heartbeat names the newest version that its sender has heard of and lacks, and the time since a VM was first heard to run it (two fields at the end of the schema; earlier builds skip them). The receiver counts from that time, so VMs hold back together, and give up together a version that nobody hands over.

Tests: missed_versions a_vm_learns_from_its_neighbour_that_there_is_a_version_that_neither_has failed before (Ok("north") where it must be refused).

Conclusion: how soon a domain learns no longer depends on which of its VMs is called.

--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -130,6 +130,9 @@
   followedUntil @15 :UInt64;
   # Services to whose endpoints in its region the sender has no path.
   cutOff @16 :List(Text);
+  # The newest version of the configuration that the sender has heard of and lacks, and the time since then; 0 if there is none.
+  newerVersion @17 :UInt64;
+  newerHeardMs @18 :UInt32;
 }
 
 struct Item {
--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -2,9 +2,9 @@
 
 use bytes::Bytes;
 use sw_relay::{
-    CachedPart, Distance, DomainView, EndpointLoad, EndpointRateLimit, Grant, Heartbeat, PrefillPlan, Prompt,
-    PromptPart, QueueEstimate, RateLimitState, Reservation, ReservationUpdate, ServiceId, ServiceLoad, ServiceVersions,
-    SoftwareVersion, StreamOrigin, VersionAge, VmAge,
+    CachedPart, Distance, DomainView, EndpointLoad, EndpointRateLimit, Grant, HeardVersion, Heartbeat, PrefillPlan,
+    Prompt, PromptPart, QueueEstimate, RateLimitState, Reservation, ReservationUpdate, ServiceId, ServiceLoad,
+    ServiceVersions, SoftwareVersion, StreamOrigin, VersionAge, VmAge,
 };
 use sw_unit::{Incarnation, Millis, PartId, Rate, Tokens, Version};
 
@@ -57,6 +57,10 @@
         &heartbeat.versions,
     );
     set_services(to.reborrow().init_cut_off(len(&heartbeat.cut_off)), &heartbeat.cut_off);
+    if let Some(heard) = heartbeat.newer_version {
+        to.set_newer_version(heard.version.0);
+        to.set_newer_heard_ms(millis(heard.age));
+    }
     let mut domains = to.init_domains(len(&heartbeat.domains));
     for (i, view) in (0..).zip(&heartbeat.domains) {
         set_domain_view(domains.reborrow().get(i), view);
@@ -179,6 +183,14 @@
     u32::try_from(duration.0).unwrap_or(u32::MAX)
 }
 
+fn heard_version(from: wire::beat::Reader<'_>) -> Option<HeardVersion> {
+    let (version, age) = (from.get_newer_version(), from.get_newer_heard_ms());
+    (version > 0).then(|| HeardVersion {
+        version: Version(version),
+        age: Millis(u64::from(age)),
+    })
+}
+
 pub(super) fn heartbeat(from: wire::beat::Reader<'_>) -> Result<Heartbeat> {
     let known = from.get_known()?.iter().map(vm_row);
     let domains = from.get_domains()?.iter().map(domain_view);
@@ -195,6 +207,7 @@
         answered: answered(from.get_answered_parts()?, from.get_answered_requests()?)?,
         versions: versions(from.get_versions()?)?,
         cut_off: services(from.get_cut_off()?)?,
+        newer_version: heard_version(from),
     })
 }
 
--- a/crates/sw-peer/src/relay_capnp.rs
+++ b/crates/sw-peer/src/relay_capnp.rs
@@ -4568,11 +4568,19 @@
         pub fn has_cut_off(&self) -> bool {
             !self.reader.get_pointer_field(10).is_null()
         }
+        #[inline]
+        pub fn get_newer_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(6)
+        }
+        #[inline]
+        pub fn get_newer_heard_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(7)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 11 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 11 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4846,6 +4854,22 @@
         pub fn has_cut_off(&self) -> bool {
             !self.builder.is_pointer_field_null(10)
         }
+        #[inline]
+        pub fn get_newer_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(6)
+        }
+        #[inline]
+        pub fn set_newer_version(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(6, value);
+        }
+        #[inline]
+        pub fn get_newer_heard_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn set_newer_heard_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(7, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4860,143 +4884,157 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 321] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 353] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(133, 4, 211, 207, 138, 222, 52, 236),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 6, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 7, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
             ::capnp::word(11, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 47, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 66, 101, 97, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(85, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(105, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(129, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(149, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(173, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 2, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(197, 2, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(201, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 2, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(205, 2, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(233, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(241, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(249, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(17, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 3, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(18, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(21, 3, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(20, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(26, 128, 190, 178, 67, 7, 133, 240),
@@ -5182,6 +5220,24 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 119, 101, 114, 86, 101, 114),
+            ::capnp::word(115, 105, 111, 110, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 119, 101, 114, 72, 101, 97),
+            ::capnp::word(114, 100, 77, 115, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5202,6 +5258,8 @@
                 14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 16 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                17 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                18 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5215,9 +5273,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,13,8,16,5,4,11,14,15,0,6,2,1,7,12,3,10];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,13,8,16,5,4,11,14,15,0,6,2,1,18,17,7,12,3,10];
         pub(crate) const TYPE_ID: u64 = 0xec34_de8a_cfd3_0485;
     }
 }
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -87,12 +87,16 @@
             },
             versions: if agree { Vec::new() } else { self.versions.reports(now) },
             cut_off: self.paths.cut_off(),
+            newer_version: self.heard_version(now),
         }
     }
 
     /// Applies a heartbeat, and returns whether the row of its sender is new or changed.
     pub fn on_heartbeat(&mut self, heartbeat: Heartbeat, now: Time) -> bool {
         self.on_version_heard(heartbeat.from.version, now);
+        if let Some(heard) = heartbeat.newer_version {
+            self.record_heard_version(heard.version, now - heard.age, now);
+        }
         for row in heartbeat.known_vms {
             self.on_version_heard(row.version, now);
             self.members.on_gossip(row, now);
--- a/crates/sw-relay/src/heartbeat.rs
+++ b/crates/sw-relay/src/heartbeat.rs
@@ -6,7 +6,7 @@
 //! sides know different ones.
 
 use sw_member::VmRow;
-use sw_unit::{DomainId, EndpointId, Incarnation, Millis, RegionId, VmId};
+use sw_unit::{DomainId, EndpointId, Incarnation, Millis, RegionId, Version, VmId};
 
 use crate::{AnsweredSuspect, CachedPart, CrashReport, EndpointRateLimit, ServiceId, ServiceVersions, StoreState};
 
@@ -81,6 +81,15 @@
     pub answered: Vec<AnsweredSuspect>,
 }
 
+/// A version of the configuration that a VM has heard of and lacks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeardVersion {
+    /// The version.
+    pub version: Version,
+    /// Time since a VM was first heard to run it.
+    pub age: Millis,
+}
+
 /// A heartbeat between two VMs.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Heartbeat {
@@ -110,4 +119,6 @@
     pub versions: Vec<ServiceVersions>,
     /// Services to whose endpoints in its region the sender has no path.
     pub cut_off: Vec<ServiceId>,
+    /// The newest version that the sender has heard of, if it lacks that.
+    pub newer_version: Option<HeardVersion>,
 }
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -58,7 +58,7 @@
 pub use coordinator::{Coordinator, Grant, QueueEstimate, Reservation, ReservationUpdate};
 pub use crash_evidence::{AnsweredSuspect, CrashReport};
 pub use exchange::EntryQuery;
-pub use heartbeat::{DomainView, EndpointLoad, Heartbeat, ServiceLoad, VmAge};
+pub use heartbeat::{DomainView, EndpointLoad, HeardVersion, Heartbeat, ServiceLoad, VmAge};
 pub use history::{AttemptHistory, Choice};
 pub use latency::LatencyModel;
 pub use load::EndpointTracker;
--- a/crates/sw-relay/src/permitted_regions.rs
+++ b/crates/sw-relay/src/permitted_regions.rs
@@ -9,7 +9,7 @@
 use sw_error::Kind;
 use sw_unit::{Millis, RegionId, Time, Version};
 
-use crate::{AdmittedRequest, EndpointEntry, Relay, Route};
+use crate::{AdmittedRequest, EndpointEntry, HeardVersion, Relay, Route};
 
 /// Time for which a VM may lack a version that another one has before it counts as missed. In an ordinary change all VMs get
 /// it sooner.
@@ -115,8 +115,14 @@
 
     /// Returns the newest version that another VM is known to run, if this VM waits for it.
     pub fn newer_version(&self, now: Time) -> Option<Version> {
-        let newer = self.newer_version.filter(|_| self.behind_for(now).is_some());
-        newer.map(|newer| newer.version)
+        self.heard_version(now).map(|heard| heard.version)
+    }
+
+    /// Returns the same version, with the time since it was heard of.
+    pub(crate) fn heard_version(&self, now: Time) -> Option<HeardVersion> {
+        let (newer, age) = (self.newer_version?, self.behind_for(now)?);
+        let version = newer.version;
+        Some(HeardVersion { version, age })
     }
 
     /// Records that a VM that runs `version` refused a forwarded request.
@@ -136,16 +142,21 @@
 
     /// Records that another VM runs `version`.
     pub fn on_version_heard(&mut self, version: Version, now: Time) {
-        let known = self
-            .newer_version
-            .map_or(self.members.local().version, |newer| newer.version);
-        if version <= known {
+        self.record_heard_version(version, now, now);
+    }
+
+    /// Records that a VM was first heard to run `version` at the time `heard_at`.
+    ///
+    /// VMs tell each other of a version with its age, so that they give it up together if nobody hands it over.
+    pub(crate) fn record_heard_version(&mut self, version: Version, heard_at: Time, now: Time) {
+        let known = self.newer_version.map_or(self.version(), |newer| newer.version);
+        if version <= known || now.since(heard_at) >= HOLD_FOR {
             return;
         }
         let waited_for = self.newer_version.filter(|_| self.behind_for(now).is_some());
         self.newer_version = Some(NewerVersion {
             version,
-            heard_at: waited_for.map_or(now, |newer| newer.heard_at),
+            heard_at: waited_for.map_or(heard_at, |newer| newer.heard_at.min(heard_at)),
             is_missed: waited_for.is_some_and(|newer| newer.is_missed),
         });
     }
--- a/crates/sw-relay/tests/missed_versions.rs
+++ b/crates/sw-relay/tests/missed_versions.rs
@@ -235,3 +235,46 @@
     relay.on_forward_refused(Kind::WrongRegion, Version(3), Time(11_010));
     assert_eq!(target(&mut relay, &admitted, Time(11_020)), Err(Kind::NoEndpoint));
 }
+
+/// Another VM of the north, which runs version 2, in which all requests are bound to `regions`.
+fn neighbour(name: &str, regions: &[&str]) -> Relay {
+    let mut relay = support::relay_of(name);
+    apply(&mut relay, bound(2, regions), Time(0));
+    relay
+}
+
+/// Delivers a heartbeat from one VM to another.
+fn tell(from: &Relay, to: &mut Relay, now: Time) {
+    let heartbeat = from.heartbeat(Some(to.members().local()), now);
+    to.on_heartbeat(heartbeat, now);
+}
+
+/// Guards against HOME: a failure domain has lost the store, and its VMs that nobody of another domain calls go on by the version that the
+/// delegate knows to be outdated, until it has copied the newer one.
+#[test]
+fn a_vm_learns_from_its_neighbour_that_there_is_a_version_that_neither_has() {
+    let (mut delegate, mut other) = (vm(&["north"]), neighbour("vm-n2", &["north"]));
+    register(&mut other, endpoint("n-1", "app", "north"), Time(0));
+    hear(&mut delegate, "west", 3, Time(20));
+    tell(&delegate, &mut other, Time(400));
+    let admitted = admit(&mut other, "read", None, Time(410));
+    assert_eq!(target(&mut other, &admitted, Time(410)), Ok("north".to_owned()));
+    assert_eq!(target(&mut other, &admitted, Time(20) + GRACE), Err(Kind::NoEndpoint));
+}
+
+/// Guards against VMs that hold their requests back for good because they tell each other of a version that ended with the VM that ran it.
+#[test]
+fn vms_do_not_tell_each_other_of_a_lost_version_for_good() {
+    let (mut first, mut second) = (vm(&["north"]), neighbour("vm-n2", &["north"]));
+    register(&mut first, endpoint("n-1", "app", "north"), Time(0));
+    register(&mut second, endpoint("n-1", "app", "north"), Time(0));
+    hear(&mut first, "west", 3, Time(20));
+    for step in 1..24 {
+        tell(&first, &mut second, Time(step * 500));
+        tell(&second, &mut first, Time(step * 500));
+    }
+    for relay in [&mut first, &mut second] {
+        let admitted = admit(relay, "read", None, Time(12_100));
+        assert_eq!(target(relay, &admitted, Time(12_100)), Ok("north".to_owned()));
+    }
+}
--- a/crates/sw-relay/tests/odd_input.rs
+++ b/crates/sw-relay/tests/odd_input.rs
@@ -8,9 +8,9 @@
 use sw_member::VmRow;
 use sw_relay::{
     AnsweredSuspect, AttemptHistory, AttemptOutcome, CachedPart, Choice, CrashReport, DomainView, EndpointEntry,
-    EndpointLoad, EndpointRateLimit, EndpointReport, Heartbeat, LoadReport, Prompt, PromptPart, RateLimitState,
-    RateLimitStatement, Relay, ServiceId, ServiceLoad, ServiceVersions, StoreRecord, StoreState, Suspect, VersionAge,
-    VmAge,
+    EndpointLoad, EndpointRateLimit, EndpointReport, HeardVersion, Heartbeat, LoadReport, Prompt, PromptPart,
+    RateLimitState, RateLimitStatement, Relay, ServiceId, ServiceLoad, ServiceVersions, StoreRecord, StoreState,
+    Suspect, VersionAge, VmAge,
 };
 use sw_unit::{
     EndpointId, Fingerprint, Incarnation, Millis, PartId, Rate, RegionId, StoreEra, StorePosition, Time, Tokens,
@@ -192,28 +192,42 @@
         vec(versions(), 0..3),
         services(),
     );
-    (vm_row(), whole(), vec(vm_row(), 0..6), store_state(), lists).prop_map(
-        |(
-            from,
-            members_digest,
-            known_vms,
-            store,
-            (endpoints, domains, cached_parts, rate_limits, crashes, answered, versions, cut_off),
-        )| Heartbeat {
-            from,
-            members_digest,
-            known_vms,
-            store,
-            endpoints,
-            domains,
-            cached_parts,
-            rate_limits,
-            crashes,
-            answered,
-            versions,
-            cut_off,
-        },
+    let newer_version = prop::option::of((whole(), duration()).prop_map(|(version, age)| HeardVersion {
+        version: Version(version),
+        age,
+    }));
+    (
+        vm_row(),
+        whole(),
+        vec(vm_row(), 0..6),
+        store_state(),
+        newer_version,
+        lists,
     )
+        .prop_map(
+            |(
+                from,
+                members_digest,
+                known_vms,
+                store,
+                newer_version,
+                (endpoints, domains, cached_parts, rate_limits, crashes, answered, versions, cut_off),
+            )| Heartbeat {
+                from,
+                members_digest,
+                known_vms,
+                store,
+                endpoints,
+                domains,
+                cached_parts,
+                rate_limits,
+                crashes,
+                answered,
+                versions,
+                cut_off,
+                newer_version,
+            },
+        )
 }
 
 fn services() -> impl Strategy<Value = Vec<ServiceId>> {
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -242,6 +242,7 @@
         answered: Vec::new(),
         versions: Vec::new(),
         cut_off: Vec::new(),
+        newer_version: None,
         from,
     }
 }
