fix(peer): a configured request is checked once there is a connection to the other VM

Callers: a request could cross to a region that left the permitted ones while the connection to the VM there was made (up to 1 s), and a payment whose connection was not made before its target fell silent was told that it may have run.

Cause: the gate checked and counted the request, and the peers' thread connected afterwards, in one command with the send.

Ruled out: endpoints, which are connected to before the dispatch (endpoint::open). Discovered services, which ask right before the first byte.

Change: Peers::connect makes the connection, and the request is handed over to it afterwards; the dispatch lies between. The wait ends at the request's deadline. Without a connection the request has not run.

Tests: regions nothing_of_a_request_is_sent_while_its_connection_is_made; it does not compile against the old call, which connects and sends in one step. No run shows a change of regions during the connection: on loopback one is made at once or not at all.

Conclusion: by construction; the body is not with the peers' thread before the check.

--- a/crates/shallotwing-daemon/src/request/forward.rs
+++ b/crates/shallotwing-daemon/src/request/forward.rs
@@ -9,7 +9,7 @@
 use sw_http::{SseReader, channel};
 use sw_member::{VmRow, VmState};
 use sw_once::{SavedResponse, Ticket};
-use sw_peer::{ForwardEvent, ForwardedRequest};
+use sw_peer::{ForwardConnection, ForwardEvent, ForwardedRequest};
 use sw_unit::Millis;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
@@ -28,7 +28,7 @@
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 const EVENT_STREAM: &str = "text/event-stream";
 
-/// Forwards a request to a VM of the chosen domain.
+/// Forwards a request to a VM of the chosen domain; it is checked again once there is a connection.
 pub(crate) async fn attempt(
     gateway: &Arc<Gateway>,
     request: &Arc<BufferedRequest>,
@@ -36,8 +36,9 @@
     row: &VmRow,
     ticket: Option<&Ticket>,
 ) -> Result<Reply, AttemptError> {
+    let connection = connect(gateway, request, row).await?;
     let in_flight = attempt::dispatch(gateway, request, decision).await?;
-    let rx = send(gateway, request, row, ForwardPurpose::Run, ticket);
+    let rx = send(gateway, request, connection, ForwardPurpose::Run, ticket);
     let first_byte_timeout = endpoint::first_byte_timeout(gateway, request, decision);
     receive(gateway, request, row, rx, first_byte_timeout, Some(in_flight)).await
 }
@@ -57,14 +58,24 @@
     {
         return Err(AttemptError::NotRun(Kind::WrongRegion.into()));
     }
-    let rx = send(gateway, request, row, ForwardPurpose::Owned, Some(ticket));
+    let connection = connect(gateway, request, row).await?;
+    let rx = send(gateway, request, connection, ForwardPurpose::Owned, Some(ticket));
     receive(gateway, request, row, rx, attempt::remaining(gateway, request), None).await
 }
 
+async fn connect(gateway: &Gateway, request: &BufferedRequest, row: &VmRow) -> Result<ForwardConnection, AttemptError> {
+    let connected = gateway.peers.connect(row.peer_listen, !request.admitted.idempotent);
+    let remaining = Duration::from_millis(attempt::remaining(gateway, request).0);
+    match tokio::time::timeout(remaining, connected).await {
+        Ok(Ok(connection)) => Ok(connection),
+        Ok(Err(_)) | Err(_) => Err(AttemptError::NotRun(Kind::EndpointUnreachable.into())),
+    }
+}
+
 fn send(
     gateway: &Gateway,
     request: &BufferedRequest,
-    row: &VmRow,
+    connection: ForwardConnection,
     purpose: ForwardPurpose,
     ticket: Option<&Ticket>,
 ) -> mpsc::Receiver<ForwardEvent> {
@@ -86,7 +97,7 @@
         content_type: call.content_type.clone(),
         body: call.body.clone(),
     };
-    gateway.peers.forward(row.peer_listen, forwarded, !admitted.idempotent)
+    connection.forward(forwarded)
 }
 
 async fn receive(
@@ -134,7 +145,6 @@
             }))
         }
         Some(ForwardEvent::End(Err(refusal))) => Err(convert_refusal(refusal)),
-        Some(ForwardEvent::NotSent) => Err(AttemptError::NotRun(Kind::EndpointUnreachable.into())),
         Some(ForwardEvent::Chunk(_) | ForwardEvent::End(Ok(()))) | None => Err(AttemptError::after_dispatch(failure)),
     }
 }
--- a/crates/shallotwing-daemon/tests/regions.rs
+++ b/crates/shallotwing-daemon/tests/regions.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use common::{Fleet, RESPONSE_TIMEOUT, TestRequest, connect};
 use sw_error::{Kind, Refusal};
@@ -56,7 +58,8 @@
 /// Forwards a request to a VM, and returns how it ended.
 async fn forward_to(peers: &Peers, fleet: &Fleet, vm: usize, forward: ForwardedRequest) -> Result<(), Refusal> {
     let settings = sw_conf::Settings::parse("vm", &fleet.vm(vm).settings).unwrap();
-    let mut events = peers.forward(settings.peer_listen, forward, true);
+    let connection = peers.connect(settings.peer_listen, true).await.unwrap();
+    let mut events = connection.forward(forward);
     loop {
         match tokio::time::timeout(RESPONSE_TIMEOUT, events.recv()).await.unwrap() {
             Some(ForwardEvent::End(end)) => return end,
@@ -130,6 +133,35 @@
     assert!(elsewhere > 0, "some were forwarded or ran in other regions");
 }
 
+/// Returns the number of bytes that arrive on the next connection in some time.
+async fn received_bytes(listener: &tokio::net::TcpListener) -> usize {
+    const TIME: Duration = Duration::from_millis(200);
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut received = Vec::new();
+    let _until_closed = tokio::time::timeout(TIME, stream.read_to_end(&mut received)).await;
+    received.len()
+}
+
+/// Guards against a request that is checked before it waits for a connection, and sent although its region left the permitted ones
+/// meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_of_a_request_is_sent_while_its_connection_is_made() {
+    const BODY_LEN: usize = 100_000;
+    let listener = tokio::net::TcpListener::bind(free_address().unwrap()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let peers = sw_peer::start(free_address().unwrap(), SilentPeer).unwrap();
+    let mut request = forward("question", "m-early;", 1, 1);
+    request.body = vec![b'x'; BODY_LEN].into();
+    let connection = peers.connect(address, true).await.unwrap();
+    assert!(received_bytes(&listener).await < BODY_LEN);
+    drop(connection);
+    let connection = peers.connect(address, true).await.unwrap();
+    let _events = connection.forward(request);
+    assert!(received_bytes(&listener).await > BODY_LEN);
+    drop(listener);
+    assert!(peers.connect(address, true).await.is_err());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn forwards_are_checked_by_the_receiver() {
     let mut fleet = Fleet::start(DeploymentOptions::default()).await;
--- a/crates/sw-peer/src/client.rs
+++ b/crates/sw-peer/src/client.rs
@@ -18,7 +18,7 @@
 /// Timeout of a short call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-struct PeerConnection {
+pub(crate) struct PeerConnection {
     client: peer::Client,
     last_response_at: Cell<Instant>,
 }
@@ -98,28 +98,28 @@
         self.pool.call(address, CALL_TIMEOUT, call).await
     }
 
-    /// Forwards a request and sends the response to `events`; closing the channel cancels the request.
+    /// Returns a connection for one forwarded request.
     ///
-    /// A connection is reused only if it had a response recently; `force_new` always opens a new one.
+    /// One of the pool is reused only if it had a response recently; `force_new` always opens a new one.
+    pub(crate) async fn connect(&self, address: SocketAddr, force_new: bool) -> Result<Rc<PeerConnection>, PeerError> {
+        if let Some(connection) = self.pool.recently_active(address).filter(|_| !force_new) {
+            return Ok(connection);
+        }
+        let opened = <PeerConnection as pool::PooledConnection>::connect(address).await;
+        if opened.is_err() {
+            self.pool.remove(address);
+        }
+        opened.map(Rc::new)
+    }
+
+    /// Forwards a request and sends the response to `events`; closing the channel cancels the request.
     pub(crate) async fn forward(
         &self,
         address: SocketAddr,
+        connection: Rc<PeerConnection>,
         forwarded: ForwardedRequest,
-        force_new: bool,
         events: mpsc::Sender<ForwardEvent>,
     ) {
-        let reusable = self.pool.recently_active(address).filter(|_| !force_new);
-        let connection = match reusable {
-            Some(connection) => Ok(connection),
-            None => <PeerConnection as pool::PooledConnection>::connect(address)
-                .await
-                .map(Rc::new),
-        };
-        let Ok(connection) = connection else {
-            self.pool.remove(address);
-            let _closed = events.send(ForwardEvent::NotSent).await;
-            return;
-        };
         let received = Rc::new(Cell::new(0));
         let sink = ResponseSink {
             events: events.clone(),
--- a/crates/sw-peer/src/lib.rs
+++ b/crates/sw-peer/src/lib.rs
@@ -36,5 +36,5 @@
 mod types;
 
 pub use delivery::wait_until_delivered;
-pub use service::{Peers, start};
+pub use service::{ForwardConnection, Peers, start};
 pub use types::{ForwardEvent, ForwardedRequest, Handler, PeerError};
--- a/crates/sw-peer/src/server.rs
+++ b/crates/sw-peer/src/server.rs
@@ -148,7 +148,6 @@
                 }
                 return Ok((length, end));
             }
-            ForwardEvent::NotSent => break,
         }
         while in_flight.len() >= CHUNK_WINDOW {
             if let Some(result) = in_flight.next().await {
--- a/crates/sw-peer/src/service.rs
+++ b/crates/sw-peer/src/service.rs
@@ -17,14 +17,20 @@
 
 type Reply<T> = oneshot::Sender<Result<T, PeerError>>;
 
+/// A request that is sent on a connection that was made for it.
+struct ForwardCall {
+    forwarded: Box<ForwardedRequest>,
+    events: mpsc::Sender<ForwardEvent>,
+}
+
 enum Command {
     Heartbeat(SocketAddr, Box<Heartbeat>, Reply<Heartbeat>),
     Configuration(SocketAddr, Option<Digest>, Reply<Option<ConfigOffer>>),
-    Forward {
+    Connect {
         address: SocketAddr,
-        forwarded: Box<ForwardedRequest>,
         force_new: bool,
-        events: mpsc::Sender<ForwardEvent>,
+        connected: Reply<()>,
+        call: oneshot::Receiver<ForwardCall>,
     },
     TicketStatus(SocketAddr, WorkspaceId, Ticket, Reply<Option<TicketStatus>>),
 }
@@ -41,6 +47,30 @@
     }
 }
 
+/// A connection to another VM for one forwarded request; nothing is sent on it if it is dropped.
+pub struct ForwardConnection {
+    tx: oneshot::Sender<ForwardCall>,
+}
+
+impl fmt::Debug for ForwardConnection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("ForwardConnection")
+    }
+}
+
+impl ForwardConnection {
+    /// Forwards a request; dropping the returned receiver cancels it.
+    ///
+    /// The receiver ends without [`ForwardEvent::End`] if the connection broke.
+    pub fn forward(self, forwarded: ForwardedRequest) -> mpsc::Receiver<ForwardEvent> {
+        let (events, rx) = mpsc::channel(EVENT_BUFFER);
+        let forwarded = Box::new(forwarded);
+        // If the thread has failed, the receiver ends at once.
+        let _stopped = self.tx.send(ForwardCall { forwarded, events });
+        rx
+    }
+}
+
 /// Listens on `address` and serves incoming calls with `handler` on a dedicated thread until the returned [`Peers`] and
 /// all its clones are dropped.
 ///
@@ -78,12 +108,18 @@
         Command::Configuration(address, known, reply) => {
             let _dropped = reply.send(client.configuration(address, known).await);
         }
-        Command::Forward {
+        Command::Connect {
             address,
-            forwarded,
             force_new,
-            events,
-        } => client.forward(address, *forwarded, force_new, events).await,
+            connected,
+            call,
+        } => {
+            let connection = client.connect(address, force_new).await;
+            let _dropped = connected.send(connection.as_ref().map(|_| ()).map_err(|error| *error));
+            if let (Ok(connection), Ok(ForwardCall { forwarded, events })) = (connection, call.await) {
+                client.forward(address, connection, *forwarded, events).await;
+            }
+        }
         Command::TicketStatus(address, workspace, ticket, reply) => {
             let _dropped = reply.send(client.ticket_status(address, workspace, ticket).await);
         }
@@ -129,26 +165,22 @@
             .await
     }
 
-    /// Forwards a request; dropping the returned receiver cancels it.
+    /// Connects to a peer to forward a request, so that the request can be checked once there is a connection.
+    /// `force_new` always opens a new one.
     ///
-    /// The receiver ends without [`ForwardEvent::End`] if the connection broke. `force_new` always opens a new
-    /// connection.
-    pub fn forward(
-        &self,
-        address: SocketAddr,
-        forwarded: ForwardedRequest,
-        force_new: bool,
-    ) -> mpsc::Receiver<ForwardEvent> {
-        let (events, rx) = mpsc::channel(EVENT_BUFFER);
-        let command = Command::Forward {
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] if no connection is established in time; nothing was sent then.
+    pub async fn connect(&self, address: SocketAddr, force_new: bool) -> Result<ForwardConnection, PeerError> {
+        let (tx, call) = oneshot::channel();
+        self.call(|connected| Command::Connect {
             address,
-            forwarded: Box::new(forwarded),
             force_new,
-            events,
-        };
-        // The thread runs as long as this handle exists. If it has failed, the receiver ends at once.
-        let _stopped = self.tx.send(command);
-        rx
+            connected,
+            call,
+        })
+        .await?;
+        Ok(ForwardConnection { tx })
     }
 
     async fn call<T>(&self, command: impl FnOnce(Reply<T>) -> Command) -> Result<T, PeerError> {
--- a/crates/sw-peer/src/types.rs
+++ b/crates/sw-peer/src/types.rs
@@ -38,8 +38,6 @@
     Chunk(Bytes),
     /// The last event: the response is complete, or the request is refused.
     End(Result<(), Refusal>),
-    /// No connection was established, so nothing was sent.
-    NotSent,
 }
 
 /// The error of a call to another VM.
