fix(daemon): a request is checked by the version in force before it goes to the VM that owns its ticket

Callers: the body of a payment crossed to the region of the VM that owns its ticket although that region had left the permitted ones while the body was read; the VM there refused it unrun.

Cause: the forward to an owner asked only the version that had admitted the request. The dispatch, where the core of configured services checks again, is not on this path: a permission that is checked once and used later.

Ruled out: the other forward of this core (dispatch, by the version in force); keys that are bound to a ticket take this path as well and are covered.

Change: Gate::check_owner_region, asked once there is a connection.

Conclusion: found in a review by reading.

--- a/crates/shallotwing-daemon/src/request/forward.rs
+++ b/crates/shallotwing-daemon/src/request/forward.rs
@@ -59,6 +59,10 @@
         return Err(AttemptError::NotRun(Kind::WrongRegion.into()));
     }
     let connection = connect(gateway, request, row).await?;
+    let (buffered, region) = (Arc::clone(request), row.region.clone());
+    let check = move |gate: &mut sw_gate::Gate, now| gate.check_owner_region(&buffered.admitted, &region, now);
+    let checked = gateway.gate.run(check).await.and_then(|checked| checked);
+    checked.map_err(AttemptError::NotRun)?;
     let rx = send(gateway, request, connection, ForwardPurpose::Owned, Some(ticket));
     receive(gateway, request, row, rx, attempt::remaining(gateway, request), None).await
 }
--- a/crates/shallotwing-daemon/tests/regions.rs
+++ b/crates/shallotwing-daemon/tests/regions.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{Fleet, RESPONSE_TIMEOUT, TestRequest, connect};
+use common::{Fleet, RESPONSE_TIMEOUT, TestRequest, connect, tickets};
 use sw_error::{Kind, Refusal};
 use sw_gate::{ConfigOffer, Envelope, ForwardPurpose, Heartbeat};
 use sw_once::{Ticket, TicketStatus};
 use sw_peer::{ForwardEvent, ForwardedRequest, Handler, Peers};
-use sw_standin::{DeploymentOptions, EngineFaults, RequestRecord, free_address};
+use sw_standin::{DeploymentOptions, EngineFaults, KEY, RequestRecord, free_address};
+use sw_store::PublishOutcome;
 use sw_unit::{Digest, Millis, Version, WorkspaceId};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::sync::mpsc;
@@ -133,6 +134,50 @@
     assert!(elsewhere > 0, "some were forwarded or ran in other regions");
 }
 
+/// Guards against a body that is sent to the VM that owns its ticket by the version that admitted the request, while the region of that VM
+/// left the permitted ones as the body was read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_is_not_sent_to_the_owner_of_its_ticket_in_a_region_that_left_meanwhile() {
+    const BODY_LEN: usize = 60_000;
+    let fleet = Fleet::start(DeploymentOptions {
+        link_delay: Some(Duration::ZERO),
+        ..DeploymentOptions::default()
+    })
+    .await;
+    let ticket = tickets(fleet.vm(1).listen, 1).await.remove(0);
+    let mut stream = tokio::net::TcpStream::connect(fleet.vm(0).listen).await.unwrap();
+    let head = format!(
+        "POST /svc/payment/post HTTP/1.1\r\nhost: vm\r\nauthorization: Bearer {KEY}\r\nshallotwing-ticket: {ticket}\r\n\
+         content-type: application/json\r\ncontent-length: {BODY_LEN}\r\nconnection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let narrower =
+        fleet
+            .deployment
+            .fleet
+            .replacen("[workspace registry]\n", "[workspace registry]\nhome = lahore\n", 1);
+    assert_eq!(
+        fleet.apply(&narrower, Version(1)).await,
+        PublishOutcome::Accepted(Version(2))
+    );
+    for vm in 0..3 {
+        fleet.wait_for_version(vm, 2).await;
+    }
+    let link = fleet.vm(1).link.as_ref().unwrap();
+    let before = link.relayed_bytes();
+    let body = format!("{:1$}", r#"{"pay":"m-owner;"}"#, BODY_LEN);
+    stream.write_all(body.as_bytes()).await.unwrap();
+    let mut response = String::new();
+    stream.read_to_string(&mut response).await.unwrap();
+    assert!(response.contains("shallotwing-ran: no"), "{response}");
+    let crossed = link.relayed_bytes() - before;
+    assert!(
+        crossed < BODY_LEN as u64 / 2,
+        "{crossed} bytes were sent to the owner's region"
+    );
+}
+
 /// Returns the number of bytes that arrive on the next connection in some time.
 async fn received_bytes(listener: &tokio::net::TcpListener) -> usize {
     const TIME: Duration = Duration::from_millis(200);
--- a/crates/sw-gate/src/admit.rs
+++ b/crates/sw-gate/src/admit.rs
@@ -8,7 +8,7 @@
 use sw_error::{Kind, Refusal};
 use sw_member::VmRow;
 use sw_route::Policy;
-use sw_unit::{Digest, Millis, Time, WorkspaceId};
+use sw_unit::{Digest, Millis, RegionId, Time, WorkspaceId};
 
 use crate::{AdmittedRequest, CallerHeaders, Envelope, FleetVersion, Gate};
 
@@ -165,19 +165,24 @@
 impl FleetVersion {
     /// Checks that this version permits a request in the region of a failure domain.
     pub(crate) fn permits_domain(&self, admitted: &AdmittedRequest, domain: &sw_unit::DomainId) -> Result<(), Refusal> {
+        let region = self.fleet.region_of(domain).ok_or(Kind::NoEndpoint)?;
+        if !self.permits_region(admitted, region)? {
+            return Err(Kind::NoEndpoint.into());
+        }
+        Ok(())
+    }
+
+    /// Returns whether this version permits a request in a region; refuses it if its workspace no longer has the route.
+    pub(crate) fn permits_region(&self, admitted: &AdmittedRequest, region: &RegionId) -> Result<bool, Refusal> {
         let route = self.fleet.routes.get(&admitted.route).ok_or(Kind::UnknownRoute)?;
         let workspace = self
             .fleet
             .workspaces
             .get(&admitted.workspace)
             .ok_or(Kind::RouteForbidden)?;
-        let region = self.fleet.region_of(domain).ok_or(Kind::NoEndpoint)?;
         if !workspace.routes.contains(&admitted.route) {
             return Err(Kind::RouteForbidden.into());
         }
-        if !self.fleet.permits(route, workspace, region) {
-            return Err(Kind::NoEndpoint.into());
-        }
-        Ok(())
+        Ok(self.fleet.permits(route, workspace, region))
     }
 }
--- a/crates/sw-gate/src/routing.rs
+++ b/crates/sw-gate/src/routing.rs
@@ -114,6 +114,22 @@
         })
     }
 
+    /// Checks a request again immediately before it is sent to the VM in `region` that owns its ticket.
+    ///
+    /// # Errors
+    ///
+    /// Refuses if its deadline has passed, or the configuration now in force does not permit the region. The request is
+    /// guaranteed not to have run.
+    pub fn check_owner_region(&self, admitted: &AdmittedRequest, region: &RegionId, now: Time) -> Result<(), Refusal> {
+        if now >= admitted.deadline {
+            return Err(Kind::DeadlineUnreachable.into());
+        }
+        if !self.fleet()?.permits_region(admitted, region)? {
+            return Err(Kind::WrongRegion.into());
+        }
+        Ok(())
+    }
+
     /// Records how a dispatched request ended.
     pub fn on_end(&mut self, dispatched: &DispatchRecord, outcome: DispatchOutcome, now: Time) {
         let duration = now.since(dispatched.dispatched_at);
