--- a/crates/sw-relay/src/permitted_regions.rs
+++ b/crates/sw-relay/src/permitted_regions.rs
@@ -6,9 +6,10 @@
 
 use std::fmt;
 
+use sw_error::Kind;
 use sw_unit::{Millis, RegionId, Time, Version};
 
-use crate::{AdmittedRequest, EndpointEntry, Relay, Route};
+use crate::{AdmittedRequest, EndpointEntry, HeardVersion, Relay, Route};
 
 /// Time for which a VM may lack a version that another one has before it counts as missed. In an ordinary change all VMs get
 /// it sooner.
@@ -31,6 +32,12 @@
         let by_version_in_force = self.in_force.is_none_or(|route| route.permits(region));
         self.admitting.permits(region) && by_version_in_force
     }
+
+    /// Returns whether neither version binds the request to regions.
+    fn are_all(&self) -> bool {
+        let in_force = self.in_force.is_none_or(|route| route.regions.is_empty());
+        self.admitting.regions.is_empty() && in_force
+    }
 }
 
 /// Formats the regions as a list: `any` if all are permitted, and `none` if the versions have none in common.
@@ -65,6 +72,8 @@
 pub(crate) struct NewerVersion {
     version: Version,
     heard_at: Time,
+    /// Whether a refusal has shown that it does not permit what this VM's version permits.
+    is_missed: bool,
 }
 
 impl Relay {
@@ -81,8 +90,9 @@
     /// A VM that may have missed a version sends nothing to other regions until it has caught up, because the VM that receives
     /// a body can refuse it only after it has crossed. Nor does it run requests whose route binds them to regions.
     pub fn may_send_to(&self, admitted: &AdmittedRequest, region: &RegionId, now: Time) -> bool {
-        let is_free = *region == self.options.local.region && admitted.route.regions.is_empty();
-        self.permitted_regions(admitted).contains(region) && (is_free || !self.may_have_missed_version(now))
+        let permitted = self.permitted_regions(admitted);
+        let is_free = *region == self.options.local.region && permitted.are_all();
+        permitted.contains(region) && (is_free || !self.may_have_missed_version(now))
     }
 
     /// Returns whether a request may run in the region of an endpoint now.
@@ -98,32 +108,73 @@
         behind_for.filter(|time| *time < HOLD_FOR)
     }
 
+    /// Returns the version of the configuration in force; 0 if there is none.
+    pub fn version(&self) -> Version {
+        self.members.local().version
+    }
+
+    /// Returns the newest version that another VM is known to run, if this VM waits for it.
+    pub fn newer_version(&self, now: Time) -> Option<Version> {
+        self.heard_version(now).map(|heard| heard.version)
+    }
+
+    /// Returns the same version, with the time since it was heard of.
+    pub(crate) fn heard_version(&self, now: Time) -> Option<HeardVersion> {
+        let (newer, age) = (self.newer_version?, self.behind_for(now)?);
+        let version = newer.version;
+        Some(HeardVersion { version, age })
+    }
+
+    /// Records that a VM that runs `version` refused a forwarded request.
+    ///
+    /// If its region is not permitted by a newer version, that counts as missed at once, because the body has crossed.
+    pub fn on_forward_refused(&mut self, kind: Kind, version: Version, now: Time) {
+        self.on_version_heard(version, now);
+        if kind != Kind::WrongRegion || version <= self.version() {
+            return;
+        }
+        let is_waiting = self.behind_for(now).is_some();
+        if let Some(newer) = &mut self.newer_version {
+            newer.is_missed = true;
+            newer.heard_at = if is_waiting { newer.heard_at } else { now };
+        }
+    }
+
     /// Records that another VM runs `version`.
-    pub(crate) fn on_version_heard(&mut self, version: Version, now: Time) {
-        let known = self
-            .newer_version
-            .map_or(self.members.local().version, |newer| newer.version);
-        if version <= known {
+    pub fn on_version_heard(&mut self, version: Version, now: Time) {
+        self.record_heard_version(version, now, now);
+    }
+
+    /// Records that a VM was first heard to run `version` at the time `heard_at`.
+    ///
+    /// VMs tell each other of a version with its age, so that they give it up together if nobody hands it over.
+    pub(crate) fn record_heard_version(&mut self, version: Version, heard_at: Time, now: Time) {
+        let known = self.newer_version.map_or(self.version(), |newer| newer.version);
+        if version <= known || now.since(heard_at) >= HOLD_FOR {
             return;
         }
-        let heard_at = self.newer_version.filter(|_| self.behind_for(now).is_some());
+        let waited_for = self.newer_version.filter(|_| self.behind_for(now).is_some());
         self.newer_version = Some(NewerVersion {
             version,
-            heard_at: heard_at.map_or(now, |newer| newer.heard_at),
+            heard_at: waited_for.map_or(heard_at, |newer| newer.heard_at.min(heard_at)),
+            is_missed: waited_for.is_some_and(|newer| newer.is_missed),
         });
     }
 
-    /// Records that a newer version came into force, which need not be the newest one.
-    pub(crate) fn on_version_applied(&mut self, now: Time) {
+    /// Records that a newer version came into force, which need not be the newest one; `is_first` if there was none before.
+    pub(crate) fn on_version_applied(&mut self, is_first: bool, now: Time) {
         let local = self.members.local().version;
         self.newer_version = self.newer_version.filter(|newer| newer.version > local);
-        if let Some(newer) = &mut self.newer_version {
+        // What a VM that starts has heard of by then is not on its way to the store: that may hold an older copy.
+        if let Some(newer) = self.newer_version.as_mut().filter(|_| !is_first) {
             newer.heard_at = now;
+            newer.is_missed = false;
         }
     }
 
     fn may_have_missed_version(&self, now: Time) -> bool {
-        let is_behind = self.behind_for(now).is_some_and(|time| time >= HOLD_AFTER);
+        let is_missed = self.newer_version.is_some_and(|newer| newer.is_missed);
+        let is_behind = self.behind_for(now).is_some_and(|time| is_missed || time >= HOLD_AFTER);
         is_behind || self.pauses.is_catching_up(now)
     }
 
--- a/crates/sw-relay/tests/missed_versions.rs
+++ b/crates/sw-relay/tests/missed_versions.rs
@@ -11,7 +11,7 @@
 };
 use sw_unit::{Millis, RegionId, StoreEra, StorePosition, Time, Version};
 
-use support::{admit, endpoint, head, heartbeat, prompt, register, relay, row, service, table};
+use support::{admit, endpoint, head, heartbeat, options, prompt, register, relay, row, service, table};
 
 /// Time for which a version that another VM runs may be on its way, as in any change.
 const GRACE: Millis = Millis(500);
@@ -76,6 +76,33 @@
     assert_eq!(target(&mut relay, &admitted, Time(4_100)), Err(Kind::NoEndpoint));
 }
 
+/// Guards against HOME: a VM that is behind runs a request in its region although the version in force binds it, because the version
+/// that admitted it did not.
+#[test]
+fn a_vm_that_is_behind_does_not_run_requests_that_were_bound_after_their_admission() {
+    let mut relay = vm(&[]);
+    register(&mut relay, endpoint("n-1", "app", "north"), Time(0));
+    let admitted = admit(&mut relay, "read", None, Time(10));
+    apply(&mut relay, bound(3, &["north"]), Time(20));
+    hear_neighbour(&mut relay, 4, Time(30));
+    assert_eq!(target(&mut relay, &admitted, Time(40)), Ok("north".to_owned()));
+    assert_eq!(target(&mut relay, &admitted, Time(30) + GRACE), Err(Kind::NoEndpoint));
+}
+
+/// Guards against HOME: a VM that starts with an older copy runs bound requests as if the newer version, of which it heard before it
+/// had the copy, had just been written.
+#[test]
+fn a_vm_that_starts_with_an_older_copy_does_not_run_bound_requests_in_its_region() {
+    let mut local = row("vm-0", "north");
+    local.version = Version(0);
+    let mut relay = Relay::new(options(local));
+    hear_neighbour(&mut relay, 3, Time(100));
+    apply(&mut relay, bound(2, &["north"]), Time(1_400));
+    register(&mut relay, endpoint("n-1", "app", "north"), Time(1_400));
+    let admitted = admit(&mut relay, "read", None, Time(1_500));
+    assert_eq!(target(&mut relay, &admitted, Time(1_500)), Err(Kind::NoEndpoint));
+}
+
 /// Guards against HOME: a VM that was paused for long runs requests, own or forwarded, in its region before it has heard anyone.
 #[test]
 fn a_vm_that_was_paused_does_not_run_bound_requests_in_its_region_before_it_has_caught_up() {
@@ -171,3 +198,83 @@
         .expect("an attempt");
     assert_eq!(attempt.cache_source.map(|source| source.endpoint.id.to_string()), None);
 }
+
+/// Guards against HOME: a VM goes on forwarding, for the time that an ordinary change takes, although a refusal has shown that a newer
+/// version does not permit it.
+#[test]
+fn a_refusal_by_a_newer_version_shows_at_once_that_a_version_was_missed() {
+    let mut relay = vm(&["south"]);
+    let admitted = admit(&mut relay, "read", None, Time(10));
+    relay.on_forward_refused(Kind::NoEndpoint, Version(3), Time(20));
+    assert_eq!(target(&mut relay, &admitted, Time(30)), Ok("south".to_owned()));
+    relay.on_forward_refused(Kind::WrongRegion, Version(3), Time(40));
+    assert_eq!(target(&mut relay, &admitted, Time(40)), Err(Kind::NoEndpoint));
+    apply(&mut relay, bound(3, &["south"]), Time(100));
+    assert_eq!(target(&mut relay, &admitted, Time(100)), Ok("south".to_owned()));
+}
+
+/// Guards against a VM that holds its requests back because one that is behind, or of an earlier build, refused one of them.
+#[test]
+fn a_refusal_by_an_older_version_holds_nothing_back() {
+    for refused_by in [0, 1, 2] {
+        let mut relay = vm(&["south"]);
+        let admitted = admit(&mut relay, "read", None, Time(10));
+        relay.on_forward_refused(Kind::WrongRegion, Version(refused_by), Time(20));
+        assert_eq!(target(&mut relay, &admitted, Time(20) + GRACE), Ok("south".to_owned()));
+    }
+}
+
+/// Guards against HOME: a VM that had given up waiting for a version forwards again although a VM that runs it refuses.
+#[test]
+fn a_refusal_shows_that_a_version_that_was_given_up_is_still_in_force() {
+    let mut relay = vm(&["south"]);
+    hear(&mut relay, "west", 3, Time(20));
+    hear(&mut relay, "south", 2, Time(11_000));
+    let admitted = admit(&mut relay, "read", None, Time(11_000));
+    assert_eq!(target(&mut relay, &admitted, Time(11_000)), Ok("south".to_owned()));
+    relay.on_forward_refused(Kind::WrongRegion, Version(3), Time(11_010));
+    assert_eq!(target(&mut relay, &admitted, Time(11_020)), Err(Kind::NoEndpoint));
+}
+
+/// Another VM of the north, which runs version 2, in which all requests are bound to `regions`.
+fn neighbour(name: &str, regions: &[&str]) -> Relay {
+    let mut relay = support::relay_of(name);
+    apply(&mut relay, bound(2, regions), Time(0));
+    relay
+}
+
+/// Delivers a heartbeat from one VM to another.
+fn tell(from: &Relay, to: &mut Relay, now: Time) {
+    let heartbeat = from.heartbeat(Some(to.members().local()), now);
+    to.on_heartbeat(heartbeat, now);
+}
+
+/// Guards against HOME: a failure domain has lost the store, and its VMs that nobody of another domain calls go on by the version that the
+/// delegate knows to be outdated, until it has copied the newer one.
+#[test]
+fn a_vm_learns_from_its_neighbour_that_there_is_a_version_that_neither_has() {
+    let (mut delegate, mut other) = (vm(&["north"]), neighbour("vm-n2", &["north"]));
+    register(&mut other, endpoint("n-1", "app", "north"), Time(0));
+    hear(&mut delegate, "west", 3, Time(20));
+    tell(&delegate, &mut other, Time(400));
+    let admitted = admit(&mut other, "read", None, Time(410));
+    assert_eq!(target(&mut other, &admitted, Time(410)), Ok("north".to_owned()));
+    assert_eq!(target(&mut other, &admitted, Time(20) + GRACE), Err(Kind::NoEndpoint));
+}
+
+/// Guards against VMs that hold their requests back for good because they tell each other of a version that ended with the VM that ran it.
+#[test]
+fn vms_do_not_tell_each_other_of_a_lost_version_for_good() {
+    let (mut first, mut second) = (vm(&["north"]), neighbour("vm-n2", &["north"]));
+    register(&mut first, endpoint("n-1", "app", "north"), Time(0));
+    register(&mut second, endpoint("n-1", "app", "north"), Time(0));
+    hear(&mut first, "west", 3, Time(20));
+    for step in 1..24 {
+        tell(&first, &mut second, Time(step * 500));
+        tell(&second, &mut first, Time(step * 500));
+    }
+    for relay in [&mut first, &mut second] {
+        let admitted = admit(relay, "read", None, Time(12_100));
+        assert_eq!(target(relay, &admitted, Time(12_100)), Ok("north".to_owned()));
+    }
+}
