fix(proxy): silence is checked if nothing of the service is heard or a response is overdue

Cause: each response that was silent for 0.4 s, from an endpoint that this VM had not heard of for 0.3 s, caused three probes, to that endpoint and two others, and again each 0.4 s.

Ruled out: failed connections and broken responses as the source (6 of 1,201 checks), connections that take long (7). The other 1,187 checks were for silent responses; one of their 3,561 probes failed.

Change: silence of a response is checked at once only if no endpoint of the service was heard of for 0.4 s. Otherwise it is checked when the response is overdue and the endpoint was not heard of for 1 s. The silent endpoint is probed first, two others only if it does not accept the probe within 60 ms or refuses it. A VM makes two checks a second that find the path open, half of the reserve of four being kept for connections and silent services; a check that finds the path lost is given back.

The tests of sw-relay lost_paths pass. Of platform/tests/lost_paths.rs, 4 of 9 tests failed at a load of 35 on 8 cores, run one at a time, by time limits; they have yet to be run on a calm machine and on the code before.

--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -14,7 +14,7 @@
 use sw_unit::{Millis, Time};
 
 use crate::incoming::{BodySource, EndpointResponse, IncomingResponse};
-use crate::paths::{CONNECT_SILENCE, RESPONSE_SILENCE};
+use crate::paths::Awaited;
 use crate::reservation::ReservationGuard;
 use crate::response::strip_hop_headers;
 use crate::state::ProxyState;
@@ -255,7 +255,7 @@
     let endpoint = target.endpoint;
     let connection = tokio::select! {
         connection = state.connector.connect(endpoint.address, target.reuse) => connection,
-        () = paths::wait_lost(state, endpoint, CONNECT_SILENCE) => Err(CallError::Connect),
+        () = paths::wait_lost(state, endpoint, Awaited::Connection) => Err(CallError::Connect),
     };
     let mut exchange = connection.map_err(|_no_connection| (AttemptOutcome::Unreachable, 0))?;
     // While the connection was made, the response may have become due, or the endpoint may have become unusable: it
@@ -278,7 +278,7 @@
         response = exchange.send(http_request, Duration::from_millis(wait.0)) => response,
         // The endpoint may still have the request in its queue; closing the connection withdraws it.
         () = state.wait_quarantined(admitted) => return Err((AttemptOutcome::Cancelled, 0)),
-        () = wait_path_lost(state, endpoint, can_retry_elsewhere) => Err(CallError::Timeout),
+        () = wait_path_lost(state, endpoint, expected_ms, can_retry_elsewhere) => Err(CallError::Timeout),
     };
     let response = response.map_err(|error| match error {
         CallError::Connect => (AttemptOutcome::Unreachable, 0),
@@ -300,9 +300,10 @@
 async fn wait_path_lost<D: Dialect, F: 'static>(
     state: &Rc<ProxyState<D, F>>,
     endpoint: &EndpointEntry,
+    expected_ms: f64,
     can_retry: bool,
 ) {
-    paths::wait_lost(state, endpoint, RESPONSE_SILENCE).await;
+    paths::wait_lost(state, endpoint, Awaited::Head(expected_ms)).await;
     if !can_retry {
         std::future::pending::<()>().await;
     }
--- a/crates/sw-proxy/src/paths.rs
+++ b/crates/sw-proxy/src/paths.rs
@@ -4,12 +4,13 @@
 //! while, and probed from time to time while it is lost, so that no request has to find out that it is back.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use sw_http::ProbeError;
-use sw_relay::{EndpointEntry, PathChange, PathFailure};
-use sw_unit::Millis;
+use sw_relay::{EndpointEntry, PathChange, PathFailure, Silence};
+use sw_unit::{Millis, Time};
 
 use crate::state::ProxyState;
 use crate::{Dialect, telemetry};
@@ -18,12 +19,49 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Period in which due probes are looked for while paths are lost.
 const TICK_PERIOD: Millis = Millis(100);
-/// An endpoint that was heard of within this time is not checked.
-const HEARD_RECENTLY: Millis = Millis(300);
-/// Time without an established connection after which a path is checked.
-pub(crate) const CONNECT_SILENCE: Duration = Duration::from_millis(120);
-/// Time without a received byte after which a path is checked.
-pub(crate) const RESPONSE_SILENCE: Duration = Duration::from_millis(400);
+/// Time after which an endpoint that has not accepted a probe may be out of reach, so that others are probed too.
+const SAMPLE_DELAY: Duration = Duration::from_millis(60);
+/// Time without an established connection after which a path may be checked.
+const CONNECT_SILENCE: Millis = Millis(120);
+/// Time without a received byte after which a path may be checked.
+const RESPONSE_SILENCE: Millis = Millis(400);
+/// Multiple of the expected time until a response begins after which it is overdue.
+const OVERDUE_FACTOR: f64 = 2.0;
+
+/// What a request waits for at an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Awaited {
+    /// A connection.
+    Connection,
+    /// The head of a response, expected after this number of milliseconds.
+    Head(f64),
+    /// More of a response.
+    Event,
+}
+
+impl Awaited {
+    /// Returns the time after which the path may be checked, again and again.
+    fn period(self) -> Millis {
+        match self {
+            Self::Connection => CONNECT_SILENCE,
+            Self::Head(_) | Self::Event => RESPONSE_SILENCE,
+        }
+    }
+
+    /// Returns what is missing after a time.
+    fn missing_after(self, time: Millis) -> Silence {
+        let overdue_after = match self {
+            Self::Connection => return Silence::Connection,
+            Self::Head(expected_ms) => RESPONSE_SILENCE + Millis((expected_ms * OVERDUE_FACTOR) as u64),
+            Self::Event => RESPONSE_SILENCE + RESPONSE_SILENCE,
+        };
+        if time < overdue_after {
+            Silence::Response
+        } else {
+            Silence::OverdueResponse
+        }
+    }
+}
 
 /// Probes lost paths until the process ends.
 pub(crate) async fn run<D: Dialect, F: 'static>(state: Rc<ProxyState<D, F>>) {
@@ -42,28 +80,25 @@
     }
 }
 
-/// Checks the path to an endpoint to which no connection could be made, and a sample of the other paths.
+/// Checks the path to an endpoint to which no connection could be made, or that broke one off.
 pub(crate) fn check<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, endpoint: &EndpointEntry) {
     let (state, endpoint) = (Rc::clone(state), endpoint.clone());
     tokio::task::spawn_local(async move { check_now(&state, &endpoint).await });
 }
 
-/// Waits until the path to an endpoint that stays silent is lost; the path is checked each time that `silence` has passed.
+/// Waits until the path to an endpoint is lost that does not send what is awaited; checks the path from time to time.
 pub(crate) async fn wait_lost<D: Dialect, F: 'static>(
     state: &Rc<ProxyState<D, F>>,
     endpoint: &EndpointEntry,
-    silence: Duration,
+    awaited: Awaited,
 ) {
+    let silent_since: Time = state.now();
     loop {
-        tokio::time::sleep(silence).await;
-        let is_heard = state
-            .relay
-            .borrow()
-            .has_heard(&endpoint.id, HEARD_RECENTLY, state.now());
-        if is_heard {
-            continue;
-        }
-        if state.relay.borrow().has_path(&endpoint.id) {
+        tokio::time::sleep(Duration::from_millis(awaited.period().0)).await;
+        let now = state.now();
+        let missing = awaited.missing_after(now.since(silent_since));
+        let is_checked = state.checked_paths.borrow().contains(&endpoint.address);
+        if is_checked || state.relay.borrow_mut().begin_path_check(endpoint, missing, now) {
             check_now(state, endpoint).await;
         }
         if !state.relay.borrow().has_path(&endpoint.id) {
@@ -94,12 +129,7 @@
         tokio::time::sleep(PROBE_TIMEOUT).await;
         return;
     }
-    let sample = state.relay.borrow_mut().path_sample(endpoint);
-    let probes = sample.into_iter().map(async |endpoint| {
-        let outcome = connect(endpoint.address).await;
-        (endpoint, outcome)
-    });
-    let probes = futures::future::join_all(probes).await;
+    let probes = probe_sample(state, endpoint).await;
     let was_cut_off = state.relay.borrow().lost_paths().1;
     state.relay.borrow_mut().on_path_sample(&probes, state.now());
     state.checked_paths.borrow_mut().swap_remove(&endpoint.address);
@@ -112,6 +142,29 @@
     }
 }
 
+/// Probes the path to an endpoint, and to some others of its service unless it soon accepts the probe.
+async fn probe_sample<D: Dialect, F: 'static>(
+    state: &Rc<ProxyState<D, F>>,
+    endpoint: &EndpointEntry,
+) -> Vec<(EndpointEntry, Result<(), PathFailure>)> {
+    let mut first = pin!(connect(endpoint.address));
+    let soon = tokio::time::timeout(SAMPLE_DELAY, &mut first).await;
+    if soon == Ok(Ok(())) {
+        return vec![(endpoint.clone(), Ok(()))];
+    }
+    let sample = state.relay.borrow_mut().path_sample(endpoint);
+    let others = futures::future::join_all(sample.iter().skip(1).map(|other| connect(other.address)));
+    let first = async {
+        match soon {
+            Ok(outcome) => outcome,
+            Err(_elapsed) => first.await,
+        }
+    };
+    let (first, others) = futures::future::join(first, others).await;
+    let outcomes = std::iter::once(first).chain(others);
+    sample.into_iter().zip(outcomes).collect()
+}
+
 /// Probes the path to an endpoint.
 async fn probe<D: Dialect, F: 'static>(
     state: &Rc<ProxyState<D, F>>,
--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -17,7 +17,7 @@
 use crate::attempt::BufferedRequest;
 use crate::continuation::{self, FirstEvent, StreamFormat};
 use crate::incoming::{BodyPart, BodySource, IncomingResponse};
-use crate::paths::{self, RESPONSE_SILENCE};
+use crate::paths::{self, Awaited};
 use crate::request::{HttpResponse, start_attempt, start_endpoint_attempt};
 use crate::reservation::{ReservationGuard, reserve};
 use crate::state::{ActiveGuard, ProxyState};
@@ -141,7 +141,7 @@
 /// Waits until the path to an endpoint that stays silent is lost.
 async fn wait_path_lost<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, endpoint: Option<&EndpointEntry>) {
     match endpoint {
-        Some(endpoint) => paths::wait_lost(state, endpoint, RESPONSE_SILENCE).await,
+        Some(endpoint) => paths::wait_lost(state, endpoint, Awaited::Event).await,
         None => std::future::pending().await,
     }
 }
--- a/crates/sw-relay/src/path.rs
+++ b/crates/sw-relay/src/path.rs
@@ -15,6 +15,7 @@
 use strum::{Display, IntoStaticStr};
 use sw_unit::{EndpointId, Millis, Time, VmId};
 
+use crate::path_check::CheckAllowance;
 use crate::registry::Endpoint;
 use crate::{EndpointEntry, EndpointTracker, Relay, ServiceId};
 
@@ -104,6 +105,7 @@
     cut_off: IndexMap<ServiceId, CutOff>,
     /// Endpoints that another VM could not reach, to be probed.
     suspected: IndexSet<EndpointId>,
+    pub(crate) checks: CheckAllowance,
     changes: Vec<PathChange>,
     /// Services that other VMs are cut off from, as they report it.
     reported: IndexMap<VmId, Vec<ServiceId>>,
@@ -205,7 +207,7 @@
         self.update_cut_off(&first.service, now);
     }
 
-    /// Returns the endpoints to probe when the path to `endpoint` may be lost: that one, and some others of its service.
+    /// Returns the endpoints to probe when the path to `endpoint` may be lost: that one first, then some others of its service.
     pub fn path_sample(&mut self, endpoint: &EndpointEntry) -> Vec<EndpointEntry> {
         let local = self.local_endpoints(&endpoint.service);
         let others = local.filter(|known| known.entry.id != endpoint.id && !self.paths.is_lost(&known.entry.id));
@@ -388,6 +390,7 @@
         let delay = if failure == PathFailure::Inferred {
             Millis(0)
         } else {
+            self.paths.checks.give_back();
             PROBE_PERIOD
         };
         let jitter = Millis(self.rng.u64(..=PROBE_JITTER.0));
