perf(relay): a VM's share of the connections is computed once a choice

The number is the same for all candidates of a choice. Change: it is computed once a choice. No decision changes. Not measured by itself.

--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -185,7 +185,8 @@
         let local = self.local_endpoints(&admitted.service);
         let local = local.filter(|endpoint| admitted.may_run_at(&endpoint.entry));
         let local = local.filter(|endpoint| self.reaches(&endpoint.entry) == (reach == Reach::Direct));
-        let available = local.filter(|endpoint| self.has_capacity(&endpoint.entry, &admitted.service, now));
+        let max_running = self.max_running(&admitted.service, now);
+        let available = local.filter(|endpoint| self.has_capacity(&endpoint.entry, max_running, now));
         let available = available.filter(|endpoint| {
             self.rate_limit_admits(&endpoint.entry, admitted.is_urgent(), now)
                 && !history.is_rate_limited(&endpoint.entry.id)
@@ -287,13 +288,18 @@
         self.service_ms(&admitted.service) * SPREAD_SHARE * draw
     }
 
-    /// Whether this VM's shares of the endpoint's connections and of its slow-start rate have capacity, and the
-    /// endpoint accepts requests.
-    fn has_capacity(&self, endpoint: &EndpointEntry, service: &ServiceId, now: Time) -> bool {
-        let running = self.loads.get(&endpoint.id).map_or(0, |load| load.running);
+    /// Returns this VM's share of the connections of each endpoint of a service.
+    fn max_running(&self, service: &ServiceId, now: Time) -> f64 {
         let connections = self.service(service).map_or(1, |service| service.max_connections);
         let share = f64::from(connections) * CONNECTION_SHARE / self.senders_to(service, now) as f64;
-        let has_room = f64::from(running) < share.max(1.0) && self.slow_start_allows(endpoint, now);
+        share.max(1.0)
+    }
+
+    /// Whether this VM's share of the endpoint's connections, `max_running`, and of its slow-start rate have capacity, and
+    /// the endpoint accepts requests.
+    fn has_capacity(&self, endpoint: &EndpointEntry, max_running: f64, now: Time) -> bool {
+        let running = self.loads.get(&endpoint.id).map_or(0, |load| load.running);
+        let has_room = f64::from(running) < max_running && self.slow_start_allows(endpoint, now);
         has_room && self.registry.rejects_until(endpoint, now).is_none()
     }
 
