--- a/crates/shallotwing-daemon/tests/soak/restore.rs
+++ b/crates/shallotwing-daemon/tests/soak/restore.rs
@@ -139,12 +139,27 @@
         let after = std::time::Instant::now();
         sleep(OBSERVED).await;
         for (server, from) in [(LEAVES_BEFORE, before), (LEAVES_AFTER, after)] {
-            let received = self.servers[server].received_requests();
-            let late = received.iter().filter(|request| request.received_at >= from).count();
-            assert_eq!(late, 0, "requests reached {} after it had left", SERVERS[server].0);
+            self.check_left(server, from);
         }
     }
 
+    /// Checks that no request has reached a server since `from`.
+    fn check_left(&self, server: usize, from: std::time::Instant) {
+        let server = &self.servers[server];
+        let received = server.received_requests();
+        let late = received.iter().filter(|request| request.received_at >= from);
+        let late = late.map(|request| (&request.id, &request.path, request.received_at - from));
+        let late: Vec<_> = late.collect();
+        let crashed_ago: Vec<_> = server.crashes().iter().map(std::time::Instant::elapsed).collect();
+        assert!(
+            late.is_empty(),
+            "{} requests reached {} after it had left: {late:?}; its registrations: {:?}; it crashed {crashed_ago:?} ago",
+            late.len(),
+            server.name,
+            self.store.changes_of(&format!("servers/{}", server.id())),
+        );
+    }
+
     /// Registers a server as leaving.
     fn leave(&self, index: usize) {
         let server = &self.servers[index];
