fix(proxy): a watch does not wait in an era that it does not know

Callers' requests reached a server for up to 4 s after it had said that it leaves (DRAIN).

Cause: the revisions of a restored store can reach exactly the one that a VM had followed. Its next watch then neither gets 410 nor a change: the store waits in the new era for the next change, for 4 s at a watcher without followers (a small region), and the VM learns of the era, and of all that was written before, from the end of that wait. The same after an outage that a VM does not notice because it lets changes gather for 0.5 s.

Ruled out: a follower (it compares era and revision, serve_watch), a revision below (410) or above (a response at once, which names the era).

Change: a watch waits for 4 s only right after a response (50 ms); after an outage the first one does not wait, otherwise it waits for 1 s, as those of watchers with followers do. One call more after each outage and after each run of changes.

--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -24,6 +24,8 @@
 /// Long-poll timeout for a watcher with followers and for the followers themselves; short, so that followers soon
 /// notice that their watcher cannot reach the store.
 const SHORT_WATCH_WAIT: Duration = Duration::from_secs(1);
+/// Time after a response of the store within which the next call can be expected to meet the same era.
+const SAME_ERA_FOR: Millis = Millis(50);
 /// Time within which a response to a call that waits for changes is early.
 const EARLY_RESPONSE: Millis = Millis(500);
 /// Time without a response of the store after which the mirror of a watcher is not current.
@@ -79,18 +81,18 @@
 async fn poll_store<D: Dialect, F: Feed>(state: &ProxyState<D, F>, is_complete: bool, is_watcher: bool) -> bool {
     let (position, called_at) = (state.mirror.borrow().position(), state.now());
     let revision = position.revision;
-    let has_followers = is_watcher && state.relay.borrow().has_followers(state.now());
-    let result = match (is_complete, has_followers) {
-        (false, _) => read_all(state).await,
-        (true, true) => wait_for_changes(state, position, SHORT_WATCH_WAIT).await,
-        (true, false) => wait_for_changes(state, position, WATCH_WAIT).await,
+    let wait = watch_wait(state, is_watcher);
+    let result = if is_complete {
+        wait_for_changes(state, position, wait).await
+    } else {
+        read_all(state).await
     };
     match result {
         Ok(Polled::Restored(era)) => !is_watcher && copy_newer(state, StorePosition::new(era, 0)).await,
         Ok(Polled::Applied { is_change }) => {
             state.store_responded_at.set(Some(state.now()));
             // Changes that this VM does not follow end the wait as well.
-            let is_early = state.now().since(called_at) < EARLY_RESPONSE;
+            let is_early = !wait.is_zero() && state.now().since(called_at) < EARLY_RESPONSE;
             if is_complete && (is_early || is_change) {
                 tokio::time::sleep(batch_delay(state, is_watcher)).await;
             }
@@ -108,6 +110,24 @@
     }
 }
 
+/// Returns the long-poll timeout of the next call for changes.
+///
+/// A store that was restored since its last response may have given out the mirror's revision again. The call then waits in
+/// the new era, and does not see what was written before. So it waits for long only right after a response, and not
+/// at all after an outage.
+fn watch_wait<D, F>(state: &ProxyState<D, F>, is_watcher: bool) -> Duration {
+    let now = state.now();
+    if state.store_unavailable_since.get().is_some() {
+        return Duration::ZERO;
+    }
+    let responded_at = state.store_responded_at.get();
+    let is_same_era = responded_at.is_some_and(|at| now.since(at) < SAME_ERA_FOR);
+    if !is_same_era || (is_watcher && state.relay.borrow().has_followers(now)) {
+        return SHORT_WATCH_WAIT;
+    }
+    WATCH_WAIT
+}
+
 /// Brings the mirror up to date with the store, and returns whether it is. One call serves all that ask before it is made.
 pub(crate) async fn refresh<D: Dialect, F: Feed>(state: &ProxyState<D, F>, timeout: Duration) -> bool {
     let asked_at = state.now();
