fix(relay): followers use their watchers again as soon as the store is back

Cause, from the lines of the test: in an outage all watchers answer that they are not current; a follower leaves each of them for 3 s, also when it notices itself that the outage was the store's and is over.

Change: a watcher that said that it has lost the store is used again once this VM has reached the store after an outage of its own, 0.35 s after that call, so that the watchers have reached it too. A watcher that does not answer is left for 3 s as before.

--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -14,6 +14,7 @@
 use sw_relay::StoreSource;
 use sw_store::{Applied, Changes, Feed, FeedError, Snapshot, StoreError};
 use sw_unit::{Millis, StoreEra, StorePosition, VmId};
+use tokio::time::Instant;
 
 use crate::records::Source;
 use crate::state::ProxyState;
@@ -45,6 +46,8 @@
 const RESTORE_COPY_ATTEMPTS: u32 = 4;
 /// Delay between these attempts.
 const RESTORE_COPY_DELAY: Duration = Duration::from_millis(300);
+/// Time after a call that ends an outage, after which the watchers have made one as well.
+const WATCHERS_BACK_AFTER: Duration = Duration::from_millis(350);
 /// Delay after a failed call.
 const BACKOFF: Duration = Duration::from_millis(250);
 
@@ -63,8 +66,8 @@
                 follow_watcher(&state, &vm, address).await;
                 true
             }
-            StoreSource::Watcher => poll_store(&state, is_complete, true).await,
-            StoreSource::Fallback => poll_store(&state, is_complete, false).await,
+            StoreSource::Watcher => poll_store(&state, is_complete, true).await.is_complete,
+            StoreSource::Fallback => poll_as_fallback(&state, is_complete).await,
         }
     }
 }
@@ -77,8 +80,29 @@
     state.relay.borrow().store_source(state.now())
 }
 
-/// Makes one call to the store, and returns whether the mirror is complete up to its revision.
-async fn poll_store<D: Dialect, F: Feed>(state: &ProxyState<D, F>, is_complete: bool, is_watcher: bool) -> bool {
+/// Makes one call to the store as a VM whose watchers all failed, and returns whether the mirror is complete. If it is the
+/// first one after an outage that the store responds to, the watchers follow it again as well.
+async fn poll_as_fallback<D: Dialect, F: Feed>(state: &ProxyState<D, F>, is_complete: bool) -> bool {
+    let was_away = state.store_unavailable_since.get().is_some();
+    let called_at = Instant::now();
+    let poll = poll_store(state, is_complete, false).await;
+    if was_away && poll.has_response {
+        tokio::time::sleep_until(called_at + WATCHERS_BACK_AFTER).await;
+        state.relay.borrow_mut().on_store_reached();
+    }
+    poll.is_complete
+}
+
+/// What came of a call to the store.
+struct Poll {
+    /// Whether the mirror is complete up to its revision.
+    is_complete: bool,
+    /// Whether the store responded.
+    has_response: bool,
+}
+
+/// Makes one call to the store.
+async fn poll_store<D: Dialect, F: Feed>(state: &ProxyState<D, F>, is_complete: bool, is_watcher: bool) -> Poll {
     let (position, called_at) = (state.mirror.borrow().position(), state.now());
     let revision = position.revision;
     let wait = watch_wait(state, is_watcher);
@@ -87,7 +111,8 @@
     } else {
         read_all(state).await
     };
-    match result {
+    let has_response = !matches!(result, Err(FeedError::Store(_)));
+    let is_complete = match result {
         Ok(Polled::Restored(era)) => !is_watcher && copy_newer(state, StorePosition::new(era, 0)).await,
         Ok(Polled::Applied { is_change }) => {
             state.store_responded_at.set(Some(state.now()));
@@ -107,6 +132,10 @@
             tokio::time::sleep(BACKOFF).await;
             is_complete
         }
+    };
+    Poll {
+        is_complete,
+        has_response,
     }
 }
 
@@ -155,7 +184,7 @@
 /// Makes one call to a watcher for changes of the store.
 async fn follow_watcher<D: Dialect, F>(state: &ProxyState<D, F>, vm: &VmId, address: SocketAddr) {
     let position = state.mirror.borrow().position();
-    let failure = match state.peers.watch(address, position, SHORT_WATCH_WAIT).await {
+    let (failure, has_lost_store) = match state.peers.watch(address, position, SHORT_WATCH_WAIT).await {
         Ok(WatchOutcome::Changes { changes, recovered_ago }) => {
             if let Ok(Polled::Applied { .. }) = apply_changes(state, changes, Source::Watcher) {
                 on_store_response(state);
@@ -164,14 +193,18 @@
                 }
                 return;
             }
-            "other_era"
+            ("other_era", false)
         }
         Ok(WatchOutcome::HistoryGone) if copy_snapshot(state, vm, address).await => return,
-        Ok(WatchOutcome::HistoryGone) => "no_snapshot",
-        Ok(WatchOutcome::NotCurrent) => "not_current",
-        Err(_no_response) => "no_answer",
+        Ok(WatchOutcome::HistoryGone) => ("no_snapshot", false),
+        Ok(WatchOutcome::NotCurrent) => ("not_current", true),
+        Err(_no_response) => ("no_answer", false),
     };
-    state.relay.borrow_mut().on_watcher_failed(vm, state.now());
+    if has_lost_store {
+        state.relay.borrow_mut().on_watcher_not_current(vm, state.now());
+    } else {
+        state.relay.borrow_mut().on_watcher_failed(vm, state.now());
+    }
     let (vm, revision) = (vm.as_str(), position.revision);
     info!("watcher_failed", kv: { vm, failure, revision });
 }
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -23,6 +23,7 @@
 use crate::retry::RecentRequests;
 use crate::stream_origin::StreamOrigins;
 use crate::version_history::VersionHistory;
+use crate::watcher::FailedWatcher;
 use crate::{
     EndpointEntry, EndpointTracker, LatencyModel, Prompt, Registry, Replication, RequestContent, RequestHead, Route,
     RouteTable, Service, ServiceId, SlowStartShare, SoftwareVersion, StoreRecord, StoreState,
@@ -145,8 +146,8 @@
     pub(crate) origins: StreamOrigins,
     /// Unresponsive coordinators, with the time until which they are not asked.
     pub(crate) unresponsive: IndexMap<VmId, Time>,
-    /// Failed watchers of the store, with the time until which they are not used.
-    pub(crate) failed_watchers: IndexMap<VmId, Time>,
+    /// Failed watchers of the store.
+    pub(crate) failed_watchers: IndexMap<VmId, FailedWatcher>,
     pub(crate) budgets: IndexMap<ServiceId, RetryBudget>,
     /// Recent requests by service.
     pub(crate) recent_requests: IndexMap<ServiceId, RecentRequests>,
@@ -257,7 +258,7 @@
         self.prune_peer_state();
         self.prune_paths(now);
         self.assign_coordinators(now);
-        self.failed_watchers.retain(|_, until| *until > now);
+        self.failed_watchers.retain(|_, failed| failed.until > now);
         self.rate_limits
             .prune(|endpoint| self.registry.get(endpoint).is_some(), now);
         self.rejection_limits
--- a/crates/sw-relay/src/watcher.rs
+++ b/crates/sw-relay/src/watcher.rs
@@ -35,6 +35,15 @@
     },
 }
 
+/// A watcher that failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct FailedWatcher {
+    /// Time until which it is not used.
+    pub(crate) until: Time,
+    /// Whether it responded that it does not currently follow the store.
+    lost_store: bool,
+}
+
 impl Relay {
     /// Returns how this VM follows the store now.
     pub fn store_source(&self, now: Time) -> StoreSource {
@@ -47,7 +56,7 @@
         if watchers.contains(&local_vm) {
             return StoreSource::Watcher;
         }
-        let is_available = |vm: &&VmId| self.failed_watchers.get(*vm).is_none_or(|until| *until <= now);
+        let is_available = |vm: &&VmId| self.failed_watchers.get(*vm).is_none_or(|failed| failed.until <= now);
         // Ranked by the local VM, so that followers spread over the watchers.
         let preferred = rendezvous_top(local_vm, watchers.into_iter().filter(is_available), 1);
         let row = preferred.first().and_then(|vm| self.members.row(vm));
@@ -62,8 +71,24 @@
         self.members.local_live_count(now) > WATCHERS
     }
 
-    /// Records that a watcher did not respond, does not currently follow the store, or could not supply a snapshot.
+    /// Records that a watcher did not respond, is in another era, or could not supply a snapshot.
     pub fn on_watcher_failed(&mut self, vm: &VmId, now: Time) {
-        self.failed_watchers.insert(vm.clone(), now + FAILED_WATCHER_BACKOFF);
+        self.on_failure(vm, false, now);
+    }
+
+    /// Records that a watcher does not currently follow the store.
+    pub fn on_watcher_not_current(&mut self, vm: &VmId, now: Time) {
+        self.on_failure(vm, true, now);
+    }
+
+    /// Records that this VM has reached the store again after an outage: watchers that had lost it as well are used again.
+    pub fn on_store_reached(&mut self) {
+        self.failed_watchers.retain(|_, failed| !failed.lost_store);
+    }
+
+    fn on_failure(&mut self, vm: &VmId, lost_store: bool, now: Time) {
+        let until = now + FAILED_WATCHER_BACKOFF;
+        self.failed_watchers
+            .insert(vm.clone(), FailedWatcher { until, lost_store });
     }
 }
--- a/crates/sw-relay/tests/watchers.rs
+++ b/crates/sw-relay/tests/watchers.rs
@@ -86,3 +86,30 @@
     relay.announce_leaving();
     assert!(matches!(relay.store_source(NOW), StoreSource::ViaWatcher { .. }));
 }
+
+/// Guards against followers that each go on to call the store for 3 s after an outage, so that each change costs a call of
+/// all VMs; watchers that do not respond are not asked again so soon.
+#[test]
+fn watchers_that_lost_the_store_are_used_again_when_it_is_back() {
+    let vms = 33;
+    let follower = (0..vms).find(|index| source(*index, vms) != StoreSource::Watcher);
+    let follower = follower.expect("a follower");
+    for is_responsive in [true, false] {
+        let mut relay = vm(follower, vms);
+        while let StoreSource::ViaWatcher { vm, .. } = relay.store_source(NOW) {
+            if is_responsive {
+                relay.on_watcher_not_current(&vm, NOW);
+            } else {
+                relay.on_watcher_failed(&vm, NOW);
+            }
+        }
+        assert_eq!(relay.store_source(NOW), StoreSource::Fallback);
+        relay.on_store_reached();
+        let source = relay.store_source(NOW);
+        assert_eq!(
+            matches!(source, StoreSource::ViaWatcher { .. }),
+            is_responsive,
+            "{source:?}"
+        );
+    }
+}
