fix(relay): a VM without a configuration names no entry VMs of other regions

Cause: without live VMs in the caller's region, the regions in which most of its host's requests may run are named. Without a configuration all regions count alike.

Ruled out: changes of the permitted regions, narrower or wider: they matter only if the caller's region has no live VM (callers_stay_in_their_region_whatever_the_configuration_permits passes before and after).

Change: it names none then; callers ask the next VM.

--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -299,8 +299,8 @@
     /// Returns the entry VMs for a caller: live VMs of its failure domain or its region.
     ///
     /// If there are none, these are the VMs of the regions in which most of the host's requests may run: the live ones, or
-    /// those in a planned stop if no live VM may serve nearly as many requests. A VM that has just started and does not know
-    /// any other VM yet returns none.
+    /// those in a planned stop if no live VM may serve nearly as many requests; a VM without a configuration names none then,
+    /// as it does not know these regions. A VM that has just started and does not know any other VM yet returns none.
     pub fn entry_vms(&self, query: EntryQuery<'_>, now: Time) -> Vec<VmRow> {
         if self.is_joining(now) {
             return Vec::new();
@@ -315,6 +315,9 @@
         if !in_region.is_empty() {
             return self.prefer_with_paths(in_region);
         }
+        if self.table.is_none() {
+            return Vec::new();
+        }
         let (best_live, live_traffic) = self.most_permitted(&live, query.host);
         let (best, traffic) = self.most_permitted(&heard, query.host);
         if live_traffic >= traffic * MIN_LIVE_TRAFFIC_SHARE {
--- a/crates/sw-relay/tests/directory.rs
+++ b/crates/sw-relay/tests/directory.rs
@@ -2,10 +2,12 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use support::{HOST, admit, heartbeat, relay, row};
 use sw_member::VmRow;
-use sw_relay::{EntryQuery, Relay};
-use sw_unit::{DomainId, RegionId, Time};
+use sw_relay::{EntryQuery, Relay, RouteKind, RouteTable, StoreRecord};
+use sw_unit::{DomainId, RegionId, Time, Version};
 
 fn entries(relay: &Relay, region: &str, now: Time) -> Vec<String> {
     let region_id: RegionId = region.parse().expect("an id");
@@ -108,3 +110,30 @@
         "a VM that remains alone names itself"
     );
 }
+
+/// Guards against HOME: a VM that has no configuration yet names VMs of any region to callers whose region it has not heard from, so that
+/// bodies are sent to regions in which they may not run.
+#[test]
+fn a_vm_without_a_configuration_names_no_vms_of_other_regions() {
+    let mut relay = Relay::new(support::options(row("vm-0", "north")));
+    relay.on_heartbeat(heartbeat(row("vm-1", "west"), Vec::new()), Time(100));
+    assert!(entries(&relay, "south", Time(200)).is_empty());
+    assert_eq!(entries(&relay, "west", Time(200)), ["vm-1"]);
+    relay.on_heartbeat(heartbeat(row("vm-2", "south"), Vec::new()), Time(300));
+    assert_eq!(entries(&relay, "south", Time(400)), ["vm-2"]);
+}
+
+/// Guards against HOME: callers are led to another region by a change of the regions of their requests, although theirs has live VMs.
+#[test]
+fn callers_stay_in_their_region_whatever_the_configuration_permits() {
+    let mut relay = relay();
+    relay.on_heartbeat(heartbeat(row("vm-2", "south"), Vec::new()), Time(100));
+    for (version, regions) in [(2, &["south"][..]), (3, &[]), (4, &["west"]), (5, &["north", "west"])] {
+        let known = support::table(1);
+        let routes = vec![support::route("read", RouteKind::Idempotent, "app", regions)];
+        let table = RouteTable::new(Version(version), routes, known.services.clone(), known.limits);
+        relay.apply(StoreRecord::Table(Arc::new(table)), Time(200));
+        assert_eq!(entries(&relay, "north", Time(300)), ["vm-0"]);
+        assert_eq!(entries(&relay, "south", Time(300)), ["vm-2"]);
+    }
+}
