fix(peer): a forwarded request that was given up while its connection was made is not sent

Callers: a request whose caller had left, or whose attempt had ended at its time limit, still crossed to the other VM with its body when the connection was there, and could begin to run.

Cause: the call asks right before the first byte whether it may be sent, not whether anyone still waits for it.

Ruled out: a given-up call on an open connection: it is cancelled at both ends.

Change: nothing is sent if the receiver of the events is gone.

Test: platform permitted_regions a_body_is_not_sent_if_its_request_was_given_up_before_there_is_a_connection failed before (the body arrived); now all 17 of the file pass.

Conclusion: found in a review of the places between a check and the first byte.

--- a/crates/sw-peer/src/relay/client.rs
+++ b/crates/sw-peer/src/relay/client.rs
@@ -250,6 +250,9 @@
             let _closed = events.send(RelayEvent::NotSent(NotSent::NoConnection)).await;
             return;
         };
+        if events.is_closed() {
+            return;
+        }
         if !may_send() {
             let _closed = events.send(RelayEvent::NotSent(NotSent::NotPermitted)).await;
             return;
