fix(relay): the record of software versions is written again only if the restored store lacks it

After a restore the writer of each region wrote the record again although the copy had it. Each write is a change, which costs a call of each watcher.

Cause: the record was taken for lost whatever the store showed; a record that is the same before and after is no change of the mirror, so nothing took that back.

Change: it is lost if the store does not show it as the mirror does (absent, or another state is retained). A record that differs comes as a change and is compared with the versions, as before.

--- a/crates/sw-proxy/src/persist.rs
+++ b/crates/sw-proxy/src/persist.rs
@@ -17,7 +17,8 @@
 use crate::Dialect;
 use crate::state::ProxyState;
 
-const SOFTWARE_KEY: &str = "shallotwing/software";
+/// Key of the software versions.
+pub(crate) const SOFTWARE_KEY: &str = "shallotwing/software";
 const ORIGINS_PREFIX: &str = "shallotwing/origins/";
 /// Period in which news is written.
 const PERIOD: Millis = Millis(500);
--- a/crates/sw-proxy/src/restore.rs
+++ b/crates/sw-proxy/src/restore.rs
@@ -12,7 +12,7 @@
 
 use crate::records::Source;
 use crate::state::ProxyState;
-use crate::{Dialect, heartbeat, records};
+use crate::{Dialect, heartbeat, persist, records};
 
 /// Delay until other failure domains are told that a grace period is over; by then it is over at all VMs.
 const ANNOUNCE_DELAY: Duration = Duration::from_millis(100);
@@ -33,12 +33,13 @@
 /// Records that the mirror went from the position `before` of an earlier era to a later era.
 pub(crate) fn on_restored<D, F>(state: &ProxyState<D, F>, before: StorePosition, source: Source) {
     let now = state.now();
-    let (after, retained) = {
+    let (after, retained, has_software) = {
         let mirror = state.mirror.borrow();
-        (mirror.position(), mirror.retained_len())
+        let has_software = mirror.is_stored(persist::SOFTWARE_KEY);
+        (mirror.position(), mirror.retained_len(), has_software)
     };
     state.store_recovered_at.set(Some(now));
-    let rewritten = state.relay.borrow_mut().on_store_restored(now);
+    let rewritten = state.relay.borrow_mut().on_store_restored(has_software, now);
     let (before, after) = (before.to_string(), after.to_string());
     let (before, after, source): (_, _, &'static str) = (before.as_str(), after.as_str(), source.into());
     let (services, streams) = (rewritten.services, rewritten.streams);
--- a/crates/sw-relay/src/store_state.rs
+++ b/crates/sw-relay/src/store_state.rs
@@ -32,12 +32,16 @@
 
 impl Relay {
     /// Records that the store was restored from an older copy: endpoints get time to register again, and what this VM
-    /// wrote is written again. Returns how much that is.
-    pub fn on_store_restored(&mut self, now: Time) -> Rewritten {
+    /// wrote is written again, except the software versions if the store still has their record. Returns how much that is.
+    pub fn on_store_restored(&mut self, has_software: bool, now: Time) -> Rewritten {
         self.registry.on_store_recovered(now);
         self.store_restored = true;
         Rewritten {
-            services: self.versions.on_store_restored(),
+            services: if has_software {
+                0
+            } else {
+                self.versions.on_record_lost()
+            },
             streams: self.origins.on_store_restored(),
         }
     }
--- a/crates/sw-relay/src/version_history.rs
+++ b/crates/sw-relay/src/version_history.rs
@@ -71,7 +71,7 @@
     last_registered: IndexMap<Option<SoftwareVersion>, Time>,
     /// The versions that the store has recorded; `None` if it has no record.
     recorded: Option<IndexSet<Option<SoftwareVersion>>>,
-    /// Whether the store may have lost the record.
+    /// Whether the store has lost the record.
     is_lost: bool,
 }
 
@@ -129,8 +129,8 @@
         }
     }
 
-    /// Records that the store may have lost the record, and returns the number of services in it.
-    pub(crate) fn on_store_restored(&mut self) -> usize {
+    /// Records that the store has lost the record, and returns the number of services in it.
+    pub(crate) fn on_record_lost(&mut self) -> usize {
         let recorded = self.services.values_mut().filter(|history| history.recorded.is_some());
         recorded.map(|history| history.is_lost = true).count()
     }
--- a/crates/sw-relay/tests/store_restore.rs
+++ b/crates/sw-relay/tests/store_restore.rs
@@ -57,7 +57,7 @@
     assert!(!hear(&mut relay, 0, 9, true));
     assert!(!hear(&mut relay, 0, 4, false));
     assert!(hear(&mut relay, 0, 9, false));
-    relay.on_store_restored(JOINED);
+    relay.on_store_restored(false, JOINED);
     assert!(!hear(&mut relay, 0, 9, false));
 }
 
@@ -86,12 +86,20 @@
 fn recorded_versions_are_written_again_until_the_store_shows_them() {
     let mut relay = writer();
     assert_eq!(relay.unrecorded_software(JOINED), None);
-    assert_eq!(relay.on_store_restored(JOINED).services, 1);
+    assert_eq!(relay.on_store_restored(false, JOINED).services, 1);
     let recorded = relay.unrecorded_software(JOINED).expect("it is written again");
     relay.apply(StoreRecord::Software(recorded), JOINED);
     assert_eq!(relay.unrecorded_software(JOINED), None);
 }
 
+/// Guards against writes, and so calls of all watchers, for a record that the copy has as well.
+#[test]
+fn recorded_versions_that_the_store_still_has_are_not_written_again() {
+    let mut relay = writer();
+    assert_eq!(relay.on_store_restored(true, JOINED).services, 0);
+    assert_eq!(relay.unrecorded_software(JOINED), None);
+}
+
 /// Guards against streams that are refused after all VMs have ended, because the store had lost their origins.
 #[test]
 fn origins_are_written_again_in_bounded_batches() {
@@ -106,7 +114,7 @@
         relay.record_origin(origin, Replication::Written, JOINED);
     }
     assert!(relay.take_unwritten_origins(JOINED).is_empty());
-    assert_eq!(relay.on_store_restored(JOINED).streams, STREAMS);
+    assert_eq!(relay.on_store_restored(false, JOINED).streams, STREAMS);
     let first = relay.take_unwritten_origins(JOINED).len();
     let second = relay.take_unwritten_origins(JOINED).len();
     assert!(first < STREAMS, "one write has all {first} origins");
--- a/crates/sw-store/src/mirror.rs
+++ b/crates/sw-store/src/mirror.rs
@@ -104,6 +104,11 @@
         self.retained.len()
     }
 
+    /// Returns whether the store has a key in the state that the mirror shows.
+    pub fn is_stored(&self, key: &str) -> bool {
+        !self.retained.contains_key(key) && self.replica.get(key).is_some()
+    }
+
     /// Returns when the next grace period of a retained state ends.
     pub fn next_expiry(&self) -> Option<Time> {
         self.retained.values().filter_map(|entry| entry.until).min()
