feat(proxy): each attempt to resume a stream can be followed in the logs

Nothing was logged where a VM gives up on a stream, nor at the end of a request that resumes one and is served through another VM. Change: stream_resume_requested has the permitted regions, the usable endpoints of the version by region and the time left; stream_resume_ended says how such a request ended and whether its caller got an event; stream_not_resumed says why a VM leaves the resumption to the caller. At most one of each a request or broken stream, except one stream_not_resumed for each source that fails. No decision is changed.

--- a/crates/sw-proxy/src/resumption.rs
+++ b/crates/sw-proxy/src/resumption.rs
@@ -58,7 +58,7 @@
     if let Some(origin) = origin.filter(|origin| admitted.route.leads_to(&origin.service)) {
         admitted.service = origin.service.clone();
         admitted.pinned_software = Some(origin.software.clone());
-        telemetry::log_resume_request(admitted, resumption, source);
+        telemetry::log_resume_request(state, admitted, resumption, source);
         // The caller may resume it once more, at another VM.
         let now = state.now();
         state
@@ -71,7 +71,7 @@
     // Another VM may have learned of a version that this one does not know yet.
     let is_current = store::refresh(state, REFRESH_TIMEOUT).await;
     let source = pin_to_sole_version(state, admitted, is_current);
-    telemetry::log_resume_request(admitted, resumption, source);
+    telemetry::log_resume_request(state, admitted, resumption, source);
     if source == OriginSource::Unknown {
         return Err(unknown_version());
     }
--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -23,6 +23,9 @@
 use crate::state::{ActiveGuard, ProxyState};
 use crate::{Dialect, EventSplitter, EventTooLongError, resumption, telemetry};
 
+/// Why a stream ends whose caller has closed its connection.
+const CALLER_GONE: &str = "caller_gone";
+
 type Sender = mpsc::Sender<Result<Bytes, BodyError>>;
 
 /// Spawns a task that relays the body, and returns the response for the caller.
@@ -156,11 +159,14 @@
                         ChunkOutcome::Accepted => continue,
                         ChunkOutcome::TooLong => SourceFailure::broken("endless_event"),
                         ChunkOutcome::NotContinued => SourceFailure::broken("not_continued"),
-                        ChunkOutcome::CallerGone => return,
+                        ChunkOutcome::CallerGone => return self.log_end(CALLER_GONE),
                     }
                 }
                 StreamEvent::Part(BodyPart::End) => match self.end_fault(&source) {
-                    None => return source.finish(AttemptOutcome::Complete),
+                    None => {
+                        source.finish(AttemptOutcome::Complete);
+                        return self.log_end("complete");
+                    }
                     Some(reason) => SourceFailure::broken(reason),
                 },
                 StreamEvent::Part(BodyPart::Broken) => SourceFailure::broken("broken"),
@@ -173,7 +179,7 @@
                     source.finish(AttemptOutcome::Timeout);
                     return self.abort("timeout", &tx).await;
                 }
-                StreamEvent::CallerGone => return,
+                StreamEvent::CallerGone => return self.log_end(CALLER_GONE),
             };
             source.finish(failure.outcome);
             match self.resume(failure.target, &tx).await {
@@ -224,7 +230,7 @@
         if self.state.draining_for().is_some() || !self.may_continue() {
             return None;
         }
-        let choice = self.choose_retry()?;
+        let choice = self.choose_retry().ok()?;
         let coordinator = match &choice {
             Choice::Endpoint { endpoint, .. } if self.history.has_endpoint(&endpoint.id) => return None,
             Choice::Endpoint { coordinator, .. } => coordinator.clone(),
@@ -350,21 +356,28 @@
 
     /// Resumes the stream elsewhere, first at `target`; `None` if that is not possible or the caller is gone.
     async fn resume(&mut self, mut target: Option<ResumeTarget<D, F>>, tx: &Sender) -> Option<BodySource<D, F>> {
-        if !self.is_resumable || !self.may_continue() {
+        if !self.is_resumable {
             return None;
         }
+        if !self.may_continue() {
+            return self.give_up("version_unknown");
+        }
         self.events.discard_partial();
         self.last_chunk_at = None;
         self.source_has_event = false;
         self.request.last_event_id = self.events.last_event_id().map(str::to_owned);
         // Without the id of an event, another endpoint would start again.
         if self.has_started && self.request.last_event_id.is_none() {
-            return None;
+            return self.give_up("no_event_id");
         }
         while self.request.admitted.remaining(self.state.now()) > Millis(0) {
             let retried = tokio::select! {
-                retried = self.retry(target.take()) => retried?,
-                () = tx.closed() => return None,
+                retried = self.retry(target.take()) => retried,
+                () = tx.closed() => return self.give_up(CALLER_GONE),
+            };
+            let retried = match retried {
+                Ok(retried) => retried,
+                Err(why) => return self.give_up(why),
             };
             if let Some(response) = retried {
                 self.stall = Some(StallDetector::new(response.first_event_deadline));
@@ -373,21 +386,40 @@
                 return Some(response.source);
             }
         }
+        self.give_up("timeout")
+    }
+
+    /// Logs why the stream is not resumed.
+    fn give_up<T>(&self, why: &'static str) -> Option<T> {
+        let left = self.request.admitted.remaining(self.state.now());
+        telemetry::log_not_resumed(&self.request.admitted, &self.history, why, left);
         None
     }
 
-    /// Withdraws a retry from the budget and chooses its target; `None` if either is not available.
-    fn choose_retry(&self) -> Option<Choice> {
+    /// Withdraws a retry from the budget and chooses its target.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
+    fn choose_retry(&self) -> Result<Choice, &'static str> {
         let admitted = &self.request.admitted;
         let mut relay = self.state.relay.borrow_mut();
         if !relay.withdraw_retry(admitted, &self.history) {
-            return None;
+            return Err("no_retry");
         }
-        relay.choose(admitted, &self.history, self.state.now()).ok()
+        let choice = relay.choose(admitted, &self.history, self.state.now());
+        choice.map_err(|refusal| refusal.kind.into())
     }
 
-    /// Retries the request. The outer `None` means that no retry is possible, the inner one that the retry failed.
-    async fn retry(&mut self, target: Option<ResumeTarget<D, F>>) -> Option<Option<IncomingResponse<D, F>>> {
+    /// Retries the request; `None` if the retry failed.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no retry is possible.
+    async fn retry(
+        &mut self,
+        target: Option<ResumeTarget<D, F>>,
+    ) -> Result<Option<IncomingResponse<D, F>>, &'static str> {
         let (choice, reservation) = match target {
             Some(ResumeTarget { choice, reservation }) => (choice, Some(reservation)),
             None => (self.choose_retry()?, None),
@@ -399,7 +431,7 @@
             }
             _ => start_attempt(&self.state, &self.request, &choice, &mut self.history).await,
         };
-        Some(response.ok().filter(|response| self.format.matches(&response.head)))
+        Ok(response.ok().filter(|response| self.format.matches(&response.head)))
     }
 
     /// Logs that the stream is resumed at `target`, which is in this VM's region unless another one is given.
@@ -410,9 +442,19 @@
         telemetry::log_resume(&self.state, &self.request.admitted, region, target, last_event_id);
     }
 
+    /// Logs the end of a request by which a caller resumed a stream.
+    fn log_end(&self, ended: &'static str) {
+        let admitted = &self.request.admitted;
+        if admitted.resumed && !admitted.forwarded {
+            let age = self.state.now().since(admitted.received_at);
+            telemetry::log_resume_end(admitted, ended, self.has_started, age);
+        }
+    }
+
     async fn abort(&self, reason: &'static str, tx: &Sender) {
         let age = self.state.now().since(self.request.admitted.received_at);
         telemetry::log_abort(&self.request.admitted, reason, age);
+        self.log_end(reason);
         // Fails only if the caller is gone.
         let _left = tx.send(Err(BodyError)).await;
     }
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -8,8 +8,9 @@
 use sw_error::Refusal;
 use sw_member::VmRow;
 use sw_relay::{
-    AdmittedRequest, Attempt, AttemptOutcome, Choice, EndpointEntry, PathChange, QuarantineChange, QuarantineEntry,
-    QueueEstimate, RateLimitStatement, RejectionLimitStatement, Reservation, Resumption, SoftwareVersion, Suspect,
+    AdmittedRequest, Attempt, AttemptHistory, AttemptOutcome, Choice, EndpointEntry, PathChange, QuarantineChange,
+    QuarantineEntry, QueueEstimate, RateLimitStatement, RejectionLimitStatement, Reservation, Resumption,
+    SoftwareVersion, Suspect,
 };
 use sw_unit::{EndpointId, Millis, PartId, RegionId, Time, VmId};
 
@@ -87,17 +88,49 @@
     software.map_or("", SoftwareVersion::as_str)
 }
 
-/// Logs that a caller resumes a stream that broke off.
+/// Logs that a caller resumes a stream that broke off, with the regions that it may enter and the endpoints there that
+/// can continue it.
 ///
 /// `source` says how the software version that started it was found.
-pub(crate) fn log_resume_request(admitted: &AdmittedRequest, resumption: &Resumption, source: OriginSource) {
+pub(crate) fn log_resume_request<D, F>(
+    state: &ProxyState<D, F>,
+    admitted: &AdmittedRequest,
+    resumption: &Resumption,
+    source: OriginSource,
+) {
     let (id, stream) = (&*admitted.id, resumption.stream.as_deref().unwrap_or_default());
     let software = software_name(admitted.pinned_software.as_ref());
     let origin: &'static str = source.into();
-    info!("stream_resume_requested", kv: { id, stream, software, origin });
+    let (regions, candidates) = (region_list(state, admitted), candidate_list(state, admitted));
+    let (regions, candidates) = (regions.as_str(), candidates.as_str());
+    let left_ms = admitted.remaining(state.now()).0;
+    info!("stream_resume_requested", kv: { id, stream, software, origin, regions, candidates, left_ms });
     counter!("shallotwing_stream_resume_requests_total", "origin" => origin).increment(1);
 }
 
+/// Formats the number of usable endpoints that may run a request in each region for the log.
+fn candidate_list<D, F>(state: &ProxyState<D, F>, admitted: &AdmittedRequest) -> String {
+    /// Maximum number of regions in the list.
+    const MAX_LISTED: usize = 8;
+    let counts = state.relay.borrow().usable_by_region(admitted);
+    let counts = counts.iter().take(MAX_LISTED);
+    let listed: Vec<_> = counts.map(|(region, count)| format!("{region}:{count}")).collect();
+    listed.join(",")
+}
+
+/// Logs how a request ended that resumed a stream; `has_started` if its caller got an event of it.
+pub(crate) fn log_resume_end(admitted: &AdmittedRequest, ended: &'static str, has_started: bool, age: Millis) {
+    let (id, age_ms) = (&*admitted.id, age.0);
+    info!("stream_resume_ended", kv: { id, ended, has_started, age_ms });
+}
+
+/// Logs why this VM does not resume a stream that broke off, so that the caller has to.
+pub(crate) fn log_not_resumed(admitted: &AdmittedRequest, history: &AttemptHistory, why: &'static str, left: Millis) {
+    let software = software_name(admitted.pinned_software.as_ref());
+    let (id, sends, runs, left_ms) = (&*admitted.id, history.sends(), history.possible_runs(), left.0);
+    info!("stream_not_resumed", kv: { id, why, software, sends, runs, left_ms });
+}
+
 /// Logs the outcome of an attempt at an endpoint, with the values that were expected.
 pub(crate) fn log_attempt_end(id: &str, attempt: &Attempt, outcome: AttemptOutcome, status: u16, now: Time) {
     let endpoint = attempt.endpoint.id.as_str();
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -9,6 +9,7 @@
 
 use std::cmp::Reverse;
 
+use indexmap::IndexMap;
 use sw_error::{Kind, Refusal};
 use sw_unit::{EndpointId, Millis, RegionId, Time};
 
@@ -345,6 +346,18 @@
         })
     }
 
+    /// Returns the number of usable endpoints in each region that may run a request, permitted or not.
+    pub fn usable_by_region(&self, admitted: &AdmittedRequest) -> IndexMap<RegionId, usize> {
+        let mut counts = IndexMap::new();
+        let usable = self.registry.usable(&admitted.service);
+        for endpoint in usable.filter(|endpoint| admitted.may_run_at(&endpoint.entry)) {
+            if let Some(region) = self.region_of(&endpoint.entry.domain) {
+                *counts.entry(region.clone()).or_default() += 1;
+            }
+        }
+        counts
+    }
+
     fn is_in_backoff(&self, endpoint: &EndpointEntry, now: Time) -> bool {
         self.loads.get(&endpoint.id).is_some_and(|load| load.is_in_backoff(now))
     }
