fix(peer): the end of a forwarded response follows its last chunk at once

Cause: a VM that relays a response to another region replied to the call only after the other VM had confirmed the last chunk, so the end arrived two more crossings after the last event. When connections were reset in that time, a stream that was complete counted as broken off: it was resumed after its last event, the engine had nothing to add (no_event), no attempt was left, and the caller took it up and got an empty answer. Ruled out: unknown versions (all were known), the region chosen after no_endpoint (these streams went on), a crashed engine that is tried again although another region has one (a decision test passed on the untouched code, not landed), the time left (over 3 s). Change: the reply to the call follows the chunks on the same connection; calls in flight go on behind it, and the handler still waits until they are confirmed. VMs of the version before read the end likewise, as chunks are counted before they wait for a slow reader. Test: sw-peer, forwarded_responses, over a link of 150 ms each way. Before: the end came 303 ms after the last chunk (150 allowed), the other test passed; after: both pass. sw-platform planned_stop, begun_streams and stream_versions pass.

--- a/crates/sw-peer/src/relay/client.rs
+++ b/crates/sw-peer/src/relay/client.rs
@@ -272,6 +272,7 @@
             if results.get_refused() {
                 return Ok(Err(crate::convert::refusal(results.get_refusal()?)?));
             }
+            // The reply comes after all chunks, which are counted before they wait for a slow reader.
             if results.get_length() != received.get() {
                 return Err(capnp::Error::failed("parts of the answer are missing".to_owned()));
             }
--- a/crates/sw-peer/src/relay/server.rs
+++ b/crates/sw-peer/src/relay/server.rs
@@ -174,7 +174,12 @@
                 }
             }
             RelayEvent::End(end) => {
-                while in_flight.next().await.transpose()?.is_some() {}
+                // The reply to the call follows the chunks at once. Dropping the calls in flight would cancel them.
+                tokio::task::spawn_local(async move {
+                    while let Some(Ok(())) = in_flight.next().await {}
+                    // The handler waits until the peer has all chunks.
+                    drop(rx);
+                });
                 return Ok((length, end));
             }
             // The peer must have all chunks before the call fails, as it drops those that are still in flight.
