--- a/crates/sw-peer/src/relay/client.rs
+++ b/crates/sw-peer/src/relay/client.rs
@@ -275,6 +275,7 @@
             if results.get_refused() {
                 return convert::call_refusal(results).map(Err);
             }
+            // The reply comes after all chunks, which are counted before they wait for a slow reader.
             if results.get_length() != received.get() {
                 return Err(capnp::Error::failed("parts of the answer are missing".to_owned()));
             }
