--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -45,7 +45,10 @@
 
 struct EndpointRateLimit {
   endpoint @0 :Text;
+  # If the rejection limit is set: the end of a limit of no incarnation, which changes nothing at a VM that skips that one.
   state @1 :RateLimit;
+  # The rejections per second that the endpoint can bear; set if this is reported instead of its rate limit.
+  rejections @2 :RateLimit;
 }
 
 struct Crash {
@@ -205,6 +208,8 @@
   source @7 :UInt8;
   # Not set if the sender knows no limit.
   rateLimit @8 :RateLimit;
+  # Rejections per second; not set if the sender knows no limit.
+  rejectionLimit @9 :RateLimit;
 }
 
 struct Wait {
@@ -212,8 +217,10 @@
   backlogMs @1 :UInt32;
   # Not set if the coordinator knows no limit.
   rateLimit @2 :RateLimit;
-  # Time until the rate limit admits the request, plus 1; 0 if the limit is not the reason.
+  # Time until the limits admit the request, plus 1; 0 if they are not the reason.
   tokenWaitMs @3 :UInt32;
+  # Rejections per second; not set if the coordinator knows no limit.
+  rejectionLimit @4 :RateLimit;
 }
 
 interface AnswerSink {
@@ -229,7 +236,8 @@
   snapshot @1 () -> (revision :UInt64, items :List(Item), era :UInt64, retained :List(RetainedItem), history :List(FollowedEra), leaving :List(EndpointIncarnation));
   relay @2 (call :Call, sink :AnswerSink) -> (length :UInt64, refused :Bool, refusal :Peer.Refusal);
   reserve @3 (reservation :Reservation) -> (granted :Bool, ticket :UInt64, unread :UInt64, wait :Wait, copied :UInt64, source :UInt8);
-  release @4 (endpoint :Text, ticket :UInt64, absent :Bool, runs :Bool) -> ();
+  # Rejected: by the endpoint. Given up: the endpoint may still run the request.
+  release @4 (endpoint :Text, ticket :UInt64, absent :Bool, runs :Bool, rejected :Bool, givenUp :Bool) -> ();
   # The eras are that of the store plus 1; 0 if the sender knows no eras.
   watch @5 (after :UInt64, waitMs :UInt32, era :UInt64) -> (watched :Watched, revision :UInt64, changes :List(Change), returnedMs :UInt32, era :UInt64);
   noteOrigins @6 (origins :List(StreamOrigin)) -> ();
--- a/crates/sw-peer/src/relay/client.rs
+++ b/crates/sw-peer/src/relay/client.rs
@@ -176,6 +176,8 @@
             params.set_ticket(entry_id);
             params.set_absent(update == ReservationUpdate::EndpointUnreachable);
             params.set_runs(update == ReservationUpdate::Running);
+            params.set_rejected(update == ReservationUpdate::Rejected);
+            params.set_given_up(update == ReservationUpdate::GivenUp);
             request.send().promise.await.map(|_empty| ())
         };
         self.pool.call(address, CALL_TIMEOUT, call).await
--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -2,9 +2,9 @@
 
 use bytes::Bytes;
 use sw_relay::{
-    CachedPart, Distance, DomainView, EndpointLoad, EndpointRateLimit, Grant, Heartbeat, PrefillPlan, Prompt,
-    PromptPart, QueueEstimate, RateLimitState, Reservation, ReservationUpdate, ServiceId, ServiceLoad, ServiceVersions,
-    SoftwareVersion, StreamOrigin, VersionAge, VmAge,
+    CachedPart, Distance, DomainView, EndpointLoad, EndpointRateLimit, Grant, Heartbeat, LimitKind, PrefillPlan,
+    Prompt, PromptPart, QueueEstimate, RateLimitState, Reservation, ReservationUpdate, ServiceId, ServiceLoad,
+    ServiceVersions, SoftwareVersion, StreamOrigin, VersionAge, VmAge,
 };
 use sw_unit::{Incarnation, Millis, PartId, Rate, Tokens};
 
@@ -17,6 +17,12 @@
 
 /// Encodes that an endpoint no longer has a rate limit.
 const RATE_LIMIT_ENDED: f64 = -1.0;
+/// What is written as the rate limit where another limit is reported, for builds that know rate limits alone.
+const NO_RATE_LIMIT: RateLimitState = RateLimitState {
+    incarnation: Incarnation(0),
+    rate: None,
+    age: Millis(u32::MAX as u64),
+};
 
 /// The headers of a request or response.
 type Headers = [(String, Bytes)];
@@ -139,15 +145,27 @@
     for (i, limit) in (0..).zip(limits) {
         let mut to = to.reborrow().get(i);
         to.set_endpoint(limit.endpoint.as_str());
-        set_rate_limit(to.init_state(), limit.state);
+        match limit.kind {
+            LimitKind::Requests => set_rate_limit(to.init_state(), limit.state),
+            LimitKind::Rejections => {
+                set_rate_limit(to.reborrow().init_state(), NO_RATE_LIMIT);
+                set_rate_limit(to.init_rejections(), limit.state);
+            }
+        }
     }
 }
 
 fn rate_limits(from: RateLimitsReader<'_>) -> Result<Vec<EndpointRateLimit>> {
     let limits = from.iter().map(|limit| {
+        let (kind, state) = if limit.has_rejections() {
+            (LimitKind::Rejections, limit.get_rejections()?)
+        } else {
+            (LimitKind::Requests, limit.get_state()?)
+        };
         Ok(EndpointRateLimit {
             endpoint: parse(limit.get_endpoint())?,
-            state: rate_limit(limit.get_state()?),
+            kind,
+            state: rate_limit(state),
         })
     });
     limits.collect()
@@ -357,6 +375,9 @@
     if let Some(limit) = reservation.rate_limit {
         set_rate_limit(to.reborrow().init_rate_limit(), limit);
     }
+    if let Some(limit) = reservation.rejection_limit {
+        set_rate_limit(to.reborrow().init_rejection_limit(), limit);
+    }
     let mut parts = to.init_parts(len(&prompt.parts));
     for (i, part) in (0..).zip(&prompt.parts) {
         let mut to = parts.reborrow().get(i);
@@ -383,6 +404,7 @@
         urgent: from.get_urgent(),
         cache_source_distance: from.get_source().checked_sub(1).and_then(Distance::from_repr),
         rate_limit: optional_rate_limit(from.has_rate_limit(), from.get_rate_limit())?,
+        rejection_limit: optional_rate_limit(from.has_rejection_limit(), from.get_rejection_limit())?,
     })
 }
 
@@ -423,10 +445,16 @@
 }
 
 pub(super) fn reservation_update(from: wire::relay_peer::release_params::Reader<'_>) -> ReservationUpdate {
-    match (from.get_absent(), from.get_runs()) {
-        (true, _) => ReservationUpdate::EndpointUnreachable,
-        (false, true) => ReservationUpdate::Running,
-        (false, false) => ReservationUpdate::Ended,
+    if from.get_absent() {
+        ReservationUpdate::EndpointUnreachable
+    } else if from.get_runs() {
+        ReservationUpdate::Running
+    } else if from.get_rejected() {
+        ReservationUpdate::Rejected
+    } else if from.get_given_up() {
+        ReservationUpdate::GivenUp
+    } else {
+        ReservationUpdate::Ended
     }
 }
 
@@ -435,7 +463,10 @@
     to.set_backlog_ms(estimate.backlog_ms as u32);
     to.set_token_wait_ms(estimate.token_wait.map_or(0, |wait| millis(wait).saturating_add(1)));
     if let Some(limit) = estimate.rate_limit {
-        set_rate_limit(to.init_rate_limit(), limit);
+        set_rate_limit(to.reborrow().init_rate_limit(), limit);
+    }
+    if let Some(limit) = estimate.rejection_limit {
+        set_rate_limit(to.init_rejection_limit(), limit);
     }
 }
 
@@ -445,6 +476,7 @@
         expected_ms: f64::from(from.get_expected_ms()),
         backlog_ms: f64::from(from.get_backlog_ms()),
         rate_limit: optional_rate_limit(from.has_rate_limit(), from.get_rate_limit())?,
+        rejection_limit: optional_rate_limit(from.has_rejection_limit(), from.get_rejection_limit())?,
         token_wait: token_wait.map(|wait| Millis(u64::from(wait))),
     })
 }
--- a/crates/sw-peer/src/relay_capnp.rs
+++ b/crates/sw-peer/src/relay_capnp.rs
@@ -1739,11 +1739,19 @@
         pub fn has_state(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_rejections(self) -> ::capnp::Result<crate::relay_capnp::rate_limit::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_rejections(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1825,6 +1833,22 @@
         pub fn has_state(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_rejections(self) -> ::capnp::Result<crate::relay_capnp::rate_limit::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_rejections(&mut self, value: crate::relay_capnp::rate_limit::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_rejections(self, ) -> crate::relay_capnp::rate_limit::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
+        }
+        #[inline]
+        pub fn has_rejections(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1837,19 +1861,22 @@
         pub fn get_state(&self) -> crate::relay_capnp::rate_limit::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
         }
+        pub fn get_rejections(&self) -> crate::relay_capnp::rate_limit::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(244, 38, 220, 248, 239, 250, 151, 170),
             ::capnp::word(12, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
@@ -1857,21 +1884,28 @@
             ::capnp::word(111, 105, 110, 116, 82, 97, 116, 101),
             ::capnp::word(76, 105, 109, 105, 116, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -1889,11 +1923,21 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 106, 101, 99, 116, 105, 111),
+            ::capnp::word(110, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 84, 107, 177, 80, 226, 192, 170),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <crate::relay_capnp::rate_limit::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::relay_capnp::rate_limit::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1907,9 +1951,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
         pub(crate) const TYPE_ID: u64 = 0xaa97_faef_f8dc_26f4;
     }
 }
@@ -7482,11 +7526,19 @@
         pub fn has_rate_limit(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_rejection_limit(self) -> ::capnp::Result<crate::relay_capnp::rate_limit::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_rejection_limit(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7640,6 +7692,22 @@
         pub fn has_rate_limit(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_rejection_limit(self) -> ::capnp::Result<crate::relay_capnp::rate_limit::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_rejection_limit(&mut self, value: crate::relay_capnp::rate_limit::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+        }
+        #[inline]
+        pub fn init_rejection_limit(self, ) -> crate::relay_capnp::rate_limit::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), 0)
+        }
+        #[inline]
+        pub fn has_rejection_limit(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7652,89 +7720,99 @@
         pub fn get_rate_limit(&self) -> crate::relay_capnp::rate_limit::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(3))
         }
+        pub fn get_rejection_limit(&self) -> crate::relay_capnp::rate_limit::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(4))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 158] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 174] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(118, 33, 231, 62, 158, 27, 47, 184),
             ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 82, 101, 115, 101),
             ::capnp::word(114, 118, 97, 116, 105, 111, 110, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 160, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 21, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -7813,6 +7891,15 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 106, 101, 99, 116, 105, 111),
+            ::capnp::word(110, 76, 105, 109, 105, 116, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 84, 107, 177, 80, 226, 192, 170),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -7825,6 +7912,7 @@
                 6 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 8 => <crate::relay_capnp::rate_limit::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <crate::relay_capnp::rate_limit::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -7838,9 +7926,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,5,3,4,8,1,7,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,5,3,4,8,9,1,7,6];
         pub(crate) const TYPE_ID: u64 = 0xb82f_1b9e_3ee7_2176;
     }
 }
@@ -7926,11 +8014,19 @@
         pub fn get_token_wait_ms(self) -> u32 {
             self.reader.get_data_field::<u32>(2)
         }
+        #[inline]
+        pub fn get_rejection_limit(self) -> ::capnp::Result<crate::relay_capnp::rate_limit::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_rejection_limit(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8020,6 +8116,22 @@
         pub fn set_token_wait_ms(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(2, value);
         }
+        #[inline]
+        pub fn get_rejection_limit(self) -> ::capnp::Result<crate::relay_capnp::rate_limit::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_rejection_limit(&mut self, value: crate::relay_capnp::rate_limit::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_rejection_limit(self, ) -> crate::relay_capnp::rate_limit::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        }
+        #[inline]
+        pub fn has_rejection_limit(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8032,54 +8144,64 @@
         pub fn get_rate_limit(&self) -> crate::relay_capnp::rate_limit::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
         }
+        pub fn get_rejection_limit(&self) -> crate::relay_capnp::rate_limit::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 97] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(192, 220, 140, 237, 234, 190, 169, 199),
             ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 87, 97, 105, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 120, 112, 101, 99, 116, 101, 100),
             ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
@@ -8116,6 +8238,15 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 106, 101, 99, 116, 105, 111),
+            ::capnp::word(110, 76, 105, 109, 105, 116, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 84, 107, 177, 80, 226, 192, 170),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -8123,6 +8254,7 @@
                 1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <crate::relay_capnp::rate_limit::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <crate::relay_capnp::rate_limit::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8136,9 +8268,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2,4,3];
         pub(crate) const TYPE_ID: u64 = 0xc7a9_beea_ed8c_dcc0;
     }
 }
@@ -11365,6 +11497,14 @@
             pub fn get_runs(self) -> bool {
                 self.reader.get_bool_field(65)
             }
+            #[inline]
+            pub fn get_rejected(self) -> bool {
+                self.reader.get_bool_field(66)
+            }
+            #[inline]
+            pub fn get_given_up(self) -> bool {
+                self.reader.get_bool_field(67)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -11459,6 +11599,22 @@
             pub fn set_runs(&mut self, value: bool)  {
                 self.builder.set_bool_field(65, value);
             }
+            #[inline]
+            pub fn get_rejected(self) -> bool {
+                self.builder.get_bool_field(66)
+            }
+            #[inline]
+            pub fn set_rejected(&mut self, value: bool)  {
+                self.builder.set_bool_field(66, value);
+            }
+            #[inline]
+            pub fn get_given_up(self) -> bool {
+                self.builder.get_bool_field(67)
+            }
+            #[inline]
+            pub fn set_given_up(&mut self, value: bool)  {
+                self.builder.set_bool_field(67, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -11470,7 +11626,7 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(135, 181, 213, 244, 137, 190, 248, 250),
                 ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
@@ -11480,7 +11636,7 @@
                 ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
@@ -11488,35 +11644,49 @@
                 ::capnp::word(121, 80, 101, 101, 114, 46, 114, 101),
                 ::capnp::word(108, 101, 97, 115, 101, 36, 80, 97),
                 ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(165, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 65, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(113, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(169, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(173, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 67, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -11550,6 +11720,23 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 106, 101, 99, 116, 101, 100),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 105, 118, 101, 110, 85, 112, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -11557,6 +11744,8 @@
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -11570,9 +11759,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,3,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,5,4,3,1];
             pub(crate) const TYPE_ID: u64 = 0xfaf8_be89_f4d5_b587;
         }
     }
--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -114,11 +114,8 @@
         let Some(attempt) = self.attempt.take() else {
             return;
         };
-        // Dropping the reservation releases it, whatever the outcome is.
-        if let Some(reservation) = self.reservation.take()
-            && outcome.is_absent()
-        {
-            reservation.report_unreachable();
+        if let Some(reservation) = self.reservation.take() {
+            reservation.report_outcome(outcome);
         }
         let now = self.state.now();
         telemetry::log_attempt_end(&self.id, &attempt, outcome, self.status, now);
--- a/crates/sw-proxy/src/heartbeat.rs
+++ b/crates/sw-proxy/src/heartbeat.rs
@@ -141,6 +141,7 @@
         telemetry::log_newer_version(state, &from);
     }
     telemetry::log_rate_limit_changes(state, "");
+    telemetry::log_rejection_limit_changes(state, "");
     crash::on_evidence(state);
     store::copy_if_due(state);
 }
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -51,6 +51,7 @@
     fn reserve(&self, reservation: &Reservation) -> Result<Grant, QueueEstimate> {
         let outcome = self.0.relay.borrow_mut().reserve(reservation, self.0.now());
         telemetry::log_rate_limit_changes(&self.0, "");
+        telemetry::log_rejection_limit_changes(&self.0, "");
         outcome
     }
 
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -121,6 +121,7 @@
                 if matches!(refusal.kind, Kind::QuarantinedPrompt | Kind::QuarantinedRequest) {
                     telemetry::log_quarantined(state, &request.admitted);
                 }
+                telemetry::log_without_room(state, &request.admitted);
                 return failure.ok_or_else(|| history.final_refusal(Some(refusal)));
             }
         };
--- a/crates/sw-proxy/src/reservation.rs
+++ b/crates/sw-proxy/src/reservation.rs
@@ -15,7 +15,7 @@
 /// Timeout for a coordinator's response; the request is sent without a reservation if it expires.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Time after which a grant with a token of the endpoint's rate limit is too old to be used. It is exceeded if this VM
+/// Time after which a grant with a token of an endpoint with a limit is too old to be used. It is exceeded if this VM
 /// was paused while it waited for the coordinator.
 const MAX_GRANT_AGE: Millis = Millis(500);
 
@@ -35,9 +35,17 @@
         &self.grant
     }
 
-    /// Releases the reservation and reports that the endpoint is unreachable.
-    pub(crate) fn report_unreachable(mut self) {
-        self.final_update = ReservationUpdate::EndpointUnreachable;
+    /// Releases the reservation and reports how the attempt ended.
+    pub(crate) fn report_outcome(mut self, outcome: AttemptOutcome) {
+        self.final_update = if outcome.is_absent() {
+            ReservationUpdate::EndpointUnreachable
+        } else if outcome == AttemptOutcome::Rejected {
+            ReservationUpdate::Rejected
+        } else if outcome.may_still_run() {
+            ReservationUpdate::GivenUp
+        } else {
+            ReservationUpdate::Ended
+        };
     }
 }
 
@@ -86,6 +94,7 @@
     if let Ok(Ok(Grant { estimate, .. }) | Err(estimate)) = &response {
         state.relay.borrow_mut().record_rate_limit(reservation, estimate, now);
         telemetry::log_rate_limit_changes(state, &request.admitted.id);
+        telemetry::log_rejection_limit_changes(state, &request.admitted.id);
     }
     let mut relay = state.relay.borrow_mut();
     match response {
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -212,7 +212,22 @@
     counter!("shallotwing_declined_total").increment(1);
 }
 
-/// Logs that the rate limit of an endpoint admits a request only after the time `wait`.
+/// Logs that a request is refused while all endpoints of its service are brittle and have no room.
+pub(crate) fn log_without_room<D, F>(state: &ProxyState<D, F>, admitted: &AdmittedRequest) {
+    let urgent = admitted.route.priority == 0;
+    let limit = state
+        .relay
+        .borrow()
+        .limit_without_room(&admitted.service, urgent, state.now());
+    let Some(limit) = limit else {
+        return;
+    };
+    let (id, service, per_second) = (&*admitted.id, admitted.service.as_str(), limit.0);
+    info!("without_room", kv: { id, service, per_second });
+    counter!("shallotwing_without_room_total").increment(1);
+}
+
+/// Logs that the limits of an endpoint admit a request only after the time `wait`.
 pub(crate) fn log_rate_limited(admitted: &AdmittedRequest, endpoint: &EndpointId, wait: Millis) {
     let (id, endpoint, wait_ms) = (&*admitted.id, endpoint.as_str(), wait.0);
     info!("rate_limited", kv: { id, endpoint, wait_ms });
@@ -301,13 +316,15 @@
     }
     gauge!("shallotwing_brittle_endpoints").set(relay.brittle_endpoints() as f64);
     for change in changes {
-        let endpoint = change.endpoint.as_str();
+        let (endpoint, source, age_ms) = (change.endpoint.as_str(), <&str>::from(change.source), change.age.0);
         match change.statement {
             RejectionLimitStatement::Named(limit) => {
                 let per_second = limit.0;
-                info!("rejection_limit_named", kv: { id, endpoint, per_second });
+                info!("rejection_limit_named", kv: { id, endpoint, per_second, source, age_ms });
+            }
+            RejectionLimitStatement::NotNamed => {
+                info!("rejection_limit_ended", kv: { id, endpoint, source, age_ms });
             }
-            RejectionLimitStatement::NotNamed => info!("rejection_limit_ended", kv: { id, endpoint }),
             RejectionLimitStatement::Malformed => warn!("rejection_limit_malformed", kv: { id, endpoint }),
         }
     }
--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -128,6 +128,11 @@
         matches!(self, Self::Failed | Self::WrongEndpoint)
     }
 
+    /// Whether the endpoint may still run the request.
+    pub fn may_still_run(self) -> bool {
+        matches!(self, Self::Broken | Self::Timeout | Self::Cancelled)
+    }
+
     /// Whether the outcome counts as a failure of the endpoint.
     pub fn is_fault(self) -> bool {
         matches!(self, Self::Failed | Self::Broken | Self::Timeout) || self.is_absent()
@@ -282,6 +287,7 @@
             }
         }
         self.clear_answered(attempt, outcome, now);
+        self.on_own_attempt_end(attempt, outcome, now);
         let load = self.loads.get_mut(&attempt.endpoint.id)?;
         load.on_end(attempt.entry_id, now);
         if outcome == AttemptOutcome::Unreachable {
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -187,7 +187,7 @@
         let local = local.filter(|endpoint| self.reaches(&endpoint.entry) == (reach == Reach::Direct));
         let available = local.filter(|endpoint| self.has_capacity(&endpoint.entry, &admitted.service, now));
         let available = available.filter(|endpoint| {
-            self.rate_limit_admits(&endpoint.entry, admitted.is_urgent(), now)
+            self.limits_admit(&endpoint.entry, admitted.is_urgent(), now)
                 && !history.is_rate_limited(&endpoint.entry.id)
         });
         let available: Vec<_> = available
--- a/crates/sw-relay/src/coordinator.rs
+++ b/crates/sw-relay/src/coordinator.rs
@@ -66,6 +66,8 @@
     pub cache_source_distance: Option<Distance>,
     /// What the asking VM knows of the endpoint's rate limit; `None` if it knows none.
     pub rate_limit: Option<RateLimitState>,
+    /// What the asking VM knows of the endpoint's rejection limit; `None` if it knows none.
+    pub rejection_limit: Option<RateLimitState>,
 }
 
 /// The VM to ask for a slot in an endpoint's queue.
@@ -88,12 +90,14 @@
     pub backlog_ms: f64,
     /// What the coordinator knows of the endpoint's rate limit; `None` if it knows none.
     pub rate_limit: Option<RateLimitState>,
-    /// Time after which to ask again, if the rate limit is the reason for declining.
+    /// What the coordinator knows of the endpoint's rejection limit; `None` if it knows none.
+    pub rejection_limit: Option<RateLimitState>,
+    /// Time after which to ask again, if one of the limits is the reason for declining.
     pub token_wait: Option<Millis>,
 }
 
 impl QueueEstimate {
-    /// Returns the estimate for a request that the rate limit does not admit for the time `wait`.
+    /// Returns the estimate for a request that a limit does not admit for the time `wait`.
     fn without_token(self, wait: Millis) -> Self {
         Self {
             expected_ms: self.expected_ms.max(wait.0 as f64),
@@ -115,10 +119,10 @@
 }
 
 impl Grant {
-    /// Returns whether a token of the endpoint's rate limit was taken for the request.
+    /// Returns whether the endpoint has a limit, so that a token was taken for the request.
     pub fn has_token(&self) -> bool {
-        let limit = self.estimate.rate_limit;
-        limit.is_some_and(|limit| limit.rate.is_some())
+        let limits = [self.estimate.rate_limit, self.estimate.rejection_limit];
+        limits.iter().flatten().any(|limit| limit.rate.is_some())
     }
 }
 
@@ -129,6 +133,10 @@
     Running,
     /// It ended or was not sent.
     Ended,
+    /// The endpoint rejected it.
+    Rejected,
+    /// It was given up, and the endpoint may still run it.
+    GivenUp,
     /// The endpoint could not be reached at its address.
     EndpointUnreachable,
 }
@@ -169,8 +177,18 @@
             let transit = self.peer_transit(MAX_CALL_TRANSIT, now);
             self.rate_limits.on_peer(endpoint, state, transit, now);
         }
+        if let Some(state) = reservation.rejection_limit {
+            let transit = self.peer_transit(MAX_CALL_TRANSIT, now);
+            self.on_peer_rejection_limit(endpoint, state, transit, now);
+        }
         let rate_limit = self.rate_limits.state(endpoint, now);
-        let with_limit = |estimate: QueueEstimate| QueueEstimate { rate_limit, ..estimate };
+        let known = self.registry.get(endpoint);
+        let rejection_limit = known.and_then(|known| self.rejection_limit_state(&known.entry, now));
+        let with_limit = |estimate: QueueEstimate| QueueEstimate {
+            rate_limit,
+            rejection_limit,
+            ..estimate
+        };
         match self.reserve_in_queue(reservation, now) {
             Ok(grant) => Ok(Grant {
                 estimate: with_limit(grant.estimate),
@@ -189,6 +207,7 @@
             urgent,
             cache_source_distance,
             rate_limit: _,
+            rejection_limit: _,
         } = reservation;
         let known = self.registry.get(endpoint);
         let Some(known) = known.filter(|known| self.registry.may_send(&known.entry, now)) else {
@@ -271,13 +290,17 @@
         update: ReservationUpdate,
         now: Time,
     ) {
+        if update == ReservationUpdate::Rejected {
+            self.on_room_rejected(endpoint, now);
+        }
         let Some(load) = self.loads.get_mut(endpoint) else {
             return;
         };
         load.on_prefill_done(entry_id, now);
         match update {
             ReservationUpdate::Running => load.on_run_started(entry_id, now + MAX_RUN),
-            ReservationUpdate::Ended => {}
+            ReservationUpdate::Ended | ReservationUpdate::Rejected => {}
+            ReservationUpdate::GivenUp => self.hold_slot(endpoint, now),
             ReservationUpdate::EndpointUnreachable => self.suspect_path(endpoint),
         }
     }
@@ -338,6 +361,7 @@
                 urgent: admitted.is_urgent(),
                 cache_source_distance: self.cache_source(admitted, endpoint, now).map(|source| source.distance),
                 rate_limit: self.rate_limits.state(&endpoint.id, now),
+                rejection_limit: self.rejection_limit_state(endpoint, now),
             },
         })
     }
@@ -410,11 +434,15 @@
 
     /// Returns the coordinators of the endpoints of one failure domain, spread evenly over its live VMs.
     ///
-    /// That of an endpoint with a rate limit does not depend on the other endpoints, because VMs that know different ones
-    /// must agree on it.
+    /// That of an endpoint with a limit does not depend on the other endpoints, because VMs that know different ones
+    /// must agree on it. If its failure domain has no live VM, another one of the region coordinates it, because nothing is
+    /// sent to it without a coordinator.
     fn coordinators_in(&self, domain: &DomainId, now: Time) -> Vec<(EndpointId, VmId)> {
         let vms: Vec<_> = self.members.live_vms(domain, now).map(|row| &row.vm).collect();
         let mut endpoints: Vec<_> = self.endpoints_in(domain).collect();
+        if vms.is_empty() {
+            return self.coordinators_of_limited(&endpoints, now);
+        }
         endpoints.sort();
         let max_per_vm = endpoints.len().div_ceil(vms.len().max(1));
         let mut assigned: IndexMap<&VmId, usize> = IndexMap::new();
@@ -427,12 +455,30 @@
                 continue;
             };
             *assigned.entry(vm).or_default() += 1;
-            let vm = first.filter(|_| self.has_rate_limit(endpoint)).unwrap_or(vm);
+            let vm = first.filter(|_| self.has_limit(endpoint)).unwrap_or(vm);
             coordinators.push((endpoint.clone(), vm.clone()));
         }
         coordinators
     }
 
+    /// Returns the coordinators of those of the endpoints that have limits, chosen from all live VMs of the region.
+    fn coordinators_of_limited(&self, endpoints: &[&EndpointId], now: Time) -> Vec<(EndpointId, VmId)> {
+        let limited = endpoints.iter().filter(|endpoint| self.has_limit(endpoint));
+        let limited: Vec<&EndpointId> = limited.copied().collect();
+        if limited.is_empty() {
+            return Vec::new();
+        }
+        let local = self.members.local();
+        let peers = self.members.peers();
+        let peers = peers.filter(|row| row.region == local.region && !row.leaving && self.is_live(&row.vm, now));
+        let vms: Vec<_> = peers.map(|row| &row.vm).chain([&local.vm]).collect();
+        let coordinators = limited.into_iter().filter_map(|endpoint| {
+            let first = rendezvous_top(endpoint, vms.iter().copied(), 1);
+            Some((endpoint.clone(), (*first.first()?).clone()))
+        });
+        coordinators.collect()
+    }
+
     fn endpoints_in<'a>(&'a self, domain: &'a DomainId) -> impl Iterator<Item = &'a EndpointId> {
         let services = self.table.iter().flat_map(|table| table.services.keys());
         let usable = services.flat_map(|id| self.registry.usable(id));
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -8,8 +8,8 @@
 use crate::rate_limit::MAX_CALL_TRANSIT;
 use crate::registry::Endpoint;
 use crate::{
-    AnsweredSuspect, AttemptHistory, CrashReport, DomainView, EndpointLoad, EndpointTracker, Heartbeat, RateLimitState,
-    Relay, ServiceId, ServiceLoad, VmAge,
+    AnsweredSuspect, AttemptHistory, CrashReport, DomainView, EndpointLoad, EndpointRateLimit, EndpointTracker,
+    Heartbeat, LimitKind, RateLimitState, Relay, ServiceId, ServiceLoad, VmAge,
 };
 
 /// Minimum number of entry VMs of the caller's failure domain; with fewer, those of the whole region are named.
@@ -71,7 +71,7 @@
                 Vec::new()
             },
             rate_limits: if neighbour {
-                self.rate_limits.reports(!agree, now)
+                self.limit_reports(!agree, now)
             } else {
                 Vec::new()
             },
@@ -110,7 +110,7 @@
         }
         let transit = self.peer_transit(MAX_CALL_TRANSIT, now);
         for limit in &heartbeat.rate_limits {
-            self.rate_limits.on_peer(&limit.endpoint, limit.state, transit, now);
+            self.on_peer_limit(limit, transit, now);
         }
         self.on_crash_reports(&heartbeat.crashes, &heartbeat.answered, false, now);
         for report in &heartbeat.versions {
@@ -198,7 +198,8 @@
                     age: limit.state.age + view.age,
                     ..limit.state
                 };
-                self.rate_limits.on_peer(&limit.endpoint, state, transit, now);
+                let limit = EndpointRateLimit { state, ..limit.clone() };
+                self.on_peer_limit(&limit, transit, now);
             }
         } else {
             let region = self.regions.entry(view.region.clone()).or_default();
@@ -267,7 +268,7 @@
             },
             cached_parts: self.cache_directory.domain_updates(now),
             rate_limits: if same_region {
-                self.rate_limits.reports(is_new, now)
+                self.limit_reports(is_new, now)
             } else {
                 Vec::new()
             },
@@ -276,6 +277,23 @@
         }
     }
 
+    /// Returns the limits of endpoints to report to another VM, which may be `new`.
+    fn limit_reports(&self, new: bool, now: Time) -> Vec<EndpointRateLimit> {
+        let requests = self.rate_limits.reports(LimitKind::Requests, new, now);
+        let rejections = self.rejection_limits.reports(LimitKind::Rejections, new, now);
+        requests.chain(rejections).collect()
+    }
+
+    /// Applies what another VM knows of a limit.
+    fn on_peer_limit(&mut self, limit: &EndpointRateLimit, transit: Option<Millis>, now: Time) {
+        match limit.kind {
+            LimitKind::Requests => {
+                self.rate_limits.on_peer(&limit.endpoint, limit.state, transit, now);
+            }
+            LimitKind::Rejections => self.on_peer_rejection_limit(&limit.endpoint, limit.state, transit, now),
+        }
+    }
+
     /// Returns a digest of all membership rows, equal on VMs that know the same rows.
     fn members_digest(&self) -> u64 {
         let local = std::iter::once(self.members.local());
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -37,6 +37,8 @@
 mod rejection_limit;
 mod relay;
 mod retry;
+mod room;
+mod room_keeper;
 mod slow_start;
 mod spill;
 mod stall;
@@ -66,10 +68,13 @@
 pub use permitted_regions::PermittedRegions;
 pub use prefill::{CacheSource, Distance, PrefillPlan};
 pub use quarantine::{NewsScope, QuarantineChange};
-pub use rate_limit::{EndpointRateLimit, RateLimitChange, RateLimitSource, RateLimitState, RateLimitStatement};
+pub use rate_limit::{
+    EndpointRateLimit, LimitKind, RateLimitChange, RateLimitSource, RateLimitState, RateLimitStatement,
+};
+// What an endpoint states of its rejection limit has the same forms.
+pub use rate_limit::{RateLimitChange as RejectionLimitChange, RateLimitStatement as RejectionLimitStatement};
 pub use region::RemoteRegion;
 pub use registry::{Endpoint, LeavingEndpoint, Registry};
-pub use rejection_limit::{RejectionLimitChange, RejectionLimitStatement};
 pub use relay::{AdmittedRequest, Options, Relay};
 pub use slow_start::{SlowStart, SlowStartShare};
 pub use stall::StallDetector;
--- a/crates/sw-relay/src/load.rs
+++ b/crates/sw-relay/src/load.rs
@@ -145,6 +145,14 @@
         self.running.saturating_add(u32::try_from(others).unwrap_or(u32::MAX))
     }
 
+    /// Returns the number of requests that are running or waiting at the endpoint, of this VM and those that it granted.
+    pub(crate) fn present(&self, now: Time) -> u32 {
+        let queued = self.prefill_queue.iter().filter_map(|entry| entry.expires_at);
+        let granted = self.granted.iter().map(|entry| entry.expires_at);
+        let others = queued.chain(granted).filter(|expires_at| *expires_at > now).count();
+        self.running.saturating_add(u32::try_from(others).unwrap_or(u32::MAX))
+    }
+
     /// Returns the number of requests queued at the endpoint.
     pub fn waiting(&self, now: Time) -> u32 {
         self.fresh_report(now).map_or(0, |report| report.waiting)
--- a/crates/sw-relay/src/rate_limit.rs
+++ b/crates/sw-relay/src/rate_limit.rs
@@ -48,11 +48,22 @@
     pub age: Millis,
 }
 
-/// The rate limit of an endpoint, as one VM reports it to another.
+/// Which limit an endpoint named.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LimitKind {
+    /// The requests that it takes in a second.
+    Requests,
+    /// The requests that it can reject in a second for lack of room.
+    Rejections,
+}
+
+/// A limit of an endpoint, as one VM reports it to another.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EndpointRateLimit {
     /// The endpoint.
     pub endpoint: EndpointId,
+    /// Which limit it is.
+    pub kind: LimitKind,
     /// Its limit.
     pub state: RateLimitState,
 }
@@ -127,12 +138,24 @@
         self.observations.get(endpoint).map(|known| state_of(known, now))
     }
 
+    /// Returns whether this incarnation of an endpoint has named a limit, or the end of one.
+    pub(crate) fn has_stated(&self, entry: &EndpointEntry) -> bool {
+        let known = self.observations.get(&entry.id);
+        known.is_some_and(|known| known.incarnation == entry.incarnation)
+    }
+
+    /// Returns the limits in force.
+    pub(crate) fn limited(&self) -> impl Iterator<Item = (&EndpointId, Rate)> {
+        let known = self.observations.iter();
+        known.filter_map(|(endpoint, known)| Some((endpoint, known.rate?)))
+    }
+
     /// Returns the number of endpoints that have a limit.
     pub(crate) fn limited_count(&self) -> usize {
-        self.observations.values().filter(|known| known.rate.is_some()).count()
+        self.limited().count()
     }
 
-    /// Records what a response to this VM says.
+    /// Records what a response to this VM says, and returns whether the limit changed.
     ///
     /// `sent_at` is when its request was sent; `None` if the response may belong to another request, so that it can
     /// only tighten the limit.
@@ -142,11 +165,14 @@
         statement: RateLimitStatement,
         sent_at: Option<Time>,
         now: Time,
-    ) {
+    ) -> bool {
         let rate = match statement {
             RateLimitStatement::NotNamed => None,
             RateLimitStatement::Named(rate) => Some(rate),
-            RateLimitStatement::Malformed => return self.on_malformed(entry),
+            RateLimitStatement::Malformed => {
+                self.on_malformed(entry);
+                return false;
+            }
         };
         self.malformed.swap_remove(&entry.id);
         let known = self
@@ -155,27 +181,34 @@
             .filter(|known| known.incarnation == entry.incarnation);
         let is_loosened = known.is_some_and(|known| known.is_loosened_by(rate));
         if rate.is_none() && known.is_none() {
-            return;
+            return false;
         }
         let stated_at = if is_loosened || rate.is_none() {
             sent_at
         } else {
             Some(now)
         };
-        if let Some(stated_at) = stated_at {
-            let observation = Observation {
-                incarnation: entry.incarnation,
-                rate,
-                stated_at,
-                changed_at: now,
-            };
-            self.merge(&entry.id, observation, RateLimitSource::Response, now);
-        }
+        let Some(stated_at) = stated_at else {
+            return false;
+        };
+        let observation = Observation {
+            incarnation: entry.incarnation,
+            rate,
+            stated_at,
+            changed_at: now,
+        };
+        self.merge(&entry.id, observation, RateLimitSource::Response, now)
     }
 
     /// Records what another VM knows. Its report may be older than it says by `transit`; `None` if this VM cannot tell by
-    /// how much, so that the report can only tighten the limit.
-    pub(crate) fn on_peer(&mut self, endpoint: &EndpointId, state: RateLimitState, transit: Option<Millis>, now: Time) {
+    /// how much, so that the report can only tighten the limit. Returns whether the limit changed.
+    pub(crate) fn on_peer(
+        &mut self,
+        endpoint: &EndpointId,
+        state: RateLimitState,
+        transit: Option<Millis>,
+        now: Time,
+    ) -> bool {
         let known = self.observations.get(endpoint);
         let is_loosened = known.is_some_and(|known| known.is_loosened_by(state.rate));
         let transit = if is_loosened || state.rate.is_none() {
@@ -184,7 +217,7 @@
             Some(Millis(0))
         };
         let Some(transit) = transit else {
-            return;
+            return false;
         };
         let observation = Observation {
             incarnation: state.incarnation,
@@ -192,22 +225,27 @@
             stated_at: now - state.age - transit,
             changed_at: now,
         };
-        self.merge(endpoint, observation, RateLimitSource::Peer, now);
+        self.merge(endpoint, observation, RateLimitSource::Peer, now)
     }
 
-    /// Returns the limits, and the ends of limits, to report to another VM: those that changed recently, and all limits in
-    /// force if the VM may be `new`.
-    pub(crate) fn reports(&self, new: bool, now: Time) -> Vec<EndpointRateLimit> {
-        let is_reported = |known: &Observation| {
+    /// Returns the limits of a kind, and the ends of limits, to report to another VM: those that changed recently, and all
+    /// limits in force if the VM may be `new`.
+    pub(crate) fn reports(
+        &self,
+        kind: LimitKind,
+        new: bool,
+        now: Time,
+    ) -> impl Iterator<Item = EndpointRateLimit> + use<'_> {
+        let is_reported = move |known: &Observation| {
             let is_recent = now.since(known.changed_at) < REPORTED_FOR;
             is_recent || new && known.rate.is_some()
         };
-        let reported = self.observations.iter().filter(|(_, known)| is_reported(known));
-        let reports = reported.map(|(endpoint, known)| EndpointRateLimit {
+        let reported = self.observations.iter().filter(move |(_, known)| is_reported(known));
+        reported.map(move |(endpoint, known)| EndpointRateLimit {
             endpoint: endpoint.clone(),
+            kind,
             state: state_of(known, now),
-        });
-        reports.collect()
+        })
     }
 
     /// Removes the limits of endpoints that have not been registered for a while.
@@ -223,7 +261,8 @@
         std::mem::take(&mut self.changes)
     }
 
-    fn merge(&mut self, endpoint: &EndpointId, new: Observation, source: RateLimitSource, now: Time) {
+    /// Merges an observation, and returns whether the limit of the endpoint or its incarnation changed.
+    fn merge(&mut self, endpoint: &EndpointId, new: Observation, source: RateLimitSource, now: Time) -> bool {
         let known = self.observations.get(endpoint).copied();
         let is_newer = known.is_none_or(|known| {
             (new.incarnation, new.stated_at) > (known.incarnation, known.stated_at)
@@ -231,7 +270,7 @@
                     && !known.is_loosened_by(new.rate)
         });
         if !is_newer {
-            return;
+            return false;
         }
         let renewed = known.filter(|known| known.is_renewed_by(new.incarnation, new.rate));
         let changed_at = renewed.map_or(new.changed_at, |known| known.changed_at);
@@ -241,6 +280,7 @@
             let statement = new.rate.map_or(RateLimitStatement::NotNamed, RateLimitStatement::Named);
             self.push_change(endpoint, statement, source, now.since(new.stated_at));
         }
+        renewed.is_none()
     }
 
     fn on_malformed(&mut self, entry: &EndpointEntry) {
--- a/crates/sw-relay/src/rate_limiter.rs
+++ b/crates/sw-relay/src/rate_limiter.rs
@@ -8,6 +8,8 @@
 //! Two VMs can be coordinators for a moment. A VM that has become the coordinator, or was paused, starts with an empty
 //! bucket at half the rate, until the requests that its predecessor granted no longer count. While VMs of the region
 //! are missing, they may have a coordinator of their own, so the rate shrinks with the share of live VMs.
+//!
+//! The same place enforces rejection limits: a token for a brittle endpoint also needs room there (`room_keeper.rs`).
 
 use indexmap::IndexMap;
 use sw_unit::{EndpointId, Millis, Rate, Time};
@@ -25,11 +27,14 @@
 /// Time between two ticks after which this VM was paused, and others may have become coordinators.
 pub(crate) const MAX_TICK_GAP: Millis = Millis(1_500);
 /// Time after which a VM should ask again if this one is not ready to grant tokens.
-const NOT_READY_WAIT: Millis = Millis(500);
+pub(crate) const NOT_READY_WAIT: Millis = Millis(500);
 /// Time after which a token that was not used is void; its request may have been held by a paused VM.
 const TOKEN_TTL: Millis = Millis(500);
 /// Time after a pause within which this VM has received the calls that arrived during the pause.
 pub(crate) const CATCH_UP_TIME: Millis = Millis(1_000);
+/// Time for which an earlier coordinator may still grant, because it does not know yet that it is not the coordinator any
+/// more.
+const HANDOVER_TIME: Millis = Millis(1_500);
 /// Factor on the share of live VMs; two sides that cannot see each other grant at most this multiple of the limit.
 const SPLIT_FACTOR: f64 = 1.4;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
@@ -41,6 +46,58 @@
     other_at: Time,
 }
 
+/// The share of the region's VMs that are live.
+#[derive(Debug, Clone, Copy)]
+struct LiveShare {
+    share: f64,
+    /// The smallest share before it rose the last time, and when that was.
+    before_rise: f64,
+    rose_at: Option<Time>,
+    changed_at: Time,
+}
+
+impl Default for LiveShare {
+    fn default() -> Self {
+        Self {
+            share: 1.0,
+            before_rise: 1.0,
+            rose_at: None,
+            changed_at: Time(0),
+        }
+    }
+}
+
+impl LiveShare {
+    fn update(&mut self, share: f64, now: Time) {
+        if share > self.share {
+            let before = if self.is_rising(now) {
+                self.before_rise
+            } else {
+                self.share
+            };
+            self.before_rise = before.min(self.share);
+            self.rose_at = Some(now);
+        }
+        if (share - self.share).abs() > f64::EPSILON {
+            self.changed_at = now;
+        }
+        self.share = share;
+    }
+
+    /// Returns whether VMs that came back a moment ago may still have a coordinator of their own.
+    fn is_rising(self, now: Time) -> bool {
+        self.rose_at.is_some_and(|at| now.since(at) < HANDOVER_TIME)
+    }
+
+    fn usable(self, now: Time) -> f64 {
+        if self.is_rising(now) {
+            self.share.min(self.before_rise)
+        } else {
+            self.share
+        }
+    }
+}
+
 /// Token buckets, and what the coordinators of other endpoints said about theirs.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct RateLimiter {
@@ -53,16 +110,22 @@
     last_tick: Time,
     /// When this VM last noticed that it had been paused; its start counts as such.
     resumed_at: Time,
+    live_share: LiveShare,
 }
 
 impl RateLimiter {
-    /// Updates the endpoints that this VM coordinates, and creates the buckets of those with a limit.
-    fn tick(&mut self, coordinated: Vec<(EndpointId, bool)>, now: Time) {
+    /// Updates the endpoints that this VM coordinates, and creates the buckets of those with a rate limit. `live_share` is the
+    /// share of the region's VMs that are live, if an endpoint is brittle.
+    fn tick(&mut self, coordinated: Vec<(EndpointId, bool)>, live_share: Option<f64>, now: Time) {
         if now.since(self.last_tick) >= MAX_TICK_GAP {
             self.coordinated_since.clear();
             self.resumed_at = now;
         }
         self.last_tick = now;
+        match live_share {
+            Some(share) => self.live_share.update(share, now),
+            None => self.live_share = LiveShare::default(),
+        }
         let before = std::mem::take(&mut self.coordinated_since);
         for (endpoint, is_limited) in coordinated {
             let since = before.get(&endpoint).copied().unwrap_or(now);
@@ -107,13 +170,15 @@
         self.rate_limits.limited_count()
     }
 
-    /// Returns whether the rate limit of an endpoint admits a request now, as far as this VM knows.
-    pub(crate) fn rate_limit_admits(&self, endpoint: &EndpointEntry, urgent: bool, now: Time) -> bool {
-        let Some(limit) = self.rate_limits.rate(endpoint) else {
+    /// Returns whether the limits of an endpoint admit a request now, as far as this VM knows.
+    pub(crate) fn limits_admit(&self, endpoint: &EndpointEntry, urgent: bool, now: Time) -> bool {
+        if !self.is_limited(endpoint) {
             return true;
-        };
+        }
         if self.is_coordinator_of(&endpoint.id) {
-            return self.token_wait(&endpoint.id, limit, urgent, now) == Millis(0);
+            let rate = self.rate_limits.rate(endpoint);
+            let token_wait = rate.map_or(Millis(0), |limit| self.token_wait(&endpoint.id, limit, urgent, now));
+            return token_wait.max(self.room_wait(endpoint, now)) == Millis(0);
         }
         let ask = self
             .rate_limiter
@@ -129,8 +194,10 @@
     ///
     /// # Errors
     ///
-    /// Returns the time after which to try again, if there is no token or this VM is not the coordinator.
+    /// Returns the time after which to try again, if there is no token, the endpoint is brittle and has no room, or this VM
+    /// is not the coordinator.
     pub(crate) fn take_token(&mut self, endpoint: &EndpointEntry, urgent: bool, now: Time) -> Result<(), Millis> {
+        self.check_room(endpoint, now)?;
         let Some(limit) = self.rate_limits.rate(endpoint) else {
             return Ok(());
         };
@@ -148,7 +215,9 @@
         urgent: bool,
         now: Time,
     ) -> Option<Time> {
-        self.rate_limits.rate(endpoint)?;
+        if !self.is_limited(endpoint) {
+            return None;
+        }
         let is_taken = match grant {
             Some(grant) => grant.has_token(),
             None => self.take_token(endpoint, urgent, now).is_ok(),
@@ -156,12 +225,16 @@
         is_taken.then_some(now)
     }
 
-    /// Applies what a coordinator answered to `reservation` about the rate limit of the endpoint.
+    /// Applies what a coordinator answered to `reservation` about the limits of the endpoint.
     pub fn record_rate_limit(&mut self, reservation: &Reservation, estimate: &QueueEstimate, now: Time) {
         if let Some(state) = estimate.rate_limit {
             let transit = self.peer_transit(MAX_REPLY_TRANSIT, now);
             self.rate_limits.on_peer(&reservation.endpoint, state, transit, now);
         }
+        if let Some(state) = estimate.rejection_limit {
+            let transit = self.peer_transit(MAX_REPLY_TRANSIT, now);
+            self.on_peer_rejection_limit(&reservation.endpoint, state, transit, now);
+        }
         let Some(wait) = estimate.token_wait else {
             return;
         };
@@ -186,12 +259,12 @@
     }
 
     /// Returns whether a request may still be sent to an endpoint; `token_taken_at` is when a token was taken for it, if
-    /// the endpoint had a rate limit.
+    /// the endpoint had a limit.
     pub fn may_send(&self, endpoint: &EndpointEntry, token_taken_at: Option<Time>, now: Time) -> bool {
-        let is_admitted = match (self.rate_limits.rate(endpoint), token_taken_at) {
-            (None, _) => true,
-            (Some(_), None) => false,
-            (Some(_), Some(taken_at)) => now.since(taken_at) < TOKEN_TTL,
+        let is_admitted = match (self.is_limited(endpoint), token_taken_at) {
+            (false, _) => true,
+            (true, None) => false,
+            (true, Some(taken_at)) => now.since(taken_at) < TOKEN_TTL,
         };
         is_admitted && self.registry.may_send(endpoint, now)
     }
@@ -203,7 +276,20 @@
         let coordinated: Vec<_> = coordinated
             .map(|(endpoint, _)| (endpoint.clone(), self.has_rate_limit(endpoint)))
             .collect();
-        self.rate_limiter.tick(coordinated, now);
+        let is_brittle = !self.brittle_services.is_empty();
+        let live_share = is_brittle.then(|| self.live_share(now));
+        self.rate_limiter.tick(coordinated, live_share, now);
+    }
+
+    /// Returns whether an endpoint has a limit, so that a request to it needs a token.
+    fn is_limited(&self, endpoint: &EndpointEntry) -> bool {
+        self.rate_limits.rate(endpoint).is_some() || self.endpoint_rejection_limit(endpoint).is_some()
+    }
+
+    /// Returns whether a registered endpoint has a limit.
+    pub(crate) fn has_limit(&self, endpoint: &EndpointId) -> bool {
+        let known = self.registry.get(endpoint);
+        known.is_some_and(|known| self.is_limited(&known.entry))
     }
 
     /// Returns whether a registered endpoint has a rate limit.
@@ -217,8 +303,7 @@
         self.rate_limits.rate(endpoint).map_or(0.0, token_interval_ms)
     }
 
-    /// Returns when a refused caller should return if all local endpoints of a service have rate limits; `None` if one
-    /// has none.
+    /// Returns when a refused caller should return if all local endpoints of a service have limits; `None` if one has none.
     ///
     /// The callers that this VM refuses return one after another, at its part of the sum of the limits.
     pub(crate) fn rate_limited_return(
@@ -228,7 +313,10 @@
         now: Time,
     ) -> Option<Millis> {
         let limits = self.local_endpoints(&admitted.service);
-        let limits = limits.map(|endpoint| self.rate_limits.rate(&endpoint.entry));
+        let limits = limits.map(|endpoint| {
+            let limits = [self.rate_limits.rate(&endpoint.entry), self.room_rate(&endpoint.entry)];
+            limits.into_iter().flatten().min_by(|a, b| a.0.total_cmp(&b.0))
+        });
         let total: f64 = limits.map(|limit| limit.map(|limit| limit.0)).sum::<Option<f64>>()?;
         if total == 0.0 {
             return None;
@@ -260,18 +348,38 @@
     /// Returns the rate at which this VM may grant requests to an endpoint; `None` if it is not its coordinator, or it
     /// has just started or was paused and cannot know.
     fn refill_rate(&self, endpoint: &EndpointId, limit: Rate, now: Time) -> Option<RefillRate> {
-        let has_joined = now.since(self.options.started_at) >= JOIN_TIME;
-        let is_paused = now.since(self.rate_limiter.last_tick) >= MAX_TICK_GAP;
-        let since = self.rate_limiter.coordinated_since.get(endpoint);
-        let since = since.filter(|_| has_joined && !is_paused)?;
+        let since = self.coordinated_since(endpoint, now)?;
         Some(RefillRate {
             limit,
-            share: self.live_share(now),
-            settled_at: *since + SETTLE_TIME,
+            share: (SPLIT_FACTOR * self.live_share(now)).min(1.0),
+            settled_at: since + SETTLE_TIME,
         })
     }
 
-    /// Returns the share of a limit that this side of the region's VMs may use.
+    /// Returns since when, or from when on, no other VM grants requests to an endpoint; `None` if this VM is not its
+    /// coordinator, or cannot know.
+    pub(crate) fn granting_since(&self, endpoint: &EndpointId, now: Time) -> Option<Time> {
+        let since = self.coordinated_since(endpoint, now)?;
+        Some(since + HANDOVER_TIME)
+    }
+
+    /// Returns the share of the slots of an endpoint that this side of the region's VMs may use, and since when VMs are
+    /// neither missing nor back that were not before.
+    pub(crate) fn usable_share(&self, now: Time) -> (f64, Time) {
+        let live_share = self.rate_limiter.live_share;
+        (live_share.usable(now), live_share.changed_at)
+    }
+
+    /// Returns since when this VM coordinates an endpoint; `None` if it is not its coordinator, or it has just started or
+    /// was paused and cannot know.
+    fn coordinated_since(&self, endpoint: &EndpointId, now: Time) -> Option<Time> {
+        let has_joined = now.since(self.options.started_at) >= JOIN_TIME;
+        let is_paused = now.since(self.rate_limiter.last_tick) >= MAX_TICK_GAP;
+        let since = self.rate_limiter.coordinated_since.get(endpoint).copied();
+        since.filter(|_| has_joined && !is_paused)
+    }
+
+    /// Returns the share of the region's VMs that are live.
     fn live_share(&self, now: Time) -> f64 {
         let region = &self.options.local.region;
         let peers = self.members.peers().filter(|row| row.region == *region && !row.leaving);
@@ -280,6 +388,6 @@
             known += 1;
             live += u32::from(self.is_live(&row.vm, now));
         }
-        (SPLIT_FACTOR * f64::from(live) / f64::from(known)).min(1.0)
+        f64::from(live) / f64::from(known)
     }
 }
--- a/crates/sw-relay/src/rejection_limit.rs
+++ b/crates/sw-relay/src/rejection_limit.rs
@@ -1,111 +1,16 @@
 //! Rejection limits that endpoints name in their responses.
 //!
 //! A brittle endpoint names how many requests it can reject in a second for lack of room; with more it fails. It says so in
-//! all its responses while that holds. Responses can overtake each other, so that a limit ends only with a response to a
-//! request that was sent after the limit was last named.
+//! all its responses while that holds. What VMs know of it is kept and exchanged like rate limits (`rate_limit.rs`). As the
+//! endpoints of a service are brittle together, one of which nothing is known yet counts as brittle like the others.
 
 use indexmap::IndexMap;
-use sw_unit::{EndpointId, Incarnation, Rate, Time};
+use sw_unit::{EndpointId, Rate, Time};
 
-use crate::{EndpointEntry, Relay, ServiceId};
+use crate::{EndpointEntry, RateLimitState, RejectionLimitChange, RejectionLimitStatement, Relay, ServiceId};
 
-/// Maximum number of changes that are kept for logging.
-const MAX_CHANGES: usize = 64;
-
-/// What a response says about the rejections that its endpoint can bear.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub enum RejectionLimitStatement {
-    /// It names no limit.
-    #[default]
-    NotNamed,
-    /// The endpoint can reject this many requests in a second.
-    Named(Rate),
-    /// The limit cannot be decoded; what was known before stays in force.
-    Malformed,
-}
-
-/// A change of what a VM knows of a rejection limit.
-#[derive(Debug, Clone, PartialEq)]
-pub struct RejectionLimitChange {
-    /// The endpoint.
-    pub endpoint: EndpointId,
-    /// What it states now.
-    pub statement: RejectionLimitStatement,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct KnownLimit {
-    incarnation: Incarnation,
-    /// The limit; `None` if none that can be decoded was named.
-    limit: Option<Rate>,
-    named_at: Time,
-    is_malformed: bool,
-}
-
-/// The rejection limits that this VM knows.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct RejectionLimits {
-    known: IndexMap<EndpointId, KnownLimit>,
-    changes: Vec<RejectionLimitChange>,
-}
-
-impl RejectionLimits {
-    fn on_statement(
-        &mut self,
-        endpoint: &EndpointEntry,
-        statement: RejectionLimitStatement,
-        sent_at: Option<Time>,
-        now: Time,
-    ) {
-        let known = self.known.get(&endpoint.id).copied();
-        if known.is_some_and(|known| known.incarnation > endpoint.incarnation) {
-            return;
-        }
-        let known = known.filter(|known| known.incarnation == endpoint.incarnation);
-        let is_changed = match statement {
-            RejectionLimitStatement::Named(limit) => {
-                known.is_none_or(|known| known.limit != Some(limit) || known.is_malformed)
-            }
-            RejectionLimitStatement::Malformed => known.is_none_or(|known| !known.is_malformed),
-            RejectionLimitStatement::NotNamed => {
-                let ends = |known: KnownLimit| sent_at.is_some_and(|sent_at| sent_at >= known.named_at);
-                if known.is_some_and(ends) {
-                    self.known.swap_remove(&endpoint.id);
-                    self.record_change(endpoint, statement);
-                }
-                return;
-            }
-        };
-        let limit = match statement {
-            RejectionLimitStatement::Named(limit) => Some(limit),
-            _ => known.and_then(|known| known.limit),
-        };
-        let entry = KnownLimit {
-            incarnation: endpoint.incarnation,
-            limit,
-            named_at: now,
-            is_malformed: statement == RejectionLimitStatement::Malformed,
-        };
-        self.known.insert(endpoint.id.clone(), entry);
-        if is_changed {
-            self.record_change(endpoint, statement);
-        }
-    }
-
-    fn record_change(&mut self, endpoint: &EndpointEntry, statement: RejectionLimitStatement) {
-        if self.changes.len() < MAX_CHANGES {
-            self.changes.push(RejectionLimitChange {
-                endpoint: endpoint.id.clone(),
-                statement,
-            });
-        }
-    }
-
-    /// Forgets the limits of endpoints that are not registered any more.
-    pub(crate) fn prune(&mut self, is_registered: impl Fn(&EndpointId) -> bool) {
-        self.known.retain(|endpoint, _| is_registered(endpoint));
-    }
-}
+/// The smallest rejection limit that an endpoint of each service names, with the endpoint; empty while none is brittle.
+pub(crate) type BrittleServices = IndexMap<ServiceId, (EndpointId, Rate)>;
 
 impl Relay {
     /// Records what a response of an endpoint says about its rejection limit. `sent_at` is when the request was sent;
@@ -117,26 +22,86 @@
         sent_at: Option<Time>,
         now: Time,
     ) {
-        self.rejection_limits.on_statement(endpoint, statement, sent_at, now);
+        if self.rejection_limits.on_response(endpoint, statement, sent_at, now) {
+            self.update_brittle_services();
+        }
     }
 
     /// Returns the changes of the rejection limits since the last call, to be logged.
     pub fn take_rejection_limit_changes(&mut self) -> Vec<RejectionLimitChange> {
-        std::mem::take(&mut self.rejection_limits.changes)
+        self.rejection_limits.take_changes()
     }
 
-    /// Returns the number of endpoints with a rejection limit.
+    /// Returns the number of registered endpoints with a rejection limit.
     pub fn brittle_endpoints(&self) -> usize {
-        let known = self.rejection_limits.known.values();
-        known.filter(|known| known.limit.is_some()).count()
+        let limited = self.rejection_limits.limited();
+        limited
+            .filter(|(endpoint, _)| self.registry.get(endpoint).is_some())
+            .count()
     }
 
     /// Returns the smallest rejection limit that a usable endpoint of a service names; `None` if none is brittle.
     pub fn rejection_limit(&self, service: &ServiceId) -> Option<Rate> {
-        let named = self.registry.usable(service).filter_map(|endpoint| {
-            let known = self.rejection_limits.known.get(&endpoint.entry.id)?;
-            known.limit.filter(|_| known.incarnation == endpoint.entry.incarnation)
-        });
+        let usable = self.registry.usable(service);
+        let named = usable.filter_map(|endpoint| self.rejection_limits.rate(&endpoint.entry));
         named.reduce(|least, limit| if limit.0 < least.0 { limit } else { least })
     }
+
+    /// Applies what another VM knows of a rejection limit.
+    pub(crate) fn on_peer_rejection_limit(
+        &mut self,
+        endpoint: &EndpointId,
+        state: RateLimitState,
+        transit: Option<sw_unit::Millis>,
+        now: Time,
+    ) {
+        if self.rejection_limits.on_peer(endpoint, state, transit, now) {
+            self.update_brittle_services();
+        }
+    }
+
+    /// Updates which services are brittle.
+    pub(crate) fn update_brittle_services(&mut self) {
+        let mut services = BrittleServices::new();
+        for (endpoint, _) in self.rejection_limits.limited() {
+            let Some(known) = self.registry.get(endpoint) else {
+                continue;
+            };
+            let Some(limit) = self.rejection_limits.rate(&known.entry) else {
+                continue;
+            };
+            let named = (endpoint.clone(), limit);
+            let least = services
+                .entry(known.entry.service.clone())
+                .or_insert_with(|| named.clone());
+            if limit.0 < least.1.0 {
+                *least = named;
+            }
+        }
+        self.brittle_services = services;
+    }
+
+    /// Returns the rejection limit of an endpoint: what it named itself, or else the smallest of its service.
+    pub(crate) fn endpoint_rejection_limit(&self, endpoint: &EndpointEntry) -> Option<Rate> {
+        if self.brittle_services.is_empty() {
+            return None;
+        }
+        if self.rejection_limits.has_stated(endpoint) {
+            return self.rejection_limits.rate(endpoint);
+        }
+        self.brittle_services.get(&endpoint.service).map(|(_, limit)| *limit)
+    }
+
+    /// Returns what this VM knows of the rejection limit of an endpoint; `None` if it never heard of one.
+    pub(crate) fn rejection_limit_state(&self, endpoint: &EndpointEntry, now: Time) -> Option<RateLimitState> {
+        if self.rejection_limits.has_stated(endpoint) {
+            return self.rejection_limits.state(&endpoint.id, now);
+        }
+        let (named_by, limit) = self.brittle_services.get(&endpoint.service)?;
+        Some(RateLimitState {
+            incarnation: endpoint.incarnation,
+            rate: Some(*limit),
+            age: self.rejection_limits.state(named_by, now)?.age,
+        })
+    }
 }
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -19,8 +19,9 @@
 use crate::rate_limiter::RateLimiter;
 use crate::region::RemoteRegions;
 use crate::registry::Endpoint;
-use crate::rejection_limit::RejectionLimits;
+use crate::rejection_limit::BrittleServices;
 use crate::retry::RecentRequests;
+use crate::room::Room;
 use crate::stream_origin::StreamOrigins;
 use crate::version_history::VersionHistory;
 use crate::{
@@ -137,7 +138,10 @@
     pub(crate) rate_limiter: RateLimiter,
     /// Lost paths to endpoints.
     pub(crate) paths: Paths,
-    pub(crate) rejection_limits: RejectionLimits,
+    pub(crate) rejection_limits: RateLimits,
+    pub(crate) brittle_services: BrittleServices,
+    /// The room at the brittle endpoints that this VM coordinates.
+    pub(crate) rooms: IndexMap<EndpointId, Room>,
     pub(crate) quarantine: Quarantine,
     /// Software versions of the services.
     pub(crate) versions: VersionHistory,
@@ -176,7 +180,9 @@
             rate_limits: RateLimits::default(),
             rate_limiter: RateLimiter::default(),
             paths: Paths::default(),
-            rejection_limits: RejectionLimits::default(),
+            rejection_limits: RateLimits::default(),
+            brittle_services: BrittleServices::new(),
+            rooms: IndexMap::new(),
             quarantine: Quarantine::default(),
             versions: VersionHistory::default(),
             origins: StreamOrigins::default(),
@@ -261,7 +267,9 @@
         self.rate_limits
             .prune(|endpoint| self.registry.get(endpoint).is_some(), now);
         self.rejection_limits
-            .prune(|endpoint| self.registry.get(endpoint).is_some());
+            .prune(|endpoint| self.registry.get(endpoint).is_some(), now);
+        self.update_brittle_services();
+        self.prune_rooms();
         for load in self.loads.values_mut() {
             load.expire_reservations(now);
         }
--- a/crates/sw-relay/tests/coordination.rs
+++ b/crates/sw-relay/tests/coordination.rs
@@ -62,6 +62,7 @@
         urgent: false,
         cache_source_distance: None,
         rate_limit: None,
+        rejection_limit: None,
     }
 }
 
--- a/crates/sw-relay/tests/lost_paths.rs
+++ b/crates/sw-relay/tests/lost_paths.rs
@@ -41,6 +41,7 @@
         urgent: false,
         cache_source_distance: None,
         rate_limit: None,
+        rejection_limit: None,
     }
 }
 
--- a/crates/sw-relay/tests/odd_input.rs
+++ b/crates/sw-relay/tests/odd_input.rs
@@ -8,9 +8,9 @@
 use sw_member::VmRow;
 use sw_relay::{
     AnsweredSuspect, AttemptHistory, AttemptOutcome, CachedPart, Choice, CrashReport, DomainView, EndpointEntry,
-    EndpointLoad, EndpointRateLimit, EndpointReport, Heartbeat, LoadReport, Prompt, PromptPart, RateLimitState,
-    RateLimitStatement, Relay, ServiceId, ServiceLoad, ServiceVersions, StoreRecord, StoreState, Suspect, VersionAge,
-    VmAge,
+    EndpointLoad, EndpointRateLimit, EndpointReport, Heartbeat, LimitKind, LoadReport, Prompt, PromptPart,
+    RateLimitState, RateLimitStatement, Relay, ServiceId, ServiceLoad, ServiceVersions, StoreRecord, StoreState,
+    Suspect, VersionAge, VmAge,
 };
 use sw_unit::{
     EndpointId, Fingerprint, Incarnation, Millis, PartId, Rate, RegionId, StoreEra, StorePosition, Time, Tokens,
@@ -90,9 +90,20 @@
 }
 
 fn rate_limit() -> impl Strategy<Value = EndpointRateLimit> {
-    let limit = (endpoint_id(), whole(), prop::option::of(decimal()), duration());
-    limit.prop_map(|(endpoint, incarnation, rate, age)| EndpointRateLimit {
+    let limit = (
+        endpoint_id(),
+        whole(),
+        prop::option::of(decimal()),
+        duration(),
+        any::<bool>(),
+    );
+    limit.prop_map(|(endpoint, incarnation, rate, age, is_rejections)| EndpointRateLimit {
         endpoint,
+        kind: if is_rejections {
+            LimitKind::Rejections
+        } else {
+            LimitKind::Requests
+        },
         state: RateLimitState {
             incarnation: Incarnation(incarnation),
             rate: rate.map(Rate),
--- a/crates/sw-relay/tests/plain_services.rs
+++ b/crates/sw-relay/tests/plain_services.rs
@@ -141,6 +141,7 @@
             urgent: false,
             cache_source_distance: None,
             rate_limit: None,
+            rejection_limit: None,
         };
         relay.reserve(&reservation, now)
     };
@@ -187,6 +188,7 @@
             urgent: false,
             cache_source_distance: None,
             rate_limit: None,
+            rejection_limit: None,
         };
         let grant = relay.reserve(&reservation, Time(at)).expect("a granted slot");
         if at % 8 == 0 {
--- a/crates/sw-relay/tests/prefill_budget.rs
+++ b/crates/sw-relay/tests/prefill_budget.rs
@@ -34,6 +34,7 @@
         urgent: false,
         cache_source_distance: None,
         rate_limit: None,
+        rejection_limit: None,
     }
 }
 
@@ -118,6 +119,7 @@
         urgent: true,
         cache_source_distance: None,
         rate_limit: None,
+        rejection_limit: None,
         ..reservation(400)
     };
     let grant = relay.reserve(&urgent, Time(at)).expect("an empty queue");
--- a/crates/sw-relay/tests/rate_limit_statements.rs
+++ b/crates/sw-relay/tests/rate_limit_statements.rs
@@ -5,8 +5,8 @@
 use support::{endpoint, heartbeat, register, relay, row};
 use sw_member::VmRow;
 use sw_relay::{
-    EndpointEntry, EndpointRateLimit, EndpointReport, Heartbeat, RateLimitChange, RateLimitState, RateLimitStatement,
-    Relay, StoreRecord,
+    EndpointEntry, EndpointRateLimit, EndpointReport, Heartbeat, LimitKind, RateLimitChange, RateLimitState,
+    RateLimitStatement, Relay, StoreRecord,
 };
 use sw_unit::{Incarnation, Millis, Rate, Time};
 
@@ -49,6 +49,7 @@
     Heartbeat {
         rate_limits: vec![EndpointRateLimit {
             endpoint: entry(1).id,
+            kind: LimitKind::Requests,
             state,
         }],
         ..heartbeat(row("vm-1", "north"), Vec::new())
--- a/crates/sw-relay/tests/rejection_limits.rs
+++ b/crates/sw-relay/tests/rejection_limits.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use support::{endpoint, register, relay, service};
+use support::{admit, endpoint, register, relay, relay_of, row, service};
 use sw_relay::RejectionLimitStatement::{Malformed, Named, NotNamed};
 use sw_relay::{EndpointEntry, RejectionLimitStatement, Relay, StoreRecord};
 use sw_unit::{Incarnation, Rate, Time};
@@ -45,8 +45,8 @@
     );
     assert_eq!(vm.rejection_limit(&service("app")), Some(Rate(2.0)));
     assert_eq!(vm.brittle_endpoints(), 2);
-    for limit in [0.0, 1.0, 1e300] {
-        state(&mut vm, "a-2", Named(Rate(limit)), Some(200), 300);
+    for (limit, sent_at) in [(0.0, 200), (1.0, 400), (1e300, 600)] {
+        state(&mut vm, "a-2", Named(Rate(limit)), Some(sent_at), sent_at + 100);
         assert_eq!(vm.rejection_limit(&service("app")), Some(Rate(limit.min(5.0))));
     }
 }
@@ -94,3 +94,49 @@
     vm.tick(Time(500));
     assert_eq!((vm.rejection_limit(&service("app")), vm.brittle_endpoints()), (None, 0));
 }
+
+/// Returns whether a VM sends a request to an endpoint without a coordinator's answer.
+fn sends(vm: &mut Relay, name: &str, now: u64) -> bool {
+    let admitted = admit(vm, "read", None, Time(now));
+    let attempt = vm.start_attempt(&admitted, &entry(name, 1), None, Time(now));
+    attempt.is_some()
+}
+
+/// Guards against a VM that fills the queue of an endpoint, because only another VM was told, or only by another endpoint of the
+/// service; and against one that goes on holding back when that is over.
+#[test]
+fn a_limit_is_known_to_vms_and_holds_for_endpoints_that_have_not_named_it() {
+    let (mut told, mut other) = (vm(), relay_of("vm-1"));
+    register(&mut other, entry("a-1", 1), Time(0));
+    register(&mut other, entry("a-2", 1), Time(0));
+    state(&mut told, "a-1", Named(Rate(0.0)), Some(2_900), 3_000);
+    assert!(sends(&mut other, "a-2", 3_000), "it has not heard of the limit");
+    let to = row("vm-1", "north");
+    other.on_heartbeat(told.heartbeat(Some(&to), Time(3_100)), Time(3_100));
+    assert_eq!(other.rejection_limit(&service("app")), Some(Rate(0.0)));
+    assert_eq!(other.take_rejection_limit_changes().len(), 1);
+    for name in ["a-1", "a-2"] {
+        assert!(!sends(&mut other, name, 3_200), "{name} without a coordinator");
+    }
+    state(&mut told, "a-1", NotNamed, Some(6_000), 6_100);
+    other.tick(Time(5_000));
+    other.tick(Time(6_000));
+    other.tick(Time(7_000));
+    other.on_heartbeat(told.heartbeat(Some(&to), Time(7_900)), Time(7_900));
+    assert_eq!(other.rejection_limit(&service("app")), None);
+    assert!(sends(&mut other, "a-1", 8_000) && sends(&mut other, "a-2", 8_000));
+}
+
+/// Guards against heartbeats that grow for services that are not brittle.
+#[test]
+fn nothing_is_reported_while_no_endpoint_is_brittle() {
+    let mut vm = vm();
+    for sent_at in [0, 1_000] {
+        state(&mut vm, "a-1", NotNamed, Some(sent_at), sent_at + 50);
+    }
+    assert!(
+        vm.heartbeat(Some(&row("vm-1", "north")), Time(2_000))
+            .rate_limits
+            .is_empty()
+    );
+}
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod paths;
 pub mod region;
+pub mod room;
 
 use std::sync::Arc;
 
--- a/crates/sw-relay/tests/support/region.rs
+++ b/crates/sw-relay/tests/support/region.rs
@@ -9,10 +9,11 @@
 use sw_member::VmRow;
 use sw_relay::{
     AdmittedRequest, Attempt, AttemptHistory, AttemptOutcome, Choice, Coordinator, EndpointEntry, EndpointReport,
-    Grant, Options, RateLimitStatement, Relay, RequestHead,
+    Grant, Options, RateLimitStatement, RejectionLimitStatement, Relay, RequestHead, ReservationUpdate,
 };
 use sw_unit::{DomainId, Incarnation, Millis, Rate, Time};
 
+use super::room::Room;
 use super::{endpoint, head, heartbeat, options, register, relay_with, row};
 
 /// Length of a step.
@@ -55,6 +56,16 @@
     endpoint: usize,
     attempt: Attempt,
     rate: Option<Rate>,
+    rejection_limit: Option<Rate>,
+    outcome: AttemptOutcome,
+    reservation: Option<HeldReservation>,
+}
+
+/// A reservation that is released when its request ends.
+#[derive(Debug, Clone, Copy)]
+struct HeldReservation {
+    coordinator: usize,
+    entry_id: u64,
 }
 
 struct Vm {
@@ -72,6 +83,15 @@
     held: Vec<(Attempt, bool)>,
 }
 
+/// What an endpoint does with requests.
+pub struct RoomModel {
+    pub room: Room,
+    /// Shortest and longest time that a request takes.
+    pub service_time: (u64, u64),
+    /// The rejections a second that the endpoint names.
+    pub rejection_limit: Option<Rate>,
+}
+
 /// VMs and endpoints of one region.
 pub struct Region {
     pub now: Time,
@@ -80,6 +100,9 @@
     endpoints: Vec<EndpointEntry>,
     /// The limits that the endpoints name.
     pub limits: Vec<Option<Rate>>,
+    /// The room of the endpoints; empty if they take all requests.
+    pub rooms: Vec<RoomModel>,
+    rng: fastrand::Rng,
     pub arrivals: Vec<Arrival>,
     pub refused: usize,
     admitted: usize,
@@ -125,6 +148,8 @@
             vms: Vec::new(),
             endpoints: entries.collect(),
             limits: vec![None; endpoints],
+            rooms: Vec::new(),
+            rng: fastrand::Rng::with_seed(1),
             arrivals: Vec::new(),
             refused: 0,
             admitted: 0,
@@ -170,6 +195,18 @@
         }
         self.vms[index].running = running;
         self.vms[index].disturbed_at = Some(self.now);
+        if running && !self.rooms.is_empty() {
+            self.ask_seeds(index);
+        }
+    }
+
+    /// Exchanges heartbeats with the seeds, before which a process that has started serves nothing.
+    fn ask_seeds(&mut self, index: usize) {
+        for seed in (0..SEEDS.min(self.vms.len())).filter(|seed| *seed != index) {
+            if self.reaches(index, seed) {
+                self.exchange(index, seed);
+            }
+        }
     }
 
     /// Pauses a VM, or lets it go on.
@@ -178,7 +215,7 @@
         self.vms[index].disturbed_at = Some(self.now);
         if !paused {
             for (attempt, urgent) in std::mem::take(&mut self.vms[index].held) {
-                self.send(index, attempt, urgent);
+                self.send(index, attempt, None, urgent);
             }
         }
     }
@@ -222,6 +259,29 @@
         self.vms.len()
     }
 
+    /// Gives the endpoints room for `slots` running and `max_waiting` waiting requests, and a range of service times.
+    pub fn set_rooms(&mut self, slots: u32, max_waiting: usize, service_time: (u64, u64)) {
+        for entry in &mut self.endpoints {
+            entry.slots = slots;
+            for vm in &mut self.vms {
+                register(&mut vm.relay, entry.clone(), self.now);
+            }
+        }
+        let model = || RoomModel {
+            room: Room::new(slots as usize, max_waiting),
+            service_time,
+            rejection_limit: None,
+        };
+        self.rooms = self.endpoints.iter().map(|_| model()).collect();
+    }
+
+    /// Sets the rejections a second that all endpoints name.
+    pub fn set_rejection_limit(&mut self, limit: Option<f64>) {
+        for model in &mut self.rooms {
+            model.rejection_limit = limit.map(Rate);
+        }
+    }
+
     /// Advances the time by one step.
     pub fn step(&mut self) {
         self.now = self.now + STEP;
@@ -263,15 +323,23 @@
                 self.refused += 1;
                 return;
             };
-            let grant = match coordinator.map(|coordinator| self.reserve(index, &coordinator, &mut history)) {
+            let reserved = coordinator
+                .as_ref()
+                .map(|coordinator| self.reserve(index, coordinator, &mut history));
+            let grant = match reserved {
                 Some(Err(AttemptOutcome::Declined)) => continue,
                 Some(Ok(grant)) => grant,
                 Some(Err(_)) | None => None,
             };
+            let held = coordinator.zip(grant).map(|(coordinator, grant)| HeldReservation {
+                coordinator: index_of(coordinator.vm.as_str()),
+                entry_id: grant.entry_id,
+            });
             let attempt = self.vms[index]
                 .relay
                 .start_attempt(&admitted, &endpoint, grant.as_ref(), now);
             let Some(attempt) = attempt else {
+                self.release(index, held, &endpoint, ReservationUpdate::Ended);
                 history.record_endpoint(&endpoint.id, Some(AttemptOutcome::Unsent));
                 if self.vms[index].relay.withdraw_retry(&admitted, &history) {
                     continue;
@@ -279,7 +347,7 @@
                 self.refused += 1;
                 return;
             };
-            return self.send(index, attempt, urgent);
+            return self.send(index, attempt, held, urgent);
         }
     }
 
@@ -352,13 +420,7 @@
         };
         self.vms[from].relay.record_rate_limit(reservation, estimate, now);
         match answer {
-            Ok(grant) => {
-                let ended = sw_relay::ReservationUpdate::Ended;
-                self.vms[to]
-                    .relay
-                    .on_reservation_update(&reservation.endpoint, grant.entry_id, ended, now);
-                Ok(Some(grant))
-            }
+            Ok(grant) => Ok(Some(grant)),
             Err(estimate) => {
                 match estimate.token_wait {
                     Some(wait) => history.record_rate_limited(&reservation.endpoint, wait),
@@ -369,11 +431,34 @@
         }
     }
 
-    fn send(&mut self, index: usize, attempt: Attempt, urgent: bool) {
+    /// Tells the coordinator of a reservation how its request ended.
+    fn release(
+        &mut self,
+        from: usize,
+        held: Option<HeldReservation>,
+        endpoint: &EndpointEntry,
+        update: ReservationUpdate,
+    ) {
+        let Some(held) = held.filter(|held| self.reaches(from, held.coordinator)) else {
+            return;
+        };
+        let relay = &mut self.vms[held.coordinator].relay;
+        relay.on_reservation_update(&endpoint.id, held.entry_id, update, self.now);
+    }
+
+    fn send(&mut self, index: usize, attempt: Attempt, held: Option<HeldReservation>, urgent: bool) {
         let now = self.now;
+        // Without a model of its room, an endpoint has no queue to keep an account of.
+        let reservation = if self.rooms.is_empty() {
+            self.release(index, held, &attempt.endpoint, ReservationUpdate::Ended);
+            None
+        } else {
+            held
+        };
         let vm = &mut self.vms[index];
         if !vm.relay.may_send(&attempt.endpoint, attempt.token_taken_at, now) {
             vm.relay.end_attempt(&attempt, AttemptOutcome::Unsent, now);
+            self.release(index, reservation, &attempt.endpoint, ReservationUpdate::Ended);
             return;
         }
         let id = &attempt.endpoint.id;
@@ -388,22 +473,43 @@
             urgent,
             counts: told && !excused,
         });
+        let incarnation = vm.relay.members().local().incarnation;
+        let (due, outcome) = self.outcome_at(endpoint);
         self.responses.push(Response {
-            due: now + RESPONSE_TIME,
+            due,
             vm: index,
-            incarnation: vm.relay.members().local().incarnation,
+            incarnation,
             endpoint,
             attempt,
             rate: self.limits[endpoint],
+            rejection_limit: self.rooms.get(endpoint).and_then(|model| model.rejection_limit),
+            outcome,
+            reservation,
         });
     }
 
+    /// Returns how an endpoint ends a request that arrives now, and when the response arrives.
+    fn outcome_at(&mut self, endpoint: usize) -> (Time, AttemptOutcome) {
+        let now = self.now;
+        let Some(model) = self.rooms.get_mut(endpoint) else {
+            return (now + RESPONSE_TIME, AttemptOutcome::Complete);
+        };
+        let duration = Millis(self.rng.u64(model.service_time.0..=model.service_time.1));
+        match model.room.offer(duration, now) {
+            Some(end) => (end + STEP, AttemptOutcome::Complete),
+            None => (now + STEP, AttemptOutcome::Rejected),
+        }
+    }
+
     fn receive(&mut self, response: Response) {
         let Response {
             vm,
             endpoint,
             attempt,
             rate,
+            rejection_limit,
+            outcome,
+            reservation,
             ..
         } = response;
         let is_same = self.vms[vm].relay.members().local().incarnation == response.incarnation;
@@ -415,9 +521,17 @@
         self.vms[vm]
             .relay
             .on_rate_limit_statement(&entry, statement, Some(attempt.started_at), self.now);
-        self.vms[vm]
-            .relay
-            .end_attempt(&attempt, AttemptOutcome::Complete, self.now);
+        let statement = rejection_limit.map_or(RejectionLimitStatement::NotNamed, RejectionLimitStatement::Named);
+        let sent_at = Some(attempt.started_at);
+        let relay = &mut self.vms[vm].relay;
+        relay.on_rejection_limit_statement(&entry, statement, sent_at, self.now);
+        relay.end_attempt(&attempt, outcome, self.now);
+        let update = if outcome == AttemptOutcome::Rejected {
+            ReservationUpdate::Rejected
+        } else {
+            ReservationUpdate::Ended
+        };
+        self.release(vm, reservation, &entry, update);
         if rate.is_some() && rate == self.limits[endpoint] {
             self.vms[vm].told_at.entry(endpoint).or_insert(self.now);
         }
