--- a/crates/sw-peer/tests/forwarded_responses.rs
+++ b/crates/sw-peer/tests/forwarded_responses.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use sw_peer::relay::{RelayCall, RelayClient, RelayEvent, RelayHandler, StoreCopy, WatchOutcome, bind, serve};
 use sw_relay::{Grant, Heartbeat, QueueEstimate, Reservation, ReservationUpdate, StreamOrigin};
-use sw_unit::{EndpointId, Millis, StoreEra};
+use sw_unit::{EndpointId, Millis, StoreEra, Version};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -115,6 +115,7 @@
         can_retry_elsewhere: false,
         resume_after: None,
         software: None,
+        version: Version(0),
     };
     let events = client.forward(start_link(peer).await, call, || true);
     (client, events)
--- a/crates/sw-proxy/src/heartbeat.rs
+++ b/crates/sw-proxy/src/heartbeat.rs
@@ -139,6 +139,7 @@
         info!("vm_heard", kv: { vm, incarnation, leaving, version });
     }
     telemetry::log_rate_limit_changes(state, "");
+    telemetry::log_rejection_limit_changes(state, "");
     crash::on_evidence(state);
     store::copy_if_due(state);
 }
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -189,7 +189,7 @@
         let max_running = self.max_running(&admitted.service, now);
         let available = local.filter(|endpoint| self.has_capacity(&endpoint.entry, max_running, now));
         let available = available.filter(|endpoint| {
-            self.rate_limit_admits(&endpoint.entry, admitted.is_urgent(), now)
+            self.limits_admit(&endpoint.entry, admitted.is_urgent(), now)
                 && !history.is_rate_limited(&endpoint.entry.id)
         });
         let available: Vec<_> = available
