revert: others of the service are probed after the silent endpoint again

Cause of the revert: slow_responses_open_few_probes fails with 18 probes where 8 are permitted, as many as before any change: a VM that sends few requests hears nothing of a service while its responses take long, and then makes three probes each time. The test is right. Conclusion: the limit counts checks, not probes.

--- a/crates/sw-proxy/src/paths.rs
+++ b/crates/sw-proxy/src/paths.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use sw_http::ProbeError;
-use sw_relay::{CheckScope, EndpointEntry, PathChange, PathFailure, Silence};
+use sw_relay::{EndpointEntry, PathChange, PathFailure, Silence};
 use sw_unit::{Millis, Time};
 
 use crate::state::ProxyState;
@@ -80,10 +80,10 @@
     }
 }
 
-/// Checks the path to an endpoint to which no connection could be made, or that broke one off, and a sample of the others.
+/// Checks the path to an endpoint to which no connection could be made, or that broke one off.
 pub(crate) fn check<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, endpoint: &EndpointEntry) {
     let (state, endpoint) = (Rc::clone(state), endpoint.clone());
-    tokio::task::spawn_local(async move { check_now(&state, &endpoint, CheckScope::Service).await });
+    tokio::task::spawn_local(async move { check_now(&state, &endpoint).await });
 }
 
 /// Waits until the path to an endpoint is lost that does not send what is awaited; checks the path from time to time.
@@ -98,13 +98,8 @@
         let now = state.now();
         let missing = awaited.missing_after(now.since(silent_since));
         let is_checked = state.checked_paths.borrow().contains(&endpoint.address);
-        if is_checked {
-            tokio::time::sleep(PROBE_TIMEOUT).await;
-        } else {
-            let check = state.relay.borrow_mut().begin_path_check(endpoint, missing, now);
-            if let Some(scope) = check {
-                check_now(state, endpoint, scope).await;
-            }
+        if is_checked || state.relay.borrow_mut().begin_path_check(endpoint, missing, now) {
+            check_now(state, endpoint).await;
         }
         if !state.relay.borrow().has_path(&endpoint.id) {
             return;
@@ -128,11 +123,13 @@
     }
 }
 
-async fn check_now<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, endpoint: &EndpointEntry, scope: CheckScope) {
+async fn check_now<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, endpoint: &EndpointEntry) {
     if !state.checked_paths.borrow_mut().insert(endpoint.address) {
+        // Another request waits for the same check.
+        tokio::time::sleep(PROBE_TIMEOUT).await;
         return;
     }
-    let probes = probe_sample(state, endpoint, scope).await;
+    let probes = probe_sample(state, endpoint).await;
     let was_cut_off = state.relay.borrow().lost_paths().1;
     state.relay.borrow_mut().on_path_sample(&probes, state.now());
     state.checked_paths.borrow_mut().swap_remove(&endpoint.address);
@@ -145,18 +142,13 @@
     }
 }
 
-/// Probes the path to an endpoint, and to some others of its service: at once, or if it does not accept the probe soon.
+/// Probes the path to an endpoint, and to some others of its service unless it soon accepts the probe.
 async fn probe_sample<D: Dialect, F: 'static>(
     state: &Rc<ProxyState<D, F>>,
     endpoint: &EndpointEntry,
-    scope: CheckScope,
 ) -> Vec<(EndpointEntry, Result<(), PathFailure>)> {
     let mut first = pin!(connect(endpoint.address));
-    let delay = match scope {
-        CheckScope::Endpoint => SAMPLE_DELAY,
-        CheckScope::Service => Duration::ZERO,
-    };
-    let soon = tokio::time::timeout(delay, &mut first).await;
+    let soon = tokio::time::timeout(SAMPLE_DELAY, &mut first).await;
     if soon == Ok(Ok(())) {
         return vec![(endpoint.clone(), Ok(()))];
     }
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -64,7 +64,7 @@
 pub use latency::LatencyModel;
 pub use load::EndpointTracker;
 pub use path::{PathChange, PathFailure};
-pub use path_check::{CheckScope, Silence};
+pub use path_check::Silence;
 pub use permitted_regions::PermittedRegions;
 pub use prefill::{CacheSource, Distance, PrefillPlan};
 pub use quarantine::{NewsScope, QuarantineChange};
--- a/crates/sw-relay/src/path_check.rs
+++ b/crates/sw-relay/src/path_check.rs
@@ -14,7 +14,7 @@
 /// The same if its response is overdue and others of its service are heard of.
 const OVERDUE_HEARD_RECENTLY: Millis = Millis(1_000);
 /// Time without a sign of any endpoint of a service after which this VM may be cut off from the service.
-const SERVICE_SILENCE: Millis = Millis(300);
+const SERVICE_SILENCE: Millis = Millis(400);
 /// Checks per second that may find the path open.
 const CHECK_RATE: f64 = 2.0;
 /// Largest number of such checks at once.
@@ -34,15 +34,6 @@
     OverdueResponse,
 }
 
-/// What a check probes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CheckScope {
-    /// The silent endpoint, and others of its service only if it does not accept the probe soon.
-    Endpoint,
-    /// The silent endpoint and others of its service at once, because this VM may be cut off from the service.
-    Service,
-}
-
 /// Number of checks that may still be made.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct CheckAllowance {
@@ -79,20 +70,19 @@
 }
 
 impl Relay {
-    /// Returns what to probe now because an endpoint is silent; `None` if nothing. The check counts against this VM's limit
-    /// unless it finds the path lost.
-    pub fn begin_path_check(&mut self, endpoint: &EndpointEntry, silence: Silence, now: Time) -> Option<CheckScope> {
+    /// Returns whether the path to a silent endpoint is to be checked now. The check counts against this VM's limit unless
+    /// it finds the path lost.
+    pub fn begin_path_check(&mut self, endpoint: &EndpointEntry, silence: Silence, now: Time) -> bool {
         if !self.has_path(&endpoint.id) || self.has_heard(&endpoint.id, HEARD_RECENTLY, now) {
-            return None;
+            return false;
         }
         let is_urgent = silence == Silence::Connection || !self.has_heard_of_service(&endpoint.service, now);
         if is_urgent {
-            return self.paths.checks.take(0.0, now).then_some(CheckScope::Service);
+            return self.paths.checks.take(0.0, now);
         }
-        let is_due = silence == Silence::OverdueResponse
+        silence == Silence::OverdueResponse
             && !self.has_heard(&endpoint.id, OVERDUE_HEARD_RECENTLY, now)
-            && self.paths.checks.take(RESERVED_CHECKS, now);
-        is_due.then_some(CheckScope::Endpoint)
+            && self.paths.checks.take(RESERVED_CHECKS, now)
     }
 
     /// Returns whether any endpoint of a service gave a sign just now, so that this VM is not cut off from the service.
