--- a/crates/sw-peer/src/relay/client.rs
+++ b/crates/sw-peer/src/relay/client.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
-use super::{NotSent, RelayCall, RelayEvent, StoreCopy, WatchOutcome, convert, store};
+use super::{NotSent, RelayCall, RelayEvent, StoreCopy, WatchOutcome, convert, reservations, store};
 use crate::PeerError;
 use crate::convert::len;
 use crate::pool::{self, ConnectionPool};
@@ -149,9 +149,9 @@
     ) -> Result<Result<Grant, QueueEstimate>, PeerError> {
         let call = async |connection: &RelayConnection| {
             let mut request = connection.client.reserve_request();
-            convert::set_reservation(request.get().init_reservation(), reservation);
+            reservations::set_reservation(request.get().init_reservation(), reservation);
             let response = request.send().promise.await?;
-            convert::reserve_outcome(response.get()?)
+            reservations::reserve_outcome(response.get()?)
         };
         let response = tokio::time::timeout(timeout, self.pool.call(address, CALL_TIMEOUT, call)).await;
         response.unwrap_or(Err(PeerError))
--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -1,37 +1,26 @@
-//! Conversion between the structs of the schema and the types of sw-relay and sw-store.
+//! Conversion between the structs of the schema and the types of sw-relay: heartbeats, calls and stream origins.
 
 use bytes::Bytes;
 use sw_relay::{
-    CachedPart, Distance, DomainView, EndpointLoad, EndpointRateLimit, Grant, HeardVersion, Heartbeat, LimitKind,
-    PrefillPlan, Prompt, PromptPart, QueueEstimate, RateLimitState, Reservation, ReservationUpdate, ServiceId,
-    ServiceLoad, ServiceVersions, SoftwareVersion, StreamOrigin, VersionAge, VmAge,
+    CachedPart, DomainView, EndpointLoad, HeardVersion, Heartbeat, ServiceId, ServiceLoad, ServiceVersions,
+    SoftwareVersion, StreamOrigin, VersionAge, VmAge,
 };
-use sw_unit::{Incarnation, Millis, PartId, Rate, Tokens, Version};
+use sw_unit::{Incarnation, Millis, Version};
 
 use super::crashes::{answered, crashes, set_answered_parts, set_answered_requests, set_crashes, split_answered};
+use super::limits::{rate_limits, set_rate_limits};
 use super::{CallRefusal, RelayCall, store};
 use crate::convert::{len, parse, refusal, set_vm_row, text, vm_row};
 use crate::relay_capnp as wire;
 
 pub(super) type Result<T> = std::result::Result<T, capnp::Error>;
 
-/// Encodes that an endpoint no longer has a rate limit.
-const RATE_LIMIT_ENDED: f64 = -1.0;
-/// What is written as the rate limit where another limit is reported, for builds that know rate limits alone.
-const NO_RATE_LIMIT: RateLimitState = RateLimitState {
-    incarnation: Incarnation(0),
-    rate: None,
-    age: Millis(u32::MAX as u64),
-};
-
 /// The headers of a request or response.
 type Headers = [(String, Bytes)];
 
 type EndpointLoadsReader<'a> = capnp::struct_list::Reader<'a, wire::endpoint_load::Owned>;
 type CachedPartsReader<'a> = capnp::struct_list::Reader<'a, wire::kept_part::Owned>;
 type CachedPartsBuilder<'a> = capnp::struct_list::Builder<'a, wire::kept_part::Owned>;
-type RateLimitsReader<'a> = capnp::struct_list::Reader<'a, wire::endpoint_rate_limit::Owned>;
-type RateLimitsBuilder<'a> = capnp::struct_list::Builder<'a, wire::endpoint_rate_limit::Owned>;
 type EndpointLoadsBuilder<'a> = capnp::struct_list::Builder<'a, wire::endpoint_load::Owned>;
 
 pub(super) fn set_heartbeat(mut to: wire::beat::Builder<'_>, heartbeat: &Heartbeat) {
@@ -145,58 +134,6 @@
     parts.collect()
 }
 
-fn set_rate_limits(mut to: RateLimitsBuilder<'_>, limits: &[EndpointRateLimit]) {
-    for (i, limit) in (0..).zip(limits) {
-        let mut to = to.reborrow().get(i);
-        to.set_endpoint(limit.endpoint.as_str());
-        match limit.kind {
-            LimitKind::Requests => set_rate_limit(to.init_state(), limit.state),
-            LimitKind::Rejections => {
-                set_rate_limit(to.reborrow().init_state(), NO_RATE_LIMIT);
-                set_rate_limit(to.init_rejections(), limit.state);
-            }
-        }
-    }
-}
-
-fn rate_limits(from: RateLimitsReader<'_>) -> Result<Vec<EndpointRateLimit>> {
-    let limits = from.iter().map(|limit| {
-        let (kind, state) = if limit.has_rejections() {
-            (LimitKind::Rejections, limit.get_rejections()?)
-        } else {
-            (LimitKind::Requests, limit.get_state()?)
-        };
-        Ok(EndpointRateLimit {
-            endpoint: parse(limit.get_endpoint())?,
-            kind,
-            state: rate_limit(state),
-        })
-    });
-    limits.collect()
-}
-
-fn set_rate_limit(mut to: wire::rate_limit::Builder<'_>, limit: RateLimitState) {
-    to.set_incarnation(limit.incarnation.0);
-    to.set_per_second(limit.rate.map_or(RATE_LIMIT_ENDED, |rate| rate.0));
-    to.set_age_ms(millis(limit.age));
-}
-
-fn rate_limit(from: wire::rate_limit::Reader<'_>) -> RateLimitState {
-    RateLimitState {
-        incarnation: Incarnation(from.get_incarnation()),
-        rate: Some(from.get_per_second()).filter(|rate| *rate >= 0.0).map(Rate),
-        age: Millis(u64::from(from.get_age_ms())),
-    }
-}
-
-fn optional_rate_limit(is_set: bool, from: Result<wire::rate_limit::Reader<'_>>) -> Result<Option<RateLimitState>> {
-    if is_set {
-        from.map(rate_limit).map(Some)
-    } else {
-        Ok(None)
-    }
-}
-
 pub(super) fn millis(duration: Millis) -> u32 {
     u32::try_from(duration.0).unwrap_or(u32::MAX)
 }
@@ -380,125 +317,3 @@
     });
     reports.collect()
 }
-
-pub(super) fn set_reservation(mut to: wire::reservation::Builder<'_>, reservation: &Reservation) {
-    let prompt = &reservation.prompt;
-    to.set_endpoint(reservation.endpoint.as_str());
-    to.set_service(reservation.service.as_str());
-    to.set_input(prompt.input.0);
-    to.set_output(prompt.expected_output().0);
-    to.set_limit_ms(reservation.limit_ms as u32);
-    to.set_urgent(reservation.urgent);
-    to.set_source(
-        reservation
-            .cache_source_distance
-            .map_or(0, |distance| distance as u8 + 1),
-    );
-    if let Some(limit) = reservation.rate_limit {
-        set_rate_limit(to.reborrow().init_rate_limit(), limit);
-    }
-    if let Some(limit) = reservation.rejection_limit {
-        set_rate_limit(to.reborrow().init_rejection_limit(), limit);
-    }
-    let mut parts = to.init_parts(len(&prompt.parts));
-    for (i, part) in (0..).zip(&prompt.parts) {
-        let mut to = parts.reborrow().get(i);
-        to.set_id(part.id.0);
-        to.set_length(part.len.0);
-    }
-}
-
-pub(super) fn reservation(from: wire::reservation::Reader<'_>) -> Result<Reservation> {
-    let parts = from.get_parts()?.iter().map(|part| PromptPart {
-        id: PartId(part.get_id()),
-        len: Tokens(part.get_length()),
-    });
-    Ok(Reservation {
-        endpoint: parse(from.get_endpoint())?,
-        service: parse(from.get_service())?,
-        prompt: Prompt {
-            input: Tokens(from.get_input()),
-            output_max: Tokens(from.get_output()),
-            output_hint: None,
-            parts: parts.collect(),
-        },
-        limit_ms: f64::from(from.get_limit_ms()),
-        urgent: from.get_urgent(),
-        cache_source_distance: from.get_source().checked_sub(1).and_then(Distance::from_repr),
-        rate_limit: optional_rate_limit(from.has_rate_limit(), from.get_rate_limit())?,
-        rejection_limit: optional_rate_limit(from.has_rejection_limit(), from.get_rejection_limit())?,
-    })
-}
-
-pub(super) fn reserve_outcome(
-    from: wire::relay_peer::reserve_results::Reader<'_>,
-) -> Result<std::result::Result<Grant, QueueEstimate>> {
-    let estimate = queue_estimate(from.get_wait()?)?;
-    if !from.get_granted() {
-        return Ok(Err(estimate));
-    }
-    Ok(Ok(Grant {
-        entry_id: from.get_ticket(),
-        plan: PrefillPlan {
-            prefill: Tokens(from.get_unread()),
-            transfer: Tokens(from.get_copied()),
-            distance: from.get_source().checked_sub(1).and_then(Distance::from_repr),
-        },
-        estimate,
-    }))
-}
-
-pub(super) fn set_reserve_outcome(
-    mut to: wire::relay_peer::reserve_results::Builder<'_>,
-    outcome: std::result::Result<Grant, QueueEstimate>,
-) {
-    let estimate = match outcome {
-        Ok(grant) => {
-            to.set_granted(true);
-            to.set_ticket(grant.entry_id);
-            to.set_unread(grant.plan.prefill.0);
-            to.set_copied(grant.plan.transfer.0);
-            to.set_source(grant.plan.distance.map_or(0, |distance| distance as u8 + 1));
-            grant.estimate
-        }
-        Err(estimate) => estimate,
-    };
-    set_queue_estimate(to.init_wait(), estimate);
-}
-
-pub(super) fn reservation_update(from: wire::relay_peer::release_params::Reader<'_>) -> ReservationUpdate {
-    if from.get_absent() {
-        ReservationUpdate::EndpointUnreachable
-    } else if from.get_runs() {
-        ReservationUpdate::Running
-    } else if from.get_rejected() {
-        ReservationUpdate::Rejected
-    } else if from.get_given_up() {
-        ReservationUpdate::GivenUp
-    } else {
-        ReservationUpdate::Ended
-    }
-}
-
-fn set_queue_estimate(mut to: wire::wait::Builder<'_>, estimate: QueueEstimate) {
-    to.set_expected_ms(estimate.expected_ms as u32);
-    to.set_backlog_ms(estimate.backlog_ms as u32);
-    to.set_token_wait_ms(estimate.token_wait.map_or(0, |wait| millis(wait).saturating_add(1)));
-    if let Some(limit) = estimate.rate_limit {
-        set_rate_limit(to.reborrow().init_rate_limit(), limit);
-    }
-    if let Some(limit) = estimate.rejection_limit {
-        set_rate_limit(to.init_rejection_limit(), limit);
-    }
-}
-
-fn queue_estimate(from: wire::wait::Reader<'_>) -> Result<QueueEstimate> {
-    let token_wait = from.get_token_wait_ms().checked_sub(1);
-    Ok(QueueEstimate {
-        expected_ms: f64::from(from.get_expected_ms()),
-        backlog_ms: f64::from(from.get_backlog_ms()),
-        rate_limit: optional_rate_limit(from.has_rate_limit(), from.get_rate_limit())?,
-        rejection_limit: optional_rate_limit(from.has_rejection_limit(), from.get_rejection_limit())?,
-        token_wait: token_wait.map(|wait| Millis(u64::from(wait))),
-    })
-}
--- a/crates/sw-peer/src/relay/mod.rs
+++ b/crates/sw-peer/src/relay/mod.rs
@@ -7,6 +7,8 @@
 mod client;
 mod convert;
 mod crashes;
+mod limits;
+mod reservations;
 mod server;
 mod store;
 mod types;
--- a/crates/sw-peer/src/relay/server.rs
+++ b/crates/sw-peer/src/relay/server.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
-use super::{CallRefusal, RelayEvent, RelayHandler, convert, store};
+use super::{CallRefusal, RelayEvent, RelayHandler, convert, reservations, store};
 use crate::convert::{len, parse, set_refusal, text};
 use crate::relay_capnp::{answer_sink, relay_peer};
 use crate::server::{CHUNK_WINDOW, EVENT_BUFFER, serve_connection};
@@ -86,15 +86,15 @@
         params: relay_peer::ReserveParams,
         mut results: relay_peer::ReserveResults,
     ) -> Result<()> {
-        let reservation = convert::reservation(params.get()?.get_reservation()?)?;
-        convert::set_reserve_outcome(results.get(), self.handler.reserve(&reservation));
+        let reservation = reservations::reservation(params.get()?.get_reservation()?)?;
+        reservations::set_reserve_outcome(results.get(), self.handler.reserve(&reservation));
         Ok(())
     }
 
     async fn release(self: Rc<Self>, params: relay_peer::ReleaseParams, _: relay_peer::ReleaseResults) -> Result<()> {
         let params = params.get()?;
         let endpoint = parse(params.get_endpoint())?;
-        let update = convert::reservation_update(params);
+        let update = reservations::reservation_update(params);
         self.handler
             .on_reservation_update(&endpoint, params.get_ticket(), update);
         Ok(())
