--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/bin/bash
-# A server crashes while the store is down, and is back under its id, cold.
-exec bash "$(dirname "$0")/../play.sh" cold "$(cd "$(dirname "$0")" && pwd)"
+# Streams that began while the store is down are taken up after all gateways were killed.
+exec bash "$(dirname "$0")/../play.sh" taken-up "$(cd "$(dirname "$0")" && pwd)"
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -1,10 +1,11 @@
 //! The cases: what clients send, and the check of the rule as it is written.
 
+use std::collections::HashMap;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -37,6 +38,8 @@
     /// Whether prompts have parts in common.
     shares_parts: bool,
     attempts: AtomicU64,
+    /// What arrived of streams that broke off.
+    begun: Mutex<HashMap<u64, String>>,
 }
 
 pub fn play(case: &str) -> u8 {
@@ -53,12 +56,13 @@
         unframed: case == "unframed",
         events: match case {
             "cold" => 4,
-            "versions" | "request-later" => 40,
+            "versions" | "request-later" | "taken-up" => 40,
             _ => 20,
         },
-        event_gap: Duration::from_millis(75),
+        event_gap: Duration::from_millis(if case == "taken-up" { 250 } else { 75 }),
         same_id: matches!(case, "cold" | "versions"),
         updated: case == "versions",
+        mixed: case == "taken-up",
         cold_ms: if case == "cold" { 3_000 } else { 0 },
         down: Duration::from_millis(match case {
             "cold" => 2_000,
@@ -78,6 +82,7 @@
         "unframed" => world.sound_requests(),
         "restart" => world.part_after_restart(),
         "cold" => world.cold_server(),
+        "taken-up" => world.taken_up_streams(),
         "versions" => world.updated_server(),
         _ => NOT_RUN,
     }
@@ -91,7 +96,7 @@
     } else {
         "\"coldS\":0.0,\"coldPerS\":0.0"
     };
-    store.put("op/config", &config(cold, case == "versions"));
+    store.put("op/config", &config(cold, matches!(case, "versions" | "taken-up")));
     let in_region = if case == "versions" { 2 } else { 4 };
     let local = format!("{}-a", env("LOCAL"));
     let names = ["a", "b", "c", "d", "e", "f"];
@@ -110,6 +115,7 @@
         trouble,
         shares_parts: case != "versions",
         attempts: AtomicU64::new(0),
+        begun: Mutex::default(),
     }
 }
 
@@ -405,6 +411,110 @@
         if is_broken { BROKEN } else { HELD }
     }
 
+    /// Streams of two software versions begin while the store is down, all gateways are killed, and clients take the streams
+    /// up again when all are in touch. LOST: the share that goes on is under half of the share of new streams that begin.
+    fn taken_up_streams(&'static self) -> u8 {
+        const STREAMS: u64 = 30;
+        self.send_sound(4);
+        thread::sleep(Duration::from_secs(3));
+        if self.trouble {
+            self.record.line("the store is down");
+            self.store.set_down(true);
+        }
+        thread::sleep(Duration::from_millis(500));
+        for number in 0..STREAMS {
+            self.stream(number, true);
+            thread::sleep(Duration::from_millis(50));
+        }
+        thread::sleep(Duration::from_secs(1));
+        if self.trouble {
+            self.record.line("all gateways are killed");
+            fs::write(self.dir.join("kill"), "").expect("the script can be told");
+        }
+        thread::sleep(Duration::from_secs(1));
+        self.record.line("the store is back");
+        self.store.set_down(false);
+        thread::sleep(Duration::from_secs(7));
+        for number in 0..STREAMS {
+            self.stream(number, false);
+            thread::sleep(Duration::from_millis(50));
+        }
+        thread::sleep(Duration::from_secs(7));
+        let count = |text: &str| self.record.times(|line| line.contains(text)).len();
+        let (taken, went_on, joined) = (count(" is taken up "), count(" goes on"), count(" joins two versions"));
+        let (new, begun) = (count(" is new "), count(" begins"));
+        let share = |part: usize, of: usize| part as f64 / of.max(1) as f64;
+        let is_broken = taken >= 12 && share(went_on, taken) < share(begun, new) / 2.0;
+        self.record.line(&format!(
+            "verdict: {}, {went_on} of {taken} streams that were taken up go on ({joined} at another version), {begun} of \
+             {new} new ones begin",
+            if is_broken { "broken" } else { "held" },
+        ));
+        if taken < 12 {
+            return NOT_RUN;
+        }
+        if is_broken { BROKEN } else { HELD }
+    }
+
+    /// Starts a stream, breaks it off after 3 s unless it has ended before, and remembers what arrived; or takes it up again,
+    /// beside a new one.
+    fn stream(&'static self, number: u64, is_first: bool) {
+        thread::spawn(move || {
+            let vm = self.vms[number as usize % self.vms.len()];
+            let headers = |id: &str, rest: &str| {
+                format!(
+                    "Host: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 12000\r\nX-Model: m\r\nX-Token-Usage: 1100,80\r\n\
+                     X-Prompt-Prefix: cccc{number:04x}:380\r\n{rest}"
+                )
+            };
+            let send =
+                |id: &str, rest: &str| http::send_for(vm, "/digest/x", &headers(id, rest), Duration::from_secs(3));
+            let id = format!("stream-{number}");
+            if is_first {
+                let outcome = send(&id, "");
+                let text = String::from_utf8_lossy(&outcome.body).into_owned();
+                self.record.line(&format!(
+                    "{id} breaks off after event {} {}",
+                    last_event(&text),
+                    describe(&outcome)
+                ));
+                self.begun.lock().expect("no thread panics").insert(number, text);
+                return;
+            }
+            let begun = self
+                .begun
+                .lock()
+                .expect("no thread panics")
+                .get(&number)
+                .cloned()
+                .unwrap_or_default();
+            let last = last_event(&begun);
+            if last == 0 {
+                return;
+            }
+            let again = format!("again-{number}");
+            self.record.line(&format!("{again} is taken up after event {last}"));
+            let rest = format!("Last-Event-Id: {last}\r\nResumes: {id}\r\n");
+            let outcome = send(&again, &rest);
+            let text = String::from_utf8_lossy(&outcome.body).into_owned();
+            let versions = |version: &str| begun.contains(version) || text.contains(version);
+            if outcome.status == 200 && first_event(&text) == last + 1 {
+                self.record.line(&format!("{again} goes on"));
+            }
+            if versions(" by v1\n") && versions(" by v2\n") {
+                self.record.line(&format!("{again} joins two versions"));
+            }
+            self.record.line(&format!("{again} ends: {}", describe(&outcome)));
+            let new = format!("new-{number}");
+            self.record.line(&format!("{new} is new "));
+            let outcome = send(&new, "");
+            if outcome.status == 200 && !outcome.body.is_empty() {
+                self.record.line(&format!("{new} begins"));
+            }
+            self.record.line(&format!("{new} ends: {}", describe(&outcome)));
+        });
+    }
+
     /// Describes how many sound prompts sent after a time broke off or were not known to have run.
     fn lost(&self, from: u64) -> String {
         let ends = self.record.matching(
@@ -426,6 +536,19 @@
     }
 }
 
+fn event_ids(text: &str) -> impl DoubleEndedIterator<Item = u64> + '_ {
+    let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.filter_map(|id| id.parse().ok())
+}
+
+fn first_event(text: &str) -> u64 {
+    event_ids(text).next().unwrap_or(0)
+}
+
+fn last_event(text: &str) -> u64 {
+    event_ids(text).next_back().unwrap_or(0)
+}
+
 fn describe(outcome: &Outcome) -> String {
     let Outcome {
         status,
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -51,6 +51,8 @@
     pub down: Duration,
     /// Whether a server comes back with a newer version of its software.
     pub updated: bool,
+    /// Whether half of the servers have a newer version from the start.
+    pub mixed: bool,
 }
 
 pub struct Shared {
@@ -60,6 +62,8 @@
     record: Record,
     behaviour: Behaviour,
     running: AtomicU32,
+    /// Whether the server is one of every other.
+    is_odd: bool,
     /// Number of this start of the server.
     start: AtomicU64,
     crashed: AtomicBool,
@@ -84,6 +88,7 @@
         record: record.clone(),
         behaviour: behaviour.clone(),
         running: AtomicU32::new(0),
+        is_odd: matches!(name, "b" | "d" | "f"),
         start: AtomicU64::new(0),
         crashed: AtomicBool::new(false),
         connections: Mutex::default(),
@@ -254,11 +259,8 @@
     /// Returns the version of the software that this start of the server has.
     fn version(&self) -> &'static str {
         let is_first = self.start.load(Ordering::SeqCst) <= 1;
-        if is_first || !self.behaviour.updated {
-            "v1"
-        } else {
-            "v2"
-        }
+        let is_newer = self.behaviour.updated && !is_first || self.behaviour.mixed && self.is_odd;
+        if is_newer { "v2" } else { "v1" }
     }
 
     /// Returns whether a cold server has got far more requests within a second than it tolerates.
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -120,15 +120,33 @@
     pub total_ms: u64,
 }
 
+/// Sends a request and closes the connection after `time`, unless the response has ended before.
+pub fn send_for(address: SocketAddr, target: &str, headers: &str, time: Duration) -> Outcome {
+    let mut outcome = Outcome::default();
+    let until = Instant::now() + time;
+    let _ended = exchange(
+        address,
+        "POST",
+        target,
+        headers,
+        b"a long prompt",
+        time,
+        &mut outcome,
+        Some(until),
+    );
+    outcome
+}
+
 /// Sends one request on a new connection and reads the response until it ends.
 pub fn send(address: SocketAddr, method: &str, target: &str, headers: &str, body: &[u8], limit: Duration) -> Outcome {
     let started = Instant::now();
     let mut outcome = Outcome::default();
-    let _ended = exchange(address, method, target, headers, body, limit, &mut outcome);
+    let _ended = exchange(address, method, target, headers, body, limit, &mut outcome, None);
     outcome.total_ms = started.elapsed().as_millis() as u64;
     outcome
 }
 
+#[expect(clippy::too_many_arguments, reason = "used in two places of this file")]
 fn exchange(
     address: SocketAddr,
     method: &str,
@@ -137,6 +155,7 @@
     body: &[u8],
     limit: Duration,
     outcome: &mut Outcome,
+    until: Option<Instant>,
 ) -> io::Result<()> {
     let started = Instant::now();
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
@@ -171,6 +190,9 @@
                 .first_byte_ms
                 .get_or_insert(started.elapsed().as_millis() as u64);
             outcome.body.extend_from_slice(&chunk[..len]);
+            if until.is_some_and(|until| Instant::now() >= until) {
+                return Ok(());
+            }
         }
     }
     let len = head.header("content-length").and_then(|len| len.parse::<usize>().ok());
