test(review): case 5, crashes within a quarter of a second are no evidence

The first group crashes five servers within 0.2 s, each by another request. Over 5 s (contactMs) after the fifth crash all eight prompts of the next group reach servers (three are allowed), and all six servers crash. Crashes within 250 ms count as one (COINCIDENCE), and one is no evidence.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -80,6 +80,7 @@
         "first-event" | "after-head" => world.crashing_part(),
         "request" | "request-later" => world.crashing_request(),
         "unframed" => world.sound_requests(),
+        "group" => world.part_in_groups(),
         "restart" => world.part_after_restart(),
         "cold" => world.cold_server(),
         "taken-up" => world.taken_up_streams(),
@@ -155,6 +156,11 @@
 
     /// Sends a prompt to a gateway in a thread of its own.
     fn send(&'static self, vm: usize, bad: bool) {
+        self.send_tokens(vm, bad, 1_100);
+    }
+
+    /// Sends a prompt of this many tokens.
+    fn send_tokens(&'static self, vm: usize, bad: bool, tokens: u64) {
         let number = self.attempts.fetch_add(1, Ordering::SeqCst);
         thread::spawn(move || {
             let kind = if bad { "bad" } else { "sound" };
@@ -164,14 +170,14 @@
             } else {
                 format!("bbbb{:04x}:220", number % 10)
             };
-            let own = format!("cccc{number:04x}:380");
+            let own = format!("cccc{number:04x}:{}", tokens - 700);
             let parts = if self.shares_parts {
                 format!("{FIRST_PART},{middle},{own}")
             } else {
                 own
             };
             let headers = format!(
-                "Host: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: {}\r\nX-Model: m\r\nX-Token-Usage: 1100,80\r\n\
+                "Host: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: {}\r\nX-Model: m\r\nX-Token-Usage: {tokens},80\r\n\
                  X-Prompt-Prefix: {parts}\r\n",
                 DEADLINE.as_millis()
             );
@@ -307,6 +313,21 @@
         (ids.len(), begun.count() as f64 / ids.len().max(1) as f64)
     }
 
+    /// Prompts with a part that crashes servers come in groups. BUDGET as above.
+    fn part_in_groups(&'static self) -> u8 {
+        self.send_sound(6);
+        thread::sleep(Duration::from_secs(2));
+        // As long as the prompts of the sheet's two kinds of streams.
+        for tokens in [2_368, 11_992, 11_992] {
+            for turn in 0..8 {
+                self.send_tokens(turn % self.vms.len(), true, tokens);
+                thread::sleep(Duration::from_millis(25));
+            }
+            thread::sleep(Duration::from_secs(6));
+        }
+        self.judge_part()
+    }
+
     /// A part crashes servers; later all gateways are killed at the same moment. BUDGET as above.
     fn part_after_restart(&'static self) -> u8 {
         self.send_sound(6);
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -205,7 +205,7 @@
     if shared.is_overrun() {
         return crash(id, shared);
     }
-    thread::sleep(Duration::from_millis(20));
+    thread::sleep(prefill_time(request));
     let framing = if behaviour.unframed {
         "Connection: close"
     } else {
@@ -250,6 +250,18 @@
     Ok(())
 }
 
+/// Returns the time in which a prompt is read.
+fn prefill_time(request: &Message) -> Duration {
+    const TOKENS_PER_MS: f64 = 56.9;
+    let usage = request.header("x-token-usage").unwrap_or_default();
+    let tokens: f64 = usage
+        .split(',')
+        .next()
+        .and_then(|input| input.parse().ok())
+        .unwrap_or(0.0);
+    Duration::from_millis((tokens / TOKENS_PER_MS) as u64)
+}
+
 fn crash(id: &str, shared: &Shared) -> io::Result<()> {
     shared.crash(id);
     Err(io::ErrorKind::ConnectionAborted.into())
