fix(relay): a prompt part that crashes endpoints after the first event is found

Cause: suspects_of() took a part for a suspect only while the response had no event, so a server that sends one event before it crashes made its prompt unsuspicious. The condition was a border where the evidence has degrees.

Now a suspect carries how far the response had come (no event, just begun, writing for up to a second). VMs exchange it in a field that earlier builds skip; what they report without it has no events, which is its default. More suspects mean more sound parts under suspicion, so two things clear them sooner: a server that lives on for a second after the first event of a response, and a probe at once for a quarantined part that three in four prompts have.

The soak draws the number of events.

--- a/crates/shallotwing-daemon/tests/soak/main.rs
+++ b/crates/shallotwing-daemon/tests/soak/main.rs
@@ -70,6 +70,7 @@
             let server = StandinServer::start(name).await;
             server.set_crashing_part(Some(CrashingPart {
                 part: CRASHING_PART,
+                events: seed % 3,
                 store: store.clone(),
                 zone: region,
             }));
--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -59,6 +59,15 @@
   ageMs @3 :UInt32;
   # Requests that the endpoint may have begun to run.
   requests @4 :List(Fingerprint);
+  # How far the endpoint had come with them.
+  progress @5 :CrashProgress;
+}
+
+# The first one is all that builds without this field report.
+enum CrashProgress {
+  noEvent @0;
+  begun @1;
+  writing @2;
 }
 
 struct Fingerprint {
--- a/crates/sw-peer/src/relay/crashes.rs
+++ b/crates/sw-peer/src/relay/crashes.rs
@@ -2,7 +2,7 @@
 //!
 //! Parts and requests are in separate lists, because builds that do not know suspected requests skip their list.
 
-use sw_relay::{AnsweredSuspect, CrashReport, Suspect};
+use sw_relay::{AnsweredSuspect, CrashReport, Progress, Suspect};
 use sw_unit::{Fingerprint, Incarnation, Millis, PartId};
 
 use super::convert::{Result, millis};
@@ -25,6 +25,7 @@
         to.set_endpoint(crash.endpoint.as_str());
         to.set_incarnation(crash.incarnation.0);
         to.set_age_ms(millis(crash.age));
+        to.set_progress(wire_progress(crash.progress));
         let ids: Vec<_> = crash.suspects.iter().filter_map(|suspect| part(*suspect)).collect();
         let mut parts = to.reborrow().init_suspects(len(&ids));
         for (i, id) in (0..).zip(&ids) {
@@ -46,6 +47,8 @@
             endpoint: parse(crash.get_endpoint())?,
             incarnation: Incarnation(crash.get_incarnation()),
             suspects: parts.chain(requests).collect(),
+            // A later build may have more values.
+            progress: crash.get_progress().map_or(Progress::Writing, progress),
             age: Millis(u64::from(crash.get_age_ms())),
         })
     });
@@ -98,6 +101,22 @@
     parts.chain(requests).collect()
 }
 
+fn wire_progress(progress: Progress) -> wire::CrashProgress {
+    match progress {
+        Progress::NoEvent => wire::CrashProgress::NoEvent,
+        Progress::Begun => wire::CrashProgress::Begun,
+        Progress::Writing => wire::CrashProgress::Writing,
+    }
+}
+
+fn progress(progress: wire::CrashProgress) -> Progress {
+    match progress {
+        wire::CrashProgress::NoEvent => Progress::NoEvent,
+        wire::CrashProgress::Begun => Progress::Begun,
+        wire::CrashProgress::Writing => Progress::Writing,
+    }
+}
+
 fn part(suspect: Suspect) -> Option<PartId> {
     match suspect {
         Suspect::Part(part) => Some(part),
--- a/crates/sw-peer/src/relay_capnp.rs
+++ b/crates/sw-peer/src/relay_capnp.rs
@@ -2051,6 +2051,10 @@
         pub fn has_requests(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
+        #[inline]
+        pub fn get_progress(self) -> ::core::result::Result<crate::relay_capnp::CrashProgress,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(6))
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -2169,6 +2173,14 @@
         pub fn has_requests(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
+        #[inline]
+        pub fn get_progress(self) -> ::core::result::Result<crate::relay_capnp::CrashProgress,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(6))
+        }
+        #[inline]
+        pub fn set_progress(&mut self, value: crate::relay_capnp::CrashProgress)  {
+            self.builder.set_data_field::<u16>(6, value as u16);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2180,7 +2192,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 104] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 120] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(242, 127, 136, 173, 247, 21, 44, 176),
             ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
@@ -2190,49 +2202,56 @@
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 67, 114, 97, 115),
             ::capnp::word(104, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -2285,6 +2304,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 111, 103, 114, 101, 115, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(234, 117, 214, 122, 253, 0, 8, 164),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2293,6 +2321,7 @@
                 2 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::struct_list::Owned<crate::relay_capnp::fingerprint::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                5 => <crate::relay_capnp::CrashProgress as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2306,13 +2335,84 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,1,4,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,1,5,4,2];
         pub(crate) const TYPE_ID: u64 = 0xb02c_15f7_ad88_7ff2;
     }
 }
 
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashProgress {
+    NoEvent = 0,
+    Begun = 1,
+    Writing = 2,
+}
+
+impl ::capnp::introspect::Introspect for CrashProgress {
+    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&crash_progress::ARENA, crash_progress::get_annotation_types)).into() }
+}
+impl ::core::convert::From<CrashProgress> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: CrashProgress) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&crash_progress::ARENA, crash_progress::get_annotation_types).into()).into() }
+}
+impl ::core::convert::TryFrom<u16> for CrashProgress {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(value: u16) -> ::core::result::Result<Self, <CrashProgress as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::NoEvent),
+            1 => ::core::result::Result::Ok(Self::Begun),
+            2 => ::core::result::Result::Ok(Self::Writing),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<CrashProgress> for u16 {
+    #[inline]
+    fn from(x: CrashProgress) -> u16 { x as u16 }
+}
+impl ::capnp::traits::HasTypeId for CrashProgress {
+    const TYPE_ID: u64 = 0xa408_00fd_7ad6_75eau64;
+}
+mod crash_progress {
+pub(crate) static ENCODED_NODE: [::capnp::Word; 30] = [
+    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+    ::capnp::word(234, 117, 214, 122, 253, 0, 8, 164),
+    ::capnp::word(12, 0, 0, 0, 2, 0, 0, 0),
+    ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+    ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 79, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+    ::capnp::word(112, 110, 112, 58, 67, 114, 97, 115),
+    ::capnp::word(104, 80, 114, 111, 103, 114, 101, 115),
+    ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+    ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(110, 111, 69, 118, 101, 110, 116, 0),
+    ::capnp::word(98, 101, 103, 117, 110, 0, 0, 0),
+    ::capnp::word(119, 114, 105, 116, 105, 110, 103, 0),
+];
+pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+}
+pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
 pub mod fingerprint {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -48,6 +48,8 @@
     pub first_event_at: Option<Time>,
     /// Number of events received.
     pub events: u32,
+    /// Whether the endpoint has lived on long enough after the first event for the parts of the prompt to be cleared.
+    pub has_lived_on: bool,
     /// Expected number of tokens in the response.
     pub expected_output: Tokens,
 }
@@ -220,6 +222,7 @@
             is_framed: false,
             first_event_at: None,
             events: 0,
+            has_lived_on: false,
             expected_output: admitted.prompt.as_ref().map_or(Tokens(0), Prompt::expected_output),
         })
     }
@@ -254,6 +257,7 @@
             load.record_gap(gap, now);
             load.on_heard(now);
         }
+        self.clear_if_lived_on(attempt, now);
     }
 
     /// Applies the report that an endpoint sent with a response, and returns whether it newly announces that the
--- a/crates/sw-relay/src/crash_evidence.rs
+++ b/crates/sw-relay/src/crash_evidence.rs
@@ -2,9 +2,10 @@
 //!
 //! A prompt part can crash each engine that begins to answer it, and a request each endpoint that begins to run it. The
 //! VM that sent the request sees a broken connection; the other VMs see only that their own responses from that endpoint
-//! break off. The suspects of a crash are the shared parts of the prompts whose responses had a head and no event yet, and
-//! the requests that had not run for long, whether they had a head or not. A suspect is cleared by a complete response
-//! to a request that has it.
+//! break off. The suspects of a crash are the shared parts of the prompts whose responses had begun not long before, from
+//! their head on, and the requests that had not run for long, whether they had a head or not. The less of a response an
+//! endpoint had sent, the more likely its request or a part of its prompt is the cause. A suspect is cleared by a complete
+//! response to a request that has it.
 //!
 //! The parts that a request is named together with are those of its prompt; a request that is named without parts ran
 //! beside them, or crashes endpoints before the head. So a crash with several requests is sent as several reports.
@@ -17,7 +18,7 @@
 use sw_unit::{EndpointId, Fingerprint, Incarnation, Millis, PartId, Time};
 
 use crate::EndpointEntry;
-use crate::suspects::{Suspect, Suspects};
+use crate::suspects::{Progress, Suspect, Suspects};
 
 /// Time for which a crash is remembered.
 const CRASH_KEPT_FOR: Millis = Millis(600_000);
@@ -47,6 +48,8 @@
     pub incarnation: Incarnation,
     /// Requests that it may have begun to run, and shared parts of the prompts that it had started to answer.
     pub suspects: Vec<Suspect>,
+    /// How far it had come with them.
+    pub progress: Progress,
     /// Time since the crash.
     pub age: Millis,
 }
@@ -114,11 +117,17 @@
 }
 
 impl CrashEvidence {
-    /// Records that an endpoint broke off a response.
-    pub(crate) fn on_break(&mut self, entry: &EndpointEntry, suspects: &[Suspect], now: Time) -> BreakOutcome {
+    /// Records that an endpoint broke off a response after some `progress`.
+    pub(crate) fn on_break(
+        &mut self,
+        entry: &EndpointEntry,
+        suspects: &[Suspect],
+        progress: Progress,
+        now: Time,
+    ) -> BreakOutcome {
         let key = key_of(entry);
         if let Some(crash) = self.crashes.get_mut(&key) {
-            return if add_suspects(crash, suspects, now) {
+            return if add_suspects(crash, suspects, progress, now) {
                 BreakOutcome::News
             } else {
                 BreakOutcome::Known
@@ -133,7 +142,7 @@
                 suspects: Suspects::default(),
             }
         });
-        known.suspects.extend(suspects);
+        known.suspects.extend(suspects, progress);
         is_due |= now.since(known.checked_at) >= CHECK_PERIOD;
         if is_due {
             known.checked_at = now;
@@ -190,7 +199,7 @@
     pub(crate) fn on_report(&mut self, report: &CrashReport, now: Time) -> ReportOutcome {
         let key = (report.endpoint.clone(), report.incarnation);
         if let Some(crash) = self.crashes.get_mut(&key) {
-            return if add_suspects(crash, &report.suspects, now) {
+            return if add_suspects(crash, &report.suspects, report.progress, now) {
                 ReportOutcome::News
             } else {
                 ReportOutcome::Known
@@ -201,15 +210,15 @@
             suspects: Suspects::default(),
             changed_at: now,
         };
-        crash.suspects.extend(&report.suspects);
+        crash.suspects.extend(&report.suspects, report.progress);
         let mut is_completed = false;
-        for suspects in self
+        for group in self
             .breaks
             .swap_remove(&key)
             .iter()
             .flat_map(|broken| broken.suspects.groups())
         {
-            is_completed |= crash.suspects.extend(&suspects);
+            is_completed |= crash.suspects.extend(&group.suspects, group.progress);
         }
         self.insert(key, crash);
         if is_completed {
@@ -230,10 +239,11 @@
         let crashes = self.crashes.iter().rev().filter(|(_, crash)| is_reported(crash));
         let reports = crashes.flat_map(|((endpoint, incarnation), crash)| {
             let groups = crash.suspects.groups().into_iter();
-            groups.map(move |suspects| CrashReport {
+            groups.map(move |group| CrashReport {
                 endpoint: endpoint.clone(),
                 incarnation: *incarnation,
-                suspects,
+                suspects: group.suspects,
+                progress: group.progress,
                 age: now.since(crash.at),
             })
         });
@@ -377,8 +387,8 @@
 }
 
 /// Adds suspects to a crash, and returns whether this is news.
-fn add_suspects(crash: &mut Crash, suspects: &[Suspect], now: Time) -> bool {
-    let is_new = crash.suspects.extend(suspects);
+fn add_suspects(crash: &mut Crash, suspects: &[Suspect], progress: Progress, now: Time) -> bool {
+    let is_new = crash.suspects.extend(suspects, progress);
     if is_new {
         crash.changed_at = now;
     }
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -82,7 +82,7 @@
 pub use stall::StallDetector;
 pub use store_state::{Rewritten, StoreState};
 pub use stream_origin::{Replication, StreamOrigin};
-pub use suspects::Suspect;
+pub use suspects::{Progress, Suspect};
 pub use table::{CallerLimits, EngineSpec, Route, RouteKind, RouteTable, Service, Target};
 pub use types::{
     EndpointEntry, EndpointReport, LoadReport, Prompt, PromptPart, RequestHead, Resumption, ServiceId, SoftwareVersion,
--- a/crates/sw-relay/src/quarantine.rs
+++ b/crates/sw-relay/src/quarantine.rs
@@ -6,7 +6,8 @@
 //!
 //! Suspects that were in each of the crashes cannot be distinguished. A request with some of them, but not all, serves as a
 //! probe, one at a time: for parts, one VM of each region sends it; for requests, one VM of all. A complete response clears its
-//! suspects, a crash clears the others. Otherwise the first part of all prompts of a route could stay quarantined, and with
+//! suspects, a crash clears the others. A part that most prompts have is probed as well: crashes of different causes have it in
+//! common. Otherwise the first part of all prompts of a route could stay quarantined, and with
 //! it the route. A request that crashed several endpoints is no probe for the parts of its prompt. One whose time of quarantine
 //! is over is sent as a probe, by another VM every [`PROBE_TIME`], unless it has crashed too many endpoints.
 
@@ -19,7 +20,7 @@
 
 use crate::crash_evidence::{BreakOutcome, CrashEvidence, ReportOutcome};
 use crate::rate_limit::MAX_REPLY_TRANSIT;
-use crate::suspects::Suspect;
+use crate::suspects::{Progress, Suspect};
 use crate::verdict::{MIN_CRASHES, QuarantineEntry, derive_entries};
 use crate::{AdmittedRequest, AnsweredSuspect, Attempt, AttemptOutcome, CrashReport, Prompt, Relay};
 
@@ -28,11 +29,17 @@
 /// Crashes after which a request is no longer tried, as long as copies of it come.
 const MAX_CRASHES_FOR_REQUEST_PROBE: u32 = 5;
 
+/// Crashes after which a part that most prompts have is no longer tried alone.
+const MAX_CRASHES_FOR_COMMON_PROBE: u32 = 6;
+/// Share of the prompts from which on a part counts as one that most have, and number of prompts that tell it.
+const COMMON_SHARE: f64 = 0.75;
+const MIN_PROMPTS: u32 = 4;
+
 /// Time after which a probe no longer prevents another one.
 const PROBE_TIME: Millis = Millis(8_000);
 /// The same for a probe that was not sent to an endpoint.
 const UNSENT_PROBE_TIME: Millis = Millis(500);
-/// Time since its first event after which a response that breaks off does not make its request a suspect.
+/// Time since its first event after which a response that breaks off makes neither its request nor its prompt suspect.
 const MAX_START: Millis = Millis(1_000);
 
 /// A change of the quarantine.
@@ -84,6 +91,13 @@
     }
 }
 
+/// Number of prompts, and of those with a suspect of one group.
+#[derive(Debug, Clone, Copy, Default)]
+struct PromptCount {
+    all: u32,
+    with: u32,
+}
+
 /// VMs to which news of a crash should be sent at once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum NewsScope {
@@ -104,6 +118,8 @@
     exempt: IndexSet<Suspect>,
     /// Probes by the group of suspects that they distinguish.
     probes: IndexMap<Suspect, Probe>,
+    /// How many prompts came since a group of suspects was quarantined.
+    prompts: IndexMap<Suspect, PromptCount>,
     changes: Vec<QuarantineChange>,
     news: Option<NewsScope>,
 }
@@ -125,6 +141,8 @@
         let changes: Vec<_> = released.chain(added).collect();
         self.changes.extend(changes);
         self.has_requests = entries.keys().any(|suspect| suspect.is_request());
+        self.prompts
+            .retain(|group, _| entries.values().any(|entry| entry.group == *group));
         self.entries = entries;
     }
 
@@ -179,12 +197,34 @@
         if suspect.is_request() {
             return entry.alike > 1 || (entry.until <= now && entry.crashes < MAX_CRASHES_FOR_REQUEST_PROBE);
         }
-        let may_be_sound = entry.was_answered && entry.crashes < MAX_CRASHES_FOR_PROBE;
+        let may_be_sound = entry.was_answered && entry.crashes < MAX_CRASHES_FOR_PROBE
+            || self.is_common(entry.group) && entry.crashes < MAX_CRASHES_FOR_COMMON_PROBE;
         let content = admitted.content.as_ref();
         let crashes = content.map_or(0, |content| self.evidence.crashes_under(content.fingerprint()));
         crashes < MIN_CRASHES && (in_group < entry.alike || may_be_sound)
     }
 
+    /// Counts a prompt, so that parts that most prompts have are known.
+    fn count_prompt(&mut self, admitted: &AdmittedRequest, now: Time) {
+        if self.entries.is_empty() || admitted.prompt.is_none() {
+            return;
+        }
+        let entries = self.entries_of(admitted, now);
+        let groups: IndexSet<_> = self.entries.values().map(|entry| entry.group).collect();
+        for group in groups {
+            let has_group = entries.iter().any(|(_, entry)| entry.group == group);
+            let count = self.prompts.entry(group).or_default();
+            count.all = count.all.saturating_add(1);
+            count.with = count.with.saturating_add(u32::from(has_group));
+        }
+    }
+
+    /// Returns whether most prompts have a suspect of a group.
+    fn is_common(&self, group: Suspect) -> bool {
+        let count = self.prompts.get(&group).copied().unwrap_or_default();
+        count.all >= MIN_PROMPTS && f64::from(count.with) >= f64::from(count.all) * COMMON_SHARE
+    }
+
     /// Ends the probes that are this request. One that may have crashed its endpoint prevents another probe until its
     /// time is over, as the crash is known only later.
     fn end_probes(&mut self, request: &str, outcome: AttemptOutcome) {
@@ -207,7 +247,7 @@
     fn is_probe(&self, admitted: &AdmittedRequest, entry: QuarantineEntry) -> bool {
         let probe = self.probes.get(&entry.group);
         probe.is_some_and(|probe| probe.request == admitted.id && !probe.has_failed)
-            && (entry.group.is_request() || entry.alike > 1 || entry.was_answered)
+            && (entry.group.is_request() || entry.alike > 1 || entry.was_answered || self.is_common(entry.group))
     }
 }
 
@@ -240,15 +280,24 @@
 
     /// Records that an attempt broke off; returns whether the endpoint should be checked for a crash.
     ///
-    /// A response with a head and no event distinguishes the prompt that the endpoint had just started to answer from the
-    /// others that it was running.
+    /// A response that had just begun distinguishes the prompt that the endpoint had started to answer from the others that
+    /// it was running.
     pub fn on_broken_attempt(&mut self, attempt: &Attempt, now: Time) -> bool {
-        let suspects = suspects_of(attempt, now);
+        let written_for = attempt.first_event_at.map(|first| now.since(first));
+        if written_for.is_some_and(|written_for| written_for >= MAX_START) {
+            return false;
+        }
+        let suspects = suspects_of(attempt);
         if suspects.is_empty() || self.is_leaving(&attempt.endpoint.id) {
             return false;
         }
         let evidence = &mut self.quarantine.evidence;
-        let outcome = evidence.on_break(&attempt.endpoint, &suspects, now);
+        let outcome = evidence.on_break(
+            &attempt.endpoint,
+            &suspects,
+            Progress::since_first_event(written_for),
+            now,
+        );
         if outcome == BreakOutcome::News {
             self.quarantine.announce(NewsScope::All);
         }
@@ -300,6 +349,21 @@
         }
     }
 
+    /// Clears the parts of a prompt if its endpoint lives on for some time after the first event of the response: a part that
+    /// crashes endpoints does so when they begin to answer it.
+    pub(crate) fn clear_if_lived_on(&mut self, attempt: &mut Attempt, now: Time) {
+        let has_lived_on = attempt
+            .first_event_at
+            .is_some_and(|first| now.since(first) >= MAX_START);
+        if !has_lived_on || std::mem::replace(&mut attempt.has_lived_on, true) {
+            return;
+        }
+        self.quarantine.evidence.on_answered(&attempt.shared_parts, now);
+        if self.quarantine.concerns(attempt) {
+            self.quarantine.update(now);
+        }
+    }
+
     /// Merges what another VM knows of crashes; `is_remote` if it is in another failure domain.
     pub(crate) fn on_crash_reports(
         &mut self,
@@ -328,6 +392,7 @@
 
     /// Returns the refusal of a quarantined request, unless it is sent as a probe.
     pub(crate) fn quarantine_refusal(&mut self, admitted: &AdmittedRequest, now: Time) -> Option<Refusal> {
+        self.quarantine.count_prompt(admitted, now);
         let (suspect, entry) = self.quarantined(admitted, now)?;
         self.quarantine.probes.retain(|_, probe| !probe.is_over(now));
         let is_free = !self.quarantine.probes.contains_key(&entry.group);
@@ -388,16 +453,12 @@
     }
 }
 
-/// Returns the suspects of an attempt that broke off: the request, unless it had run for some time, and the shared parts of
-/// a prompt whose response had a head and no event.
-fn suspects_of(attempt: &Attempt, now: Time) -> Vec<Suspect> {
-    let had_run = attempt
-        .first_event_at
-        .is_some_and(|first| now.since(first) >= MAX_START);
-    let content = attempt.content.as_ref().filter(|_| !had_run);
+/// Returns the suspects of an attempt that broke off before it had written for long: the request, and the shared parts of a
+/// prompt whose response had a head.
+fn suspects_of(attempt: &Attempt) -> Vec<Suspect> {
+    let content = attempt.content.as_ref();
     let request = content.map(|content| Suspect::Request(content.fingerprint()));
-    let has_started = attempt.head_at.is_some() && attempt.events == 0;
-    let parts = attempt.shared_parts.iter().filter(|_| has_started);
+    let parts = attempt.shared_parts.iter().filter(|_| attempt.head_at.is_some());
     let parts = parts.map(|part| Suspect::Part(*part));
     request.into_iter().chain(parts).collect()
 }
--- a/crates/sw-relay/tests/odd_input.rs
+++ b/crates/sw-relay/tests/odd_input.rs
@@ -8,7 +8,7 @@
 use sw_member::VmRow;
 use sw_relay::{
     AnsweredSuspect, AttemptHistory, AttemptOutcome, CachedPart, Choice, CrashReport, DomainView, EndpointEntry,
-    EndpointLoad, EndpointRateLimit, EndpointReport, HeardVersion, Heartbeat, LimitKind, LoadReport, Prompt,
+    EndpointLoad, EndpointRateLimit, EndpointReport, HeardVersion, Heartbeat, LimitKind, LoadReport, Progress, Prompt,
     PromptPart, RateLimitState, RateLimitStatement, Relay, ServiceId, ServiceLoad, ServiceVersions, StoreRecord,
     StoreState, Suspect, VersionAge, VmAge,
 };
@@ -119,12 +119,17 @@
     ]
 }
 
+fn progress() -> impl Strategy<Value = Progress> {
+    prop_oneof![Just(Progress::NoEvent), Just(Progress::Begun), Just(Progress::Writing)]
+}
+
 fn crash() -> impl Strategy<Value = CrashReport> {
-    let crash = (endpoint_id(), whole(), vec(suspect(), 0..100), duration());
-    crash.prop_map(|(endpoint, incarnation, suspects, age)| CrashReport {
+    let crash = (endpoint_id(), whole(), vec(suspect(), 0..100), progress(), duration());
+    crash.prop_map(|(endpoint, incarnation, suspects, progress, age)| CrashReport {
         endpoint,
         incarnation: Incarnation(incarnation),
         suspects,
+        progress,
         age,
     })
 }
--- a/crates/sw-relay/tests/quarantine.rs
+++ b/crates/sw-relay/tests/quarantine.rs
@@ -51,6 +51,27 @@
     assert!(share < 0.01, "{share} of the sound prompts are quarantined");
 }
 
+/// Guards against a part that is never quarantined because the engines that it crashes send events of the response before, so
+/// that prompts with it crash engine after engine.
+#[test]
+fn part_that_crashes_engines_after_the_first_event_is_quarantined() {
+    for crash_after in [Millis(10), Millis(150), Millis(500), Millis(900)] {
+        let mut rng = fastrand::Rng::with_seed(8);
+        let mut fleet = Fleet::new(NINE_VMS);
+        fleet.set_crash_after_first_event(crash_after);
+        load(&mut fleet, 60.0, &[], 0.0, Millis(3_000), &mut rng);
+        load(&mut fleet, 60.0, &[CRASHING_PART], 0.05, Millis(30_000), &mut rng);
+        let crashes = fleet.crash_count(CRASHING_PART);
+        let late = fleet.late_arrivals(CRASHING_PART, CONTACT);
+        assert!(
+            late <= ALLOWED_LATE,
+            "{late} prompts late, {crashes} crashes, {crash_after} ms after the first event"
+        );
+        let share = fleet.quarantined_share(Time(13_000));
+        assert!(share < 0.01, "{share} of the sound prompts are quarantined");
+    }
+}
+
 /// Guards against a second crashing part that goes unnoticed beside the first one, at the same time or later.
 #[test]
 fn each_of_several_crashing_parts_is_found() {
--- a/crates/sw-relay/tests/support/fleet.rs
+++ b/crates/sw-relay/tests/support/fleet.rs
@@ -119,6 +119,8 @@
     unseen: Vec<Unseen>,
     /// Whether prompts and requests whose connection broke are sent to another engine.
     retries: bool,
+    /// Time from the first event of a response to a crash; `None` if engines crash before the first event.
+    crash_after_first_event: Option<Millis>,
 }
 
 fn region_id(region: usize) -> RegionId {
@@ -194,6 +196,7 @@
             seen_after: IndexMap::new(),
             unseen: Vec::new(),
             retries: true,
+            crash_after_first_event: None,
         };
         fleet.vms = (0..layout.vms).map(|index| fleet.start_vm(index, 1)).collect();
         for (from, to) in (0..layout.vms).flat_map(|from| (0..layout.vms).map(move |to| (from, to))) {
@@ -453,13 +456,15 @@
             if age >= HEAD_AFTER && running.has_head && running.attempt.head_at.is_none() {
                 vm.relay.on_head(&mut running.attempt, true, now);
             }
-            if let Some(part) = running.crashing {
-                if age >= CRASH_AFTER {
-                    crashed.push((running.engine, part));
-                }
-            } else if age >= CRASH_AFTER && running.attempt.first_event_at.is_none() {
+            let has_event = running.crashing.is_none() || self.crash_after_first_event.is_some();
+            if has_event && age >= CRASH_AFTER && running.attempt.first_event_at.is_none() {
                 vm.relay.on_first_event(&mut running.attempt, now);
             }
+            if let Some(part) = running.crashing
+                && age >= CRASH_AFTER + self.crash_after_first_event.unwrap_or_default()
+            {
+                crashed.push((running.engine, part));
+            }
             if running.crashing.is_none() && age >= END_AFTER {
                 vm.relay.end_attempt(&running.attempt, AttemptOutcome::Complete, now);
                 ended.push(at);
--- a/crates/sw-relay/tests/support/fleet/copies.rs
+++ b/crates/sw-relay/tests/support/fleet/copies.rs
@@ -1,7 +1,7 @@
 //! Requests of which callers send copies.
 
 use bytes::Bytes;
-use sw_relay::{CrashReport, RequestContent, Suspect};
+use sw_relay::{CrashReport, Progress, RequestContent, Suspect};
 use sw_unit::{Fingerprint, Incarnation, Millis, PartId, Time};
 
 use super::{FIRST_PART, Fleet, RunningAttempt, SUBJECT, SUBJECTS};
@@ -72,6 +72,7 @@
             endpoint: "e-unknown".parse().expect("an id"),
             incarnation: Incarnation(1),
             suspects: parts.chain(requests).collect(),
+            progress: Progress::NoEvent,
             age: Millis(0),
         };
         let mut heartbeat = self.vms[vm].relay.heartbeat(None, self.now);
--- a/crates/sw-relay/tests/support/fleet/crashes.rs
+++ b/crates/sw-relay/tests/support/fleet/crashes.rs
@@ -29,6 +29,11 @@
         self.retries = retries;
     }
 
+    /// Lets engines crash a time after the first event of a response, in place of before it.
+    pub fn set_crash_after_first_event(&mut self, time: Millis) {
+        self.crash_after_first_event = Some(time);
+    }
+
     /// Sets the time that a VM needs to find out that an engine crashed.
     pub fn set_confirm_after(&mut self, vm: usize, confirm_after: Millis) {
         self.confirm_after.insert(vm, confirm_after);
