fix(relay): streams that began while the store was down go on after all VMs were killed

Which version began a stream was known to the VMs' memory and the store only; while the store is down nothing is written, and a kill of all VMs takes the rest (`store_not_written`, then `origin` `unknown` for each resumption).

Now the version of a new stream that may be resumed is a function of its id while several versions serve: tickets in the store, which one VM writes on the condition that the record is unchanged. A VM that lets a stream begin elsewhere, as its version has no room, writes the origin before the first event goes to the caller, and all VMs follow these records. So what nobody knows began as placed. Earlier placements stay for the life of a stream; where they differ, the caller is refused as before.

--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -145,6 +145,8 @@
   # The newest version of the configuration that the sender has heard of and lacks, and the time since then; 0 if there is none.
   newerVersion @17 :UInt64;
   newerHeardMs @18 :UInt32;
+  # Whether the sender places new streams by their ids.
+  knowsPlacements @19 :Bool;
 }
 
 struct Item {
--- a/crates/sw-peer/src/relay/store.rs
+++ b/crates/sw-peer/src/relay/store.rs
@@ -31,6 +31,7 @@
     to.set_revision(store.position.revision);
     to.set_era(era_code(store.position.era));
     to.set_retains(store.retains);
+    to.set_knows_placements(store.knows_placements);
     to.set_followed_era(store.followed.era.0);
     to.set_followed_until(store.followed.revision);
 }
@@ -42,6 +43,7 @@
         retains: from.get_retains(),
         followed: StorePosition::new(StoreEra(from.get_followed_era()), from.get_followed_until()),
         knows_eras: era.is_some(),
+        knows_placements: from.get_knows_placements(),
     }
 }
 
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -12,6 +12,7 @@
 use sw_relay::{
     Grant, Heartbeat, QueueEstimate, Replication, Reservation, ReservationUpdate, SoftwareVersion, StreamOrigin,
 };
+use sw_store::Feed;
 use sw_unit::{EndpointId, StoreEra};
 use tokio::sync::mpsc;
 
@@ -30,7 +31,7 @@
     }
 }
 
-impl<D: Dialect, F: 'static> RelayHandler for PeerHandler<D, F> {
+impl<D: Dialect, F: Feed> RelayHandler for PeerHandler<D, F> {
     fn on_heartbeat(&self, heartbeat: Heartbeat) -> Heartbeat {
         let from = heartbeat.from.clone();
         heartbeat::on_heartbeat(&self.0, heartbeat);
@@ -93,7 +94,7 @@
 }
 
 /// Serves a forwarded request; `id` is set as soon as the request id is known.
-async fn serve_forwarded<D: Dialect, F: 'static>(
+async fn serve_forwarded<D: Dialect, F: Feed>(
     state: &Rc<ProxyState<D, F>>,
     call: RelayCall,
     id: &mut Arc<str>,
--- a/crates/sw-proxy/src/persist.rs
+++ b/crates/sw-proxy/src/persist.rs
@@ -2,15 +2,19 @@
 //!
 //! One VM of each region writes which software versions of each service have served lately, and, while there are
 //! several, which version started which stream. The VMs of a region tell that VM. A VM that starts reads both with its first
-//! snapshot of the store; streams that begin within the last moment before the end of all VMs are lost.
+//! snapshot of the store. One VM of all writes at which version new streams begin, so that those whose origin was not
+//! written are not lost. A VM that lets one begin elsewhere writes that itself, and all VMs follow it.
 
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 use spdlog::prelude::*;
-use sw_relay::{ServiceSoftware, SoftwareVersion, StoreRecord, StreamOrigin};
-use sw_store::{Change, Feed};
+use sw_relay::{Placement, ServicePlacements, ServiceSoftware, SoftwareVersion, StoreRecord, StreamOrigin};
+use sw_store::{Change, Feed, StoreError};
 use sw_time::Clock as _;
 use sw_unit::Millis;
 
@@ -20,6 +24,14 @@
 /// Key of the software versions.
 pub(crate) const SOFTWARE_KEY: &str = "shallotwing/software";
 const ORIGINS_PREFIX: &str = "shallotwing/origins/";
+/// Key of the placements of new streams.
+const PLACEMENTS_KEY: &str = "shallotwing/placements";
+/// Prefix of the keys of origins that differ from the placement.
+const EXCEPTIONS_PREFIX: &str = "shallotwing/exceptions/";
+/// Number of keys of a VM for such origins, which are written in turn.
+const EXCEPTION_SLOTS: u64 = 64;
+/// Timeout of the write that the first event of a stream waits for.
+const EXCEPTION_TIMEOUT: Duration = Duration::from_millis(500);
 /// Period in which news is written.
 const PERIOD: Millis = Millis(500);
 /// Number of keys of a region that hold origins, which are written in turn; together they span the life of a stream.
@@ -44,12 +56,43 @@
     software: String,
 }
 
+#[derive(Debug, Serialize, Deserialize)]
+struct PlacementsDoc {
+    service: String,
+    placements: Vec<PlacementDoc>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct PlacementDoc {
+    generation: u64,
+    tickets: Vec<TicketsDoc>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct TicketsDoc {
+    software: String,
+    count: u32,
+}
+
+/// Origins that wait to be written before the first event of their stream goes to the caller.
+#[derive(Debug, Default)]
+pub(crate) struct Exceptions {
+    pending: RefCell<Vec<StreamOrigin>>,
+    /// Held during a write.
+    turn: tokio::sync::Mutex<()>,
+    /// The last streams whose origins were written.
+    written: RefCell<IndexSet<Arc<str>>>,
+    /// Number of writes.
+    writes: Cell<u64>,
+}
+
 /// Writes news to the store until the process ends.
 pub(crate) async fn run<D: Dialect, F: Feed>(state: Rc<ProxyState<D, F>>) {
     let mut ticks = state.timer.subscribe(PERIOD);
     loop {
         ticks.tick().await;
         write_software(&state).await;
+        write_placements(&state).await;
         write_origins(&state).await;
     }
 }
@@ -60,7 +103,11 @@
         let record = value.map_or(Ok(StoreRecord::Other), decode_software);
         return Some(record.unwrap_or_else(malformed));
     }
-    if is_origin_key(key) {
+    if key == PLACEMENTS_KEY {
+        let record = value.map_or(Ok(StoreRecord::Other), decode_placements);
+        return Some(record.unwrap_or_else(malformed));
+    }
+    if is_origin_key(key) || key.starts_with(EXCEPTIONS_PREFIX) {
         let record = value.map_or(Ok(StoreRecord::Other), decode_origins);
         return Some(record.unwrap_or_else(malformed));
     }
@@ -102,17 +149,52 @@
     write(state, SOFTWARE_KEY, &value).await;
 }
 
+async fn write_placements<D: Dialect, F: Feed>(state: &ProxyState<D, F>) {
+    if state.store_unavailable_since.get().is_some() {
+        return;
+    }
+    let Some(records) = state.relay.borrow_mut().unrecorded_placements(state.now()) else {
+        return;
+    };
+    let docs: Vec<_> = records.iter().map(placements_doc).collect();
+    let value = serde_json::to_vec(&docs).expect("texts and numbers serialize");
+    let revision = state.mirror.borrow().stored_revision(PLACEMENTS_KEY);
+    let written = state.feed.write_at(PLACEMENTS_KEY, &value, revision).await;
+    log_written(PLACEMENTS_KEY, value.len(), &written);
+}
+
+/// Writes the origin of a stream that differs from the placement, and returns whether the store confirmed it. Those that come
+/// during a write are written together.
+pub(crate) async fn write_exception<D, F: Feed>(state: &ProxyState<D, F>, origin: StreamOrigin) -> bool {
+    let exceptions = &state.exceptions;
+    let stream = Arc::clone(&origin.stream);
+    exceptions.pending.borrow_mut().push(origin);
+    let _turn = exceptions.turn.lock().await;
+    let is_pending = exceptions.pending.borrow().iter().any(|other| other.stream == stream);
+    if is_pending {
+        let origins = exceptions.pending.take();
+        exceptions.writes.set(exceptions.writes.get() + 1);
+        let slot = exceptions.writes.get() % EXCEPTION_SLOTS;
+        let (region, vm) = (&state.options().region.clone(), state.options().vm.clone());
+        let key = format!("{EXCEPTIONS_PREFIX}{region}/{vm}/{slot}");
+        let value = encode_origins(&origins);
+        let written = tokio::time::timeout(EXCEPTION_TIMEOUT, write(state, &key, &value)).await;
+        let is_written = written.unwrap_or(false);
+        exceptions.written.replace(if is_written {
+            origins.into_iter().map(|origin| origin.stream).collect()
+        } else {
+            IndexSet::new()
+        });
+    }
+    exceptions.written.borrow().contains(&stream)
+}
+
 async fn write_origins<D: Dialect, F: Feed>(state: &ProxyState<D, F>) {
     let origins = state.relay.borrow_mut().take_unwritten_origins(state.now());
     if origins.is_empty() {
         return;
     }
-    let docs = origins.iter().map(|origin| OriginDoc {
-        stream: origin.stream.to_string(),
-        service: origin.service.to_string(),
-        software: origin.software.to_string(),
-    });
-    let value = serde_json::to_vec(&docs.collect::<Vec<_>>()).expect("texts serialize");
+    let value = encode_origins(&origins);
     let slot = state.clock.wall().0 / PERIOD.0 % ORIGIN_SLOTS;
     let key = format!("{ORIGINS_PREFIX}{}/{slot}", state.options().region);
     if !write(state, &key, &value).await {
@@ -125,20 +207,72 @@
 
 /// Writes an item, and returns whether the store confirmed it.
 async fn write<D, F: Feed>(state: &ProxyState<D, F>, key: &str, value: &[u8]) -> bool {
-    let bytes = value.len() as u64;
-    match state.feed.write(key, value).await {
-        Ok(()) => {
-            info!("store_written", kv: { key, bytes });
-            true
-        }
+    let written = state.feed.write(key, value).await;
+    log_written(key, value.len(), &written);
+    written.is_ok()
+}
+
+fn log_written(key: &str, len: usize, written: &Result<(), StoreError>) {
+    let bytes = len as u64;
+    match written {
+        Ok(()) => info!("store_written", kv: { key, bytes }),
         Err(error) => {
             let reason = error.to_string();
             warn!("store_not_written", kv: { key, bytes, reason = reason.as_str() });
-            false
         }
     }
 }
 
+fn encode_origins(origins: &[StreamOrigin]) -> Vec<u8> {
+    let docs = origins.iter().map(|origin| OriginDoc {
+        stream: origin.stream.to_string(),
+        service: origin.service.to_string(),
+        software: origin.software.to_string(),
+    });
+    serde_json::to_vec(&docs.collect::<Vec<_>>()).expect("texts serialize")
+}
+
+fn placements_doc(record: &ServicePlacements) -> PlacementsDoc {
+    let placements = record.placements.iter().map(|placement| PlacementDoc {
+        generation: placement.generation,
+        tickets: placement
+            .tickets
+            .iter()
+            .map(|(software, count)| TicketsDoc {
+                software: software.to_string(),
+                count: *count,
+            })
+            .collect(),
+    });
+    PlacementsDoc {
+        service: record.service.to_string(),
+        placements: placements.collect(),
+    }
+}
+
+fn decode_placements(value: &[u8]) -> Result<StoreRecord, String> {
+    let docs: Vec<PlacementsDoc> = serde_json::from_slice(value).map_err(|error| error.to_string())?;
+    let records = docs.into_iter().map(|doc| {
+        let placements = doc.placements.into_iter().map(decode_placement);
+        Ok(ServicePlacements {
+            service: doc.service.parse().map_err(|error| format!("service: {error}"))?,
+            placements: placements.collect::<Result<_, String>>()?,
+        })
+    });
+    records.collect::<Result<_, String>>().map(StoreRecord::Placements)
+}
+
+fn decode_placement(doc: PlacementDoc) -> Result<Placement, String> {
+    let tickets = doc.tickets.into_iter().map(|tickets| {
+        let software = tickets.software.parse().map_err(|error| format!("version: {error}"))?;
+        Ok((software, tickets.count))
+    });
+    Ok(Placement {
+        generation: doc.generation,
+        tickets: tickets.collect::<Result<_, String>>()?,
+    })
+}
+
 fn decode_software(value: &[u8]) -> Result<StoreRecord, String> {
     let doc: SoftwareDoc = serde_json::from_slice(value).map_err(|error| error.to_string())?;
     let services = doc.services.into_iter().map(|doc| {
--- a/crates/sw-proxy/src/records.rs
+++ b/crates/sw-proxy/src/records.rs
@@ -52,6 +52,7 @@
         retains: retained > 0,
         followed,
         knows_eras: true,
+        knows_placements: true,
     });
     if source != Source::GracePeriod {
         relay.on_registrations_confirmed(now);
@@ -103,6 +104,11 @@
             let state = format!("{} at most", versions.unwrap_or_default());
             Some(("software_versions", String::new(), state))
         }
+        StoreRecord::Placements(services) => {
+            let placements = services.iter().map(|record| record.placements.len()).max();
+            let state = format!("{} at most", placements.unwrap_or_default());
+            Some(("placements", String::new(), state))
+        }
         StoreRecord::Origins(_) | StoreRecord::Malformed { endpoint: None, .. } | StoreRecord::Other => None,
     }
 }
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -77,6 +77,7 @@
             late = drain::wait_late(state, &admitted) => return Err(late),
         };
         drain::check(state, &admitted)?;
+        resumption::place(state, &mut admitted);
         let unlimited = drain::limit(state, &mut admitted);
         let mut request = BufferedRequest {
             admitted,
@@ -102,9 +103,9 @@
 /// # Errors
 ///
 /// Returns the refusal for the caller. Its kind states that the request was not run only if no attempt can have run it.
-pub(crate) async fn send_with_retries<D: Dialect, F: 'static>(
+pub(crate) async fn send_with_retries<D: Dialect, F: Feed>(
     state: &Rc<ProxyState<D, F>>,
-    request: BufferedRequest,
+    mut request: BufferedRequest,
 ) -> Result<HttpResponse, Refusal> {
     let mut history = AttemptHistory::default();
     // The last 5xx response of an endpoint is returned if no retry succeeds.
@@ -117,6 +118,10 @@
         let choice = state.relay.borrow_mut().choose(&request.admitted, &history, now);
         let choice = match choice {
             Ok(choice) => choice,
+            Err(refusal) if resumption::unplace(state, &mut request.admitted, refusal.kind) => {
+                telemetry::log_unplaced(&request.admitted, refusal);
+                continue;
+            }
             Err(refusal) => {
                 if matches!(refusal.kind, Kind::QuarantinedPrompt | Kind::QuarantinedRequest) {
                     telemetry::log_quarantined(state, &request.admitted);
@@ -225,7 +230,7 @@
     response
 }
 
-async fn send_attempt<D: Dialect, F: 'static>(
+async fn send_attempt<D: Dialect, F: Feed>(
     state: &Rc<ProxyState<D, F>>,
     request: &BufferedRequest,
     choice: &Choice,
--- a/crates/sw-proxy/src/resumption.rs
+++ b/crates/sw-proxy/src/resumption.rs
@@ -13,7 +13,7 @@
 use sw_store::Feed;
 
 use crate::state::ProxyState;
-use crate::{Dialect, store, telemetry};
+use crate::{Dialect, persist, store, telemetry};
 
 /// Timeout of the calls that ask other VMs for the version that started a stream.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
@@ -32,6 +32,8 @@
     Peer,
     /// Only one version has served for as long as a stream can live.
     SoleVersion,
+    /// New streams with its id begin at one version, and it is not among those that did not.
+    Placement,
     /// The endpoints of the service do not state versions.
     Unversioned,
     /// It was not found, so the request is refused.
@@ -68,9 +70,17 @@
         replicate_origins(state);
         return Ok(());
     }
-    // Another VM may have learned of a version that this one does not know yet.
+    // Another VM may have learned of a version that this one does not know yet, or written where the stream began.
     let is_current = store::refresh(state, REFRESH_TIMEOUT).await;
-    let source = pin_to_sole_version(state, admitted, is_current);
+    let mut source = pin_to_sole_version(state, admitted, is_current);
+    if source == OriginSource::Unknown
+        && is_current
+        && let Some(stream) = &resumption.stream
+        && let Some((software, found)) = written_version(state, admitted, stream)
+    {
+        admitted.pinned_software = Some(software);
+        source = found;
+    }
     telemetry::log_resume_request(state, admitted, resumption, source);
     if source == OriginSource::Unknown {
         return Err(unknown_version());
@@ -78,6 +88,21 @@
     Ok(())
 }
 
+/// Returns the version that started a stream of the request's service, as the store tells: its origin, or else the placement.
+fn written_version<D, F>(
+    state: &ProxyState<D, F>,
+    admitted: &AdmittedRequest,
+    stream: &str,
+) -> Option<(SoftwareVersion, OriginSource)> {
+    let relay = state.relay.borrow();
+    if let Some(origin) = relay.stream_origin(stream) {
+        let is_of_service = origin.service == admitted.service;
+        return is_of_service.then_some((origin.software, OriginSource::Known));
+    }
+    let software = relay.version_by_placement(admitted, stream)?;
+    Some((software, OriginSource::Placement))
+}
+
 /// Pins a request to the only software version that can have started its stream, if this VM can tell; `is_current` if it
 /// has all changes of the registrations.
 fn pin_to_sole_version<D: Dialect, F>(
@@ -120,15 +145,49 @@
     Refusal::with_retry_after(Kind::StreamVersionUnknown, HOPELESS_RETRY_AFTER)
 }
 
-/// Records the software version whose first event reached the caller, and replicates it if several versions serve.
-pub(crate) fn on_stream_began<D: Dialect, F: 'static>(
+/// Records the software version whose first event is about to reach the caller, and replicates it if several versions serve.
+/// Returns whether other VMs will know it; otherwise the stream may not begin there.
+pub(crate) async fn on_stream_begins<D: Dialect, F: Feed>(
     state: &Rc<ProxyState<D, F>>,
     admitted: &AdmittedRequest,
     software: &SoftwareVersion,
-) {
+) -> bool {
     let now = state.now();
     state.relay.borrow_mut().on_stream_began(admitted, software, now);
     replicate_origins(state);
+    let placed = state.relay.borrow().placed_version(admitted, now);
+    let Some(placed) = placed.filter(|placed| placed != software) else {
+        return true;
+    };
+    let origin = StreamOrigin {
+        stream: Arc::clone(&admitted.id),
+        service: admitted.service.clone(),
+        software: software.clone(),
+    };
+    let is_written = persist::write_exception(state, origin).await;
+    // A caller who resumes the stream is refused as long as no endpoint has the version that it is placed at.
+    let is_unambiguous = is_written || !state.relay.borrow().has_endpoint_of(admitted, &placed);
+    telemetry::log_begun_elsewhere(admitted, &placed, software, is_written);
+    if !is_unambiguous {
+        state.relay.borrow_mut().forget_origin(&admitted.id);
+    }
+    is_unambiguous
+}
+
+/// Pins a new stream to the version at which it is to begin, so that its version is known even if nobody remembers it.
+pub(crate) fn place<D: Dialect, F>(state: &ProxyState<D, F>, admitted: &mut AdmittedRequest) {
+    let placed = state.relay.borrow().placed_version(admitted, state.now());
+    if let Some(software) = placed {
+        admitted.place(software);
+    }
+}
+
+/// Lets a new stream that was refused for lack of room begin at another version, and returns whether it may.
+pub(crate) fn unplace<D: Dialect, F>(state: &ProxyState<D, F>, admitted: &mut AdmittedRequest, kind: Kind) -> bool {
+    let is_without_room = matches!(kind, Kind::NoEndpoint | Kind::DeadlineUnreachable | Kind::Overloaded);
+    let is_store_available = state.store_unavailable_since.get().is_none();
+    let may_run_elsewhere = kind == Kind::StreamVersionGone || (is_without_room && is_store_available);
+    may_run_elsewhere && admitted.unplace()
 }
 
 /// Replicates the origins of streams: at once, but several in one call if streams begin often.
--- a/crates/sw-proxy/src/state.rs
+++ b/crates/sw-proxy/src/state.rs
@@ -14,6 +14,7 @@
 use sw_unit::{Millis, Time};
 use tokio::sync::Notify;
 
+use crate::persist::Exceptions;
 use crate::startup::Startup;
 use crate::{MalformedItems, Options};
 
@@ -86,6 +87,8 @@
     pub(crate) crash_news: Cell<Option<NewsScope>>,
     /// Whether origins of streams are being replicated.
     pub(crate) is_replicating_origins: Cell<bool>,
+    /// Origins of streams that begin elsewhere than placed.
+    pub(crate) exceptions: Exceptions,
     /// Held while the mirror is brought up to date for a request.
     pub(crate) refresh_turn: tokio::sync::Mutex<()>,
     /// When the last call that brought it up to date was made.
@@ -135,6 +138,7 @@
             crash_announced_at: Cell::new(None),
             crash_news: Cell::new(None),
             is_replicating_origins: Cell::new(false),
+            exceptions: Exceptions::default(),
             refresh_turn: tokio::sync::Mutex::new(()),
             refreshed_at: Cell::new(None),
             is_copying: Cell::new(false),
--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -11,6 +11,7 @@
 use hyper::header::CONTENT_LENGTH;
 use sw_http::{BodyError, channel};
 use sw_relay::{AttemptHistory, AttemptOutcome, Choice, EndpointEntry, RouteKind, SoftwareVersion, StallDetector};
+use sw_store::Feed;
 use sw_unit::{Millis, RegionId, Time};
 use tokio::sync::mpsc;
 
@@ -29,7 +30,7 @@
 type Sender = mpsc::Sender<Result<Bytes, BodyError>>;
 
 /// Spawns a task that relays the body, and returns the response for the caller.
-pub(crate) fn relay_response<D: Dialect, F: 'static>(
+pub(crate) fn relay_response<D: Dialect, F: Feed>(
     state: &Rc<ProxyState<D, F>>,
     request: BufferedRequest,
     response: IncomingResponse<D, F>,
@@ -138,6 +139,8 @@
     TooLong,
     /// The first event does not follow the last one that was relayed.
     NotContinued,
+    /// The software version that began the stream could not be recorded.
+    NotRecorded,
     CallerGone,
 }
 
@@ -149,7 +152,7 @@
     }
 }
 
-impl<D: Dialect, F: 'static> StreamRelay<D, F> {
+impl<D: Dialect, F: Feed> StreamRelay<D, F> {
     async fn run(mut self, mut source: BodySource<D, F>, tx: Sender) {
         loop {
             let failure = match self.next(&mut source, &tx).await {
@@ -159,6 +162,7 @@
                         ChunkOutcome::Accepted => continue,
                         ChunkOutcome::TooLong => SourceFailure::broken("endless_event"),
                         ChunkOutcome::NotContinued => SourceFailure::broken("not_continued"),
+                        ChunkOutcome::NotRecorded => SourceFailure::broken("version_not_recorded"),
                         ChunkOutcome::CallerGone => return self.log_end(CALLER_GONE),
                     }
                 }
@@ -269,9 +273,13 @@
         if let Some(stall) = &mut self.stall {
             stall.on_event(&self.request.admitted, self.state.now());
         }
-        if self.is_resumable && !std::mem::replace(&mut self.has_started, true) {
+        if self.is_resumable && !self.has_started {
+            if !self.pin_software().await {
+                self.events = EventSplitter::default();
+                return ChunkOutcome::NotRecorded;
+            }
+            self.has_started = true;
             self.source_has_event = true;
-            self.pin_software();
         }
         match tx.send(Ok(complete)).await {
             Ok(()) => ChunkOutcome::Accepted,
@@ -300,17 +308,21 @@
         Some(Ok(complete))
     }
 
-    /// Pins the request to the software version whose first event goes to the caller.
-    fn pin_software(&mut self) {
+    /// Pins the request to the software version whose first event goes to the caller, and returns whether it may.
+    async fn pin_software(&mut self) -> bool {
         let admitted = &mut self.request.admitted;
-        let Some(software) = self.software.clone().filter(|_| admitted.pinned_software.is_none()) else {
-            return;
+        let Some(software) = self.software.clone() else {
+            return true;
         };
         // The VM to which the caller is connected records it for its region.
-        if !admitted.forwarded && !admitted.resumed {
-            resumption::on_stream_began(&self.state, admitted, &software);
+        let is_new = !admitted.forwarded && !admitted.resumed;
+        if is_new && !resumption::on_stream_begins(&self.state, admitted, &software).await {
+            resumption::place(&self.state, admitted);
+            return false;
         }
-        admitted.pinned_software = Some(software);
+        admitted.is_placed = false;
+        admitted.pinned_software.get_or_insert(software);
+        true
     }
 
     /// Returns whether the rest of the stream may come from another endpoint.
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -118,6 +118,24 @@
     listed.join(",")
 }
 
+/// Logs that a new stream may begin at any software version, as it was refused at the one that it was placed at.
+pub(crate) fn log_unplaced(admitted: &AdmittedRequest, refusal: Refusal) {
+    let (id, why): (_, &'static str) = (&*admitted.id, refusal.kind.into());
+    info!("stream_unplaced", kv: { id, why });
+}
+
+/// Logs that a new stream begins at another software version than it was placed at.
+pub(crate) fn log_begun_elsewhere(
+    admitted: &AdmittedRequest,
+    placed: &SoftwareVersion,
+    software: &SoftwareVersion,
+    is_written: bool,
+) {
+    let (id, placed, software) = (&*admitted.id, placed.as_str(), software.as_str());
+    info!("stream_begun_elsewhere", kv: { id, placed, software, is_written });
+    counter!("shallotwing_streams_begun_elsewhere_total").increment(1);
+}
+
 /// Logs how a request ended that resumed a stream; `has_started` if its caller got an event of it.
 pub(crate) fn log_resume_end(admitted: &AdmittedRequest, ended: &'static str, has_started: bool, age: Millis) {
     let (id, age_ms) = (&*admitted.id, age.0);
--- a/crates/sw-relay/src/choose.rs
+++ b/crates/sw-relay/src/choose.rs
@@ -17,7 +17,10 @@
 use crate::path::PROBE_PERIOD;
 use crate::registry::Endpoint;
 use crate::spill::{RemoteEstimate, should_spill};
-use crate::{AdmittedRequest, AttemptHistory, Choice, Distance, EndpointEntry, PrefillPlan, Prompt, Relay, ServiceId};
+use crate::{
+    AdmittedRequest, AttemptHistory, Choice, Distance, EndpointEntry, PrefillPlan, Prompt, Relay, ServiceId,
+    SoftwareVersion,
+};
 
 /// Penalty for a repeated prefill of shared parts, as a multiple of its duration.
 const REPEATED_PREFILL_PENALTY: f64 = 14.0;
@@ -341,6 +344,13 @@
                 .any(|region| self.may_run_in(admitted, region))
     }
 
+    /// Returns whether a usable endpoint in any region that a request may enter has a software version.
+    pub fn has_endpoint_of(&self, admitted: &AdmittedRequest, software: &SoftwareVersion) -> bool {
+        let mut pinned = admitted.clone();
+        pinned.place(software.clone());
+        self.has_pinned_endpoint(&pinned)
+    }
+
     /// Returns whether a usable endpoint of a region has the software version that the request is pinned to, if any.
     pub(crate) fn may_run_in(&self, admitted: &AdmittedRequest, region: &RegionId) -> bool {
         if admitted.pinned_software.is_none() {
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -28,6 +28,7 @@
 mod path_check;
 mod pause;
 mod permitted_regions;
+mod placement;
 mod prefill;
 mod prefill_budget;
 mod quarantine;
@@ -68,6 +69,7 @@
 pub use path::{PathChange, PathFailure};
 pub use path_check::Silence;
 pub use permitted_regions::PermittedRegions;
+pub use placement::{Placement, ServicePlacements};
 pub use prefill::{CacheSource, Distance, PrefillPlan};
 pub use quarantine::{NewsScope, QuarantineChange};
 pub use rate_limit::{
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -14,6 +14,7 @@
 use crate::path::Paths;
 use crate::pause::PauseDetector;
 use crate::permitted_regions::NewerVersion;
+use crate::placement::Placements;
 use crate::quarantine::Quarantine;
 use crate::rate_limit::RateLimits;
 use crate::rate_limiter::RateLimiter;
@@ -87,6 +88,8 @@
     pub resumed: bool,
     /// The only software version at which it may run, because that version began the stream that it continues.
     pub pinned_software: Option<SoftwareVersion>,
+    /// Whether it is pinned only because a new stream with its id is to begin there, so that it may run elsewhere for lack of room.
+    pub is_placed: bool,
     /// The version of the configuration that admitted it.
     pub config_version: sw_unit::Version,
 }
@@ -103,6 +106,21 @@
         pinned.is_none_or(|pinned| endpoint.software.as_ref() == Some(pinned))
     }
 
+    /// Pins a new stream to the version at which it is to begin.
+    pub fn place(&mut self, software: SoftwareVersion) {
+        self.pinned_software = Some(software);
+        self.is_placed = true;
+    }
+
+    /// Lets a new stream run elsewhere, and returns whether it was placed.
+    pub fn unplace(&mut self) -> bool {
+        let was_placed = std::mem::take(&mut self.is_placed);
+        if was_placed {
+            self.pinned_software = None;
+        }
+        was_placed
+    }
+
     /// Returns the time until the final response is due.
     pub fn remaining(&self, now: Time) -> Millis {
         self.due.since(now)
@@ -146,6 +164,8 @@
     pub(crate) quarantine: Quarantine,
     /// Software versions of the services.
     pub(crate) versions: VersionHistory,
+    /// Software versions at which new streams begin.
+    pub(crate) placements: Placements,
     /// Software versions that started streams.
     pub(crate) origins: StreamOrigins,
     /// Unresponsive coordinators, with the time until which they are not asked.
@@ -186,6 +206,7 @@
             rooms: IndexMap::new(),
             quarantine: Quarantine::default(),
             versions: VersionHistory::default(),
+            placements: Placements::default(),
             origins: StreamOrigins::default(),
             unresponsive: IndexMap::new(),
             failed_watchers: IndexMap::new(),
@@ -229,6 +250,10 @@
                 self.versions.on_recorded(services, now);
                 true
             }
+            StoreRecord::Placements(records) => {
+                self.placements.on_recorded(records, now);
+                true
+            }
             StoreRecord::Origins(origins) => {
                 for origin in origins {
                     self.record_origin(origin, Replication::Written, now);
@@ -242,6 +267,7 @@
     /// Records that the store has recovered from an outage.
     pub fn on_store_recovered(&mut self, now: Time) {
         self.registry.on_store_recovered(now);
+        self.placements.on_store_recovered();
     }
 
     /// Marks this VM as leaving, which its next heartbeats announce.
@@ -314,6 +340,7 @@
             forwarded,
             resumed: head.resumption.is_some(),
             pinned_software: None,
+            is_placed: false,
             config_version: table.version,
         })
     }
--- a/crates/sw-relay/src/store_state.rs
+++ b/crates/sw-relay/src/store_state.rs
@@ -19,6 +19,8 @@
     pub followed: StorePosition,
     /// Whether the VM knows eras; one of an earlier build does not.
     pub knows_eras: bool,
+    /// Whether the VM places new streams; one of an earlier build does not.
+    pub knows_placements: bool,
 }
 
 /// Number of own records that are written to the store again.
@@ -36,6 +38,7 @@
     pub fn on_store_restored(&mut self, has_software: bool, now: Time) -> Rewritten {
         self.registry.on_store_recovered(now);
         self.store_restored = true;
+        self.placements.on_store_restored();
         Rewritten {
             services: if has_software {
                 0
@@ -53,9 +56,17 @@
 
     /// Records the state of this VM's mirror of the store.
     pub fn set_store_state(&mut self, store: StoreState) {
+        if self.store.position.revision == 0 && store.position.revision > 0 {
+            self.placements.on_first_snapshot(self.versions.has_record());
+        }
         self.store = store;
     }
 
+    /// Returns whether all VMs place new streams whose heartbeats this one receives.
+    pub(crate) fn all_peers_know_placements(&self) -> bool {
+        self.peer_stores.values().all(|store| store.knows_placements)
+    }
+
     /// Returns the nearest live VM whose mirror of the store is at a later position than that of this VM.
     pub fn peer_with_newer_position(&self, now: Time) -> Option<&VmRow> {
         self.nearest_peer(|store| self.is_newer(*store), now)
--- a/crates/sw-relay/src/stream_origin.rs
+++ b/crates/sw-relay/src/stream_origin.rs
@@ -129,6 +129,11 @@
         self.origins.record(origin, Replication::Pending, now);
     }
 
+    /// Records that a stream does not begin after all.
+    pub fn forget_origin(&mut self, stream: &str) {
+        self.origins.known.shift_remove(stream);
+    }
+
     /// Records an origin that another VM knows.
     pub fn record_origin(&mut self, origin: StreamOrigin, replication: Replication, now: Time) {
         self.origins.record(origin, replication, now);
--- a/crates/sw-relay/src/suspects.rs
+++ b/crates/sw-relay/src/suspects.rs
@@ -126,13 +126,13 @@
         for (request, parts) in self.parts_of.iter().filter(|(_, parts)| !parts.is_empty()) {
             let progress = self.progress_of(*request);
             let mut groups = named.iter_mut();
-            match groups.find(|(known, group)| *known == parts && group.progress == progress) {
-                Some((_, group)) => group.suspects.push(*request),
-                None => {
-                    let suspects = parts.iter().copied().chain([*request]).collect();
-                    named.push((parts, SuspectGroup { suspects, progress }));
-                }
+            let known = groups.find(|(known, group)| *known == parts && group.progress == progress);
+            if let Some((_, group)) = known {
+                group.suspects.push(*request);
+                continue;
             }
+            let suspects = parts.iter().copied().chain([*request]).collect();
+            named.push((parts, SuspectGroup { suspects, progress }));
         }
         let mut groups: Vec<_> = named.into_iter().map(|(_, group)| group).collect();
         let unnamed = self.unnamed(&groups);
--- a/crates/sw-relay/src/types.rs
+++ b/crates/sw-relay/src/types.rs
@@ -7,7 +7,7 @@
 
 use sw_unit::{DomainId, EndpointId, Incarnation, Millis, PartId, Tokens};
 
-use crate::{RouteTable, ServiceSoftware, StreamOrigin};
+use crate::{RouteTable, ServicePlacements, ServiceSoftware, StreamOrigin};
 
 /// Maximum length of a service name in bytes.
 const MAX_SERVICE_LEN: usize = 200;
@@ -219,6 +219,8 @@
     Evacuated(DomainId, bool),
     /// The software versions that VMs of this gateway have recorded.
     Software(Vec<ServiceSoftware>),
+    /// At which software versions new streams begin, as recorded by a VM of this gateway.
+    Placements(Vec<ServicePlacements>),
     /// Origins of streams that VMs of this gateway have recorded.
     Origins(Vec<StreamOrigin>),
     /// The value cannot be decoded; a malformed registration counts as removed.
--- a/crates/sw-relay/src/version_history.rs
+++ b/crates/sw-relay/src/version_history.rs
@@ -129,6 +129,16 @@
         }
     }
 
+    /// Returns the services whose versions are known.
+    pub(crate) fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        self.services.keys()
+    }
+
+    /// Returns whether the store has a record of any service.
+    pub(crate) fn has_record(&self) -> bool {
+        self.services.values().any(|history| history.recorded.is_some())
+    }
+
     /// Records that the store has lost the record, and returns the number of services in it.
     pub(crate) fn on_record_lost(&mut self) -> usize {
         let recorded = self.services.values_mut().filter(|history| history.recorded.is_some());
@@ -230,8 +240,15 @@
     /// Returns the services of which streams of several software versions may live.
     pub(crate) fn mixed_services(&self, now: Time) -> Vec<ServiceId> {
         let services = self.versions.services.keys();
-        let mixed = services.filter(|service| self.versions.is_mixed(service, self.stream_life(service), now));
-        mixed.cloned().collect()
+        services
+            .filter(|service| self.is_mixed(service, now))
+            .cloned()
+            .collect()
+    }
+
+    /// Returns whether streams of several software versions of a service may live.
+    pub(crate) fn is_mixed(&self, service: &ServiceId, now: Time) -> bool {
+        self.versions.is_mixed(service, self.stream_life(service), now)
     }
 
     /// Returns the software versions to record in the store, if the record is out of date and this VM writes it.
@@ -279,7 +296,7 @@
     }
 
     /// Returns the time for which a stream of a service can live, and be resumed.
-    fn stream_life(&self, service: &ServiceId) -> Millis {
+    pub(crate) fn stream_life(&self, service: &ServiceId) -> Millis {
         let routes = self.table.iter().flat_map(|table| table.routes());
         let leading = routes.filter(|route| route.leads_to(service));
         let longest = leading.map(|route| route.timeout).max();
--- a/crates/sw-relay/tests/missed_versions.rs
+++ b/crates/sw-relay/tests/missed_versions.rs
@@ -170,6 +170,7 @@
     relay.set_store_state(StoreState {
         position: StorePosition::new(StoreEra(2), 100),
         knows_eras: true,
+        knows_placements: true,
         ..StoreState::default()
     });
     let mut earlier_build = beat("vm-west", "west", 3);
--- a/crates/sw-relay/tests/odd_input.rs
+++ b/crates/sw-relay/tests/odd_input.rs
@@ -189,12 +189,15 @@
 }
 
 fn store_state() -> impl Strategy<Value = StoreState> {
-    (whole(), whole(), any::<bool>(), any::<bool>()).prop_map(|(era, revision, retains, knows_eras)| StoreState {
-        position: StorePosition::new(StoreEra(era), revision),
-        retains,
-        followed: StorePosition::new(StoreEra(era), revision),
-        knows_eras,
-    })
+    (whole(), whole(), any::<bool>(), any::<bool>(), any::<bool>()).prop_map(
+        |(era, revision, retains, knows_eras, knows_placements)| StoreState {
+            position: StorePosition::new(StoreEra(era), revision),
+            retains,
+            followed: StorePosition::new(StoreEra(era), revision),
+            knows_eras,
+            knows_placements,
+        },
+    )
 }
 
 fn heartbeat() -> impl Strategy<Value = Heartbeat> {
--- a/crates/sw-relay/tests/store_restore.rs
+++ b/crates/sw-relay/tests/store_restore.rs
@@ -33,6 +33,7 @@
         retains: false,
         followed: StorePosition::default(),
         knows_eras: true,
+        knows_placements: true,
     });
     relay
 }
@@ -49,6 +50,7 @@
             retains: false,
             followed: StorePosition::default(),
             knows_eras,
+            knows_placements: true,
         };
         relay.on_heartbeat(beat, JOINED);
         relay.peer_with_newer_position(JOINED).is_some()
@@ -71,6 +73,7 @@
         retains: true,
         followed: StorePosition::new(StoreEra(1), followed),
         knows_eras: true,
+        knows_placements: true,
     };
     let mut beat = heartbeat(row("vm-9", "north"), Vec::new());
     beat.store = state(9);
--- a/crates/sw-relay/tests/stream_versions.rs
+++ b/crates/sw-relay/tests/stream_versions.rs
@@ -9,8 +9,8 @@
 use support::{admit, endpoint, head, options, prompt, relay, relay_with, row, service};
 use sw_member::VmRow;
 use sw_relay::{
-    AttemptHistory, Choice, EndpointEntry, Relay, Replication, ServiceSoftware, SoftwareVersion, SoleVersion,
-    StoreRecord, StreamOrigin,
+    AdmittedRequest, AttemptHistory, Choice, EndpointEntry, Placement, Relay, Replication, ServicePlacements,
+    ServiceSoftware, SoftwareVersion, SoleVersion, StoreRecord, StreamOrigin,
 };
 use sw_unit::{Incarnation, Millis, Time};
 
@@ -240,7 +240,11 @@
     engines: Vec<EndpointEntry>,
     started: usize,
     recorded: Option<Vec<ServiceSoftware>>,
+    placements: Vec<ServicePlacements>,
     written: Vec<StreamOrigin>,
+    /// Written origins that differ from the placement.
+    exceptions: Vec<StreamOrigin>,
+    is_store_down: bool,
     streams: Vec<Stream>,
     resumed_count: usize,
     continued: usize,
@@ -255,7 +259,10 @@
             engines: Vec::new(),
             started: 0,
             recorded: None,
+            placements: Vec::new(),
             written: Vec::new(),
+            exceptions: Vec::new(),
+            is_store_down: false,
             streams: Vec::new(),
             resumed_count: 0,
             continued: 0,
@@ -286,11 +293,14 @@
             relay.apply(StoreRecord::Software(recorded.clone()), self.now);
         }
         relay.apply(StoreRecord::Origins(self.written.clone()), self.now);
+        relay.apply(StoreRecord::Origins(self.exceptions.clone()), self.now);
+        relay.apply(StoreRecord::Placements(self.placements.clone()), self.now);
         relay.set_store_state(sw_relay::StoreState {
             position: sw_unit::StorePosition::new(sw_unit::StoreEra(0), 1),
             retains: false,
             followed: sw_unit::StorePosition::default(),
             knows_eras: true,
+            knows_placements: true,
         });
         Vm {
             relay,
@@ -325,6 +335,19 @@
         let index = index % self.vms.len();
         let incarnation = self.vms[index].relay.members().local().incarnation.0;
         self.vms[index] = self.start_vm(index, incarnation + 1);
+        // Without a store it knows no configuration, and serves nothing.
+        self.vms[index].running = !self.is_store_down;
+    }
+
+    /// Takes the store away, or lets it come back.
+    fn set_store_down(&mut self, is_down: bool) {
+        let returns = std::mem::replace(&mut self.is_store_down, is_down) && !is_down;
+        if returns {
+            self.heal();
+            for vm in &mut self.vms {
+                vm.relay.on_store_recovered(self.now);
+            }
+        }
     }
 
     fn kill_all(&mut self) {
@@ -356,6 +379,7 @@
             if let Some(recorded) = &recorded {
                 vm.relay.apply(StoreRecord::Software(recorded.clone()), now);
             }
+            vm.relay.apply(StoreRecord::Placements(self.placements.clone()), now);
             vm.relay.on_registrations_confirmed(now);
             vm.relay.tick(now);
         }
@@ -378,6 +402,12 @@
     fn learn(&mut self) {
         let now = self.now;
         for vm in self.vms.iter_mut().filter(|vm| vm.running) {
+            if self.is_store_down {
+                if now.0.is_multiple_of(500) {
+                    vm.relay.tick(now);
+                }
+                continue;
+            }
             let (due, pending) = std::mem::take(&mut vm.pending)
                 .into_iter()
                 .partition(|(at, ..)| *at <= now);
@@ -431,7 +461,22 @@
         }
         for index in self.running() {
             let written = self.vms[index].relay.take_unwritten_origins(self.now);
+            if self.is_store_down {
+                for origin in written {
+                    self.vms[index].relay.on_origin_not_written(&origin.stream);
+                }
+                continue;
+            }
             self.written.extend(written);
+            if let Some(records) = self.vms[index].relay.unrecorded_placements(self.now) {
+                self.placements = records;
+            }
+            // The VMs learn of it one after the other.
+            let index = self.rng.usize(..self.vms.len());
+            if self.vms[index].running {
+                let record = StoreRecord::Placements(self.placements.clone());
+                self.vms[index].relay.apply(record, self.now);
+            }
             if let Some(record) = self.vms[index].relay.unrecorded_software(self.now) {
                 self.recorded = Some(record.clone());
                 for vm in self.vms.iter_mut().filter(|vm| vm.running) {
@@ -451,16 +496,10 @@
             ..head("digest", Some(prompt(1, 500, 500)))
         };
         let admitted = relay.admit(request, self.now, false).expect("a known route");
-        let known: Vec<_> = self
-            .engines
-            .iter()
-            .filter(|entry| relay.registry().get(&entry.id).is_some())
-            .collect();
-        let Some(entry) = self.rng.choice(known) else {
+        let Some(software) = self.choose_version(vm, &admitted) else {
             return;
         };
-        let software = entry.software.clone().expect("a version");
-        relay.on_stream_began(&admitted, &software, self.now);
+        self.vms[vm].relay.on_stream_began(&admitted, &software, self.now);
         self.streams.push(Stream {
             id: admitted.id,
             software,
@@ -468,6 +507,31 @@
         });
     }
 
+    /// Returns the version at which a new stream begins; `None` if it is refused.
+    fn choose_version(&mut self, vm: usize, admitted: &AdmittedRequest) -> Option<SoftwareVersion> {
+        let relay = &self.vms[vm].relay;
+        let known = self.engines.iter();
+        let known = known.filter(|entry| relay.registry().get(&entry.id).is_some());
+        let known: Vec<_> = known.filter_map(|entry| entry.software.clone()).collect();
+        let any = self.rng.choice(&known).cloned()?;
+        let Some(placed) = relay.placed_version(admitted, self.now) else {
+            return Some(any);
+        };
+        let has_room = self.rng.u32(..8) > 0;
+        if any == placed || (has_room && known.contains(&placed)) {
+            return Some(placed);
+        }
+        if self.is_store_down {
+            return None;
+        }
+        self.exceptions.push(StreamOrigin {
+            stream: Arc::clone(&admitted.id),
+            service: admitted.service.clone(),
+            software: any.clone(),
+        });
+        Some(any)
+    }
+
     /// A caller resumes a stream at a random VM, which must not assume a wrong version.
     fn resume_stream(&mut self) {
         let now = self.now;
@@ -499,16 +563,27 @@
                 return Some(origin.software);
             }
         }
+        if self.is_store_down {
+            return None;
+        }
         // The VM asks the store for all changes before it concludes anything.
         let vm = &mut self.vms[vm];
         for (_, entry, on) in std::mem::take(&mut vm.pending) {
             vm.relay
                 .apply(StoreRecord::Endpoint(entry.id.clone(), on.then_some(entry)), self.now);
         }
-        match vm.relay.sole_software(&service("engines"), self.now) {
-            Some(SoleVersion::Stated(software)) => Some(software),
-            _ => None,
+        vm.relay
+            .apply(StoreRecord::Placements(self.placements.clone()), self.now);
+        vm.relay.apply(StoreRecord::Origins(self.exceptions.clone()), self.now);
+        if let Some(SoleVersion::Stated(software)) = vm.relay.sole_software(&service("engines"), self.now) {
+            return Some(software);
         }
+        if let Some(origin) = vm.relay.stream_origin(stream) {
+            return Some(origin.software);
+        }
+        let request = head("digest", Some(prompt(1, 500, 500)));
+        let admitted = vm.relay.admit(request, self.now, false).expect("a known route");
+        vm.relay.version_by_placement(&admitted, stream)
     }
 
     fn running(&self) -> Vec<usize> {
@@ -563,6 +638,79 @@
     assert!(share > 0.85, "{share}");
 }
 
+/// Guards against streams that are lost because they began while the store was down and all VMs were killed then.
+#[test]
+fn most_streams_continue_after_all_vms_were_killed_while_the_store_was_down() {
+    let mut fleet = Fleet::new(9, 3);
+    fleet.start_engine("v1");
+    fleet.start_engine("v1");
+    for _ in 0..4 {
+        fleet.run(Millis(30_000));
+        fleet.set_store_down(true);
+        fleet.streams.clear();
+        fleet.run(Millis(4_000));
+        fleet.kill_all();
+        fleet.run(Millis(1_000));
+        fleet.set_store_down(false);
+        (fleet.resumed_count, fleet.continued) = (0, 0);
+        fleet.run(Millis(7_000));
+        let share = fleet.continued as f64 / fleet.resumed_count as f64;
+        assert!(share > 0.9, "{share}");
+    }
+}
+
+/// Guards against VMs that do not agree where streams begin, and against a change of the tickets that moves most streams.
+#[test]
+fn placement_gives_each_version_its_share_and_moves_few_streams() {
+    let placement = |old, new| Placement {
+        generation: 1,
+        tickets: [(software("old"), old), (software("new"), new)].into_iter().collect(),
+    };
+    let version = |placement: &Placement, stream: u64| {
+        let version = placement.version_of(&format!("s{stream}"));
+        version.expect("a version").to_string()
+    };
+    let (before, after) = (placement(12, 4), placement(10, 6));
+    let new = (0..4_000).filter(|stream| version(&before, *stream) == "new").count();
+    assert!((800..1_200).contains(&new), "{new} of 4000");
+    let moved: Vec<_> = (0..4_000)
+        .filter(|stream| version(&before, *stream) != version(&after, *stream))
+        .collect();
+    assert!((300..700).contains(&moved.len()), "{} of 4000 moved", moved.len());
+    // Builds and architectures agree.
+    let first: String = (0..16).map(|stream| version(&before, stream).remove(0)).collect();
+    assert_eq!(first, "ononnoooonnoonoo");
+}
+
+/// Guards against a version that is assumed although the stream may have begun under an earlier placement, or before the first one.
+#[test]
+fn version_is_unknown_where_placements_differ() {
+    let placement = |generation, versions: &[&str]| Placement {
+        generation,
+        tickets: versions.iter().map(|version| (software(version), 8)).collect(),
+    };
+    let found = |placements: &[Placement]| {
+        let mut vm = relay();
+        vm.apply(
+            StoreRecord::Placements(vec![ServicePlacements {
+                service: service("engines"),
+                placements: placements.to_vec(),
+            }]),
+            Time(0),
+        );
+        let admitted = admit(&mut vm, "digest", Some(prompt(1, 500, 500)), Time(0));
+        (0..64)
+            .filter(|stream| vm.version_by_placement(&admitted, &format!("s{stream}")).is_some())
+            .count()
+    };
+    assert_eq!(found(&[]), 0);
+    assert_eq!(found(&[placement(1, &["old", "new"])]), 64);
+    assert_eq!(found(&[placement(0, &[]), placement(1, &["old", "new"])]), 0);
+    assert_eq!(found(&[placement(1, &["old"]), placement(2, &["new"])]), 0);
+    let changed = found(&[placement(1, &["old", "older"]), placement(2, &["old", "new"])]);
+    assert!((8..40).contains(&changed), "{changed} of 64");
+}
+
 /// Guards against memory that grows with the streams and versions that are seen.
 #[test]
 fn any_number_of_streams_and_versions_is_borne() {
@@ -592,6 +740,8 @@
     CutOff(usize),
     Pause(usize),
     Heal,
+    StoreDown,
+    StoreUp,
 }
 
 /// Time in milliseconds until the next step; some are longer than a stream can be resumed.
@@ -608,6 +758,8 @@
         2 => (0..16_usize).prop_map(Step::CutOff),
         2 => (0..16_usize).prop_map(Step::Pause),
         2 => Just(Step::Heal),
+        1 => Just(Step::StoreDown),
+        2 => Just(Step::StoreUp),
     ]
 }
 
@@ -630,7 +782,10 @@
                 Step::KillAll => fleet.kill_all(),
                 Step::CutOff(vm) => fleet.vms[vm % vms].group = 1,
                 Step::Pause(vm) => fleet.pause(*vm),
+                Step::Heal if fleet.is_store_down => {}
                 Step::Heal => fleet.heal(),
+                Step::StoreDown => fleet.set_store_down(true),
+                Step::StoreUp => fleet.set_store_down(false),
             }
             fleet.run(Millis(*pause));
         }
--- a/crates/sw-store/src/feed.rs
+++ b/crates/sw-store/src/feed.rs
@@ -75,6 +75,13 @@
     /// Returns [`FeedError`].
     fn changes(&self, revision: u64, wait: Duration) -> impl Future<Output = Result<Changes, FeedError>>;
 
+    /// Writes an item that was last changed at `revision`; 0 if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::NotRun`] if it was changed since, and the errors of [`write`](Self::write).
+    fn write_at(&self, key: &str, value: &[u8], revision: u64) -> impl Future<Output = Result<(), StoreError>>;
+
     /// Writes an item, whatever it held before.
     ///
     /// # Errors
--- a/crates/sw-store/src/mirror.rs
+++ b/crates/sw-store/src/mirror.rs
@@ -109,6 +109,12 @@
         !self.retained.contains_key(key) && self.replica.get(key).is_some()
     }
 
+    /// Returns the revision of the last change of a key in the store; 0 if the store does not have it.
+    pub fn stored_revision(&self, key: &str) -> u64 {
+        let stored = self.replica.get(key).filter(|_| self.is_stored(key));
+        stored.map_or(0, |item| item.revision)
+    }
+
     /// Returns when the next grace period of a retained state ends.
     pub fn next_expiry(&self) -> Option<Time> {
         self.retained.values().filter_map(|entry| entry.until).min()
