fix(http): interim heads without end end the call

Now a connection may deliver 128 KiB from the request to the end of the response's head. Lines of endless JSON responses are limited, too.

--- a/crates/sw-http/src/connect.rs
+++ b/crates/sw-http/src/connect.rs
@@ -15,12 +15,16 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::head_limit::{Allowance, LimitedStream};
+
 /// Maximum idle time; middleboxes such as NAT may drop the state of a connection that is idle for longer.
 const MAX_IDLE: Duration = Duration::from_secs(2);
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 /// Maximum size of a response head in bytes.
 const MAX_HEAD: usize = 64 << 10;
+/// Maximum number of bytes up to the end of a response head, with the interim heads before it and what is read with it.
+const MAX_BEFORE_BODY: usize = 2 * MAX_HEAD;
 
 /// Time within which a probe's connection is reset if it does not lead to the endpoint.
 const RESET_TIME: Duration = Duration::from_millis(30);
@@ -67,6 +71,7 @@
 #[derive(Debug)]
 struct OpenConnection {
     sender: Sender,
+    allowance: Allowance,
     task: AbortHandle,
 }
 
@@ -202,12 +207,17 @@
         .map_err(|_refused| CallError::Connect)?;
     stream.set_nodelay(true).map_err(|_closed| CallError::Connect)?;
     crate::enable_keepalive(&stream).map_err(|_closed| CallError::Connect)?;
+    let (stream, allowance) = LimitedStream::new(stream);
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_HEAD)
         .handshake(TokioIo::new(stream));
     let (sender, connection) = handshake.await.map_err(|_closed| CallError::Connect)?;
     let task = tokio::spawn(connection).abort_handle();
-    Ok(OpenConnection { sender, task })
+    Ok(OpenConnection {
+        sender,
+        allowance,
+        task,
+    })
 }
 
 impl Exchange {
@@ -223,9 +233,13 @@
         timeout: Duration,
     ) -> Result<Response<Incoming>, CallError> {
         let open = self.open.as_mut().ok_or(CallError::Unsent)?;
+        open.allowance.limit(MAX_BEFORE_BODY);
         let response = tokio::time::timeout(timeout, open.sender.try_send_request(req));
         match response.await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => {
+                open.allowance.lift();
+                Ok(response)
+            }
             // hyper returns the request if it has written none of it.
             Ok(Err(error)) if error.message().is_some() => Err(CallError::Unsent),
             Ok(Err(_broken)) => Err(CallError::Broken),
--- /dev/null
+++ b/crates/sw-http/src/head_limit.rs
@@ -0,0 +1,98 @@
+//! A limit on the bytes that a server sends before the head of its response is complete.
+//!
+//! The limit of hyper is for one head; interim heads are not counted together, so a server could send them without end and
+//! keep the thread busy that reads them.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Bytes that a connection may still deliver.
+#[derive(Debug, Clone)]
+pub(crate) struct Allowance(Arc<AtomicUsize>);
+
+impl Allowance {
+    const UNLIMITED: usize = usize::MAX;
+
+    /// Limits the bytes from now on to `limit`.
+    pub(crate) fn limit(&self, limit: usize) {
+        self.0.store(limit, Ordering::Relaxed);
+    }
+
+    /// Ends the limit.
+    pub(crate) fn lift(&self) {
+        self.0.store(Self::UNLIMITED, Ordering::Relaxed);
+    }
+
+    fn is_used_up(&self) -> bool {
+        self.0.load(Ordering::Relaxed) == 0
+    }
+
+    fn take(&self, len: usize) {
+        let left = self.0.load(Ordering::Relaxed);
+        if left != Self::UNLIMITED {
+            self.0.store(left.saturating_sub(len), Ordering::Relaxed);
+        }
+    }
+}
+
+/// A stream whose reads fail when their allowance is used up.
+#[derive(Debug)]
+pub(crate) struct LimitedStream<T> {
+    stream: T,
+    allowance: Allowance,
+}
+
+impl<T> LimitedStream<T> {
+    /// Returns the stream, unlimited at first, and the handle that limits it.
+    pub(crate) fn new(stream: T) -> (Self, Allowance) {
+        let allowance = Allowance(Arc::new(AtomicUsize::new(Allowance::UNLIMITED)));
+        let limited = Self {
+            stream,
+            allowance: allowance.clone(),
+        };
+        (limited, allowance)
+    }
+}
+
+impl<T: AsyncRead + Unpin> AsyncRead for LimitedStream<T> {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        if self.allowance.is_used_up() {
+            return Poll::Ready(Err(io::Error::other("the head of the response is too long")));
+        }
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        self.allowance.take(buf.filled().len() - before);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<T: AsyncWrite + Unpin> AsyncWrite for LimitedStream<T> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/sw-http/src/json.rs
+++ b/crates/sw-http/src/json.rs
@@ -123,6 +123,7 @@
         Ok(JsonLines {
             body: response.into_body(),
             buf: BytesMut::new(),
+            searched: 0,
             _exchange: exchange,
         })
     }
@@ -167,22 +168,33 @@
     }
 }
 
+/// Maximum length of a line in bytes; one has the changes of the store since the line before.
+const MAX_LINE: usize = 8 << 20;
+
 /// The lines of an endless JSON response.
 #[derive(Debug)]
 pub struct JsonLines {
     body: Incoming,
     buf: BytesMut,
+    /// Number of bytes of the buffer that have no end of a line.
+    searched: usize,
     _exchange: Exchange,
 }
 
 impl JsonLines {
-    /// Returns the next line; `None` if the response ended, the connection broke or the line is malformed.
+    /// Returns the next line; `None` if the response ended, the connection broke, or the line is malformed or too long.
     pub async fn next<T: DeserializeOwned>(&mut self) -> Option<T> {
         loop {
-            if let Some(end) = self.buf.iter().position(|byte| *byte == b'\n') {
-                let line = self.buf.split_to(end + 1);
+            let unsearched = &self.buf[self.searched..];
+            if let Some(end) = unsearched.iter().position(|byte| *byte == b'\n') {
+                let line = self.buf.split_to(self.searched + end + 1);
+                self.searched = 0;
                 return serde_json::from_slice(&line).ok();
             }
+            self.searched = self.buf.len();
+            if self.searched > MAX_LINE {
+                return None;
+            }
             let frame = self.body.frame().await?.ok()?;
             if let Ok(data) = frame.into_data() {
                 self.buf.extend_from_slice(&data);
--- a/crates/sw-http/src/lib.rs
+++ b/crates/sw-http/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod body;
 mod connect;
+mod head_limit;
 mod json;
 mod keepalive;
 mod response;
