fix(relay): reading the settings again gives no retries

BUDGET: a VM that reads its settings again (SIGHUP) forgot its retry budgets, and each new one starts with one retry. A series of signals to all VMs gave each service a repeat for each signal and VM, beyond the ratio and the slack of all VMs together. Budgets are kept now, and follow a changed ratio.

reloading_the_settings_fills_no_budget failed before (20 retries after 20 reloads, 5.08 allowed). The soak, whose signals come in series, counts repeats at the servers from now on, as the rule is written: in 10 s, against ratio and slack.

--- a/crates/shallotwing-daemon/tests/soak/callers.rs
+++ b/crates/shallotwing-daemon/tests/soak/callers.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sw_http::{Connector, Reuse};
 use tokio::time::sleep;
@@ -50,6 +50,8 @@
     pub addresses: Vec<SocketAddr>,
     pub records: Rc<RefCell<Vec<RequestRecord>>>,
     pub joined: Rc<RefCell<Vec<String>>>,
+    /// When requests were sent.
+    pub sent: Rc<RefCell<Vec<Instant>>>,
     pub connector: Connector,
     pub rng: fastrand::Rng,
 }
@@ -118,6 +120,7 @@
         request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
     ) -> Option<(u16, bool, Result<String, String>)> {
         let listen = self.addresses[self.rng.usize(..self.addresses.len())];
+        self.sent.borrow_mut().push(Instant::now());
         let mut exchange = self.connector.connect(listen, Reuse::Allowed).await.ok()?;
         let response = exchange
             .send(request, Self::TIMEOUT + Duration::from_secs(1))
--- a/crates/shallotwing-daemon/tests/soak/checks.rs
+++ b/crates/shallotwing-daemon/tests/soak/checks.rs
@@ -1,17 +1,20 @@
 //! Checks of what clients and servers saw.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::time::sleep;
 
 use crate::callers::RequestRecord;
 use crate::support::event_ids;
 use crate::support::server::{EVENT_COUNT, ReceivedRequest};
+use crate::vm::{RETRY_RATIO, RETRY_SLACK};
 use crate::{CRASHING_PART, SERVERS, Soak};
 
 /// Time within which the requests under a limit are counted, and that from a VM's first response that names it.
 const LIMIT_SPAN: Duration = Duration::from_secs(4);
 const LIMIT_NOTICE: Duration = Duration::from_millis(500);
+/// Span in which repeats are counted.
+const RETRY_SPAN: Duration = Duration::from_secs(10);
 /// Number of streams that may hold events of two versions.
 const ALLOWED_MIXED: usize = 2;
 /// Time without faults after which VMs are in touch, and that in which crashing prompts are counted then.
@@ -41,6 +44,46 @@
         );
     }
 
+    /// Checks that in no span servers got more repeats of requests than is allowed, rejected ones included.
+    pub fn check_retries(&self) {
+        let seen = self.seen();
+        let mut ids = std::collections::HashSet::new();
+        let mut arrivals: Vec<_> = seen.iter().map(|(_, request)| request).collect();
+        arrivals.sort_by_key(|request| request.received_at);
+        arrivals.retain(|request| !ids.insert(&request.id));
+        let repeats: Vec<_> = arrivals.iter().map(|request| request.received_at).collect();
+        let sent = self.sent.borrow();
+        let count = |times: &[Instant], from: Instant| {
+            let in_span = times.iter().filter(|at| (from..from + RETRY_SPAN).contains(*at));
+            in_span.count()
+        };
+        let mut most = (0, 0.0);
+        for from in &repeats {
+            // The requests of the span, of the one before it or of the one half a span before it.
+            let starts = [
+                Some(*from),
+                from.checked_sub(RETRY_SPAN),
+                from.checked_sub(RETRY_SPAN / 2),
+            ];
+            let requests = starts.into_iter().flatten().map(|start| count(&sent, start)).max();
+            let allowed = RETRY_RATIO * requests.unwrap_or_default() as f64 + RETRY_SLACK;
+            let found = count(&repeats, *from);
+            assert!(
+                found as f64 <= allowed,
+                "{found} repeats in {RETRY_SPAN:?}, {allowed} allowed"
+            );
+            if found > most.0 {
+                most = (found, allowed);
+            }
+        }
+        println!(
+            "at most {} repeats in {RETRY_SPAN:?} ({} allowed), {} in all",
+            most.0,
+            most.1,
+            repeats.len()
+        );
+    }
+
     /// Checks that VMs in touch no longer send prompts with the part that crashed servers.
     pub async fn check_crashing_part(&self) {
         let crashes: usize = self.servers.iter().map(|server| server.crashes().len()).sum();
--- a/crates/shallotwing-daemon/tests/soak/main.rs
+++ b/crates/shallotwing-daemon/tests/soak/main.rs
@@ -51,6 +51,8 @@
     records: Rc<RefCell<Vec<RequestRecord>>>,
     /// Bodies of streams that broke off, each with what arrived when its client resumed it.
     joined: Rc<RefCell<Vec<String>>>,
+    /// When clients sent requests.
+    sent: Rc<RefCell<Vec<std::time::Instant>>>,
     /// Number of instances that were started.
     instances: u64,
     /// The limits that the servers name, and since when.
@@ -91,6 +93,7 @@
             vms,
             records: Rc::default(),
             joined: Rc::default(),
+            sent: Rc::default(),
             instances: 0,
             limits: [None; SERVERS.len()],
             rng: fastrand::Rng::with_seed(seed),
@@ -143,6 +146,7 @@
                 addresses: addresses.clone(),
                 records: Rc::clone(&soak.records),
                 joined: Rc::clone(&soak.joined),
+                sent: Rc::clone(&soak.sent),
                 connector: Connector::new(Duration::from_millis(500)),
                 rng: soak.rng.fork(),
             };
@@ -171,6 +175,7 @@
         client.abort();
     }
     soak.check();
+    soak.check_retries();
     soak.check_versions();
     for vm in &mut soak.vms {
         let exited = vm.child.try_wait().expect("a child");
--- a/crates/shallotwing-daemon/tests/soak/vm.rs
+++ b/crates/shallotwing-daemon/tests/soak/vm.rs
@@ -19,6 +19,9 @@
     ("vm-s1", "south"),
     ("vm-s2", "south"),
 ];
+/// The retries that all VMs together may make, as a ratio of the requests and beyond it.
+pub const RETRY_RATIO: f64 = 0.2;
+pub const RETRY_SLACK: f64 = 40.0;
 /// Maximum time from SIGTERM to the exit of a process.
 const STOP_GRACE: Duration = Duration::from_secs(9);
 
@@ -87,7 +90,7 @@
     let text = format!(
         "[vm]\nid = {name}\ndomain = {region}\nregion = {region}\nlisten = {listen}\npeer_listen = {}\nseeds = {}\n\
          [relay]\nstore = {}\nready_listen = {ready}\ndirectory_listen = {directory}\nstop_grace_ms = 8000\n\
-         [retries]\nratio = 0.2\nslack = 40\n[domain north]\nregion = north\n[domain south]\nregion = south\n",
+         [retries]\nratio = {RETRY_RATIO}\nslack = {RETRY_SLACK}\n[domain north]\nregion = north\n[domain south]\nregion = south\n",
         peers[index],
         seeds.join(", "),
         link.address(),
--- a/crates/sw-admit/src/budget.rs
+++ b/crates/sw-admit/src/budget.rs
@@ -31,6 +31,11 @@
         }
     }
 
+    /// Sets the retries that each first attempt earns from now on.
+    pub fn set_ratio(&mut self, ratio: f64) {
+        self.ratio = ratio;
+    }
+
     /// Sets the largest balance.
     pub fn set_max_balance(&mut self, max_balance: f64) {
         self.max_balance = max_balance;
--- a/crates/sw-relay/src/retry.rs
+++ b/crates/sw-relay/src/retry.rs
@@ -38,7 +38,6 @@
     pub fn set_retry_bounds(&mut self, ratio: f64, slack: f64) {
         self.options.retry_ratio = ratio;
         self.options.retry_slack = slack;
-        self.budgets.clear();
     }
 
     /// Returns whether a request may be sent again. If so, a retry is withdrawn from the budget, unless the last
@@ -66,6 +65,7 @@
         let max_balance = self.options.retry_slack * RETRY_SAFETY / vms + share * recent;
         let new = || RetryBudget::new(share, max_balance.max(1.0));
         let budget = self.budgets.entry(service.clone()).or_insert_with(new);
+        budget.set_ratio(share);
         budget.set_max_balance(max_balance.max(1.0));
         budget
     }
--- a/crates/sw-relay/tests/retries.rs
+++ b/crates/sw-relay/tests/retries.rs
@@ -77,3 +77,20 @@
     let now = serve(&mut relay, Time(0), WINDOW) + Millis(60_000);
     assert!(resume(&mut relay, 100, now) <= 2);
 }
+
+/// Guards against settings that are read again and again, each time with a retry for each service and VM.
+#[test]
+fn reloading_the_settings_fills_no_budget() {
+    const RELOADS: u64 = 20;
+    let mut relay = vm();
+    let now = serve(&mut relay, Time(0), WINDOW);
+    resume(&mut relay, 1_000, now);
+    let mut retried = 0;
+    for _ in 0..RELOADS {
+        relay.set_retry_bounds(0.2, 54.0);
+        retried += resume(&mut relay, 1_000, now);
+    }
+    // Each time one request comes.
+    let bound = 0.2 * RELOADS as f64 + 54.0 / VMS as f64;
+    assert!(retried as f64 <= bound, "{retried} of {bound}");
+}
