fix(relay): a record of placements with the highest numbers is borne

A generation at its maximum overflowed (a panic where overflow is checked), and so did the sum of tickets. odd_placements_are_borne failed before ('attempt to add with overflow').

--- a/crates/sw-relay/src/placement.rs
+++ b/crates/sw-relay/src/placement.rs
@@ -68,8 +68,8 @@
 }
 
 fn share(tickets: &IndexMap<SoftwareVersion, u32>, version: &SoftwareVersion) -> f64 {
-    let total: u32 = tickets.values().sum();
-    f64::from(tickets.get(version).copied().unwrap_or_default()) / f64::from(total.max(1))
+    let total: f64 = tickets.values().copied().map(f64::from).sum();
+    f64::from(tickets.get(version).copied().unwrap_or_default()) / total.max(1.0)
 }
 
 /// The placements of a service, as recorded in the store: the one in force, and earlier ones under which streams may live.
@@ -191,7 +191,7 @@
         let is_due = has_new_version || now.since(since) >= CHANGE_AFTER;
         if is_due && placements.len() < MAX_PLACEMENTS {
             placements.push(Placement {
-                generation: last.generation + 1,
+                generation: last.generation.saturating_add(1),
                 tickets,
             });
         }
--- a/crates/sw-relay/tests/stream_versions.rs
+++ b/crates/sw-relay/tests/stream_versions.rs
@@ -711,6 +711,38 @@
     assert!((8..40).contains(&changed), "{changed} of 64");
 }
 
+/// Guards against a record of placements that somebody else wrote, or that is damaged, and stops the VM.
+#[test]
+fn odd_placements_are_borne() {
+    for count in [0, 1, u32::MAX] {
+        let mut vm = relay();
+        register(&mut vm, &engine("e-1", "old"), Time(0));
+        register(&mut vm, &engine("e-2", "new"), Time(0));
+        vm.set_store_state(sw_relay::StoreState {
+            position: sw_unit::StorePosition::new(sw_unit::StoreEra(0), 1),
+            ..sw_relay::StoreState::default()
+        });
+        let placement = Placement {
+            generation: u64::MAX,
+            tickets: (0..400)
+                .map(|version| (software(&format!("v{version}")), count))
+                .collect(),
+        };
+        vm.apply(
+            StoreRecord::Placements(vec![ServicePlacements {
+                service: service("engines"),
+                placements: vec![placement; 40],
+            }]),
+            Time(0),
+        );
+        for second in 0..60 {
+            vm.unrecorded_placements(Time(second * 1_000));
+        }
+        let admitted = admit(&mut vm, "digest", Some(prompt(1, 500, 500)), Time(1_000));
+        assert_eq!(vm.placed_version(&admitted, Time(1_000)).is_some(), count > 0);
+    }
+}
+
 /// Guards against memory that grows with the streams and versions that are seen.
 #[test]
 fn any_number_of_streams_and_versions_is_borne() {
