--- a/crates/sw-relay/tests/quarantine.rs
+++ b/crates/sw-relay/tests/quarantine.rs
@@ -72,6 +72,20 @@
     }
 }
 
+/// Guards against the review's case 3: responses that end with their connections cleared no part, so the first part of all prompts
+/// stayed quarantined beside a crashing one.
+#[test]
+fn parts_are_cleared_by_engines_that_live_on_though_responses_have_no_length() {
+    let mut rng = fastrand::Rng::with_seed(9);
+    let mut fleet = Fleet::new(NINE_VMS);
+    fleet.set_unframed(Millis(1_500));
+    load(&mut fleet, 60.0, &[], 0.0, Millis(3_000), &mut rng);
+    load(&mut fleet, 60.0, &[CRASHING_PART], 0.05, Millis(30_000), &mut rng);
+    assert!(fleet.late_arrivals(CRASHING_PART, CONTACT) <= ALLOWED_LATE);
+    let share = fleet.quarantined_share(Time(13_000));
+    assert!(share < 0.01, "{share} of the sound prompts are quarantined");
+}
+
 /// Guards against a second crashing part that goes unnoticed beside the first one, at the same time or later.
 #[test]
 fn each_of_several_crashing_parts_is_found() {
--- a/crates/sw-relay/tests/support/fleet.rs
+++ b/crates/sw-relay/tests/support/fleet.rs
@@ -121,6 +121,10 @@
     retries: bool,
     /// Time from the first event of a response to a crash; `None` if engines crash before the first event.
     crash_after_first_event: Option<Millis>,
+    /// Whether responses have a length or chunks.
+    framed: bool,
+    /// Time from the arrival of a prompt to the end of a sound response.
+    end_after: Millis,
 }
 
 fn region_id(region: usize) -> RegionId {
@@ -197,6 +201,8 @@
             unseen: Vec::new(),
             retries: true,
             crash_after_first_event: None,
+            framed: true,
+            end_after: END_AFTER,
         };
         fleet.vms = (0..layout.vms).map(|index| fleet.start_vm(index, 1)).collect();
         for (from, to) in (0..layout.vms).flat_map(|from| (0..layout.vms).map(move |to| (from, to))) {
@@ -453,8 +459,11 @@
                 continue;
             }
             let age = now.since(running.arrived_at);
+            if running.attempt.first_event_at.is_some() {
+                vm.relay.record_gap(&mut running.attempt, STEP, now);
+            }
             if age >= HEAD_AFTER && running.has_head && running.attempt.head_at.is_none() {
-                vm.relay.on_head(&mut running.attempt, true, now);
+                vm.relay.on_head(&mut running.attempt, self.framed, now);
             }
             let has_event = running.crashing.is_none() || self.crash_after_first_event.is_some();
             if has_event && age >= CRASH_AFTER && running.attempt.first_event_at.is_none() {
@@ -465,7 +474,7 @@
             {
                 crashed.push((running.engine, part));
             }
-            if running.crashing.is_none() && age >= END_AFTER {
+            if running.crashing.is_none() && age >= self.end_after {
                 vm.relay.end_attempt(&running.attempt, AttemptOutcome::Complete, now);
                 ended.push(at);
             }
--- a/crates/sw-relay/tests/support/fleet/crashes.rs
+++ b/crates/sw-relay/tests/support/fleet/crashes.rs
@@ -29,6 +29,12 @@
         self.retries = retries;
     }
 
+    /// Lets responses end with their connections, after a time.
+    pub fn set_unframed(&mut self, end_after: Millis) {
+        self.framed = false;
+        self.end_after = end_after;
+    }
+
     /// Lets engines crash a time after the first event of a response, in place of before it.
     pub fn set_crash_after_first_event(&mut self, time: Millis) {
         self.crash_after_first_event = Some(time);
