perf(relay): responses that have been written for a while name requests and parts apart

Attempts that had written for 100 ms or more now name their parts and their request in two groups, so one list of parts and one of requests is kept and reported for all of them. Attempts with less name them together, as before; only these distinguish a request's parts from others'.

quarantine and quarantined_requests pass.

--- a/crates/sw-relay/src/quarantine.rs
+++ b/crates/sw-relay/src/quarantine.rs
@@ -291,18 +291,23 @@
         if suspects.is_empty() || self.is_leaving(&attempt.endpoint.id) {
             return false;
         }
-        let evidence = &mut self.quarantine.evidence;
-        let outcome = evidence.on_break(
-            &attempt.endpoint,
-            &suspects,
-            Progress::since_first_event(written_for),
-            now,
-        );
-        if outcome == BreakOutcome::News {
-            self.quarantine.announce(NewsScope::All);
+        let progress = Progress::since_first_event(written_for);
+        // Most attempts were writing. What they bring along tells little, and much in all.
+        let is_split = progress == Progress::Writing;
+        let (requests, parts): (Vec<_>, Vec<_>) = suspects
+            .into_iter()
+            .partition(|suspect| is_split && suspect.is_request());
+        let mut is_due = false;
+        for named in [parts, requests].iter().filter(|named| !named.is_empty()) {
+            let evidence = &mut self.quarantine.evidence;
+            match evidence.on_break(&attempt.endpoint, named, progress, now) {
+                BreakOutcome::News => self.quarantine.announce(NewsScope::All),
+                BreakOutcome::CheckDue => is_due = true,
+                BreakOutcome::Known => {}
+            }
         }
         self.quarantine.update(now);
-        outcome == BreakOutcome::CheckDue
+        is_due
     }
 
     /// Records that an incarnation of an endpoint ended unplanned.
