--- a/crates/sw-relay/src/quarantine.rs
+++ b/crates/sw-relay/src/quarantine.rs
@@ -287,27 +287,18 @@
         if written_for.is_some_and(|written_for| written_for >= MAX_START) {
             return false;
         }
-        let suspects = suspects_of(attempt);
+        let progress = Progress::since_first_event(written_for);
+        let suspects = suspects_of(attempt, progress);
         if suspects.is_empty() || self.is_leaving(&attempt.endpoint.id) {
             return false;
         }
-        let progress = Progress::since_first_event(written_for);
-        // Most attempts were writing. What they bring along tells little, and much in all.
-        let is_split = progress == Progress::Writing;
-        let (requests, parts): (Vec<_>, Vec<_>) = suspects
-            .into_iter()
-            .partition(|suspect| is_split && suspect.is_request());
-        let mut is_due = false;
-        for named in [parts, requests].iter().filter(|named| !named.is_empty()) {
-            let evidence = &mut self.quarantine.evidence;
-            match evidence.on_break(&attempt.endpoint, named, progress, now) {
-                BreakOutcome::News => self.quarantine.announce(NewsScope::All),
-                BreakOutcome::CheckDue => is_due = true,
-                BreakOutcome::Known => {}
-            }
+        let evidence = &mut self.quarantine.evidence;
+        let outcome = evidence.on_break(&attempt.endpoint, &suspects, progress, now);
+        if outcome == BreakOutcome::News {
+            self.quarantine.announce(NewsScope::All);
         }
         self.quarantine.update(now);
-        is_due
+        outcome == BreakOutcome::CheckDue
     }
 
     /// Records that an incarnation of an endpoint ended unplanned.
@@ -459,11 +450,12 @@
 }
 
 /// Returns the suspects of an attempt that broke off before it had written for long: the request, and the shared parts of a
-/// prompt whose response had a head.
-fn suspects_of(attempt: &Attempt) -> Vec<Suspect> {
+/// prompt whose response had just begun.
+fn suspects_of(attempt: &Attempt, progress: Progress) -> Vec<Suspect> {
     let content = attempt.content.as_ref();
     let request = content.map(|content| Suspect::Request(content.fingerprint()));
-    let parts = attempt.shared_parts.iter().filter(|_| attempt.head_at.is_some());
+    let has_begun = attempt.head_at.is_some() && progress < Progress::Writing;
+    let parts = attempt.shared_parts.iter().filter(|_| has_begun);
     let parts = parts.map(|part| Suspect::Part(*part));
     request.into_iter().chain(parts).collect()
 }
