--- a/crates/sw-relay/src/crash_evidence.rs
+++ b/crates/sw-relay/src/crash_evidence.rs
@@ -2,7 +2,7 @@
 //!
 //! A prompt part can crash each engine that begins to answer it, and a request each endpoint that begins to run it. The
 //! VM that sent the request sees a broken connection; the other VMs see only that their own responses from that endpoint
-//! break off. The suspects of a crash are the shared parts of the prompts whose responses had begun not long before, from
+//! break off. The suspects of a crash are the shared parts of the prompts whose responses had started not long before, from
 //! their head on, and the requests that had not run for long, whether they had a head or not. The less of a response an
 //! endpoint had sent, the more likely its request or a part of its prompt is the cause. A suspect is cleared by a complete
 //! response to a request that has it.
--- a/crates/sw-relay/src/placement.rs
+++ b/crates/sw-relay/src/placement.rs
@@ -231,7 +231,7 @@
 
     /// Returns the version at which a stream of a service began whose origin was not written; `None` if that is not known.
     pub fn version_by_placement(&self, admitted: &AdmittedRequest, stream: &str) -> Option<SoftwareVersion> {
-        // Another service of the route may have begun it.
+        // Another service of the route may have started it.
         let is_only_service = admitted
             .route
             .targets
--- a/crates/sw-relay/src/quarantine.rs
+++ b/crates/sw-relay/src/quarantine.rs
@@ -280,7 +280,7 @@
 
     /// Records that an attempt broke off; returns whether the endpoint should be checked for a crash.
     ///
-    /// A response that had just begun distinguishes the prompt that the endpoint had started to answer from the others that
+    /// A response that had just started distinguishes the prompt that the endpoint had started to answer from the others that
     /// it was running.
     pub fn on_broken_attempt(&mut self, attempt: &Attempt, now: Time) -> bool {
         let written_for = attempt.first_event_at.map(|first| now.since(first));
@@ -450,7 +450,7 @@
 }
 
 /// Returns the suspects of an attempt that broke off before it had written for long: the request, and the shared parts of a
-/// prompt whose response had just begun.
+/// prompt whose response had just started.
 fn suspects_of(attempt: &Attempt, progress: Progress) -> Vec<Suspect> {
     let content = attempt.content.as_ref();
     let request = content.map(|content| Suspect::Request(content.fingerprint()));
--- a/crates/sw-relay/src/suspects.rs
+++ b/crates/sw-relay/src/suspects.rs
@@ -7,7 +7,7 @@
 const MAX_PARTS: usize = 32;
 /// Maximum number of requests among the suspects of one crash.
 const MAX_REQUESTS: usize = 64;
-/// Time since its first event for which a response counts as begun just now.
+/// Time since its first event for which a response counts as just started.
 const BEGUN_FOR: Millis = Millis(100);
 
 /// What may have crashed an endpoint.
