--- a/crates/sw-relay/tests/slow_start.rs
+++ b/crates/sw-relay/tests/slow_start.rs
@@ -65,3 +65,23 @@
     assert_eq!(send_all(&mut cold_vm(0, 3), 20, 1_900), Vec::<u64>::new());
     assert!(!send_all(&mut cold_vm(0, 3), 2_000, 5_000).is_empty());
 }
+
+/// Guards against a registration from before the endpoint became cold, written late or read from an older copy of the store, that
+/// makes a cold endpoint warm.
+#[test]
+fn an_older_registration_does_not_end_a_slow_start() {
+    let mut relay = cold_vm(0, 1);
+    register(&mut relay, endpoint("e-1", "engines", "north"), Time(2_100));
+    let sent = send_all(&mut relay, 2_100, 3_100);
+    assert!(sent.len() as f64 <= COLD_RATE * OVERSHOOT + SLACK, "{sent:?}");
+}
+
+/// Guards against a new process under a known id that stays cold because an earlier one was.
+#[test]
+fn a_new_incarnation_that_is_warm_ends_a_slow_start() {
+    let mut relay = cold_vm(0, 1);
+    let mut restarted = endpoint("e-1", "engines", "north");
+    restarted.incarnation = sw_unit::Incarnation(2);
+    register(&mut relay, restarted, Time(2_100));
+    assert!(send_all(&mut relay, 2_100, 3_100).len() > 50);
+}
