fix(proxy): a VM that others are ahead of gets their changes, whatever they are

A VM whose store falls silent waits for its call for changes for up to 5.5 s before it knows. Until then it copied from others only if they ran a newer version of the configuration; an evacuation, or an endpoint that leaves or is cold, is none. So it sent requests to endpoints that its neighbours knew to be evacuated, and that had become cold.

Heartbeats carry the position of each VM's mirror. A VM that has been behind a position for 1.5 s, which is longer than a watcher and its follower batch changes, now asks the nearest VM that is ahead for the changes since its own position. VMs at the same distance are ranked differently by each VM, so that a domain that lost the store doesn't ask a single one. A call that does not wait is answered even by a VM whose own mirror isn't current: what it knows is true, if not all there is.

Also logs and counts how long a version came into force after another VM was first heard to run it.

--- a/crates/sw-proxy/src/heartbeat.rs
+++ b/crates/sw-proxy/src/heartbeat.rs
@@ -54,6 +54,7 @@
         log_states(&state, &exchanges);
         call_due_peers(&state, &exchanges);
         store::copy_if_due(&state);
+        store::catch_up_if_due(&state);
     }
 }
 
@@ -142,6 +143,7 @@
     telemetry::log_rejection_limit_changes(state, "");
     crash::on_evidence(state);
     store::copy_if_due(state);
+    store::catch_up_if_due(state);
 }
 
 /// Records that another VM, which is empty if it is not known, runs `version`.
--- a/crates/sw-proxy/src/records.rs
+++ b/crates/sw-proxy/src/records.rs
@@ -6,7 +6,7 @@
 use sw_store::Change;
 
 use crate::state::ProxyState;
-use crate::{Dialect, persist, restore};
+use crate::{Dialect, persist, restore, telemetry};
 
 /// Where changes of items came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
@@ -72,12 +72,20 @@
 fn apply_record<D, F>(state: &ProxyState<D, F>, record: StoreRecord, source: Source, revision: u64) {
     let now = state.now();
     let description = describe(&record);
+    let (version, behind_for) = {
+        let relay = state.relay.borrow();
+        (relay.version(), relay.behind_for(now))
+    };
     if state.relay.borrow_mut().apply(record, now)
         && let Some((what, id, status)) = description
     {
         let (id, status, source): (_, _, &'static str) = (id.as_str(), status.as_str(), source.into());
         info!("learned", kv: { what, id, state = status, source, revision });
     }
+    let in_force = state.relay.borrow().version();
+    if let Some(behind_for) = behind_for.filter(|_| in_force > version) {
+        telemetry::log_version_lag(in_force, behind_for);
+    }
 }
 
 /// Returns the kind, id and state of a record for the log.
--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -2,13 +2,15 @@
 //!
 //! The watchers of a failure domain poll the store. Its other VMs receive changes from a watcher, and poll the store
 //! themselves if no watcher is available. A VM that cannot reach the store, or that others are ahead of by a version of the
-//! configuration, copies a snapshot from a VM with a newer position. When the store was restored from an older copy, watchers read all items again, and the other VMs copy their
-//! snapshots.
+//! configuration, copies a snapshot from a VM with a newer position. One that others are ahead of in any way gets the
+//! changes from another VM, because its own call may be without a response for seconds. When the store was restored from an
+//! older copy, watchers read all items again, and the other VMs copy their snapshots.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use metrics::counter;
 use spdlog::prelude::*;
 use sw_peer::relay::WatchOutcome;
 use sw_relay::StoreSource;
@@ -41,6 +43,8 @@
 const STARTUP_PERIOD: Millis = Millis(3_000);
 /// Duration of an outage after which a snapshot is copied from another VM.
 const COPY_AFTER_OUTAGE: Millis = Millis(1_000);
+/// Time behind another VM after which changes are got from it; longer than a watcher and a follower both batch changes.
+const CATCH_UP_AFTER: Millis = Millis(1_500);
 /// Number of attempts to copy the snapshot of a watcher after the store was restored, before a VM that is none reads all
 /// items itself.
 const RESTORE_COPY_ATTEMPTS: u32 = 4;
@@ -211,6 +215,8 @@
 
 /// Serves the call of a follower: waits until the store changes after the revision `after`, `wait` expires, or the
 /// mirror is no longer current. A follower that knows no eras is in that of the mirror.
+///
+/// A caller that does not wait is behind, and gets the known changes even if the mirror is not current.
 pub(crate) async fn serve_watch<D, F>(
     state: &ProxyState<D, F>,
     era: Option<StoreEra>,
@@ -218,6 +224,11 @@
     wait: Duration,
 ) -> WatchOutcome {
     let end = state.now() + Millis(wait.as_millis() as u64);
+    let position = state.mirror.borrow().position();
+    let asked = StorePosition::new(era.unwrap_or(position.era), after);
+    if wait.is_zero() && position > asked {
+        return changes_since(state, asked);
+    }
     loop {
         let now = state.now();
         let responded_at = state
@@ -300,6 +311,47 @@
     });
 }
 
+/// Gets the changes that this VM lacks from another one, if it has been behind for a while and copies nothing.
+pub(crate) fn catch_up_if_due<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>) {
+    let behind_for = state.relay.borrow().position_behind_for(state.now());
+    let is_due = behind_for.is_some_and(|time| time >= CATCH_UP_AFTER);
+    if !is_due || state.mirror.borrow().is_empty() || state.is_copying.replace(true) {
+        return;
+    }
+    let state = Rc::clone(state);
+    tokio::task::spawn_local(async move {
+        catch_up(&state).await;
+        state.is_copying.set(false);
+    });
+}
+
+/// Gets the changes that this VM lacks from another one, or its snapshot if it no longer has them.
+async fn catch_up<D: Dialect, F>(state: &ProxyState<D, F>) {
+    let (row, behind_ms) = {
+        let (relay, now) = (state.relay.borrow(), state.now());
+        let behind_for = relay.position_behind_for(now).unwrap_or_default();
+        (relay.peer_to_catch_up_from(now).cloned(), behind_for.0)
+    };
+    let Some(row) = row else {
+        return;
+    };
+    let position = state.mirror.borrow().position();
+    let outcome = match state.peers.watch(row.peer_listen, position, Duration::ZERO).await {
+        Ok(WatchOutcome::Changes { changes, .. }) => match apply_changes(state, changes, Source::Neighbour) {
+            Ok(Polled::Applied { .. }) => "changes",
+            Ok(Polled::Restored(_)) | Err(_) => "other_era",
+        },
+        Ok(WatchOutcome::HistoryGone) if copy_snapshot(state, &row.vm, row.peer_listen).await => "snapshot",
+        Ok(WatchOutcome::HistoryGone) => "no_snapshot",
+        Ok(WatchOutcome::NotCurrent) => "not_current",
+        Err(_no_response) => "no_answer",
+    };
+    let (vm, revision) = (row.vm.as_str(), position.revision);
+    let reached = state.mirror.borrow().position().revision;
+    info!("store_caught_up", kv: { vm, outcome, behind_ms, revision, reached });
+    counter!("shallotwing_store_catch_ups_total", "outcome" => outcome).increment(1);
+}
+
 /// Copies the snapshot of another VM, and returns whether it was applied.
 async fn copy_snapshot<D: Dialect, F>(state: &ProxyState<D, F>, vm: &VmId, address: SocketAddr) -> bool {
     let assumed = state.mirror.borrow().position().era;
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -78,6 +78,13 @@
     info!("newer_version_heard", kv: { vm, version, in_force });
 }
 
+/// Logs for how long another VM had been known to run a newer version when `version` came into force.
+pub(crate) fn log_version_lag(version: Version, behind_for: Millis) {
+    let (version, behind_ms) = (version.0, behind_for.0);
+    info!("version_lag", kv: { version, behind_ms });
+    histogram!("shallotwing_version_lag_seconds").record(behind_ms as f64 / MILLIS_PER_SECOND);
+}
+
 /// Formats the regions that a request may enter now for the log.
 fn region_list<D, F>(state: &ProxyState<D, F>, admitted: &AdmittedRequest) -> String {
     state.relay.borrow().permitted_regions(admitted).to_string()
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -102,7 +102,7 @@
             self.members.on_gossip(row, now);
         }
         let vm = heartbeat.from.vm.clone();
-        self.peer_stores.insert(vm.clone(), heartbeat.store);
+        self.on_peer_store(&vm, heartbeat.store, now);
         self.peer_digests.insert(vm.clone(), heartbeat.members_digest);
         self.paths.on_report(&vm, &heartbeat.cut_off);
         for load in heartbeat.endpoints {
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -23,6 +23,7 @@
 use crate::rejection_limit::BrittleServices;
 use crate::retry::RecentRequests;
 use crate::room::Room;
+use crate::store_state::LaterPosition;
 use crate::stream_origin::StreamOrigins;
 use crate::version_history::VersionHistory;
 use crate::watcher::FailedWatcher;
@@ -146,6 +147,8 @@
     /// Recent requests by route.
     pub(crate) traffic: IndexMap<String, f64>,
     pub(crate) peer_stores: IndexMap<VmId, StoreState>,
+    /// A later position of another VM's mirror.
+    pub(crate) later_position: Option<LaterPosition>,
     /// Digests of the membership rows that other VMs know.
     pub(crate) peer_digests: IndexMap<VmId, u64>,
     /// Latest views of the other failure domains.
@@ -194,6 +197,7 @@
             store_restored: false,
             traffic: IndexMap::new(),
             peer_stores: IndexMap::new(),
+            later_position: None,
             peer_digests: IndexMap::new(),
             remote_views: IndexMap::new(),
             cache_directory: CacheDirectory::default(),
--- a/crates/sw-relay/src/store_state.rs
+++ b/crates/sw-relay/src/store_state.rs
@@ -3,8 +3,8 @@
 //! A VM without the store copies the snapshot of another one, and a VM that missed what the store has lost copies the
 //! states that others retain. A VM in an earlier era copies from one in a later era, never the other way.
 
-use sw_member::VmRow;
-use sw_unit::{StorePosition, Time};
+use sw_member::{VmRow, rendezvous_score};
+use sw_unit::{Millis, StorePosition, Time, VmId};
 
 use crate::{LeavingEndpoint, Relay};
 
@@ -32,7 +32,42 @@
     pub streams: usize,
 }
 
+/// A later position of another VM's mirror that this VM has not reached yet.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LaterPosition {
+    position: StorePosition,
+    heard_at: Time,
+}
+
 impl Relay {
+    /// Records the state of another VM's mirror.
+    pub(crate) fn on_peer_store(&mut self, vm: &VmId, store: StoreState, now: Time) {
+        self.peer_stores.insert(vm.clone(), store);
+        if store.knows_eras && self.later_position.is_none() && self.is_newer(store) {
+            let position = store.position;
+            self.later_position = Some(LaterPosition {
+                position,
+                heard_at: now,
+            });
+        }
+    }
+
+    /// Returns the time for which this VM's mirror has been behind a position that another VM was heard to have reached;
+    /// `None` if it has reached all of them.
+    pub fn position_behind_for(&self, now: Time) -> Option<Millis> {
+        self.later_position.map(|later| now.since(later.heard_at))
+    }
+
+    /// Returns a VM from which this VM gets the changes that it lacks: of the nearest ones, another one for each VM.
+    pub fn peer_to_catch_up_from(&self, now: Time) -> Option<&VmRow> {
+        let local = self.members.local();
+        let peers = self.suitable_peers(|store| store.knows_eras && self.is_newer(*store), now);
+        peers.min_by_key(|row| {
+            let distance = (row.domain != local.domain, row.region != local.region);
+            (distance, rendezvous_score(&local.vm, &row.vm))
+        })
+    }
+
     /// Records that the store was restored from an older copy: endpoints get time to register again, and what this VM
     /// wrote is written again, except the software versions if the store still has their record. Returns how much that is.
     pub fn on_store_restored(&mut self, has_software: bool, now: Time) -> Rewritten {
@@ -60,6 +95,7 @@
             self.placements.on_first_snapshot(self.versions.has_record());
         }
         self.store = store;
+        self.later_position = self.later_position.filter(|later| later.position > store.position);
     }
 
     /// Returns whether all VMs place new streams whose heartbeats this one receives.
--- a/crates/sw-relay/tests/store_restore.rs
+++ b/crates/sw-relay/tests/store_restore.rs
@@ -6,7 +6,7 @@
 
 use support::{endpoint, heartbeat, relay, row, service};
 use sw_relay::{Relay, Replication, ServiceSoftware, SoftwareVersion, StoreRecord, StoreState, StreamOrigin};
-use sw_unit::{StoreEra, StorePosition, Time};
+use sw_unit::{Millis, StoreEra, StorePosition, Time};
 
 /// Time at which a VM without neighbours knows that it is alone, and writes for its region.
 const JOINED: Time = Time(3_000);
@@ -123,3 +123,52 @@
     assert!(first < STREAMS, "one write has all {first} origins");
     assert_eq!(first + second, STREAMS);
 }
+
+/// Guards against a VM that the store does not answer, and that does not notice what others have learned since.
+#[test]
+fn a_vm_knows_for_how_long_others_have_been_ahead_of_it() {
+    let mut relay = writer();
+    let at = |revision: u64| StoreState {
+        position: StorePosition::new(StoreEra(1), revision),
+        knows_eras: true,
+        ..StoreState::default()
+    };
+    let hear = |relay: &mut Relay, vm: &str, revision: u64, now: Time| {
+        let mut beat = heartbeat(row(vm, "north"), Vec::new());
+        beat.store = at(revision);
+        relay.on_heartbeat(beat, now);
+    };
+    relay.set_store_state(at(5));
+    hear(&mut relay, "vm-8", 5, JOINED);
+    assert_eq!(relay.position_behind_for(JOINED), None);
+    hear(&mut relay, "vm-9", 7, JOINED);
+    hear(&mut relay, "vm-9", 9, JOINED + Millis(400));
+    assert_eq!(relay.position_behind_for(JOINED + Millis(500)), Some(Millis(500)));
+    let peer = relay.peer_to_catch_up_from(JOINED + Millis(500)).expect("a VM");
+    assert_eq!(peer.vm.as_str(), "vm-9");
+    relay.set_store_state(at(7));
+    assert_eq!(
+        relay.position_behind_for(JOINED + Millis(600)),
+        None,
+        "it has reached what it waited for"
+    );
+    hear(&mut relay, "vm-9", 9, JOINED + Millis(900));
+    assert_eq!(relay.position_behind_for(JOINED + Millis(1_000)), Some(Millis(100)));
+}
+
+/// Guards against a domain whose VMs have all lost the store and ask the same VM for changes.
+#[test]
+fn vms_that_are_behind_catch_up_from_different_vms() {
+    let mut asked = std::collections::HashSet::new();
+    for index in 0..20 {
+        let mut relay = support::relay_of(&format!("vm-{index}"));
+        for peer in 30..40 {
+            let mut beat = heartbeat(row(&format!("vm-{peer}"), "north"), Vec::new());
+            beat.store.position = StorePosition::new(StoreEra(1), 7);
+            beat.store.knows_eras = true;
+            relay.on_heartbeat(beat, JOINED);
+        }
+        asked.insert(relay.peer_to_catch_up_from(JOINED).expect("a VM").vm.clone());
+    }
+    assert!(asked.len() > 3, "{asked:?}");
+}
