fix(relay): an endpoint that may have become cold is asked, and has its slow start until it answers

Cause: a VM learned that an endpoint is cold from its registration alone, which comes late, or not at all while the store is away. What had happened since the registration did not count: the endpoint crashed; a connection to it works again, so it may be another process; the evacuation of its domain ended, shortly before which its endpoints may have become cold. A registration from before that made a cold endpoint warm again.

After each of these events the VM asks the endpoint for its health, which names its cold time, and until it has answered, or would be warm in any case, sends it only its share of the slow start. A registration of the same incarnation no longer shortens a cold time; one that contradicts it is a reason to ask. An endpoint that stayed warm says so within milliseconds.

--- a/crates/sw-proxy/src/crash.rs
+++ b/crates/sw-proxy/src/crash.rs
@@ -7,7 +7,7 @@
 use sw_unit::Time;
 
 use crate::state::ProxyState;
-use crate::{Dialect, heartbeat, paths, telemetry};
+use crate::{Dialect, health, heartbeat, paths, telemetry};
 
 /// Timeout of a connection that only checks whether an endpoint listens.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
@@ -64,6 +64,7 @@
 
 /// Logs changes of the quarantine, wakes the requests that wait for a response, and sends news of crashes to other VMs.
 pub(crate) fn on_evidence<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>) {
+    health::wake(state);
     let (changes, news) = {
         let mut relay = state.relay.borrow_mut();
         (relay.take_quarantine_changes(), relay.take_crash_news())
--- a/crates/sw-proxy/src/dialect.rs
+++ b/crates/sw-proxy/src/dialect.rs
@@ -81,6 +81,15 @@
     }
 }
 
+/// Answer of an endpoint to a health request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HealthAnswer {
+    /// The endpoint that answered.
+    pub endpoint: EndpointId,
+    /// Time until it is warm.
+    pub cold_for: Millis,
+}
+
 /// Query of a caller for the VMs to connect to.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct DirectoryQuery {
@@ -116,6 +125,9 @@
     /// Decodes the head of an endpoint's response.
     fn response_head(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 
+    /// Decodes the headers of a response to a health request; `None` if they do not tell which endpoint sent it.
+    fn health_answer(&self, headers: &HeaderMap) -> Option<HealthAnswer>;
+
     /// Sets the header for the time after which the caller may retry.
     fn set_retry_after(&self, headers: &mut HeaderMap, after: Millis);
 
--- a/crates/sw-proxy/src/lib.rs
+++ b/crates/sw-proxy/src/lib.rs
@@ -12,6 +12,7 @@
 mod directory;
 mod drain;
 mod forward;
+mod health;
 mod heartbeat;
 mod incoming;
 mod listener;
@@ -34,7 +35,7 @@
 mod stream;
 mod telemetry;
 
-pub use dialect::{AttemptHeaders, Dialect, DirectoryQuery, HeadError, Rejection, ResponseHead};
+pub use dialect::{AttemptHeaders, Dialect, DirectoryQuery, HeadError, HealthAnswer, Rejection, ResponseHead};
 pub use malformed::MalformedItems;
 pub use options::Options;
 pub use proxy::Proxy;
--- a/crates/sw-proxy/src/paths.rs
+++ b/crates/sw-proxy/src/paths.rs
@@ -13,7 +13,7 @@
 use sw_unit::{Millis, Time};
 
 use crate::state::ProxyState;
-use crate::{Dialect, telemetry};
+use crate::{Dialect, health, telemetry};
 
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -202,4 +202,5 @@
         }
     }
     state.path_lost.notify_one();
+    health::wake(state);
 }
--- a/crates/sw-proxy/src/proxy.rs
+++ b/crates/sw-proxy/src/proxy.rs
@@ -17,7 +17,9 @@
 use crate::heartbeat::HEARTBEAT_PERIOD;
 use crate::peer::PeerHandler;
 use crate::state::{Lifecycle, ProxyState};
-use crate::{Dialect, Options, directory, heartbeat, listener, paths, persist, request, restore, startup, store};
+use crate::{
+    Dialect, Options, directory, health, heartbeat, listener, paths, persist, request, restore, startup, store,
+};
 
 /// Missed heartbeats after which a VM is suspect.
 const MAX_MISSED_HEARTBEATS: u64 = 5;
@@ -107,6 +109,7 @@
         tokio::task::spawn_local(persist::run(Rc::clone(&state)));
         tokio::task::spawn_local(heartbeat::run(Rc::clone(&state)));
         tokio::task::spawn_local(paths::run(Rc::clone(&state)));
+        tokio::task::spawn_local(health::run(Rc::clone(&state)));
         tokio::task::spawn_local(startup::run(Rc::clone(&state)));
         log_start(&state.options());
         Ok(Self { state, stop, listeners })
--- a/crates/sw-proxy/src/records.rs
+++ b/crates/sw-proxy/src/records.rs
@@ -6,7 +6,7 @@
 use sw_store::Change;
 
 use crate::state::ProxyState;
-use crate::{Dialect, persist, restore, telemetry};
+use crate::{Dialect, health, persist, restore, telemetry};
 
 /// Where changes of items came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
@@ -61,6 +61,8 @@
         let endpoint = endpoint.as_str();
         info!("endpoint_gone", kv: { endpoint, revision });
     }
+    drop(relay);
+    health::wake(state);
 }
 
 fn log_malformed<D, F>(state: &ProxyState<D, F>, key: &str, reason: &str, revision: u64) {
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -20,7 +20,7 @@
 use crate::reservation::{ReservationGuard, reserve};
 use crate::response::{refusal_response, strip_hop_headers};
 use crate::state::{ActiveGuard, ProxyState};
-use crate::{Dialect, HeadError, drain, forward, heartbeat, resumption, stream, telemetry};
+use crate::{Dialect, HeadError, drain, forward, health, heartbeat, resumption, stream, telemetry};
 
 /// Maximum body length in bytes of a response that is buffered before its head is sent to the caller. A buffered
 /// response that breaks off can still be retried.
@@ -122,6 +122,7 @@
                 telemetry::log_unplaced(&request.admitted, refusal);
                 continue;
             }
+            Err(_no_endpoint) if health::wait_answer(state, &request.admitted).await => continue,
             Err(refusal) => {
                 if matches!(refusal.kind, Kind::QuarantinedPrompt | Kind::QuarantinedRequest) {
                     telemetry::log_quarantined(state, &request.admitted);
--- a/crates/sw-proxy/src/state.rs
+++ b/crates/sw-proxy/src/state.rs
@@ -79,6 +79,10 @@
     pub(crate) quarantine_changed: Notify,
     /// Notified when a path to an endpoint is lost.
     pub(crate) path_lost: Notify,
+    /// Notified when an endpoint may be cold.
+    pub(crate) cold_suspected: Notify,
+    /// Notified when an endpoint has answered a health check.
+    pub(crate) health_answered: Notify,
     /// Addresses of the endpoints whose paths are being checked.
     pub(crate) checked_paths: RefCell<IndexSet<SocketAddr>>,
     /// When this VM last sent news of crashes to others.
@@ -134,6 +138,8 @@
             drain_started: Notify::new(),
             quarantine_changed: Notify::new(),
             path_lost: Notify::new(),
+            cold_suspected: Notify::new(),
+            health_answered: Notify::new(),
             checked_paths: RefCell::default(),
             crash_announced_at: Cell::new(None),
             crash_news: Cell::new(None),
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -8,9 +8,9 @@
 use sw_error::Refusal;
 use sw_peer::relay::CallRefusal;
 use sw_relay::{
-    AdmittedRequest, Attempt, AttemptHistory, AttemptOutcome, Choice, EndpointEntry, PathChange, QuarantineChange,
-    QuarantineEntry, QueueEstimate, RateLimitStatement, RejectionLimitStatement, Reservation, Resumption,
-    SoftwareVersion, Suspect,
+    AdmittedRequest, Attempt, AttemptHistory, AttemptOutcome, Choice, EndpointEntry, HealthCheck, PathChange,
+    QuarantineChange, QuarantineEntry, QueueEstimate, RateLimitStatement, RejectionLimitStatement, Reservation,
+    Resumption, SoftwareVersion, Suspect,
 };
 use sw_unit::{EndpointId, Millis, PartId, RegionId, Time, Version, VmId};
 
@@ -292,6 +292,20 @@
     counter!("shallotwing_rate_limited_total").increment(1);
 }
 
+/// Logs a health check, with the remaining cold time that the endpoint stated, if it answered.
+pub(crate) fn log_health_check(check: &HealthCheck, cold_for: Option<Millis>, now: Time) {
+    let (endpoint, incarnation) = (check.endpoint.id.as_str(), check.endpoint.incarnation.0);
+    let (cause, age_ms): (&'static str, _) = (check.cause.into(), now.since(check.started_at).0);
+    let (answered, cold_ms) = (cold_for.is_some(), cold_for.unwrap_or_default().0);
+    info!("health_checked", kv: { endpoint, incarnation, cause, answered, cold_ms, age_ms });
+    let outcome = match cold_for {
+        None => "no_answer",
+        Some(Millis(0)) => "warm",
+        Some(_) => "cold",
+    };
+    counter!("shallotwing_health_checks_total", "cause" => cause, "outcome" => outcome).increment(1);
+}
+
 /// Logs that a forwarded request got no response.
 pub(crate) fn log_forward_failure(admitted: &AdmittedRequest, outcome: AttemptOutcome, age: Millis) {
     let id = &*admitted.id;
--- a/crates/sw-relay/src/path.rs
+++ b/crates/sw-relay/src/path.rs
@@ -17,7 +17,7 @@
 
 use crate::path_check::CheckAllowance;
 use crate::registry::Endpoint;
-use crate::{EndpointEntry, EndpointTracker, Relay, ServiceId};
+use crate::{ColdCause, EndpointEntry, EndpointTracker, Relay, ServiceId};
 
 /// Time between two probes of a lost path.
 pub(crate) const PROBE_PERIOD: Millis = Millis(500);
@@ -178,6 +178,7 @@
             endpoint: endpoint.id.clone(),
             lost_for: now.since(lost.since),
         });
+        self.suspect_cold(&endpoint.id, ColdCause::PathRegained, now);
         self.update_cut_off(&endpoint.service, now);
     }
 
--- a/crates/sw-relay/src/quarantine.rs
+++ b/crates/sw-relay/src/quarantine.rs
@@ -22,7 +22,7 @@
 use crate::rate_limit::MAX_REPLY_TRANSIT;
 use crate::suspects::{Progress, Suspect};
 use crate::verdict::{MIN_CRASHES, QuarantineEntry, derive_entries};
-use crate::{AdmittedRequest, AnsweredSuspect, Attempt, AttemptOutcome, CrashReport, Prompt, Relay};
+use crate::{AdmittedRequest, AnsweredSuspect, Attempt, AttemptOutcome, ColdCause, CrashReport, Prompt, Relay};
 
 /// Crashes after which a part that was answered before is no longer tried alone.
 const MAX_CRASHES_FOR_PROBE: u32 = 8;
@@ -303,6 +303,7 @@
 
     /// Records that an incarnation of an endpoint ended unplanned.
     pub fn on_endpoint_ended(&mut self, endpoint: &EndpointId, incarnation: Incarnation, now: Time) {
+        self.suspect_cold(endpoint, ColdCause::Crashed, now);
         if self.quarantine.evidence.on_ended(endpoint, incarnation, now) {
             self.quarantine.announce(NewsScope::All);
             self.quarantine.update(now);
@@ -377,11 +378,15 @@
             }
         }
         for report in crashes {
-            match self.quarantine.evidence.on_report(report, now) {
+            let outcome = self.quarantine.evidence.on_report(report, now);
+            match outcome {
                 ReportOutcome::Completed => self.quarantine.announce(NewsScope::All),
                 ReportOutcome::News if is_remote => self.quarantine.announce(NewsScope::Neighbours),
                 ReportOutcome::News | ReportOutcome::Known => {}
             }
+            if outcome != ReportOutcome::Known {
+                self.suspect_cold(&report.endpoint, ColdCause::Crashed, now);
+            }
         }
         self.quarantine.update(now);
     }
--- a/crates/sw-relay/src/registry.rs
+++ b/crates/sw-relay/src/registry.rs
@@ -21,7 +21,7 @@
 pub struct Endpoint {
     /// Its latest registration.
     pub entry: EndpointEntry,
-    /// When its slow start ends.
+    /// When its slow start ends, as far as it has said.
     pub cold_until: Time,
     /// When it is removed unless it registers again.
     expires_at: Option<Time>,
@@ -59,7 +59,7 @@
         if entry.leaving {
             self.remember_leaving(&entry.id, entry.incarnation);
         }
-        let cold_until = now + entry.cold_for;
+        let mut cold_until = now + entry.cold_for;
         let Some(known) = self.endpoints.get_mut(&entry.id) else {
             let endpoint = Endpoint {
                 cold_until,
@@ -72,13 +72,16 @@
         if entry.incarnation < known.entry.incarnation {
             return false;
         }
-        let cold = entry.cold_for > Millis(0);
+        if known.entry.incarnation == entry.incarnation {
+            // The registration may have been written before the endpoint said how cold it is.
+            cold_until = cold_until.max(known.cold_until);
+        }
         let changed = known.expires_at.is_some()
             || known.entry.incarnation != entry.incarnation
             || known.entry.leaving != entry.leaving
             || known.entry.address != entry.address
             || known.entry.service != entry.service
-            || cold != (known.cold_until > now);
+            || (cold_until > now) != (known.cold_until > now);
         known.cold_until = cold_until;
         known.expires_at = None;
         known.entry = entry;
@@ -230,6 +233,13 @@
         }
     }
 
+    /// Sets the slow start of an endpoint to `cold_for` from now, as the endpoint itself says.
+    pub fn set_cold(&mut self, id: &EndpointId, cold_for: Millis, now: Time) {
+        if let Some(known) = self.endpoints.get_mut(id) {
+            known.cold_until = now + cold_for;
+        }
+    }
+
     fn is_usable(&self, endpoint: &Endpoint) -> bool {
         !endpoint.entry.leaving && !self.evacuated.contains(&endpoint.entry.domain)
     }
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -11,6 +11,7 @@
 use crate::cache_directory::CacheDirectory;
 use crate::coordinator::Coordinators;
 use crate::exchange::RemoteView;
+use crate::health_check::ColdSuspects;
 use crate::path::Paths;
 use crate::pause::PauseDetector;
 use crate::permitted_regions::NewerVersion;
@@ -160,6 +161,8 @@
     pub(crate) rate_limiter: RateLimiter,
     /// Lost paths to endpoints.
     pub(crate) paths: Paths,
+    /// Endpoints that may be cold.
+    pub(crate) cold_suspects: ColdSuspects,
     pub(crate) rejection_limits: RateLimits,
     pub(crate) brittle_services: BrittleServices,
     /// The room at the brittle endpoints that this VM coordinates.
@@ -205,6 +208,7 @@
             rate_limits: RateLimits::default(),
             rate_limiter: RateLimiter::default(),
             paths: Paths::default(),
+            cold_suspects: ColdSuspects::default(),
             rejection_limits: RateLimits::default(),
             brittle_services: BrittleServices::new(),
             rooms: IndexMap::new(),
@@ -249,7 +253,7 @@
                 self.record_version_until(&id, now);
                 self.registry.on_registration_malformed(&id)
             }
-            StoreRecord::Evacuated(domain, on) => self.registry.set_evacuated(domain, on),
+            StoreRecord::Evacuated(domain, on) => self.apply_evacuation(&domain, on, now),
             StoreRecord::Software(services) => {
                 self.versions.on_recorded(services, now);
                 true
@@ -399,7 +403,7 @@
     /// is warm.
     pub(crate) fn cold_share(&self, endpoint: &EndpointEntry, now: Time) -> Option<(SlowStartShare, Millis)> {
         let known = self.registry.get(&endpoint.id)?;
-        let cold_for = known.cold_until.since(now);
+        let cold_for = self.cold_remaining(known, now);
         if cold_for == Millis(0) {
             return None;
         }
@@ -449,10 +453,12 @@
         if restarted {
             self.cache_directory.remove_endpoint(&entry.id);
             self.on_registered_incarnation_ended(&entry.id, now);
+            self.cold_suspects.remove(&entry.id);
         }
         self.record_version_until(&entry.id, now);
         self.versions.record(&entry, now);
         let id = entry.id.clone();
+        self.compare_cold_time(&entry, now);
         let changed = self.registry.apply(entry, now);
         if has_moved && let Some(known) = self.registry.get(&id) {
             let entry = known.entry.clone();
@@ -461,6 +467,14 @@
         changed
     }
 
+    fn apply_evacuation(&mut self, domain: &DomainId, on: bool, now: Time) -> bool {
+        let changed = self.registry.set_evacuated(domain.clone(), on);
+        if changed && !on {
+            self.suspect_domain_cold(domain, now);
+        }
+        changed
+    }
+
     fn remove_endpoint(&mut self, id: &EndpointId, now: Time) -> bool {
         self.on_registered_incarnation_ended(id, now);
         self.record_version_until(id, now);
--- a/crates/sw-relay/src/table.rs
+++ b/crates/sw-relay/src/table.rs
@@ -124,6 +124,8 @@
     pub cold_rate: Rate,
     /// Time after its start for which an endpoint is cold.
     pub cold_for: Millis,
+    /// Path of the health requests to its endpoints.
+    pub health_path: Arc<str>,
     /// Its model engines; `None` for a plain service.
     pub engine: Option<EngineSpec>,
 }
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -125,12 +125,14 @@
         max_connections: 100,
         cold_rate: Rate(0.0),
         cold_for: Millis(0),
+        health_path: Arc::from("/health"),
         engine: None,
     };
     let engines = Service {
         max_connections: 300,
         cold_rate: Rate(COLD_RATE),
         cold_for: Millis(3_000),
+        health_path: Arc::from("/health"),
         engine: Some(EngineSpec {
             slots: 64,
             cache_capacity: Tokens(400_000),
