--- a/crates/sw-proxy/src/health.rs
+++ b/crates/sw-proxy/src/health.rs
@@ -30,7 +30,7 @@
             let due = state.relay.borrow_mut().due_health_checks(state.now());
             for check in due {
                 let state = Rc::clone(&state);
-                tokio::task::spawn_local(async move { make(&state, &check).await });
+                tokio::task::spawn_local(async move { run_check(&state, &check).await });
             }
             tokio::select! {
                 () = state.cold_suspected.notified() => {}
@@ -60,7 +60,7 @@
 }
 
 /// Asks an endpoint for its health, and records its answer.
-async fn make<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, check: &HealthCheck) {
+async fn run_check<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, check: &HealthCheck) {
     let answer = tokio::time::timeout(CHECK_TIMEOUT, ask(state, check)).await;
     let now = state.now();
     let cold_for = match answer {
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -122,7 +122,9 @@
                 telemetry::log_unplaced(&request.admitted, refusal);
                 continue;
             }
-            Err(_no_endpoint) if health::wait_answer(state, &request.admitted).await => continue,
+            Err(refusal) if refusal.kind == Kind::NoEndpoint && health::wait_answer(state, &request.admitted).await => {
+                continue;
+            }
             Err(refusal) => {
                 if matches!(refusal.kind, Kind::QuarantinedPrompt | Kind::QuarantinedRequest) {
                     telemetry::log_quarantined(state, &request.admitted);
