fix(proxy): a follower does not wait for one failed watcher after the other

Cause: a VM of a large domain follows the store through one of three watchers. A call to one that stands still ends after 1.4 s; then the next one was asked, with the same wait. All three standing still cost 4.2 s, and a version has 3 s.

Watchers fail together, so after a failure the next ones are asked without a wait whether they are current: 0.4 s each at most, and then the follower calls the store itself.

--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -27,6 +27,9 @@
 /// Long-poll timeout for a watcher with followers and for the followers themselves; short, so that followers soon
 /// notice that their watcher cannot reach the store.
 const SHORT_WATCH_WAIT: Duration = Duration::from_secs(1);
+/// The same for a follower whose last watcher failed: others may have failed at the same moment, so it only asks whether
+/// this one is current.
+const FAILOVER_WATCH_WAIT: Duration = Duration::from_millis(1);
 /// Time after a response of the store within which the next call can be expected to meet the same era.
 const SAME_ERA_FOR: Millis = Millis(50);
 /// Time within which a response to a call that waits for changes is early.
@@ -59,6 +62,7 @@
 pub(crate) async fn follow<D: Dialect, F: Feed>(state: Rc<ProxyState<D, F>>) {
     let mut is_complete = false;
     let mut followed = StoreSource::Watcher;
+    let mut wait = SHORT_WATCH_WAIT;
     loop {
         let source = current_source(&state);
         if source != followed {
@@ -67,7 +71,12 @@
         }
         is_complete = match source {
             StoreSource::ViaWatcher { vm, address } => {
-                follow_watcher(&state, &vm, address).await;
+                let has_followed = follow_watcher(&state, &vm, address, wait).await;
+                wait = if has_followed {
+                    SHORT_WATCH_WAIT
+                } else {
+                    FAILOVER_WATCH_WAIT
+                };
                 true
             }
             StoreSource::Watcher => poll_store(&state, is_complete, true).await.is_complete,
@@ -185,21 +194,26 @@
     true
 }
 
-/// Makes one call to a watcher for changes of the store.
-async fn follow_watcher<D: Dialect, F>(state: &ProxyState<D, F>, vm: &VmId, address: SocketAddr) {
+/// Makes one call to a watcher for changes of the store, and returns whether it follows the store.
+async fn follow_watcher<D: Dialect, F>(
+    state: &ProxyState<D, F>,
+    vm: &VmId,
+    address: SocketAddr,
+    wait: Duration,
+) -> bool {
     let position = state.mirror.borrow().position();
-    let (failure, has_lost_store) = match state.peers.watch(address, position, SHORT_WATCH_WAIT).await {
+    let (failure, has_lost_store) = match state.peers.watch(address, position, wait).await {
         Ok(WatchOutcome::Changes { changes, recovered_ago }) => {
             if let Ok(Polled::Applied { .. }) = apply_changes(state, changes, Source::Watcher) {
                 on_store_response(state);
                 if let Some(age) = recovered_ago {
                     state.relay.borrow_mut().on_store_recovered(state.now() - age);
                 }
-                return;
+                return true;
             }
             ("other_era", false)
         }
-        Ok(WatchOutcome::HistoryGone) if copy_snapshot(state, vm, address).await => return,
+        Ok(WatchOutcome::HistoryGone) if copy_snapshot(state, vm, address).await => return true,
         Ok(WatchOutcome::HistoryGone) => ("no_snapshot", false),
         Ok(WatchOutcome::NotCurrent) => ("not_current", true),
         Err(_no_response) => ("no_answer", false),
@@ -211,6 +225,7 @@
     }
     let (vm, revision) = (vm.as_str(), position.revision);
     info!("watcher_failed", kv: { vm, failure, revision });
+    false
 }
 
 /// Serves the call of a follower: waits until the store changes after the revision `after`, `wait` expires, or the
