fix(relay): a late answer to an earlier health check does not make an endpoint warm

Found by reading, not by callers: the answer to a check set the cold time even if a later check had been answered since, so an endpoint that had just said that it is cold could count as warm.

Its test failed before ("assertion failed: sent_in_second(..) <= 3"). Only the answer to a check that began after the endpoint was suspected can shorten the cold time now; any other can only extend it.

--- a/crates/sw-relay/src/health_check.rs
+++ b/crates/sw-relay/src/health_check.rs
@@ -160,6 +160,8 @@
     }
 
     /// Records that an endpoint answered a health check that it remains cold for `cold_for`.
+    ///
+    /// Only the answer to a check that began after the endpoint was suspected can make it warm sooner.
     pub fn on_health_answer(&mut self, check: &HealthCheck, cold_for: Millis, now: Time) {
         let id = &check.endpoint.id;
         let known = self.registry.get(id);
@@ -169,8 +171,10 @@
         let suspect = self.cold_suspects.0.get(id);
         if suspect.is_some_and(|suspect| suspect.since <= check.started_at) {
             self.cold_suspects.remove(id);
+            self.registry.set_cold(id, cold_for, now);
+        } else {
+            self.registry.extend_cold(id, cold_for, now);
         }
-        self.registry.set_cold(id, cold_for, now);
     }
 
     /// Returns for how long a request that finds no endpoint waits for answers to health checks; `None` if there are none to
--- a/crates/sw-relay/tests/health_checks.rs
+++ b/crates/sw-relay/tests/health_checks.rs
@@ -87,6 +87,19 @@
     assert!(sent_in_second(&mut relay, JOINED + Millis(20)) <= 3);
 }
 
+/// Guards against a cold time that the endpoint registered after it was asked, and that its late answer ends.
+#[test]
+fn an_answer_to_an_earlier_check_does_not_shorten_a_cold_time() {
+    let mut relay = vm();
+    lose_and_regain(&mut relay, &engine(), JOINED);
+    let check = only_check(&mut relay, JOINED);
+    lose_and_regain(&mut relay, &engine(), JOINED + Millis(10));
+    let later = only_check(&mut relay, JOINED + Millis(10));
+    relay.on_health_answer(&later, COLD_FOR, JOINED + Millis(12));
+    relay.on_health_answer(&check, Millis(0), JOINED + Millis(14));
+    assert!(sent_in_second(&mut relay, JOINED + Millis(20)) <= 3);
+}
+
 /// Guards against checks without end of an endpoint that does not answer, and against a flood of them.
 #[test]
 fn an_endpoint_that_does_not_answer_is_checked_less_and_less_until_it_would_be_warm() {
