--- a/crates/sw-proxy/src/heartbeat.rs
+++ b/crates/sw-proxy/src/heartbeat.rs
@@ -1,8 +1,7 @@
 //! Heartbeats between VMs.
 //!
 //! Of two neighbours, the one with the smaller id calls the other. The other one calls only if a heartbeat is overdue.
-//! On each heartbeat and tick, a VM whose mirror of the store is empty, or that has not reached the store for a while,
-//! copies a snapshot from a VM with a newer position.
+//! On each heartbeat and tick, a VM looks whether it has to learn from another one what the store has not told it.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -17,7 +16,7 @@
 use sw_unit::{Millis, Time, Version, VmId};
 
 use crate::state::ProxyState;
-use crate::{Dialect, crash, store, telemetry};
+use crate::{Dialect, catch_up, crash, telemetry};
 
 /// Base period of heartbeats.
 pub(crate) const HEARTBEAT_PERIOD: Millis = Millis(500);
@@ -53,8 +52,7 @@
         state.connector.prune();
         log_states(&state, &exchanges);
         call_due_peers(&state, &exchanges);
-        store::copy_if_due(&state);
-        store::catch_up_if_due(&state);
+        catch_up::start_if_due(&state);
     }
 }
 
@@ -142,8 +140,7 @@
     telemetry::log_rate_limit_changes(state, "");
     telemetry::log_rejection_limit_changes(state, "");
     crash::on_evidence(state);
-    store::copy_if_due(state);
-    store::catch_up_if_due(state);
+    catch_up::start_if_due(state);
 }
 
 /// Records that another VM, which is empty if it is not known, runs `version`.
--- a/crates/sw-proxy/src/lib.rs
+++ b/crates/sw-proxy/src/lib.rs
@@ -6,6 +6,7 @@
 //! VM has a fraction of a core, so waking another thread costs more than it gains.
 
 mod attempt;
+mod catch_up;
 mod continuation;
 mod crash;
 mod dialect;
--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -1,16 +1,13 @@
 //! Follows the platform's store.
 //!
 //! The watchers of a failure domain poll the store. Its other VMs receive changes from a watcher, and poll the store
-//! themselves if no watcher is available. A VM that cannot reach the store, or that others are ahead of by a version of the
-//! configuration, copies a snapshot from a VM with a newer position. One that others are ahead of in any way gets the
-//! changes from another VM, because its own call may be without a response for seconds. When the store was restored from an
-//! older copy, watchers read all items again, and the other VMs copy their snapshots.
+//! themselves if no watcher is available. When the store was restored from an older copy, watchers read all items again, and
+//! the other VMs copy their snapshots.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use metrics::counter;
 use spdlog::prelude::*;
 use sw_peer::relay::WatchOutcome;
 use sw_relay::StoreSource;
@@ -18,6 +15,7 @@
 use sw_unit::{Millis, StoreEra, StorePosition, VmId};
 use tokio::time::Instant;
 
+use crate::catch_up::{copy_newer, copy_snapshot};
 use crate::records::Source;
 use crate::state::ProxyState;
 use crate::{Dialect, persist, records, restore};
@@ -44,15 +42,6 @@
 const STARTUP_BATCH_DELAY: Duration = Duration::from_millis(100);
 /// Time after startup or an outage during which changes are polled more often.
 const STARTUP_PERIOD: Millis = Millis(3_000);
-/// Duration of an outage after which a snapshot is copied from another VM.
-const COPY_AFTER_OUTAGE: Millis = Millis(1_000);
-/// Time behind another VM after which changes are got from it; longer than a watcher and a follower both batch changes.
-const CATCH_UP_AFTER: Millis = Millis(1_500);
-/// Number of attempts to copy the snapshot of a watcher after the store was restored, before a VM that is none reads all
-/// items itself.
-const RESTORE_COPY_ATTEMPTS: u32 = 4;
-/// Delay between these attempts.
-const RESTORE_COPY_DELAY: Duration = Duration::from_millis(300);
 /// Time after a call that ends an outage, after which the watchers have made one as well.
 const WATCHERS_BACK_AFTER: Duration = Duration::from_millis(350);
 /// Delay after a failed call.
@@ -290,127 +279,8 @@
     }
 }
 
-/// Returns a VM to copy a snapshot from, if the mirror is empty or the store has been unavailable for `after`, if another VM
-/// has run a newer version for as long (at startup: at all), or if another VM retains what the store has lost and knows more of it.
-///
-/// At startup a call to an unreachable store may take long to fail, so a snapshot is copied at the same time.
-fn copy_source<D, F>(state: &ProxyState<D, F>, after: Millis) -> Option<(VmId, SocketAddr)> {
-    let is_empty = state.mirror.borrow().is_empty();
-    let unavailable_since = state.store_unavailable_since.get();
-    let is_away = unavailable_since.is_some_and(|since| state.now().since(since) >= after);
-    let (relay, now) = (state.relay.borrow(), state.now());
-    let newer = relay.peer_with_newer_position(now).filter(|_| is_empty || is_away);
-    let copy_behind_after = if state.startup.is_over() { after } else { Millis(0) };
-    let is_behind = relay
-        .behind_for(now)
-        .is_some_and(|behind_for| behind_for >= copy_behind_after);
-    let newer = newer.or_else(|| relay.peer_with_newer_version(now).filter(|_| is_behind));
-    let retaining = relay.peer_that_retains(now).filter(|_| !is_empty);
-    let row = newer.or(retaining)?;
-    Some((row.vm.clone(), row.peer_listen))
-}
-
-/// Copies a snapshot from another VM, if that is due and no copy is in progress.
-pub(crate) fn copy_if_due<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>) {
-    if state.is_copying.get() {
-        return;
-    }
-    let Some((vm, address)) = copy_source(state, COPY_AFTER_OUTAGE) else {
-        return;
-    };
-    state.is_copying.set(true);
-    let state = Rc::clone(state);
-    tokio::task::spawn_local(async move {
-        copy_snapshot(&state, &vm, address).await;
-        state.is_copying.set(false);
-    });
-}
-
-/// Gets the changes that this VM lacks from another one, if it has been behind for a while and copies nothing.
-pub(crate) fn catch_up_if_due<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>) {
-    let behind_for = state.relay.borrow().position_behind_for(state.now());
-    let is_due = behind_for.is_some_and(|time| time >= CATCH_UP_AFTER);
-    if !is_due || state.mirror.borrow().is_empty() || state.is_copying.replace(true) {
-        return;
-    }
-    let state = Rc::clone(state);
-    tokio::task::spawn_local(async move {
-        catch_up(&state).await;
-        state.is_copying.set(false);
-    });
-}
-
-/// Gets the changes that this VM lacks from another one, or its snapshot if it no longer has them.
-async fn catch_up<D: Dialect, F>(state: &ProxyState<D, F>) {
-    let (row, behind_ms) = {
-        let (relay, now) = (state.relay.borrow(), state.now());
-        let behind_for = relay.position_behind_for(now).unwrap_or_default();
-        (relay.peer_to_catch_up_from(now).cloned(), behind_for.0)
-    };
-    let Some(row) = row else {
-        return;
-    };
-    let position = state.mirror.borrow().position();
-    let outcome = match state.peers.watch(row.peer_listen, position, Duration::ZERO).await {
-        Ok(WatchOutcome::Changes { changes, .. }) => match apply_changes(state, changes, Source::Neighbour) {
-            Ok(Polled::Applied { .. }) => "changes",
-            Ok(Polled::Restored(_)) | Err(_) => "other_era",
-        },
-        Ok(WatchOutcome::HistoryGone) if copy_snapshot(state, &row.vm, row.peer_listen).await => "snapshot",
-        Ok(WatchOutcome::HistoryGone) => "no_snapshot",
-        Ok(WatchOutcome::NotCurrent) => "not_current",
-        Err(_no_response) => "no_answer",
-    };
-    let (vm, revision) = (row.vm.as_str(), position.revision);
-    let reached = state.mirror.borrow().position().revision;
-    info!("store_caught_up", kv: { vm, outcome, behind_ms, revision, reached });
-    counter!("shallotwing_store_catch_ups_total", "outcome" => outcome).increment(1);
-}
-
-/// Copies the snapshot of another VM, and returns whether it was applied.
-async fn copy_snapshot<D: Dialect, F>(state: &ProxyState<D, F>, vm: &VmId, address: SocketAddr) -> bool {
-    let assumed = state.mirror.borrow().position().era;
-    let Ok(copy) = state.peers.store_copy(address, assumed).await else {
-        let vm = vm.as_str();
-        info!("store_copy_failed", kv: { vm });
-        return false;
-    };
-    let (vm, revision, era) = (
-        vm.as_str(),
-        copy.snapshot.position.revision,
-        copy.snapshot.position.era.0,
-    );
-    for leaving in &copy.leaving {
-        state.relay.borrow_mut().on_leaving_reported(leaving);
-    }
-    let polled = apply_snapshot(state, copy.snapshot, Source::Neighbour);
-    let applied = matches!(polled, Ok(Polled::Applied { .. }));
-    info!("store_copied", kv: { vm, revision, era, applied });
-    applied
-}
-
-/// Copies the snapshot of a VM that has reached the position `wanted`, and returns whether that succeeded; otherwise all
-/// items have to be read from the store.
-async fn copy_newer<D: Dialect, F>(state: &ProxyState<D, F>, wanted: StorePosition) -> bool {
-    for _ in 0..RESTORE_COPY_ATTEMPTS {
-        tokio::time::sleep(RESTORE_COPY_DELAY).await;
-        let source = {
-            let relay = state.relay.borrow();
-            let row = relay.peer_with_newer_position(state.now());
-            row.map(|row| (row.vm.clone(), row.peer_listen))
-        };
-        if let Some((vm, address)) = source {
-            copy_snapshot(state, &vm, address).await;
-        }
-        if state.mirror.borrow().position() >= wanted {
-            return true;
-        }
-    }
-    false
-}
-
 /// What came of a response of the store or of a watcher.
-enum Polled {
+pub(crate) enum Polled {
     /// It was applied.
     Applied {
         /// Whether an item changed.
@@ -449,7 +319,7 @@
     Ok(apply_changes(state, changes, Source::Store)?)
 }
 
-fn apply_changes<D: Dialect, F>(
+pub(crate) fn apply_changes<D: Dialect, F>(
     state: &ProxyState<D, F>,
     changes: Changes,
     source: Source,
@@ -467,7 +337,7 @@
 }
 
 /// Applies a snapshot, which may be of a later era.
-fn apply_snapshot<D: Dialect, F>(
+pub(crate) fn apply_snapshot<D: Dialect, F>(
     state: &ProxyState<D, F>,
     snapshot: Snapshot,
     source: Source,
