--- a/crates/shallotwing-daemon/src/relay.rs
+++ b/crates/shallotwing-daemon/src/relay.rs
@@ -98,6 +98,7 @@
         ready_listen: settings.ready_listen,
         directory_listen: settings.directory_listen,
         peer_listen: settings.peer_listen,
+        peer_advertise: settings.peer_advertise,
         metrics_listen: settings.metrics_listen,
         seeds: settings.seeds.clone(),
         entry_ttl: settings.entry_ttl,
--- a/crates/sw-conf/src/relay.rs
+++ b/crates/sw-conf/src/relay.rs
@@ -30,6 +30,8 @@
     pub listen: SocketAddr,
     /// Address for other VMs.
     pub peer_listen: SocketAddr,
+    /// Address that is advertised to other VMs, if it differs from `peer_listen`.
+    pub peer_advertise: Option<SocketAddr>,
     /// Peer addresses of the VMs that are contacted first after a start.
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
@@ -78,6 +80,7 @@
         let regions = regions(document.take("domain"), &mut errors);
         let (id, domain, region) = (vm.required("id"), vm.required("domain"), vm.required("region"));
         let (listen, peer_listen, seeds) = (vm.required("listen"), vm.required("peer_listen"), vm.list("seeds"));
+        let peer_advertise = vm.optional("peer_advertise");
         let (store, metrics_listen) = (relay.required("store"), relay.optional("metrics_listen"));
         let (ready_listen, directory_listen) = (relay.required("ready_listen"), relay.required("directory_listen"));
         let entry_ttl = relay.optional_or("entry_ttl_ms", DEFAULT_ENTRY_TTL);
@@ -98,6 +101,7 @@
                 region: region?,
                 listen: listen?,
                 peer_listen: peer_listen?,
+                peer_advertise,
                 seeds,
                 store: store?,
                 ready_listen: ready_listen?,
--- a/crates/sw-proxy/src/options.rs
+++ b/crates/sw-proxy/src/options.rs
@@ -24,6 +24,8 @@
     pub directory_listen: SocketAddr,
     /// Listen address for other VMs.
     pub peer_listen: SocketAddr,
+    /// Address that is advertised to other VMs, if it differs from `peer_listen`.
+    pub peer_advertise: Option<SocketAddr>,
     /// Listen address of the metrics; `None` disables them.
     pub metrics_listen: Option<SocketAddr>,
     /// Peer addresses of the VMs to contact first.
@@ -43,3 +45,10 @@
     /// Memory limit for request bodies that are being read.
     pub body_memory: Bytes,
 }
+
+impl Options {
+    /// Returns the address at which other VMs reach this one.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_advertise.unwrap_or(self.peer_listen)
+    }
+}
--- a/crates/sw-proxy/src/proxy.rs
+++ b/crates/sw-proxy/src/proxy.rs
@@ -172,7 +172,7 @@
             domain: options.domain.clone(),
             region: options.region.clone(),
             listen: options.listen,
-            peer_listen: options.peer_listen,
+            peer_listen: options.peer_address(),
             leaving: false,
             version: Version(0),
         },
--- a/crates/sw-proxy/src/startup.rs
+++ b/crates/sw-proxy/src/startup.rs
@@ -73,7 +73,7 @@
 /// Returns whether each seed has answered or failed. One answer is not enough, as it may come from a VM that has just started.
 fn has_asked<D, F>(state: &ProxyState<D, F>) -> bool {
     let (options, asked) = (state.options(), state.startup.asked_seeds.borrow());
-    let mut seeds = options.seeds.iter().filter(|seed| **seed != options.peer_listen);
+    let mut seeds = options.seeds.iter().filter(|seed| **seed != options.peer_address());
     seeds.all(|seed| asked.contains(seed))
 }
 
