--- a/crates/sw-http/src/body.rs
+++ b/crates/sw-http/src/body.rs
@@ -104,19 +104,54 @@
     read.await.unwrap_or(Err(ReadBodyError::Timeout))
 }
 
+/// Reads a body of at most `limit` bytes, however long that takes, for as long as data arrives; calls `on_data` whenever it
+/// does.
+///
+/// # Errors
+///
+/// Returns [`ReadBodyError`] if the body is too large or incomplete, or if nothing arrives for `idle_timeout`.
+pub async fn read_body_while_active<B>(
+    mut body: B,
+    limit: u64,
+    idle_timeout: Duration,
+    on_data: impl Fn(),
+) -> Result<Bytes, ReadBodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    if body.size_hint().lower() > limit {
+        return Err(ReadBodyError::TooLarge);
+    }
+    let mut buf = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout(idle_timeout, body.frame()).await;
+        let Some(frame) = frame.map_err(|_silent| ReadBodyError::Timeout)? else {
+            return Ok(buf.freeze());
+        };
+        on_data();
+        append(&mut buf, frame, limit)?;
+    }
+}
+
+/// Adds the data of a frame to a body of at most `limit` bytes.
+fn append<E>(buf: &mut BytesMut, frame: Result<Frame<Bytes>, E>, limit: u64) -> Result<(), ReadBodyError> {
+    let Ok(data) = frame.map_err(|_broken| ReadBodyError::Broken)?.into_data() else {
+        return Ok(());
+    };
+    if (buf.len() + data.len()) as u64 > limit {
+        return Err(ReadBodyError::TooLarge);
+    }
+    buf.extend_from_slice(&data);
+    Ok(())
+}
+
 async fn collect<B>(mut body: B, limit: u64) -> Result<Bytes, ReadBodyError>
 where
     B: Body<Data = Bytes> + Unpin,
 {
     let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_broken| ReadBodyError::Broken)?.into_data() else {
-            continue;
-        };
-        if (buf.len() + data.len()) as u64 > limit {
-            return Err(ReadBodyError::TooLarge);
-        }
-        buf.extend_from_slice(&data);
+        append(&mut buf, frame, limit)?;
     }
     Ok(buf.freeze())
 }
--- a/crates/sw-http/src/lib.rs
+++ b/crates/sw-http/src/lib.rs
@@ -11,7 +11,7 @@
 mod response;
 mod sse;
 
-pub use body::{BodyError, ReadBodyError, ResponseBody, channel, read_body};
+pub use body::{BodyError, ReadBodyError, ResponseBody, channel, read_body, read_body_while_active};
 pub use connect::{CallError, Connector, Exchange, ProbeError, Reuse, is_refused, probe};
 pub use json::{JsonClient, JsonError, JsonLines};
 pub use keepalive::{enable_caller_keepalive, enable_keepalive};
--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -149,10 +149,20 @@
   knowsPlacements @19 :Bool;
 }
 
+# A part of a large value.
+struct Chunk {
+  # SHA-256 digest of its content.
+  digest @0 :Data;
+  # Length of its content in bytes.
+  length @1 :UInt32;
+}
+
 struct Item {
   key @0 :Text;
   value @1 :Data;
   revision @2 :UInt64;
+  # Chunks of a large value, which is then empty; only for a receiver that takes chunks.
+  chunks @3 :List(Chunk);
 }
 
 struct Change {
@@ -249,15 +259,18 @@
   exchange @0 (beat :Beat) -> (beat :Beat);
   # The era is that of the store plus 1; 0 if the sender knows no eras. Endpoints are listed with the
   # incarnations that were seen leaving.
-  snapshot @1 () -> (revision :UInt64, items :List(Item), era :UInt64, retained :List(RetainedItem), history :List(FollowedEra), leaving :List(EndpointIncarnation));
+  # Announced are items whose large values the sender does not have yet.
+  snapshot @1 (takesChunks :Bool) -> (revision :UInt64, items :List(Item), era :UInt64, retained :List(RetainedItem), history :List(FollowedEra), leaving :List(EndpointIncarnation), announced :List(Item));
   # The version of the configuration is that by which the call is refused; 0 if the receiver does not state it.
   relay @2 (call :Call, sink :AnswerSink) -> (length :UInt64, refused :Bool, refusal :Peer.Refusal, version :UInt64);
   reserve @3 (reservation :Reservation) -> (granted :Bool, ticket :UInt64, unread :UInt64, wait :Wait, copied :UInt64, source :UInt8);
   # Rejected: by the endpoint. Given up: the endpoint may still run the request.
   release @4 (endpoint :Text, ticket :UInt64, absent :Bool, runs :Bool, rejected :Bool, givenUp :Bool) -> ();
   # The eras are that of the store plus 1; 0 if the sender knows no eras.
-  watch @5 (after :UInt64, waitMs :UInt32, era :UInt64) -> (watched :Watched, revision :UInt64, changes :List(Change), returnedMs :UInt32, era :UInt64);
+  watch @5 (after :UInt64, waitMs :UInt32, era :UInt64, takesChunks :Bool) -> (watched :Watched, revision :UInt64, changes :List(Change), returnedMs :UInt32, era :UInt64);
   noteOrigins @6 (origins :List(StreamOrigin)) -> ();
   # The origin is not set if it is not known.
   findOrigin @7 (stream :Text) -> (origin :StreamOrigin);
+  # Chunks by their digests. The list covers the first of them; a chunk that the receiver does not have is empty.
+  chunks @8 (digests :List(Data)) -> (packed :List(Data));
 }
--- a/crates/sw-peer/src/client.rs
+++ b/crates/sw-peer/src/client.rs
@@ -21,20 +21,26 @@
 pub(crate) struct PeerConnection {
     client: peer::Client,
     last_response_at: Cell<Instant>,
+    last_read_at: Rc<Cell<Instant>>,
 }
 
 impl pool::PooledConnection for PeerConnection {
     async fn connect(address: SocketAddr) -> Result<Self, PeerError> {
-        let (client, _system) = pool::connect(address).await?;
+        let opened = pool::connect(address).await?;
         Ok(Self {
-            client,
+            client: opened.client,
             last_response_at: Cell::new(Instant::now()),
+            last_read_at: opened.last_read_at,
         })
     }
 
     fn last_response_at(&self) -> &Cell<Instant> {
         &self.last_response_at
     }
+
+    fn last_read_at(&self) -> Instant {
+        self.last_read_at.get()
+    }
 }
 
 /// Makes calls to other VMs.
--- a/crates/sw-peer/src/lib.rs
+++ b/crates/sw-peer/src/lib.rs
@@ -29,6 +29,7 @@
 mod client;
 mod convert;
 mod delivery;
+mod observed;
 mod pool;
 pub mod relay;
 mod server;
--- a/crates/sw-peer/src/pool.rs
+++ b/crates/sw-peer/src/pool.rs
@@ -26,6 +26,9 @@
     /// Returns the time of the last response on the connection.
     fn last_response_at(&self) -> &Cell<Instant>;
 
+    /// Returns the time at which bytes were last received on the connection.
+    fn last_read_at(&self) -> Instant;
+
     /// Called when a call on the connection has failed and the pool has discarded it.
     fn on_discarded(_: &Rc<Self>) {}
 }
@@ -71,6 +74,42 @@
         Err(PeerError)
     }
 
+    /// Makes a call whose response may be large: it fails if nothing is received on the connection for `idle_timeout`,
+    /// however long it takes altogether.
+    ///
+    /// The connection is closed if the call fails or is given up, so that nothing more is sent on it.
+    pub(crate) async fn transfer<T>(
+        &self,
+        address: SocketAddr,
+        idle_timeout: Duration,
+        call: impl AsyncFnOnce(&C) -> Result<T, capnp::Error>,
+    ) -> Result<T, PeerError> {
+        let connection = match self.recently_active(address) {
+            Some(connection) => connection,
+            None => Rc::new(C::connect(address).await?),
+        };
+        // The pool has the connection only between transfers.
+        self.remove(address);
+        let started_at = Instant::now();
+        let silence = async {
+            loop {
+                let active_at = connection.last_read_at().max(started_at);
+                let idle_for = active_at.elapsed();
+                if idle_for >= idle_timeout {
+                    return;
+                }
+                tokio::time::sleep(idle_timeout.saturating_sub(idle_for)).await;
+            }
+        };
+        let response = tokio::select! {
+            response = call(&connection) => response.map_err(|_broken| PeerError)?,
+            () = silence => return Err(PeerError),
+        };
+        connection.last_response_at().set(Instant::now());
+        self.connections.borrow_mut().insert(address, connection);
+        Ok(response)
+    }
+
     /// Returns the pooled connection if it had a response recently.
     pub(crate) fn recently_active(&self, address: SocketAddr) -> Option<Rc<C>> {
         let connection = self.get(address)?;
@@ -106,8 +145,18 @@
     }
 }
 
-/// Connects to another VM; returns its bootstrap interface and the task that drives the connection.
-pub(crate) async fn connect<C: FromClientHook>(address: SocketAddr) -> Result<(C, AbortHandle), PeerError> {
+/// An open connection to another VM.
+pub(crate) struct Opened<C> {
+    /// The bootstrap interface of the other VM.
+    pub(crate) client: C,
+    /// The task that drives the connection.
+    pub(crate) rpc_task: AbortHandle,
+    /// The time at which bytes were last received.
+    pub(crate) last_read_at: Rc<Cell<Instant>>,
+}
+
+/// Connects to another VM.
+pub(crate) async fn connect<C: FromClientHook>(address: SocketAddr) -> Result<Opened<C>, PeerError> {
     let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let stream = connect
         .await
@@ -115,8 +164,14 @@
         .map_err(|_refused| PeerError)?;
     stream.set_nodelay(true).map_err(|_closed| PeerError)?;
     sw_http::enable_keepalive(&stream).map_err(|_closed| PeerError)?;
-    let mut system = RpcSystem::new(Box::new(crate::server::network(stream, Side::Client)), None);
+    let last_read_at = Rc::new(Cell::new(Instant::now()));
+    let network = crate::server::network(stream, Side::Client, Rc::clone(&last_read_at));
+    let mut system = RpcSystem::new(Box::new(network), None);
     let client = system.bootstrap(Side::Server);
-    let task = tokio::task::spawn_local(system);
-    Ok((client, task.abort_handle()))
+    let rpc_task = tokio::task::spawn_local(system).abort_handle();
+    Ok(Opened {
+        client,
+        rpc_task,
+        last_read_at,
+    })
 }
--- a/crates/sw-peer/src/relay/client.rs
+++ b/crates/sw-peer/src/relay/client.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use capnp::capability::Rc;
+use sw_chunk::ChunkId;
 use sw_relay::{Grant, Heartbeat, QueueEstimate, Reservation, ReservationUpdate, StreamOrigin};
 use sw_unit::{EndpointId, StoreEra, StorePosition};
 use tokio::sync::mpsc;
@@ -21,6 +22,10 @@
 
 /// Timeout of a short call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time without a received byte after which a large response is given up.
+const TRANSFER_IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// The same for chunks, which several VMs have; short, as several of them may stand still at once.
+const CHUNKS_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout of a call that waits for changes, in addition to the wait.
 const WATCH_MARGIN: Duration = Duration::from_millis(400);
 /// A discarded connection is closed if nothing is received on it for this long.
@@ -32,15 +37,17 @@
     client: relay_peer::Client,
     rpc_task: AbortHandle,
     last_response_at: Cell<Instant>,
+    last_read_at: Rc<Cell<Instant>>,
 }
 
 impl pool::PooledConnection for RelayConnection {
     async fn connect(address: SocketAddr) -> Result<Self, PeerError> {
-        let (client, rpc_task) = pool::connect(address).await?;
+        let opened = pool::connect(address).await?;
         Ok(Self {
-            client,
-            rpc_task,
+            client: opened.client,
+            rpc_task: opened.rpc_task,
             last_response_at: Cell::new(Instant::now()),
+            last_read_at: opened.last_read_at,
         })
     }
 
@@ -48,6 +55,10 @@
         &self.last_response_at
     }
 
+    fn last_read_at(&self) -> Instant {
+        self.last_read_at.get()
+    }
+
     /// Closes the connection if nothing is received on it for a while, which ends all calls on it.
     fn on_discarded(connection: &Rc<Self>) {
         let connection = Rc::downgrade(connection);
@@ -74,6 +85,8 @@
 #[derive(Clone, Default)]
 pub struct RelayClient {
     pool: ConnectionPool<RelayConnection>,
+    /// Connections for large responses, behind which no other call waits.
+    transfers: ConnectionPool<RelayConnection>,
 }
 
 impl fmt::Debug for RelayClient {
@@ -102,13 +115,35 @@
     ///
     /// # Errors
     ///
-    /// Returns [`PeerError`] if there is no response in time.
+    /// Returns [`PeerError`] if nothing is received for a while, or if the response is malformed.
     pub async fn store_copy(&self, address: SocketAddr, assumed: StoreEra) -> Result<StoreCopy, PeerError> {
         let call = async |connection: &RelayConnection| {
-            let response = connection.client.snapshot_request().send().promise.await?;
+            let mut request = connection.client.snapshot_request();
+            request.get().set_takes_chunks(true);
+            let response = request.send().promise.await?;
             store::store_copy(response.get()?, assumed)
         };
-        self.pool.call(address, CALL_TIMEOUT, call).await
+        self.transfers.transfer(address, TRANSFER_IDLE_TIMEOUT, call).await
+    }
+
+    /// Returns packed chunks from a peer: of the first of `ids`, as many as it sends at once; a chunk that the peer does
+    /// not have is empty. The chunks are not checked.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] if nothing is received for a while. A peer of an earlier build knows no chunks and fails.
+    pub async fn chunks(&self, address: SocketAddr, ids: &[ChunkId]) -> Result<Vec<Bytes>, PeerError> {
+        let call = async |connection: &RelayConnection| {
+            let mut request = connection.client.chunks_request();
+            let mut digests = request.get().init_digests(len(ids));
+            for (i, id) in (0..).zip(ids) {
+                digests.set(i, &id.digest.0);
+            }
+            let response = request.send().promise.await?;
+            let packed = response.get()?.get_packed()?.iter();
+            packed.map(|chunk| Ok(Bytes::copy_from_slice(chunk?))).collect()
+        };
+        self.transfers.transfer(address, CHUNKS_IDLE_TIMEOUT, call).await
     }
 
     /// Waits up to `wait` until a watcher has changes of the store after the position `after`; a watcher that knows no
@@ -128,6 +163,7 @@
             let mut params = request.get();
             params.set_after(after.revision);
             params.set_era(store::era_code(after.era));
+            params.set_takes_chunks(true);
             params.set_wait_ms(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX));
             let response = request.send().promise.await?;
             store::watch_outcome(response.get()?, after.era)
--- a/crates/sw-peer/src/relay/mod.rs
+++ b/crates/sw-peer/src/relay/mod.rs
@@ -15,4 +15,7 @@
 
 pub use client::RelayClient;
 pub use server::{bind, serve};
-pub use types::{CallRefusal, NotSent, RelayCall, RelayEvent, RelayHandler, StoreCopy, WatchOutcome};
+pub use types::{
+    CallRefusal, LargeValue, NotSent, RelayCall, RelayEvent, RelayHandler, StoreCopy, ValuePlace, WatchOutcome,
+    WatchQuery,
+};
--- a/crates/sw-peer/src/relay/server.rs
+++ b/crates/sw-peer/src/relay/server.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
-use super::{CallRefusal, RelayEvent, RelayHandler, convert, reservations, store};
+use super::{CallRefusal, RelayEvent, RelayHandler, WatchQuery, convert, reservations, store};
 use crate::convert::{len, parse, set_refusal, text};
 use crate::relay_capnp::{answer_sink, relay_peer};
 use crate::server::{CHUNK_WINDOW, EVENT_BUFFER, serve_connection};
@@ -61,10 +61,25 @@
 
     async fn snapshot(
         self: Rc<Self>,
-        _: relay_peer::SnapshotParams,
+        params: relay_peer::SnapshotParams,
         mut results: relay_peer::SnapshotResults,
     ) -> Result<()> {
-        store::set_store_copy(results.get(), &self.handler.store_copy());
+        let copy = self.handler.store_copy(params.get()?.get_takes_chunks());
+        let copy = copy.ok_or_else(|| capnp::Error::failed("the copy lacks a large value".to_owned()))?;
+        store::set_store_copy(results.get(), &copy)
+    }
+
+    async fn chunks(
+        self: Rc<Self>,
+        params: relay_peer::ChunksParams,
+        mut results: relay_peer::ChunksResults,
+    ) -> Result<()> {
+        let digests = params.get()?.get_digests()?.iter().map(|digest| store::digest(digest?));
+        let chunks = self.handler.chunks(&digests.collect::<Result<Vec<_>>>()?);
+        let mut packed = results.get().init_packed(len(&chunks));
+        for (i, chunk) in (0..).zip(&chunks) {
+            packed.set(i, chunk);
+        }
         Ok(())
     }
 
@@ -74,9 +89,13 @@
         mut results: relay_peer::WatchResults,
     ) -> Result<()> {
         let params = params.get()?;
-        let wait = Duration::from_millis(u64::from(params.get_wait_ms()));
-        let era = store::era(params.get_era());
-        let outcome = self.handler.watch(era, params.get_after(), wait).await;
+        let query = WatchQuery {
+            era: store::era(params.get_era()),
+            after: params.get_after(),
+            wait: Duration::from_millis(u64::from(params.get_wait_ms())),
+            takes_chunks: params.get_takes_chunks(),
+        };
+        let outcome = self.handler.watch(query).await;
         store::set_watch_outcome(results.get(), &outcome);
         Ok(())
     }
--- a/crates/sw-peer/src/relay/types.rs
+++ b/crates/sw-peer/src/relay/types.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use sw_chunk::Manifest;
 use sw_error::Refusal;
 use sw_relay::{
     Grant, Heartbeat, LeavingEndpoint, QueueEstimate, Reservation, ReservationUpdate, SoftwareVersion, StreamOrigin,
 };
-use sw_store::{Changes, Snapshot};
-use sw_unit::{EndpointId, Millis, StoreEra, Version};
+use sw_store::{AnnouncedItem, Changes, Snapshot};
+use sw_unit::{Digest, EndpointId, Millis, StoreEra, Version};
 use tokio::sync::mpsc;
 
 /// A request to forward to another VM, which sends it to at most one endpoint.
@@ -79,12 +80,47 @@
 /// A VM's copy of the platform's store, and what the VM knows beyond it.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct StoreCopy {
-    /// The copy.
+    /// The copy; large values are empty.
     pub snapshot: Snapshot,
+    /// The large values.
+    pub large: Vec<LargeValue>,
+    /// Items that were written and whose values the VM does not have yet.
+    pub announced: Vec<AnnouncedItem>,
     /// Endpoints that were seen leaving, whatever their registrations say.
     pub leaving: Vec<LeavingEndpoint>,
 }
 
+/// A large value of a copy of the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LargeValue {
+    /// Where it belongs.
+    pub place: ValuePlace,
+    /// Its chunks.
+    pub manifest: Manifest,
+}
+
+/// Place of a value in a copy of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ValuePlace {
+    /// The item at this index.
+    Item(usize),
+    /// The retained state at this index.
+    Retained(usize),
+}
+
+/// A call of a VM that follows the store through another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WatchQuery {
+    /// Era of the store that the caller is in; `None` if it knows no eras.
+    pub era: Option<StoreEra>,
+    /// Revision up to which the caller knows all changes.
+    pub after: u64,
+    /// Time to wait for changes.
+    pub wait: Duration,
+    /// Whether the caller collects large values chunk by chunk.
+    pub takes_chunks: bool,
+}
+
 /// The response of a watcher to a VM that follows the store through it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WatchOutcome {
@@ -92,6 +128,8 @@
     Changes {
         /// The changes.
         changes: Changes,
+        /// Large items that were written; their values are collected chunk by chunk.
+        announced: Vec<AnnouncedItem>,
         /// Time since the store recovered from an outage; `None` if that is long ago or there was none.
         recovered_ago: Option<Millis>,
     },
@@ -106,12 +144,14 @@
     /// Processes a peer's heartbeat and returns that of this VM.
     fn on_heartbeat(&self, heartbeat: Heartbeat) -> Heartbeat;
 
-    /// Returns this VM's copy of the platform's store.
-    fn store_copy(&self) -> StoreCopy;
+    /// Returns this VM's copy of the platform's store; `None` if a peer that takes no chunks would miss what was written.
+    fn store_copy(&self, takes_chunks: bool) -> Option<StoreCopy>;
+
+    /// Waits up to the time given for changes of the store, and returns them.
+    fn watch(&self, query: WatchQuery) -> impl Future<Output = WatchOutcome>;
 
-    /// Waits up to `wait` for changes of the store after the revision `after` of an era, and returns them. A peer that
-    /// knows no eras sends none.
-    fn watch(&self, era: Option<StoreEra>, after: u64, wait: Duration) -> impl Future<Output = WatchOutcome>;
+    /// Returns packed chunks: of the first of `digests`, as many as are sent at once; an absent one is empty.
+    fn chunks(&self, digests: &[Digest]) -> Vec<Bytes>;
 
     /// Grants or declines a slot in an engine's queue.
     ///
--- a/crates/sw-peer/src/relay_capnp.rs
+++ b/crates/sw-peer/src/relay_capnp.rs
@@ -5453,7 +5453,7 @@
     }
 }
 
-pub mod item {
+pub mod chunk {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -5515,30 +5515,22 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_key(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_digest(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_key(&self) -> bool {
+        pub fn has_digest(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_value(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_value(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
-        }
-        #[inline]
-        pub fn get_revision(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
+        pub fn get_length(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5589,44 +5581,28 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_key(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_digest(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_key(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        pub fn set_digest(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
         }
         #[inline]
-        pub fn init_key(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn init_digest(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(0).init_data(size)
         }
         #[inline]
-        pub fn has_key(&self) -> bool {
+        pub fn has_digest(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_value(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_value(&mut self, value: ::capnp::data::Reader<'_>)  {
-            self.builder.reborrow().get_pointer_field(1).set_data(value);
-        }
-        #[inline]
-        pub fn init_value(self, size: u32) -> ::capnp::data::Builder<'a> {
-            self.builder.get_pointer_field(1).init_data(size)
-        }
-        #[inline]
-        pub fn has_value(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
-        }
-        #[inline]
-        pub fn get_revision(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+        pub fn get_length(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
         }
         #[inline]
-        pub fn set_revision(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
+        pub fn set_length(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
         }
     }
 
@@ -5639,54 +5615,39 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(222, 112, 27, 104, 20, 169, 224, 175),
+            ::capnp::word(119, 145, 253, 216, 118, 111, 75, 194),
             ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 73, 116, 101, 109),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 110, 112, 58, 67, 104, 117, 110),
+            ::capnp::word(107, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(118, 97, 108, 117, 101, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5694,21 +5655,19 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 110, 103, 116, 104, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5722,14 +5681,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
-        pub(crate) const TYPE_ID: u64 = 0xafe0_a914_681b_70de;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) const TYPE_ID: u64 = 0xc24b_6f76_d8fd_9177;
     }
 }
 
-pub mod change {
+pub mod item {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -5791,22 +5750,38 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_item(self) -> ::capnp::Result<crate::relay_capnp::item::Reader<'a>> {
+        pub fn get_key(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_item(&self) -> bool {
+        pub fn has_key(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_removed(self) -> bool {
-            self.reader.get_bool_field(0)
+        pub fn get_value(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_value(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_chunks(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::chunk::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_chunks(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5857,28 +5832,60 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_item(self) -> ::capnp::Result<crate::relay_capnp::item::Builder<'a>> {
+        pub fn get_key(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_item(&mut self, value: crate::relay_capnp::item::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        pub fn set_key(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
-        pub fn init_item(self, ) -> crate::relay_capnp::item::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        pub fn init_key(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_item(&self) -> bool {
+        pub fn has_key(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_removed(self) -> bool {
-            self.builder.get_bool_field(0)
+        pub fn get_value(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_removed(&mut self, value: bool)  {
-            self.builder.set_bool_field(0, value);
+        pub fn set_value(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(1).set_data(value);
+        }
+        #[inline]
+        pub fn init_value(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(1).init_data(size)
+        }
+        #[inline]
+        pub fn has_value(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_revision(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_chunks(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::chunk::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_chunks(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::chunk::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_chunks(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::chunk::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_chunks(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
         }
     }
 
@@ -5889,66 +5896,338 @@
         }
     }
     impl Pipeline  {
-        pub fn get_item(&self) -> crate::relay_capnp::item::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 82] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(221, 168, 31, 192, 35, 242, 198, 255),
+            ::capnp::word(222, 112, 27, 104, 20, 169, 224, 175),
             ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 67, 104, 97, 110),
-            ::capnp::word(103, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 110, 112, 58, 73, 116, 101, 109),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(105, 116, 101, 109, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(222, 112, 27, 104, 20, 169, 224, 175),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 109, 111, 118, 101, 100, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 97, 108, 117, 101, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 104, 117, 110, 107, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 145, 253, 216, 118, 111, 75, 194),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <crate::relay_capnp::item::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                _ => ::capnp::introspect::panic_invalid_field_index(index),
-            }
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::struct_list::Owned<crate::relay_capnp::chunk::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,2,1];
+        pub(crate) const TYPE_ID: u64 = 0xafe0_a914_681b_70de;
+    }
+}
+
+pub mod change {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_item(self) -> ::capnp::Result<crate::relay_capnp::item::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_item(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_removed(self) -> bool {
+            self.reader.get_bool_field(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_item(self) -> ::capnp::Result<crate::relay_capnp::item::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_item(&mut self, value: crate::relay_capnp::item::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_item(self, ) -> crate::relay_capnp::item::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_item(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_removed(self) -> bool {
+            self.builder.get_bool_field(0)
+        }
+        #[inline]
+        pub fn set_removed(&mut self, value: bool)  {
+            self.builder.set_bool_field(0, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_item(&self) -> crate::relay_capnp::item::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(221, 168, 31, 192, 35, 242, 198, 255),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 67, 104, 97, 110),
+            ::capnp::word(103, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 116, 101, 109, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(222, 112, 27, 104, 20, 169, 224, 175),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 109, 111, 118, 101, 100, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::relay_capnp::item::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
         }
         pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
             ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -9434,6 +9713,8 @@
     pub type NoteOriginsResults<> = ::capnp::capability::Results<crate::relay_capnp::relay_peer::note_origins_results::Owned>;
     pub type FindOriginParams<> = ::capnp::capability::Params<crate::relay_capnp::relay_peer::find_origin_params::Owned>;
     pub type FindOriginResults<> = ::capnp::capability::Results<crate::relay_capnp::relay_peer::find_origin_results::Owned>;
+    pub type ChunksParams<> = ::capnp::capability::Params<crate::relay_capnp::relay_peer::chunks_params::Owned>;
+    pub type ChunksResults<> = ::capnp::capability::Results<crate::relay_capnp::relay_peer::chunks_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -9507,6 +9788,9 @@
         pub fn find_origin_request(&self) -> ::capnp::capability::Request<crate::relay_capnp::relay_peer::find_origin_params::Owned,crate::relay_capnp::relay_peer::find_origin_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
         }
+        pub fn chunks_request(&self) -> ::capnp::capability::Request<crate::relay_capnp::relay_peer::chunks_params::Owned,crate::relay_capnp::relay_peer::chunks_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 8, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn exchange(self: ::capnp::capability::Rc<Self>, _: ExchangeParams<>, _: ExchangeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay_peer::Server::exchange not implemented".to_string()))) }
@@ -9517,6 +9801,7 @@
         fn watch(self: ::capnp::capability::Rc<Self>, _: WatchParams<>, _: WatchResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay_peer::Server::watch not implemented".to_string()))) }
         fn note_origins(self: ::capnp::capability::Rc<Self>, _: NoteOriginsParams<>, _: NoteOriginsResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay_peer::Server::note_origins not implemented".to_string()))) }
         fn find_origin(self: ::capnp::capability::Rc<Self>, _: FindOriginParams<>, _: FindOriginResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay_peer::Server::find_origin not implemented".to_string()))) }
+        fn chunks(self: ::capnp::capability::Rc<Self>, _: ChunksParams<>, _: ChunksResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay_peer::Server::chunks not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -9554,6 +9839,7 @@
                 5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::watch(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::note_origins(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 7 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::find_origin(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                8 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::chunks(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -10045,11 +10331,15 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_takes_chunks(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10099,6 +10389,14 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_takes_chunks(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_takes_chunks(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10110,17 +10408,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(7, 134, 68, 45, 98, 5, 34, 154),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
@@ -10128,9 +10426,29 @@
                 ::capnp::word(121, 80, 101, 101, 114, 46, 115, 110),
                 ::capnp::word(97, 112, 115, 104, 111, 116, 36, 80),
                 ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 97, 107, 101, 115, 67, 104, 117),
+                ::capnp::word(110, 107, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -10142,9 +10460,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0x9a22_0562_2d44_8607;
         }
     }
@@ -10250,11 +10568,19 @@
             pub fn has_leaving(&self) -> bool {
                 !self.reader.get_pointer_field(3).is_null()
             }
+            #[inline]
+            pub fn get_announced(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::item::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_announced(&self) -> bool {
+                !self.reader.get_pointer_field(4).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 5 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10384,6 +10710,22 @@
             pub fn has_leaving(&self) -> bool {
                 !self.builder.is_pointer_field_null(3)
             }
+            #[inline]
+            pub fn get_announced(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::item::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_announced(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::item::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+            }
+            #[inline]
+            pub fn init_announced(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::item::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
+            }
+            #[inline]
+            pub fn has_announced(&self) -> bool {
+                !self.builder.is_pointer_field_null(4)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10395,17 +10737,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 126] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 146] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(114, 122, 153, 131, 88, 16, 49, 218),
                 ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 143, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
@@ -10413,49 +10755,56 @@
                 ::capnp::word(121, 80, 101, 101, 114, 46, 115, 110),
                 ::capnp::word(97, 112, 115, 104, 111, 116, 36, 82),
                 ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
-                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(189, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(181, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(209, 0, 0, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(185, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(213, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(1, 1, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(21, 1, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -10522,6 +10871,19 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 110, 110, 111, 117, 110, 99, 101),
+                ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(222, 112, 27, 104, 20, 169, 224, 175),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -10531,6 +10893,7 @@
                     3 => <::capnp::struct_list::Owned<crate::relay_capnp::retained_item::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     4 => <::capnp::struct_list::Owned<crate::relay_capnp::followed_era::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     5 => <::capnp::struct_list::Owned<crate::relay_capnp::endpoint_incarnation::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    6 => <::capnp::struct_list::Owned<crate::relay_capnp::item::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -10544,9 +10907,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,1,5,3,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,2,4,1,5,3,0];
             pub(crate) const TYPE_ID: u64 = 0xda31_1058_8399_7a72;
         }
     }
@@ -12247,6 +12610,10 @@
             pub fn get_era(self) -> u64 {
                 self.reader.get_data_field::<u64>(2)
             }
+            #[inline]
+            pub fn get_takes_chunks(self) -> bool {
+                self.reader.get_bool_field(96)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -12325,6 +12692,14 @@
             pub fn set_era(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(2, value);
             }
+            #[inline]
+            pub fn get_takes_chunks(self) -> bool {
+                self.builder.get_bool_field(96)
+            }
+            #[inline]
+            pub fn set_takes_chunks(&mut self, value: bool)  {
+                self.builder.set_bool_field(96, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -12336,7 +12711,7 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(5, 145, 227, 210, 171, 167, 103, 151),
                 ::capnp::word(22, 0, 0, 0, 1, 0, 3, 0),
@@ -12346,7 +12721,7 @@
                 ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
@@ -12354,28 +12729,35 @@
                 ::capnp::word(121, 80, 101, 101, 114, 46, 119, 97),
                 ::capnp::word(116, 99, 104, 36, 80, 97, 114, 97),
                 ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 96, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(97, 102, 116, 101, 114, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -12400,12 +12782,22 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 97, 107, 101, 115, 67, 104, 117),
+                ::capnp::word(110, 107, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -12419,9 +12811,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,3,1];
             pub(crate) const TYPE_ID: u64 = 0x9767_a7ab_d2e3_9105;
         }
     }
@@ -12716,24 +13108,403 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 114, 97, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 114, 97, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::relay_capnp::Watched as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::struct_list::Owned<crate::relay_capnp::change::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,3,1,0];
+            pub(crate) const TYPE_ID: u64 = 0xfd76_302b_9903_9750;
+        }
+    }
+
+    pub mod note_origins_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_origins(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::stream_origin::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_origins(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_origins(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::stream_origin::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_origins(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::stream_origin::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_origins(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::stream_origin::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_origins(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 38] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(176, 62, 43, 235, 41, 189, 226, 180),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 74, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 80, 101, 101, 114, 46, 110, 111),
+                ::capnp::word(116, 101, 79, 114, 105, 103, 105, 110),
+                ::capnp::word(115, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(111, 114, 105, 103, 105, 110, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(250, 22, 21, 42, 88, 149, 245, 228),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::struct_list::Owned<crate::relay_capnp::stream_origin::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xb4e2_bd29_eb2b_3eb0;
+        }
+    }
+
+    pub mod note_origins_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 18] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(148, 208, 129, 212, 202, 52, 117, 133),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 82, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 80, 101, 101, 114, 46, 110, 111),
+                ::capnp::word(116, 101, 79, 114, 105, 103, 105, 110),
+                ::capnp::word(115, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <crate::relay_capnp::Watched as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <::capnp::struct_list::Owned<crate::relay_capnp::change::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
+                ::capnp::introspect::panic_invalid_field_index(index)
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -12745,14 +13516,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,3,1,0];
-            pub(crate) const TYPE_ID: u64 = 0xfd76_302b_9903_9750;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0x8575_34ca_d481_d094;
         }
     }
 
-    pub mod note_origins_params {
+    pub mod find_origin_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -12814,11 +13585,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_origins(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::stream_origin::Owned>> {
+            pub fn get_stream(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_origins(&self) -> bool {
+            pub fn has_stream(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -12876,19 +13647,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_origins(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::stream_origin::Owned>> {
+            pub fn get_stream(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_origins(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::stream_origin::Owned>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            pub fn set_stream(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
             }
             #[inline]
-            pub fn init_origins(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::stream_origin::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            pub fn init_stream(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
             }
             #[inline]
-            pub fn has_origins(&self) -> bool {
+            pub fn has_stream(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -12902,49 +13673,44 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 38] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(176, 62, 43, 235, 41, 189, 226, 180),
+                ::capnp::word(150, 62, 142, 235, 5, 75, 139, 210),
                 ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 74, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 66, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
-                ::capnp::word(121, 80, 101, 101, 114, 46, 110, 111),
-                ::capnp::word(116, 101, 79, 114, 105, 103, 105, 110),
-                ::capnp::word(115, 36, 80, 97, 114, 97, 109, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(121, 80, 101, 101, 114, 46, 102, 105),
+                ::capnp::word(110, 100, 79, 114, 105, 103, 105, 110),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(111, 114, 105, 103, 105, 110, 115, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 116, 114, 101, 97, 109, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(250, 22, 21, 42, 88, 149, 245, 228),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::struct_list::Owned<crate::relay_capnp::stream_origin::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -12961,11 +13727,11 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xb4e2_bd29_eb2b_3eb0;
+            pub(crate) const TYPE_ID: u64 = 0xd28b_4b05_eb8e_3e96;
         }
     }
 
-    pub mod note_origins_results {
+    pub mod find_origin_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -13018,7 +13784,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -13026,11 +13792,19 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_origin(self) -> ::capnp::Result<crate::relay_capnp::stream_origin::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_origin(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -13080,6 +13854,22 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_origin(self) -> ::capnp::Result<crate::relay_capnp::stream_origin::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_origin(&mut self, value: crate::relay_capnp::stream_origin::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_origin(self, ) -> crate::relay_capnp::stream_origin::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_origin(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -13089,30 +13879,52 @@
             }
         }
         impl Pipeline  {
+            pub fn get_origin(&self) -> crate::relay_capnp::stream_origin::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 18] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(148, 208, 129, 212, 202, 52, 117, 133),
+                ::capnp::word(224, 23, 92, 63, 175, 232, 172, 166),
                 ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 82, 1, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 74, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
-                ::capnp::word(121, 80, 101, 101, 114, 46, 110, 111),
-                ::capnp::word(116, 101, 79, 114, 105, 103, 105, 110),
-                ::capnp::word(115, 36, 82, 101, 115, 117, 108, 116),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(121, 80, 101, 101, 114, 46, 102, 105),
+                ::capnp::word(110, 100, 79, 114, 105, 103, 105, 110),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(111, 114, 105, 103, 105, 110, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(250, 22, 21, 42, 88, 149, 245, 228),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <crate::relay_capnp::stream_origin::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -13124,14 +13936,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0x8575_34ca_d481_d094;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xa6ac_e8af_3f5c_17e0;
         }
     }
 
-    pub mod find_origin_params {
+    pub mod chunks_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -13193,11 +14005,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_stream(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            pub fn get_digests(self) -> ::capnp::Result<::capnp::data_list::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_stream(&self) -> bool {
+            pub fn has_digests(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -13255,19 +14067,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_stream(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            pub fn get_digests(self) -> ::capnp::Result<::capnp::data_list::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_stream(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            pub fn set_digests(&mut self, value: ::capnp::data_list::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_stream(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(0).init_text(size)
+            pub fn init_digests(self, size: u32) -> ::capnp::data_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
             }
             #[inline]
-            pub fn has_stream(&self) -> bool {
+            pub fn has_digests(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -13281,14 +14093,14 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(150, 62, 142, 235, 5, 75, 139, 210),
+                ::capnp::word(163, 226, 69, 170, 193, 142, 209, 201),
                 ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 66, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
@@ -13296,29 +14108,33 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
-                ::capnp::word(121, 80, 101, 101, 114, 46, 102, 105),
-                ::capnp::word(110, 100, 79, 114, 105, 103, 105, 110),
-                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(121, 80, 101, 101, 114, 46, 99, 104),
+                ::capnp::word(117, 110, 107, 115, 36, 80, 97, 114),
+                ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(115, 116, 114, 101, 97, 109, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 105, 103, 101, 115, 116, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -13335,11 +14151,11 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xd28b_4b05_eb8e_3e96;
+            pub(crate) const TYPE_ID: u64 = 0xc9d1_8ec1_aa45_e2a3;
         }
     }
 
-    pub mod find_origin_results {
+    pub mod chunks_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -13401,11 +14217,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_origin(self) -> ::capnp::Result<crate::relay_capnp::stream_origin::Reader<'a>> {
+            pub fn get_packed(self) -> ::capnp::Result<::capnp::data_list::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_origin(&self) -> bool {
+            pub fn has_packed(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -13463,19 +14279,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_origin(self) -> ::capnp::Result<crate::relay_capnp::stream_origin::Builder<'a>> {
+            pub fn get_packed(self) -> ::capnp::Result<::capnp::data_list::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_origin(&mut self, value: crate::relay_capnp::stream_origin::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_packed(&mut self, value: ::capnp::data_list::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_origin(self, ) -> crate::relay_capnp::stream_origin::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn init_packed(self, size: u32) -> ::capnp::data_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
             }
             #[inline]
-            pub fn has_origin(&self) -> bool {
+            pub fn has_packed(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -13487,30 +14303,26 @@
             }
         }
         impl Pipeline  {
-            pub fn get_origin(&self) -> crate::relay_capnp::stream_origin::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(224, 23, 92, 63, 175, 232, 172, 166),
+                ::capnp::word(117, 96, 81, 7, 123, 38, 132, 192),
                 ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 74, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
-                ::capnp::word(121, 80, 101, 101, 114, 46, 102, 105),
-                ::capnp::word(110, 100, 79, 114, 105, 103, 105, 110),
-                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(121, 80, 101, 101, 114, 46, 99, 104),
+                ::capnp::word(117, 110, 107, 115, 36, 82, 101, 115),
+                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -13518,19 +14330,23 @@
                 ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(111, 114, 105, 103, 105, 110, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(250, 22, 21, 42, 88, 149, 245, 228),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 97, 99, 107, 101, 100, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::relay_capnp::stream_origin::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -13547,7 +14363,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xa6ac_e8af_3f5c_17e0;
+            pub(crate) const TYPE_ID: u64 = 0xc084_267b_0751_6075;
         }
     }
 }
--- a/crates/sw-peer/src/server.rs
+++ b/crates/sw-peer/src/server.rs
@@ -1,6 +1,8 @@
 //! Incoming calls from other VMs.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use bytes::Bytes;
 use capnp::capability::Rc;
@@ -12,6 +14,7 @@
 use tokio::sync::mpsc;
 use tokio_util::compat::{TokioAsyncReadCompatExt as _, TokioAsyncWriteCompatExt as _};
 
+use crate::observed::ObservedReader;
 use crate::peer_capnp::{peer, sink};
 use crate::{ForwardEvent, Handler, convert};
 
@@ -43,18 +46,19 @@
 
 /// Serves a connection with `main` as the bootstrap interface.
 pub(crate) async fn serve_connection(stream: TcpStream, main: capnp::capability::Client) {
-    let network = network(stream, Side::Server);
+    let network = network(stream, Side::Server, Rc::new(Cell::new(Instant::now())));
     // An error ends only this connection; the peer opens a new one.
     let _closed = RpcSystem::new(Box::new(network), Some(main)).await;
 }
 
-/// Returns the RPC network of a connection.
-pub(crate) fn network(
-    stream: TcpStream,
-    side: Side,
-) -> twoparty::VatNetwork<BufReader<tokio_util::compat::Compat<tokio::net::tcp::OwnedReadHalf>>> {
+/// The reading half of a connection.
+type Reader = BufReader<ObservedReader<tokio_util::compat::Compat<tokio::net::tcp::OwnedReadHalf>>>;
+
+/// Returns the RPC network of a connection; `last_read_at` is set whenever bytes are received.
+pub(crate) fn network(stream: TcpStream, side: Side, last_read_at: Rc<Cell<Instant>>) -> twoparty::VatNetwork<Reader> {
     let (reader, writer) = stream.into_split();
-    let (reader, writer) = (BufReader::new(reader.compat()), BufWriter::new(writer.compat_write()));
+    let reader = ObservedReader::new(reader.compat(), last_read_at);
+    let (reader, writer) = (BufReader::new(reader), BufWriter::new(writer.compat_write()));
     twoparty::VatNetwork::new(reader, writer, side, capnp::message::ReaderOptions::default())
 }
 
--- a/crates/sw-peer/tests/forwarded_responses.rs
+++ b/crates/sw-peer/tests/forwarded_responses.rs
@@ -4,9 +4,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use sw_peer::relay::{RelayCall, RelayClient, RelayEvent, RelayHandler, StoreCopy, WatchOutcome, bind, serve};
+use sw_peer::relay::{
+    RelayCall, RelayClient, RelayEvent, RelayHandler, StoreCopy, WatchOutcome, WatchQuery, bind, serve,
+};
 use sw_relay::{Grant, Heartbeat, QueueEstimate, Reservation, ReservationUpdate, StreamOrigin};
-use sw_unit::{EndpointId, Millis, StoreEra, Version};
+use sw_unit::{Digest, EndpointId, Millis, Version};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -29,14 +31,18 @@
         heartbeat
     }
 
-    fn store_copy(&self) -> StoreCopy {
-        StoreCopy::default()
+    fn store_copy(&self, _: bool) -> Option<StoreCopy> {
+        None
     }
 
-    async fn watch(&self, _: Option<StoreEra>, _: u64, _: Duration) -> WatchOutcome {
+    async fn watch(&self, _: WatchQuery) -> WatchOutcome {
         WatchOutcome::NotCurrent
     }
 
+    fn chunks(&self, _: &[Digest]) -> Vec<Bytes> {
+        Vec::new()
+    }
+
     fn reserve(&self, _: &Reservation) -> Result<Grant, QueueEstimate> {
         unreachable!("nothing is reserved")
     }
--- a/crates/sw-proxy/src/catch_up.rs
+++ b/crates/sw-proxy/src/catch_up.rs
@@ -16,7 +16,8 @@
 use crate::Dialect;
 use crate::records::Source;
 use crate::state::ProxyState;
-use crate::store::{Polled, apply_changes, apply_snapshot};
+use crate::store::{Polled, apply_snapshot, apply_watched};
+use crate::transfer;
 
 /// Duration of an outage after which a snapshot is copied from another VM.
 const COPY_AFTER_OUTAGE: Millis = Millis(1_000);
@@ -88,10 +89,12 @@
     };
     let position = state.mirror.borrow().position();
     let outcome = match state.peers.watch(row.peer_listen, position, Duration::ZERO).await {
-        Ok(WatchOutcome::Changes { changes, .. }) => match apply_changes(state, changes, Source::Neighbour) {
-            Ok(Polled::Applied { .. }) => "changes",
-            Ok(Polled::Restored(_)) | Err(_) => "other_era",
-        },
+        Ok(WatchOutcome::Changes { changes, announced, .. }) => {
+            match apply_watched(state, changes, announced, Source::Neighbour) {
+                Ok(Polled::Applied { .. }) => "changes",
+                Ok(Polled::Restored(_)) | Err(_) => "other_era",
+            }
+        }
         Ok(WatchOutcome::HistoryGone) if copy_snapshot(state, &row.vm, row.peer_listen).await => "snapshot",
         Ok(WatchOutcome::HistoryGone) => "no_snapshot",
         Ok(WatchOutcome::NotCurrent) => "not_current",
@@ -106,21 +109,23 @@
 /// Copies the snapshot of another VM, and returns whether it was applied.
 pub(crate) async fn copy_snapshot<D: Dialect, F>(state: &ProxyState<D, F>, vm: &VmId, address: SocketAddr) -> bool {
     let assumed = state.mirror.borrow().position().era;
-    let Ok(copy) = state.peers.store_copy(address, assumed).await else {
-        let vm = vm.as_str();
+    let vm = vm.as_str();
+    let Ok(mut copy) = state.peers.store_copy(address, assumed).await else {
         info!("store_copy_failed", kv: { vm });
         return false;
     };
-    let (vm, revision, era) = (
-        vm.as_str(),
-        copy.snapshot.position.revision,
-        copy.snapshot.position.era.0,
-    );
+    if !transfer::fill_snapshot(state, &mut copy.snapshot, copy.large, address).await {
+        info!("store_copy_incomplete", kv: { vm });
+        return false;
+    }
+    let position = copy.snapshot.position;
+    let (revision, era) = (position.revision, position.era.0);
     for leaving in &copy.leaving {
         state.relay.borrow_mut().on_leaving_reported(leaving);
     }
     let polled = apply_snapshot(state, copy.snapshot, Source::Neighbour);
     let applied = matches!(polled, Ok(Polled::Applied { .. }));
+    transfer::announce(state, copy.announced, position.era);
     info!("store_copied", kv: { vm, revision, era, applied });
     applied
 }
--- a/crates/sw-proxy/src/lib.rs
+++ b/crates/sw-proxy/src/lib.rs
@@ -35,6 +35,7 @@
 mod store;
 mod stream;
 mod telemetry;
+mod transfer;
 
 pub use dialect::{AttemptHeaders, Dialect, DirectoryQuery, HeadError, HealthAnswer, Rejection, ResponseHead};
 pub use malformed::MalformedItems;
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -2,25 +2,24 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::{Method, Request, Uri};
 use sw_error::{Kind, Refusal};
-use sw_peer::relay::{CallRefusal, RelayCall, RelayEvent, RelayHandler, StoreCopy, WatchOutcome};
+use sw_peer::relay::{CallRefusal, RelayCall, RelayEvent, RelayHandler, StoreCopy, WatchOutcome, WatchQuery};
 use sw_relay::{
     Grant, Heartbeat, QueueEstimate, Replication, Reservation, ReservationUpdate, SoftwareVersion, StreamOrigin,
 };
 use sw_store::Feed;
-use sw_unit::{EndpointId, StoreEra};
+use sw_unit::{Digest, EndpointId};
 use tokio::sync::mpsc;
 
 use crate::attempt::BufferedRequest;
 use crate::forward::{MAX_HOPS, header_list, header_map};
 use crate::request::{HttpResponse, send_with_retries};
 use crate::state::{ActiveGuard, ProxyState};
-use crate::{Dialect, heartbeat, resumption, store, telemetry};
+use crate::{Dialect, heartbeat, resumption, store, telemetry, transfer};
 
 /// Handles calls from other VMs.
 pub(crate) struct PeerHandler<D, F>(pub(crate) Rc<ProxyState<D, F>>);
@@ -38,15 +37,31 @@
         self.0.relay.borrow().heartbeat(Some(&from), self.0.now())
     }
 
-    fn store_copy(&self) -> StoreCopy {
-        StoreCopy {
-            snapshot: self.0.mirror.borrow().snapshot(self.0.now()),
-            leaving: self.0.relay.borrow().registry().leaving().collect(),
+    fn store_copy(&self, takes_chunks: bool) -> Option<StoreCopy> {
+        let mut snapshot = self.0.mirror.borrow().snapshot(self.0.now());
+        let announced: Vec<_> = self.0.mirror.borrow().announced().cloned().collect();
+        if !takes_chunks && !announced.is_empty() {
+            return None;
         }
+        let large = if takes_chunks {
+            transfer::take_large_of_snapshot(&self.0, &mut snapshot)
+        } else {
+            Vec::new()
+        };
+        Some(StoreCopy {
+            snapshot,
+            large,
+            announced,
+            leaving: self.0.relay.borrow().registry().leaving().collect(),
+        })
+    }
+
+    async fn watch(&self, query: WatchQuery) -> WatchOutcome {
+        store::serve_watch(&self.0, query).await
     }
 
-    async fn watch(&self, era: Option<StoreEra>, after: u64, wait: Duration) -> WatchOutcome {
-        store::serve_watch(&self.0, era, after, wait).await
+    fn chunks(&self, digests: &[Digest]) -> Vec<Bytes> {
+        transfer::send_chunks(&self.0, digests)
     }
 
     fn reserve(&self, reservation: &Reservation) -> Result<Grant, QueueEstimate> {
--- a/crates/sw-proxy/src/proxy.rs
+++ b/crates/sw-proxy/src/proxy.rs
@@ -19,6 +19,7 @@
 use crate::state::{Lifecycle, ProxyState};
 use crate::{
     Dialect, Options, directory, health, heartbeat, listener, paths, persist, request, restore, startup, store,
+    transfer,
 };
 
 /// Missed heartbeats after which a VM is suspect.
@@ -105,6 +106,7 @@
         }
         tokio::task::spawn_local(serve_peers(peer_listener, Rc::clone(&state)));
         tokio::task::spawn_local(store::follow(Rc::clone(&state)));
+        tokio::task::spawn_local(transfer::run(Rc::clone(&state)));
         tokio::task::spawn_local(restore::run(Rc::clone(&state)));
         tokio::task::spawn_local(persist::run(Rc::clone(&state)));
         tokio::task::spawn_local(heartbeat::run(Rc::clone(&state)));
--- a/crates/sw-proxy/src/state.rs
+++ b/crates/sw-proxy/src/state.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use indexmap::IndexSet;
+use sw_chunk::ChunkStore;
 use sw_http::Connector;
 use sw_peer::relay::RelayClient;
 use sw_relay::{AdmittedRequest, NewsScope, Relay};
@@ -62,6 +63,10 @@
     pub(crate) timer: TimerService<BootClock>,
     pub(crate) relay: RefCell<Relay>,
     pub(crate) mirror: RefCell<Mirror<D>>,
+    /// Chunks of large items.
+    pub(crate) chunks: RefCell<ChunkStore>,
+    /// Notified when a large item was announced, whose value is to be collected.
+    pub(crate) item_announced: Notify,
     /// Items of the mirror that cannot be decoded.
     pub(crate) malformed: RefCell<MalformedItems>,
     pub(crate) connector: Connector,
@@ -137,6 +142,8 @@
             idle: Notify::new(),
             drain_started: Notify::new(),
             quarantine_changed: Notify::new(),
+            chunks: RefCell::default(),
+            item_announced: Notify::new(),
             path_lost: Notify::new(),
             cold_suspected: Notify::new(),
             health_answered: Notify::new(),
--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -9,16 +9,16 @@
 use std::time::Duration;
 
 use spdlog::prelude::*;
-use sw_peer::relay::WatchOutcome;
+use sw_peer::relay::{WatchOutcome, WatchQuery};
 use sw_relay::StoreSource;
-use sw_store::{Applied, Changes, Feed, FeedError, Snapshot, StoreError};
-use sw_unit::{Millis, StoreEra, StorePosition, VmId};
+use sw_store::{AnnouncedItem, Applied, Changes, Feed, FeedError, Snapshot, StoreError};
+use sw_unit::{Millis, StoreEra, StorePosition, Time, VmId};
 use tokio::time::Instant;
 
 use crate::catch_up::{copy_newer, copy_snapshot};
 use crate::records::Source;
 use crate::state::ProxyState;
-use crate::{Dialect, persist, records, restore};
+use crate::{Dialect, persist, records, restore, transfer};
 
 /// Long-poll timeout for changes.
 const WATCH_WAIT: Duration = Duration::from_secs(4);
@@ -109,14 +109,15 @@
     let revision = position.revision;
     let wait = watch_wait(state, is_watcher);
     let result = if is_complete {
-        wait_for_changes(state, position, wait).await
+        wait_for_changes(state, position, wait).await.map(Some)
     } else {
-        read_all(state).await
+        read_all_unless_copied(state).await
     };
     let has_response = !matches!(result, Err(FeedError::Store(_)));
     let is_complete = match result {
-        Ok(Polled::Restored(era)) => !is_watcher && copy_newer(state, StorePosition::new(era, 0)).await,
-        Ok(Polled::Applied { is_change }) => {
+        Ok(None) => true,
+        Ok(Some(Polled::Restored(era))) => !is_watcher && copy_newer(state, StorePosition::new(era, 0)).await,
+        Ok(Some(Polled::Applied { is_change })) => {
             state.store_responded_at.set(Some(state.now()));
             // Changes that this VM does not follow end the wait as well.
             let is_early = !wait.is_zero() && state.now().since(called_at) < EARLY_RESPONSE;
@@ -192,8 +193,12 @@
 ) -> bool {
     let position = state.mirror.borrow().position();
     let (failure, has_lost_store) = match state.peers.watch(address, position, wait).await {
-        Ok(WatchOutcome::Changes { changes, recovered_ago }) => {
-            if let Ok(Polled::Applied { .. }) = apply_changes(state, changes, Source::Watcher) {
+        Ok(WatchOutcome::Changes {
+            changes,
+            announced,
+            recovered_ago,
+        }) => {
+            if let Ok(Polled::Applied { .. }) = apply_watched(state, changes, announced, Source::Watcher) {
                 on_store_response(state);
                 if let Some(age) = recovered_ago {
                     state.relay.borrow_mut().on_store_recovered(state.now() - age);
@@ -217,41 +222,29 @@
     false
 }
 
-/// Serves the call of a follower: waits until the store changes after the revision `after`, `wait` expires, or the
-/// mirror is no longer current. A follower that knows no eras is in that of the mirror.
+/// Serves the call of a follower: waits until the store changes, the wait expires, or the mirror is no longer current. A
+/// follower that knows no eras is in that of the mirror.
 ///
 /// A caller that does not wait is behind, and gets the known changes even if the mirror is not current.
-pub(crate) async fn serve_watch<D, F>(
-    state: &ProxyState<D, F>,
-    era: Option<StoreEra>,
-    after: u64,
-    wait: Duration,
-) -> WatchOutcome {
-    let end = state.now() + Millis(wait.as_millis() as u64);
+pub(crate) async fn serve_watch<D, F: Feed>(state: &ProxyState<D, F>, query: WatchQuery) -> WatchOutcome {
+    let end = state.now() + Millis(query.wait.as_millis() as u64);
     let position = state.mirror.borrow().position();
-    let asked = StorePosition::new(era.unwrap_or(position.era), after);
-    if wait.is_zero() && position > asked {
-        return changes_since(state, asked);
+    let asked = StorePosition::new(query.era.unwrap_or(position.era), query.after);
+    if query.wait.is_zero() && position > asked {
+        return changes_since(state, asked, query.takes_chunks);
     }
     loop {
         let now = state.now();
-        let responded_at = state
-            .store_responded_at
-            .get()
-            .filter(|_| state.store_unavailable_since.get().is_none());
-        let Some(stale_at) = responded_at
-            .map(|at| at + STALE_AFTER)
-            .filter(|stale_at| now < *stale_at)
-        else {
+        let Some(stale_at) = current_until(state).filter(|stale_at| now < *stale_at) else {
             return WatchOutcome::NotCurrent;
         };
         let position = state.mirror.borrow().position();
-        let after = StorePosition::new(era.unwrap_or(position.era), after);
+        let after = StorePosition::new(query.era.unwrap_or(position.era), query.after);
         if after.era > position.era {
             return WatchOutcome::NotCurrent;
         }
         if position > after || now >= end {
-            return changes_since(state, after);
+            return changes_since(state, after, query.takes_chunks);
         }
         let wait = end.min(stale_at).since(now);
         // The loop checks the current state in either case.
@@ -259,14 +252,47 @@
     }
 }
 
+/// Returns the time until which the mirror counts as current, unless the store is heard of before; `None` while the store
+/// is unavailable. A response that is being received counts as well.
+fn current_until<D, F: Feed>(state: &ProxyState<D, F>) -> Option<Time> {
+    if state.store_unavailable_since.get().is_some() {
+        return None;
+    }
+    let received_at = state
+        .feed
+        .received_ago()
+        .map(|ago| state.now() - Millis(ago.as_millis() as u64));
+    let responded_at = state.store_responded_at.get()?;
+    Some(received_at.map_or(responded_at, |at| at.max(responded_at)) + STALE_AFTER)
+}
+
 /// Returns the changes after the position `after` from the mirror.
-fn changes_since<D, F>(state: &ProxyState<D, F>, after: StorePosition) -> WatchOutcome {
+fn changes_since<D, F>(state: &ProxyState<D, F>, after: StorePosition, takes_chunks: bool) -> WatchOutcome {
     let recovered_ago = state.store_recovered_at.get().map(|at| state.now().since(at));
     let changes = state.mirror.borrow().changes_since(after);
-    changes.map_or(WatchOutcome::HistoryGone, |changes| WatchOutcome::Changes {
+    let Some(mut changes) = changes else {
+        return WatchOutcome::HistoryGone;
+    };
+    let mut announced = if takes_chunks {
+        transfer::take_large(state, &mut changes)
+    } else {
+        Vec::new()
+    };
+    let mirror = state.mirror.borrow();
+    announced.extend(
+        mirror
+            .announced()
+            .filter(|item| item.revision > after.revision)
+            .cloned(),
+    );
+    if !takes_chunks && !announced.is_empty() {
+        return WatchOutcome::NotCurrent;
+    }
+    WatchOutcome::Changes {
         changes,
+        announced,
         recovered_ago: recovered_ago.filter(|age| *age < REPORT_RECOVERY_FOR),
-    })
+    }
 }
 
 /// Returns the delay after changes.
@@ -290,8 +316,25 @@
     Restored(StoreEra),
 }
 
+/// Reads all items of the store; gives up, and returns `None`, if the mirror is empty and gets a copy from another VM
+/// first.
+async fn read_all_unless_copied<D: Dialect, F: Feed>(state: &ProxyState<D, F>) -> Result<Option<Polled>, FeedError> {
+    if !state.mirror.borrow().is_empty() {
+        return read_all(state).await.map(Some);
+    }
+    let copied = async {
+        while state.mirror.borrow().is_empty() {
+            state.store_changed.notified().await;
+        }
+    };
+    tokio::select! {
+        polled = read_all(state) => polled.map(Some),
+        () = copied => Ok(None),
+    }
+}
+
 /// Reads all items of the store, and applies them.
-async fn read_all<D: Dialect, F: Feed>(state: &ProxyState<D, F>) -> Result<Polled, FeedError> {
+pub(crate) async fn read_all<D: Dialect, F: Feed>(state: &ProxyState<D, F>) -> Result<Polled, FeedError> {
     let mut snapshot = state.feed.read_snapshot().await?;
     snapshot.position.era = restore::stated_era(state, snapshot.position.era);
     let is_older = snapshot.position < state.mirror.borrow().position();
@@ -319,6 +362,22 @@
     Ok(apply_changes(state, changes, Source::Store)?)
 }
 
+/// Applies the changes of another VM, and records the large items that it announced.
+pub(crate) fn apply_watched<D: Dialect, F>(
+    state: &ProxyState<D, F>,
+    changes: Changes,
+    announced: Vec<AnnouncedItem>,
+    source: Source,
+) -> Result<Polled, StoreError> {
+    let era = changes.position.era;
+    let polled = apply_changes(state, changes, source);
+    if matches!(polled, Ok(Polled::Applied { .. })) {
+        transfer::announce(state, announced, era);
+    }
+    polled
+}
+
+/// Applies changes of the mirror's era.
 pub(crate) fn apply_changes<D: Dialect, F>(
     state: &ProxyState<D, F>,
     changes: Changes,
--- a/crates/sw-relay/src/store_state.rs
+++ b/crates/sw-relay/src/store_state.rs
@@ -3,6 +3,8 @@
 //! A VM without the store copies the snapshot of another one, and a VM that missed what the store has lost copies the
 //! states that others retain. A VM in an earlier era copies from one in a later era, never the other way.
 
+use std::net::SocketAddr;
+
 use sw_member::{VmRow, rendezvous_score};
 use sw_unit::{Millis, StorePosition, Time, VmId};
 
@@ -68,6 +70,27 @@
         })
     }
 
+    /// Returns the addresses of the VMs from which this one collects large values: the nearest live ones, in another order
+    /// for each VM.
+    pub fn transfer_sources(&self, count: usize, now: Time) -> Vec<SocketAddr> {
+        let local = self.members.local();
+        let live = self.members.peers().filter(|row| self.is_live(&row.vm, now));
+        let mut rows: Vec<_> = live.collect();
+        rows.sort_by_cached_key(|row| {
+            let distance = (row.domain != local.domain, row.region != local.region);
+            (distance, rendezvous_score(&local.vm, &row.vm))
+        });
+        rows.into_iter().take(count).map(|row| row.peer_listen).collect()
+    }
+
+    /// Returns the number of live VMs of the failure domain that rank higher than this one.
+    pub fn domain_rank(&self, now: Time) -> usize {
+        let local = self.members.local();
+        let score = rendezvous_score("store", &local.vm);
+        let live = self.members.live_vms(&local.domain, now);
+        live.filter(|row| rendezvous_score("store", &row.vm) > score).count()
+    }
+
     /// Records that the store was restored from an older copy: endpoints get time to register again, and what this VM
     /// wrote is written again, except the software versions if the store still has their record. Returns how much that is.
     pub fn on_store_restored(&mut self, has_software: bool, now: Time) -> Rewritten {
--- a/crates/sw-store/src/feed.rs
+++ b/crates/sw-store/src/feed.rs
@@ -75,6 +75,9 @@
     /// Returns [`FeedError`].
     fn changes(&self, revision: u64, wait: Duration) -> impl Future<Output = Result<Changes, FeedError>>;
 
+    /// Returns the time since bytes of a response were last received; `None` if there were none.
+    fn received_ago(&self) -> Option<Duration>;
+
     /// Writes an item that was last changed at `revision`; 0 if it does not exist.
     ///
     /// # Errors
--- a/crates/sw-store/src/item.rs
+++ b/crates/sw-store/src/item.rs
@@ -1,5 +1,7 @@
 //! Items of a followed store and their changes.
 
+use sw_chunk::Manifest;
+
 /// A key with its value.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Item {
@@ -25,6 +27,17 @@
     },
 }
 
+/// A large item that was written, and whose value has to be collected chunk by chunk.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnnouncedItem {
+    /// The key.
+    pub key: String,
+    /// The store's revision after it was written.
+    pub revision: u64,
+    /// The chunks of its value.
+    pub manifest: Manifest,
+}
+
 impl Change {
     /// Returns the key.
     pub fn key(&self) -> &str {
--- a/crates/sw-store/src/lib.rs
+++ b/crates/sw-store/src/lib.rs
@@ -26,7 +26,7 @@
 pub use era_history::{EraHistory, FollowedEra};
 pub use etcd::{Etcd, WatchStream};
 pub use feed::{Changes, Feed, FeedError, Snapshot};
-pub use item::{Change, Item, ItemRules, Rank, Writer};
+pub use item::{AnnouncedItem, Change, Item, ItemRules, Rank, Writer};
 pub use lease::{Lease, acquire_lease};
 pub use mirror::{Applied, Mirror, Settled, SettledBy};
 pub use publish::{
--- a/crates/sw-store/src/mirror.rs
+++ b/crates/sw-store/src/mirror.rs
@@ -12,7 +12,7 @@
 use crate::item::ItemRules;
 use crate::replica::Replica;
 use crate::retained::{self, Known, RetainFor, Retained};
-use crate::{Change, Changes, Item, Snapshot, Writer};
+use crate::{AnnouncedItem, Change, Changes, Item, Snapshot, Writer};
 
 /// The result of applying changes or a snapshot to a mirror.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -109,6 +109,11 @@
         !self.retained.contains_key(key) && self.replica.get(key).is_some()
     }
 
+    /// Returns the value of a key in the store.
+    pub fn stored_value(&self, key: &str) -> Option<&[u8]> {
+        self.replica.get(key).map(|item| item.value.as_slice())
+    }
+
     /// Returns the revision of the last change of a key in the store; 0 if the store does not have it.
     pub fn stored_revision(&self, key: &str) -> u64 {
         let stored = self.replica.get(key).filter(|_| self.is_stored(key));
@@ -132,6 +137,17 @@
         same_era.then(|| self.replica.changes_since(after.revision)).flatten()
     }
 
+    /// Returns the items that were written and whose values are not here yet.
+    pub fn announced(&self) -> impl Iterator<Item = &AnnouncedItem> {
+        self.replica.announced()
+    }
+
+    /// Records that a large item was written in the current era, and returns whether that is news. Its value is applied
+    /// like any change once it is here.
+    pub fn announce(&mut self, announced: AnnouncedItem) -> bool {
+        self.replica.announce(announced)
+    }
+
     /// Returns the items and the retained states, for another mirror.
     pub fn snapshot(&self, now: Time) -> Snapshot {
         Snapshot {
--- a/crates/sw-store/src/replica.rs
+++ b/crates/sw-store/src/replica.rs
@@ -1,7 +1,8 @@
 //! Exact copy of the items of a followed store in one era.
 //!
 //! Revisions in the copy never decrease: an item that is older than the one in the copy is ignored. A snapshot replaces
-//! the copy, except for items that were written after the snapshot was started.
+//! the copy, except for items that were written after the snapshot was started. The position does not wait for large
+//! values: a large item that was written is *announced* until its value is here, and the copy shows its earlier state.
 
 use std::collections::VecDeque;
 
@@ -9,7 +10,7 @@
 use sw_unit::{StoreEra, StorePosition};
 
 use crate::era_history::FollowedEra;
-use crate::{Change, Changes, Item, Rank};
+use crate::{AnnouncedItem, Change, Changes, Item, Rank};
 
 /// Maximum number of recorded removals; the oldest are dropped.
 const MAX_REMOVED: usize = 1_024;
@@ -29,6 +30,8 @@
     era: StoreEra,
     revision: u64,
     items: IndexMap<String, Item>,
+    /// Items that were written after the state in `items`, and whose values are not here yet.
+    announced: IndexMap<String, AnnouncedItem>,
     /// Recorded removals, oldest first.
     removed: VecDeque<Removal>,
     /// The revision after which the recorded removals are complete.
@@ -43,6 +46,7 @@
             era: position.era,
             revision: position.revision,
             items,
+            announced: IndexMap::new(),
             removed: VecDeque::new(),
             complete_after: position.revision,
             first_revision: position.revision,
@@ -76,6 +80,33 @@
         self.items.values()
     }
 
+    /// Returns the items whose values are not here yet.
+    pub(crate) fn announced(&self) -> impl Iterator<Item = &AnnouncedItem> {
+        self.announced.values()
+    }
+
+    /// Records that an item was written, and returns whether that is news.
+    pub(crate) fn announce(&mut self, announced: AnnouncedItem) -> bool {
+        let known = self.items.get(&announced.key).map(|item| item.revision);
+        let known = known.max(self.announced.get(&announced.key).map(|known| known.revision));
+        let is_news = known.is_none_or(|known| known < announced.revision);
+        if is_news {
+            self.announced.insert(announced.key.clone(), announced);
+        }
+        is_news
+    }
+
+    /// Forgets an announcement that a state of its key at `revision` supersedes.
+    fn supersede(&mut self, key: &str, revision: u64) {
+        if self
+            .announced
+            .get(key)
+            .is_some_and(|announced| announced.revision <= revision)
+        {
+            self.announced.swap_remove(key);
+        }
+    }
+
     /// Returns the latest recorded removal of each key that is absent.
     pub(crate) fn removals(&self) -> impl Iterator<Item = &Removal> {
         let latest: IndexMap<&str, &Removal> = self.removed.iter().map(|entry| (entry.key.as_str(), entry)).collect();
@@ -129,6 +160,7 @@
         if revision > self.revision {
             self.complete_after = revision;
         }
+        self.announced.retain(|_, announced| announced.revision > revision);
         self.advance(revision);
     }
 
@@ -144,11 +176,13 @@
         if is_newer {
             self.items.insert(item.key.clone(), item.clone());
         }
+        self.supersede(&item.key, item.revision);
         is_newer
     }
 
     /// Removes an item, and returns whether it was known and not written since.
     pub(crate) fn remove(&mut self, key: &str, revision: u64, rank: Option<Rank>) -> bool {
+        self.supersede(key, revision);
         let Some(known) = self.items.get(key) else {
             self.update_removal(key, revision);
             return false;
