--- a/crates/sw-chunk/tests/chunk_store.rs
+++ b/crates/sw-chunk/tests/chunk_store.rs
@@ -4,7 +4,7 @@
 use proptest::prelude::*;
 use sw_chunk::{ChunkError, ChunkId, ChunkStore, Manifest};
 
-const NAME: &str = "op/config";
+const NAME: &str = "config";
 
 /// Returns a value of `count` similar lines.
 fn lines(count: u32) -> Vec<u8> {
