--- a/crates/sw-peer/src/pool.rs
+++ b/crates/sw-peer/src/pool.rs
@@ -77,7 +77,7 @@
     /// Makes a call whose response may be large: it fails if nothing is received on the connection for `idle_timeout`,
     /// however long it takes altogether.
     ///
-    /// The connection is closed if the call fails or is given up, so that nothing more is sent on it.
+    /// The connection is closed if the call fails or is cancelled, so that nothing more is sent on it.
     pub(crate) async fn transfer<T>(
         &self,
         address: SocketAddr,
--- a/crates/sw-peer/src/relay/client.rs
+++ b/crates/sw-peer/src/relay/client.rs
@@ -22,7 +22,7 @@
 
 /// Timeout of a short call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Time without a received byte after which a large response is given up.
+/// Idle timeout of a large response: time without a received byte.
 const TRANSFER_IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// The same for chunks, which several VMs have; short, as several of them may stand still at once.
 const CHUNKS_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
