--- /dev/null
+++ b/crates/sw-peer/tests/support/mod.rs
@@ -0,0 +1,170 @@
+//! Two VMs, one of which forwards requests to the other one over a link with a delay.
+
+#![allow(dead_code, reason = "each test file uses a part of the support code")]
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use sw_peer::relay::{
+    RelayCall, RelayClient, RelayEvent, RelayHandler, StoreCopy, WatchOutcome, WatchQuery, bind, serve,
+};
+use sw_relay::{Grant, Heartbeat, QueueEstimate, Reservation, ReservationUpdate, StreamOrigin};
+use sw_unit::{Digest, EndpointId, Millis, Version};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
+
+/// Time that bytes take from one VM to the other.
+pub const DELAY: Duration = Duration::from_millis(150);
+const ANY_PORT: &str = "127.0.0.1:0";
+
+/// A part of the response of the other VM.
+#[derive(Debug, Clone)]
+pub enum Part {
+    Chunk(String),
+    Pause(Duration),
+}
+
+/// A VM that answers forwarded requests with the parts of a script.
+#[derive(Clone)]
+struct Peer {
+    script: Rc<[Part]>,
+}
+
+impl RelayHandler for Peer {
+    fn on_heartbeat(&self, heartbeat: Heartbeat) -> Heartbeat {
+        heartbeat
+    }
+
+    fn store_copy(&self, _: bool) -> Option<StoreCopy> {
+        None
+    }
+
+    async fn watch(&self, _: WatchQuery) -> WatchOutcome {
+        WatchOutcome::NotCurrent
+    }
+
+    fn chunks(&self, _: &[Digest]) -> Vec<Bytes> {
+        Vec::new()
+    }
+
+    fn reserve(&self, _: &Reservation) -> Result<Grant, QueueEstimate> {
+        unreachable!("nothing is reserved")
+    }
+
+    fn on_reservation_update(&self, _: &EndpointId, _: u64, _: ReservationUpdate) {}
+
+    fn on_origins(&self, _: Vec<StreamOrigin>) {}
+
+    fn find_origin(&self, _: &str) -> Option<StreamOrigin> {
+        None
+    }
+
+    async fn on_forwarded_request(&self, _: RelayCall, events: mpsc::Sender<RelayEvent>) {
+        let head = RelayEvent::Head {
+            status: 200,
+            headers: Vec::new(),
+            software: None,
+        };
+        let mut is_open = events.send(head).await.is_ok();
+        for part in self.script.iter().cloned() {
+            match part {
+                Part::Chunk(data) => is_open &= events.send(RelayEvent::Chunk(Bytes::from(data))).await.is_ok(),
+                Part::Pause(span) => tokio::time::sleep(span).await,
+            }
+        }
+        if is_open {
+            let _cancelled = events.send(RelayEvent::End(Ok(()))).await;
+        }
+    }
+}
+
+/// A link between two VMs, whose connections can stand still.
+#[derive(Clone)]
+pub struct Link {
+    pub address: SocketAddr,
+    stands_still: watch::Sender<bool>,
+}
+
+impl Link {
+    /// Starts a link to `target`.
+    async fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind(ANY_PORT).await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let stands_still = watch::Sender::new(false);
+        let states = stands_still.clone();
+        spawn_local(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                let far = TcpStream::connect(target).await.expect("the peer listens");
+                near.set_nodelay(true).expect("an open socket");
+                far.set_nodelay(true).expect("an open socket");
+                let ((near_rx, near_tx), (far_rx, far_tx)) = (near.into_split(), far.into_split());
+                relay(near_rx, far_tx, states.subscribe());
+                relay(far_rx, near_tx, states.subscribe());
+            }
+        });
+        Self { address, stands_still }
+    }
+
+    /// Holds back the bytes of all connections, in both directions, or lets them go on.
+    pub fn stand_still(&self, stands_still: bool) {
+        self.stands_still.send_replace(stands_still);
+    }
+}
+
+/// Copies bytes with a delay, while the link does not stand still.
+fn relay(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut stands_still: watch::Receiver<bool>) {
+    let (tx, mut rx) = mpsc::unbounded_channel::<(Instant, Vec<u8>)>();
+    spawn_local(async move {
+        let mut buf = vec![0; 65_536];
+        while let Ok(len @ 1..) = from.read(&mut buf).await {
+            let _closed = tx.send((Instant::now() + DELAY, buf[..len].to_vec()));
+        }
+    });
+    spawn_local(async move {
+        while let Some((due, data)) = rx.recv().await {
+            tokio::time::sleep_until(due.into()).await;
+            let _link_gone = stands_still.wait_for(|stands_still| !stands_still).await;
+            if to.write_all(&data).await.is_err() {
+                return;
+            }
+        }
+    });
+}
+
+/// Starts a VM that answers by `script`, and returns the link to it.
+pub async fn start_peer(script: Vec<Part>) -> Link {
+    let listener = bind(ANY_PORT.parse().expect("an address")).await.expect("a port");
+    let peer = listener.local_addr().expect("an address");
+    let script = script.into();
+    spawn_local(async move { serve(listener, Peer { script }).await });
+    Link::start(peer).await
+}
+
+/// A request to forward; `method` says whether it may be repeated.
+pub fn call(method: &str) -> RelayCall {
+    RelayCall {
+        method: method.to_owned(),
+        target: "/digest/x".to_owned(),
+        headers: Vec::new(),
+        remaining: Millis(10_000),
+        body: Bytes::new(),
+        hops: 1,
+        can_retry_elsewhere: false,
+        resume_after: None,
+        software: None,
+        version: Version(0),
+    }
+}
+
+/// Forwards a request to a VM that answers by `script`.
+pub async fn forward(script: Vec<Part>) -> (RelayClient, Link, mpsc::Receiver<RelayEvent>) {
+    let link = start_peer(script).await;
+    let client = RelayClient::default();
+    let events = client.forward(link.address, call("POST"), || true);
+    (client, link, events)
+}
