fix(peer): whoever waits for a forwarded response is told that its connection is silent

Cause, an end that nobody is told of: when a short call failed, the pool discarded the connection and 3 s later aborted the task that drives it. The state of the connection lives on in the calls in flight, so none of them ever ended. The abort also judged by responses, not by bytes. And without a failed call nobody looked at the connection.

Change: a discarded connection only takes no more calls; it is closed when its last call has ended. A request that can be retried elsewhere stops waiting for its head; a resumable stream looks for another endpoint or VM, also while this VM drains, and waits on if there is none. All others wait as before, so nothing is lost if the connection goes on. source_silent in the log and a counter tell of it.

--- a/crates/sw-peer/src/lib.rs
+++ b/crates/sw-peer/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod relay;
 mod server;
 mod service;
+mod silence;
 mod types;
 
 pub use delivery::wait_until_delivered;
--- a/crates/sw-peer/src/pool.rs
+++ b/crates/sw-peer/src/pool.rs
@@ -28,9 +28,6 @@
 
     /// Returns the time at which bytes were last received on the connection.
     fn last_read_at(&self) -> Instant;
-
-    /// Called when a call on the connection has failed and the pool has discarded it.
-    fn on_discarded(_: &Rc<Self>) {}
 }
 
 /// Connections by address; a connection is not reused after a call on it has failed or timed out.
@@ -128,7 +125,7 @@
         self.connections.borrow_mut().remove(&address);
     }
 
-    /// Discards a connection, so that no further call uses it.
+    /// Discards a connection, so that no further call uses it; the calls in flight go on.
     pub(crate) fn discard(&self, address: SocketAddr, connection: &Rc<C>) {
         let mut connections = self.connections.borrow_mut();
         if connections
@@ -137,7 +134,6 @@
         {
             connections.remove(&address);
         }
-        C::on_discarded(connection);
     }
 
     fn get(&self, address: SocketAddr) -> Option<Rc<C>> {
--- a/crates/sw-peer/src/relay/client.rs
+++ b/crates/sw-peer/src/relay/client.rs
@@ -1,6 +1,7 @@
 //! Outgoing calls about discovered services.
 
 use std::cell::Cell;
+use std::convert::Infallible;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Weak;
@@ -10,7 +11,7 @@
 use capnp::capability::Rc;
 use sw_chunk::ChunkId;
 use sw_relay::{Grant, Heartbeat, QueueEstimate, Reservation, ReservationUpdate, StreamOrigin};
-use sw_unit::{EndpointId, StoreEra, StorePosition};
+use sw_unit::{EndpointId, Millis, StoreEra, StorePosition};
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
@@ -19,6 +20,7 @@
 use crate::convert::len;
 use crate::pool::{self, ConnectionPool};
 use crate::relay_capnp::{answer_sink, relay_peer};
+use crate::silence::SilenceDetector;
 
 /// Timeout of a short call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -28,8 +30,8 @@
 const CHUNKS_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout of a call that waits for changes, in addition to the wait.
 const WATCH_MARGIN: Duration = Duration::from_millis(400);
-/// A discarded connection is closed if nothing is received on it for this long.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time between two events that tell that a connection is silent.
+const SILENCE_PERIOD: Duration = Duration::from_secs(1);
 /// Number of events of a response to buffer for a slow reader.
 const EVENT_BUFFER: usize = 16;
 
@@ -37,7 +39,7 @@
     client: relay_peer::Client,
     rpc_task: AbortHandle,
     last_response_at: Cell<Instant>,
-    last_read_at: Rc<Cell<Instant>>,
+    silence: SilenceDetector,
 }
 
 impl pool::PooledConnection for RelayConnection {
@@ -47,7 +49,7 @@
             client: opened.client,
             rpc_task: opened.rpc_task,
             last_response_at: Cell::new(Instant::now()),
-            last_read_at: opened.last_read_at,
+            silence: SilenceDetector::new(opened.last_read_at),
         })
     }
 
@@ -56,26 +58,30 @@
     }
 
     fn last_read_at(&self) -> Instant {
-        self.last_read_at.get()
+        self.silence.last_read_at()
     }
+}
 
-    /// Closes the connection if nothing is received on it for a while, which ends all calls on it.
-    fn on_discarded(connection: &Rc<Self>) {
-        let connection = Rc::downgrade(connection);
-        let discarded_at = Instant::now();
-        tokio::task::spawn_local(async move {
-            tokio::time::sleep(DISCARD_TIMEOUT).await;
-            if let Some(connection) = connection
-                .upgrade()
-                .filter(|connection| connection.last_response_at.get() < discarded_at)
-            {
-                connection.rpc_task.abort();
-            }
-        });
+impl RelayConnection {
+    /// Tells the reader of a response whenever the connection is found to be silent, until it is dropped.
+    async fn report_silence(&self, events: &mpsc::Sender<RelayEvent>) -> Infallible {
+        loop {
+            let silent_for = self.silence.wait_silent(|| self.ask()).await;
+            let silent_for = Millis(silent_for.as_millis() as u64);
+            // A reader with unread events has no use for it.
+            let _full = events.try_send(RelayEvent::Silent(silent_for));
+            tokio::time::sleep(SILENCE_PERIOD).await;
+        }
+    }
+
+    /// Makes a call that every peer replies to at once.
+    async fn ask(&self) {
+        let _failed = self.client.find_origin_request().send().promise.await;
     }
 }
 
 impl Drop for RelayConnection {
+    /// Closes the connection; each call holds it until the call ends.
     fn drop(&mut self) {
         self.rpc_task.abort();
     }
@@ -261,7 +267,8 @@
 
     /// Forwards a request if `may_send` still holds when there is a connection; dropping the returned receiver cancels it.
     ///
-    /// The receiver ends without [`RelayEvent::End`] if the connection broke.
+    /// The receiver ends without [`RelayEvent::End`] if the connection broke. While the connection is silent, it receives
+    /// [`RelayEvent::Silent`] from time to time.
     pub fn forward(
         &self,
         address: SocketAddr,
@@ -307,6 +314,7 @@
         let response = tokio::select! {
             response = request.send().promise => response,
             () = events.closed() => return,
+            never = connection.report_silence(&events) => match never {},
         };
         let end = response.and_then(|response| {
             let results = response.get()?;
--- a/crates/sw-peer/src/relay/server.rs
+++ b/crates/sw-peer/src/relay/server.rs
@@ -208,6 +208,8 @@
                 while in_flight.next().await.transpose()?.is_some() {}
                 break;
             }
+            // Only events of a response are relayed.
+            RelayEvent::Silent(_) => {}
             RelayEvent::NotSent(_) => {
                 let refusal = CallRefusal {
                     refusal: Kind::EndpointUnreachable.into(),
--- a/crates/sw-peer/src/relay/types.rs
+++ b/crates/sw-peer/src/relay/types.rs
@@ -60,6 +60,8 @@
     },
     /// A chunk of the body.
     Chunk(Bytes),
+    /// Nothing was received from the VM for this long, although it was asked for a reply; more may still follow.
+    Silent(Millis),
     /// The last event: the response is complete, or the request is refused.
     End(Result<(), CallRefusal>),
     /// The last event: the response broke off.
--- a/crates/sw-proxy/src/forward.rs
+++ b/crates/sw-proxy/src/forward.rs
@@ -10,6 +10,7 @@
 use sw_peer::relay::{CallRefusal, NotSent, RelayCall, RelayEvent};
 use sw_relay::AttemptOutcome;
 use sw_unit::{Millis, RegionId};
+use tokio::sync::mpsc;
 
 use crate::attempt::BufferedRequest;
 use crate::incoming::{BodySource, IncomingResponse};
@@ -73,7 +74,8 @@
     let mut events = state.peers.forward(address, forwarded, may_send);
     let first_event_deadline = state.now() + request.admitted.first_event_timeout(expected_ms) + FORWARD_MARGIN;
     let wait = request.head_timeout(expected_ms, can_retry_elsewhere, remaining) + FORWARD_MARGIN;
-    let first = tokio::time::timeout(Duration::from_millis(wait.min(remaining).0), events.recv()).await;
+    let first = next_unless_silent(&mut events, can_retry_elsewhere);
+    let first = tokio::time::timeout(Duration::from_millis(wait.min(remaining).0), first).await;
     let outcome = match first {
         Ok(Some(RelayEvent::Head {
             status,
@@ -95,13 +97,23 @@
         Ok(Some(RelayEvent::NotSent(NotSent::NoConnection))) => AttemptOutcome::Unreachable,
         Ok(Some(RelayEvent::NotSent(NotSent::NotPermitted))) => AttemptOutcome::Unsent,
         Ok(Some(RelayEvent::Chunk(_) | RelayEvent::End(Ok(())) | RelayEvent::Broken) | None) => AttemptOutcome::Broken,
-        Err(_elapsed) => AttemptOutcome::Timeout,
+        Ok(Some(RelayEvent::Silent(_))) | Err(_) => AttemptOutcome::Timeout,
     };
     let age = state.now().since(request.admitted.received_at);
     telemetry::log_forward_failure(&request.admitted, outcome, age);
     Err(ForwardError::NoResponse(outcome))
 }
 
+/// Returns the next event; that the connection is silent only if the request can be retried elsewhere.
+async fn next_unless_silent(events: &mut mpsc::Receiver<RelayEvent>, can_retry_elsewhere: bool) -> Option<RelayEvent> {
+    loop {
+        let event = events.recv().await;
+        if can_retry_elsewhere || !matches!(event, Some(RelayEvent::Silent(_))) {
+            return event;
+        }
+    }
+}
+
 /// Builds the head of a response; `None` if the status code is invalid.
 fn response_head(status: u16, headers: Vec<(String, Bytes)>) -> Option<Response<()>> {
     let mut head = Response::new(());
--- a/crates/sw-proxy/src/incoming.rs
+++ b/crates/sw-proxy/src/incoming.rs
@@ -57,6 +57,8 @@
 pub(crate) enum BodyPart {
     /// Bytes of the body.
     Chunk(Bytes),
+    /// Nothing was received for this long from the VM that relays the body, although it was asked for a reply.
+    Silent(Millis),
     /// End of the body.
     End,
     /// The body broke off.
@@ -88,7 +90,8 @@
                 self.source.put_back(data);
                 return Ok(self);
             }
-            Ok(BodyPart::End | BodyPart::Broken) => AttemptOutcome::Broken,
+            // The body of another VM is framed.
+            Ok(BodyPart::End | BodyPart::Broken | BodyPart::Silent(_)) => AttemptOutcome::Broken,
             Err(_elapsed) => AttemptOutcome::Timeout,
         };
         self.source.finish(outcome);
@@ -144,6 +147,7 @@
             Self::Vm(events) => match events.recv().await {
                 Some(RelayEvent::Chunk(data)) => BodyPart::Chunk(data),
                 Some(RelayEvent::End(Ok(()))) => BodyPart::End,
+                Some(RelayEvent::Silent(silent_for)) => BodyPart::Silent(silent_for),
                 Some(_) | None => BodyPart::Broken,
             },
         }
@@ -204,6 +208,7 @@
         loop {
             match self.next().await {
                 BodyPart::Chunk(data) => buf.extend_from_slice(&data),
+                BodyPart::Silent(_) => {}
                 BodyPart::End => return Some(buf.freeze()),
                 BodyPart::Broken => return None,
             }
--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -20,10 +20,14 @@
 use crate::incoming::{BodyPart, BodySource, IncomingResponse};
 use crate::paths::{self, Awaited};
 use crate::request::{HttpResponse, start_attempt, start_endpoint_attempt};
-use crate::reservation::{ReservationGuard, reserve};
+use crate::reservation::reserve;
 use crate::state::{ActiveGuard, ProxyState};
 use crate::{Dialect, EventSplitter, EventTooLongError, resumption, telemetry};
 
+mod outcome;
+
+use outcome::{ChunkOutcome, ResumeTarget, SourceFailure, StreamEvent};
+
 /// Why a stream ends whose caller has closed its connection.
 const CALLER_GONE: &str = "caller_gone";
 
@@ -51,6 +55,7 @@
         state: Rc::clone(state),
         format,
         source_has_event: false,
+        silent_for: None,
         has_started: false,
         endpoint: response.source.endpoint().cloned(),
         software: response.software,
@@ -77,6 +82,8 @@
     format: StreamFormat,
     /// Whether the current source has sent an event.
     source_has_event: bool,
+    /// For how long nothing was received from the VM that relays the current source, if its connection is silent.
+    silent_for: Option<Millis>,
     last_chunk_at: Option<Time>,
     /// The software version of the current source; `None` if it does not state one.
     software: Option<SoftwareVersion>,
@@ -90,68 +97,6 @@
     is_resumable: bool,
 }
 
-/// Next event of the relay loop.
-enum StreamEvent<D: Dialect, F: 'static> {
-    Part(BodyPart),
-    /// The stream has stalled; contains the target for resuming it, if there is one.
-    Stalled(Option<Box<ResumeTarget<D, F>>>),
-    Timeout,
-    CallerGone,
-}
-
-/// Endpoint at which a stream can be resumed, with an optional reservation in its queue, or VM through which it can.
-struct ResumeTarget<D: Dialect, F: 'static> {
-    choice: Choice,
-    reservation: Option<ReservationGuard<D, F>>,
-}
-
-/// Failure of the current source.
-struct SourceFailure<D: Dialect, F: 'static> {
-    reason: &'static str,
-    outcome: AttemptOutcome,
-    /// Target at which to resume the stream, if already chosen.
-    target: Option<ResumeTarget<D, F>>,
-}
-
-impl<D: Dialect, F> SourceFailure<D, F> {
-    fn broken(reason: &'static str) -> Self {
-        Self {
-            reason,
-            outcome: AttemptOutcome::Broken,
-            target: None,
-        }
-    }
-
-    fn not_recorded() -> Self {
-        Self {
-            reason: "version_not_recorded",
-            outcome: AttemptOutcome::Cancelled,
-            target: None,
-        }
-    }
-
-    fn stalled(target: ResumeTarget<D, F>) -> Self {
-        Self {
-            reason: "stalled",
-            outcome: AttemptOutcome::Timeout,
-            target: Some(target),
-        }
-    }
-}
-
-/// Outcome of relaying a chunk.
-enum ChunkOutcome {
-    /// The chunk was sent, or is buffered until its event is complete.
-    Accepted,
-    /// The event exceeds the length limit.
-    TooLong,
-    /// The first event does not follow the last one that was relayed.
-    NotContinued,
-    /// The software version that began the stream could not be recorded.
-    NotRecorded,
-    CallerGone,
-}
-
 /// Waits until the path to an endpoint that stays silent is lost.
 async fn wait_path_lost<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, endpoint: Option<&EndpointEntry>) {
     match endpoint {
@@ -182,7 +127,13 @@
                     Some(reason) => SourceFailure::broken(reason),
                 },
                 StreamEvent::Part(BodyPart::Broken) => SourceFailure::broken("broken"),
+                StreamEvent::Part(BodyPart::Silent(silent_for)) => {
+                    self.on_silent(silent_for);
+                    continue;
+                }
                 StreamEvent::Stalled(Some(target)) => SourceFailure::stalled(*target),
+                // It is told again of a source that stays silent.
+                StreamEvent::Stalled(None) if self.silent_for.take().is_some() => continue,
                 StreamEvent::Stalled(None) => {
                     self.stall = None;
                     continue;
@@ -216,8 +167,19 @@
         }
     }
 
-    /// Waits until the stream has stalled or the path to its endpoint is lost, and returns the target for resuming it.
+    /// Records that nothing is received from the VM that relays the current source.
+    fn on_silent(&mut self, silent_for: Millis) {
+        self.silent_for = Some(silent_for).filter(|_| self.is_resumable);
+        let draining_for = self.state.draining_for();
+        telemetry::log_source_silent(&self.request.admitted, silent_for, draining_for);
+    }
+
+    /// Waits until the stream has stalled, or its endpoint or the VM that relays it is out of reach, and returns the target
+    /// for resuming it.
     async fn wait_stalled(&mut self) -> Option<ResumeTarget<D, F>> {
+        if self.silent_for.is_some() {
+            return self.resume_target(true).await;
+        }
         let Some(stall) = &mut self.stall else {
             return std::future::pending().await;
         };
@@ -233,20 +195,21 @@
         }
     }
 
-    /// Returns another endpoint of this region for resuming the stream, or another VM if the path to the endpoint is lost;
+    /// Returns another endpoint of this region for resuming the stream, or another VM if the source is out of reach;
     /// `None` if it is better to keep waiting.
     ///
     /// A stalled stream is abandoned only for a granted reservation (or an endpoint that needs none), because it cannot
-    /// be picked up again. While draining, this VM keeps waiting for the stream.
-    async fn resume_target(&self, is_path_lost: bool) -> Option<ResumeTarget<D, F>> {
-        if self.state.draining_for().is_some() || !self.may_continue() {
+    /// be picked up again. While draining, this VM keeps waiting for the stream unless its source is out of reach.
+    async fn resume_target(&self, is_out_of_reach: bool) -> Option<ResumeTarget<D, F>> {
+        let is_draining = self.state.draining_for().is_some();
+        if is_draining && !is_out_of_reach || !self.may_continue() {
             return None;
         }
         let choice = self.choose_retry().ok()?;
         let coordinator = match &choice {
             Choice::Endpoint { endpoint, .. } if self.history.has_endpoint(&endpoint.id) => return None,
             Choice::Endpoint { coordinator, .. } => coordinator.clone(),
-            Choice::Vm { .. } if is_path_lost => None,
+            Choice::Vm { .. } if is_out_of_reach => None,
             Choice::Vm { .. } => return None,
         };
         let Some(coordinator) = coordinator else {
@@ -356,6 +319,7 @@
 
     /// Records the arrival time of a chunk.
     fn record_chunk_time(&mut self, source: &mut BodySource<D, F>) {
+        self.silent_for = None;
         let now = self.state.now();
         if !self.request.admitted.route.kind.is_streaming() {
             return;
@@ -384,6 +348,7 @@
         }
         self.events.discard_partial();
         self.last_chunk_at = None;
+        self.silent_for = None;
         self.source_has_event = false;
         self.request.last_event_id = self.events.last_event_id().map(str::to_owned);
         // Without the id of an event, another endpoint would start again.
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -432,6 +432,14 @@
     counter!("shallotwing_answers_broken_total", "reason" => reason).increment(1);
 }
 
+/// Logs that nothing was received for a while from the VM that relays a response, although it was asked for a reply.
+pub(crate) fn log_source_silent(admitted: &AdmittedRequest, silent_for: Millis, draining_for: Option<Millis>) {
+    let (id, silent_ms) = (&*admitted.id, silent_for.0);
+    let draining_ms = draining_for.map_or(-1, |span| i64::try_from(span.0).unwrap_or(i64::MAX));
+    info!("source_silent", kv: { id, silent_ms, draining_ms });
+    counter!("shallotwing_sources_silent_total").increment(1);
+}
+
 /// Logs that a stream is resumed at the endpoint or VM `target` of `region` after the event `after`.
 pub(crate) fn log_resume<D, F>(
     state: &ProxyState<D, F>,
