fix(proxy): a stream that has stalled once still leaves an endpoint out of reach

Cause: after the first stall without a better place, wait_stalled() waited for good, for the path too.

Change: the path is watched for as long as the stream is relayed.

--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -91,12 +91,20 @@
     endpoint: Option<EndpointEntry>,
     /// Whether the caller got an event of this response.
     has_started: bool,
-    /// Detects that the stream has stalled; `None` if it cannot be resumed elsewhere.
+    /// Detects that the stream has stalled; `None` if it has and there was no better place for it.
     stall: Option<StallDetector>,
     /// Whether the stream can be resumed; only complete events are relayed then.
     is_resumable: bool,
 }
 
+/// Waits for this long; forever if there is no limit.
+async fn sleep_or_pend(limit: Option<Millis>) {
+    match limit {
+        Some(limit) => tokio::time::sleep(Duration::from_millis(limit.0)).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits until the path to an endpoint that stays silent is lost.
 async fn wait_path_lost<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, endpoint: Option<&EndpointEntry>) {
     match endpoint {
@@ -180,16 +188,16 @@
         if self.silent_for.is_some() {
             return self.resume_target(true).await;
         }
-        let Some(stall) = &mut self.stall else {
+        if !self.is_resumable {
             return std::future::pending().await;
-        };
+        }
         loop {
-            let wait = stall.event_timeout(self.state.now());
-            if wait == Millis(0) {
+            let wait = self.stall.as_mut().map(|stall| stall.event_timeout(self.state.now()));
+            if wait == Some(Millis(0)) {
                 return self.resume_target(false).await;
             }
             tokio::select! {
-                () = tokio::time::sleep(Duration::from_millis(wait.0)) => {}
+                () = sleep_or_pend(wait) => {}
                 () = wait_path_lost(&self.state, self.endpoint.as_ref()) => return self.resume_target(true).await,
             }
         }
@@ -205,7 +213,8 @@
         if is_draining && !is_out_of_reach || !self.may_continue() {
             return None;
         }
-        let choice = self.choose_retry().ok()?;
+        let choice = self.choose_retry();
+        let choice = choice.inspect_err(|why| self.log_wait(is_out_of_reach, why)).ok()?;
         let coordinator = match &choice {
             Choice::Endpoint { endpoint, .. } if self.history.has_endpoint(&endpoint.id) => return None,
             Choice::Endpoint { coordinator, .. } => coordinator.clone(),
@@ -376,6 +385,14 @@
         self.give_up("timeout")
     }
 
+    /// Logs why the stream waits for a source that is out of reach.
+    fn log_wait(&self, is_out_of_reach: bool, why: &'static str) {
+        if is_out_of_reach {
+            let left = self.request.admitted.remaining(self.state.now());
+            telemetry::log_stream_waits(&self.request.admitted, why, left);
+        }
+    }
+
     /// Logs why the stream is not resumed.
     fn give_up<T>(&self, why: &'static str) -> Option<T> {
         let left = self.request.admitted.remaining(self.state.now());
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -156,6 +156,12 @@
     info!("stream_not_resumed", kv: { id, why, software, sends, runs, left_ms });
 }
 
+/// Logs why a stream whose source is out of reach is not resumed elsewhere for now.
+pub(crate) fn log_stream_waits(admitted: &AdmittedRequest, why: &'static str, left: Millis) {
+    let (id, left_ms) = (&*admitted.id, left.0);
+    info!("stream_waits", kv: { id, why, left_ms });
+}
+
 /// Logs the outcome of an attempt at an endpoint, with the values that were expected.
 pub(crate) fn log_attempt_end(id: &str, attempt: &Attempt, outcome: AttemptOutcome, status: u16, now: Time) {
     let endpoint = attempt.endpoint.id.as_str();
