--- a/crates/sw-proxy/src/paths.rs
+++ b/crates/sw-proxy/src/paths.rs
@@ -129,9 +129,11 @@
         tokio::time::sleep(PROBE_TIMEOUT).await;
         return;
     }
+    let begun_at = state.now();
     let probes = probe_sample(state, endpoint).await;
     let was_cut_off = state.relay.borrow().lost_paths().1;
-    state.relay.borrow_mut().on_path_sample(&probes, state.now());
+    let now = state.now();
+    state.relay.borrow_mut().on_path_sample(&probes, begun_at, now);
     state.checked_paths.borrow_mut().swap_remove(&endpoint.address);
     on_changes(state);
     if state.relay.borrow().lost_paths().1 > was_cut_off {
@@ -170,10 +172,12 @@
     state: &Rc<ProxyState<D, F>>,
     endpoint: &EndpointEntry,
 ) -> Result<(), PathFailure> {
+    let begun_at = state.now();
     let outcome = connect(endpoint.address).await;
+    let now = state.now();
     match outcome {
-        Ok(()) => state.relay.borrow_mut().on_path_open(endpoint, state.now()),
-        Err(failure) => state.relay.borrow_mut().on_path_lost(endpoint, failure, state.now()),
+        Ok(()) => state.relay.borrow_mut().on_path_open(endpoint, now),
+        Err(failure) => state.relay.borrow_mut().on_path_lost(endpoint, failure, begun_at, now),
     }
     on_changes(state);
     outcome
--- a/crates/sw-relay/src/attempt.rs
+++ b/crates/sw-relay/src/attempt.rs
@@ -291,7 +291,7 @@
         let load = self.loads.get_mut(&attempt.endpoint.id)?;
         load.on_end(attempt.entry_id, now);
         if outcome == AttemptOutcome::Unreachable {
-            self.on_path_lost(&attempt.endpoint, PathFailure::Unreachable, now);
+            self.on_path_lost(&attempt.endpoint, PathFailure::Unreachable, attempt.started_at, now);
             return None;
         }
         if outcome == AttemptOutcome::Complete {
--- a/crates/sw-relay/src/path.rs
+++ b/crates/sw-relay/src/path.rs
@@ -152,8 +152,8 @@
 }
 
 impl Relay {
-    /// Records that no connection to an endpoint could be made.
-    pub fn on_path_lost(&mut self, endpoint: &EndpointEntry, failure: PathFailure, now: Time) {
+    /// Records that no connection to an endpoint could be made, which was begun at `begun_at`.
+    pub fn on_path_lost(&mut self, endpoint: &EndpointEntry, failure: PathFailure, _begun_at: Time, now: Time) {
         if self.region_of(&endpoint.domain) != Some(&self.options.local.region) {
             return;
         }
@@ -182,13 +182,13 @@
         self.update_cut_off(&endpoint.service, now);
     }
 
-    /// Records the probes of a sample of a service's endpoints: all endpoints of the service count as unreachable if all
-    /// probes failed.
-    pub fn on_path_sample(&mut self, probes: &[(EndpointEntry, Result<(), PathFailure>)], now: Time) {
+    /// Records the probes of a sample of a service's endpoints, the first of which began at `begun_at`: all endpoints of the
+    /// service count as unreachable if all probes failed.
+    pub fn on_path_sample(&mut self, probes: &[(EndpointEntry, Result<(), PathFailure>)], begun_at: Time, now: Time) {
         for (endpoint, outcome) in probes {
             match outcome {
                 Ok(()) => self.on_path_open(endpoint, now),
-                Err(failure) => self.on_path_lost(endpoint, *failure, now),
+                Err(failure) => self.on_path_lost(endpoint, *failure, begun_at, now),
             }
         }
         let Some((first, _)) = probes.first() else {
--- a/crates/sw-relay/tests/health_checks.rs
+++ b/crates/sw-relay/tests/health_checks.rs
@@ -44,7 +44,7 @@
 }
 
 fn lose_and_regain(relay: &mut Relay, entry: &EndpointEntry, now: Time) {
-    relay.on_path_lost(entry, PathFailure::Refused, now);
+    relay.on_path_lost(entry, PathFailure::Refused, now, now);
     relay.on_path_open(entry, now);
 }
 
--- a/crates/sw-relay/tests/path_checks.rs
+++ b/crates/sw-relay/tests/path_checks.rs
@@ -39,7 +39,7 @@
     let mut checks = 0;
     for index in 0..count {
         if relay.begin_path_check(&entry(index), silence, now) {
-            relay.on_path_sample(&[(entry(index), Ok(()))], now);
+            relay.on_path_sample(&[(entry(index), Ok(()))], now, now);
             checks += 1;
         }
     }
@@ -104,6 +104,6 @@
             relay.begin_path_check(&entry(index), Silence::Connection, Time(5_000)),
             "{index}"
         );
-        relay.on_path_sample(&[(entry(index), Err(PathFailure::Timeout))], Time(5_000));
+        relay.on_path_sample(&[(entry(index), Err(PathFailure::Timeout))], Time(5_000), Time(5_000));
     }
 }
--- a/crates/sw-relay/tests/support/fleet.rs
+++ b/crates/sw-relay/tests/support/fleet.rs
@@ -431,7 +431,7 @@
             if engine.is_some_and(|engine| engine.down_until.is_none()) {
                 relay.on_path_open(&entry, self.now);
             } else {
-                relay.on_path_lost(&entry, PathFailure::Refused, self.now);
+                relay.on_path_lost(&entry, PathFailure::Refused, self.now, self.now);
             }
         }
     }
--- a/crates/sw-relay/tests/support/paths.rs
+++ b/crates/sw-relay/tests/support/paths.rs
@@ -131,7 +131,7 @@
         for endpoint in self.vms[vm].due_path_probes(self.now) {
             match self.connect(vm, &endpoint) {
                 Ok(()) => self.vms[vm].on_path_open(&endpoint, self.now),
-                Err(failure) => self.vms[vm].on_path_lost(&endpoint, failure, self.now),
+                Err(failure) => self.vms[vm].on_path_lost(&endpoint, failure, self.now, self.now),
             }
         }
     }
@@ -144,7 +144,7 @@
             (endpoint, outcome)
         });
         let probes: Vec<_> = probes.collect();
-        self.vms[vm].on_path_sample(&probes, self.now);
+        self.vms[vm].on_path_sample(&probes, self.now, self.now);
     }
 
     fn connect(&self, vm: usize, endpoint: &EndpointEntry) -> Result<(), PathFailure> {
