fix(relay): a handshake without an answer loses no path while bytes of the endpoint arrive

Callers saw streams that broke off or were resumed elsewhere, and requests that were refused or forwarded, at VMs that logged path_lost for all endpoints of their region and service_cut_off, while VMs beside them reached the same endpoints and no link or server was in trouble: in planned stops and beside them.

Cause: a probe waits 250 ms for its connection, and three probes without an answer stood for all endpoints of the service. A VM whose own link is full for a second sends its handshakes later than that, while bytes of endpoints still arrive on open connections; when they did was asked only about connections that are reset.

Change: a timeout loses a path only if nothing was received from the endpoint since the connection was begun, and the service is inferred to be cut off only if nothing was received from any of its endpoints. Connections that are refused or reset are judged as before. Each received part of a body counts as heard, also of plain responses. What has arrived is read before a probe is judged. The line path_lost says what the loss rests on.

--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -138,6 +138,14 @@
 }
 
 impl<D: Dialect, F: 'static> AttemptGuard<D, F> {
+    /// Records that a part of the response was received.
+    pub(crate) fn on_chunk(&self) {
+        if let Some(attempt) = &self.attempt {
+            let mut relay = self.state.relay.borrow_mut();
+            relay.on_heard(&attempt.endpoint.id, self.state.now());
+        }
+    }
+
     /// Reports to the coordinator that the first event arrived, so the prefill has ended and the request is running.
     pub(crate) fn on_first_event(&self) {
         if let Some(reservation) = &self.reservation {
--- a/crates/sw-proxy/src/incoming.rs
+++ b/crates/sw-proxy/src/incoming.rs
@@ -129,7 +129,10 @@
             return BodyPart::Chunk(data);
         }
         match self.body.frame().await {
-            Some(Ok(frame)) => BodyPart::Chunk(frame.into_data().unwrap_or_default()),
+            Some(Ok(frame)) => {
+                self.guard.on_chunk();
+                BodyPart::Chunk(frame.into_data().unwrap_or_default())
+            }
             Some(Err(_broken)) => BodyPart::Broken,
             None => BodyPart::End,
         }
--- a/crates/sw-proxy/src/paths.rs
+++ b/crates/sw-proxy/src/paths.rs
@@ -184,13 +184,15 @@
 }
 
 async fn connect(address: SocketAddr) -> Result<(), PathFailure> {
-    sw_http::probe(address, PROBE_TIMEOUT)
-        .await
-        .map_err(|error| match error {
-            ProbeError::Refused => PathFailure::Refused,
-            ProbeError::Reset => PathFailure::Reset,
-            ProbeError::Timeout => PathFailure::Timeout,
-        })
+    let failure = match sw_http::probe(address, PROBE_TIMEOUT).await {
+        Ok(()) => return Ok(()),
+        Err(ProbeError::Refused) => PathFailure::Refused,
+        Err(ProbeError::Reset) => PathFailure::Reset,
+        Err(ProbeError::Timeout) => PathFailure::Timeout,
+    };
+    // If this thread was late, what the endpoints sent meanwhile is read before the probe is judged.
+    tokio::task::yield_now().await;
+    Err(failure)
 }
 
 /// Logs changes of the paths, closes idle connections to endpoints that cannot be reached, and starts their probes.
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -355,13 +355,26 @@
     }
 }
 
+/// Returns the time since something was received; -1 if nothing was.
+fn silence_ms(silence: Option<Millis>) -> i64 {
+    silence.map_or(-1, |time| i64::try_from(time.0).unwrap_or(i64::MAX))
+}
+
 /// Logs the paths that were lost or are back.
 pub(crate) fn log_path_changes<D, F>(state: &ProxyState<D, F>, changes: &[PathChange]) {
     for change in changes {
         match change {
-            PathChange::Lost { endpoint, failure, .. } => {
+            PathChange::Lost {
+                endpoint,
+                failure,
+                evidence,
+                ..
+            } => {
                 let (endpoint, how): (_, &'static str) = (endpoint.as_str(), failure.into());
-                info!("path_lost", kv: { endpoint, how });
+                let waited_ms = evidence.waited.0;
+                let heard_ms = silence_ms(evidence.endpoint_silence);
+                let service_heard_ms = silence_ms(evidence.service_silence);
+                info!("path_lost", kv: { endpoint, how, waited_ms, heard_ms, service_heard_ms });
             }
             PathChange::Regained { endpoint, lost_for } => {
                 let (endpoint, lost_ms) = (endpoint.as_str(), lost_for.0);
--- a/crates/sw-relay/src/path.rs
+++ b/crates/sw-relay/src/path.rs
@@ -5,9 +5,10 @@
 //! its own connections: those of requests, and probes, which are connections without a request. What others report is
 //! only to which *services* they have no path at all, so that requests are sent through VMs that have one.
 //!
-//! A path is lost if a connection cannot be made. A service is cut off from this VM if the paths to all its endpoints of
-//! the region are lost, or if those to a sample of them are. It stays so until half of the paths are back, or for a short
-//! time after the first one is back, so that the first endpoint does not get all requests.
+//! A path is lost if a connection cannot be made, unless the endpoint may merely be slow to answer (`path_evidence`). A
+//! service is cut off from this VM if the paths to all its endpoints of the region are lost, or if those to a sample of them
+//! are. It stays so until half of the paths are back, or for a short time after the first one is back, so that the first
+//! endpoint does not get all requests.
 
 use std::net::SocketAddr;
 
@@ -16,6 +17,7 @@
 use sw_unit::{EndpointId, Millis, Time, VmId};
 
 use crate::path_check::CheckAllowance;
+use crate::path_evidence::{PathEvidence, UnansweredHandshakes};
 use crate::registry::Endpoint;
 use crate::{ColdCause, EndpointEntry, EndpointTracker, Relay, ServiceId};
 
@@ -31,8 +33,6 @@
 const REGAINED_SHARE: f64 = 0.5;
 /// Longest time for which a service stays cut off after the first path is back.
 const MAX_REGAIN_TIME: Millis = Millis(1_000);
-/// Time after a received byte during which an endpoint that resets a new connection counts as full, not as cut off.
-const HEARD_RECENTLY: Millis = Millis(1_000);
 /// Time for which a VM counts as cut off from a service after it refused a forwarded request for lack of an endpoint.
 const REFUSED_FOR: Millis = Millis(1_000);
 
@@ -63,6 +63,8 @@
         address: SocketAddr,
         /// How that was found.
         failure: PathFailure,
+        /// What it was concluded from.
+        evidence: PathEvidence,
     },
     /// The path to an endpoint is back.
     Regained {
@@ -106,6 +108,7 @@
     /// Endpoints that another VM could not reach, to be probed.
     suspected: IndexSet<EndpointId>,
     pub(crate) checks: CheckAllowance,
+    pub(crate) unanswered: UnansweredHandshakes,
     changes: Vec<PathChange>,
     /// Services that other VMs are cut off from, as they report it.
     reported: IndexMap<VmId, Vec<ServiceId>>,
@@ -153,24 +156,21 @@
 
 impl Relay {
     /// Records that no connection to an endpoint could be made, which was begun at `begun_at`.
-    pub fn on_path_lost(&mut self, endpoint: &EndpointEntry, failure: PathFailure, _begun_at: Time, now: Time) {
+    pub fn on_path_lost(&mut self, endpoint: &EndpointEntry, failure: PathFailure, begun_at: Time, now: Time) {
         if self.region_of(&endpoint.domain) != Some(&self.options.local.region) {
             return;
         }
-        let heard_at = self.loads.get(&endpoint.id).and_then(EndpointTracker::heard_at);
-        let is_full = heard_at.is_some_and(|at| now.since(at) < HEARD_RECENTLY);
-        if failure == PathFailure::Reset && is_full {
+        if !self.has_path(&endpoint.id) || !self.shows_lost_path(endpoint, failure, begun_at, now) {
             return;
         }
-        self.lose_path(endpoint, failure, now);
+        self.lose_path(endpoint, failure, begun_at, now);
         self.update_cut_off(&endpoint.service, now);
     }
 
     /// Records that a connection to an endpoint was made.
     pub fn on_path_open(&mut self, endpoint: &EndpointEntry, now: Time) {
-        if let Some(load) = self.loads.get_mut(&endpoint.id) {
-            load.on_heard(now);
-        }
+        self.on_heard(&endpoint.id, now);
+        self.paths.unanswered.forget(&endpoint.id);
         let Some(lost) = self.paths.lost.swap_remove(&endpoint.id) else {
             return;
         };
@@ -183,7 +183,7 @@
     }
 
     /// Records the probes of a sample of a service's endpoints, the first of which began at `begun_at`: all endpoints of the
-    /// service count as unreachable if all probes failed.
+    /// service count as unreachable if all probes failed and nothing was received from any of them.
     pub fn on_path_sample(&mut self, probes: &[(EndpointEntry, Result<(), PathFailure>)], begun_at: Time, now: Time) {
         for (endpoint, outcome) in probes {
             match outcome {
@@ -195,7 +195,7 @@
             return;
         };
         let are_lost = probes.iter().all(|(endpoint, _)| self.paths.is_lost(&endpoint.id));
-        if probes.len() <= SAMPLE || !are_lost {
+        if probes.len() <= SAMPLE || !are_lost || !self.shows_cut_off(&first.service, probes, begun_at) {
             return;
         }
         let others: Vec<_> = self
@@ -203,7 +203,7 @@
             .map(|known| known.entry.clone())
             .collect();
         for endpoint in others {
-            self.lose_path(&endpoint, PathFailure::Inferred, now);
+            self.lose_path(&endpoint, PathFailure::Inferred, begun_at, now);
         }
         self.update_cut_off(&first.service, now);
     }
@@ -376,6 +376,7 @@
     /// Forgets that the path to an endpoint was lost, because it is new, or has restarted or moved.
     pub(crate) fn reset_path(&mut self, endpoint: &EndpointEntry, now: Time) {
         self.paths.lost.swap_remove(&endpoint.id);
+        self.paths.unanswered.forget(&endpoint.id);
         self.update_cut_off(&endpoint.service, now);
     }
 
@@ -385,13 +386,14 @@
         self.paths.reported.retain(|vm, _| members.row(vm).is_some());
         let registry = &self.registry;
         self.paths.lost.retain(|id, _| registry.get(id).is_some());
+        self.paths.unanswered.retain(|id| registry.get(id).is_some());
         let services: Vec<_> = self.paths.cut_off.keys().cloned().collect();
         for service in services {
             self.update_cut_off(&service, now);
         }
     }
 
-    fn lose_path(&mut self, endpoint: &EndpointEntry, failure: PathFailure, now: Time) {
+    fn lose_path(&mut self, endpoint: &EndpointEntry, failure: PathFailure, begun_at: Time, now: Time) {
         if self.paths.is_lost(&endpoint.id) {
             return;
         }
@@ -407,10 +409,13 @@
             next_probe_at: now + delay + jitter,
         };
         self.paths.lost.insert(endpoint.id.clone(), lost);
+        self.paths.unanswered.forget(&endpoint.id);
+        let evidence = self.path_evidence(endpoint, begun_at, now);
         self.paths.changes.push(PathChange::Lost {
             endpoint: endpoint.id.clone(),
             address: endpoint.address,
             failure,
+            evidence,
         });
     }
 
