test: silent endpoints while handshakes with others are slow

An endpoint whose streams rest sends nothing while a probe waits. Its handshake is slow as well if this VM's link is full, so its path is lost and its streams break off, although a handshake with an endpoint that sends events is as slow. Failing on this commit: silent_endpoints_have_a_path_while_handshakes_with_others_are_slow, probes_prefer_endpoints_that_send_events.

--- a/crates/sw-relay/tests/slow_handshakes.rs
+++ b/crates/sw-relay/tests/slow_handshakes.rs
@@ -72,7 +72,8 @@
 fn an_endpoint_that_sends_events_has_a_path_if_a_request_cannot_connect() {
     let (mut relay, mut streams) = vm();
     let admitted = admit(&mut relay, "digest", Some(prompt(2, 0, 500)), BEGUN_AT);
-    for index in [0, 1] {
+    // The silent endpoint first: once a handshake with the other one is slow, its silence shows nothing.
+    for index in [1, 0] {
         let attempt = relay.start_attempt(&admitted, &entry(index), None, BEGUN_AT);
         receive(&mut relay, &mut streams[..1], BEGUN_AT + Millis(100));
         let attempt = attempt.expect("an attempt");
@@ -81,6 +82,60 @@
     }
 }
 
+/// Guards against the path to an endpoint that is silent by chance, while handshakes are slow with others that send events.
+#[test]
+fn silent_endpoints_have_a_path_while_handshakes_with_others_are_slow() {
+    let (mut relay, mut streams) = vm();
+    receive(&mut relay, &mut streams[2..3], BEGUN_AT + Millis(100));
+    fail_probes(&mut relay, PathFailure::Timeout, BEGUN_AT);
+    assert_eq!(relay.lost_paths(), (0, 0));
+    let admitted = admit(&mut relay, "digest", Some(prompt(2, 0, 500)), BEGUN_AT);
+    let attempt = relay.start_attempt(&admitted, &entry(7), None, BEGUN_AT);
+    relay.end_attempt(
+        &attempt.expect("an attempt"),
+        AttemptOutcome::Unreachable,
+        BEGUN_AT + Millis(750),
+    );
+    assert_eq!(relay.lost_paths(), (0, 0), "a request that could not connect");
+}
+
+/// Guards against a path that is not found to be lost because one endpoint answers no handshake, while others do.
+#[test]
+fn a_silent_endpoint_has_no_path_if_a_handshake_succeeds() {
+    let (mut relay, mut streams) = vm();
+    receive(&mut relay, &mut streams[2..3], BEGUN_AT + Millis(100));
+    let probes = [
+        (entry(0), Err(PathFailure::Timeout)),
+        (entry(1), Ok(())),
+        (entry(2), Err(PathFailure::Timeout)),
+    ];
+    relay.on_path_sample(&probes, BEGUN_AT, BEGUN_AT + PROBE_TIME);
+    assert_eq!(relay.lost_paths(), (1, 0));
+    assert!(!relay.has_path(&entry(0).id));
+}
+
+/// Guards against a cut that is noticed late because handshakes were slow before it.
+#[test]
+fn slow_handshakes_before_a_cut_do_not_hide_it() {
+    let (mut relay, mut streams) = vm();
+    receive(&mut relay, &mut streams, BEGUN_AT + Millis(100));
+    fail_probes(&mut relay, PathFailure::Timeout, BEGUN_AT);
+    assert_eq!(relay.lost_paths(), (0, 0));
+    fail_probes(&mut relay, PathFailure::Timeout, BEGUN_AT + PROBE_TIME + Millis(400));
+    assert_eq!(relay.lost_paths(), (ENDPOINTS, 1));
+}
+
+/// Guards against probes that say little: of endpoints that send nothing, a slow handshake and a lost path look alike.
+#[test]
+fn probes_prefer_endpoints_that_send_events() {
+    let (mut relay, mut streams) = vm();
+    receive(&mut relay, &mut streams[5..7], BEGUN_AT);
+    let sample = relay.path_sample(&entry(0));
+    let mut others: Vec<_> = sample[1..].iter().map(|entry| entry.id.to_string()).collect();
+    others.sort();
+    assert_eq!(others, ["e-5", "e-6"]);
+}
+
 /// Guards against a cut that is noticed late, because bytes were received until just before the probes began.
 #[test]
 fn a_service_that_falls_silent_is_cut_off_at_once() {
