fix(relay): while handshakes are slow, those with endpoints that send nothing lose no paths

At a VM whose link is full, an endpoint whose streams rest was still taken for out of reach, and its streams broke off: no byte of it came within the 250 ms of a probe.

Change: a handshake without an answer from an endpoint that sends something shows that handshakes are slow; until one is answered, the silence of others that began before that shows nothing, for at most 3 s for each endpoint. The probes of a sample are judged in that order, and those beside the suspected endpoint go to the endpoints that sent something last: if these accept them, the path to the first one is lost; if they send but accept none, handshakes are slow; if they fall silent, this VM is cut off, which is found as soon as before.

--- a/crates/sw-relay/src/path.rs
+++ b/crates/sw-relay/src/path.rs
@@ -10,6 +10,7 @@
 //! are. It stays so until half of the paths are back, or for a short time after the first one is back, so that the first
 //! endpoint does not get all requests.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use indexmap::{IndexMap, IndexSet};
@@ -170,7 +171,7 @@
     /// Records that a connection to an endpoint was made.
     pub fn on_path_open(&mut self, endpoint: &EndpointEntry, now: Time) {
         self.on_heard(&endpoint.id, now);
-        self.paths.unanswered.forget(&endpoint.id);
+        self.paths.unanswered.on_answer(&endpoint.id);
         let Some(lost) = self.paths.lost.swap_remove(&endpoint.id) else {
             return;
         };
@@ -185,7 +186,9 @@
     /// Records the probes of a sample of a service's endpoints, the first of which began at `begun_at`: all endpoints of the
     /// service count as unreachable if all probes failed and nothing was received from any of them.
     pub fn on_path_sample(&mut self, probes: &[(EndpointEntry, Result<(), PathFailure>)], begun_at: Time, now: Time) {
-        for (endpoint, outcome) in probes {
+        let mut judged: Vec<_> = probes.iter().collect();
+        judged.sort_by_key(|(endpoint, outcome)| self.probe_rank(&endpoint.id, *outcome, begun_at));
+        for (endpoint, outcome) in judged {
             match outcome {
                 Ok(()) => self.on_path_open(endpoint, now),
                 Err(failure) => self.on_path_lost(endpoint, *failure, begun_at, now),
@@ -208,12 +211,14 @@
         self.update_cut_off(&first.service, now);
     }
 
-    /// Returns the endpoints to probe when the path to `endpoint` may be lost: that one first, then some others of its service.
+    /// Returns the endpoints to probe when the path to `endpoint` may be lost: that one first, then some others of its service,
+    /// preferably those that sent something last, because their silence shows more.
     pub fn path_sample(&mut self, endpoint: &EndpointEntry) -> Vec<EndpointEntry> {
         let local = self.local_endpoints(&endpoint.service);
         let others = local.filter(|known| known.entry.id != endpoint.id && !self.paths.is_lost(&known.entry.id));
         let mut others: Vec<_> = others.map(|known| known.entry.clone()).collect();
         self.rng.shuffle(&mut others);
+        others.sort_by_key(|other| Reverse(self.heard_at(&other.id)));
         others.truncate(SAMPLE);
         others.insert(0, endpoint.clone());
         others
--- a/crates/sw-relay/src/path_evidence.rs
+++ b/crates/sw-relay/src/path_evidence.rs
@@ -3,8 +3,10 @@
 //! An endpoint, or what stands in front of it, answers a connection that is refused or reset. A handshake that gets no answer
 //! shows less: while this VM's own link is full, a handshake takes longer than a probe waits, and bytes of endpoints still
 //! arrive on open connections. So a handshake's silence shows a lost path only if nothing else was received from the endpoint
-//! since it began, and that the service is cut off only if nothing was received from any endpoint of the service. If no
-//! handshake gets an answer for long, the path is lost for new connections anyway.
+//! since it began, and that the service is cut off only if nothing was received from any endpoint of the service. A handshake
+//! without an answer from an endpoint that sends something shows that handshakes are slow, also with endpoints that happen to
+//! send nothing, until a connection is made. If no handshake gets an answer for long, the path is lost for new connections
+//! anyway.
 
 use indexmap::IndexMap;
 use sw_unit::{EndpointId, Millis, Time};
@@ -29,16 +31,30 @@
     pub service_silence: Option<Millis>,
 }
 
-/// Unanswered handshakes with an endpoint of which bytes are received.
+/// Order in which the probes of a sample are judged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum ProbeRank {
+    /// Without a connection, while the endpoint sends something.
+    Slow,
+    /// With a connection.
+    Answered,
+    /// Without a connection, while the endpoint sends nothing.
+    Silent,
+}
+
+/// Unanswered handshakes with an endpoint that show no lost path.
 #[derive(Debug, Clone, Copy)]
 struct UnansweredSpan {
     since: Time,
     last_at: Time,
 }
 
-/// Handshakes that got no answer, of endpoints of which bytes are received.
+/// Handshakes that got no answer, although the path may not be lost.
 #[derive(Debug, Default)]
 pub(crate) struct UnansweredHandshakes {
+    /// When a handshake with an endpoint that sends something was last found to get no answer; `None` if a connection was
+    /// made since.
+    slow_at: Option<Time>,
     spans: IndexMap<EndpointId, UnansweredSpan>,
 }
 
@@ -57,7 +73,13 @@
         now.since(span.since) >= MAX_UNANSWERED_TIME
     }
 
-    /// Forgets the handshakes with an endpoint, because a connection was made or the endpoint is a new one.
+    /// Records that a connection to an endpoint was made.
+    pub(crate) fn on_answer(&mut self, endpoint: &EndpointId) {
+        self.slow_at = None;
+        self.forget(endpoint);
+    }
+
+    /// Forgets the handshakes with an endpoint, because its path is lost or it is a new one.
     pub(crate) fn forget(&mut self, endpoint: &EndpointId) {
         self.spans.swap_remove(endpoint);
     }
@@ -88,8 +110,13 @@
             PathFailure::Refused | PathFailure::Inferred => true,
             PathFailure::Reset => !self.has_heard(&endpoint.id, HEARD_RECENTLY, now),
             PathFailure::Unreachable | PathFailure::Timeout => {
-                let is_silent = self.heard_at(&endpoint.id).is_none_or(|at| at <= begun_at);
-                is_silent || self.paths.unanswered.record(&endpoint.id, begun_at, now)
+                let is_heard = self.is_heard_since(&endpoint.id, begun_at);
+                let unanswered = &mut self.paths.unanswered;
+                if is_heard {
+                    unanswered.slow_at = Some(now);
+                }
+                let are_slow = unanswered.slow_at.is_some_and(|at| at > begun_at);
+                !are_slow || unanswered.record(&endpoint.id, begun_at, now)
             }
         }
     }
@@ -108,6 +135,21 @@
         is_silent || probes.iter().all(|(_, outcome)| is_answered(outcome))
     }
 
+    /// Returns the position at which a probe is judged: those that show that handshakes are slow first, then those that show
+    /// that they are not.
+    pub(crate) fn probe_rank(
+        &self,
+        endpoint: &EndpointId,
+        outcome: Result<(), PathFailure>,
+        begun_at: Time,
+    ) -> ProbeRank {
+        match outcome {
+            Ok(()) => ProbeRank::Answered,
+            Err(_) if self.is_heard_since(endpoint, begun_at) => ProbeRank::Slow,
+            Err(_) => ProbeRank::Silent,
+        }
+    }
+
     /// Returns what is known about the path to an endpoint after a connection failed that was begun at `begun_at`.
     pub(crate) fn path_evidence(&self, endpoint: &EndpointEntry, begun_at: Time, now: Time) -> PathEvidence {
         PathEvidence {
@@ -117,7 +159,12 @@
         }
     }
 
-    fn heard_at(&self, endpoint: &EndpointId) -> Option<Time> {
+    fn is_heard_since(&self, endpoint: &EndpointId, since: Time) -> bool {
+        self.heard_at(endpoint).is_some_and(|at| at > since)
+    }
+
+    /// Returns when bytes of an endpoint were last received.
+    pub(crate) fn heard_at(&self, endpoint: &EndpointId) -> Option<Time> {
         self.loads.get(endpoint).and_then(EndpointTracker::heard_at)
     }
 
