--- a/crates/sw-proxy/src/paths.rs
+++ b/crates/sw-proxy/src/paths.rs
@@ -129,9 +129,11 @@
         tokio::time::sleep(PROBE_TIMEOUT).await;
         return;
     }
+    let begun_at = state.now();
     let probes = probe_sample(state, endpoint).await;
     let was_cut_off = state.relay.borrow().lost_paths().1;
-    state.relay.borrow_mut().on_path_sample(&probes, state.now());
+    let now = state.now();
+    state.relay.borrow_mut().on_path_sample(&probes, begun_at, now);
     state.checked_paths.borrow_mut().swap_remove(&endpoint.address);
     on_changes(state);
     if state.relay.borrow().lost_paths().1 > was_cut_off {
@@ -170,23 +172,27 @@
     state: &Rc<ProxyState<D, F>>,
     endpoint: &EndpointEntry,
 ) -> Result<(), PathFailure> {
+    let begun_at = state.now();
     let outcome = connect(endpoint.address).await;
+    let now = state.now();
     match outcome {
-        Ok(()) => state.relay.borrow_mut().on_path_open(endpoint, state.now()),
-        Err(failure) => state.relay.borrow_mut().on_path_lost(endpoint, failure, state.now()),
+        Ok(()) => state.relay.borrow_mut().on_path_open(endpoint, now),
+        Err(failure) => state.relay.borrow_mut().on_path_lost(endpoint, failure, begun_at, now),
     }
     on_changes(state);
     outcome
 }
 
 async fn connect(address: SocketAddr) -> Result<(), PathFailure> {
-    sw_http::probe(address, PROBE_TIMEOUT)
-        .await
-        .map_err(|error| match error {
-            ProbeError::Refused => PathFailure::Refused,
-            ProbeError::Reset => PathFailure::Reset,
-            ProbeError::Timeout => PathFailure::Timeout,
-        })
+    let failure = match sw_http::probe(address, PROBE_TIMEOUT).await {
+        Ok(()) => return Ok(()),
+        Err(ProbeError::Refused) => PathFailure::Refused,
+        Err(ProbeError::Reset) => PathFailure::Reset,
+        Err(ProbeError::Timeout) => PathFailure::Timeout,
+    };
+    // If this thread was late, what the endpoints sent meanwhile is read before the probe is judged.
+    tokio::task::yield_now().await;
+    Err(failure)
 }
 
 /// Logs changes of the paths, closes idle connections to endpoints that cannot be reached, and starts their probes.
