feat(proxy): the end of a planned stop logs each request that it cuts

What callers saw: LOST, a connection closed in the middle of an answer 7.66 s after SIGTERM, 4 to 7 s after the engine had ended. The hypotheses could not be told apart: `stopped` said `cut` and `active` and named no request, no source and no time.

Change: a register of the requests in progress takes the place of their count. An entry holds id, route, the endpoint or VM that sends the response, what the request waits for (head, body, delivery), the parts received and when the last one came. It is removed when the last part of the request is dropped, and is read only by log lines. No allocation for each chunk.

`active` counts requests now: one that another VM forwarded, or whose response had just begun, counted twice. When a stop ends is unchanged.

--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -13,6 +13,7 @@
 use sw_relay::{AdmittedRequest, Attempt, AttemptHistory, AttemptOutcome, EndpointEntry, RequestContent};
 use sw_unit::{Millis, Time};
 
+use crate::active::ActiveRequest;
 use crate::incoming::{BodySource, EndpointResponse, IncomingResponse};
 use crate::paths::Awaited;
 use crate::reservation::ReservationGuard;
@@ -29,6 +30,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct BufferedRequest {
     pub(crate) admitted: AdmittedRequest,
+    /// Its entry among the requests in progress.
+    pub(crate) active: ActiveRequest,
     pub(crate) method: Method,
     pub(crate) target: Uri,
     /// End-to-end headers.
--- a/crates/sw-proxy/src/lib.rs
+++ b/crates/sw-proxy/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Feed`](sw_store::Feed) implements the protocol of its store. Everything runs on one thread inside a `LocalSet`: a
 //! VM has a fraction of a core, so waking another thread costs more than it gains.
 
+mod active;
 mod attempt;
 mod catch_up;
 mod continuation;
@@ -32,6 +33,7 @@
 mod sse;
 mod startup;
 mod state;
+mod stop_log;
 mod store;
 mod stream;
 mod telemetry;
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -15,10 +15,11 @@
 use sw_unit::{Digest, EndpointId};
 use tokio::sync::mpsc;
 
+use crate::active::{ActiveRequest, ActiveStage};
 use crate::attempt::BufferedRequest;
 use crate::forward::{MAX_HOPS, header_list, header_map};
 use crate::request::{HttpResponse, send_with_retries};
-use crate::state::{ActiveGuard, ProxyState};
+use crate::state::ProxyState;
 use crate::{Dialect, heartbeat, resumption, store, telemetry, transfer};
 
 /// Handles calls from other VMs.
@@ -88,10 +89,10 @@
     }
 
     async fn on_forwarded_request(&self, call: RelayCall, events: mpsc::Sender<RelayEvent>) {
-        let active = ActiveGuard::new(&self.0);
         let received = self.0.now();
+        let active = self.0.active.begin(received);
         let mut id = Arc::from("");
-        let end = match serve_forwarded(&self.0, call, &mut id).await {
+        let end = match serve_forwarded(&self.0, &active, call, &mut id).await {
             Ok(response) => relay_response(response, &events).await.unwrap_or(RelayEvent::Broken),
             Err(refusal) => {
                 telemetry::log_refusal(&self.0, &id, "", refusal, self.0.now().since(received));
@@ -99,6 +100,7 @@
                 RelayEvent::End(Err(CallRefusal { refusal, version }))
             }
         };
+        active.set_stage(ActiveStage::Delivery);
         // Fails only if the other VM has cancelled the request.
         let _closed = events.send(end).await;
         tokio::task::spawn_local(async move {
@@ -111,6 +113,7 @@
 /// Serves a forwarded request; `id` is set as soon as the request id is known.
 async fn serve_forwarded<D: Dialect, F: Feed>(
     state: &Rc<ProxyState<D, F>>,
+    active: &ActiveRequest,
     call: RelayCall,
     id: &mut Arc<str>,
 ) -> Result<HttpResponse, Refusal> {
@@ -138,12 +141,14 @@
     }
     head.remaining = Some(call.remaining);
     let mut admitted = state.relay.borrow_mut().admit(head, state.now(), true)?;
+    active.on_admitted(&admitted);
     // Retries are made by the VM that forwarded the request.
     admitted.max_attempts = 1;
     admitted.resumed |= call.resume_after.is_some();
     resumption::pin_forwarded(state, &mut admitted, call.software)?;
     let mut request = BufferedRequest {
         admitted,
+        active: active.clone(),
         method: parts.method,
         target: parts.uri,
         headers: parts.headers,
--- a/crates/sw-proxy/src/proxy.rs
+++ b/crates/sw-proxy/src/proxy.rs
@@ -18,8 +18,8 @@
 use crate::peer::PeerHandler;
 use crate::state::{Lifecycle, ProxyState};
 use crate::{
-    Dialect, Options, directory, health, heartbeat, listener, paths, persist, request, restore, startup, store,
-    transfer,
+    Dialect, Options, directory, health, heartbeat, listener, paths, persist, request, restore, startup, stop_log,
+    store, transfer,
 };
 
 /// Missed heartbeats after which a VM is suspect.
@@ -131,8 +131,7 @@
     pub async fn stop(self) {
         let state = self.state;
         let grace = state.options().stop_grace;
-        let active = state.active_requests.get() as u64;
-        info!("stopping", kv: { active, grace_ms = grace.0 });
+        stop_log::log_start(&state, grace);
         state.lifecycle.set(Lifecycle::Draining(state.now()));
         state.drain_started.notify_waiters();
         state.relay.borrow_mut().announce_leaving();
@@ -146,10 +145,9 @@
         );
         // Fails only if all listener tasks have ended.
         let _no_listener = self.stop.send(true);
-        let finished = futures::future::join(futures::future::join_all(self.listeners), state.wait_drained());
+        let finished = futures::future::join(futures::future::join_all(self.listeners), state.active.wait_idle());
         let timed_out = tokio::time::timeout_at(end, finished).await.is_err();
-        let active = state.active_requests.get() as u64;
-        info!("stopped", kv: { cut = timed_out, active });
+        stop_log::log_end(&state, timed_out);
     }
 }
 
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -15,11 +15,12 @@
 use sw_store::Feed;
 use sw_unit::{Millis, Time};
 
+use crate::active::{ActiveRequest, ResponseSource};
 use crate::attempt::{self, BufferedRequest};
 use crate::incoming::IncomingResponse;
 use crate::reservation::{ReservationGuard, reserve};
 use crate::response::{refusal_response, strip_hop_headers};
-use crate::state::{ActiveGuard, ProxyState};
+use crate::state::ProxyState;
 use crate::{Dialect, HeadError, drain, forward, health, heartbeat, resumption, stream, telemetry};
 
 /// Maximum body length in bytes of a response that is buffered before its head is sent to the caller. A buffered
@@ -31,14 +32,14 @@
 
 /// Serves a request of a caller.
 pub(crate) async fn serve<D: Dialect, F: Feed>(state: Rc<ProxyState<D, F>>, req: Request<Incoming>) -> HttpResponse {
-    let _active = ActiveGuard::new(&state);
     let received = state.now();
+    let active = state.active.begin(received);
     let (parts, body) = req.into_parts();
     let head = state.dialect.request_head(&parts);
     let id = head
         .as_ref()
         .map_or_else(|_| Arc::from(""), |head| Arc::clone(&head.id));
-    match handle(&state, parts, head, body, received).await {
+    match handle(&state, &active, parts, head, body, received).await {
         Ok(response) => response,
         Err((refusal, route)) => {
             telemetry::log_refusal(&state, &id, &route, refusal, state.now().since(received));
@@ -49,6 +50,7 @@
 
 async fn handle<D: Dialect, F: Feed>(
     state: &Rc<ProxyState<D, F>>,
+    active: &ActiveRequest,
     parts: Parts,
     head: Result<RequestHead, HeadError>,
     body: Incoming,
@@ -65,6 +67,7 @@
         .borrow_mut()
         .admit(head, received, false)
         .map_err(without_route)?;
+    active.on_admitted(&admitted);
     let route = admitted.route.name.clone();
     let response = async {
         drain::check(state, &admitted)?;
@@ -81,6 +84,7 @@
         let unlimited = drain::limit(state, &mut admitted);
         let mut request = BufferedRequest {
             admitted,
+            active: active.clone(),
             method: parts.method,
             target: origin_form(&parts.uri),
             headers: end_to_end_headers(parts.headers),
@@ -183,6 +187,7 @@
             ..
         } => {
             let can_retry_elsewhere = request.can_retry_elsewhere(history);
+            request.active.on_sent(ResponseSource::Vm(vm.clone()), state.now());
             let response = forward::send(state, request, region, *address, *expected_ms, can_retry_elsewhere).await;
             match &response {
                 Err(forward::ForwardError::Refused(refused)) => {
@@ -216,6 +221,9 @@
     reservation: Option<ReservationGuard<D, F>>,
     history: &mut AttemptHistory,
 ) -> Result<IncomingResponse<D, F>, AttemptOutcome> {
+    request
+        .active
+        .on_sent(ResponseSource::Endpoint(endpoint.id.clone()), state.now());
     let response = attempt::send(state, request, endpoint, reservation, history).await;
     history.record_endpoint(&endpoint.id, response.as_ref().err().copied());
     record_response(state, request, response)
@@ -227,6 +235,7 @@
     response: Result<IncomingResponse<D, F>, AttemptOutcome>,
 ) -> Result<IncomingResponse<D, F>, AttemptOutcome> {
     if let Ok(response) = &response {
+        request.active.on_head(state.now());
         let age = state.now().since(request.admitted.received_at);
         telemetry::record_response(&request.admitted, response.head.status().as_u16(), age);
     }
--- a/crates/sw-proxy/src/state.rs
+++ b/crates/sw-proxy/src/state.rs
@@ -15,6 +15,7 @@
 use sw_unit::{Millis, Time};
 use tokio::sync::Notify;
 
+use crate::active::ActiveRequests;
 use crate::persist::Exceptions;
 use crate::startup::Startup;
 use crate::{MalformedItems, Options};
@@ -32,27 +33,6 @@
     Draining(Time),
 }
 
-/// Counts a request as active until the end of its response.
-#[derive(Debug)]
-pub(crate) struct ActiveGuard<D, F>(Rc<ProxyState<D, F>>);
-
-impl<D, F> ActiveGuard<D, F> {
-    pub(crate) fn new(state: &Rc<ProxyState<D, F>>) -> Self {
-        state.active_requests.set(state.active_requests.get() + 1);
-        Self(Rc::clone(state))
-    }
-}
-
-impl<D, F> Drop for ActiveGuard<D, F> {
-    fn drop(&mut self) {
-        let remaining = self.0.active_requests.get().saturating_sub(1);
-        self.0.active_requests.set(remaining);
-        if remaining == 0 {
-            self.0.idle.notify_waiters();
-        }
-    }
-}
-
 /// Shared state, used from one thread.
 #[derive(Debug)]
 pub(crate) struct ProxyState<D, F> {
@@ -74,10 +54,8 @@
     pub(crate) lifecycle: Cell<Lifecycle>,
     /// Bytes of request bodies that are being read.
     pub(crate) body_bytes: Cell<u64>,
-    /// Number of requests in progress, from callers and from other VMs.
-    pub(crate) active_requests: Cell<usize>,
-    /// Notified when the last active request ends.
-    pub(crate) idle: Notify,
+    /// Requests in progress, from callers and from other VMs.
+    pub(crate) active: Rc<ActiveRequests>,
     /// Notified when this VM starts to drain.
     pub(crate) drain_started: Notify,
     /// Notified when a suspect of crashes is quarantined or released.
@@ -138,8 +116,7 @@
             peers: RelayClient::default(),
             lifecycle: Cell::new(Lifecycle::Serving),
             body_bytes: Cell::new(0),
-            active_requests: Cell::new(0),
-            idle: Notify::new(),
+            active: Rc::default(),
             drain_started: Notify::new(),
             quarantine_changed: Notify::new(),
             chunks: RefCell::default(),
@@ -203,13 +180,6 @@
         }
     }
 
-    /// Waits until no request is active.
-    pub(crate) async fn wait_drained(&self) {
-        while self.active_requests.get() > 0 {
-            self.idle.notified().await;
-        }
-    }
-
     /// Returns whether this VM is ready to receive requests.
     pub(crate) fn is_ready(&self) -> bool {
         let has_configuration = self.startup.is_over() && self.relay.borrow().table().is_some();
--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -15,13 +15,14 @@
 use sw_unit::{Millis, RegionId, Time};
 use tokio::sync::mpsc;
 
+use crate::active::ActiveStage;
 use crate::attempt::BufferedRequest;
 use crate::continuation::{self, FirstEvent, StreamFormat};
 use crate::incoming::{BodyPart, BodySource, IncomingResponse};
 use crate::paths::{self, Awaited};
 use crate::request::{HttpResponse, start_attempt, start_endpoint_attempt};
 use crate::reservation::reserve;
-use crate::state::{ActiveGuard, ProxyState};
+use crate::state::ProxyState;
 use crate::{Dialect, EventSplitter, EventTooLongError, resumption, telemetry};
 
 mod outcome;
@@ -62,7 +63,6 @@
         events: EventSplitter::default(),
         last_chunk_at: None,
         stall: is_resumable.then(|| StallDetector::new(response.first_event_deadline)),
-        _active: ActiveGuard::new(state),
         is_resumable,
         request,
         history,
@@ -74,7 +74,6 @@
 /// Task that relays a response body to the caller.
 struct StreamRelay<D: Dialect, F> {
     state: Rc<ProxyState<D, F>>,
-    _active: ActiveGuard<D, F>,
     request: BufferedRequest,
     history: AttemptHistory,
     events: EventSplitter,
@@ -261,7 +260,10 @@
             self.has_started = true;
             self.source_has_event = true;
         }
-        match tx.send(Ok(complete)).await {
+        self.request.active.set_stage(ActiveStage::Delivery);
+        let sent = tx.send(Ok(complete)).await;
+        self.request.active.set_stage(ActiveStage::Body);
+        match sent {
             Ok(()) => ChunkOutcome::Accepted,
             Err(_caller_gone) => ChunkOutcome::CallerGone,
         }
@@ -330,6 +332,7 @@
     fn record_chunk_time(&mut self, source: &mut BodySource<D, F>) {
         self.silent_for = None;
         let now = self.state.now();
+        self.request.active.on_chunk(now);
         if !self.request.admitted.route.kind.is_streaming() {
             return;
         }
