feat(proxy): calls to other VMs are counted by kind and outcome, and heartbeats with their rows

Change: counters of calls by kind and outcome (answered, failed, cancelled), a gauge of those in flight, counters of heartbeats by direction and content and of the rows in them. Bytes are not counted: that would take a walk over each message. Forwarded requests have their counters already.

--- a/crates/sw-proxy/src/catch_up.rs
+++ b/crates/sw-proxy/src/catch_up.rs
@@ -14,6 +14,7 @@
 use sw_unit::{Millis, StorePosition, VmId};
 
 use crate::Dialect;
+use crate::peer_calls::{self, PeerCall};
 use crate::records::Source;
 use crate::state::ProxyState;
 use crate::store::{Polled, apply_snapshot, apply_watched};
@@ -88,7 +89,8 @@
         return;
     };
     let position = state.mirror.borrow().position();
-    let outcome = match state.peers.watch(row.peer_listen, position, Duration::ZERO).await {
+    let call = state.peers.watch(row.peer_listen, position, Duration::ZERO);
+    let outcome = match peer_calls::counted(PeerCall::Watch, call).await {
         Ok(WatchOutcome::Changes { changes, announced, .. }) => {
             match apply_watched(state, changes, announced, Source::Neighbour) {
                 Ok(Polled::Applied { .. }) => "changes",
@@ -110,7 +112,8 @@
 pub(crate) async fn copy_snapshot<D: Dialect, F>(state: &ProxyState<D, F>, vm: &VmId, address: SocketAddr) -> bool {
     let assumed = state.mirror.borrow().position().era;
     let vm = vm.as_str();
-    let Ok(mut copy) = state.peers.store_copy(address, assumed).await else {
+    let call = state.peers.store_copy(address, assumed);
+    let Ok(mut copy) = peer_calls::counted(PeerCall::StoreCopy, call).await else {
         info!("store_copy_failed", kv: { vm });
         return false;
     };
--- a/crates/sw-proxy/src/heartbeat.rs
+++ b/crates/sw-proxy/src/heartbeat.rs
@@ -15,6 +15,7 @@
 use sw_relay::{Heartbeat, NewsScope, Relay};
 use sw_unit::{Millis, Time, Version, VmId};
 
+use crate::peer_calls::{self, Direction, PeerCall};
 use crate::state::ProxyState;
 use crate::{Dialect, catch_up, crash, telemetry};
 
@@ -130,6 +131,7 @@
 /// Applies a heartbeat of another VM.
 pub(crate) fn on_heartbeat<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, heartbeat: Heartbeat) {
     let now = state.now();
+    peer_calls::count_heartbeat(&heartbeat, Direction::Received);
     let from = heartbeat.from.clone();
     let is_changed = log_if_behind(state, from.vm.as_str(), |relay| relay.on_heartbeat(heartbeat, now));
     if is_changed {
@@ -223,7 +225,9 @@
     let started_at = state.now();
     let heartbeat = state.relay.borrow().heartbeat(row.as_ref(), started_at);
     // An unresponsive VM becomes suspect when its heartbeats are overdue.
-    let Ok(reply) = state.peers.send_heartbeat(address, &heartbeat).await else {
+    peer_calls::count_heartbeat(&heartbeat, Direction::Sent);
+    let call = state.peers.send_heartbeat(address, &heartbeat);
+    let Ok(reply) = peer_calls::counted(PeerCall::Heartbeat, call).await else {
         return;
     };
     let region = reply.from.region.clone();
--- a/crates/sw-proxy/src/lib.rs
+++ b/crates/sw-proxy/src/lib.rs
@@ -22,6 +22,7 @@
 mod options;
 mod paths;
 mod peer;
+mod peer_calls;
 mod persist;
 mod proxy;
 mod records;
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -18,6 +18,7 @@
 use crate::active::{ActiveRequest, ActiveStage};
 use crate::attempt::BufferedRequest;
 use crate::forward::{MAX_HOPS, header_list, header_map};
+use crate::peer_calls::{self, Direction};
 use crate::request::{HttpResponse, send_with_retries};
 use crate::state::ProxyState;
 use crate::{Dialect, heartbeat, resumption, store, telemetry, transfer};
@@ -35,7 +36,9 @@
     fn on_heartbeat(&self, heartbeat: Heartbeat) -> Heartbeat {
         let from = heartbeat.from.clone();
         heartbeat::on_heartbeat(&self.0, heartbeat);
-        self.0.relay.borrow().heartbeat(Some(&from), self.0.now())
+        let reply = self.0.relay.borrow().heartbeat(Some(&from), self.0.now());
+        peer_calls::count_heartbeat(&reply, Direction::Sent);
+        reply
     }
 
     fn store_copy(&self, takes_chunks: bool) -> Option<StoreCopy> {
--- a/crates/sw-proxy/src/reservation.rs
+++ b/crates/sw-proxy/src/reservation.rs
@@ -9,6 +9,7 @@
 use sw_unit::{EndpointId, Millis};
 
 use crate::attempt::BufferedRequest;
+use crate::peer_calls::{self, PeerCall};
 use crate::state::ProxyState;
 use crate::{Dialect, telemetry};
 
@@ -60,9 +61,8 @@
         let (address, endpoint, entry_id) = (self.address, self.endpoint.clone(), self.grant.entry_id);
         tokio::task::spawn_local(async move {
             // If the update is lost, the coordinator drops the reservation after a while.
-            let _lost = peers
-                .send_reservation_update(address, &endpoint, entry_id, update)
-                .await;
+            let call = peers.send_reservation_update(address, &endpoint, entry_id, update);
+            let _lost = peer_calls::counted(PeerCall::ReservationUpdate, call).await;
         });
     }
 }
@@ -86,10 +86,8 @@
 ) -> Result<Option<ReservationGuard<D, F>>, AttemptOutcome> {
     let reservation = &coordinator.reservation;
     let asked_at = state.now();
-    let response = state
-        .peers
-        .reserve(coordinator.address, reservation, RESERVE_TIMEOUT)
-        .await;
+    let call = state.peers.reserve(coordinator.address, reservation, RESERVE_TIMEOUT);
+    let response = peer_calls::counted(PeerCall::Reserve, call).await;
     let now = state.now();
     if let Ok(Ok(Grant { estimate, .. }) | Err(estimate)) = &response {
         state.relay.borrow_mut().record_rate_limit(reservation, estimate, now);
--- a/crates/sw-proxy/src/resumption.rs
+++ b/crates/sw-proxy/src/resumption.rs
@@ -12,6 +12,7 @@
 };
 use sw_store::Feed;
 
+use crate::peer_calls::{self, PeerCall};
 use crate::state::ProxyState;
 use crate::{Dialect, persist, store, telemetry};
 
@@ -210,7 +211,7 @@
         let peers = state.peers.clone();
         tokio::task::spawn_local(async move {
             // A caller who resumes such a stream is refused if its origin is not found.
-            let _lost = peers.note_origins(address, &origins).await;
+            let _lost = peer_calls::counted(PeerCall::NoteOrigins, peers.note_origins(address, &origins)).await;
         });
     }
 }
@@ -226,6 +227,7 @@
     let mut calls: FuturesUnordered<_> = vms
         .into_iter()
         .map(|vm| state.peers.find_origin(vm, stream, ASK_TIMEOUT))
+        .map(|call| peer_calls::counted(PeerCall::FindOrigin, call))
         .collect();
     while let Some(answer) = calls.next().await {
         if let Ok(Some(origin)) = answer {
--- a/crates/sw-proxy/src/store.rs
+++ b/crates/sw-proxy/src/store.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::catch_up::{copy_newer, copy_snapshot};
+use crate::peer_calls::{self, PeerCall};
 use crate::records::Source;
 use crate::state::ProxyState;
 use crate::{Dialect, persist, records, restore, transfer};
@@ -192,7 +193,8 @@
     wait: Duration,
 ) -> bool {
     let position = state.mirror.borrow().position();
-    let (failure, has_lost_store) = match state.peers.watch(address, position, wait).await {
+    let call = state.peers.watch(address, position, wait);
+    let (failure, has_lost_store) = match peer_calls::counted(PeerCall::Watch, call).await {
         Ok(WatchOutcome::Changes {
             changes,
             announced,
--- a/crates/sw-proxy/src/transfer/collection.rs
+++ b/crates/sw-proxy/src/transfer/collection.rs
@@ -10,6 +10,7 @@
 use sw_chunk::{ChunkId, Manifest};
 use sw_unit::{Digest, Millis, Time};
 
+use crate::peer_calls::{self, PeerCall};
 use crate::state::ProxyState;
 
 /// Maximum length in bytes of the chunks that are sent at once, unless the first one is longer.
@@ -86,7 +87,8 @@
     missing.rotate_left(start);
     missing.truncate(MAX_ASKED);
     for address in sources {
-        let Ok(packed) = state.peers.chunks(address, &missing).await else {
+        let call = state.peers.chunks(address, &missing);
+        let Ok(packed) = peer_calls::counted(PeerCall::Chunks, call).await else {
             collection.failed.insert(address, state.now());
             continue;
         };
