fix(proxy): a silent source is left only once another one responds, and costs no retry before

And outside of a stop 1 of 6 streams was resumed, as each had stalled 0.4 s before its VM counted as silent, and the retries were withdrawn for looking for a place.

Change: the old source is read until the new one has responded, and whichever is first wins. A retry is withdrawn when there is a place for it. A silence is reported only to a reader without unread events, and says when it was found, so that one that is over is not acted on. As this VM's own link may be what is slow, a VM counts as silent after 2 s only if another one has replied to a later call, otherwise after 3 s. source_silent and stream_waits are logged once for each silence.

The two that look for RelayEvent::Silent accepted any event; they ask for that one now.

--- a/crates/sw-admit/src/budget.rs
+++ b/crates/sw-admit/src/budget.rs
@@ -46,9 +46,14 @@
         self.balance = (self.balance + self.ratio).min(self.max_balance);
     }
 
+    /// Returns whether the balance is sufficient for a retry.
+    pub fn has_retry(&self) -> bool {
+        self.balance >= 1.0
+    }
+
     /// Withdraws one retry, and returns whether the balance was sufficient.
     pub fn withdraw(&mut self) -> bool {
-        let allowed = self.balance >= 1.0;
+        let allowed = self.has_retry();
         if allowed {
             self.balance -= 1.0;
         }
--- a/crates/sw-peer/src/pool.rs
+++ b/crates/sw-peer/src/pool.rs
@@ -33,12 +33,15 @@
 /// Connections by address; a connection is not reused after a call on it has failed or timed out.
 pub(crate) struct ConnectionPool<C> {
     connections: Rc<RefCell<HashMap<SocketAddr, Rc<C>>>>,
+    /// When the last one of the short calls that were answered was begun.
+    last_answered_at: Rc<Cell<Option<Instant>>>,
 }
 
 impl<C> Clone for ConnectionPool<C> {
     fn clone(&self) -> Self {
         Self {
             connections: Rc::clone(&self.connections),
+            last_answered_at: Rc::clone(&self.last_answered_at),
         }
     }
 }
@@ -47,6 +50,7 @@
     fn default() -> Self {
         Self {
             connections: Rc::default(),
+            last_answered_at: Rc::default(),
         }
     }
 }
@@ -63,8 +67,11 @@
             Some(connection) => connection,
             None => self.open(address).await?,
         };
+        let begun_at = Instant::now();
         if let Ok(Ok(response)) = tokio::time::timeout(timeout, call(&connection)).await {
             connection.last_response_at().set(Instant::now());
+            self.last_answered_at
+                .set(self.last_answered_at.get().max(Some(begun_at)));
             return Ok(response);
         }
         self.discard(address, &connection);
@@ -107,6 +114,11 @@
         Ok(response)
     }
 
+    /// Returns whether a short call was answered that was begun after `since`.
+    pub(crate) fn has_answer_since(&self, since: Instant) -> bool {
+        self.last_answered_at.get().is_some_and(|begun_at| begun_at > since)
+    }
+
     /// Returns the pooled connection if it had a response recently.
     pub(crate) fn recently_active(&self, address: SocketAddr) -> Option<Rc<C>> {
         let connection = self.get(address)?;
--- a/crates/sw-peer/src/relay/client.rs
+++ b/crates/sw-peer/src/relay/client.rs
@@ -15,7 +15,8 @@
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
-use super::{NotSent, RelayCall, RelayEvent, StoreCopy, WatchOutcome, convert, reservations, store};
+use super::types::SILENCE_PERIOD;
+use super::{NotSent, RelayCall, RelayEvent, Silence, StoreCopy, WatchOutcome, convert, reservations, store};
 use crate::PeerError;
 use crate::convert::len;
 use crate::pool::{self, ConnectionPool};
@@ -30,8 +31,6 @@
 const CHUNKS_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout of a call that waits for changes, in addition to the wait.
 const WATCH_MARGIN: Duration = Duration::from_millis(400);
-/// Time between two events that tell that a connection is silent.
-const SILENCE_PERIOD: Duration = Duration::from_secs(1);
 /// Number of events of a response to buffer for a slow reader.
 const EVENT_BUFFER: usize = 16;
 
@@ -63,13 +62,22 @@
 }
 
 impl RelayConnection {
-    /// Tells the reader of a response whenever the connection is found to be silent, until it is dropped.
-    async fn report_silence(&self, events: &mpsc::Sender<RelayEvent>) -> Infallible {
+    /// Tells the reader of a response while the connection, which is of `pool`, is silent, until it is dropped.
+    async fn report_silence(&self, pool: &ConnectionPool<Self>, events: &mpsc::Sender<RelayEvent>) -> Infallible {
+        let mut reported_read_at = None;
+        let has_witness = |since| pool.has_answer_since(since);
         loop {
-            let silent_for = self.silence.wait_silent(|| self.ask()).await;
-            let silent_for = Millis(silent_for.as_millis() as u64);
+            let silent_for = self.silence.wait_silent(|| self.ask(), has_witness).await;
+            let read_at = self.silence.last_read_at();
             // A reader with unread events has no use for it.
-            let _full = events.try_send(RelayEvent::Silent(silent_for));
+            if events.capacity() == events.max_capacity() {
+                let silence = Silence {
+                    duration: Millis(silent_for.as_millis() as u64),
+                    found_at: Instant::now(),
+                    is_first: reported_read_at.replace(read_at) != Some(read_at),
+                };
+                let _closed = events.try_send(RelayEvent::Silent(silence));
+            }
             tokio::time::sleep(SILENCE_PERIOD).await;
         }
     }
@@ -314,7 +322,7 @@
         let response = tokio::select! {
             response = request.send().promise => response,
             () = events.closed() => return,
-            never = connection.report_silence(&events) => match never {},
+            never = connection.report_silence(&self.pool, &events) => match never {},
         };
         let end = response.and_then(|response| {
             let results = response.get()?;
--- a/crates/sw-peer/src/relay/types.rs
+++ b/crates/sw-peer/src/relay/types.rs
@@ -1,6 +1,6 @@
 //! Messages of the calls about discovered services.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use sw_chunk::Manifest;
@@ -12,6 +12,9 @@
 use sw_unit::{Digest, EndpointId, Millis, StoreEra, Version};
 use tokio::sync::mpsc;
 
+/// Time between two reports of the same silence.
+pub(super) const SILENCE_PERIOD: Duration = Duration::from_secs(1);
+
 /// A request to forward to another VM, which sends it to at most one endpoint.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RelayCall {
@@ -60,8 +63,8 @@
     },
     /// A chunk of the body.
     Chunk(Bytes),
-    /// Nothing was received from the VM for this long, although it was asked for a reply; more may still follow.
-    Silent(Millis),
+    /// Nothing was received from the VM for a while, although it was asked for a reply; more may still follow.
+    Silent(Silence),
     /// The last event: the response is complete, or the request is refused.
     End(Result<(), CallRefusal>),
     /// The last event: the response broke off.
@@ -70,6 +73,24 @@
     NotSent(NotSent),
 }
 
+/// The silence of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Silence {
+    /// Time without a received byte when it was found.
+    pub duration: Millis,
+    /// When it was found.
+    pub found_at: Instant,
+    /// Whether it was not reported before.
+    pub is_first: bool,
+}
+
+impl Silence {
+    /// Returns whether it was found just now; one that lasts is reported again.
+    pub fn is_current(&self) -> bool {
+        self.found_at.elapsed() < SILENCE_PERIOD
+    }
+}
+
 /// Why nothing of a forwarded request was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NotSent {
--- a/crates/sw-peer/src/silence.rs
+++ b/crates/sw-peer/src/silence.rs
@@ -3,7 +3,8 @@
 //! Nothing is received while an endpoint computes, nor from a VM that stands still or behind a link that carries nothing.
 //! To tell these apart, a peer of which nothing was received for a while is asked for a reply. Whoever waits for a
 //! response on the connection is told if none comes, and decides whether to wait on: the connection stays open, and the
-//! response may still arrive.
+//! response may still arrive. If this VM's own link is full, the question is late as well; so another VM must have
+//! replied to a call that was made later, or more time is allowed.
 
 use std::cell::Cell;
 use std::time::{Duration, Instant};
@@ -12,8 +13,12 @@
 
 /// Time without a received byte after which the peer is asked for a reply.
 const ASK_AFTER: Duration = Duration::from_secs(1);
-/// Time after which the connection counts as silent if nothing is received.
+/// Time without a reply after which the connection counts as silent if another VM has replied meanwhile.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
+/// The same if no other VM has replied.
+const LONE_REPLY_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time between two looks at whether another VM has replied.
+const WITNESS_PERIOD: Duration = Duration::from_millis(100);
 
 /// Tells whether a connection is silent.
 #[derive(Debug)]
@@ -36,10 +41,15 @@
         self.last_read_at.get()
     }
 
-    /// Waits until the connection is silent; `ask` makes a short call on it, whose reply or failure counts as received.
+    /// Waits until the connection is silent, and returns for how long nothing was received.
     ///
-    /// Returns for how long nothing was received.
-    pub(crate) async fn wait_silent<T>(&self, ask: impl AsyncFn() -> T) -> Duration {
+    /// `ask` makes a short call on it, so that a sound peer sends something; `has_witness` returns whether another VM has
+    /// replied to a call that was made after a point in time.
+    pub(crate) async fn wait_silent<T>(
+        &self,
+        ask: impl AsyncFn() -> T,
+        has_witness: impl Fn(Instant) -> bool,
+    ) -> Duration {
         loop {
             let read_at = self.last_read_at();
             tokio::time::sleep_until((read_at + ASK_AFTER).into()).await;
@@ -48,7 +58,7 @@
             }
             let (asked_at, is_asked) = self.asked_since(read_at);
             tokio::select! {
-                () = tokio::time::sleep_until((asked_at + REPLY_TIMEOUT).into()) => {}
+                () = wait_unanswered(asked_at, &has_witness) => {}
                 _reply = ask(), if !is_asked => {}
             }
             if self.last_read_at() <= read_at {
@@ -68,3 +78,11 @@
         (now, false)
     }
 }
+
+/// Waits until a question that was asked at `asked_at` would have been answered.
+async fn wait_unanswered(asked_at: Instant, has_witness: impl Fn(Instant) -> bool) {
+    tokio::time::sleep_until((asked_at + REPLY_TIMEOUT).into()).await;
+    while !has_witness(asked_at) && asked_at.elapsed() < LONE_REPLY_TIMEOUT {
+        tokio::time::sleep(WITNESS_PERIOD).await;
+    }
+}
--- a/crates/sw-peer/tests/silent_connections.rs
+++ b/crates/sw-peer/tests/silent_connections.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use support::{DELAY, Part, forward};
+use support::{DELAY, Part, call, forward, start_peer};
 use sw_peer::relay::{RelayClient, RelayEvent};
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
@@ -12,6 +12,10 @@
 
 /// Time within which a VM learns that a connection is silent; a stop leaves it 8 s for everything.
 const NOTICE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause in a response after which the link stands still already.
+const PAUSE: Duration = Duration::from_millis(1_500);
+/// Bytes a second of a slow link: 2.5 Mbit/s.
+const SLOW_RATE: usize = 312_500;
 /// Longer than any limit for silence.
 const LONG_PAUSE: Duration = Duration::from_secs(7);
 
@@ -55,12 +59,13 @@
 #[tokio::test(flavor = "current_thread")]
 async fn a_forwarded_stream_learns_that_its_discarded_connection_is_silent() {
     let test = async {
-        let (client, link, mut events) = forward(paused(Duration::from_millis(500))).await;
+        let (client, link, mut events) = forward(paused(PAUSE)).await;
         wait_for_chunk(&mut events).await;
         link.stand_still(true);
         fail_short_call(&client, link.address).await;
         let told = timeout(NOTICE_TIMEOUT, events.recv()).await;
-        assert!(told.is_ok(), "nothing was heard of the stream for {NOTICE_TIMEOUT:?}");
+        let told = told.expect("something is heard of the stream");
+        assert!(matches!(told, Some(RelayEvent::Silent(_))), "{told:?}");
     };
     LocalSet::new().run_until(test).await;
 }
@@ -70,11 +75,12 @@
 #[tokio::test(flavor = "current_thread")]
 async fn a_forwarded_stream_learns_that_its_connection_is_silent() {
     let test = async {
-        let (_client, link, mut events) = forward(paused(Duration::from_millis(500))).await;
+        let (_client, link, mut events) = forward(paused(PAUSE)).await;
         wait_for_chunk(&mut events).await;
         link.stand_still(true);
         let told = timeout(NOTICE_TIMEOUT, events.recv()).await;
-        assert!(told.is_ok(), "nothing was heard of the stream for {NOTICE_TIMEOUT:?}");
+        let told = told.expect("something is heard of the stream");
+        assert!(matches!(told, Some(RelayEvent::Silent(_))), "{told:?}");
     };
     LocalSet::new().run_until(test).await;
 }
@@ -93,12 +99,50 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Guards against streams that leave a sound connection, because their reader was busy and reads late of a silence that is
+/// over.
+#[tokio::test(flavor = "current_thread")]
+async fn a_silence_that_is_over_is_not_current() {
+    let test = async {
+        let (_client, link, mut events) = forward(paused(LONG_PAUSE * 2)).await;
+        wait_for_chunk(&mut events).await;
+        link.stand_still(true);
+        sleep(NOTICE_TIMEOUT).await;
+        link.stand_still(false);
+        sleep(NOTICE_TIMEOUT / 2).await;
+        while let Ok(Some(event)) = timeout(DELAY, events.recv()).await {
+            let RelayEvent::Silent(silence) = event else {
+                panic!("{event:?} before the pause is over");
+            };
+            assert!(!silence.is_current(), "the link is sound");
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a VM that is taken for silent because this VM's own link is full: its body takes long to send, and so does
+/// the question whether the other one is there.
+#[tokio::test(flavor = "current_thread")]
+async fn a_vm_that_receives_a_large_body_slowly_is_not_silent() {
+    let test = async {
+        let link = start_peer(vec![Part::Chunk("all".to_owned())]).await;
+        link.set_pace(SLOW_RATE);
+        let client = RelayClient::default();
+        let mut request = call("POST");
+        request.body = vec![7; 1 << 20].into();
+        let mut events = client.forward(link.address, request, || true);
+        let first = timeout(LONG_PAUSE, events.recv()).await.expect("a head");
+        assert!(matches!(first, Some(RelayEvent::Head { .. })), "{first:?}");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Guards against responses that are lost because their connection was given up while it stood still, also those of
 /// requests that may not run again.
 #[tokio::test(flavor = "current_thread")]
 async fn a_response_is_complete_after_its_discarded_connection_goes_on() {
     let test = async {
-        let (client, link, mut events) = forward(paused(Duration::from_millis(500))).await;
+        let (client, link, mut events) = forward(paused(PAUSE)).await;
         wait_for_chunk(&mut events).await;
         link.stand_still(true);
         fail_short_call(&client, link.address).await;
--- a/crates/sw-peer/tests/support/mod.rs
+++ b/crates/sw-peer/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the support code")]
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -88,6 +89,8 @@
 pub struct Link {
     pub address: SocketAddr,
     stands_still: watch::Sender<bool>,
+    /// Bytes a second of each connection in each direction; `None` if there is no limit.
+    pace: Rc<Cell<Option<usize>>>,
 }
 
 impl Link {
@@ -97,17 +100,28 @@
         let address = listener.local_addr().expect("an address");
         let stands_still = watch::Sender::new(false);
         let states = stands_still.clone();
+        let pace = Rc::new(Cell::new(None));
+        let paces = Rc::clone(&pace);
         spawn_local(async move {
             while let Ok((near, _)) = listener.accept().await {
                 let far = TcpStream::connect(target).await.expect("the peer listens");
                 near.set_nodelay(true).expect("an open socket");
                 far.set_nodelay(true).expect("an open socket");
                 let ((near_rx, near_tx), (far_rx, far_tx)) = (near.into_split(), far.into_split());
-                relay(near_rx, far_tx, states.subscribe());
-                relay(far_rx, near_tx, states.subscribe());
+                relay(near_rx, far_tx, states.subscribe(), Rc::clone(&paces));
+                relay(far_rx, near_tx, states.subscribe(), Rc::clone(&paces));
             }
         });
-        Self { address, stands_still }
+        Self {
+            address,
+            stands_still,
+            pace,
+        }
+    }
+
+    /// Limits the bytes a second that pass.
+    pub fn set_pace(&self, rate: usize) {
+        self.pace.set(Some(rate));
     }
 
     /// Holds back the bytes of all connections, in both directions, or lets them go on.
@@ -117,7 +131,12 @@
 }
 
 /// Copies bytes with a delay, while the link does not stand still.
-fn relay(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut stands_still: watch::Receiver<bool>) {
+fn relay(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut stands_still: watch::Receiver<bool>,
+    pace: Rc<Cell<Option<usize>>>,
+) {
     let (tx, mut rx) = mpsc::unbounded_channel::<(Instant, Vec<u8>)>();
     spawn_local(async move {
         let mut buf = vec![0; 65_536];
@@ -129,6 +148,9 @@
         while let Some((due, data)) = rx.recv().await {
             tokio::time::sleep_until(due.into()).await;
             let _link_gone = stands_still.wait_for(|stands_still| !stands_still).await;
+            if let Some(rate) = pace.get() {
+                tokio::time::sleep(Duration::from_secs_f64(data.len() as f64 / rate as f64)).await;
+            }
             if to.write_all(&data).await.is_err() {
                 return;
             }
--- a/crates/sw-proxy/src/forward.rs
+++ b/crates/sw-proxy/src/forward.rs
@@ -108,8 +108,9 @@
 async fn next_unless_silent(events: &mut mpsc::Receiver<RelayEvent>, can_retry_elsewhere: bool) -> Option<RelayEvent> {
     loop {
         let event = events.recv().await;
-        if can_retry_elsewhere || !matches!(event, Some(RelayEvent::Silent(_))) {
-            return event;
+        match event {
+            Some(RelayEvent::Silent(silence)) if !(can_retry_elsewhere && silence.is_current()) => {}
+            event => return event,
         }
     }
 }
--- a/crates/sw-proxy/src/incoming.rs
+++ b/crates/sw-proxy/src/incoming.rs
@@ -8,7 +8,7 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::header::CONTENT_LENGTH;
 use sw_http::Exchange;
-use sw_peer::relay::RelayEvent;
+use sw_peer::relay::{RelayEvent, Silence};
 use sw_relay::{Attempt, AttemptOutcome, EndpointEntry, SoftwareVersion};
 use sw_unit::{Millis, Time};
 use tokio::sync::mpsc;
@@ -57,8 +57,8 @@
 pub(crate) enum BodyPart {
     /// Bytes of the body.
     Chunk(Bytes),
-    /// Nothing was received for this long from the VM that relays the body, although it was asked for a reply.
-    Silent(Millis),
+    /// The VM that relays the body is silent, although it was asked for a reply.
+    Silent(Silence),
     /// End of the body.
     End,
     /// The body broke off.
@@ -150,12 +150,22 @@
             Self::Vm(events) => match events.recv().await {
                 Some(RelayEvent::Chunk(data)) => BodyPart::Chunk(data),
                 Some(RelayEvent::End(Ok(()))) => BodyPart::End,
-                Some(RelayEvent::Silent(silent_for)) => BodyPart::Silent(silent_for),
+                Some(RelayEvent::Silent(silence)) => BodyPart::Silent(silence),
                 Some(_) | None => BodyPart::Broken,
             },
         }
     }
 
+    /// Receives the next part of the body that is not a silence.
+    pub(crate) async fn next_unless_silent(&mut self) -> BodyPart {
+        loop {
+            let part = self.next().await;
+            if !matches!(part, BodyPart::Silent(_)) {
+                return part;
+            }
+        }
+    }
+
     /// Puts back the first part of the body.
     fn put_back(&mut self, data: Bytes) {
         if let Self::Endpoint(response) = self {
@@ -209,11 +219,10 @@
     async fn collect(&mut self) -> Option<Bytes> {
         let mut buf = BytesMut::new();
         loop {
-            match self.next().await {
+            match self.next_unless_silent().await {
                 BodyPart::Chunk(data) => buf.extend_from_slice(&data),
-                BodyPart::Silent(_) => {}
                 BodyPart::End => return Some(buf.freeze()),
-                BodyPart::Broken => return None,
+                BodyPart::Broken | BodyPart::Silent(_) => return None,
             }
         }
     }
--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -10,9 +10,10 @@
 use bytes::Bytes;
 use hyper::header::CONTENT_LENGTH;
 use sw_http::{BodyError, channel};
-use sw_relay::{AttemptHistory, AttemptOutcome, Choice, EndpointEntry, RouteKind, SoftwareVersion, StallDetector};
+use sw_peer::relay::Silence;
+use sw_relay::{AttemptHistory, AttemptOutcome, EndpointEntry, RouteKind, SoftwareVersion, StallDetector};
 use sw_store::Feed;
-use sw_unit::{Millis, RegionId, Time};
+use sw_unit::{Millis, Time};
 use tokio::sync::mpsc;
 
 use crate::active::ActiveStage;
@@ -20,12 +21,12 @@
 use crate::continuation::{self, FirstEvent, StreamFormat};
 use crate::incoming::{BodyPart, BodySource, IncomingResponse};
 use crate::paths::{self, Awaited};
-use crate::request::{HttpResponse, start_attempt, start_endpoint_attempt};
-use crate::reservation::reserve;
+use crate::request::HttpResponse;
 use crate::state::ProxyState;
 use crate::{Dialect, EventSplitter, EventTooLongError, resumption, telemetry};
 
 mod outcome;
+mod resume;
 
 use outcome::{ChunkOutcome, ResumeTarget, SourceFailure, StreamEvent};
 
@@ -56,7 +57,8 @@
         state: Rc::clone(state),
         format,
         source_has_event: false,
-        silent_for: None,
+        silence: None,
+        pending: None,
         has_started: false,
         endpoint: response.source.endpoint().cloned(),
         software: response.software,
@@ -81,8 +83,10 @@
     format: StreamFormat,
     /// Whether the current source has sent an event.
     source_has_event: bool,
-    /// For how long nothing was received from the VM that relays the current source, if its connection is silent.
-    silent_for: Option<Millis>,
+    /// The silence of the VM that relays the current source.
+    silence: Option<Silence>,
+    /// Part of the current source that was received and not relayed yet.
+    pending: Option<BodyPart>,
     last_chunk_at: Option<Time>,
     /// The software version of the current source; `None` if it does not state one.
     software: Option<SoftwareVersion>,
@@ -134,15 +138,19 @@
                     Some(reason) => SourceFailure::broken(reason),
                 },
                 StreamEvent::Part(BodyPart::Broken) => SourceFailure::broken("broken"),
-                StreamEvent::Part(BodyPart::Silent(silent_for)) => {
-                    self.on_silent(silent_for);
+                StreamEvent::Part(BodyPart::Silent(silence)) => {
+                    self.on_silent(silence);
+                    continue;
+                }
+                StreamEvent::Stalled(Some(target)) if self.silence.is_some() => {
+                    if let Some(next) = self.leave_silent(*target, &mut source, &tx).await {
+                        source = next;
+                    }
                     continue;
                 }
                 StreamEvent::Stalled(Some(target)) => SourceFailure::stalled(*target),
-                // It is told again of a source that stays silent.
-                StreamEvent::Stalled(None) if self.silent_for.take().is_some() => continue,
                 StreamEvent::Stalled(None) => {
-                    self.stall = None;
+                    self.on_no_target();
                     continue;
                 }
                 StreamEvent::Timeout => {
@@ -165,6 +173,9 @@
         if remaining == Millis(0) {
             return StreamEvent::Timeout;
         }
+        if let Some(part) = self.pending.take() {
+            return StreamEvent::Part(part);
+        }
         tokio::select! {
             biased;
             () = tx.closed() => StreamEvent::CallerGone,
@@ -174,17 +185,30 @@
         }
     }
 
-    /// Records that nothing is received from the VM that relays the current source.
-    fn on_silent(&mut self, silent_for: Millis) {
-        self.silent_for = Some(silent_for).filter(|_| self.is_resumable);
-        let draining_for = self.state.draining_for();
-        telemetry::log_source_silent(&self.request.admitted, silent_for, draining_for);
+    /// Records that the VM that relays the current source is silent.
+    fn on_silent(&mut self, silence: Silence) {
+        self.silence = Some(silence).filter(|silence| self.is_resumable && silence.is_current());
+        if silence.is_first {
+            telemetry::log_source_silent(&self.request.admitted, silence, self.state.draining_for());
+        }
+    }
+
+    /// Records that there is no better place for the stream than its source.
+    ///
+    /// A silence that lasts is reported again.
+    fn on_no_target(&mut self) {
+        self.silence = None;
+        let now = self.state.now();
+        let has_stalled = |stall: &mut StallDetector| stall.event_timeout(now) == Millis(0);
+        if self.stall.as_mut().is_some_and(has_stalled) {
+            self.stall = None;
+        }
     }
 
     /// Waits until the stream has stalled, or its endpoint or the VM that relays it is out of reach, and returns the target
     /// for resuming it.
     async fn wait_stalled(&mut self) -> Option<ResumeTarget<D, F>> {
-        if self.silent_for.is_some() {
+        if self.silence.is_some() {
             return self.resume_target(true).await;
         }
         if !self.is_resumable {
@@ -202,35 +226,6 @@
         }
     }
 
-    /// Returns another endpoint of this region for resuming the stream, or another VM if the source is out of reach;
-    /// `None` if it is better to keep waiting.
-    ///
-    /// A stalled stream is abandoned only for a granted reservation (or an endpoint that needs none), because it cannot
-    /// be picked up again. While draining, this VM keeps waiting for the stream unless its source is out of reach.
-    async fn resume_target(&self, is_out_of_reach: bool) -> Option<ResumeTarget<D, F>> {
-        let is_draining = self.state.draining_for().is_some();
-        if is_draining && !is_out_of_reach || !self.may_continue() {
-            return None;
-        }
-        let choice = self.choose_retry();
-        let choice = choice.inspect_err(|why| self.log_wait(is_out_of_reach, why)).ok()?;
-        let coordinator = match &choice {
-            Choice::Endpoint { endpoint, .. } if self.history.has_endpoint(&endpoint.id) => return None,
-            Choice::Endpoint { coordinator, .. } => coordinator.clone(),
-            Choice::Vm { .. } if is_out_of_reach => None,
-            Choice::Vm { .. } => return None,
-        };
-        let Some(coordinator) = coordinator else {
-            return Some(ResumeTarget {
-                choice,
-                reservation: None,
-            });
-        };
-        let reservation = reserve(&self.state, &self.request, &coordinator, &mut self.history.clone()).await;
-        let reservation = reservation.ok().flatten();
-        reservation.is_some().then_some(ResumeTarget { choice, reservation })
-    }
-
     /// Relays a chunk; of a resumable stream only the events that are complete.
     async fn relay_chunk(&mut self, data: &Bytes, tx: &Sender) -> ChunkOutcome {
         let complete = if self.is_resumable {
@@ -307,13 +302,6 @@
         true
     }
 
-    /// Returns whether the rest of the stream may come from another endpoint.
-    fn may_continue(&self) -> bool {
-        let admitted = &self.request.admitted;
-        let is_pinned = admitted.pinned_software.is_some();
-        !self.has_started || is_pinned || self.state.relay.borrow().is_unversioned(&admitted.service)
-    }
-
     /// Returns why the end of the body is not the end of the response; `None` if it is.
     ///
     /// A body without a length and chunks ends with its connection, whether the endpoint finished it or broke off.
@@ -330,7 +318,7 @@
 
     /// Records the arrival time of a chunk.
     fn record_chunk_time(&mut self, source: &mut BodySource<D, F>) {
-        self.silent_for = None;
+        self.silence = None;
         let now = self.state.now();
         self.request.active.on_chunk(now);
         if !self.request.admitted.route.kind.is_streaming() {
@@ -350,105 +338,6 @@
         self.last_chunk_at = Some(now);
     }
 
-    /// Resumes the stream elsewhere, first at `target`; `None` if that is not possible or the caller is gone.
-    async fn resume(&mut self, mut target: Option<ResumeTarget<D, F>>, tx: &Sender) -> Option<BodySource<D, F>> {
-        if !self.is_resumable {
-            return None;
-        }
-        if !self.may_continue() {
-            return self.give_up("version_unknown");
-        }
-        self.events.discard_partial();
-        self.last_chunk_at = None;
-        self.silent_for = None;
-        self.source_has_event = false;
-        self.request.last_event_id = self.events.last_event_id().map(str::to_owned);
-        // Without the id of an event, another endpoint would start again.
-        if self.has_started && self.request.last_event_id.is_none() {
-            return self.give_up("no_event_id");
-        }
-        while self.request.admitted.remaining(self.state.now()) > Millis(0) {
-            let retried = tokio::select! {
-                retried = self.retry(target.take()) => retried,
-                () = tx.closed() => return self.give_up(CALLER_GONE),
-            };
-            let retried = match retried {
-                Ok(retried) => retried,
-                // Before its first event, the stream may still begin at another version.
-                Err(_refused) if !self.has_started && self.request.admitted.unplace() => continue,
-                Err(why) => return self.give_up(why),
-            };
-            if let Some(response) = retried {
-                self.stall = Some(StallDetector::new(response.first_event_deadline));
-                self.software = response.software;
-                self.endpoint = response.source.endpoint().cloned();
-                return Some(response.source);
-            }
-        }
-        self.give_up("timeout")
-    }
-
-    /// Logs why the stream waits for a source that is out of reach.
-    fn log_wait(&self, is_out_of_reach: bool, why: &'static str) {
-        if is_out_of_reach {
-            let left = self.request.admitted.remaining(self.state.now());
-            telemetry::log_stream_waits(&self.request.admitted, why, left);
-        }
-    }
-
-    /// Logs why the stream is not resumed.
-    fn give_up<T>(&self, why: &'static str) -> Option<T> {
-        let left = self.request.admitted.remaining(self.state.now());
-        telemetry::log_not_resumed(&self.request.admitted, &self.history, why, left);
-        None
-    }
-
-    /// Withdraws a retry from the budget and chooses its target.
-    ///
-    /// # Errors
-    ///
-    /// Returns why there is none.
-    fn choose_retry(&self) -> Result<Choice, &'static str> {
-        let admitted = &self.request.admitted;
-        let mut relay = self.state.relay.borrow_mut();
-        if !relay.withdraw_retry(admitted, &self.history) {
-            return Err("no_retry");
-        }
-        let choice = relay.choose(admitted, &self.history, self.state.now());
-        choice.map_err(|refusal| refusal.kind.into())
-    }
-
-    /// Retries the request; `None` if the retry failed.
-    ///
-    /// # Errors
-    ///
-    /// Returns why no retry is possible.
-    async fn retry(
-        &mut self,
-        target: Option<ResumeTarget<D, F>>,
-    ) -> Result<Option<IncomingResponse<D, F>>, &'static str> {
-        let (choice, reservation) = match target {
-            Some(ResumeTarget { choice, reservation }) => (choice, Some(reservation)),
-            None => (self.choose_retry()?, None),
-        };
-        self.log_resumed(choice.remote_region(), choice.target());
-        let response = match (&choice, reservation) {
-            (Choice::Endpoint { endpoint, .. }, Some(reservation)) => {
-                start_endpoint_attempt(&self.state, &self.request, endpoint, reservation, &mut self.history).await
-            }
-            _ => start_attempt(&self.state, &self.request, &choice, &mut self.history).await,
-        };
-        Ok(response.ok().filter(|response| self.format.matches(&response.head)))
-    }
-
-    /// Logs that the stream is resumed at `target`, which is in this VM's region unless another one is given.
-    fn log_resumed(&self, region: Option<&RegionId>, target: &str) {
-        let last_event_id = self.request.last_event_id.as_deref().unwrap_or_default();
-        let options = self.state.options();
-        let region = region.unwrap_or(&options.region);
-        telemetry::log_resume(&self.state, &self.request.admitted, region, target, last_event_id);
-    }
-
     /// Logs the end of a request by which a caller resumed a stream.
     fn log_end(&self, ended: &'static str) {
         let admitted = &self.request.admitted;
--- a/crates/sw-proxy/src/telemetry.rs
+++ b/crates/sw-proxy/src/telemetry.rs
@@ -6,7 +6,7 @@
 use metrics::{counter, gauge, histogram};
 use spdlog::prelude::*;
 use sw_error::Refusal;
-use sw_peer::relay::CallRefusal;
+use sw_peer::relay::{CallRefusal, Silence};
 use sw_relay::{
     AdmittedRequest, Attempt, AttemptHistory, AttemptOutcome, Choice, EndpointEntry, HealthCheck, PathChange,
     QuarantineChange, QuarantineEntry, QueueEstimate, RateLimitStatement, RejectionLimitStatement, Reservation,
@@ -361,9 +361,9 @@
     }
 }
 
-/// Returns the time since something was received; -1 if nothing was.
-fn silence_ms(silence: Option<Millis>) -> i64 {
-    silence.map_or(-1, |time| i64::try_from(time.0).unwrap_or(i64::MAX))
+/// Formats a time for the log; -1 if there is none.
+fn optional_ms(time: Option<Millis>) -> i64 {
+    time.map_or(-1, |time| i64::try_from(time.0).unwrap_or(i64::MAX))
 }
 
 /// Logs the paths that were lost or are back.
@@ -378,8 +378,8 @@
             } => {
                 let (endpoint, how): (_, &'static str) = (endpoint.as_str(), failure.into());
                 let waited_ms = evidence.waited.0;
-                let heard_ms = silence_ms(evidence.endpoint_silence);
-                let service_heard_ms = silence_ms(evidence.service_silence);
+                let heard_ms = optional_ms(evidence.endpoint_silence);
+                let service_heard_ms = optional_ms(evidence.service_silence);
                 info!("path_lost", kv: { endpoint, how, waited_ms, heard_ms, service_heard_ms });
             }
             PathChange::Regained { endpoint, lost_for } => {
@@ -451,10 +451,10 @@
     counter!("shallotwing_answers_broken_total", "reason" => reason).increment(1);
 }
 
-/// Logs that nothing was received for a while from the VM that relays a response, although it was asked for a reply.
-pub(crate) fn log_source_silent(admitted: &AdmittedRequest, silent_for: Millis, draining_for: Option<Millis>) {
-    let (id, silent_ms) = (&*admitted.id, silent_for.0);
-    let draining_ms = draining_for.map_or(-1, |span| i64::try_from(span.0).unwrap_or(i64::MAX));
+/// Logs that the VM that relays a response is silent, although it was asked for a reply.
+pub(crate) fn log_source_silent(admitted: &AdmittedRequest, silence: Silence, draining_for: Option<Millis>) {
+    let (id, silent_ms) = (&*admitted.id, silence.duration.0);
+    let draining_ms = optional_ms(draining_for);
     info!("source_silent", kv: { id, silent_ms, draining_ms });
     counter!("shallotwing_sources_silent_total").increment(1);
 }
--- a/crates/sw-relay/src/retry.rs
+++ b/crates/sw-relay/src/retry.rs
@@ -33,6 +33,18 @@
     }
 }
 
+/// Returns whether another attempt is permitted, whatever the budget.
+fn may_repeat(admitted: &AdmittedRequest, history: &AttemptHistory) -> bool {
+    let has_runs_left = history.possible_runs() < admitted.max_attempts && history.sends() < MAX_SENDS;
+    let is_repeatable = !history.may_have_run() || admitted.route.kind.is_repeatable();
+    has_runs_left && is_repeatable
+}
+
+/// Returns whether another attempt costs nothing, because the last one cannot have reached an endpoint.
+fn is_free(history: &AttemptHistory) -> bool {
+    history.last_outcome().is_some_and(AttemptOutcome::not_arrived)
+}
+
 impl Relay {
     /// Sets the bounds on the retries of all VMs together.
     pub fn set_retry_bounds(&mut self, ratio: f64, slack: f64) {
@@ -43,10 +55,12 @@
     /// Returns whether a request may be sent again. If so, a retry is withdrawn from the budget, unless the last
     /// attempt cannot have reached an endpoint.
     pub fn withdraw_retry(&mut self, admitted: &AdmittedRequest, history: &AttemptHistory) -> bool {
-        let has_runs_left = history.possible_runs() < admitted.max_attempts && history.sends() < MAX_SENDS;
-        let is_repeatable = !history.may_have_run() || admitted.route.kind.is_repeatable();
-        let is_free = history.last_outcome().is_some_and(AttemptOutcome::not_arrived);
-        has_runs_left && is_repeatable && (is_free || self.budget(&admitted.service).withdraw())
+        may_repeat(admitted, history) && (is_free(history) || self.budget(&admitted.service).withdraw())
+    }
+
+    /// Returns whether a request may be sent again, without a withdrawal.
+    pub fn has_retry(&mut self, admitted: &AdmittedRequest, history: &AttemptHistory) -> bool {
+        may_repeat(admitted, history) && (is_free(history) || self.budget(&admitted.service).has_retry())
     }
 
     /// Counts a request from a caller, which deposits a fraction of a retry in the budget.
