--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -147,6 +147,13 @@
   newerHeardMs @18 :UInt32;
   # Whether the sender places new streams by their ids.
   knowsPlacements @19 :Bool;
+  # Whether the sender takes rows as differences, so that `known` may lack rows that did not change lately.
+  takesDifferences @20 :Bool;
+  # Whether the reply should have all rows.
+  wantsRows @21 :Bool;
+  # Time since the sender received a heartbeat of the receiver's failure domain, or of the receiver if they are in the same one;
+  # 0 if it received none.
+  heardMs @22 :UInt32;
 }
 
 # A part of a large value.
--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use sw_relay::{
-    CachedPart, DomainView, EndpointLoad, HeardVersion, Heartbeat, ServiceId, ServiceLoad, ServiceVersions,
+    CachedPart, DomainView, EndpointLoad, HeardVersion, Heartbeat, RowQuery, ServiceId, ServiceLoad, ServiceVersions,
     SoftwareVersion, StreamOrigin, VersionAge, VmAge,
 };
 use sw_unit::{Incarnation, Millis, Version};
@@ -52,6 +52,7 @@
         &heartbeat.versions,
     );
     set_services(to.reborrow().init_cut_off(len(&heartbeat.cut_off)), &heartbeat.cut_off);
+    set_row_query(to.reborrow(), heartbeat.row_query);
     if let Some(heard) = heartbeat.newer_version {
         to.set_newer_version(heard.version.0);
         to.set_newer_heard_ms(millis(heard.age));
@@ -163,9 +164,26 @@
         versions: versions(from.get_versions()?)?,
         cut_off: services(from.get_cut_off()?)?,
         newer_version: heard_version(from),
+        row_query: row_query(from),
     })
 }
 
+/// Encodes a time of less than a millisecond as 1, as 0 stands for none.
+fn set_row_query(mut to: wire::beat::Builder<'_>, query: RowQuery) {
+    to.set_takes_differences(query.takes_differences);
+    to.set_wants_rows(query.wants_all);
+    to.set_heard_ms(query.last_heard.map_or(0, |heard| millis(heard).max(1)));
+}
+
+fn row_query(from: wire::beat::Reader<'_>) -> RowQuery {
+    let heard_ms = from.get_heard_ms();
+    RowQuery {
+        takes_differences: from.get_takes_differences(),
+        wants_all: from.get_wants_rows(),
+        last_heard: (heard_ms > 0).then(|| Millis(u64::from(heard_ms))),
+    }
+}
+
 fn domain_view(from: wire::domain_view::Reader<'_>) -> Result<DomainView> {
     let vms = from.get_vms()?.iter().map(|vm| {
         Ok(VmAge {
--- a/crates/sw-peer/src/relay_capnp.rs
+++ b/crates/sw-peer/src/relay_capnp.rs
@@ -4724,11 +4724,23 @@
         pub fn get_knows_placements(self) -> bool {
             self.reader.get_bool_field(193)
         }
+        #[inline]
+        pub fn get_takes_differences(self) -> bool {
+            self.reader.get_bool_field(194)
+        }
+        #[inline]
+        pub fn get_wants_rows(self) -> bool {
+            self.reader.get_bool_field(195)
+        }
+        #[inline]
+        pub fn get_heard_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(14)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 11 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 11 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5026,6 +5038,30 @@
         pub fn set_knows_placements(&mut self, value: bool)  {
             self.builder.set_bool_field(193, value);
         }
+        #[inline]
+        pub fn get_takes_differences(self) -> bool {
+            self.builder.get_bool_field(194)
+        }
+        #[inline]
+        pub fn set_takes_differences(&mut self, value: bool)  {
+            self.builder.set_bool_field(194, value);
+        }
+        #[inline]
+        pub fn get_wants_rows(self) -> bool {
+            self.builder.get_bool_field(195)
+        }
+        #[inline]
+        pub fn set_wants_rows(&mut self, value: bool)  {
+            self.builder.set_bool_field(195, value);
+        }
+        #[inline]
+        pub fn get_heard_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(14)
+        }
+        #[inline]
+        pub fn set_heard_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(14, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5040,164 +5076,185 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 369] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 417] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(133, 4, 211, 207, 138, 222, 52, 236),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 7, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 8, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
             ::capnp::word(11, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 103, 4, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 15, 5, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 66, 101, 97, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(121, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(125, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(145, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(153, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(177, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(197, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(217, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(241, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(5, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(29, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 2, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(53, 3, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(57, 3, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 2, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(61, 3, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 3, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(89, 3, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 3, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(97, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 3, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(105, 3, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 3, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(125, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 3, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(133, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 193, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 3, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(141, 3, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 3, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(21, 0, 0, 0, 195, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(161, 3, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(22, 0, 0, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 3, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(26, 128, 190, 178, 67, 7, 133, 240),
@@ -5410,6 +5467,33 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 97, 107, 101, 115, 68, 105, 102),
+            ::capnp::word(102, 101, 114, 101, 110, 99, 101, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 110, 116, 115, 82, 111, 119),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 97, 114, 100, 77, 115, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5433,6 +5517,9 @@
                 17 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 18 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 19 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                20 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                21 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                22 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5446,9 +5533,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,13,8,16,5,4,11,14,15,0,6,2,19,1,18,17,7,12,3,10];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,13,8,16,5,4,11,14,15,0,22,6,2,19,1,18,17,7,12,3,20,10,21];
         pub(crate) const TYPE_ID: u64 = 0xec34_de8a_cfd3_0485;
     }
 }
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -9,7 +9,7 @@
 use crate::registry::Endpoint;
 use crate::{
     AnsweredSuspect, AttemptHistory, CrashReport, DomainView, EndpointLoad, EndpointRateLimit, EndpointTracker,
-    Heartbeat, LimitKind, RateLimitState, Relay, ServiceId, ServiceLoad, VmAge,
+    Exchange, Heartbeat, LimitKind, RateLimitState, Relay, RowQuery, ServiceId, ServiceLoad, VmAge,
 };
 
 /// Minimum number of entry VMs of the caller's failure domain; with fewer, those of the whole region are named.
@@ -88,9 +88,29 @@
             versions: if agree { Vec::new() } else { self.versions.reports(now) },
             cut_off: self.paths.cut_off(),
             newer_version: self.heard_version(now),
+            row_query: RowQuery::default(),
         }
     }
 
+    /// Returns the heartbeat to send to another VM now, whose membership row is `to` if it is known.
+    pub fn start_exchange(&mut self, to: Option<VmRow>, now: Time) -> Exchange {
+        Exchange {
+            heartbeat: self.heartbeat(to.as_ref(), now),
+            to,
+            started_at: now,
+        }
+    }
+
+    /// Returns the reply to a heartbeat that was applied.
+    pub fn reply(&mut self, to: &VmRow, now: Time) -> Heartbeat {
+        self.heartbeat(Some(to), now)
+    }
+
+    /// Applies the reply to a heartbeat, and returns whether the row of its sender is new or changed.
+    pub fn end_exchange(&mut self, _exchange: &Exchange, reply: Heartbeat, now: Time) -> bool {
+        self.on_heartbeat(reply, now)
+    }
+
     /// Applies a heartbeat, and returns whether the row of its sender is new or changed.
     pub fn on_heartbeat(&mut self, heartbeat: Heartbeat, now: Time) -> bool {
         self.on_version_heard(heartbeat.from.version, now);
--- a/crates/sw-relay/src/heartbeat.rs
+++ b/crates/sw-relay/src/heartbeat.rs
@@ -6,7 +6,7 @@
 //! sides know different ones.
 
 use sw_member::VmRow;
-use sw_unit::{DomainId, EndpointId, Incarnation, Millis, RegionId, Version, VmId};
+use sw_unit::{DomainId, EndpointId, Incarnation, Millis, RegionId, Time, Version, VmId};
 
 use crate::{AnsweredSuspect, CachedPart, CrashReport, EndpointRateLimit, ServiceId, ServiceVersions, StoreState};
 
@@ -121,4 +121,28 @@
     pub cut_off: Vec<ServiceId>,
     /// The newest version that the sender has heard of, if it lacks that.
     pub newer_version: Option<HeardVersion>,
+    /// How the sender takes and asks for rows.
+    pub row_query: RowQuery,
+}
+
+/// Which rows the receiver of a heartbeat should send.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RowQuery {
+    /// Whether the sender takes rows as differences; a VM of an earlier build does not.
+    pub takes_differences: bool,
+    /// Whether the reply should have all rows.
+    pub wants_all: bool,
+    /// Time since the sender received a heartbeat of the receiver, or of the receiver's failure domain if that is another
+    /// one; `None` if it received none.
+    pub last_heard: Option<Millis>,
+}
+
+/// A heartbeat that was sent to another VM, until its reply is received.
+#[derive(Debug, Clone)]
+pub struct Exchange {
+    /// The heartbeat.
+    pub heartbeat: Heartbeat,
+    /// The row of the receiver, if it is known.
+    pub(crate) to: Option<VmRow>,
+    pub(crate) started_at: Time,
 }
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -64,7 +64,7 @@
 pub use crash_evidence::{AnsweredSuspect, CrashReport};
 pub use exchange::EntryQuery;
 pub use health_check::{ColdCause, HealthCheck};
-pub use heartbeat::{DomainView, EndpointLoad, HeardVersion, Heartbeat, ServiceLoad, VmAge};
+pub use heartbeat::{DomainView, EndpointLoad, Exchange, HeardVersion, Heartbeat, RowQuery, ServiceLoad, VmAge};
 pub use history::{AttemptHistory, Choice};
 pub use latency::LatencyModel;
 pub use load::EndpointTracker;
--- a/crates/sw-relay/tests/odd_input.rs
+++ b/crates/sw-relay/tests/odd_input.rs
@@ -9,8 +9,8 @@
 use sw_relay::{
     AnsweredSuspect, AttemptHistory, AttemptOutcome, CachedPart, Choice, CrashReport, DomainView, EndpointEntry,
     EndpointLoad, EndpointRateLimit, EndpointReport, HeardVersion, Heartbeat, LimitKind, LoadReport, Progress, Prompt,
-    PromptPart, RateLimitState, RateLimitStatement, Relay, ServiceId, ServiceLoad, ServiceVersions, StoreRecord,
-    StoreState, Suspect, VersionAge, VmAge,
+    PromptPart, RateLimitState, RateLimitStatement, Relay, RowQuery, ServiceId, ServiceLoad, ServiceVersions,
+    StoreRecord, StoreState, Suspect, VersionAge, VmAge,
 };
 use sw_unit::{
     EndpointId, Fingerprint, Incarnation, Millis, PartId, Rate, RegionId, StoreEra, StorePosition, Time, Tokens,
@@ -245,8 +245,25 @@
                 versions,
                 cut_off,
                 newer_version,
+                row_query: RowQuery::default(),
             },
         )
+        .prop_flat_map(|heartbeat| {
+            row_query().prop_map(move |row_query| Heartbeat {
+                row_query,
+                ..heartbeat.clone()
+            })
+        })
+}
+
+fn row_query() -> impl Strategy<Value = RowQuery> {
+    (any::<bool>(), any::<bool>(), prop::option::of(duration())).prop_map(
+        |(takes_differences, wants_all, last_heard)| RowQuery {
+            takes_differences,
+            wants_all,
+            last_heard,
+        },
+    )
 }
 
 fn services() -> impl Strategy<Value = Vec<ServiceId>> {
--- a/crates/sw-relay/tests/support/mod.rs
+++ b/crates/sw-relay/tests/support/mod.rs
@@ -246,6 +246,7 @@
         versions: Vec::new(),
         cut_off: Vec::new(),
         newer_version: None,
+        row_query: sw_relay::RowQuery::default(),
         from,
     }
 }
