fix(relay): heartbeats carry the rows that changed, not those of all VMs

Callers saw late first events and streams cut in planned stops on the largest site. While VMs stop and start in turn hardly two VMs know the same rows, and each heartbeat and reply carried the rows of all: 36 KB at 194 rows, and 194 of them at once when a VM stops. They fill the VM's link, and short calls fail after 1.2 s.

A heartbeat now has the rows that changed since the last exchange. Neighbours are told what was learned outside their domain, other domains the rows of the sender's domain; two VMs of a domain repeat what a leaving remote VM told all. A VM that has just started asks for all rows until a VM that has them replies, and calls all its seeds until then. Two sides that disagree for 5 s ask for all rows, each VM at most once in 5 s and in 50 ms for each row. A VM of an earlier build is sent all rows. A stop announces itself to 16 VMs at a time, the nearest first.

--- a/crates/sw-gate/src/heartbeat.rs
+++ b/crates/sw-gate/src/heartbeat.rs
@@ -13,7 +13,7 @@
 
 use indexmap::IndexMap;
 use sw_load::{DomainSummary, ModelLoad, Report};
-use sw_member::{VmRow, VmState, rendezvous_score, rendezvous_top};
+use sw_member::{RowSource, VmRow, VmState, rendezvous_score, rendezvous_top};
 use sw_route::{Policy, summary_keys};
 use sw_unit::{DomainId, Incarnation, Millis, ModelId, Time};
 
@@ -150,7 +150,7 @@
             }
         }
         for row in heartbeat.members {
-            self.members.on_gossip(row, now);
+            self.members.on_gossip(row, RowSource::Neighbour, now);
         }
         for incarnation in &heartbeat.leaving {
             self.leaving.mark(incarnation);
--- a/crates/sw-member/src/members.rs
+++ b/crates/sw-member/src/members.rs
@@ -5,13 +5,18 @@
 use indexmap::IndexMap;
 use sw_unit::{DomainId, EndpointId, Incarnation, Millis, RegionId, Time, Version, VmId};
 
-use crate::{VmBrief, VmRow, VmState, rendezvous_score, rendezvous_top};
+use crate::{RowSource, VmBrief, VmRow, VmState, rendezvous_score, rendezvous_top};
 
 /// Number of VMs that poll one endpoint.
 const POLLERS: usize = 2;
 /// Number of VMs of a failure domain that exchange summaries with one remote domain.
 const DELEGATES: usize = 2;
 
+/// Number of VMs of a failure domain that repeat to the others what a remote VM told all VMs.
+const REPEATERS: usize = 2;
+/// Time for which rows of a [`RowSource::Snapshot`] may be news to neighbours.
+const SNAPSHOT_TIME: Millis = Millis(5_000);
+
 /// Periods and timeouts of [`Members`].
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
@@ -46,6 +51,25 @@
 struct Member {
     row: VmRow,
     received_at: Time,
+    /// When and from whom this VM learned the row as it is.
+    changed_at: Time,
+    source: RowSource,
+}
+
+impl Member {
+    /// Applies what another row of the same incarnation adds: its end, and a newer version.
+    fn merge(&mut self, row: &VmRow, source: RowSource, now: Time) {
+        let (leaving, version) = (self.row.leaving | row.leaving, self.row.version.max(row.version));
+        let unchanged = (leaving, version) == (self.row.leaving, self.row.version);
+        // What a remote VM reports as changed is news to neighbours that started earlier than this VM.
+        let is_recent = now.since(self.changed_at) < SNAPSHOT_TIME;
+        let is_news = is_recent && self.source == RowSource::Snapshot && source == RowSource::Remote;
+        if unchanged && !is_news {
+            return;
+        }
+        (self.row.leaving, self.row.version) = (leaving, version);
+        (self.changed_at, self.source) = (now, source);
+    }
 }
 
 /// The VMs that this VM knows, itself included.
@@ -97,8 +121,16 @@
                 row.version = row.version.max(known.row.version);
             }
         }
-        let changed = self.peers.get(&row.vm).is_none_or(|known| known.row != row);
-        self.peers.insert(row.vm.clone(), Member { row, received_at: now });
+        let unchanged = self.peers.get(&row.vm).filter(|known| known.row == row);
+        let (changed_at, source) = unchanged.map_or((now, RowSource::Itself), |known| (known.changed_at, known.source));
+        let changed = unchanged.is_none();
+        let member = Member {
+            row,
+            received_at: now,
+            changed_at,
+            source,
+        };
+        self.peers.insert(member.row.vm.clone(), member);
         changed
     }
 
@@ -137,18 +169,25 @@
     /// Records a row that a third party sent, and returns whether the VM was unknown.
     ///
     /// It does not prove that the VM is live, so a new incarnation starts as suspect.
-    pub fn on_gossip(&mut self, row: VmRow, now: Time) -> bool {
+    pub fn on_gossip(&mut self, row: VmRow, source: RowSource, now: Time) -> bool {
         if let Some(known) = self.peers.get_mut(&row.vm) {
             if row.incarnation == known.row.incarnation {
-                known.row.leaving |= row.leaving;
-                known.row.version = known.row.version.max(row.version);
+                known.merge(&row, source, now);
             }
             if row.incarnation <= known.row.incarnation {
                 return false;
             }
         }
-        let received_at = now - self.suspect_after(&row.domain);
-        row.vm != self.local.vm && self.peers.insert(row.vm.clone(), Member { row, received_at }).is_none()
+        if row.vm == self.local.vm {
+            return false;
+        }
+        let member = Member {
+            received_at: now - self.suspect_after(&row.domain),
+            changed_at: now,
+            source,
+            row,
+        };
+        self.peers.insert(member.row.vm.clone(), member).is_none()
     }
 
     /// Records the row of a VM of a remote domain whose heartbeat a delegate received `age` ago.
@@ -161,7 +200,7 @@
         if is_newer {
             self.on_heartbeat(row, received_at);
         } else {
-            self.on_gossip(row, now);
+            self.on_gossip(row, RowSource::Neighbour, now);
         }
     }
 
@@ -213,6 +252,18 @@
         self.peers.values().map(|member| &member.row)
     }
 
+    /// Iterates over the rows that this VM has learned since a point in time as they are, and from whom.
+    pub fn changes_since(&self, since: Time) -> impl Iterator<Item = (&VmRow, RowSource)> {
+        let changed = self.peers.values().filter(move |member| member.changed_at >= since);
+        changed.map(|member| (&member.row, member.source))
+    }
+
+    /// Whether this VM is one of those that tell their neighbours what a remote VM told all VMs itself.
+    pub fn is_repeater(&self, remote: &VmId, now: Time) -> bool {
+        let live = self.live_vms(&self.local.domain, now).map(|row| &row.vm);
+        rendezvous_top(remote, live, REPEATERS).contains(&&self.local.vm)
+    }
+
     /// Iterates over the other VMs of the local failure domain, live or not.
     pub fn neighbours(&self) -> impl Iterator<Item = &VmRow> {
         self.peers().filter(|row| row.domain == self.local.domain)
--- a/crates/sw-member/src/types.rs
+++ b/crates/sw-member/src/types.rs
@@ -50,6 +50,19 @@
     }
 }
 
+/// Who sent a row as it is now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RowSource {
+    /// The VM itself.
+    Itself,
+    /// A VM that sent all its rows to this VM when it started; neighbours know what was known then.
+    Snapshot,
+    /// A neighbour, which tells all other neighbours.
+    Neighbour,
+    /// A third party in another failure domain.
+    Remote,
+}
+
 /// The state of a VM as this VM sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum VmState {
--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -149,7 +149,7 @@
   knowsPlacements @19 :Bool;
   # Whether the sender takes rows as differences, so that `known` may lack rows that did not change lately.
   takesDifferences @20 :Bool;
-  # Whether the reply should have all rows.
+  # Whether the sender wants all rows: in the reply, or if this is a reply, in the next heartbeat.
   wantsRows @21 :Bool;
   # Time since the sender received a heartbeat of the receiver's failure domain, or of the receiver if they are in the same one;
   # 0 if it received none.
--- a/crates/sw-proxy/src/heartbeat.rs
+++ b/crates/sw-proxy/src/heartbeat.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::StreamExt as _;
 use indexmap::{IndexMap, IndexSet};
 use spdlog::prelude::*;
 use sw_member::{VmRow, VmState};
@@ -29,6 +30,9 @@
 /// Time without heartbeats after which the second delegate takes over the exchange with another failure domain.
 const DELEGATE_FAILOVER_AFTER: Millis = Millis(2_400);
 
+/// Maximum number of VMs that are told at once that this VM is leaving.
+const MAX_ANNOUNCING: usize = 16;
+
 /// Time for which the broken connections of a crashed endpoint are collected before they are announced together.
 const CRASH_NEWS_DELAY: Millis = Millis(15);
 /// Shortest time between two series of heartbeats that announce crashes, unless they are evidence enough for a quarantine.
@@ -56,13 +60,17 @@
     }
 }
 
-/// Exchanges heartbeats with all known VMs.
+/// Exchanges heartbeats with all known VMs, the nearest ones first.
 pub(crate) async fn announce_to_all<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>) {
-    let rows: Vec<_> = state.relay.borrow().members().peers().cloned().collect();
-    let exchanges = rows
-        .into_iter()
-        .map(|row| exchange_with(state, row.peer_listen, Some(row)));
-    futures::future::join_all(exchanges).await;
+    let rows = {
+        let relay = state.relay.borrow();
+        let local = relay.members().local();
+        let mut rows: Vec<_> = relay.members().peers().cloned().collect();
+        rows.sort_by_key(|row| (row.domain != local.domain, row.region != local.region));
+        rows
+    };
+    let exchanges = futures::stream::iter(rows).map(|row| exchange_with(state, row.peer_listen, Some(row)));
+    exchanges.buffer_unordered(MAX_ANNOUNCING).collect::<()>().await;
 }
 
 /// Announces crashes to the VMs that should learn of them: at once if they are a `verdict`, evidence enough for a
@@ -129,9 +137,18 @@
 
 /// Applies a heartbeat of another VM.
 pub(crate) fn on_heartbeat<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, heartbeat: Heartbeat) {
-    let now = state.now();
     let from = heartbeat.from.clone();
-    let is_changed = log_if_behind(state, from.vm.as_str(), |relay| relay.on_heartbeat(heartbeat, now));
+    apply(state, &from, |relay, now| relay.on_heartbeat(heartbeat, now));
+}
+
+/// Applies what the VM of row `from` sent, and acts on what changed; `apply_to` returns whether its row did.
+fn apply<D: Dialect, F: 'static>(
+    state: &Rc<ProxyState<D, F>>,
+    from: &VmRow,
+    apply_to: impl FnOnce(&mut Relay, Time) -> bool,
+) {
+    let now = state.now();
+    let is_changed = log_if_behind(state, from.vm.as_str(), |relay| apply_to(relay, now));
     if is_changed {
         let (vm, incarnation, leaving) = (from.vm.as_str(), from.incarnation.0, from.leaving);
         let version = from.version.0;
@@ -185,7 +202,7 @@
 }
 
 /// Returns the VMs to call now: neighbours that are due, one VM of each failure domain with which this VM should
-/// exchange heartbeats, and seeds that belong to no known VM.
+/// exchange heartbeats, and seeds.
 fn due_peers<D, F>(state: &ProxyState<D, F>) -> Vec<(SocketAddr, Option<VmRow>)> {
     let mut relay = state.relay.borrow_mut();
     let now = state.now();
@@ -198,8 +215,8 @@
     }
     let options = state.options();
     let unknown = relay
-        .members()
-        .unknown_seeds(&options.seeds)
+        .seeds_to_call(&options.seeds, now)
+        .into_iter()
         .map(|address| (address, None));
     let known = rows.into_iter().map(|row| (row.peer_listen, Some(row)));
     known.chain(unknown).collect()
@@ -221,13 +238,14 @@
 
 async fn exchange_with<D: Dialect, F: 'static>(state: &Rc<ProxyState<D, F>>, address: SocketAddr, row: Option<VmRow>) {
     let started_at = state.now();
-    let heartbeat = state.relay.borrow().heartbeat(row.as_ref(), started_at);
+    let exchange = state.relay.borrow_mut().start_exchange(row, started_at);
     // An unresponsive VM becomes suspect when its heartbeats are overdue.
-    let Ok(reply) = state.peers.send_heartbeat(address, &heartbeat).await else {
+    let Ok(reply) = state.peers.send_heartbeat(address, &exchange.heartbeat).await else {
         return;
     };
     let region = reply.from.region.clone();
-    on_heartbeat(state, reply);
+    let from = reply.from.clone();
+    apply(state, &from, |relay, now| relay.end_exchange(&exchange, reply, now));
     let round_trip = state.now().since(started_at);
     state.relay.borrow_mut().record_round_trip(&region, round_trip);
 }
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -34,7 +34,7 @@
     fn on_heartbeat(&self, heartbeat: Heartbeat) -> Heartbeat {
         let from = heartbeat.from.clone();
         heartbeat::on_heartbeat(&self.0, heartbeat);
-        self.0.relay.borrow().heartbeat(Some(&from), self.0.now())
+        self.0.relay.borrow_mut().reply(&from, self.0.now())
     }
 
     fn store_copy(&self, takes_chunks: bool) -> Option<StoreCopy> {
--- a/crates/sw-relay/src/exchange.rs
+++ b/crates/sw-relay/src/exchange.rs
@@ -1,6 +1,6 @@
 //! Exchange of heartbeats with other VMs, and the entry VMs for callers.
 
-use sw_member::{VmRow, VmState, rendezvous_score};
+use sw_member::{RowSource, VmRow, VmState};
 use sw_unit::{DomainId, EndpointId, Millis, RegionId, Time, VmId};
 
 use crate::cache_directory::Origin;
@@ -9,7 +9,7 @@
 use crate::registry::Endpoint;
 use crate::{
     AnsweredSuspect, AttemptHistory, CrashReport, DomainView, EndpointLoad, EndpointRateLimit, EndpointTracker,
-    Exchange, Heartbeat, LimitKind, RateLimitState, Relay, RowQuery, ServiceId, ServiceLoad, VmAge,
+    Heartbeat, LimitKind, RateLimitState, Relay, ServiceId, ServiceLoad, VmAge,
 };
 
 /// Minimum number of entry VMs of the caller's failure domain; with fewer, those of the whole region are named.
@@ -48,16 +48,11 @@
         let local = self.members.local();
         let neighbour = to.is_some_and(|row| row.domain == local.domain);
         let same_region = to.is_some_and(|row| row.region == local.region);
-        let members = self.members_digest();
-        let agree = to.is_some_and(|row| self.peer_digests.get(&row.vm) == Some(&members));
+        let agree = self.agrees_with(to);
         Heartbeat {
             from: local.clone(),
-            members_digest: members,
-            known_vms: if agree {
-                Vec::new()
-            } else {
-                self.members.peers().cloned().collect()
-            },
+            members_digest: self.members_digest(),
+            known_vms: self.rows_to_send(to, now),
             store: self.store,
             endpoints: if neighbour { self.local_loads(now) } else { Vec::new() },
             domains: if neighbour {
@@ -88,42 +83,28 @@
             versions: if agree { Vec::new() } else { self.versions.reports(now) },
             cut_off: self.paths.cut_off(),
             newer_version: self.heard_version(now),
-            row_query: RowQuery::default(),
-        }
-    }
-
-    /// Returns the heartbeat to send to another VM now, whose membership row is `to` if it is known.
-    pub fn start_exchange(&mut self, to: Option<VmRow>, now: Time) -> Exchange {
-        Exchange {
-            heartbeat: self.heartbeat(to.as_ref(), now),
-            to,
-            started_at: now,
+            row_query: self.row_query(to, now),
         }
     }
 
-    /// Returns the reply to a heartbeat that was applied.
-    pub fn reply(&mut self, to: &VmRow, now: Time) -> Heartbeat {
-        self.heartbeat(Some(to), now)
-    }
-
-    /// Applies the reply to a heartbeat, and returns whether the row of its sender is new or changed.
-    pub fn end_exchange(&mut self, _exchange: &Exchange, reply: Heartbeat, now: Time) -> bool {
-        self.on_heartbeat(reply, now)
-    }
-
     /// Applies a heartbeat, and returns whether the row of its sender is new or changed.
     pub fn on_heartbeat(&mut self, heartbeat: Heartbeat, now: Time) -> bool {
+        let source = self.source_of_rows(&heartbeat.from);
+        self.apply_heartbeat(heartbeat, source, now)
+    }
+
+    /// Applies a heartbeat whose rows are from `source`.
+    pub(crate) fn apply_heartbeat(&mut self, heartbeat: Heartbeat, source: RowSource, now: Time) -> bool {
         self.on_version_heard(heartbeat.from.version, now);
         if let Some(heard) = heartbeat.newer_version {
             self.record_heard_version(heard.version, now - heard.age, now);
         }
         for row in heartbeat.known_vms {
             self.on_version_heard(row.version, now);
-            self.members.on_gossip(row, now);
+            self.members.on_gossip(row, source, now);
         }
         let vm = heartbeat.from.vm.clone();
         self.on_peer_store(&vm, heartbeat.store, now);
-        self.peer_digests.insert(vm.clone(), heartbeat.members_digest);
         self.paths.on_report(&vm, &heartbeat.cut_off);
         for load in heartbeat.endpoints {
             let known = self.loads.entry(load.endpoint.clone()).or_default();
@@ -141,7 +122,8 @@
             self.versions.merge(report, now);
         }
         let is_direct = heartbeat.from.domain != self.options.local.domain;
-        let changed = self.members.on_heartbeat(heartbeat.from, now);
+        let changed = self.members.on_heartbeat(heartbeat.from.clone(), now);
+        self.on_row_query(&heartbeat.from, heartbeat.members_digest, heartbeat.row_query, now);
         for view in heartbeat.domains {
             self.apply_view(view, is_direct, now);
         }
@@ -241,11 +223,11 @@
     pub(crate) fn prune_peer_state(&mut self) {
         let members = &self.members;
         self.peer_stores.retain(|vm, _| members.row(vm).is_some());
-        self.peer_digests.retain(|vm, _| members.row(vm).is_some());
         let domains = &self.options.domain_regions;
         self.remote_views.retain(|domain, _| domains.contains_key(domain));
         self.regions
             .retain(|region, _| domains.values().any(|known| known == region));
+        self.prune_rows();
     }
 
     /// Returns the views that VMs of other domains sent to this VM, for its neighbours.
@@ -318,15 +300,6 @@
         }
     }
 
-    /// Returns a digest of all membership rows, equal on VMs that know the same rows.
-    fn members_digest(&self) -> u64 {
-        let local = std::iter::once(self.members.local());
-        let rows = local.chain(self.members.peers());
-        rows.fold(0, |digest, row| {
-            digest ^ rendezvous_score(row.incarnation, (&row.vm, row.leaving))
-        })
-    }
-
     /// Records the round-trip time of a call to a VM of `region`.
     pub fn record_round_trip(&mut self, region: &RegionId, round_trip: Millis) {
         if let Some(view) = self.regions.get_mut(region) {
--- a/crates/sw-relay/src/heartbeat.rs
+++ b/crates/sw-relay/src/heartbeat.rs
@@ -97,8 +97,8 @@
     pub from: VmRow,
     /// Digest of the rows that the sender knows.
     pub members_digest: u64,
-    /// The rows that the sender knows, if the receiver may know different ones; a row is no evidence that its VM is
-    /// live.
+    /// The rows that changed since the last exchange, or all that the sender knows, if the receiver may know different
+    /// ones; a row is no evidence that its VM is live.
     pub known_vms: Vec<VmRow>,
     /// State of the sender's mirror of the store.
     pub store: StoreState,
@@ -130,7 +130,7 @@
 pub struct RowQuery {
     /// Whether the sender takes rows as differences; a VM of an earlier build does not.
     pub takes_differences: bool,
-    /// Whether the reply should have all rows.
+    /// Whether the sender wants all rows: in the reply, or if this is a reply, in the next heartbeat.
     pub wants_all: bool,
     /// Time since the sender received a heartbeat of the receiver, or of the receiver's failure domain if that is another
     /// one; `None` if it received none.
--- a/crates/sw-relay/src/lib.rs
+++ b/crates/sw-relay/src/lib.rs
@@ -42,6 +42,7 @@
 mod retry;
 mod room;
 mod room_keeper;
+mod row_exchange;
 mod slow_start;
 mod spill;
 mod stall;
--- a/crates/sw-relay/src/relay.rs
+++ b/crates/sw-relay/src/relay.rs
@@ -24,6 +24,7 @@
 use crate::rejection_limit::BrittleServices;
 use crate::retry::RecentRequests;
 use crate::room::Room;
+use crate::row_exchange::RowExchange;
 use crate::store_state::LaterPosition;
 use crate::stream_origin::StreamOrigins;
 use crate::version_history::VersionHistory;
@@ -150,8 +151,8 @@
     pub(crate) peer_stores: IndexMap<VmId, StoreState>,
     /// A later position of another VM's mirror.
     pub(crate) later_position: Option<LaterPosition>,
-    /// Digests of the membership rows that other VMs know.
-    pub(crate) peer_digests: IndexMap<VmId, u64>,
+    /// What other VMs know of the membership rows.
+    pub(crate) rows: RowExchange,
     /// Latest views of the other failure domains.
     pub(crate) remote_views: IndexMap<DomainId, RemoteView>,
     /// Which engines have which shared prompt parts cached.
@@ -201,7 +202,7 @@
             traffic: IndexMap::new(),
             peer_stores: IndexMap::new(),
             later_position: None,
-            peer_digests: IndexMap::new(),
+            rows: RowExchange::default(),
             remote_views: IndexMap::new(),
             cache_directory: CacheDirectory::default(),
             coordinators: Coordinators::new(),
