--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -36,7 +36,7 @@
     fn on_heartbeat(&self, heartbeat: Heartbeat) -> Heartbeat {
         let from = heartbeat.from.clone();
         heartbeat::on_heartbeat(&self.0, heartbeat);
-        let reply = self.0.relay.borrow().heartbeat(Some(&from), self.0.now());
+        let reply = self.0.relay.borrow_mut().reply(&from, self.0.now());
         peer_calls::count_heartbeat(&reply, Direction::Sent);
         reply
     }
