--- a/crates/sw-peer/src/pool.rs
+++ b/crates/sw-peer/src/pool.rs
@@ -33,7 +33,7 @@
 /// Connections by address; a connection is not reused after a call on it has failed or timed out.
 pub(crate) struct ConnectionPool<C> {
     connections: Rc<RefCell<HashMap<SocketAddr, Rc<C>>>>,
-    /// When the last one of the short calls that were answered was begun.
+    /// Start time of the latest short call that was answered.
     last_answered_at: Rc<Cell<Option<Instant>>>,
 }
 
@@ -114,7 +114,7 @@
         Ok(response)
     }
 
-    /// Returns whether a short call was answered that was begun after `since`.
+    /// Returns whether a short call that started after `since` was answered.
     pub(crate) fn has_answer_since(&self, since: Instant) -> bool {
         self.last_answered_at.get().is_some_and(|begun_at| begun_at > since)
     }
--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -168,7 +168,7 @@
     })
 }
 
-/// Encodes a time of less than a millisecond as 1, as 0 stands for none.
+/// Encodes a time of less than a millisecond as 1, as 0 means none.
 fn set_row_query(mut to: wire::beat::Builder<'_>, query: RowQuery) {
     to.set_takes_differences(query.takes_differences);
     to.set_wants_rows(query.wants_all);
--- a/crates/sw-peer/tests/heartbeats.rs
+++ b/crates/sw-peer/tests/heartbeats.rs
@@ -1,60 +1,21 @@
 //! Heartbeats on the wire.
 
+mod support;
+
 use std::time::Duration;
 
-use bytes::Bytes;
 use indexmap::IndexMap;
+use support::start_peer;
 use sw_member::VmRow;
-use sw_peer::relay::{
-    RelayCall, RelayClient, RelayEvent, RelayHandler, StoreCopy, WatchOutcome, WatchQuery, bind, serve,
-};
-use sw_relay::{
-    Grant, Heartbeat, Options, QueueEstimate, Relay, Reservation, ReservationUpdate, RowQuery, StreamOrigin,
-};
-use sw_unit::{Digest, EndpointId, Incarnation, Millis, Time, Version};
-use tokio::sync::mpsc;
-use tokio::task::{LocalSet, spawn_local};
+use sw_peer::relay::RelayClient;
+use sw_relay::{Heartbeat, Options, Relay, RowQuery};
+use sw_unit::{Incarnation, Millis, Time, Version};
+use tokio::task::LocalSet;
 use tokio::time::timeout;
 
 const ANY_PORT: &str = "127.0.0.1:0";
 const TEST_LIMIT: Duration = Duration::from_secs(20);
 
-/// A VM that replies to a heartbeat with a copy of it.
-#[derive(Clone)]
-struct Echo;
-
-impl RelayHandler for Echo {
-    fn on_heartbeat(&self, heartbeat: Heartbeat) -> Heartbeat {
-        heartbeat
-    }
-
-    fn store_copy(&self, _: bool) -> Option<StoreCopy> {
-        None
-    }
-
-    async fn watch(&self, _: WatchQuery) -> WatchOutcome {
-        WatchOutcome::NotCurrent
-    }
-
-    fn chunks(&self, _: &[Digest]) -> Vec<Bytes> {
-        Vec::new()
-    }
-
-    fn reserve(&self, _: &Reservation) -> Result<Grant, QueueEstimate> {
-        unreachable!("nothing is reserved")
-    }
-
-    fn on_reservation_update(&self, _: &EndpointId, _: u64, _: ReservationUpdate) {}
-
-    fn on_origins(&self, _: Vec<StreamOrigin>) {}
-
-    fn find_origin(&self, _: &str) -> Option<StreamOrigin> {
-        None
-    }
-
-    async fn on_forwarded_request(&self, _: RelayCall, _: mpsc::Sender<RelayEvent>) {}
-}
-
 fn relay() -> Relay {
     let local = VmRow {
         vm: "vm-0".parse().expect("an id"),
@@ -79,14 +40,13 @@
 
 /// Returns a query after it was sent to another VM and back.
 async fn sent_and_returned(row_query: RowQuery) -> RowQuery {
-    let listener = bind(ANY_PORT.parse().expect("an address")).await.expect("a port");
-    let peer = listener.local_addr().expect("an address");
-    spawn_local(async move { serve(listener, Echo).await });
+    // It replies with a copy of the heartbeat.
+    let link = start_peer(Vec::new()).await;
     let heartbeat = Heartbeat {
         row_query,
         ..relay().heartbeat(None, Time(0))
     };
-    let reply = RelayClient::default().send_heartbeat(peer, &heartbeat).await;
+    let reply = RelayClient::default().send_heartbeat(link.address, &heartbeat).await;
     reply.expect("a reply").row_query
 }
 
--- a/crates/sw-proxy/src/stop_log.rs
+++ b/crates/sw-proxy/src/stop_log.rs
@@ -11,7 +11,7 @@
 const MAX_SOURCES: usize = 16;
 /// Maximum number of requests that the end of a stop logs one by one.
 const MAX_CUT_LINES: usize = 32;
-/// Stands for a source where a request was sent to none.
+/// Name of the source of a request that was not sent.
 const NO_SOURCE: &str = "none";
 
 /// Logs that this VM begins to drain.
--- a/crates/sw-relay/src/path.rs
+++ b/crates/sw-relay/src/path.rs
@@ -156,7 +156,7 @@
 }
 
 impl Relay {
-    /// Records that no connection to an endpoint could be made, which was begun at `begun_at`.
+    /// Records that a connection to an endpoint, attempted since `begun_at`, could not be made.
     pub fn on_path_lost(&mut self, endpoint: &EndpointEntry, failure: PathFailure, begun_at: Time, now: Time) {
         if self.region_of(&endpoint.domain) != Some(&self.options.local.region) {
             return;
--- a/crates/sw-relay/src/path_evidence.rs
+++ b/crates/sw-relay/src/path_evidence.rs
@@ -23,7 +23,7 @@
 /// What a lost path was concluded from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PathEvidence {
-    /// Time since the connection was begun that was not made.
+    /// Time since the start of the failed connection attempt.
     pub waited: Millis,
     /// Time since bytes of the endpoint were received; `None` if there were none.
     pub endpoint_silence: Option<Millis>,
@@ -150,7 +150,7 @@
         }
     }
 
-    /// Returns what is known about the path to an endpoint after a connection failed that was begun at `begun_at`.
+    /// Returns what is known about the path to an endpoint after a connection attempt that started at `begun_at` failed.
     pub(crate) fn path_evidence(&self, endpoint: &EndpointEntry, begun_at: Time, now: Time) -> PathEvidence {
         PathEvidence {
             waited: now.since(begun_at),
--- a/crates/sw-relay/src/row_exchange.rs
+++ b/crates/sw-relay/src/row_exchange.rs
@@ -143,7 +143,7 @@
 
     /// Returns the rows for a heartbeat that is no reply.
     ///
-    /// A VM that was not heard yet is taken for one that takes differences; its reply tells whether it does.
+    /// A VM of which no heartbeat was received is assumed to take differences; its reply tells whether it does.
     pub(crate) fn rows_to_send(&self, to: Option<&VmRow>, now: Time) -> Vec<VmRow> {
         let Some(to) = to.filter(|to| !self.agrees_with(Some(to))) else {
             return Vec::new();
