--- a/crates/sw-limit/src/ledger.rs
+++ b/crates/sw-limit/src/ledger.rs
@@ -7,49 +7,13 @@
 use sw_unit::{Millis, Time};
 use tokio::sync::oneshot;
 
-use crate::LimitOptions;
+use crate::entry::{BodyState, ConnectionState, Entry, Holder, Resource};
+use crate::{Limit, LimitOptions, LimitReport};
 
 /// Memory of an open connection in bytes: the first read buffer and the write buffer of its HTTP layer.
 const CONNECTION_BYTES: u64 = 12 << 10;
 /// Memory of a body in bytes, beyond its own.
 const BODY_BYTES: u64 = 1 << 10;
-/// Bytes of a body that count as progress; a body that grows byte by byte would never be the one without progress.
-const PROGRESS_BYTES: u64 = 1 << 10;
-/// Time without progress after which a caller is ended while the account is full.
-const STALLED_AFTER: Millis = Millis(1_000);
-
-/// A limit that has acted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, strum::Display, strum::IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub enum Limit {
-    /// Memory of all callers.
-    Memory,
-    /// Memory of one address.
-    MemoryPerAddress,
-    /// Connections of all callers.
-    Connections,
-    /// Connections of one address.
-    ConnectionsPerAddress,
-    /// Requests in progress of all callers.
-    Requests,
-    /// Requests in progress of one address.
-    RequestsPerAddress,
-    /// Time until a head is complete.
-    HeaderTimeout,
-    /// Time without a byte of an unfinished body.
-    BodyIdle,
-}
-
-/// How often a limit has acted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LimitReport {
-    /// The limit.
-    pub limit: Limit,
-    /// Number of connections and requests that it refused or ended.
-    pub count: u64,
-    /// Address of the last one.
-    pub address: IpAddr,
-}
 
 /// What is held, in total or for one address.
 #[derive(Debug, Clone, Copy, Default)]
@@ -60,70 +24,6 @@
     pub(crate) requests: u64,
 }
 
-#[derive(Debug)]
-enum Holder {
-    Connection(ConnectionState),
-    Body {
-        /// Bytes since the last progress.
-        since_progress: u64,
-        last_byte_at: Time,
-    },
-}
-
-#[derive(Debug, Default)]
-struct ConnectionState {
-    /// Number of requests whose response is not complete.
-    requests: u64,
-    /// Number of complete responses of HTTP/2 streams that the caller has not taken yet.
-    unread: u64,
-    /// When the first byte of an incomplete head arrived.
-    head_since: Option<Time>,
-    /// Whether the caller does not take bytes of a response.
-    is_blocked: bool,
-}
-
-#[derive(Debug)]
-struct Entry {
-    holder: Holder,
-    address: IpAddr,
-    bytes: u64,
-    progress_at: Time,
-    /// Tells the holder to end.
-    end: oneshot::Sender<Limit>,
-}
-
-impl Entry {
-    fn connection_mut(&mut self) -> Option<&mut ConnectionState> {
-        match &mut self.holder {
-            Holder::Connection(state) => Some(state),
-            Holder::Body { .. } => None,
-        }
-    }
-
-    /// Returns whether the holder waits for its caller, who makes no progress.
-    fn is_stalled(&self, needed: Resource, now: Time) -> bool {
-        let waits = match (&self.holder, needed) {
-            (Holder::Body { .. }, Resource::Memory) => true,
-            (Holder::Body { .. }, Resource::Connection | Resource::Request) => false,
-            (Holder::Connection(state), Resource::Memory) => {
-                state.head_since.is_some() || state.is_blocked || state.unread > 0
-            }
-            (Holder::Connection(state), Resource::Request) => {
-                state.requests > 0 && (state.is_blocked || state.unread > 0)
-            }
-            (Holder::Connection(state), Resource::Connection) => state.requests == 0 || state.is_blocked,
-        };
-        waits && now.since(self.progress_at) >= STALLED_AFTER
-    }
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Resource {
-    Memory,
-    Connection,
-    Request,
-}
-
 #[derive(Debug)]
 pub(crate) struct Ledger {
     pub(crate) options: LimitOptions,
@@ -156,10 +56,10 @@
     }
 
     pub(crate) fn begin_body(&mut self, address: IpAddr, end: oneshot::Sender<Limit>, now: Time) -> u64 {
-        let holder = Holder::Body {
+        let holder = Holder::Body(BodyState {
             since_progress: 0,
             last_byte_at: now,
-        };
+        });
         self.insert(holder, address, BODY_BYTES, end, now)
     }
 
@@ -373,17 +273,10 @@
         let Some(entry) = self.entries.get_mut(&id) else {
             return Err(Limit::Memory);
         };
-        if let Holder::Body {
-            since_progress,
-            last_byte_at,
-        } = &mut entry.holder
+        if let Holder::Body(body) = &mut entry.holder
+            && body.on_bytes(len, now)
         {
-            *since_progress += len;
-            *last_byte_at = now;
-            if *since_progress >= PROGRESS_BYTES {
-                *since_progress = 0;
-                entry.progress_at = now;
-            }
+            entry.progress_at = now;
         }
         let address = entry.address;
         self.make_room(Resource::Memory, address, len, now)?;
@@ -411,9 +304,7 @@
                 let since = state.head_since.filter(|since| now.since(*since) >= header_timeout);
                 since.map(|_| (*id, Limit::HeaderTimeout))
             }
-            Holder::Body { last_byte_at, .. } => {
-                (now.since(*last_byte_at) >= body_idle).then_some((*id, Limit::BodyIdle))
-            }
+            Holder::Body(body) => (now.since(body.last_byte_at) >= body_idle).then_some((*id, Limit::BodyIdle)),
         });
         let overdue: Vec<_> = overdue.collect();
         for (id, limit) in overdue {
--- a/crates/sw-limit/src/lib.rs
+++ b/crates/sw-limit/src/lib.rs
@@ -6,7 +6,9 @@
 //! make no progress are ended, those with the least recent progress first; if there are none, what asks for more is
 //! refused. Nothing here has a socket or a clock.
 
+mod entry;
 mod ledger;
+mod limit;
 mod options;
 
 use std::net::IpAddr;
@@ -17,7 +19,7 @@
 use tokio::sync::oneshot;
 
 use ledger::Ledger;
-pub use ledger::{Limit, LimitReport};
+pub use limit::{Limit, LimitReport};
 pub use options::LimitOptions;
 
 /// The account of one VM; clones share it.
