test(daemon): crowds of callers that forward, wait, trickle or read slowly

Each checks that the processes live, their memory and descriptors, and that an ordinary request is answered.

--- a/crates/shallotwing-daemon/tests/hostile_callers/main.rs
+++ b/crates/shallotwing-daemon/tests/hostile_callers/main.rs
@@ -6,14 +6,19 @@
 
 #![cfg(feature = "platform")]
 
+mod callers;
 #[path = "../common/mod.rs"]
 mod common;
 mod crowd;
+mod endpoint;
+mod fleet;
+mod forwarding;
 mod http2;
 mod own;
 #[path = "../../../../platform/tests/support/mod.rs"]
 mod support;
 mod vm;
+mod waiting;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
--- a/crates/shallotwing-daemon/tests/hostile_callers/vm.rs
+++ b/crates/shallotwing-daemon/tests/hostile_callers/vm.rs
@@ -16,6 +16,22 @@
 pub const MEMORY_MB: u64 = 64;
 /// Descriptors of the VM, as its settings state them.
 pub const DESCRIPTORS: u64 = 160;
+
+/// What a VM has of the machine.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    pub memory_mb: u64,
+    pub descriptors: u64,
+}
+
+impl Bounds {
+    /// Those of a small VM, so that a small crowd shows a fault.
+    pub const SMALL: Self = Self {
+        memory_mb: MEMORY_MB,
+        descriptors: DESCRIPTORS,
+    };
+}
+
 /// Size of a response, in bytes; larger than what sockets buffer for a caller that reads nothing.
 const RESPONSE_BYTES: usize = 1 << 20;
 /// Time within which an ordinary request must be answered; a process that hangs never answers it.
@@ -114,8 +130,18 @@
         usage
     }
 
-    /// Checks that the process lives and has stayed within its memory and descriptors.
+    /// Checks that the process lives, has stayed within its memory and descriptors, and has logged the limit that acted.
     pub fn check(&self, crowd: &str, process: &Process) {
+        self.check_bounds(crowd, process, Bounds::SMALL);
+        assert!(
+            process.log_text().contains("caller_limit"),
+            "{crowd}: the log does not name the limit that acted"
+        );
+    }
+
+    /// Checks that the process lives and has stayed within its memory and descriptors.
+    pub fn check_bounds(&self, crowd: &str, process: &Process, bounds: Bounds) {
+        let Bounds { memory_mb, descriptors } = bounds;
         let status = std::fs::read_to_string(format!("/proc/{}/status", process.id()));
         let status = status.expect("the process lives");
         let resident = status
@@ -123,23 +149,16 @@
             .find_map(|line| line.strip_prefix("VmHWM:"))
             .expect("a running process");
         let resident_kb: u64 = resident.trim().trim_end_matches(" kB").parse().expect("a number");
-        let descriptors = self.descriptors.load(Ordering::Relaxed);
-        println!(
-            "{crowd}: {} MB resident at most, {descriptors} descriptors at most",
-            resident_kb >> 10
-        );
+        let most_mb = resident_kb >> 10;
+        let open = self.descriptors.load(Ordering::Relaxed);
+        println!("{crowd}: {most_mb} MB resident at most, {open} descriptors at most");
         assert!(
-            resident_kb >> 10 <= MEMORY_MB,
-            "{crowd}: {} MB were resident, and the VM has {MEMORY_MB} MB",
-            resident_kb >> 10
-        );
-        assert!(
-            process.log_text().contains("caller_limit"),
-            "{crowd}: the log does not name the limit that acted"
+            most_mb <= memory_mb,
+            "{crowd}: {most_mb} MB were resident, and the VM has {memory_mb} MB"
         );
         assert!(
-            descriptors <= DESCRIPTORS,
-            "{crowd}: {descriptors} descriptors were open, and the VM has {DESCRIPTORS}"
+            open <= descriptors,
+            "{crowd}: {open} descriptors were open, and the VM has {descriptors}"
         );
     }
 }
