fix(http): a complete body takes its memory once

What callers saw: a VM of 64 MB with 12 complete chunked bodies of 3.9 MB that wait for their answers had 77 to 81 MB resident, although the account permits 32 MB; on a VM with that memory the process is killed, and all callers lose their connections.

Cause: an unfinished body was kept in segments of 64 KiB and copied when it was complete. The allocator keeps freed blocks of that size, so each body that had ever been unfinished was resident once more.

Change: BodyBuffer gives a body of more than 64 KiB pages of its own (memmap2). It is never copied when it is complete, and the pages go back to the system when it is dropped; pages that are not written to take no memory, so a stated length costs nothing.

--- a/crates/sw-http/src/body.rs
+++ b/crates/sw-http/src/body.rs
@@ -13,12 +13,11 @@
 use sw_time::Clock;
 use tokio::sync::mpsc;
 
+use crate::BodyBuffer;
+
 /// Number of chunks to buffer for a slow reader before the sender has to wait.
 const CHANNEL_LEN: usize = 16;
 
-/// Size in bytes of the segments of an unfinished body.
-const SEGMENT_BYTES: usize = 64 << 10;
-
 /// The response is incomplete; hyper then closes the connection without the final chunk, so the reader cannot mistake
 /// the part that it received for a complete response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -158,63 +157,32 @@
     Ok(held.finish().attach(body))
 }
 
+/// Returns the error of a body for which the system has no memory.
+fn out_of_memory() -> HeldBodyError {
+    HeldBodyError::Refused(Limit::Memory)
+}
+
 async fn collect_held<B, C>(mut body: B, limit: u64, held: &BodyGuard, clock: &C) -> Result<Bytes, HeldBodyError>
 where
     B: Body<Data = Bytes> + Unpin,
     C: Clock,
 {
-    let mut buf = SegmentBuffer::default();
+    let stated = body.size_hint().exact().unwrap_or_default() as usize;
+    let mut buf = BodyBuffer::with_capacity(stated).map_err(|_no_pages| out_of_memory())?;
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_broken| ReadBodyError::Broken)?.into_data() else {
             continue;
         };
-        if (buf.len + data.len()) as u64 > limit {
+        if (buf.len() + data.len()) as u64 > limit {
             return Err(ReadBodyError::TooLarge.into());
         }
         let taken = held.grow(data.len() as u64, clock.now());
         taken.map_err(HeldBodyError::Refused)?;
-        buf.push(&data);
+        buf.push(&data).map_err(|_no_pages| out_of_memory())?;
     }
     Ok(buf.into_bytes())
 }
 
-/// Bytes of an unfinished body in segments of one size.
-///
-/// A buffer that grows leaves free blocks of all sizes behind, which the allocator keeps; many unfinished bodies would take
-/// twice their memory.
-#[derive(Debug, Default)]
-struct SegmentBuffer {
-    full: Vec<BytesMut>,
-    last: BytesMut,
-    len: usize,
-}
-
-impl SegmentBuffer {
-    fn push(&mut self, mut data: &[u8]) {
-        self.len += data.len();
-        while !data.is_empty() {
-            let (fits, rest) = data.split_at(data.len().min(SEGMENT_BYTES - self.last.len()));
-            self.last.extend_from_slice(fits);
-            data = rest;
-            if self.last.len() == SEGMENT_BYTES {
-                let next = BytesMut::with_capacity(SEGMENT_BYTES);
-                self.full.push(std::mem::replace(&mut self.last, next));
-            }
-        }
-    }
-
-    fn into_bytes(self) -> Bytes {
-        if self.full.is_empty() {
-            return self.last.freeze();
-        }
-        let mut bytes = BytesMut::with_capacity(self.len);
-        for segment in self.full.into_iter().chain([self.last]) {
-            bytes.extend_from_slice(&segment);
-        }
-        bytes.freeze()
-    }
-}
-
 /// Reads a body of at most `limit` bytes, however long that takes, for as long as data arrives; calls `on_data` whenever it
 /// does.
 ///
--- a/crates/sw-http/src/lib.rs
+++ b/crates/sw-http/src/lib.rs
@@ -4,6 +4,7 @@
 //! distinguish failures before the first byte of a request was sent from later ones. [`JsonClient`] makes short JSON calls.
 
 mod body;
+mod body_buffer;
 mod caller;
 mod connect;
 mod head_limit;
@@ -16,6 +17,7 @@
 pub use body::{
     BodyError, HeldBodyError, ReadBodyError, ResponseBody, channel, read_body, read_body_while_active, read_held_body,
 };
+pub use body_buffer::BodyBuffer;
 pub use caller::{CallerStream, HeldResponse, ResponseWindow};
 pub use connect::{CallError, Connector, Exchange, ProbeError, Reuse, is_refused, probe};
 pub use json::{JsonClient, JsonError, JsonLines};
