fix(limit): bodies that fill the account leave room for small requests

What callers saw: while complete bodies that wait for their answers fill the account, each new connection is closed unread, for as long as the answers take; readiness says 200.

Cause: opening a connection took 12 KiB of the same memory that bodies fill to the last byte, and a complete body is never ended.

Change: the number of connections bounds their memory, so opening one asks for no other. Large bodies and responses leave a sixteenth of the memory, half of which is for heads alone and half for them and bodies of up to 64 KiB.

--- a/crates/sw-limit/src/entry.rs
+++ b/crates/sw-limit/src/entry.rs
@@ -9,17 +9,40 @@
 
 /// Bytes of a body that count as progress; a body that grows byte by byte would never be the one without progress.
 const PROGRESS_BYTES: u64 = 1 << 10;
+/// Length in bytes up to which a body counts as small.
+const SMALL_BODY_BYTES: u64 = 64 << 10;
 /// Time without progress after which a caller is ended while the account is full.
 const STALLED_AFTER: Millis = Millis(1_000);
 
 /// What a caller holds, or asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Resource {
-    Memory,
+    Memory(Purpose),
     Connection,
     Request,
 }
 
+/// What memory is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    Head,
+    /// A body of which at most [`SMALL_BODY_BYTES`] have arrived.
+    SmallBody,
+    LargeBody,
+    Response,
+}
+
+impl Purpose {
+    /// Returns the purpose of memory for a body of `len` bytes.
+    pub(crate) fn of_body(len: u64) -> Self {
+        if len <= SMALL_BODY_BYTES {
+            Self::SmallBody
+        } else {
+            Self::LargeBody
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(crate) enum Holder {
     Connection(ConnectionState),
@@ -80,9 +103,9 @@
     /// Returns whether the holder waits for its caller, who makes no progress.
     pub(crate) fn is_stalled(&self, needed: Resource, now: Time) -> bool {
         let waits = match (&self.holder, needed) {
-            (Holder::Body(_), Resource::Memory) => true,
+            (Holder::Body(_), Resource::Memory(_)) => true,
             (Holder::Body(_), Resource::Connection | Resource::Request) => false,
-            (Holder::Connection(state), Resource::Memory) => {
+            (Holder::Connection(state), Resource::Memory(_)) => {
                 state.head_since.is_some() || state.is_blocked || state.unread > 0
             }
             (Holder::Connection(state), Resource::Request) => {
--- a/crates/sw-limit/src/ledger.rs
+++ b/crates/sw-limit/src/ledger.rs
@@ -7,13 +7,15 @@
 use sw_unit::{Millis, Time};
 use tokio::sync::oneshot;
 
-use crate::entry::{BodyState, ConnectionState, Entry, Holder, Resource};
+use crate::entry::{BodyState, ConnectionState, Entry, Holder, Purpose, Resource};
 use crate::{Limit, LimitOptions, LimitReport};
 
 /// Memory of an open connection in bytes: the first read buffer and the write buffer of its HTTP layer.
 const CONNECTION_BYTES: u64 = 12 << 10;
 /// Memory of a body in bytes, beyond its own.
 const BODY_BYTES: u64 = 1 << 10;
+/// Part of the memory that large bodies and responses leave to heads and small bodies.
+const RESERVE_DIVISOR: u64 = 16;
 
 /// What is held, in total or for one address.
 #[derive(Debug, Clone, Copy, Default)]
@@ -47,8 +49,8 @@
     }
 
     pub(crate) fn open(&mut self, address: IpAddr, end: oneshot::Sender<Limit>, now: Time) -> Result<u64, Limit> {
+        // Their number bounds the memory of connections, so bodies that fill the account keep out no new one.
         self.make_room(Resource::Connection, address, 1, now)?;
-        self.make_room(Resource::Memory, address, CONNECTION_BYTES, now)?;
         self.total.connections += 1;
         self.addresses.entry(address).or_default().connections += 1;
         let holder = Holder::Connection(ConnectionState::default());
@@ -124,16 +126,27 @@
         }
     }
 
+    /// Returns how many bytes may be held in all when some are taken for a purpose.
+    fn memory_for(&self, purpose: Purpose) -> u64 {
+        let memory = self.options.memory.0;
+        let reserve = memory / RESERVE_DIVISOR;
+        match purpose {
+            Purpose::Head => memory,
+            Purpose::SmallBody => memory - reserve / 2,
+            Purpose::LargeBody | Purpose::Response => memory - reserve,
+        }
+    }
+
     /// Returns the limit that does not permit `amount` more.
     fn exceeded(&self, needed: Resource, address: IpAddr, amount: u64) -> Option<Limit> {
         let own = self.addresses.get(&address).copied().unwrap_or_default();
         let options = &self.options;
         let (total, own, limits) = match needed {
-            Resource::Memory => (
+            Resource::Memory(purpose) => (
                 self.total.bytes,
                 own.bytes,
                 [
-                    (options.memory.0, Limit::Memory),
+                    (self.memory_for(purpose), Limit::Memory),
                     (options.memory_per_address.0, Limit::MemoryPerAddress),
                 ],
             ),
@@ -155,7 +168,9 @@
             ),
         };
         let [(total_limit, in_total), (own_limit, per_address)] = limits;
-        if own + amount > own_limit {
+        // The number of an address's connections bounds its heads.
+        let has_share = needed != Resource::Memory(Purpose::Head);
+        if has_share && own + amount > own_limit {
             return Some(per_address);
         }
         (total + amount > total_limit).then_some(in_total)
@@ -194,7 +209,7 @@
         }
         state.head_since.get_or_insert(now);
         entry.progress_at = now;
-        self.make_room(Resource::Memory, address, len, now)?;
+        self.make_room(Resource::Memory(Purpose::Head), address, len, now)?;
         self.add(address, len);
         if let Some(entry) = self.entries.get_mut(&id) {
             entry.bytes += len;
@@ -278,8 +293,8 @@
         {
             entry.progress_at = now;
         }
-        let address = entry.address;
-        self.make_room(Resource::Memory, address, len, now)?;
+        let (address, purpose) = (entry.address, Purpose::of_body(entry.bytes + len));
+        self.make_room(Resource::Memory(purpose), address, len, now)?;
         // The body itself may have been the one with the least recent progress.
         let entry = self.entries.get_mut(&id).ok_or(Limit::Memory)?;
         entry.bytes += len;
@@ -294,7 +309,7 @@
 
     pub(crate) fn hold(&mut self, address: IpAddr, bytes: u64, now: Time) {
         // A part of a response is held even if there is no room; the caller waits for it.
-        let _no_room = self.make_room(Resource::Memory, address, bytes, now);
+        let _no_room = self.make_room(Resource::Memory(Purpose::Response), address, bytes, now);
         self.add(address, bytes);
     }
 
--- a/crates/sw-limit/tests/account.rs
+++ b/crates/sw-limit/tests/account.rs
@@ -172,3 +172,23 @@
     drop((request, unread, running, request_of_third, silent, other, third));
     assert_eq!((account.held(), account.connections()), (0, 0));
 }
+
+/// Bodies that wait for their answers must not keep out a caller whose request is small.
+#[test]
+fn a_full_account_leaves_room_for_connections_heads_and_small_bodies() {
+    let account = account();
+    let (one, two) = (open(&account, 1, 0), open(&account, 2, 0));
+    let held = [&one, &two].map(|connection| {
+        let (body, _ended) = connection.begin_body(Time(0));
+        while body.grow(10_000, Time(0)).is_ok() {}
+        body.finish()
+    });
+    let third = open(&account, 3, 100);
+    third.on_read(2_000, Time(100)).expect("a head fits");
+    let _request = third.begin_request(Time(100));
+    let (large, _ended) = third.begin_body(Time(100));
+    assert_eq!(large.grow(70_000, Time(100)), Err(Limit::Memory));
+    let (small, _ended) = third.begin_body(Time(100));
+    small.grow(10_000, Time(100)).expect("a small body fits");
+    drop(held);
+}
