fix(limit): a connection whose body has stalled makes room for others

What callers saw: while all connections have bodies that stop, or get a byte every few seconds, each new connection is closed unread: for 10 s with bodies that stop, without an end with bodies that come byte by byte; readiness says 200.

Cause: a connection with a request in progress never counted as stalled for want of a connection, although all that it waited for was the rest of the body. Only body_idle ended it, and a single byte starts that time anew.

Change: a connection counts its unfinished bodies. If all of its requests have one, and none of them has made progress (a KiB) for 1 s, it may be ended for a new connection, the one without progress for longest first. A complete body is not ended.

--- a/crates/sw-limit/src/entry.rs
+++ b/crates/sw-limit/src/entry.rs
@@ -53,6 +53,8 @@
 pub(crate) struct ConnectionState {
     /// Number of requests whose response is not complete.
     pub(crate) requests: u64,
+    /// Number of requests whose body is not complete.
+    pub(crate) bodies: u64,
     /// Number of complete responses of HTTP/2 streams that the caller has not taken yet.
     pub(crate) unread: u64,
     /// When the first byte of an incomplete head arrived.
@@ -61,9 +63,18 @@
     pub(crate) is_blocked: bool,
 }
 
+impl ConnectionState {
+    /// Returns whether all that the connection is open for waits for the caller.
+    fn waits_for_caller(&self) -> bool {
+        self.requests == self.bodies || self.is_blocked || self.unread > 0
+    }
+}
+
 /// A body that is not complete.
 #[derive(Debug)]
 pub(crate) struct BodyState {
+    /// Entry of the connection that it comes on.
+    pub(crate) connection: u64,
     /// Bytes since the last progress.
     pub(crate) since_progress: u64,
     pub(crate) last_byte_at: Time,
@@ -108,10 +119,8 @@
             (Holder::Connection(state), Resource::Memory(_)) => {
                 state.head_since.is_some() || state.is_blocked || state.unread > 0
             }
-            (Holder::Connection(state), Resource::Request) => {
-                state.requests > 0 && (state.is_blocked || state.unread > 0)
-            }
-            (Holder::Connection(state), Resource::Connection) => state.requests == 0 || state.is_blocked,
+            (Holder::Connection(state), Resource::Request) => state.requests > 0 && state.waits_for_caller(),
+            (Holder::Connection(state), Resource::Connection) => state.waits_for_caller(),
         };
         waits && now.since(self.progress_at) >= STALLED_AFTER
     }
--- a/crates/sw-limit/src/ledger.rs
+++ b/crates/sw-limit/src/ledger.rs
@@ -57,8 +57,18 @@
         Ok(self.insert(holder, address, CONNECTION_BYTES, end, now))
     }
 
-    pub(crate) fn begin_body(&mut self, address: IpAddr, end: oneshot::Sender<Limit>, now: Time) -> u64 {
+    pub(crate) fn begin_body(
+        &mut self,
+        connection: u64,
+        address: IpAddr,
+        end: oneshot::Sender<Limit>,
+        now: Time,
+    ) -> u64 {
+        if let Some(state) = self.connection_mut(connection) {
+            state.bodies += 1;
+        }
         let holder = Holder::Body(BodyState {
+            connection,
             since_progress: 0,
             last_byte_at: now,
         });
@@ -102,18 +112,32 @@
     /// Removes an entry with what it holds; it may have been ended before.
     pub(crate) fn remove(&mut self, id: u64) -> Option<oneshot::Sender<Limit>> {
         let entry = self.entries.swap_remove(&id)?;
-        if let Holder::Connection(state) = &entry.holder {
-            self.total.connections -= 1;
-            self.total.requests -= state.requests;
-            if let Some(usage) = self.addresses.get_mut(&entry.address) {
-                usage.connections -= 1;
-                usage.requests -= state.requests;
+        match &entry.holder {
+            Holder::Connection(state) => {
+                self.total.connections -= 1;
+                self.total.requests -= state.requests;
+                if let Some(usage) = self.addresses.get_mut(&entry.address) {
+                    usage.connections -= 1;
+                    usage.requests -= state.requests;
+                }
             }
+            Holder::Body(body) => self.end_body(body),
         }
         self.release(entry.address, entry.bytes);
         Some(entry.end)
     }
 
+    /// Records that a body is complete or has ended.
+    fn end_body(&mut self, body: &BodyState) {
+        if let Some(state) = self.connection_mut(body.connection) {
+            state.bodies -= 1;
+        }
+    }
+
+    fn connection_mut(&mut self, id: u64) -> Option<&mut ConnectionState> {
+        self.entries.get_mut(&id).and_then(Entry::connection_mut)
+    }
+
     /// Ends a holder because of a limit.
     fn end(&mut self, id: u64, limit: Limit) {
         let Some(address) = self.entries.get(&id).map(|entry| entry.address) else {
@@ -279,7 +303,7 @@
     }
 
     pub(crate) fn end_unread(&mut self, id: u64) {
-        if let Some(state) = self.entries.get_mut(&id).and_then(Entry::connection_mut) {
+        if let Some(state) = self.connection_mut(id) {
             state.unread -= 1;
         }
     }
@@ -288,12 +312,16 @@
         let Some(entry) = self.entries.get_mut(&id) else {
             return Err(Limit::Memory);
         };
+        let (address, purpose) = (entry.address, Purpose::of_body(entry.bytes + len));
         if let Holder::Body(body) = &mut entry.holder
             && body.on_bytes(len, now)
         {
             entry.progress_at = now;
+            let connection = body.connection;
+            if let Some(connection) = self.entries.get_mut(&connection) {
+                connection.progress_at = now;
+            }
         }
-        let (address, purpose) = (entry.address, Purpose::of_body(entry.bytes + len));
         self.make_room(Resource::Memory(purpose), address, len, now)?;
         // The body itself may have been the one with the least recent progress.
         let entry = self.entries.get_mut(&id).ok_or(Limit::Memory)?;
@@ -304,7 +332,13 @@
 
     /// Removes an unfinished body and returns its bytes, which stay held.
     pub(crate) fn finish_body(&mut self, id: u64) -> u64 {
-        self.entries.swap_remove(&id).map_or(0, |entry| entry.bytes)
+        let Some(entry) = self.entries.swap_remove(&id) else {
+            return 0;
+        };
+        if let Holder::Body(body) = &entry.holder {
+            self.end_body(body);
+        }
+        entry.bytes
     }
 
     pub(crate) fn hold(&mut self, address: IpAddr, bytes: u64, now: Time) {
--- a/crates/sw-limit/src/lib.rs
+++ b/crates/sw-limit/src/lib.rs
@@ -170,7 +170,7 @@
     /// Begins the body of a request; the receiver gets the limit for which it is to be refused.
     pub fn begin_body(&self, now: Time) -> (BodyGuard, oneshot::Receiver<Limit>) {
         let (tx, ended) = oneshot::channel();
-        let id = self.ledger().begin_body(self.0.address, tx, now);
+        let id = self.ledger().begin_body(self.0.id, self.0.address, tx, now);
         let body = BodyGuard {
             account: self.0.account.clone(),
             id,
--- a/crates/sw-limit/tests/account.rs
+++ b/crates/sw-limit/tests/account.rs
@@ -192,3 +192,29 @@
     small.grow(10_000, Time(100)).expect("a small body fits");
     drop(held);
 }
+
+/// Callers whose bodies come byte by byte must not keep all connections; those whose bodies go on keep theirs.
+#[test]
+fn a_connection_whose_body_makes_no_progress_makes_room_for_another() {
+    let account = account();
+    let opened = [1, 2, 3, 4].map(|host| account.open(address(host), Time(0)).expect("a connection"));
+    let requests = opened
+        .each_ref()
+        .map(|(connection, _)| connection.begin_request(Time(0)));
+    let bodies = opened
+        .each_ref()
+        .map(|(connection, _)| connection.begin_body(Time(0)).0);
+    for now in (100..1_500).step_by(100) {
+        bodies[0].grow(1, Time(now)).expect("room");
+        bodies[1].grow(2_000, Time(now)).expect("room");
+    }
+    let [_, _, complete, _] = bodies;
+    let _waits_for_its_answer = complete.finish();
+    let fifth = open(&account, 5, 1_500);
+    let _sixth = open(&account, 6, 1_500);
+    assert_eq!(account.open(address(7), Time(1_500)).err(), Some(Limit::Connections));
+    let ended = opened.map(|(_, mut ended)| ended.try_recv().ok());
+    let connections = Some(Limit::Connections);
+    assert_eq!(ended, [connections, None, None, connections]);
+    drop((requests, fifth));
+}
