fix(limit): responses share a part of the memory

What callers saw: 300 callers from four addresses who read 10 KiB/s of long responses of the VM's own region made a VM of 64 MB hold 152 MB; a process with that memory is killed, and all callers lose their connections.

Cause: parts of responses were held also when the account was full, up to 256 KiB of each. Beside that, each connection to an endpoint kept a read buffer of up to 64 KiB, which grows with what a read delivers.

Change: all responses share a quarter of the account's memory; the window of each is its share, 16 to 256 KiB. While there is no room, a response waits until its caller has taken the parts before, so one of which nothing is held always goes on. Endpoints are read 8 KiB at a time. Responses of up to 8 KiB are read as before.

--- a/crates/sw-http/src/caller.rs
+++ b/crates/sw-http/src/caller.rs
@@ -10,17 +10,14 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use socket2::SockRef;
-use sw_limit::{Connection, HeldMemory, RequestGuard, UnreadGuard};
+use sw_limit::{Connection, HeldPart, Payer, RequestGuard, ResponseMemory, UnreadGuard};
 use sw_time::Clock;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::Notify;
 
 use crate::{BodyError, ResponseBody};
 
-/// Maximum number of bytes of a response that are held for a caller who reads more slowly than the endpoint sends.
-const WINDOW_BYTES: usize = 256 << 10;
-
 /// Bytes of a response that are handed to an HTTP/2 stream at once; the stream buffers all that it is handed, whatever its
 /// caller reads.
 const STREAM_PART_BYTES: usize = 16 << 10;
@@ -127,7 +124,7 @@
     /// The request; `None` if it was refused before it began.
     request: Option<Arc<RequestGuard>>,
     /// Memory of a body that is complete from the start, on connections with one request at a time.
-    held: Option<HeldMemory>,
+    held: Option<HeldPart>,
     /// Guard of a complete body that the caller has not taken; `None` on connections with one request at a time, and for
     /// streamed bodies.
     unread: Option<Arc<UnreadGuard>>,
@@ -181,7 +178,7 @@
 /// A complete response on an HTTP/2 stream; its request ends when the last part has been written.
 struct UnreadBody {
     bytes: Bytes,
-    _held: HeldMemory,
+    _held: HeldPart,
     _request: Arc<RequestGuard>,
     _unread: Arc<UnreadGuard>,
 }
@@ -221,12 +218,13 @@
     }
 }
 
-/// Bounds what is held of one response, and charges the account of its caller for it.
+/// Bounds what is held of one response for a reader who is slower than its sender, and charges the account for it.
 #[derive(Clone)]
 pub struct ResponseWindow<C> {
-    connection: Connection,
+    memory: Arc<ResponseMemory>,
     clock: C,
-    free: Arc<Semaphore>,
+    /// Notified when a part was taken.
+    taken: Arc<Notify>,
 }
 
 impl<C> fmt::Debug for ResponseWindow<C> {
@@ -236,34 +234,43 @@
 }
 
 impl<C: Clock> ResponseWindow<C> {
-    /// Creates the window of a response on `connection`.
-    pub fn new(connection: Connection, clock: C) -> Self {
+    /// Creates the window of a response.
+    pub fn new(payer: &Payer, clock: C) -> Self {
         Self {
-            connection,
+            memory: Arc::new(payer.begin_response()),
             clock,
-            free: Arc::new(Semaphore::new(WINDOW_BYTES)),
+            taken: Arc::default(),
         }
     }
 
     /// Waits until `data` fits the window, and returns it; its memory is given back when it has been sent.
     pub async fn hold(&self, data: Bytes) -> Bytes {
-        let len = data.len().min(WINDOW_BYTES) as u32;
-        let Ok(permit) = Arc::clone(&self.free).acquire_many_owned(len).await else {
-            return data;
-        };
-        let held = self.connection.hold(data.len() as u64, self.clock.now());
-        Bytes::from_owner(HeldChunk {
-            data,
-            _held: held,
-            _permit: permit,
-        })
+        loop {
+            let held = self.memory.try_hold(data.len() as u64, self.clock.now());
+            if let Some(held) = held {
+                return Bytes::from_owner(HeldChunk {
+                    data,
+                    held: Some(held),
+                    taken: Arc::clone(&self.taken),
+                });
+            }
+            self.taken.notified().await;
+        }
     }
 }
 
 struct HeldChunk {
     data: Bytes,
-    _held: HeldMemory,
-    _permit: OwnedSemaphorePermit,
+    /// `None` once it was given back.
+    held: Option<HeldPart>,
+    taken: Arc<Notify>,
+}
+
+impl Drop for HeldChunk {
+    fn drop(&mut self) {
+        self.held = None;
+        self.taken.notify_one();
+    }
 }
 
 impl AsRef<[u8]> for HeldChunk {
--- a/crates/sw-http/src/head_limit.rs
+++ b/crates/sw-http/src/head_limit.rs
@@ -14,6 +14,10 @@
 
 use crate::upload::UploadState;
 
+/// Maximum number of bytes of a read. The buffers of hyper grow with what a read delivers, and each response whose caller reads
+/// slowly keeps one.
+const READ_BYTES: usize = 8 << 10;
+
 /// Bytes that a connection may still deliver.
 #[derive(Debug, Clone)]
 pub(crate) struct Allowance(Arc<AtomicUsize>);
@@ -72,14 +76,29 @@
     }
 }
 
+impl<T: AsyncRead + Unpin> LimitedStream<T> {
+    /// Reads at most [`READ_BYTES`], and returns how many bytes were read.
+    fn poll_read_part(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<usize>> {
+        let stream = Pin::new(&mut self.stream);
+        let before = buf.filled().len();
+        if buf.remaining() <= READ_BYTES {
+            ready!(stream.poll_read(cx, buf))?;
+        } else {
+            let mut part = ReadBuf::new(buf.initialize_unfilled_to(READ_BYTES));
+            ready!(stream.poll_read(cx, &mut part))?;
+            let len = part.filled().len();
+            buf.advance(len);
+        }
+        Poll::Ready(Ok(buf.filled().len() - before))
+    }
+}
+
 impl<T: AsyncRead + Unpin> AsyncRead for LimitedStream<T> {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         if self.allowance.is_used_up() {
             return Poll::Ready(Err(io::Error::other("the head of the response is too long")));
         }
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        let len = buf.filled().len() - before;
+        let len = ready!(self.poll_read_part(cx, buf))?;
         // After a failed write, the error of a reset is gone and the connection seems to end in order.
         if len == 0 && buf.remaining() > 0 && !self.upload.is_written() {
             return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
--- a/crates/sw-limit/src/ledger.rs
+++ b/crates/sw-limit/src/ledger.rs
@@ -14,6 +14,10 @@
 const CONNECTION_BYTES: u64 = 12 << 10;
 /// Memory of a body in bytes, beyond its own.
 const BODY_BYTES: u64 = 1 << 10;
+/// Part of the memory that responses may fill.
+const RESPONSE_DIVISOR: u64 = 4;
+/// Minimum and maximum number of bytes that are held of one response.
+const RESPONSE_WINDOW: (u64, u64) = (16 << 10, 256 << 10);
 /// Part of the memory that large bodies and responses leave to heads and small bodies.
 const RESERVE_DIVISOR: u64 = 16;
 
@@ -26,12 +30,21 @@
     pub(crate) requests: u64,
 }
 
+/// Responses that callers read while they arrive.
+#[derive(Debug, Default)]
+struct Responses {
+    count: u64,
+    /// Bytes that are held of them.
+    bytes: u64,
+}
+
 #[derive(Debug)]
 pub(crate) struct Ledger {
     pub(crate) options: LimitOptions,
     pub(crate) total: Usage,
     addresses: IndexMap<IpAddr, Usage>,
     entries: IndexMap<u64, Entry>,
+    responses: Responses,
     next_id: u64,
     reports: IndexMap<Limit, LimitReport>,
 }
@@ -43,6 +56,7 @@
             total: Usage::default(),
             addresses: IndexMap::new(),
             entries: IndexMap::new(),
+            responses: Responses::default(),
             next_id: 0,
             reports: IndexMap::new(),
         }
@@ -341,12 +355,50 @@
         entry.bytes
     }
 
+    pub(crate) fn begin_response(&mut self) {
+        self.responses.count += 1;
+    }
+
+    pub(crate) fn end_response(&mut self) {
+        self.responses.count -= 1;
+    }
+
+    /// Returns how many bytes may be held of each response.
+    pub(crate) fn response_window(&self) -> u64 {
+        let (min, max) = RESPONSE_WINDOW;
+        let memory = self.options.memory.0 / RESPONSE_DIVISOR;
+        (memory / self.responses.count.max(1)).clamp(min, max)
+    }
+
+    /// Takes memory for a part of a response of which `held` bytes are held, and returns whether there is room.
+    pub(crate) fn try_hold(&mut self, address: IpAddr, bytes: u64, held: u64) -> bool {
+        let fits_window = held + bytes <= self.response_window();
+        let fits_share = self.responses.bytes + bytes <= self.options.memory.0 / RESPONSE_DIVISOR;
+        let is_permitted = fits_window
+            && fits_share
+            && self
+                .exceeded(Resource::Memory(Purpose::Response), address, bytes)
+                .is_none();
+        if is_permitted {
+            self.responses.bytes += bytes;
+            self.add(address, bytes);
+        }
+        is_permitted
+    }
+
+    /// Takes memory for a part of a response even if there is no room.
     pub(crate) fn hold(&mut self, address: IpAddr, bytes: u64, now: Time) {
-        // A part of a response is held even if there is no room; the caller waits for it.
+        // The caller waits for it.
         let _no_room = self.make_room(Resource::Memory(Purpose::Response), address, bytes, now);
+        self.responses.bytes += bytes;
         self.add(address, bytes);
     }
 
+    pub(crate) fn release_response(&mut self, address: IpAddr, bytes: u64) {
+        self.responses.bytes -= bytes;
+        self.release(address, bytes);
+    }
+
     pub(crate) fn end_overdue(&mut self, header_timeout: Millis, body_idle: Millis, now: Time) {
         let overdue = self.entries.iter().filter_map(|(id, entry)| match &entry.holder {
             Holder::Connection(state) => {
--- a/crates/sw-limit/src/lib.rs
+++ b/crates/sw-limit/src/lib.rs
@@ -10,6 +10,7 @@
 mod ledger;
 mod limit;
 mod options;
+mod response;
 
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -21,6 +22,7 @@
 use ledger::Ledger;
 pub use limit::{Limit, LimitReport};
 pub use options::LimitOptions;
+pub use response::{HeldPart, Payer, ResponseMemory};
 
 /// The account of one VM; clones share it.
 #[derive(Debug, Clone)]
@@ -179,13 +181,16 @@
         (body, ended)
     }
 
-    /// Takes memory for a part of a response, also if the account is full; callers that make no progress are ended then.
-    pub fn hold(&self, bytes: u64, now: Time) -> HeldMemory {
-        self.ledger().hold(self.0.address, bytes, now);
-        HeldMemory {
+    /// Takes memory for a complete response, also if the account is full; callers that make no progress are ended then.
+    pub fn hold(&self, bytes: u64, now: Time) -> HeldPart {
+        self.payer().hold(bytes, now)
+    }
+
+    /// Returns who is charged for what this VM holds for the caller.
+    pub fn payer(&self) -> Payer {
+        Payer {
             account: self.0.account.clone(),
             address: self.0.address,
-            bytes,
         }
     }
 }
--- a/crates/sw-limit/tests/account.rs
+++ b/crates/sw-limit/tests/account.rs
@@ -1,6 +1,7 @@
 //! The account of callers: shares, who is ended first, and that all is given back.
 
 use std::net::{IpAddr, Ipv4Addr};
+use std::sync::Arc;
 
 use sw_limit::{CallerAccount, Connection, Limit, LimitOptions};
 use sw_unit::{Bytes, Millis, Time};
@@ -218,3 +219,29 @@
     assert_eq!(ended, [connections, None, None, connections]);
     drop((requests, fifth));
 }
+
+/// Callers who read slowly must not hold more than the responses' part of the memory, and each must go on.
+#[test]
+fn responses_share_a_part_of_the_memory() {
+    const PART: u64 = 8 << 10;
+    let account = account();
+    let connections = [1, 2].map(|host| open(&account, host, 0));
+    let responses: Vec<_> = (0..50)
+        .map(|number| Arc::new(connections[number % 2].payer().begin_response()))
+        .collect();
+    let mut held = Vec::new();
+    for response in &responses {
+        let first = response
+            .try_hold(PART, Time(0))
+            .expect("one of which nothing is held goes on");
+        held.push(first);
+        held.extend(std::iter::from_fn(|| response.try_hold(PART, Time(0))));
+    }
+    assert!(account.held() < MEMORY, "{} bytes are held", account.held());
+    let last = responses.last().expect("a response");
+    assert!(last.try_hold(PART, Time(0)).is_none());
+    held.pop();
+    assert!(last.try_hold(PART, Time(0)).is_some(), "its part was taken");
+    drop((held, responses, connections));
+    assert_eq!(account.held(), 0);
+}
