fix(relay): a relayed response is held in the account, by bytes, at both VMs

What callers saw: 24 callers who read 160 KB/s of responses of 8 MiB that another VM relays made a VM of 64 MB hold 212 MB; a process with that memory is killed, and ordinary requests on its connections end without an answer.

Cause: what was on the way was bounded in events (32 unacknowledged, 16 more in a channel at each VM), not in bytes; a waiting call kept its message beside a copy; nothing of it was in the account of either VM.

Change: the VM of the caller holds each part by the response's window from its arrival and acknowledges it then; the message is freed when it has been copied. The call states how many bytes may be on the way; an older peer that states nothing gets 128 KiB. The VM that serves the request charges the address of the other VM, and keeps a part held until it is acknowledged. Parts that wait for room keep their order, and the end comes after them.

--- a/crates/sw-http/src/caller.rs
+++ b/crates/sw-http/src/caller.rs
@@ -243,6 +243,11 @@
         }
     }
 
+    /// Returns how many bytes may be held of the response at the moment.
+    pub fn bytes(&self) -> u64 {
+        self.memory.window()
+    }
+
     /// Waits until `data` fits the window, and returns it; its memory is given back when it has been sent.
     pub async fn hold(&self, data: Bytes) -> Bytes {
         loop {
--- a/crates/sw-limit/src/lib.rs
+++ b/crates/sw-limit/src/lib.rs
@@ -72,6 +72,14 @@
         self.ledger().take_reports()
     }
 
+    /// Returns who is charged for what this VM holds for `address`.
+    pub fn payer(&self, address: IpAddr) -> Payer {
+        Payer {
+            account: self.clone(),
+            address,
+        }
+    }
+
     /// Returns the bytes that are held.
     pub fn held(&self) -> u64 {
         self.ledger().total.bytes
@@ -188,10 +196,7 @@
 
     /// Returns who is charged for what this VM holds for the caller.
     pub fn payer(&self) -> Payer {
-        Payer {
-            account: self.0.account.clone(),
-            address: self.0.address,
-        }
+        self.0.account.payer(self.0.address)
     }
 }
 
--- a/crates/sw-peer/schema/relay.capnp
+++ b/crates/sw-peer/schema/relay.capnp
@@ -236,6 +236,8 @@
   software @8 :Text;
   # Version of the configuration that the sender judges by; 0 if it does not state it.
   version @9 :UInt64;
+  # Bytes of the response that the sender takes before it has acknowledged any; 0 if it does not state it.
+  window @10 :UInt32;
 }
 
 struct Part {
--- a/crates/sw-peer/src/relay/client.rs
+++ b/crates/sw-peer/src/relay/client.rs
@@ -10,12 +10,14 @@
 use bytes::Bytes;
 use capnp::capability::Rc;
 use sw_chunk::ChunkId;
+use sw_http::ResponseWindow;
 use sw_relay::{
     Grant, Heartbeat, LoanReply, LoanRequest, QueueEstimate, QuotaReply, QuotaTake, Reservation, ReservationUpdate,
     StreamOrigin,
 };
+use sw_time::Clock;
 use sw_unit::{EndpointId, Millis, StoreEra, StorePosition};
-use tokio::sync::mpsc;
+use tokio::sync::{Mutex, mpsc};
 use tokio::task::AbortHandle;
 
 use super::types::SILENCE_PERIOD;
@@ -314,22 +316,24 @@
     /// Forwards a request if `may_send` still holds when there is a connection; dropping the returned receiver cancels it.
     ///
     /// The receiver ends without [`RelayEvent::End`] if the connection broke. While the connection is silent, it receives
-    /// [`RelayEvent::Silent`] from time to time.
-    pub fn forward(
+    /// [`RelayEvent::Silent`] from time to time. The chunks that it receives are held by `window`.
+    pub fn forward<C: Clock + 'static>(
         &self,
         address: SocketAddr,
         call: RelayCall,
+        window: ResponseWindow<C>,
         may_send: impl FnOnce() -> bool + 'static,
     ) -> mpsc::Receiver<RelayEvent> {
         let (events, rx) = mpsc::channel(EVENT_BUFFER);
-        tokio::task::spawn_local(self.clone().run_call(address, call, may_send, events));
+        tokio::task::spawn_local(self.clone().run_call(address, call, window, may_send, events));
         rx
     }
 
-    async fn run_call(
+    async fn run_call<C: Clock + 'static>(
         self,
         address: SocketAddr,
         call: RelayCall,
+        window: ResponseWindow<C>,
         may_send: impl FnOnce() -> bool,
         events: mpsc::Sender<RelayEvent>,
     ) {
@@ -349,10 +353,13 @@
             return;
         }
         let received = Rc::new(Cell::new(0));
+        let turn = Rc::new(Mutex::new(()));
         let sink = ResponseSink {
             connection: Rc::downgrade(&connection),
             events: events.clone(),
             received: Rc::clone(&received),
+            window,
+            turn: Rc::clone(&turn),
         };
         let mut request = connection.client.relay_request();
         convert::set_call(request.get().init_call(), &call);
@@ -376,6 +383,7 @@
         match end {
             Ok(end) => {
                 connection.last_response_at.set(Instant::now());
+                let _turn = turn.lock().await;
                 let _closed = events.send(RelayEvent::End(end)).await;
             }
             // The receiver ends without `RelayEvent::End`.
@@ -386,28 +394,30 @@
 }
 
 /// Receives the parts of a response.
-struct ResponseSink {
+struct ResponseSink<C> {
     connection: Weak<RelayConnection>,
     events: mpsc::Sender<RelayEvent>,
     received: Rc<Cell<u64>>,
+    window: ResponseWindow<C>,
+    /// Held by the part that waits for room, so that the parts stay in their order.
+    turn: Rc<Mutex<()>>,
 }
 
-impl answer_sink::Server for ResponseSink {
+impl<C: Clock + 'static> answer_sink::Server for ResponseSink<C> {
     async fn head(
         self: Rc<Self>,
         params: answer_sink::HeadParams,
         _: answer_sink::HeadResults,
     ) -> Result<(), capnp::Error> {
+        self.on_received();
         let params = params.get()?;
-        let headers = convert::headers(params.get_headers()?)?;
-        let status = params.get_status();
-        let software = convert::software(params.get_software()?)?;
-        self.send_event(RelayEvent::Head {
-            status,
-            headers,
-            software,
-        })
-        .await
+        let head = RelayEvent::Head {
+            status: params.get_status(),
+            headers: convert::headers(params.get_headers()?)?,
+            software: convert::software(params.get_software()?)?,
+        };
+        let _turn = self.turn.lock().await;
+        self.send_event(head).await
     }
 
     async fn chunk(
@@ -415,17 +425,26 @@
         params: answer_sink::ChunkParams,
         _: answer_sink::ChunkResults,
     ) -> Result<(), capnp::Error> {
+        self.on_received();
+        let len = params.get()?.get_data()?.len();
+        self.received.set(self.received.get() + len as u64);
+        let _turn = self.turn.lock().await;
         let data = Bytes::copy_from_slice(params.get()?.get_data()?);
-        self.received.set(self.received.get() + data.len() as u64);
+        // The message has the data once more.
+        drop(params);
+        let data = self.window.hold(data).await;
         self.send_event(RelayEvent::Chunk(data)).await
     }
 }
 
-impl ResponseSink {
-    async fn send_event(&self, event: RelayEvent) -> Result<(), capnp::Error> {
+impl<C> ResponseSink<C> {
+    fn on_received(&self) {
         if let Some(connection) = self.connection.upgrade() {
             connection.last_response_at.set(Instant::now());
         }
+    }
+
+    async fn send_event(&self, event: RelayEvent) -> Result<(), capnp::Error> {
         let sent = self.events.send(event).await;
         sent.map_err(|_closed| capnp::Error::failed("the request was given up".to_owned()))
     }
--- a/crates/sw-peer/src/relay/convert.rs
+++ b/crates/sw-peer/src/relay/convert.rs
@@ -288,6 +288,7 @@
     to.set_hops(call.hops);
     to.set_elsewhere(call.can_retry_elsewhere);
     to.set_version(call.version.0);
+    to.set_window(call.response_window.unwrap_or_default());
     if let Some(event) = &call.resume_after {
         to.set_resume_after(event.as_str());
     }
@@ -311,6 +312,7 @@
         resume_after: resume_after.transpose()?,
         software: software(from.get_software()?)?,
         version: Version(from.get_version()),
+        response_window: Some(from.get_window()).filter(|window| *window > 0),
     })
 }
 
--- a/crates/sw-peer/src/relay/mod.rs
+++ b/crates/sw-peer/src/relay/mod.rs
@@ -7,6 +7,7 @@
 mod client;
 mod convert;
 mod crashes;
+mod in_flight;
 mod limits;
 mod quotas;
 mod reservations;
--- a/crates/sw-peer/src/relay/server.rs
+++ b/crates/sw-peer/src/relay/server.rs
@@ -1,19 +1,23 @@
 //! Incoming calls about discovered services.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use bytes::Bytes;
 use capnp::capability::Rc;
-use futures::stream::{FuturesUnordered, StreamExt as _};
 use sw_error::Kind;
 use sw_unit::Version;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
+use super::in_flight::InFlight;
 use super::{CallRefusal, RelayEvent, RelayHandler, WatchQuery, convert, quotas, reservations, store};
 use crate::convert::{len, parse, set_refusal, text};
 use crate::relay_capnp::{answer_sink, relay_peer};
-use crate::server::{CHUNK_WINDOW, EVENT_BUFFER, serve_connection};
+use crate::server::{EVENT_BUFFER, serve_connection};
+
+/// Maximum number of unacknowledged bytes of a response to a peer that does not state it.
+const RESPONSE_WINDOW: u32 = 128 << 10;
 
 type Result<T> = std::result::Result<T, capnp::Error>;
 
@@ -33,10 +37,11 @@
 /// Returns the error of the listener.
 pub async fn serve<H: RelayHandler>(listener: TcpListener, handler: H) -> std::io::Result<()> {
     loop {
-        let (stream, _) = listener.accept().await?;
+        let (stream, address) = listener.accept().await?;
         if stream.set_nodelay(true).is_ok() && sw_http::enable_keepalive(&stream).is_ok() {
             let server: relay_peer::Client = capnp_rpc::new_client(Server {
                 handler: handler.clone(),
+                from: address.ip(),
             });
             tokio::task::spawn_local(serve_connection(stream, server.client));
         }
@@ -45,6 +50,8 @@
 
 struct Server<H> {
     handler: H,
+    /// Address of the peer.
+    from: IpAddr,
 }
 
 impl<H: RelayHandler> relay_peer::Server for Server<H> {
@@ -171,11 +178,18 @@
         params: relay_peer::RelayParams,
         mut results: relay_peer::RelayResults,
     ) -> Result<()> {
-        let params = params.get()?;
-        let call = convert::call(params.get_call()?)?;
-        let sink = params.get_sink()?;
+        let (call, sink) = {
+            let params = params.get()?;
+            (convert::call(params.get_call()?)?, params.get_sink()?)
+        };
+        // The message has the body once more.
+        drop(params);
+        let window = call.response_window.unwrap_or(RESPONSE_WINDOW) as usize;
         let (tx, rx) = mpsc::channel(EVENT_BUFFER);
-        let ((), relayed) = futures::join!(self.handler.on_forwarded_request(call, tx), relay_response(rx, &sink));
+        let ((), relayed) = futures::join!(
+            self.handler.on_forwarded_request(self.from, call, tx),
+            relay_response(rx, &sink, window)
+        );
         let (length, end) = relayed?;
         let mut results = results.get();
         results.set_length(length);
@@ -188,12 +202,14 @@
     }
 }
 
-/// Relays the parts of a response to the peer; returns the length of the body and how the response ended.
+/// Relays the parts of a response to the peer, at most `window` bytes of which are unacknowledged unless a single part is
+/// longer; returns the length of the body and how the response ended.
 async fn relay_response(
     mut rx: mpsc::Receiver<RelayEvent>,
     sink: &answer_sink::Client,
+    window: usize,
 ) -> Result<(u64, std::result::Result<(), CallRefusal>)> {
-    let mut in_flight = FuturesUnordered::new();
+    let mut in_flight = InFlight::default();
     let mut length = 0;
     while let Some(event) = rx.recv().await {
         match event {
@@ -208,21 +224,19 @@
                     request.get().set_software(software.as_str());
                 }
                 convert::set_headers(request.get().init_headers(len(&headers)), &headers);
-                in_flight.push(request.send().promise.boxed_call());
+                in_flight.push(Bytes::new(), request.send().promise);
             }
             RelayEvent::Chunk(data) => {
+                in_flight.wait_for_room(data.len(), window).await?;
                 length += data.len() as u64;
                 let mut request = sink.chunk_request();
                 request.get().set_data(&data);
-                in_flight.push(request.send().promise.boxed_call());
-                while in_flight.len() >= CHUNK_WINDOW {
-                    in_flight.next().await.transpose()?;
-                }
+                in_flight.push(data, request.send().promise);
             }
             RelayEvent::End(end) => {
                 // The reply to the call follows the chunks at once. Dropping the calls in flight would cancel them.
                 tokio::task::spawn_local(async move {
-                    while let Some(Ok(())) = in_flight.next().await {}
+                    let _broken = in_flight.finish().await;
                     // The handler waits until the peer has all chunks.
                     drop(rx);
                 });
@@ -230,7 +244,7 @@
             }
             // The peer must have all chunks before the call fails, as it drops those that are still in flight.
             RelayEvent::Broken => {
-                while in_flight.next().await.transpose()?.is_some() {}
+                in_flight.finish().await?;
                 break;
             }
             // Only events of a response are relayed.
@@ -246,15 +260,3 @@
     }
     Err(capnp::Error::failed("the answer broke off".to_owned()))
 }
-
-/// Gives the futures of different calls one type.
-trait BoxedCall {
-    fn boxed_call(self) -> futures::future::LocalBoxFuture<'static, Result<()>>;
-}
-
-impl<T, F: Future<Output = Result<T>> + 'static> BoxedCall for F {
-    fn boxed_call(self) -> futures::future::LocalBoxFuture<'static, Result<()>> {
-        use futures::FutureExt as _;
-        self.map(|result| result.map(|_empty| ())).boxed_local()
-    }
-}
--- a/crates/sw-peer/src/relay/types.rs
+++ b/crates/sw-peer/src/relay/types.rs
@@ -1,5 +1,6 @@
 //! Messages of the calls about discovered services.
 
+use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -39,6 +40,8 @@
     pub software: Option<SoftwareVersion>,
     /// Version of the configuration that the sender judges by; 0 if the sender does not state it.
     pub version: Version,
+    /// Bytes of the response that may be on the way to the sender; `None` if the sender does not state it.
+    pub response_window: Option<u32>,
 }
 
 /// The refusal of a forwarded request.
@@ -215,6 +218,12 @@
     /// Returns which software version started a stream, if this VM knows it.
     fn find_origin(&self, stream: &str) -> Option<StreamOrigin>;
 
-    /// Runs a forwarded request and sends the response to `events`; dropping the future cancels the request.
-    fn on_forwarded_request(&self, call: RelayCall, events: mpsc::Sender<RelayEvent>) -> impl Future<Output = ()>;
+    /// Runs a request that the VM at `from` has forwarded, and sends the response to `events`; dropping the future cancels
+    /// the request.
+    fn on_forwarded_request(
+        &self,
+        from: IpAddr,
+        call: RelayCall,
+        events: mpsc::Sender<RelayEvent>,
+    ) -> impl Future<Output = ()>;
 }
--- a/crates/sw-peer/src/relay_capnp.rs
+++ b/crates/sw-peer/src/relay_capnp.rs
@@ -7761,11 +7761,15 @@
         pub fn get_version(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
+        #[inline]
+        pub fn get_window(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7943,6 +7947,14 @@
         pub fn set_version(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(2, value);
         }
+        #[inline]
+        pub fn get_window(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn set_window(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(6, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7954,94 +7966,101 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 174] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 189] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(145, 219, 65, 67, 31, 202, 143, 255),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(38, 56, 95, 11, 217, 225, 196, 167),
             ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 67, 97, 108, 108),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 96, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(109, 101, 116, 104, 111, 100, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8129,6 +8148,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 105, 110, 100, 111, 119, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -8142,6 +8169,7 @@
                 7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8155,9 +8183,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,6,2,5,3,0,7,8,1,9];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,6,2,5,3,0,7,8,1,9,10];
         pub(crate) const TYPE_ID: u64 = 0xff8f_ca1f_4341_db91;
     }
 }
--- a/crates/sw-peer/tests/forwarded_responses.rs
+++ b/crates/sw-peer/tests/forwarded_responses.rs
@@ -64,3 +64,32 @@
         LocalSet::new().run_until(test).await;
     }
 }
+
+/// Guards against parts that overtake each other while they wait for room, and against a window that holds back the end.
+#[tokio::test(flavor = "current_thread")]
+async fn a_response_longer_than_the_windows_arrives_in_order() {
+    const CHUNKS: usize = 60;
+    let script = (0..CHUNKS)
+        .map(|number| Part::Chunk(format!("{number:<20000} ")))
+        .collect();
+    let test = async {
+        let (_client, _link, mut events) = forward(script).await;
+        let mut numbers = Vec::new();
+        while let Some(event) = events.recv().await {
+            match event {
+                RelayEvent::Chunk(data) => {
+                    sleep(Duration::from_millis(2)).await;
+                    numbers.push(String::from_utf8_lossy(&data).trim().parse::<usize>().unwrap());
+                }
+                RelayEvent::End(end) => {
+                    assert_eq!(end, Ok(()));
+                    assert_eq!(numbers, (0..CHUNKS).collect::<Vec<_>>());
+                    return;
+                }
+                _ => {}
+            }
+        }
+        panic!("the response has no end");
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/sw-peer/tests/silent_connections.rs
+++ b/crates/sw-peer/tests/silent_connections.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use support::{DELAY, Part, call, forward, start_peer};
+use support::{DELAY, Part, call, forward, start_peer, window};
 use sw_peer::relay::{RelayClient, RelayEvent};
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
@@ -130,7 +130,7 @@
         let client = RelayClient::default();
         let mut request = call("POST");
         request.body = vec![7; 1 << 20].into();
-        let mut events = client.forward(link.address, request, || true);
+        let mut events = client.forward(link.address, request, window(), || true);
         let first = timeout(LONG_PAUSE, events.recv()).await.expect("a head");
         assert!(matches!(first, Some(RelayEvent::Head { .. })), "{first:?}");
     };
--- a/crates/sw-peer/tests/support/mod.rs
+++ b/crates/sw-peer/tests/support/mod.rs
@@ -3,11 +3,13 @@
 #![allow(dead_code, reason = "each test file uses a part of the support code")]
 
 use std::cell::Cell;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use sw_http::ResponseWindow;
+use sw_limit::{CallerAccount, LimitOptions};
 use sw_peer::relay::{
     RelayCall, RelayClient, RelayEvent, RelayHandler, StoreCopy, WatchOutcome, WatchQuery, bind, serve,
 };
@@ -15,6 +17,7 @@
     Borrower, Grant, Heartbeat, LoanReply, QueueEstimate, QuotaLoan, QuotaReply, QuotaTake, Reservation,
     ReservationUpdate, StreamOrigin,
 };
+use sw_time::SystemClock;
 use sw_unit::{Digest, EndpointId, Millis, Version};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -78,7 +81,7 @@
         None
     }
 
-    async fn on_forwarded_request(&self, _: RelayCall, events: mpsc::Sender<RelayEvent>) {
+    async fn on_forwarded_request(&self, _: IpAddr, _: RelayCall, events: mpsc::Sender<RelayEvent>) {
         let head = RelayEvent::Head {
             status: 200,
             headers: Vec::new(),
@@ -193,13 +196,20 @@
         resume_after: None,
         software: None,
         version: Version(0),
+        response_window: None,
     }
 }
 
+/// A window of a VM that serves no other request.
+pub fn window() -> ResponseWindow<SystemClock> {
+    let account = CallerAccount::new(LimitOptions::for_vm(None, None));
+    ResponseWindow::new(&account.payer(Ipv4Addr::LOCALHOST.into()), SystemClock::default())
+}
+
 /// Forwards a request to a VM that answers by `script`.
 pub async fn forward(script: Vec<Part>) -> (RelayClient, Link, mpsc::Receiver<RelayEvent>) {
     let link = start_peer(script).await;
     let client = RelayClient::default();
-    let events = client.forward(link.address, call("POST"), || true);
+    let events = client.forward(link.address, call("POST"), window(), || true);
     (client, link, events)
 }
--- a/crates/sw-proxy/src/attempt.rs
+++ b/crates/sw-proxy/src/attempt.rs
@@ -33,8 +33,8 @@
     /// End-to-end headers.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
-    /// What may be held of the response for the caller; `None` if another VM relays it.
-    pub(crate) window: Option<ResponseWindow<BootClock>>,
+    /// What may be held of the response for the caller, or for the VM that forwarded the request.
+    pub(crate) window: ResponseWindow<BootClock>,
     /// Id of the last event that the caller received before the stream broke off.
     pub(crate) last_event_id: Option<String>,
     /// Whether another VM forwarded the request to this one and can retry it elsewhere if there is no response in time.
--- a/crates/sw-proxy/src/forward.rs
+++ b/crates/sw-proxy/src/forward.rs
@@ -66,6 +66,7 @@
         resume_after: request.last_event_id.clone(),
         software: request.admitted.pinned_software.clone(),
         version: state.relay.borrow().version(),
+        response_window: Some((request.window.bytes() / 2) as u32),
     };
     let may_send = {
         let (state, admitted, region) = (Rc::clone(state), request.admitted.clone(), region.clone());
@@ -74,7 +75,9 @@
             relay.may_send_to(&admitted, &region, now) && relay.is_authentic(&admitted, now)
         }
     };
-    let mut events = state.peers.forward(address, forwarded, may_send);
+    let mut events = state
+        .peers
+        .forward(address, forwarded, request.window.clone(), may_send);
     let first_event_deadline = state.now() + request.admitted.first_event_timeout(expected_ms) + FORWARD_MARGIN;
     let wait = request.head_timeout(expected_ms, can_retry_elsewhere, remaining) + FORWARD_MARGIN;
     let first = next_unless_silent(&mut events, can_retry_elsewhere);
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -1,5 +1,6 @@
 //! Handlers of calls from other VMs.
 
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -7,6 +8,7 @@
 use http_body_util::BodyExt as _;
 use hyper::{Method, Request, Uri};
 use sw_error::{Kind, Refusal};
+use sw_http::ResponseWindow;
 use sw_peer::relay::{CallRefusal, RelayCall, RelayEvent, RelayHandler, StoreCopy, WatchOutcome, WatchQuery};
 use sw_relay::{
     Borrower, Grant, Heartbeat, LoanReply, QueueEstimate, QuotaLoan, QuotaReply, QuotaTake, Replication, Reservation,
@@ -110,11 +112,11 @@
         self.0.relay.borrow().stream_origin(stream)
     }
 
-    async fn on_forwarded_request(&self, call: RelayCall, events: mpsc::Sender<RelayEvent>) {
+    async fn on_forwarded_request(&self, from: IpAddr, call: RelayCall, events: mpsc::Sender<RelayEvent>) {
         let received = self.0.now();
         let active = self.0.active.begin(received);
         let mut id = Arc::from("");
-        let end = match serve_forwarded(&self.0, &active, call, &mut id).await {
+        let end = match serve_forwarded(&self.0, &active, from, call, &mut id).await {
             Ok(response) => relay_response(response, &events).await.unwrap_or(RelayEvent::Broken),
             Err(refusal) => {
                 telemetry::log_refusal(&self.0, &id, "", refusal, self.0.now().since(received));
@@ -136,6 +138,7 @@
 async fn serve_forwarded<D: Dialect, F: Feed>(
     state: &Rc<ProxyState<D, F>>,
     active: &ActiveRequest,
+    from: IpAddr,
     call: RelayCall,
     id: &mut Arc<str>,
 ) -> Result<HttpResponse, Refusal> {
@@ -186,7 +189,7 @@
         target: parts.uri,
         headers: parts.headers,
         body: call.body,
-        window: None,
+        window: ResponseWindow::new(&state.callers.payer(from), state.clock),
         last_event_id: call.resume_after,
         forwarder_can_retry: call.can_retry_elsewhere,
     };
--- a/crates/sw-proxy/src/request.rs
+++ b/crates/sw-proxy/src/request.rs
@@ -95,7 +95,7 @@
             target: origin_form(&parts.uri),
             headers,
             body,
-            window: Some(ResponseWindow::new(&connection.payer(), state.clock)),
+            window: ResponseWindow::new(&connection.payer(), state.clock),
             last_event_id: None,
             forwarder_can_retry: false,
         };
--- a/crates/sw-proxy/src/stream.rs
+++ b/crates/sw-proxy/src/stream.rs
@@ -281,11 +281,12 @@
 
     /// Waits until the caller has read enough that a part may be held for it; `None` if it is gone.
     async fn hold(&self, data: Bytes, tx: &Sender) -> Option<Bytes> {
-        let Some(window) = &self.request.window else {
+        // The parts that another VM relays were held when they arrived.
+        if self.endpoint.is_none() {
             return Some(data);
-        };
+        }
         tokio::select! {
-            data = window.hold(data) => Some(data),
+            data = self.request.window.hold(data) => Some(data),
             () = tx.closed() => None,
         }
     }
