fix(peer): a VM whose descriptors ran out takes connections of others again

What callers saw: after a moment in which a VM could not accept a connection, requests that only its region may serve are refused by all other VMs, until the process is restarted; readiness says 200.

Cause: the listener for other VMs ended with the first error of accept, EMFILE among them, and with it the task that served it. So did the one of the own interface.

Change: both listeners go on after 50 ms, as those of callers do; the discovered services log peer_accept_failed.

The own interface has no test of this.

--- a/crates/shallotwing-daemon/tests/hostile_callers/fleet.rs
+++ b/crates/shallotwing-daemon/tests/hostile_callers/fleet.rs
@@ -29,20 +29,23 @@
 pub struct Fleet {
     vms: Vec<Vm>,
     bounds: Bounds,
-    _store: StandinStore,
+    store: StandinStore,
 }
 
 /// A process that serves discovered services.
 struct Vm {
     name: &'static str,
+    region: &'static str,
     listen: SocketAddr,
+    /// Address for other VMs.
+    peer: SocketAddr,
     process: Process,
     usage: Usage,
 }
 
 impl Fleet {
     /// Starts VMs by name and region, and waits until each answers requests of all routes whose region has a VM.
-    pub async fn start(bounds: Bounds, vms: &[(&'static str, &str)]) -> Self {
+    pub async fn start(bounds: Bounds, vms: &[(&'static str, &'static str)]) -> Self {
         let store = StandinStore::start().await;
         store.put("op/config", &config());
         for (name, service, region) in [
@@ -59,38 +62,58 @@
         let mut fleet = Self {
             vms: Vec::new(),
             bounds,
-            _store: store.clone(),
+            store,
         };
-        let seed = free_address().expect("a free port");
-        for (index, (name, region)) in vms.iter().enumerate() {
-            let [listen, free, ready, directory] = std::array::from_fn(|_| free_address().expect("a free port"));
-            let peer = if index == 0 { seed } else { free };
-            let (memory_mb, descriptors) = (bounds.memory_mb, bounds.descriptors);
-            let process = Process::start(&format!(
-                "[vm]\nid = {name}\ndomain = {region}\nregion = {region}\nlisten = {listen}\npeer_listen = {peer}\n\
-                 seeds = {seed}\nmemory_mb = {memory_mb}\ndescriptors = {descriptors}\n\
-                 [relay]\nstore = {store}\nready_listen = {ready}\ndirectory_listen = {directory}\n\
-                 [domain north]\nregion = north\n[domain south]\nregion = south\n",
-                store = store.address,
-            ));
-            let usage = Usage::watch(&process);
-            fleet.vms.push(Vm {
-                name,
-                listen,
-                process,
-                usage,
-            });
+        for (name, region) in vms {
+            fleet.start_vm(name, region);
         }
+        fleet.check_routes("start").await;
+        fleet
+    }
+
+    /// Starts another VM.
+    pub fn start_vm(&mut self, name: &'static str, region: &'static str) {
+        let [listen, peer, ready, directory] = std::array::from_fn(|_| free_address().expect("a free port"));
+        let seed = self.vms.first().map_or(peer, |first| first.peer);
+        let Bounds { memory_mb, descriptors } = self.bounds;
+        let process = Process::start(&format!(
+            "[vm]\nid = {name}\ndomain = {region}\nregion = {region}\nlisten = {listen}\npeer_listen = {peer}\n\
+             seeds = {seed}\nmemory_mb = {memory_mb}\ndescriptors = {descriptors}\n\
+             [relay]\nstore = {store}\nready_listen = {ready}\ndirectory_listen = {directory}\n\
+             [domain north]\nregion = north\n[domain south]\nregion = south\n",
+            store = self.store.address,
+        ));
+        let usage = Usage::watch(&process);
+        self.vms.push(Vm {
+            name,
+            region,
+            listen,
+            peer,
+            process,
+            usage,
+        });
+    }
+
+    /// Checks that each VM answers requests of all routes whose region has a VM.
+    pub async fn check_routes(&self, crowd: &str) {
         let regions = [("north", NORTH), ("south", SOUTH)];
-        let served = regions
-            .iter()
-            .filter(|(region, _)| vms.iter().any(|vm| vm.1 == *region));
+        let is_served = |region: &str| self.vms.iter().any(|vm| vm.region == region);
+        let served = regions.iter().filter(|(region, _)| is_served(region));
         for route in served.map(|(_, route)| *route).chain([ORDINARY]) {
-            for vm in &fleet.vms {
-                vm.check_answers("start", route).await;
+            for vm in &self.vms {
+                vm.check_answers(crowd, route).await;
             }
         }
-        fleet
+    }
+
+    /// Returns the address of the VM at `index` for other VMs.
+    pub fn peer(&self, index: usize) -> SocketAddr {
+        self.vms[index].peer
+    }
+
+    /// Returns the process of the VM at `index`.
+    pub fn process(&self, index: usize) -> &Process {
+        &self.vms[index].process
     }
 
     /// Returns the address for callers of the VM at `index`.
--- a/crates/shallotwing-daemon/tests/hostile_callers/forwarding.rs
+++ b/crates/shallotwing-daemon/tests/hostile_callers/forwarding.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use rustix::process::{Pid, Resource, Rlimit, getrlimit, prlimit};
+use tokio::net::TcpStream;
+
 use super::callers::{Callers, Pace, Upload};
 use super::endpoint::{LONG, UNANSWERED};
 use super::fleet::{Fleet, SOUTH};
@@ -61,3 +64,27 @@
         fleet.check("slow readers of forwarded responses").await;
     });
 }
+
+/// Guards against a VM that no longer takes connections of others once its descriptors have run out.
+#[test]
+fn a_vm_whose_descriptors_ran_out_serves_others_again() {
+    /// Time in which connections cannot be accepted.
+    const OUT_TIME: Duration = Duration::from_secs(1);
+    let _turn = turn();
+    support::run(async {
+        let mut fleet = Fleet::start(Bounds::SMALL, &[("vm-1", "south")]).await;
+        let id = Pid::from_raw(fleet.process(0).id().cast_signed());
+        let none_left = Rlimit {
+            current: Some(0),
+            ..getrlimit(Resource::Nofile)
+        };
+        let before = prlimit(id, Resource::Nofile, none_left).expect("a running process");
+        let connection = TcpStream::connect(fleet.peer(0)).await;
+        tokio::time::sleep(OUT_TIME).await;
+        prlimit(id, Resource::Nofile, before).expect("a running process");
+        drop(connection);
+        fleet.start_vm("vm-2", "north");
+        fleet.check_routes("descriptors that ran out").await;
+        fleet.check("descriptors that ran out").await;
+    });
+}
--- a/crates/sw-peer/src/relay/server.rs
+++ b/crates/sw-peer/src/relay/server.rs
@@ -17,7 +17,7 @@
 };
 use crate::convert::{len as list_len, parse, text};
 use crate::relay_capnp::{answer_sink, relay_peer};
-use crate::server::{EVENT_BUFFER, serve_connection};
+use crate::server::{ACCEPT_BACKOFF, EVENT_BUFFER, serve_connection};
 
 /// Maximum number of unacknowledged bytes of a response to a peer that does not state it.
 const RESPONSE_WINDOW: u32 = 128 << 10;
@@ -33,14 +33,18 @@
     TcpListener::bind(address).await
 }
 
-/// Accepts connections until the listener fails; each is served by a task of the current `LocalSet`.
-///
-/// # Errors
-///
-/// Returns the error of the listener.
-pub async fn serve<H: RelayHandler>(listener: TcpListener, handler: H) -> std::io::Result<()> {
+/// Accepts connections; each is served by a task of the current `LocalSet`. After a failure, for example when file descriptors
+/// run out, it goes on.
+pub async fn serve<H: RelayHandler>(listener: TcpListener, handler: H) {
     loop {
-        let (stream, address) = listener.accept().await?;
+        let (stream, address) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                handler.on_accept_failed(&error);
+                tokio::time::sleep(ACCEPT_BACKOFF).await;
+                continue;
+            }
+        };
         if stream.set_nodelay(true).is_ok() && sw_http::enable_keepalive(&stream).is_ok() {
             let server: relay_peer::Client = capnp_rpc::new_client(Server {
                 handler: handler.clone(),
--- a/crates/sw-peer/src/relay/types.rs
+++ b/crates/sw-peer/src/relay/types.rs
@@ -238,6 +238,9 @@
     /// Returns which software version started a stream, if this VM knows it.
     fn find_origin(&self, stream: &str) -> Option<StreamOrigin>;
 
+    /// Records that a connection of another VM could not be accepted.
+    fn on_accept_failed(&self, error: &std::io::Error);
+
     /// Takes memory for the body of a request that the VM at `from` wants to forward.
     ///
     /// # Errors
--- a/crates/sw-peer/src/server.rs
+++ b/crates/sw-peer/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use capnp::capability::Rc;
@@ -25,9 +25,16 @@
 /// Number of events of a response to buffer while the window is full.
 pub(crate) const EVENT_BUFFER: usize = 16;
 
-/// Accepts and serves connections until the listener fails.
+/// Delay after a failed `accept`.
+pub(crate) const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+
+/// Accepts and serves connections. After a failure, for example when file descriptors run out, it goes on.
 pub(crate) async fn serve<H: Handler>(listener: TcpListener, handler: H) {
-    while let Ok((stream, _)) = listener.accept().await {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_BACKOFF).await;
+            continue;
+        };
         if stream.set_nodelay(true).is_ok() && sw_http::enable_keepalive(&stream).is_ok() {
             let server: peer::Client = capnp_rpc::new_client(Server {
                 handler: handler.clone(),
--- a/crates/sw-peer/tests/support/mod.rs
+++ b/crates/sw-peer/tests/support/mod.rs
@@ -87,6 +87,10 @@
         None
     }
 
+    fn on_accept_failed(&self, error: &std::io::Error) {
+        panic!("no connection was accepted: {error}");
+    }
+
     fn hold_body(&self, from: IpAddr, len: u64) -> Result<HeldMemory, CallRefusal> {
         let held = self.account.payer(from).hold_body(len, Time(0));
         held.map_err(|_limit| CallRefusal {
--- a/crates/sw-proxy/src/peer.rs
+++ b/crates/sw-proxy/src/peer.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::{Method, Request, Uri};
+use spdlog::prelude::*;
 use sw_error::{Kind, Refusal};
 use sw_http::ResponseWindow;
 use sw_limit::HeldMemory;
@@ -116,6 +117,11 @@
         self.0.relay.borrow().stream_origin(stream)
     }
 
+    fn on_accept_failed(&self, error: &std::io::Error) {
+        let reason = error.to_string();
+        warn!("peer_accept_failed", kv: { reason = reason.as_str() });
+    }
+
     fn hold_body(&self, from: IpAddr, len: u64) -> Result<HeldMemory, CallRefusal> {
         let held = self.0.callers.payer(from).hold_body(len, self.0.now());
         held.map_err(|_limit| CallRefusal {
--- a/crates/sw-proxy/src/proxy.rs
+++ b/crates/sw-proxy/src/proxy.rs
@@ -115,7 +115,7 @@
                 serve,
             )));
         }
-        tokio::task::spawn_local(serve_peers(peer_listener, Rc::clone(&state)));
+        tokio::task::spawn_local(sw_peer::relay::serve(peer_listener, PeerHandler(Rc::clone(&state))));
         tokio::task::spawn_local(store::follow(Rc::clone(&state)));
         tokio::task::spawn_local(transfer::run(Rc::clone(&state)));
         tokio::task::spawn_local(restore::run(Rc::clone(&state)));
@@ -174,13 +174,6 @@
     info!("started", kv: { vm, domain, region });
 }
 
-async fn serve_peers<D: Dialect, F: Feed>(listener: tokio::net::TcpListener, state: Rc<ProxyState<D, F>>) {
-    if let Err(error) = sw_peer::relay::serve(listener, PeerHandler(state)).await {
-        let reason = error.to_string();
-        error!("peer_listener_failed", kv: { reason = reason.as_str() });
-    }
-}
-
 /// Returns whether the settings name other VMs.
 fn expects_peers(options: &Options) -> bool {
     options.seeds.iter().any(|seed| *seed != options.peer_address())
