fix(relay): a long body is sent only while its request may be sent there

A request whose region or key was withdrawn while the other VM was asked for room sent its body nevertheless; only the call was checked again. The check is made after that answer too. Found by reading; no test fails without it, as the answer takes a crossing.

--- a/crates/sw-limit/src/lib.rs
+++ b/crates/sw-limit/src/lib.rs
@@ -1,10 +1,10 @@
 //! Limits on what callers can make a VM hold: connections, unfinished heads and bodies, and responses that they read
-//! slowly.
+//! slowly. Other VMs that forward requests are charged like callers.
 //!
 //! One account covers all of it. It has a bound in total and a share for each caller address. What a caller holds is
 //! taken as its bytes arrive, by guards that give it back when they are dropped. While the account is full, callers that
 //! make no progress are ended, those with the least recent progress first; if there are none, what asks for more is
-//! refused. Nothing here has a socket or a clock.
+//! refused. A part of it is left to small requests, and responses wait for room instead. Nothing here has a socket or a clock.
 
 mod entry;
 mod ledger;
--- a/crates/sw-peer/src/relay/upload.rs
+++ b/crates/sw-peer/src/relay/upload.rs
@@ -51,6 +51,9 @@
         Err(error) if error.kind == capnp::ErrorKind::Unimplemented => return Sent::Unsupported,
         Err(_broken) => return Sent::NotRun(NotSent::NoConnection),
     };
+    if !may_send() {
+        return Sent::NotRun(NotSent::NotPermitted);
+    }
     let Ok(mut in_flight) = write(&upload, &call.body).await else {
         return Sent::NotRun(NotSent::NoConnection);
     };
