fix(peer): forwarded bodies of the own interface are held once and in the account

What callers saw: 24 complete bodies of 3.9 MB at a VM of 64 MB whose service is in another region: the VM that serves them had 73 MB resident.

Cause: as in the relay, the message with a body was kept beside its copy for as long as the request ran, and neither was in an account.

Evidence: the new test own_forwarded_bodies_that_wait_for_their_answers (hostile_callers) failed on: 'own, forwarded bodies, VM 1: 73 MB were resident, and the VM has 64 MB', in 1 of 1 run.

Change: the message is freed when the body has been copied, and the body is charged to the address of the VM that forwards it; without room the request is refused as overloaded and has not run.

--- a/crates/shallotwing-daemon/src/request/received.rs
+++ b/crates/shallotwing-daemon/src/request/received.rs
@@ -1,5 +1,6 @@
 //! Calls from other VMs.
 
+use std::net::IpAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock, Weak};
 
@@ -10,6 +11,7 @@
 use sw_load::prefix_hashes;
 use sw_once::{SavedResponse, Ticket, TicketStatus};
 use sw_peer::{ForwardEvent, ForwardedRequest, Handler};
+use sw_time::Clock as _;
 use sw_unit::{Digest, WorkspaceId};
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
@@ -98,12 +100,17 @@
         Some(source.offer(known))
     }
 
-    async fn on_forwarded_request(&self, forwarded: ForwardedRequest, events: mpsc::Sender<ForwardEvent>) {
+    async fn on_forwarded_request(
+        &self,
+        from: IpAddr,
+        forwarded: ForwardedRequest,
+        events: mpsc::Sender<ForwardEvent>,
+    ) {
         let active = self.forward_server.begin();
         let gateway = self.forward_server.gateway();
         self.runtime.spawn(async move {
             let reply = match gateway {
-                Some(gateway) => serve(&gateway, forwarded).await,
+                Some(gateway) => serve(&gateway, from, forwarded).await,
                 None => Reply::Refused(Kind::Stopping.into()),
             };
             // Fails only if the other VM no longer receives the reply.
@@ -122,10 +129,10 @@
     }
 }
 
-async fn serve(gateway: &Arc<Gateway>, forwarded: ForwardedRequest) -> Reply {
+async fn serve(gateway: &Arc<Gateway>, from: IpAddr, forwarded: ForwardedRequest) -> Reply {
     let id = forwarded.envelope.request_id.clone();
     let route = forwarded.envelope.route.clone();
-    let reply = match admit(gateway, forwarded).await {
+    let reply = match admit(gateway, from, forwarded).await {
         Ok((request, None)) => run::run(gateway, &request, None).await,
         Ok((request, Some(ticket))) => once::run_owned(gateway, request, ticket).await,
         Err(refusal) => Reply::Refused(refusal),
@@ -137,8 +144,12 @@
 /// Admits a forwarded request; returns its ticket if it was forwarded because this VM owns the ticket.
 async fn admit(
     gateway: &Gateway,
-    forwarded: ForwardedRequest,
+    from: IpAddr,
+    mut forwarded: ForwardedRequest,
 ) -> Result<(Arc<BufferedRequest>, Option<Ticket>), Refusal> {
+    let (len, now) = (forwarded.body.len() as u64, gateway.timers.clock().now());
+    let held = gateway.callers.payer(from).hold_body(len, now);
+    forwarded.body = held.map_err(|_limit| Kind::Overloaded)?.attach(forwarded.body);
     let envelope = forwarded.envelope.clone();
     let admitted = gateway
         .gate
--- a/crates/shallotwing-daemon/tests/hostile_callers/main.rs
+++ b/crates/shallotwing-daemon/tests/hostile_callers/main.rs
@@ -15,6 +15,7 @@
 mod forwarding;
 mod http2;
 mod own;
+mod own_forwarding;
 #[path = "../../../../platform/tests/support/mod.rs"]
 mod support;
 mod vm;
--- a/crates/shallotwing-daemon/tests/regions.rs
+++ b/crates/shallotwing-daemon/tests/regions.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -29,7 +30,7 @@
         None
     }
 
-    async fn on_forwarded_request(&self, _: ForwardedRequest, _: mpsc::Sender<ForwardEvent>) {}
+    async fn on_forwarded_request(&self, _: IpAddr, _: ForwardedRequest, _: mpsc::Sender<ForwardEvent>) {}
 
     async fn ticket_status(&self, _: WorkspaceId, _: Ticket) -> Option<TicketStatus> {
         None
--- a/crates/sw-peer/src/server.rs
+++ b/crates/sw-peer/src/server.rs
@@ -1,7 +1,7 @@
 //! Incoming calls from other VMs.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -31,13 +31,14 @@
 /// Accepts and serves connections. After a failure, for example when file descriptors run out, it goes on.
 pub(crate) async fn serve<H: Handler>(listener: TcpListener, handler: H) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, address)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_BACKOFF).await;
             continue;
         };
         if stream.set_nodelay(true).is_ok() && sw_http::enable_keepalive(&stream).is_ok() {
             let server: peer::Client = capnp_rpc::new_client(Server {
                 handler: handler.clone(),
+                from: address.ip(),
             });
             tokio::task::spawn_local(serve_connection(stream, server.client));
         }
@@ -71,6 +72,8 @@
 
 struct Server<H> {
     handler: H,
+    /// Address of the peer.
+    from: IpAddr,
 }
 
 impl<H: Handler> peer::Server for Server<H> {
@@ -99,12 +102,16 @@
     }
 
     async fn forward(self: Rc<Self>, params: peer::ForwardParams, mut results: peer::ForwardResults) -> Result<()> {
-        let params = params.get()?;
-        let mut forwarded = convert::forwarded_request(params.get_envelope()?)?;
-        forwarded.body = Bytes::copy_from_slice(params.get_body()?);
-        let sink = params.get_sink()?;
+        let (forwarded, sink) = {
+            let params = params.get()?;
+            let mut forwarded = convert::forwarded_request(params.get_envelope()?)?;
+            forwarded.body = Bytes::copy_from_slice(params.get_body()?);
+            (forwarded, params.get_sink()?)
+        };
+        // The message has the body once more.
+        drop(params);
         let (tx, rx) = mpsc::channel(EVENT_BUFFER);
-        self.handler.on_forwarded_request(forwarded, tx).await;
+        self.handler.on_forwarded_request(self.from, forwarded, tx).await;
         let (length, end) = relay_response(rx, &sink).await?;
         let mut results = results.get();
         results.set_length(length);
--- a/crates/sw-peer/src/types.rs
+++ b/crates/sw-peer/src/types.rs
@@ -1,6 +1,7 @@
 //! Messages between the peer thread and the rest of the process.
 
 use std::fmt;
+use std::net::IpAddr;
 
 use bytes::Bytes;
 use sw_error::Refusal;
@@ -60,9 +61,11 @@
     /// Returns the current configuration for a peer that has the one with the digest `known`.
     fn configuration(&self, known: Option<Digest>) -> impl Future<Output = Option<ConfigOffer>> + Send;
 
-    /// Starts a forwarded request and sends the response to `events`; closing the channel cancels the request.
+    /// Starts a request that the VM at `from` has forwarded, and sends the response to `events`; closing the channel cancels
+    /// the request.
     fn on_forwarded_request(
         &self,
+        from: IpAddr,
         forwarded: ForwardedRequest,
         events: mpsc::Sender<ForwardEvent>,
     ) -> impl Future<Output = ()> + Send;
