--- a/crates/shallotwing-daemon/tests/hostile_callers/own.rs
+++ b/crates/shallotwing-daemon/tests/hostile_callers/own.rs
@@ -41,20 +41,9 @@
         self.fleet.vm(0).listen
     }
 
-    /// Checks that an ordinary request is answered, if it is sent again after refusals.
+    /// Checks that an ordinary request is answered.
     pub async fn check_answers(&self, crowd: &str) {
-        let answered = async {
-            for number in 0.. {
-                let request = TestRequest::question(&format!("m-{number};"), 3, false);
-                let response = request.send(self.listen()).await;
-                if response.is_some_and(|response| response.status == 200 && request.is_correct(&response)) {
-                    return;
-                }
-                tokio::time::sleep(POLL).await;
-            }
-        };
-        let answered = tokio::time::timeout(ANSWER_TIME, answered).await;
-        assert!(answered.is_ok(), "{crowd}: no ordinary request was answered");
+        check_answers(&self.fleet, 0, crowd).await;
     }
 
     /// Checks that the process lives and has stayed within the memory and descriptors of its settings.
@@ -62,3 +51,19 @@
         self.usage.check(crowd, &self.fleet.processes[0]);
     }
 }
+
+/// Checks that a VM answers an ordinary request, if it is sent again after refusals.
+pub async fn check_answers(fleet: &Fleet, vm: usize, crowd: &str) {
+    let answered = async {
+        for number in 0.. {
+            let request = TestRequest::question(&format!("m-{vm}-{number};"), 3, false);
+            let response = request.send(fleet.vm(vm).listen).await;
+            if response.is_some_and(|response| response.status == 200 && request.is_correct(&response)) {
+                return;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    let answered = tokio::time::timeout(ANSWER_TIME, answered).await;
+    assert!(answered.is_ok(), "{crowd}: VM {vm} answered no ordinary request");
+}
--- a/crates/shallotwing-daemon/tests/hostile_callers/own_forwarding.rs
+++ b/crates/shallotwing-daemon/tests/hostile_callers/own_forwarding.rs
@@ -7,13 +7,11 @@
 use sw_unit::Version;
 
 use super::callers::{Callers, Upload};
-use super::common::{Fleet, TestRequest};
+use super::common::Fleet;
+use super::own::check_answers;
 use super::vm::{Bounds, DESCRIPTORS, MEMORY_MB, Usage};
 use super::{HOLD_TIME, support, turn};
 
-/// Time within which an ordinary request must be answered; a process that hangs never answers it.
-const ANSWER_TIME: Duration = Duration::from_secs(20);
-const POLL: Duration = Duration::from_millis(10);
 /// Time for which a service that never answers waits; longer than a test.
 const SILENCE: Duration = Duration::from_mins(10);
 
@@ -45,21 +43,6 @@
     fleet
 }
 
-async fn check_answers(fleet: &Fleet, vm: usize) {
-    let answered = async {
-        for number in 0.. {
-            let request = TestRequest::question(&format!("m-{vm}-{number};"), 3, false);
-            let response = request.send(fleet.vm(vm).listen).await;
-            if response.is_some_and(|response| response.status == 200 && request.is_correct(&response)) {
-                return;
-            }
-            tokio::time::sleep(POLL).await;
-        }
-    };
-    let answered = tokio::time::timeout(ANSWER_TIME, answered).await;
-    assert!(answered.is_ok(), "VM {vm} answered no ordinary request");
-}
-
 /// Guards against forwarded bodies that are held several times, or that the VM that serves them does not account for.
 #[test]
 fn own_forwarded_bodies_that_wait_for_their_answers() {
@@ -78,7 +61,7 @@
         callers.upload_all(CALLERS, fleet.vm(0).listen, &path, body).await;
         tokio::time::sleep(HOLD_TIME).await;
         for vm in [0, 1] {
-            check_answers(&fleet, vm).await;
+            check_answers(&fleet, vm, "own, forwarded bodies").await;
         }
         for (vm, usage) in usages.iter().enumerate() {
             usage.check_bounds(
